--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with fixed seeds."""
--- /dev/null
+++ b/clementinepass/__init__.py
@@ -0,0 +1,1 @@
+"""Weight distribution and request coordination for model instances."""
--- /dev/null
+++ b/clementinepass/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent role: the gate in front of one endpoint."""
--- /dev/null
+++ b/clementinepass/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/clementinepass/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' configuration: files, checks, publications, fold and snapshots."""
--- /dev/null
+++ b/clementinepass/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load, pure: no sockets, tasks or clocks."""
--- /dev/null
+++ b/clementinepass/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters for model engines and plain services."""
--- /dev/null
+++ b/clementinepass/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: callers' HTTP, dispatch and relay."""
--- /dev/null
+++ b/clementinepass/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Members: entries, agents, leaving and liveness."""
--- /dev/null
+++ b/clementinepass/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and health."""
--- /dev/null
+++ b/clementinepass/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters for the platform's services."""
--- /dev/null
+++ b/clementinepass/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: identity, outcomes, streams, claims and quarantine."""
--- /dev/null
+++ b/clementinepass/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Weight versions: manifests, chunks, transfers and the gate's versions."""
--- /dev/null
+++ b/clementinepass/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Cap'n Proto protocol between the system's own processes."""
--- /dev/null
+++ b/clementinepass/wire/peers.capnp
@@ -0,0 +1,98 @@
+@0xd4a0a3a1c1f7e5b2;
+# Protocol between entries and agents. Times are in milliseconds.
+
+using Weights = import "weights.capnp";
+
+struct Peer {
+  id @0 :Text;
+  # Grows with each start of the process, so that a restart is seen.
+  incarnation @1 :UInt64;
+  failureDomain @2 :Text;
+}
+
+enum Phase {
+  starting @0;
+  serving @1;
+  draining @2;
+}
+
+struct AgentState {
+  # Grows with each change that a watcher should learn at once.
+  sequence @0 :UInt64;
+  phase @1 :Phase;
+  kind @2 :Text;
+  serves @3 :Text;
+  version @4 :Text;
+  running @5 :UInt32;
+  capacity @6 :UInt32;
+  revision @7 :UInt64;
+  incarnation @8 :UInt64;
+  wanted @9 :Text;
+  chunksHeld @10 :UInt32;
+  chunksWanted @11 :UInt32;
+  trouble @12 :Text;
+  bytesOrigin @13 :UInt64;
+  bytesPeers @14 :UInt64;
+}
+
+struct Dispatch {
+  requestId @0 :Text;
+  attempt @1 :UInt32;
+  team @2 :Text;
+  target @3 :Text;
+  version @4 :Text;
+  method @5 :Text;
+  path @6 :Text;
+  contentType @7 :Text;
+  body @8 :Data;
+  remaining @9 :UInt32;
+  stream @10 :Bool;
+  priority @11 :Int32;
+}
+
+struct Verdict {
+  accepted @0 :Bool;
+  reason @1 :Text;
+  retryAfter @2 :UInt32;
+}
+
+enum FrameKind {
+  head @0;
+  part @1;
+  end @2;
+  failed @3;
+}
+
+struct Frame {
+  requestId @0 :Text;
+  attempt @1 :UInt32;
+  # Contiguous from 0 for each attempt.
+  sequence @2 :UInt64;
+  kind @3 :FrameKind;
+  payload @4 :Data;
+  status @5 :UInt16;
+  # What a failed frame says of the execution: notRun, ran, mayHaveRun.
+  execution @6 :Text;
+}
+
+interface FrameSink {
+  push @0 (frames :List(Frame)) -> ();
+}
+
+interface Session {
+  dispatch @0 (dispatch :Dispatch) -> (verdict :Verdict);
+  watch @1 (known :UInt64) -> (state :AgentState);
+  cancel @2 (requestId :Text, attempt :UInt32) -> ();
+  resume @3 (requestId :Text, attempt :UInt32, next :UInt64) -> (verdict :Verdict);
+  configure @4 (revision :UInt64, state :Data) -> (revision :UInt64);
+}
+
+interface Agent {
+  attach @0 (peer :Peer, sink :FrameSink) -> (session :Session);
+  weights @1 () -> (weights :Weights.Weights);
+}
+
+interface Entry {
+  # Returns an empty state where nothing newer than known is in force here.
+  configuration @0 (known :UInt64) -> (revision :UInt64, state :Data);
+}
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the endpoints, for tests and trials."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, mirroring the package."""
