--- /dev/null
+++ b/clementinepass/decisions/placing.py
@@ -0,0 +1,189 @@
+"""Choose the endpoint for a request.
+
+:class:`RoundRobinPlacer` and :class:`LeastInFlightPlacer` are the baselines.
+:class:`CostPlacer` compares the expected cost of a few sampled endpoints.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from clementinepass.decisions import reasons
+
+if typing.TYPE_CHECKING:
+    import random
+
+
+@dataclasses.dataclass(slots=True)
+class Candidate:
+    """An endpoint that could take a request."""
+
+    endpoint_id: str
+    failure_domain: str
+    #: Requests running there by its last report, from all entries; it lags.
+    running_reported: int
+    #: Requests that it runs at a time.
+    capacity: int
+    #: Requests of this entry in flight there; exact.
+    own_in_flight: int
+    #: Whether the ejector has taken it out.
+    ejected: bool = False
+    #: Dispatches of this entry, less those finished, since that report.
+    own_since_report: int = 0
+    #: Time to first token relative to its peers.
+    slowness: float = 1
+
+    @property
+    def load(self) -> int:
+        """Return the best estimate of what runs there now."""
+        reported = self.running_reported + self.own_since_report
+        return max(reported, self.own_in_flight)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Choice:
+    """The endpoint chosen, and why."""
+
+    endpoint_id: str
+    reason: reasons.Placement
+    #: The expected cost in seconds, as compared between candidates.
+    cost: float = 0
+
+
+class Placer(typing.Protocol):
+    """Choose among endpoints."""
+
+    def choose(
+        self,
+        candidates: typing.Sequence[Candidate],
+        now: float,
+        prefix_key: str = '',
+    ) -> Choice | None:
+        """Return the endpoint to use, or ``None`` if there is none."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Costs:
+    """What makes up the expected time to first token, in seconds."""
+
+    #: Time that a request occupies its slot.
+    service: float = 1
+    #: Time to process a prompt of which nothing is cached.
+    prefill: float = 0.1
+    #: Delay of the first token when all slots of the endpoint decode.
+    interference: float = 0.1
+    #: Price of another failure domain. Small against a queue, so that it
+    #: decides only between endpoints that are about equally busy.
+    other_domain: float = 0.01
+
+
+class RoundRobinPlacer:
+    """A baseline: one after the other."""
+
+    __slots__ = ('_turn',)
+
+    def __init__(self) -> None:
+        self._turn = 0
+
+    def choose(
+        self,
+        candidates: typing.Sequence[Candidate],
+        now: float,
+        prefix_key: str = '',
+    ) -> Choice | None:
+        """Return the next in turn."""
+        if not candidates:
+            return None
+        self._turn += 1
+        candidate = candidates[self._turn % len(candidates)]
+        return Choice(candidate.endpoint_id, reasons.Placement.TURN)
+
+
+class LeastInFlightPlacer:
+    """A baseline: the endpoint with the fewest requests of this entry."""
+
+    __slots__ = ()
+
+    def choose(
+        self,
+        candidates: typing.Sequence[Candidate],
+        now: float,
+        prefix_key: str = '',
+    ) -> Choice | None:
+        """Return the endpoint with the fewest requests in flight."""
+        if not candidates:
+            return None
+        candidate = min(candidates, key=_own_in_flight)
+        return Choice(candidate.endpoint_id, reasons.Placement.LEAST_COST)
+
+
+class CostPlacer:
+    """Compare the expected cost of a few endpoints drawn at random.
+
+    Load: many entries that place on the same reports, up to 2 s old. Harm: if
+    all compared all endpoints, all would choose the same idle one until the
+    next report. A small sample spreads them, and a decision costs the same
+    for 8 endpoints as for 600.
+    """
+
+    __slots__ = ('_costs', '_domain', '_rng', '_sample')
+
+    def __init__(
+        self,
+        rng: random.Random,
+        *,
+        domain: str = '',
+        costs: Costs | None = None,
+        sample: int = 4,
+    ) -> None:
+        self._rng = rng
+        self._domain = domain
+        self._costs = costs or Costs()
+        self._sample = sample
+
+    def choose(
+        self,
+        candidates: typing.Sequence[Candidate],
+        now: float,
+        prefix_key: str = '',
+    ) -> Choice | None:
+        """Return the cheapest of a sample."""
+        if not candidates:
+            return None
+        drawn = self._draw(candidates)
+        usable = [candidate for candidate in drawn if not candidate.ejected]
+        reason = reasons.Placement.LEAST_COST
+        if not usable:
+            # The sample may have missed the usable ones.
+            usable = [one for one in candidates if not one.ejected]
+        if not usable:
+            # Load: every endpoint looks bad. Harm: refusing everything
+            # because of a judgement that only compares peers. Use them all.
+            usable = list(drawn)
+            reason = reasons.Placement.ALL_EJECTED
+        best = min(usable, key=self._cost)
+        return Choice(best.endpoint_id, reason, self._cost(best))
+
+    def _draw(
+        self,
+        candidates: typing.Sequence[Candidate],
+    ) -> typing.Sequence[Candidate]:
+        if len(candidates) <= self._sample:
+            return candidates
+        return self._rng.sample(candidates, self._sample)
+
+    def _cost(self, candidate: Candidate) -> float:
+        costs = self._costs
+        capacity = max(candidate.capacity, 1)
+        ahead = max(candidate.load + 1 - capacity, 0)
+        wait = ahead * costs.service / capacity
+        interference = costs.interference * candidate.load / capacity
+        cost = (wait + costs.prefill + interference) * candidate.slowness
+        if candidate.failure_domain != self._domain:
+            cost += costs.other_domain
+        return cost
+
+
+def _own_in_flight(candidate: Candidate) -> int:
+    return candidate.own_in_flight
--- /dev/null
+++ b/tests/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions under load."""
