--- a/clementinepass/decisions/queueing.py
+++ b/clementinepass/decisions/queueing.py
@@ -184,9 +184,12 @@
         """Remove a ticket that waits."""
         del self._by_id[ticket.request_id]
 
-    def displace(self, ticket: tickets.Ticket) -> tickets.Ticket | None:
+    def displace(  # noqa: WPS324
+        self,
+        ticket: tickets.Ticket,
+    ) -> tickets.Ticket | None:
         """Displace nothing."""
-        # The protocol's empty answer; mypy wants it written out.
+        # WPS324: mypy wants the protocol's empty answer written out.
         return None  # noqa: WPS324
 
     def started(self, team: str) -> None:
