--- /dev/null
+++ b/clementinepass/wire/messages.py
@@ -0,0 +1,221 @@
+"""Typed messages of the peers' protocol, read from and written to Cap'n Proto.
+
+Everything from a peer is checked here: text that is no UTF-8 or a value out of
+an enumeration raises :class:`errors.MalformedMessageError`.
+"""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+import capnp
+import msgspec
+
+from clementinepass import errors
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
+_Message = typing.TypeVar('_Message')
+
+
+class Phase(enum.Enum):
+    """Where an agent stands in its life."""
+
+    STARTING = 'starting'
+    SERVING = 'serving'
+    DRAINING = 'draining'
+
+
+class Peer(msgspec.Struct, frozen=True):
+    """Who is at the other end of a connection."""
+
+    id: str
+    #: Grows with each start of the process.
+    incarnation: int
+    failure_domain: str
+
+
+class AgentState(msgspec.Struct, frozen=True):
+    """What an agent tells the entries about itself."""
+
+    sequence: int
+    phase: Phase
+    #: ``engine`` or ``service``.
+    kind: str
+    #: The model or service that the endpoint runs.
+    serves: str
+    #: The version served; empty while the gate is closed.
+    version: str
+    running: int
+    capacity: int
+    #: The configuration revision in force.
+    revision: int
+    incarnation: int
+    #: The version that the configuration asks for.
+    wanted: str = ''
+    chunks_held: int = 0
+    chunks_wanted: int = 0
+    #: Why the wanted version isn't serving; empty where nothing is wrong.
+    trouble: str = ''
+    bytes_origin: int = 0
+    bytes_peers: int = 0
+
+
+class Dispatch(msgspec.Struct, frozen=True):
+    """One attempt of a request, from an entry to an agent."""
+
+    request_id: str
+    attempt: int
+    team: str
+    target: str
+    #: The version pinned for this attempt; empty for plain services.
+    version: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    #: Milliseconds until the caller's deadline.
+    remaining: int
+    stream: bool
+    priority: int
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """The gate's answer to a dispatch or to a resume."""
+
+    accepted: bool
+    reason: str = ''
+    #: Milliseconds until asking again makes sense; 0 for at once.
+    retry_after: int = 0
+
+
+def read(
+    read_message: Callable[[typing.Any], _Message],
+    reader: typing.Any,
+    peer: str,
+) -> _Message:
+    """Read one message, turning any fault into a typed error.
+
+    :raises MalformedMessageError: the message can't be what it claims.
+    """
+    try:
+        return read_message(reader)
+    except (
+        capnp.KjException,
+        UnicodeDecodeError,
+        ValueError,
+        AttributeError,
+    ) as error:
+        raise errors.MalformedMessageError(
+            f'malformed message: {error}',
+            step=read_message.__name__,
+            peer=peer,
+        ) from error
+
+
+def read_peer(reader: typing.Any) -> Peer:
+    """Read who the other end is."""
+    return Peer(
+        id=reader.id,
+        incarnation=reader.incarnation,
+        failure_domain=reader.failureDomain,
+    )
+
+
+def write_peer(peer: Peer, builder: typing.Any) -> None:
+    """Write who this end is."""
+    builder.id = peer.id
+    builder.incarnation = peer.incarnation
+    builder.failureDomain = peer.failure_domain
+
+
+def read_state(reader: typing.Any) -> AgentState:
+    """Read an agent's state."""
+    return AgentState(
+        sequence=reader.sequence,
+        phase=Phase(str(reader.phase)),
+        kind=reader.kind,
+        serves=reader.serves,
+        version=reader.version,
+        running=reader.running,
+        capacity=reader.capacity,
+        revision=reader.revision,
+        incarnation=reader.incarnation,
+        wanted=reader.wanted,
+        chunks_held=reader.chunksHeld,
+        chunks_wanted=reader.chunksWanted,
+        trouble=reader.trouble,
+        bytes_origin=reader.bytesOrigin,
+        bytes_peers=reader.bytesPeers,
+    )
+
+
+def write_state(state: AgentState, builder: typing.Any) -> None:
+    """Write an agent's state."""
+    builder.sequence = state.sequence
+    builder.phase = state.phase.value
+    builder.kind = state.kind
+    builder.serves = state.serves
+    builder.version = state.version
+    builder.running = state.running
+    builder.capacity = state.capacity
+    builder.revision = state.revision
+    builder.incarnation = state.incarnation
+    builder.wanted = state.wanted
+    builder.chunksHeld = state.chunks_held
+    builder.chunksWanted = state.chunks_wanted
+    builder.trouble = state.trouble
+    builder.bytesOrigin = state.bytes_origin
+    builder.bytesPeers = state.bytes_peers
+
+
+def read_dispatch(reader: typing.Any) -> Dispatch:
+    """Read a dispatch."""
+    return Dispatch(
+        request_id=reader.requestId,
+        attempt=reader.attempt,
+        team=reader.team,
+        target=reader.target,
+        version=reader.version,
+        method=reader.method,
+        path=reader.path,
+        content_type=reader.contentType,
+        body=bytes(reader.body),
+        remaining=reader.remaining,
+        stream=reader.stream,
+        priority=reader.priority,
+    )
+
+
+def write_dispatch(dispatch: Dispatch, builder: typing.Any) -> None:
+    """Write a dispatch."""
+    builder.requestId = dispatch.request_id
+    builder.attempt = dispatch.attempt
+    builder.team = dispatch.team
+    builder.target = dispatch.target
+    builder.version = dispatch.version
+    builder.method = dispatch.method
+    builder.path = dispatch.path
+    builder.contentType = dispatch.content_type
+    builder.body = dispatch.body
+    builder.remaining = dispatch.remaining
+    builder.stream = dispatch.stream
+    builder.priority = dispatch.priority
+
+
+def read_verdict(reader: typing.Any) -> Verdict:
+    """Read a verdict."""
+    return Verdict(
+        accepted=reader.accepted,
+        reason=reader.reason,
+        retry_after=reader.retryAfter,
+    )
+
+
+def write_verdict(verdict: Verdict, builder: typing.Any) -> None:
+    """Write a verdict."""
+    builder.accepted = verdict.accepted
+    builder.reason = verdict.reason
+    builder.retryAfter = verdict.retry_after
