--- a/clementinepass/errors.py
+++ b/clementinepass/errors.py
@@ -165,3 +165,7 @@
 
 class PeerUnavailableError(ClementinepassError):
     """A process of the system could not be reached, or fell silent."""
+
+
+class StreamLostError(ClementinepassError):
+    """A stream can't be resumed: its frames are no longer kept."""
