--- a/standins/http.py
+++ b/standins/http.py
@@ -161,13 +161,14 @@
         self,
         routes: Iterable[Route],
         fallback: type_handler | None = None,
+        board: faults.FaultBoard | None = None,
     ) -> None:
         self._routes = [
             *routes,
             Route('POST', '/control/faults', self._set_faults),
         ]
         #: The faults in force.
-        self.board = faults.FaultBoard()
+        self.board = board or faults.FaultBoard()
         #: What handles a request that no route is for.
         self.fallback = fallback or _not_found
 
