--- a/clementinepass/agent/gate.py
+++ b/clementinepass/agent/gate.py
@@ -6,20 +6,15 @@
 
 from __future__ import annotations
 
-import collections
 import enum
 import typing
 
+from clementinepass.requests import gatebook
 from clementinepass.wire import messages
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
 
-#: How many attempts are remembered after they ended or were fenced. At the
-#: planned peak a node sees about 13 requests a second, so this covers five
-#: minutes: far longer than any connection's silence is waited out.
-_REMEMBERED = 4096
-
 
 class Refusal(enum.Enum):
     """Why the gate refused an attempt; each means that it was not run."""
@@ -36,10 +31,8 @@
     #: The caller's deadline has passed.
     DEADLINE_PASSED = 'deadline_passed'
     #: The entry asked about this attempt before it arrived, and was told that
-    #: it had not run.
-    FENCED = 'fenced'
-    #: The attempt is not known here.
-    UNKNOWN = 'unknown'
+    #: it would not run.
+    BARRED = 'barred'
 
 
 class AttemptKey(typing.NamedTuple):
@@ -49,31 +42,12 @@
     attempt: int
 
 
-class _Memory:
-    """Remember a bounded number of attempts, the oldest forgotten first."""
-
-    def __init__(self) -> None:
-        self._keys: collections.OrderedDict[AttemptKey, None] = (
-            collections.OrderedDict()
-        )
-
-    def __contains__(self, key: AttemptKey) -> bool:
-        return key in self._keys
-
-    def add(self, key: AttemptKey) -> None:
-        """Remember one more attempt."""
-        self._keys[key] = None
-        if len(self._keys) > _REMEMBERED:
-            self._keys.popitem(last=False)
-
-
 class Gate:
     """Admit attempts to one endpoint.
 
     :param target: the model or service that the endpoint runs.
     :param versioned: whether the endpoint is an engine that serves versions.
     :param capacity: the most attempts in flight, running and waiting.
-    :param on_change: called when something changed that entries should learn.
     """
 
     def __init__(
@@ -82,88 +56,106 @@
         *,
         versioned: bool,
         capacity: int,
-        on_change: Callable[[], None] = lambda: None,
     ) -> None:
+        #: The model or service that the endpoint runs.
+        self.target = target
+        #: The most attempts in flight.
+        self.capacity = capacity
         #: Attempts in flight now.
         self.running: set[AttemptKey] = set()
         #: Where the agent stands in its life.
         self.phase = messages.Phase.STARTING
         #: The verified version being served; empty while closed.
         self.version = ''
-        self.target = target
-        self.capacity = capacity
+        #: Why the gate is closed; empty while it is open.
+        self.closed_reason = 'starting'
+        #: Called when something changed that entries should learn at once.
+        self.on_change: Callable[[], None] = _ignore
         self._versioned = versioned
-        self._on_change = on_change
-        self._ended = _Memory()
-        self._fenced = _Memory()
+        self._book = gatebook.GateBook()
 
     def open(self, version: str) -> None:
         """Let new work in, on a version that was read back from the engine."""
+        if (self.version, self.phase) == (version, messages.Phase.SERVING):
+            return
         self.version = version
+        self.closed_reason = ''
         self._enter(messages.Phase.SERVING)
 
     def close(self, reason: str) -> None:
-        """Let no new work in; what runs goes on.
-
-        :param reason: why, for the log of the caller.
-        """
+        """Let no new work in; what runs goes on."""
+        changed = self.phase is messages.Phase.SERVING
         self.version = ''
-        self._enter(messages.Phase.STARTING)
+        self.closed_reason = reason
+        if changed:
+            self._enter(messages.Phase.STARTING)
 
     def drain(self) -> None:
         """Let no new work in, for good."""
         self._enter(messages.Phase.DRAINING)
 
-    def offer(self, dispatch: messages.Dispatch) -> messages.Verdict:
-        """Decide on one attempt.
+    def offer(
+        self,
+        dispatch: messages.Dispatch,
+        now: float,
+    ) -> messages.Verdict:
+        """Decide on one attempt that has not been seen before.
+
+        The refusal is final for the attempt: a copy of it that arrives later,
+        out of the buffer of a dead connection, is refused too, since "not
+        run" has been said of it.
 
-        A repeated dispatch of an attempt that was accepted before is accepted
-        again without a second run: its first answer was lost on the way.
+        :param now: monotonic seconds.
         """
-        key = AttemptKey(dispatch.request_id, dispatch.attempt)
-        if self.knows(key):
-            return messages.Verdict(accepted=True)
-        refusal = self._refusal(key, dispatch)
-        if refusal is None:
+        refusal = self._refusal(dispatch)
+        if refusal is not None:
+            self._book.resume(dispatch.request_id, dispatch.attempt, now)
+            return messages.Verdict(accepted=False, reason=refusal.value)
+        admission = self._book.admit(
+            dispatch.request_id,
+            dispatch.attempt,
+            now,
+        )
+        if admission is gatebook.Admission.NEW:
+            key = AttemptKey(dispatch.request_id, dispatch.attempt)
             self.running.add(key)
             return messages.Verdict(accepted=True)
-        return messages.Verdict(accepted=False, reason=refusal.value)
-
-    def knows(self, key: AttemptKey) -> bool:
-        """Tell whether an attempt was accepted here."""
-        return key in self.running or key in self._ended
+        return messages.Verdict(
+            accepted=False,
+            reason=Refusal.BARRED.value,
+        )
 
-    def fence(self, key: AttemptKey) -> None:
-        """Make sure that an unknown attempt will never run.
+    def resume(self, key: AttemptKey, now: float) -> bool:
+        """Tell whether an attempt was accepted here; bar it if it was not.
 
         Guards against a dispatch that is still under way on a connection that
         went silent: the entry asks on a new connection, hears "not run", and
-        retries elsewhere; when the old dispatch then arrives after all, it
-        would be a second run. The fence is set before "not run" is said.
+        retries elsewhere; when the old dispatch arrives after all, it would
+        be a second run. The bar is set before "not run" is said.
+
+        :param now: monotonic seconds.
         """
-        self._fenced.add(key)
+        known = self._book.resume(key.request_id, key.attempt, now)
+        return known is gatebook.Resumption.KNOWN
 
     def finished(self, key: AttemptKey) -> None:
-        """Free the place of an attempt that ended."""
-        if key in self.running:
-            self.running.discard(key)
-            self._ended.add(key)
-            self._on_change()
+        """Free the place of an attempt that ended.
+
+        Entries learn the load with the next heartbeat, not at once: at 13
+        requests a second and 9 entries that would be over 100 messages a
+        second for a figure that is a hint only.
+        """
+        self.running.discard(key)
 
     def _enter(self, phase: messages.Phase) -> None:
         # A drain is final: weights that become ready during it must not
         # reopen an endpoint that has announced that it is leaving.
         if self.phase is not messages.Phase.DRAINING:
             self.phase = phase
-        self._on_change()
+        self.on_change()
 
-    def _refusal(
-        self,
-        key: AttemptKey,
-        dispatch: messages.Dispatch,
-    ) -> Refusal | None:
+    def _refusal(self, dispatch: messages.Dispatch) -> Refusal | None:
         checks = (
-            (key in self._fenced, Refusal.FENCED),
             (self.phase is messages.Phase.DRAINING, Refusal.DRAINING),
             (self.phase is messages.Phase.STARTING, Refusal.CLOSED),
             (dispatch.target != self.target, Refusal.WRONG_TARGET),
@@ -181,3 +173,7 @@
 
     def _mismatches(self, version: str) -> bool:
         return self._versioned and version != self.version
+
+
+def _ignore() -> None:
+    """Do nothing: nobody watches the gate yet."""
--- /dev/null
+++ b/clementinepass/agent/links.py
@@ -0,0 +1,142 @@
+"""What an agent keeps for one entry, across the entry's connections.
+
+An entry's connection can go silent and be replaced by a new one; the runs
+that it asked for go on, and their frames are sent again from where the entry
+says that it stands.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from loguru import logger
+
+from clementinepass import errors
+from clementinepass.agent import execution, gate
+from clementinepass.wire import connections, frames
+
+if typing.TYPE_CHECKING:
+    from clementinepass.requests import streams
+    from clementinepass.wire import messages
+
+#: The most frames in one message: about 5 ms of processor time at each end.
+_MOST_FRAMES = 256
+
+
+class EntryLink:
+    """The runs of one process of an entry and the way to it.
+
+    :param peer: the entry's process.
+    :param coalesce: seconds to wait for more frames before sending some; it
+        bounds the messages a second, whatever the number of streams.
+    :param silence: seconds without an answer after which a connection counts
+        as silent.
+    """
+
+    def __init__(
+        self,
+        peer: messages.Peer,
+        *,
+        coalesce: float,
+        silence: float,
+    ) -> None:
+        #: The entry's process.
+        self.peer = peer
+        #: Runs whose end the entry has not confirmed.
+        self.runs_by_key: dict[gate.AttemptKey, execution.Run] = {}
+        #: Monotonic seconds at which the last connection ended; ``None``
+        #: while there is one.
+        self.lost_at: float | None = None
+        self._coalesce = coalesce
+        self._silence = silence
+        self._dirty = asyncio.Event()
+        self._connection = 0
+
+    def attach(self) -> int:
+        """Begin a new connection and return its number."""
+        self._connection += 1
+        self.lost_at = None
+        for run in self.runs_by_key.values():
+            run.cursor = None
+        return self._connection
+
+    def detach(self, connection: int, now: float) -> None:
+        """Note the end of a connection, unless a newer one has replaced it."""
+        if connection == self._connection:
+            self.lost_at = now
+
+    def add(self, run: execution.Run) -> None:
+        """Keep a run until its end is confirmed."""
+        self.runs_by_key[run.key] = run
+
+    def wake(self) -> None:
+        """Note that there are frames to send."""
+        self._dirty.set()
+
+    def resume(self, key: gate.AttemptKey, sequence: int) -> bool:
+        """Send a run's frames from ``sequence`` on over this connection."""
+        run = self.runs_by_key.get(key)
+        if run is None:
+            return False
+        run.buffer.acknowledge(sequence)
+        run.cursor = sequence
+        self.wake()
+        return True
+
+    async def pump(self, connection: int, sink: typing.Any) -> None:
+        """Send frames over one connection until it fails or is replaced."""
+        while connection == self._connection:
+            await self._dirty.wait()
+            await asyncio.sleep(self._coalesce)
+            self._dirty.clear()
+            batch = self._collect()
+            if not batch:
+                continue
+            try:
+                await self._push(sink, batch)
+            except errors.PeerUnavailableError as error:
+                logger.bind(step=error.step, peer=error.peer).warning(
+                    'answers are not getting through: {}',
+                    error.detail,
+                )
+                return
+            if connection == self._connection:
+                self._confirm(batch)
+
+    async def _push(
+        self,
+        sink: typing.Any,
+        batch: list[streams.Frame],
+    ) -> None:
+        request = sink.push_request()
+        frames.write_frames(batch, request.init('frames', len(batch)))
+        await connections.call(
+            request.send(),
+            step='push frames',
+            peer=self.peer.id,
+            timeout=self._silence,
+        )
+
+    def _collect(self) -> list[streams.Frame]:
+        batch: list[streams.Frame] = []
+        for run in self.runs_by_key.values():
+            if run.cursor is None or run.cursor == run.buffer.next:
+                continue
+            pending = run.buffer.since(run.cursor)
+            batch.extend(pending[: _MOST_FRAMES - len(batch)])
+            if len(batch) >= _MOST_FRAMES:
+                self._dirty.set()
+                break
+        return batch
+
+    def _confirm(self, batch: list[streams.Frame]) -> None:
+        for frame in batch:
+            key = gate.AttemptKey(frame.request_id, frame.attempt)
+            run = self.runs_by_key.get(key)
+            if run is None:
+                continue
+            run.cursor = frame.sequence + 1
+            run.buffer.acknowledge(frame.sequence + 1)
+            if run.buffer.drained:
+                del self.runs_by_key[key]
--- /dev/null
+++ b/clementinepass/agent/workloads.py
@@ -0,0 +1,146 @@
+"""What stands behind the gate: an engine with weights, or a plain service."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+from loguru import logger
+
+if typing.TYPE_CHECKING:
+    from clementinepass.agent import gate as gates
+    from clementinepass.agent import health as healths
+    from clementinepass.agent import rollout as rollouts
+    from clementinepass.configuration import catalogue as catalogues
+    from clementinepass.wire import bridge as bridges
+
+#: Seconds that a run waits for the engine to say what it serves.
+_CONFIRM_TIMEOUT = 5.0
+
+
+class Progress(msgspec.Struct, frozen=True):
+    """What entries and operators learn of the endpoint's weights."""
+
+    wanted: str = ''
+    chunks_held: int = 0
+    chunks_wanted: int = 0
+    #: Why the wanted version isn't serving; empty where nothing is wrong.
+    trouble: str = ''
+    bytes_origin: int = 0
+    bytes_peers: int = 0
+
+
+class Workload(typing.Protocol):
+    """An endpoint as the agent sees it."""
+
+    #: ``engine`` or ``service``.
+    kind: str
+
+    async def run(self) -> None:
+        """Look after the endpoint until cancelled."""
+
+    def configure(self, catalogue: catalogues.Catalogue) -> None:
+        """Take a newer configuration."""
+
+    def progress(self) -> Progress:
+        """Return how far the wanted version is."""
+
+    def weights_capability(self) -> typing.Any:
+        """Return the capability for weights; ``None`` where there is none."""
+
+    def serves(self, version: str) -> bool:
+        """Read back whether ``version`` is served now; blocks."""
+
+
+class ServiceWorkload:
+    """A plain service: the gate is open while it answers."""
+
+    kind = 'service'
+
+    def __init__(
+        self,
+        gate: gates.Gate,
+        monitor: healths.ServiceMonitor,
+    ) -> None:
+        self._gate = gate
+        self._monitor = monitor
+
+    async def run(self) -> None:
+        """Watch the service until cancelled."""
+        await self._monitor.run()
+
+    def configure(self, catalogue: catalogues.Catalogue) -> None:
+        """Note nothing: a service has no versions."""
+
+    def progress(self) -> Progress:
+        """Return why the gate is closed, if it is."""
+        return Progress(trouble=self._gate.closed_reason)
+
+    def weights_capability(self) -> typing.Any:
+        """Return ``None``: a service has no weights."""
+        return None
+
+    def serves(self, version: str) -> bool:
+        """Tell that the service has no versions to differ in."""
+        return True
+
+
+class EngineWorkload:
+    """A model engine: the gate is open for the version read back."""
+
+    kind = 'engine'
+
+    def __init__(
+        self,
+        model: str,
+        rollout: rollouts.Rollout,
+        bridge: bridges.Bridge,
+    ) -> None:
+        self._model = model
+        self._rollout = rollout
+        self._bridge = bridge
+
+    async def run(self) -> None:
+        """Bring the engine to what is wanted, until cancelled."""
+        await self._rollout.run()
+
+    def configure(self, catalogue: catalogues.Catalogue) -> None:
+        """Want the version that the configuration names.
+
+        The fencing number is the newest revision of what decides about the
+        weights, so it grows with each such change and with no other.
+        """
+        model = catalogue.models_by_name.get(self._model)
+        version = model and catalogue.versions_by_name.get(model.version)
+        if not model or not version:
+            logger.bind(step='configure').warning(
+                'model {} or its version is not configured',
+                self._model,
+            )
+            return
+        self._rollout.want(
+            version.name,
+            version.manifest,
+            max(model.revision, version.revision),
+        )
+
+    def progress(self) -> Progress:
+        """Return how far the rollout is."""
+        progress = self._rollout.progress()
+        return Progress(
+            wanted=progress.wanted,
+            chunks_held=progress.chunks_held,
+            chunks_wanted=progress.chunks_wanted,
+            trouble=progress.trouble,
+            bytes_origin=progress.bytes_origin,
+            bytes_peers=progress.bytes_peers,
+        )
+
+    def weights_capability(self) -> typing.Any:
+        """Return the capability that peers read chunks from."""
+        return self._rollout.serve_capability()
+
+    def serves(self, version: str) -> bool:
+        """Read back whether the engine serves ``version`` now; blocks."""
+        confirmed = self._bridge.submit(self._rollout.confirm(version))
+        return confirmed.result(_CONFIRM_TIMEOUT)
--- /dev/null
+++ b/clementinepass/entry/exchange.py
@@ -0,0 +1,126 @@
+"""One attempt as the entry sees it: from the agent's frames to the caller."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from loguru import logger
+
+from clementinepass import errors
+from clementinepass.entry import outbox as outboxes
+from clementinepass.requests import outcome, streams
+
+if typing.TYPE_CHECKING:
+    from clementinepass.requests import identity
+
+
+class AttemptKey(typing.NamedTuple):
+    """What identifies one attempt of one request."""
+
+    request_id: str
+    attempt: int
+
+
+class Exchange:
+    """Relay one attempt's answer.
+
+    A streamed answer goes out part by part; any other is held until it is
+    whole, so that a failure before its end can still be retried.
+    """
+
+    def __init__(
+        self,
+        request: identity.Request,
+        attempt: outcome.Attempt,
+        outbox: outboxes.Outbox,
+    ) -> None:
+        #: The request being served.
+        self.request = request
+        #: What is known of the attempt.
+        self.attempt = attempt
+        #: What identifies the attempt.
+        self.key = AttemptKey(request.id, attempt.number)
+        #: The order of the answer's frames.
+        self.reassembly = streams.Reassembly(request.id, attempt.number)
+        #: Set once nothing more can change.
+        self.finished = asyncio.Event()
+        #: Set with the first piece of the answer.
+        self.answering = asyncio.Event()
+        #: The crash that ended the attempt; empty for none.
+        self.crash = ''
+        #: What went wrong, for the caller's problem.
+        self.detail = ''
+        #: The answer's head and body, for requests with a claim.
+        self.head: outboxes.Head | None = None
+        self._outbox = outbox
+        self._held: list[bytes] = []
+
+    @property
+    def body(self) -> bytes:
+        """Return the whole body of an answer that was not streamed."""
+        return b''.join(self._held)
+
+    def accept(self, frame: streams.Frame) -> streams.Arrival:
+        """Take one frame; only the next in order reaches the caller."""
+        arrival = self.reassembly.accept(frame)
+        if arrival is streams.Arrival.TAKEN:
+            self._take(frame)
+        elif arrival is streams.Arrival.CONTRADICTION:
+            self.detail = 'the answer contradicts itself'
+            self.attempt.failed(errors.Execution.MAY_HAVE_RUN)
+        self.settle()
+        return arrival
+
+    def settle(self) -> None:
+        """Wake whoever waits for the end, if it has come."""
+        if self.attempt.finished:
+            self.finished.set()
+
+    def _take(self, frame: streams.Frame) -> None:
+        self.answering.set()
+        if frame.kind is streams.FrameKind.HEAD:
+            self._take_head(frame)
+        elif frame.kind is streams.FrameKind.PART:
+            self._take_part(frame.payload)
+        elif frame.kind is streams.FrameKind.END:
+            self.attempt.ended()
+            if not self.request.stream:
+                self._release()
+        else:
+            self._take_failure(frame)
+
+    def _take_head(self, frame: streams.Frame) -> None:
+        self.attempt.head_seen()
+        self.head = outboxes.Head(frame.status, frame.payload.decode())
+
+    def _take_part(self, payload: bytes) -> None:
+        if not self.request.stream:
+            self._held.append(payload)
+            return
+        if not self.attempt.relayed and self.head is not None:
+            self.attempt.relayed = True
+            self._outbox.put(self.head)
+        if not self._outbox.put(outboxes.Part(payload)):
+            # A slow caller must not take the entry's memory; its stream ends
+            # as truncated and the endpoint is told to stop.
+            self.detail = 'the caller reads too slowly'
+            self.attempt.given_up()
+
+    def _release(self) -> None:
+        if self.head is not None:
+            self.attempt.relayed = True
+            self._outbox.put(self.head)
+        self._outbox.put(outboxes.Part(self.body))
+
+    def _take_failure(self, frame: streams.Frame) -> None:
+        failure = frame.failure()
+        self.detail = failure.detail
+        self.crash = failure.crash
+        self.attempt.failed(frame.execution, crashed=bool(failure.crash))
+        logger.bind(
+            request_id=frame.request_id,
+            attempt=frame.attempt,
+            peer=self.attempt.peer,
+            step='answer',
+        ).warning('attempt failed: {}', failure.detail)
--- a/clementinepass/wire/peers.capnp
+++ b/clementinepass/wire/peers.capnp
@@ -92,7 +92,33 @@
   weights @1 () -> (weights :Weights.Weights);
 }
 
+struct Amount {
+  entry @0 :Text;
+  slots @1 :Float64;
+}
+
+# What an entry tells its peers about one team's promise on one target.
+struct ShareReport {
+  team @0 :Text;
+  target @1 :Text;
+  epoch @2 :Text;
+  demand @3 :Float64;
+  held @4 :Float64;
+  given @5 :List(Amount);
+  received @6 :List(Amount);
+}
+
+struct EntryState {
+  # Grows with each change that a watcher should learn at once.
+  sequence @0 :UInt64;
+  incarnation @1 :UInt64;
+  leaving @2 :Bool;
+  revision @3 :UInt64;
+  shares @4 :List(ShareReport);
+}
+
 interface Entry {
   # Returns an empty state where nothing newer than known is in force here.
   configuration @0 (known :UInt64) -> (revision :UInt64, state :Data);
+  watch @1 (known :UInt64) -> (state :EntryState);
 }
