--- a/clementinepass/errors.py
+++ b/clementinepass/errors.py
@@ -38,12 +38,8 @@
         return f'{self.detail} (step {self.step}, peer {self.peer})'
 
 
-class SettingsError(ClementinepassError):
-    """A fault in the settings of a daemon; raised in an exception group."""
-
-
-class ConfigurationError(ClementinepassError):
-    """A fault in the operators' files; raised in an exception group.
+class FileFaultError(ClementinepassError):
+    """A fault in a file that an operator wrote.
 
     :param file: the file's name.
     :param line: the line, counted from 1; 0 for the file as a whole.
@@ -71,10 +67,37 @@
         return f'{self.file}:{self.line}: {self.key}: {self.detail}'
 
 
+class SettingsError(FileFaultError):
+    """A fault in the settings of a daemon; raised in an exception group."""
+
+
+class ConfigurationError(FileFaultError):
+    """A fault in the operators' files; raised in an exception group."""
+
+
 class PublicationRejectedError(ClementinepassError):
     """A publication lost a race; the detail names what it lost to."""
 
 
+class OutcomeUnknownError(ClementinepassError):
+    """A publication may still land; it can be looked for by its id.
+
+    :param publication_id: the publication's unique id.
+    """
+
+    def __init__(
+        self,
+        publication_id: str,
+        *,
+        step: str,
+        peer: str,
+    ) -> None:
+        detail = f'outcome of publication {publication_id} is unknown'
+        super().__init__(detail, step=step, peer=peer)
+        #: The publication's unique id.
+        self.publication_id = publication_id
+
+
 class PlatformUnavailableError(ClementinepassError):
     """A service of the platform did not answer, or answered with a fault.
 
--- /dev/null
+++ b/clementinepass/ini/reader.py
@@ -0,0 +1,158 @@
+"""Read INI text and files, remembering where each key was written."""
+
+from __future__ import annotations
+
+import configparser
+import dataclasses
+import typing
+
+if typing.TYPE_CHECKING:
+    import pathlib
+
+_COMMENTS = ('#', ';')
+_DELIMITER = '='
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault in a file."""
+
+    #: The file's name.
+    file: str
+    #: The line, counted from 1; 0 for the file as a whole.
+    line: int
+    #: The section or key at fault.
+    key: str
+    #: What is wrong, for a person to read.
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """The text of one key and where it was written."""
+
+    text: str
+    file: str
+    line: int
+
+
+@dataclasses.dataclass(slots=True)
+class Section:
+    """One section of a file."""
+
+    name: str
+    #: The file's name.
+    file: str
+    #: The line of the section's header, counted from 1.
+    line: int
+    entries_by_key: dict[str, Entry] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class Document:
+    """What one file contains, with all faults found in it."""
+
+    #: The file's name.
+    file: str
+    sections_by_name: dict[str, Section] = dataclasses.field(
+        default_factory=dict,
+    )
+    faults: list[Fault] = dataclasses.field(default_factory=list)
+
+
+def read(path: pathlib.Path) -> Document:
+    """Read a file; what can't be read or decoded is a fault."""
+    try:
+        text = path.read_bytes().decode('utf-8')
+    except OSError as failure:
+        detail = f'cannot be read: {failure.strerror}'
+    except UnicodeDecodeError as failure:
+        detail = f'is not valid UTF-8 at byte {failure.start}'
+    else:
+        return parse(text, path.name)
+    fault = Fault(path.name, 0, path.name, detail)
+    return Document(path.name, faults=[fault])
+
+
+def parse(text: str, file: str) -> Document:
+    """Parse INI text that came from ``file``."""
+    document = Document(file)
+    parser = configparser.RawConfigParser(
+        delimiters=(_DELIMITER,),
+        comment_prefixes=_COMMENTS,
+        empty_lines_in_values=False,
+        default_section='',
+        strict=False,
+    )
+    parser.optionxform = str  # type: ignore[method-assign,assignment]
+    try:
+        parser.read_string(text, file)
+    except configparser.MissingSectionHeaderError as missing:
+        document.faults.append(
+            Fault(file, missing.lineno, file, 'stands before any section'),
+        )
+    except configparser.ParsingError as malformed:
+        document.faults.extend(
+            Fault(file, line, file, f'is neither section nor key: {shown}')
+            for line, shown in malformed.errors
+        )
+    _Locator(document, parser).locate(text)
+    return document
+
+
+class _Locator:
+    """Add lines, which configparser forgets, to what it has parsed."""
+
+    __slots__ = ('_document', '_parser', '_section')
+
+    def __init__(
+        self,
+        document: Document,
+        parser: configparser.RawConfigParser,
+    ) -> None:
+        self._document = document
+        self._parser = parser
+        self._section: Section | None = None
+
+    def locate(self, text: str) -> None:
+        """Walk the lines and note sections, keys and duplicates."""
+        # configparser ends lines at line feeds only, unlike splitlines().
+        for number, line in enumerate(text.split('\n'), start=1):
+            stripped = line.strip()
+            if not stripped or stripped.startswith(_COMMENTS):
+                continue
+            if line[0].isspace():
+                self._fault(number, stripped, 'must not be indented')
+            elif self._header(stripped) is not None:
+                self._open(number, self._header(stripped) or '')
+            elif _DELIMITER in stripped:
+                self._note(number, stripped.partition(_DELIMITER)[0].strip())
+
+    def _header(self, stripped: str) -> str | None:
+        match = self._parser.SECTCRE.match(stripped)
+        return match.group('header') if match else None
+
+    def _open(self, number: int, name: str) -> None:
+        earlier = self._document.sections_by_name.get(name)
+        if earlier is not None:
+            self._fault(number, name, 'duplicate section')
+        section = earlier or Section(name, self._document.file, number)
+        self._document.sections_by_name[name] = section
+        self._section = section
+
+    def _note(self, number: int, key: str) -> None:
+        section = self._section
+        if section is None or not self._parser.has_option(section.name, key):
+            return
+        if key in section.entries_by_key:
+            self._fault(number, key, f'duplicate key in [{section.name}]')
+            return
+        section.entries_by_key[key] = Entry(
+            self._parser.get(section.name, key),
+            self._document.file,
+            number,
+        )
+
+    def _fault(self, number: int, key: str, detail: str) -> None:
+        fault = Fault(self._document.file, number, key, detail)
+        self._document.faults.append(fault)
--- /dev/null
+++ b/clementinepass/ini/values.py
@@ -0,0 +1,179 @@
+"""Values with units, as settings and configuration write them."""
+
+from __future__ import annotations
+
+import dataclasses
+import ipaddress
+import re
+import typing
+
+T = typing.TypeVar('T')
+
+_NUMBER = re.compile(r'(\d{1,12}(?:\.\d{1,9})?)\s?([A-Za-z%/]*)')
+_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,99}')
+_SHA256 = re.compile('[0-9a-f]{64}')
+_COUNT = re.compile(r'\d{1,12}')
+_MOST_PORTS = 65535
+_PERCENT = 100
+_DURATIONS = {'ms': 0.001, 's': 1, 'min': 60, 'h': 3600}
+_SIZES = {
+    'B': 1,
+    'KB': 1000,
+    'MB': 1000**2,
+    'GB': 1000**3,
+    'KiB': 1024,
+    'MiB': 1024**2,
+    'GiB': 1024**3,
+}
+_RATES = {f'{unit}/s': factor for unit, factor in _SIZES.items()}
+_BOOLEANS = {
+    'yes': True,
+    'true': True,
+    'on': True,
+    'no': False,
+    'false': False,
+    'off': False,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return ``host:port``, with brackets for IPv6."""
+        host = f'[{self.host}]' if ':' in self.host else self.host
+        return f'{host}:{self.port}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ValueType(typing.Generic[T]):
+    """A kind of value: how it is written and how it is parsed."""
+
+    #: What the value is, for pages and faults, such as ``duration``.
+    name: str
+    #: An example of how it is written.
+    example: str
+    #: Return the value; raise ``ValueError`` for what it cannot read.
+    parse: typing.Callable[[str], T]
+
+    def expected(self) -> str:
+        """Return a phrase that tells how the value is written."""
+        return f'expected {self.name} such as {self.example}'
+
+
+def parse_address(text: str) -> Address:
+    """Return the address that ``host:port`` names.
+
+    Host names are refused, since a lookup may hang or change.
+    """
+    host, _, port = text.rpartition(':')
+    if not _COUNT.fullmatch(port) or int(port) > _MOST_PORTS:
+        raise ValueError('no port')
+    bracketed = host.startswith('[') and host.endswith(']')
+    number = ipaddress.ip_address(host[1:-1] if bracketed else host)
+    if bracketed != (number.version == 6):
+        raise ValueError('brackets are for IPv6')
+    return Address(str(number), int(port))
+
+
+def choice(*options: str) -> ValueType[str]:
+    """Return a type whose values are the given words."""
+    return ValueType(
+        f'one of {", ".join(options)}', options[0], _Words(options)
+    )
+
+
+def _with_units(
+    units: dict[str, float],
+) -> typing.Callable[[str], float]:
+    def parse(text: str) -> float:
+        match = _NUMBER.fullmatch(text)
+        if match is None or match.group(2) not in units:
+            raise ValueError('no number with a unit')
+        return float(match.group(1)) * units[match.group(2)]
+
+    return parse
+
+
+def _whole(
+    units: dict[str, int],
+) -> typing.Callable[[str], int]:
+    parse_number = _with_units({**units})
+
+    def parse(text: str) -> int:
+        return round(parse_number(text))
+
+    return parse
+
+
+def _matching(pattern: re.Pattern[str]) -> typing.Callable[[str], str]:
+    def parse(text: str) -> str:
+        if pattern.fullmatch(text) is None:
+            raise ValueError('does not match')
+        return text
+
+    return parse
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Words:
+    options: tuple[str, ...]
+
+    def __call__(self, text: str) -> str:
+        if text not in self.options:
+            raise ValueError('is none of the words')
+        return text
+
+
+def _parse_boolean(text: str) -> bool:
+    if text not in _BOOLEANS:
+        raise ValueError('neither yes nor no')
+    return _BOOLEANS[text]
+
+
+def _parse_count(text: str) -> int:
+    return int(_matching(_COUNT)(text))
+
+
+def _parse_positive(text: str) -> int:
+    number = _parse_count(text)
+    if number < 1:
+        raise ValueError('below 1')
+    return number
+
+
+def _parse_percentage(text: str) -> float:
+    share = _with_units({'%': 1 / _PERCENT})(text)
+    if not 0 < share <= 1:
+        raise ValueError('outside 0% to 100%')
+    return share
+
+
+#: Seconds, written ``250ms``, ``4s``, ``2min`` or ``1h``.
+DURATION = ValueType('a duration', '250ms', _with_units(_DURATIONS))
+#: Bytes, written ``64MB`` or ``64MiB``.
+SIZE = ValueType('a size', '64MB', _whole(_SIZES))
+#: Bytes a second, written ``100MB/s``.
+RATE = ValueType('a rate', '100MB/s', _whole(_RATES))
+#: A share above 0 and up to 1, written ``25%``.
+PERCENTAGE = ValueType('a percentage', '25%', _parse_percentage)
+#: A whole number from 0.
+COUNT = ValueType('a whole number', '16', _parse_count)
+#: A whole number from 1.
+POSITIVE = ValueType('a whole number from 1', '16', _parse_positive)
+#: ``yes`` or ``no``.
+BOOLEAN = ValueType('a boolean', 'yes', _parse_boolean)
+#: IP number and port.
+ADDRESS = ValueType('an IP number and port', '127.0.0.1:7000', parse_address)
+#: Letters, digits, dots, dashes and underscores.
+NAME = ValueType('a name', 'kigali-1', _matching(_NAME))
+#: A SHA-256 in lower-case hexadecimal.
+SHA256 = ValueType(
+    'a SHA-256 in 64 lower-case hexadecimal digits',
+    '9f86d081...',
+    _matching(_SHA256),
+)
