--- a/clementinepass/ini/values.py
+++ b/clementinepass/ini/values.py
@@ -9,10 +9,10 @@
 
 T = typing.TypeVar('T')
 
-_NUMBER = re.compile(r'(\d{1,12}(?:\.\d{1,9})?)\s?([A-Za-z%/]*)')
+_NUMBER = re.compile(r'([0-9]{1,12}(?:\.[0-9]{1,9})?) ?([A-Za-z%/]*)')
 _NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,99}')
 _SHA256 = re.compile('[0-9a-f]{64}')
-_COUNT = re.compile(r'\d{1,12}')
+_COUNT = re.compile('[0-9]{1,12}')
 _MOST_PORTS = 65535
 _PERCENT = 100
 _DURATIONS = {'ms': 0.001, 's': 1, 'min': 60, 'h': 3600}
