--- a/clementinepass/errors.py
+++ b/clementinepass/errors.py
@@ -165,3 +165,11 @@
 
 class PeerUnavailableError(ClementinepassError):
     """A process of the system could not be reached, or fell silent."""
+
+
+class PeerBusyError(ClementinepassError):
+    """A peer declined for now: its cap is reached or the chunk is gone."""
+
+
+class TransferAbandonedError(ClementinepassError):
+    """A newer revision took the place of the one under way."""
--- /dev/null
+++ b/clementinepass/weights/transfer.py
@@ -0,0 +1,298 @@
+"""Transfer of one version's chunks from peers and the origin.
+
+Every wait is bounded and every chunk verified before it counts. The choice of
+chunk and source is made in :mod:`clementinepass.weights.spreading`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import typing
+
+from loguru import logger
+
+from clementinepass import clock as clocks
+from clementinepass import errors
+from clementinepass.platform import protocols as platform_protocols
+from clementinepass.weights import chunks as chunk_stores
+from clementinepass.weights import ledger as ledgers
+from clementinepass.weights import manifest as manifests
+from clementinepass.weights import pace, protocols, spreading
+from clementinepass.weights import settings as weight_settings
+
+#: The longest sleep of a worker that has found nothing to do.
+_IDLE = 0.1
+_FAILURES = (
+    errors.PeerUnavailableError,
+    errors.PeerBusyError,
+    errors.PlatformUnavailableError,
+    errors.ThrottledError,
+    errors.ChunkCorruptError,
+    TimeoutError,
+)
+
+
+class Surroundings(typing.NamedTuple):
+    """Everything that a transfer reaches outside of itself."""
+
+    own: protocols.Member
+    members: typing.Callable[[], typing.Sequence[protocols.Member]]
+    peers: protocols.ChunkPeers
+    origin: platform_protocols.Origin
+    store: chunk_stores.ChunkStore
+    settings: weight_settings.WeightSettings
+    clock: clocks.Clock
+    chance: random.Random
+    ledger: ledgers.Ledger
+
+
+class Transfer:
+    """Bring all chunks of one manifest into the chunk store."""
+
+    def __init__(
+        self,
+        manifest: manifests.Manifest,
+        around: Surroundings,
+    ) -> None:
+        self._manifest = manifest
+        self._digest = manifests.manifest_digest(manifest)
+        self._around = around
+        self._settings = around.settings
+        self._swarm = spreading.Swarm(
+            manifest,
+            around.own,
+            around.settings,
+            around.clock.now(),
+            around.chance,
+        )
+        self._changed = asyncio.Event()
+        self._watchers: dict[protocols.Member, asyncio.Task[None]] = {}
+        self._incoming = pace.Pace(around.settings.download_rate)
+        self._fallbacks = pace.Pace(0)
+        #: Why the last fetch failed; empty since the last one that did not.
+        self.trouble = ''
+
+    @property
+    def missing(self) -> int:
+        """How many chunks are still to be had."""
+        return self._swarm.missing.bit_count()
+
+    @property
+    def coming(self) -> int:
+        """One bit for each chunk on its way into this failure domain."""
+        return self._swarm.coming
+
+    async def run(self) -> None:
+        """Return when every chunk is held."""
+        self._note_held()
+        async with asyncio.TaskGroup() as group:
+            follower = group.create_task(self._follow_members(group))
+            await self._work()
+            follower.cancel()
+            for watcher in self._watchers.values():
+                watcher.cancel()
+
+    async def _work(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            for _ in range(self._settings.downloads):
+                group.create_task(self._from_peers())
+            for _ in range(self._settings.origin_reads):
+                group.create_task(self._from_origin())
+
+    def _note_held(self) -> None:
+        held = self._around.store.bitmap(self._manifest)
+        for index in spreading.bits(held):
+            self._swarm.end(spreading.Fetch(index, spreading.ORIGIN), held=True)
+
+    async def _follow_members(self, group: asyncio.TaskGroup) -> None:
+        while self._swarm.missing:
+            chosen = self._swarm.set_members(self._around.members())
+            rate = self._settings.origin_rate
+            self._fallbacks.rate = rate / self._swarm.alive
+            for gone in self._watchers.keys() - set(chosen):
+                self._watchers.pop(gone).cancel()
+            for member in chosen:
+                if member not in self._watchers:
+                    self._watchers[member] = group.create_task(
+                        self._watch(member)
+                    )
+            await asyncio.sleep(self._settings.poll)
+
+    async def _watch(self, member: protocols.Member) -> None:
+        known = 0
+        wait = self._settings.retry
+        while self._swarm.missing:
+            try:
+                holdings = await self._ask_holdings(member, known)
+            except _FAILURES:
+                # A peer that fell silent may still look alive in the list of
+                # instances; what it said it held would make others wait.
+                self._swarm.forget(member.id, self._now() + wait)
+                known = 0
+                await asyncio.sleep(self._jittered(wait))
+                wait = min(2 * wait, self._settings.retry_limit)
+            else:
+                wait = self._settings.retry
+                known = holdings.sequence
+                self._swarm.set_holdings(member.id, holdings, self._now())
+                self._wake()
+
+    async def _ask_holdings(
+        self,
+        member: protocols.Member,
+        known: int,
+    ) -> protocols.Holdings:
+        limit = self._settings.hold + self._settings.stall_timeout
+        async with asyncio.timeout(limit):
+            return await self._around.peers.holdings(
+                member, self._digest, known
+            )
+
+    async def _from_peers(self) -> None:
+        while self._swarm.missing:
+            fetch = self._swarm.from_peer(self._now())
+            if fetch is None:
+                await self._pause(_IDLE)
+                continue
+            held = False
+            self._swarm.begin(fetch)
+            try:
+                held = await self._take(fetch)
+            finally:
+                self._finish(fetch, held=held)
+
+    async def _take(self, fetch: spreading.Fetch) -> bool:
+        chunk = self._manifest.chunks[fetch.index]
+        member = self._member(fetch.source)
+        if member is None:
+            return False
+        try:
+            content = await self._read(member, chunk)
+            self._around.store.add(chunk, content)
+        except errors.PeerBusyError:
+            self._swarm.rest(fetch.source, self._now() + self._jittered(0.1))
+        except errors.ChunkCorruptError as error:
+            # Dropped before it is stored. The sender may corrupt everything,
+            # so it is left out for a while, and the chunk comes from another.
+            self._around.ledger.corrupt += 1
+            self._distrust(fetch.source, self._settings.distrust, error)
+        except (errors.PeerUnavailableError, TimeoutError) as error:
+            # A stalled link keeps its socket open: only the missing progress
+            # shows it. The adapter opens a new connection for the next call.
+            self._around.ledger.stalled += 1
+            self._distrust(fetch.source, self._settings.stall_timeout, error)
+        else:
+            return True
+        return False
+
+    async def _read(
+        self,
+        member: protocols.Member,
+        chunk: manifests.Chunk,
+    ) -> bytes:
+        parts: list[bytes] = []
+        slice_bytes = self._settings.slice_bytes
+        for offset in range(0, chunk.size, slice_bytes):
+            length = min(slice_bytes, chunk.size - offset)
+            await asyncio.sleep(self._incoming.reserve(length, self._now()))
+            async with asyncio.timeout(self._settings.stall_timeout):
+                part = await self._around.peers.read(
+                    member, chunk.digest, offset, length
+                )
+            self._count_received(member, len(part))
+            if len(part) != length:
+                raise errors.ChunkCorruptError(
+                    'slice is short', step='read', peer=member.id
+                )
+            parts.append(part)
+        return parts[0] if len(parts) == 1 else b''.join(parts)
+
+    async def _from_origin(self) -> None:
+        wait = self._settings.retry
+        while self._swarm.missing:
+            fetch = self._swarm.from_origin(self._now())
+            if fetch is None:
+                await self._pause(_IDLE / 2)
+                continue
+            held = False
+            self._swarm.begin(fetch)
+            try:
+                held = await self._take_from_origin(fetch)
+            finally:
+                self._finish(fetch, held=held)
+            if held:
+                wait = self._settings.retry
+            else:
+                await asyncio.sleep(self._jittered(wait))
+                wait = min(2 * wait, self._settings.retry_limit)
+
+    async def _take_from_origin(self, fetch: spreading.Fetch) -> bool:
+        chunk = self._manifest.chunks[fetch.index]
+        if fetch.fallback:
+            # When a first member dies, many may stand in for it. Each has an
+            # equal part of the origin's rate, so that all together keep to it
+            # without asking each other.
+            pause = self._fallbacks.reserve(chunk.size, self._now())
+            await asyncio.sleep(self._jittered(pause))
+        try:
+            content = await asyncio.to_thread(
+                self._around.origin.chunk, chunk.digest
+            )
+            self._around.ledger.origin += len(content)
+            self._around.store.add(chunk, content)
+        except errors.ThrottledError as error:
+            self.trouble = str(error)
+            await asyncio.sleep(self._jittered(error.retry_after))
+        except errors.ChunkCorruptError as error:
+            self._around.ledger.corrupt += 1
+            self.trouble = str(error)
+        except errors.PlatformUnavailableError as error:
+            self._around.ledger.stalled += 1
+            self.trouble = str(error)
+        else:
+            return True
+        return False
+
+    def _finish(self, fetch: spreading.Fetch, *, held: bool) -> None:
+        self._swarm.end(fetch, held=held)
+        if held:
+            self.trouble = ''
+        self._wake()
+
+    def _member(self, member_id: str) -> protocols.Member | None:
+        found = (one for one in self._watchers if one.id == member_id)
+        return next(found, None)
+
+    def _distrust(
+        self,
+        member_id: str,
+        seconds: float,
+        error: Exception,
+    ) -> None:
+        logger.warning('no chunks from {}: {!r}', member_id, error)
+        self.trouble = str(error) or f'{member_id} stalled'
+        self._swarm.forget(member_id, self._now() + seconds)
+
+    def _count_received(self, member: protocols.Member, size: int) -> None:
+        self._around.ledger.peers += size
+        if member.failure_domain != self._around.own.failure_domain:
+            self._around.ledger.crossed += size
+
+    def _now(self) -> float:
+        return self._around.clock.now()
+
+    def _jittered(self, seconds: float) -> float:
+        return seconds * self._around.chance.uniform(0.5, 1.5)
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _pause(self, limit: float) -> None:
+        """Sleep until something changes, at most for ``limit`` seconds."""
+        try:
+            async with asyncio.timeout(limit):
+                await self._changed.wait()
+        except TimeoutError:
+            return
