--- a/clementinepass/errors.py
+++ b/clementinepass/errors.py
@@ -192,3 +192,11 @@
 
 class StreamLostError(ClementinepassError):
     """A stream can't be resumed: its frames are no longer kept."""
+
+
+class PeerBusyError(ClementinepassError):
+    """A peer declined for now: its cap is reached or the chunk is gone."""
+
+
+class TransferAbandonedError(ClementinepassError):
+    """A newer revision took the place of the one under way."""
