--- a/clementinepass/configuration/fold.py
+++ b/clementinepass/configuration/fold.py
@@ -140,9 +140,9 @@
 
 
 def _within_horizon(before: state.State, revision: int) -> dict[str, int]:
-    oldest = revision - HORIZON - 1
+    oldest = revision - HORIZON
     return {
         name: removed_at
         for name, removed_at in before.removed_at_by_name.items()
-        if removed_at >= oldest
+        if removed_at > oldest
     }
