--- a/clementinepass/entry/exchange.py
+++ b/clementinepass/entry/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import typing
 
 from loguru import logger
@@ -47,6 +48,8 @@
         self.finished = asyncio.Event()
         #: Set with the first piece of the answer.
         self.answering = asyncio.Event()
+        #: Unix seconds at which the attempt was sent.
+        self.sent_at = time.time()
         #: The crash that ended the attempt; empty for none.
         self.crash = ''
         #: What went wrong, for the caller's problem.
@@ -84,15 +87,15 @@
         elif frame.kind is streams.FrameKind.PART:
             self._take_part(frame.payload)
         elif frame.kind is streams.FrameKind.END:
+            self._release()
             self.attempt.ended()
-            if not self.request.stream:
-                self._release()
         else:
             self._take_failure(frame)
 
     def _take_head(self, frame: streams.Frame) -> None:
         self.attempt.head_seen()
-        self.head = outboxes.Head(frame.status, frame.payload.decode())
+        content_type = frame.payload.decode(errors='replace')
+        self.head = outboxes.Head(frame.status, content_type)
 
     def _take_part(self, payload: bytes) -> None:
         if not self.request.stream:
@@ -108,10 +111,11 @@
             self.attempt.given_up()
 
     def _release(self) -> None:
-        if self.head is not None:
+        if self.head is not None and not self.attempt.relayed:
             self.attempt.relayed = True
             self._outbox.put(self.head)
-        self._outbox.put(outboxes.Part(self.body))
+        if not self.request.stream:
+            self._outbox.put_whole(self.body)
 
     def _take_failure(self, frame: streams.Frame) -> None:
         failure = frame.failure()
--- /dev/null
+++ b/clementinepass/entry/fleet.py
@@ -0,0 +1,178 @@
+"""The endpoints as this entry sees them: who may get which request."""
+
+from __future__ import annotations
+
+import typing
+
+from clementinepass.decisions import ejection, placing
+from clementinepass.membership import view as views
+from clementinepass.requests import quarantine as quarantines
+from clementinepass.wire import messages
+
+if typing.TYPE_CHECKING:
+    import random
+
+    from clementinepass import clock as clocks
+    from clementinepass.entry import agent_peers, exchange
+
+
+class Placed(typing.NamedTuple):
+    """An endpoint chosen for an attempt."""
+
+    peer: agent_peers.AgentPeer
+    candidate: views.Candidate
+
+
+class Fleet:
+    """Choose endpoints and know what this entry has in flight at each.
+
+    :param failure_domain: the entry's own; near endpoints are preferred.
+    """
+
+    def __init__(
+        self,
+        view: views.MembershipView,
+        quarantine: quarantines.Quarantine,
+        *,
+        failure_domain: str,
+        clock: clocks.Clock,
+        chance: random.Random,
+    ) -> None:
+        #: Agents by name, each with its connection.
+        self.peers_by_agent: dict[str, agent_peers.AgentPeer] = {}
+        #: What is in flight where, for crash reports.
+        self.in_flight = quarantines.InFlight()
+        #: Detects slow and failing endpoints.
+        self.ejector = ejection.Ejector()
+        self._view = view
+        self._quarantine = quarantine
+        self._clock = clock
+        self._placer = placing.CostPlacer(chance, domain=failure_domain)
+        self._others_by_agent: dict[str, int] = {}
+        self._since_report_by_agent: dict[str, int] = {}
+
+    def reported(self, agent: str, state: messages.AgentState) -> None:
+        """Take in an agent's state."""
+        self._view.reported(agent, to_report(state))
+        own = self.in_flight.count(agent)
+        self._others_by_agent[agent] = max(state.running - own, 0)
+        self._since_report_by_agent[agent] = 0
+
+    def full(self, agent: str) -> None:
+        """Note that an agent's gate refused an attempt because it is full.
+
+        Load: saturation, with reports half a second old. Harm: the entry
+        would offer one request after the other to gates that have no room.
+        Counting the endpoint as full until its next report stops that.
+        """
+        report = self._view.report(agent)
+        if report is not None:
+            own = self.in_flight.count(agent)
+            self._others_by_agent[agent] = max(report.capacity - own, 0)
+
+    def capacity(self, target: str) -> int:
+        """Return the slots that this entry may fill at a target."""
+        return sum(
+            max(
+                candidate.report.capacity
+                - self._others_by_agent.get(candidate.agent, 0),
+                0,
+            )
+            for candidate in self._view.candidates(target)
+        )
+
+    def place(
+        self,
+        target: str,
+        fingerprint: str,
+        excluded: frozenset[str],
+        wall_time: float,
+    ) -> Placed | None:
+        """Choose the endpoint for an attempt.
+
+        :param excluded: agents that refused this request or failed it.
+        :param wall_time: Unix seconds, for the quarantine's evidence.
+        """
+        now = self._clock.now()
+        ejected = self.ejector.ejected(now)
+        candidates_by_id = {
+            candidate.agent: candidate
+            for candidate in self._view.candidates(target)
+            if candidate.agent not in excluded
+            and candidate.agent in self.peers_by_agent
+            and self.in_flight.may_place(
+                candidate.agent,
+                fingerprint,
+                self._quarantine,
+                wall_time,
+            )
+        }
+        choice = self._placer.choose(
+            [
+                self._to_placing(candidate, ejected)
+                for candidate in candidates_by_id.values()
+            ],
+            now,
+        )
+        if choice is None:
+            return None
+        return Placed(
+            self.peers_by_agent[choice.endpoint_id],
+            candidates_by_id[choice.endpoint_id],
+        )
+
+    def began(
+        self,
+        agent: str,
+        exchange: exchange.Exchange,
+        fingerprint: str,
+        wall_time: float,
+    ) -> None:
+        """Note an attempt, before it is sent."""
+        self.in_flight.began(
+            agent,
+            exchange.key.request_id,
+            fingerprint,
+            wall_time,
+        )
+        self._count_since_report(agent, 1)
+
+    def finished(self, agent: str, exchange: exchange.Exchange) -> None:
+        """Note that an attempt is no longer at the endpoint."""
+        self.in_flight.finished(agent, exchange.key.request_id)
+        self._count_since_report(agent, -1)
+
+    def _count_since_report(self, agent: str, change: int) -> None:
+        count = self._since_report_by_agent.get(agent, 0)
+        self._since_report_by_agent[agent] = count + change
+
+    def _to_placing(
+        self,
+        candidate: views.Candidate,
+        ejected: frozenset[str],
+    ) -> placing.Candidate:
+        agent = candidate.agent
+        return placing.Candidate(
+            endpoint_id=agent,
+            failure_domain=candidate.failure_domain,
+            running_reported=candidate.report.running,
+            capacity=candidate.report.capacity,
+            own_in_flight=self.in_flight.count(agent),
+            ejected=agent in ejected,
+            own_since_report=self._since_report_by_agent.get(agent, 0),
+            slowness=self.ejector.slowness(agent),
+        )
+
+
+def to_report(state: messages.AgentState) -> views.AgentReport:
+    """Return what membership needs of an agent's state."""
+    return views.AgentReport(
+        incarnation=state.incarnation,
+        sequence=state.sequence,
+        phase=views.AgentPhase(state.phase.value),
+        kind=state.kind,
+        serves=state.serves,
+        version=state.version,
+        running=state.running,
+        capacity=state.capacity,
+    )
--- a/clementinepass/entry/outbox.py
+++ b/clementinepass/entry/outbox.py
@@ -60,6 +60,16 @@
         self._events.put(event)
         return True
 
+    def put_whole(self, body: bytes) -> None:
+        """Add a whole body, which the loop no longer holds.
+
+        The bound is for streams; what bounds a whole body is the limit of
+        the agent's buffer.
+        """
+        with self._lock:
+            self._waiting += len(body)
+        self._events.put(Part(body))
+
     def get(self, timeout: float) -> Event:
         """Wait for the next event.
 
--- /dev/null
+++ b/clementinepass/entry/servers.py
@@ -0,0 +1,29 @@
+"""The Cap'n Proto server of an entry, for the other entries."""
+
+from __future__ import annotations
+
+import typing
+
+from clementinepass.wire import entry_messages, schema
+
+if typing.TYPE_CHECKING:
+    from clementinepass.entry import entry as entries
+
+
+class EntryServer(schema.peers.Entry.Server):
+    """What other entries may ask."""
+
+    def __init__(self, entry: entries.Entry) -> None:
+        self._entry = entry
+
+    async def watch_context(self, context: typing.Any) -> None:
+        """Answer once the state has changed, or after a heartbeat."""
+        state = await self._entry.next_state(context.params.known)
+        entry_messages.write_entry_state(state, context.results.init('state'))
+
+    async def configuration_context(self, context: typing.Any) -> None:
+        """Return the configuration if it is newer than the known one."""
+        newer = self._entry.configuration_since(context.params.known)
+        if newer is not None:
+            context.results.revision = newer.revision
+            context.results.state = newer.encode()
--- a/clementinepass/errors.py
+++ b/clementinepass/errors.py
@@ -190,6 +190,10 @@
     """A process of the system could not be reached, or fell silent."""
 
 
+class PeerGoneError(PeerUnavailableError):
+    """Nobody listens at a peer's address: its process has ended."""
+
+
 class StreamLostError(ClementinepassError):
     """A stream can't be resumed: its frames are no longer kept."""
 
--- a/clementinepass/wire/connections.py
+++ b/clementinepass/wire/connections.py
@@ -70,6 +70,7 @@
         """Connect to a peer.
 
         :param timeout: seconds to wait at most.
+        :raises PeerGoneError: nobody listens there.
         :raises PeerUnavailableError: the peer can't be reached.
         """
         try:
@@ -80,6 +81,12 @@
                 ),
                 timeout,
             )
+        except ConnectionRefusedError as error:
+            raise errors.PeerGoneError(
+                'connection refused',
+                step='connect',
+                peer=str(address),
+            ) from error
         except (OSError, TimeoutError) as error:
             raise errors.PeerUnavailableError(
                 f'connection failed: {error or "timeout"}',
