--- a/clementinepass/weights/supply.py
+++ b/clementinepass/weights/supply.py
@@ -105,7 +105,10 @@
                 error.retry_after * self._around.chance.uniform(1, 1.5)
             )
             return None
-        except errors.PlatformUnavailableError as error:
+        except (
+            errors.PlatformUnavailableError,
+            errors.MalformedMessageError,
+        ) as error:
             self.trouble = str(error)
             return None
         self._around.ledger.store += len(payload)
