--- a/clementinepass/agent/rollout.py
+++ b/clementinepass/agent/rollout.py
@@ -82,13 +82,7 @@
     def __init__(self, around: Surroundings) -> None:
         self._ledger = ledgers.Ledger()
         self._store = chunk_stores.ChunkStore(around.settings.memory_limit)
-        self._seed = seed.Seed(
-            self._store,
-            around.settings,
-            around.clock,
-            self._ledger,
-            around.live,
-        )
+        self._seed = self._make_seed(around)
         reach = self._reach(around)
         self._supply = supply.PeerSupply(reach, around.weight_store, self._seed)
         self._replica = replica.Replica(
@@ -102,9 +96,9 @@
         )
 
     @property
-    def seed(self) -> seed.Seed:
-        """The sending side, for embedding in another server."""
-        return self._seed
+    def ledger(self) -> ledgers.Ledger:
+        """What the weights have cost since the start."""
+        return self._ledger
 
     async def run(self) -> None:
         """Follow what is wanted until cancelled."""
@@ -147,6 +141,15 @@
             stalled=self._ledger.stalled,
         )
 
+    def _make_seed(self, around: Surroundings) -> seed.Seed:
+        return seed.Seed(
+            self._store,
+            around.settings,
+            around.clock,
+            self._ledger,
+            around.live,
+        )
+
     def _reach(self, around: Surroundings) -> transfer.Surroundings:
         return transfer.Surroundings(
             own=around.own,
--- a/clementinepass/weights/replica.py
+++ b/clementinepass/weights/replica.py
@@ -28,6 +28,7 @@
     errors.EndpointError,
     errors.TransferAbandonedError,
     errors.ChunkCorruptError,
+    errors.ManifestError,
 )
 
 
