Add adapters for the platform's services and the endpoints

They speak the published protocols over urllib3 and never send a call twice. Answers are decoded strictly; a body counts as whole only by its length, its last chunk or, for a stream, its end mark. An endpoint's error says 'not run' only where no connection came to stand. Ruled out: urllib3's own retries (they could append or run twice), and bodies that end with their connection (a cut one looks whole).

--- /dev/null
+++ b/clementinepass/endpoints/answers.py
@@ -0,0 +1,245 @@
+"""Answers of endpoints, read part by part and whole or not at all."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import re
+import threading
+import typing
+
+import urllib3
+
+from clementinepass import errors, http_bodies
+from clementinepass.endpoints import protocols
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from clementinepass import clock
+
+_DONE = re.compile(rb'data: ?\[DONE\]')
+_EVENT_END = re.compile(rb'\r?\n\r?\n')
+#: The longest event that is accepted, in bytes.
+_LONGEST_EVENT = 1024 * 1024
+
+
+class BodyFaultError(Exception):
+    """A body contradicts the protocol; only used in this package."""
+
+
+class BodyReader(typing.Protocol):
+    """Cut a body into the parts that are handed on."""
+
+    def feed(self, piece: bytes) -> bytes:
+        """Take what arrived and return what can be handed on.
+
+        :raises BodyFaultError: the body contradicts the protocol.
+        """
+
+    def complete(self) -> bool:
+        """Tell whether the end mark has been read."""
+
+    def finish(self) -> None:
+        """Check, at the end of the body, that nothing is missing.
+
+        :raises BodyFaultError: the end mark is missing.
+        """
+
+
+#: Chooses by an answer's head what cuts its body into parts.
+ReaderFor = typing.Callable[[protocols.AnswerHead], BodyReader]
+
+
+class WholeReader:
+    """Hand a body on as it arrives; its length is its end mark.
+
+    :param limit: the longest body that is accepted, in bytes.
+    """
+
+    __slots__ = ('_limit', '_size')
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._size = 0
+
+    def feed(self, piece: bytes) -> bytes:
+        """Return the piece.
+
+        :raises BodyFaultError: the body is too long.
+        """
+        self._size += len(piece)
+        if self._size > self._limit:
+            raise BodyFaultError(f'answer over {self._limit} bytes')
+        return piece
+
+    def complete(self) -> bool:
+        """Tell that only the length or the last chunk ends the body."""
+        return False
+
+    def finish(self) -> None:
+        """Accept the end: the length or the last chunk has proved it."""
+
+
+class EventReader:
+    """Hand whole server-sent events on, up to the end mark ``[DONE]``.
+
+    :param limit: the longest body that is accepted, in bytes.
+    """
+
+    __slots__ = ('_complete', '_partial', '_whole')
+
+    def __init__(self, limit: int) -> None:
+        self._whole = WholeReader(limit)
+        self._partial = b''
+        self._complete = False
+
+    def feed(self, piece: bytes) -> bytes:
+        """Return the events that are whole now.
+
+        :raises BodyFaultError: an event is too long, or follows the end mark.
+        """
+        pending = self._partial + self._whole.feed(piece)
+        ready_size = 0
+        for end in _EVENT_END.finditer(pending):
+            if self._complete:
+                raise BodyFaultError('an event follows the end mark')
+            event = pending[ready_size : end.start()]
+            self._complete = _DONE.fullmatch(event) is not None
+            ready_size = end.end()
+        self._partial = pending[ready_size:]
+        if len(self._partial) > _LONGEST_EVENT:
+            raise BodyFaultError(f'event over {_LONGEST_EVENT} bytes')
+        return pending[:ready_size]
+
+    def complete(self) -> bool:
+        """Tell whether the end mark has been read."""
+        return self._complete
+
+    def finish(self) -> None:
+        """Check that the end mark has been read.
+
+        :raises BodyFaultError: it has not.
+        """
+        if not self._complete:
+            raise BodyFaultError('stream ended without its end mark')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Expiry:
+    """The moment by which an answer must be whole."""
+
+    timer: clock.Clock
+    deadline: float
+
+    def passed(self) -> bool:
+        """Tell whether the moment has passed."""
+        return self.timer.now() > self.deadline
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WholeReply:
+    """Status and body of an answer that was read whole."""
+
+    status: int
+    body: bytes
+
+
+class HttpAnswer:
+    """An answer under way over HTTP.
+
+    :param response: the answer, with its body still to be read.
+    :param reader_for: chooses what cuts the body into parts.
+    """
+
+    __slots__ = (
+        '_expiry',
+        '_given_up',
+        '_lock',
+        '_peer',
+        '_reader',
+        '_response',
+        '_step',
+        'head',
+    )
+
+    def __init__(
+        self,
+        response: urllib3.BaseHTTPResponse,
+        *,
+        peer: str,
+        reader_for: ReaderFor,
+        expiry: Expiry,
+        step: str = 'answer',
+    ) -> None:
+        #: Status and type.
+        self.head = protocols.AnswerHead(
+            status=response.status,
+            content_type=response.headers.get('Content-Type', ''),
+        )
+        self._response = response
+        self._peer = peer
+        self._reader = reader_for(self.head)
+        self._expiry = expiry
+        self._step = step
+        self._given_up = False
+        self._lock = threading.Lock()
+
+    def parts(self) -> Iterator[bytes]:
+        """Yield the body piece by piece as it arrives.
+
+        For a stream of events each piece is one or more whole events.
+
+        :raises EndpointError: the endpoint failed, fell silent, or ended the
+            body without its end mark.
+        """
+        try:
+            yield from self._parts()
+        except (BodyFaultError, urllib3.exceptions.HTTPError) as error:
+            raise self._failed(str(error)) from error
+        finally:
+            # A connection whose answer was not read to its end must not be
+            # used again: the rest would be taken for the next one's answer.
+            self._response.close()
+
+    def close(self) -> None:
+        """Give the connection up; safe from another thread.
+
+        A reader that is blocked wakes up with an error.
+        """
+        self._given_up = True
+        # Closing a socket does not wake a thread that reads from it;
+        # shutting it down does, and only then is it safe to close it.
+        with contextlib.suppress(ValueError, RuntimeError, OSError):
+            self._response.shutdown()
+        with self._lock:
+            self._response.close()
+
+    def _parts(self) -> Iterator[bytes]:
+        pieces = http_bodies.pieces(self._response)
+        while piece := self._next_piece(pieces):
+            part = self._reader.feed(piece)
+            if part:
+                yield part
+            if self._reader.complete():
+                # Nothing may follow but the last chunk; an endpoint that is
+                # slow to send it must not hold up the end of the answer.
+                return
+            if self._expiry.passed():
+                raise BodyFaultError('answer took too long')
+        self._reader.finish()
+
+    def _next_piece(self, pieces: Iterator[bytes]) -> bytes:
+        """Return the next piece of the body, or nothing at its end."""
+        with self._lock:
+            if self._given_up:
+                raise BodyFaultError('answer was given up')
+            return next(pieces, b'')
+
+    def _failed(self, detail: str) -> errors.EndpointError:
+        return errors.EndpointError(
+            'answer was given up' if self._given_up else detail,
+            step=self._step,
+            peer=self._peer,
+            execution=errors.Execution.MAY_HAVE_RUN,
+        )
--- /dev/null
+++ b/clementinepass/endpoints/service.py
@@ -0,0 +1,52 @@
+"""Adapter for plain services."""
+
+from __future__ import annotations
+
+from clementinepass import errors
+from clementinepass.endpoints import answers, protocols, transport
+
+_SERVER_ERROR = 500
+
+
+class HttpService:
+    """Call a plain service over HTTP.
+
+    :param address: the service's address, ``host:port``.
+    :param health_path: what is asked for to see whether it answers at all.
+    """
+
+    __slots__ = ('_health_path', '_transport')
+
+    def __init__(
+        self,
+        address: str,
+        limits: transport.Limits | None = None,
+        *,
+        health_path: str = '/healthz',
+    ) -> None:
+        self._transport = transport.Transport(address, limits)
+        self._health_path = health_path
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._transport.close()
+
+    def call(self, call: protocols.Call) -> answers.HttpAnswer:
+        """Send a request and return its answer once the head is there.
+
+        :raises EndpointError: with ``execution`` set to not run only where
+            the connection was refused before anything was sent.
+        """
+        return self._transport.call(call, self._transport.whole_reader)
+
+    def cancel(self, request_id: str) -> None:
+        """Leave the request alone: plain services have no such order."""
+
+    def healthy(self) -> bool:
+        """Tell whether the service answers at all."""
+        exchange = transport.Exchange('GET', self._health_path, step='health')
+        try:
+            reply = self._transport.fetch(exchange)
+        except errors.EndpointError:
+            return False
+        return reply.status < _SERVER_ERROR
--- a/clementinepass/errors.py
+++ b/clementinepass/errors.py
@@ -94,6 +94,10 @@
         self.sent = sent
 
 
+class ContentMissingError(PlatformUnavailableError):
+    """A service of the platform answered that it has no such content."""
+
+
 class RecordsExpiredError(ClementinepassError):
     """The records asked for are older than what the log still keeps.
 
--- /dev/null
+++ b/clementinepass/platform/instance_list.py
@@ -0,0 +1,80 @@
+"""Adapter for the platform's instance list."""
+
+from __future__ import annotations
+
+import msgspec
+
+from clementinepass import addresses
+from clementinepass.platform import protocols, transport
+
+_STEP = 'instances'
+
+
+class InstanceAnswer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One instance as it is sent."""
+
+    id: str
+    role: protocols.Role
+    address: str
+    region: str
+    failure_domain: str
+    state: protocols.InstanceState = protocols.InstanceState.LIVE
+    callers_address: str = ''
+
+
+class InstancesAnswer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All instances shown."""
+
+    instances: tuple[InstanceAnswer, ...]
+
+
+class HttpInstanceList:
+    """Speak the instance list's HTTP protocol.
+
+    :param address: the service's address, ``host:port``.
+    """
+
+    __slots__ = ('_transport',)
+
+    def __init__(
+        self,
+        address: str,
+        limits: transport.Limits | None = None,
+    ) -> None:
+        self._transport = transport.Transport(address, limits)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._transport.close()
+
+    def instances(self) -> tuple[protocols.Instance, ...]:
+        """Return all instances shown now.
+
+        :raises PlatformUnavailableError: the list did not answer.
+        :raises MalformedMessageError: the answer could not be decoded, names
+            an instance twice, or an address that is none.
+        """
+        reply = self._transport.exchange('GET', '/v1/instances', step=_STEP)
+        answer = self._transport.decode(reply, InstancesAnswer, _STEP)
+        instances_by_id = {
+            instance.id: self._checked(instance)
+            for instance in answer.instances
+        }
+        if len(instances_by_id) != len(answer.instances):
+            raise self._transport.malformed(_STEP, 'an id stands twice')
+        return tuple(instances_by_id.values())
+
+    def _checked(self, instance: InstanceAnswer) -> protocols.Instance:
+        """Check an instance's addresses and return it."""
+        wanted = [instance.address]
+        if instance.role is protocols.Role.ENTRY and instance.callers_address:
+            wanted.append(instance.callers_address)
+        for address in wanted:
+            if not addresses.is_address(address):
+                detail = f'instance {instance.id}: no address: {address!r}'
+                raise self._transport.malformed(_STEP, detail)
+        return msgspec.convert(
+            instance,
+            protocols.Instance,
+            from_attributes=True,
+        )
--- a/clementinepass/platform/protocols.py
+++ b/clementinepass/platform/protocols.py
@@ -35,10 +35,14 @@
         stream: str,
         payloads: typing.Sequence[bytes],
     ) -> tuple[int, ...]:
-        """Append records in order and return their offsets.
+        """Append records in order, all or none, and return their offsets.
 
         :raises PlatformUnavailableError: the records may have been appended
             when the error's ``sent`` is true.
+        :raises MalformedMessageError: the answer could not be decoded; the
+            records may have been appended.
+        :raises ThrottledError: the rate limit is reached; nothing was
+            appended.
         """
 
     def read(
@@ -51,8 +55,11 @@
     ) -> RecordPage:
         """Read from ``offset``; wait up to ``wait`` seconds for a record.
 
+        A page without records means that there is none yet at ``offset``.
+
         :raises RecordsExpiredError: ``offset`` is older than what is kept.
         :raises PlatformUnavailableError: the service did not answer.
+        :raises MalformedMessageError: the answer could not be decoded.
         """
 
 
@@ -91,6 +98,7 @@
         """Return all instances shown now.
 
         :raises PlatformUnavailableError: the list did not answer.
+        :raises MalformedMessageError: the answer could not be decoded.
         """
 
 
@@ -100,8 +108,12 @@
     def manifest(self, digest: str) -> bytes:
         """Return a manifest's bytes by its SHA-256, in hexadecimal.
 
+        The bytes are as they came; the caller checks them by the digest.
+
+        :raises ContentMissingError: the store has no such manifest.
         :raises ThrottledError: the rate limit is reached.
         :raises PlatformUnavailableError: the store did not answer.
+        :raises MalformedMessageError: the answer is no message or too long.
         """
 
 
@@ -111,6 +123,10 @@
     def chunk(self, digest: str) -> bytes:
         """Return a chunk's bytes by its SHA-256, in hexadecimal.
 
+        The bytes are as they came; the caller checks them by the digest.
+
+        :raises ContentMissingError: the origin has no such chunk.
         :raises ThrottledError: the origin asks for fewer reads.
         :raises PlatformUnavailableError: the origin did not answer.
+        :raises MalformedMessageError: the answer is no message or too long.
         """
--- /dev/null
+++ b/clementinepass/platform/transport.py
@@ -0,0 +1,224 @@
+"""HTTP exchanges with the platform's services, shared by the adapters."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import msgspec
+import urllib3
+
+from clementinepass import clock, errors, http_bodies
+
+_T = typing.TypeVar('_T')
+
+_OK = 200
+_SUCCESS = frozenset((_OK,))
+_NOT_FOUND = 404
+_TOO_MANY_REQUESTS = 429
+_DEFAULT_RETRY_AFTER = 1.0
+_LONGEST_RETRY_AFTER = 3600.0
+_JSON_HEADERS = {'Content-Type': 'application/json'}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds on one exchange.
+
+    :param connect_timeout: seconds until a connection must stand.
+    :param read_timeout: seconds of silence until the service is given up.
+    :param total_timeout: seconds for the whole answer, so that a service
+        that sends a byte now and then cannot hold a caller for ever.
+    :param answer_bytes: the longest answer that is accepted.
+    :param connections: how many idle connections are kept.
+    """
+
+    connect_timeout: float = 2
+    read_timeout: float = 10
+    total_timeout: float = 60
+    answer_bytes: int = 64 * 1024 * 1024
+    connections: int = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+class Transport:
+    """Exchange one request for one whole answer; never sends one twice.
+
+    Safe to use from many threads.
+
+    :param address: the service's address, ``host:port``.
+    """
+
+    __slots__ = ('_clock', '_limits', '_pool', 'peer')
+
+    def __init__(
+        self,
+        address: str,
+        limits: Limits | None = None,
+        timer: clock.Clock | None = None,
+    ) -> None:
+        #: The service's address, ``host:port``.
+        self.peer = address
+        self._limits = limits or Limits()
+        self._clock = timer or clock.MonotonicClock()
+        self._pool = urllib3.PoolManager(maxsize=self._limits.connections)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._pool.clear()
+
+    def exchange(
+        self,
+        method: str,
+        path: str,
+        *,
+        step: str,
+        body: bytes | None = None,
+        wait: float = 0,
+        expected: frozenset[int] = _SUCCESS,
+    ) -> Reply:
+        """Send a request and return the whole answer.
+
+        :param step: what the caller is doing, for the errors.
+        :param wait: seconds that the service may hold the answer back.
+        :param expected: the statuses to return; others are errors.
+        :raises PlatformUnavailableError: there was no whole answer, or one
+            that says that the service failed.
+        :raises ThrottledError: the service asks for fewer calls.
+        :raises MalformedMessageError: the answer is too long, or has no end
+            by which it could be told to be whole.
+        """
+        deadline = self._clock.now() + wait + self._limits.total_timeout
+        try:
+            response = self._send(method, path, body, wait)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            raise self._unavailable(error, step, sent=False) from error
+        except urllib3.exceptions.HTTPError as error:
+            raise self._unavailable(error, step) from error
+        try:
+            content = self._read(response, step, deadline)
+        except urllib3.exceptions.HTTPError as error:
+            raise self._unavailable(error, step) from error
+        finally:
+            response.close()
+        if response.status not in expected:
+            raise self._refusal(response, step)
+        return Reply(response.status, content)
+
+    def malformed(self, step: str, detail: str) -> errors.ClementinepassError:
+        """Return the error for an answer that contradicts the protocol."""
+        return errors.MalformedMessageError(detail, step=step, peer=self.peer)
+
+    def decode(self, reply: Reply, answer_type: type[_T], step: str) -> _T:
+        """Decode an answer strictly.
+
+        :raises MalformedMessageError: it is not JSON, or of another shape.
+        """
+        try:
+            return msgspec.json.decode(reply.body, type=answer_type)
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+            raise self.malformed(step, str(error)) from error
+
+    def _send(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        wait: float,
+    ) -> urllib3.BaseHTTPResponse:
+        return self._pool.request(
+            method,
+            f'http://{self.peer}{path}',
+            body=body,
+            headers=None if body is None else _JSON_HEADERS,
+            # A retry here could append a record twice without a word to the
+            # caller, who alone can tell by reading whether the first one
+            # took effect.
+            retries=False,
+            redirect=False,
+            preload_content=False,
+            decode_content=False,
+            timeout=urllib3.Timeout(
+                connect=self._limits.connect_timeout,
+                read=wait + self._limits.read_timeout,
+            ),
+        )
+
+    def _read(
+        self,
+        response: urllib3.BaseHTTPResponse,
+        step: str,
+        deadline: float,
+    ) -> bytes:
+        """Read a whole body within the limits of size and time."""
+        if not http_bodies.has_end(response):
+            raise self.malformed(step, 'answer has no end mark')
+        # Without a limit a broken service could fill our memory: an instance
+        # has little of it, and all that it runs would die with us.
+        limit = self._limits.answer_bytes
+        if (response.length_remaining or 0) > limit:
+            raise self.malformed(step, f'answer over {limit} bytes')
+        content = bytearray()
+        for piece in http_bodies.pieces(response):
+            content += piece
+            if len(content) > limit:
+                raise self.malformed(step, f'answer over {limit} bytes')
+            if self._clock.now() > deadline:
+                raise self._unavailable('answer took too long', step)
+        return bytes(content)
+
+    def _refusal(
+        self,
+        response: urllib3.BaseHTTPResponse,
+        step: str,
+    ) -> errors.ClementinepassError:
+        """Return the error that a status stands for."""
+        if response.status == _TOO_MANY_REQUESTS:
+            return errors.ThrottledError(
+                step=step,
+                peer=self.peer,
+                retry_after=retry_after(response.headers.get('Retry-After')),
+            )
+        detail = f'answered {response.status}'
+        if response.status == _NOT_FOUND:
+            return errors.ContentMissingError(
+                detail,
+                step=step,
+                peer=self.peer,
+            )
+        return self._unavailable(detail, step)
+
+    def _unavailable(
+        self,
+        cause: object,
+        step: str,
+        *,
+        sent: bool = True,
+    ) -> errors.PlatformUnavailableError:
+        return errors.PlatformUnavailableError(
+            str(cause),
+            step=step,
+            peer=self.peer,
+            sent=sent,
+        )
+
+
+def retry_after(header: str | None) -> float:
+    """Return the seconds that a ``Retry-After`` header asks for."""
+    try:
+        seconds = float(header or '')
+    except ValueError:
+        return _DEFAULT_RETRY_AFTER
+    if not 0 <= seconds <= _LONGEST_RETRY_AFTER:
+        return _DEFAULT_RETRY_AFTER
+    return seconds
--- a/standins/batching.py
+++ b/standins/batching.py
@@ -143,7 +143,7 @@
                 job.events.put(job.done)
                 job.done += 1
             self._running = [
-                job for job in self._running if job.done < job.count
+                other for other in self._running if other.done < other.count
             ]
 
     def _run(self) -> None:
