--- a/clementinepass/errors.py
+++ b/clementinepass/errors.py
@@ -117,6 +117,10 @@
         self.sent = sent
 
 
+class ContentMissingError(PlatformUnavailableError):
+    """A service of the platform answered that it has no such content."""
+
+
 class RecordsExpiredError(ClementinepassError):
     """The records asked for are older than what the log still keeps.
 
@@ -204,3 +208,7 @@
 
 class TransferAbandonedError(ClementinepassError):
     """A newer revision took the place of the one under way."""
+
+
+class StreamLostError(ClementinepassError):
+    """A stream can't be resumed: its frames are no longer kept."""
--- a/clementinepass/weights/transfer.py
+++ b/clementinepass/weights/transfer.py
@@ -23,13 +23,9 @@
 
 #: The longest sleep of a worker that has found nothing to do.
 _IDLE = 0.1
-_FAILURES = (
-    errors.PeerUnavailableError,
-    errors.PeerBusyError,
+_ORIGIN_FAILURES = (
     errors.PlatformUnavailableError,
-    errors.ThrottledError,
-    errors.ChunkCorruptError,
-    TimeoutError,
+    errors.MalformedMessageError,
 )
 
 
@@ -125,7 +121,7 @@
         while self._swarm.missing:
             try:
                 holdings = await self._ask_holdings(member, known)
-            except _FAILURES:
+            except (errors.PeerUnavailableError, TimeoutError):
                 # A peer that fell silent may still look alive in the list of
                 # instances; what it said it held would make others wait.
                 self._swarm.forget(member.id, self._now() + wait)
@@ -247,7 +243,7 @@
         except errors.ChunkCorruptError as error:
             self._around.ledger.corrupt += 1
             self.trouble = str(error)
-        except errors.PlatformUnavailableError as error:
+        except _ORIGIN_FAILURES as error:
             self._around.ledger.stalled += 1
             self.trouble = str(error)
         else:
