--- a/clementinepass/errors.py
+++ b/clementinepass/errors.py
@@ -208,7 +208,3 @@
 
 class TransferAbandonedError(ClementinepassError):
     """A newer revision took the place of the one under way."""
-
-
-class StreamLostError(ClementinepassError):
-    """A stream can't be resumed: its frames are no longer kept."""
