--- a/clementinepass/agent/links.py
+++ b/clementinepass/agent/links.py
@@ -61,9 +61,13 @@
             run.cursor = None
         return self._connection
 
+    def is_current(self, connection: int) -> bool:
+        """Tell whether a connection is the newest and still works."""
+        return connection == self._connection and self.lost_at is None
+
     def detach(self, connection: int, now: float) -> None:
         """Note the end of a connection, unless a newer one has replaced it."""
-        if connection == self._connection:
+        if self.is_current(connection):
             self.lost_at = now
 
     def add(self, run: execution.Run) -> None:
@@ -86,7 +90,7 @@
 
     async def pump(self, connection: int, sink: typing.Any) -> None:
         """Send frames over one connection until it fails or is replaced."""
-        while connection == self._connection:
+        while self.is_current(connection):
             await self._dirty.wait()
             await asyncio.sleep(self._coalesce)
             self._dirty.clear()
@@ -101,7 +105,7 @@
                     error.detail,
                 )
                 return
-            if connection == self._connection:
+            if self.is_current(connection):
                 self._confirm(batch)
 
     async def _push(
--- a/clementinepass/agent/servers.py
+++ b/clementinepass/agent/servers.py
@@ -36,10 +36,14 @@
         self._link = link
         self._connection = link.attach()
         self._pump = asyncio.create_task(
-            link.pump(self._connection, context.params.sink),
+            self._send_frames(link, context.params.sink),
         )
         logger.bind(step='attach', peer=peer.id).info('entry attached')
-        context.results.session = SessionServer(self._agent, link)
+        context.results.session = SessionServer(
+            self._agent,
+            link,
+            self._connection,
+        )
 
     async def weights(self, _context: typing.Any, **_: typing.Any) -> None:
         """Hand out the capability for the transfer of weights."""
@@ -53,6 +57,18 @@
             )
         _context.results.weights = capability
 
+    async def _send_frames(
+        self,
+        link: links.EntryLink,
+        sink: typing.Any,
+    ) -> None:
+        try:
+            await link.pump(self._connection, sink)
+        finally:
+            # However the sending ended, the session ends with it: otherwise
+            # heartbeats would go on over a connection that brings no answers.
+            link.detach(self._connection, self._agent.now())
+
     def disconnected(self) -> None:
         """Note that the connection has ended."""
         if self._pump is not None:
@@ -64,9 +80,15 @@
 class SessionServer(schema.peers.Session.Server):
     """What one entry may ask over one connection."""
 
-    def __init__(self, agent: agents.Agent, link: links.EntryLink) -> None:
+    def __init__(
+        self,
+        agent: agents.Agent,
+        link: links.EntryLink,
+        connection: int,
+    ) -> None:
         self._agent = agent
         self._link = link
+        self._connection = connection
 
     async def dispatch_context(self, context: typing.Any) -> None:
         """Offer an attempt to the gate and start it if it is admitted."""
@@ -79,7 +101,17 @@
         messages.write_verdict(verdict, context.results.init('verdict'))
 
     async def watch_context(self, context: typing.Any) -> None:
-        """Answer once the state has changed, or after a heartbeat."""
+        """Answer once the state has changed, or after a heartbeat.
+
+        :raises PeerUnavailableError: answers no longer get through on this
+            connection, so the entry should open a new one.
+        """
+        if not self._link.is_current(self._connection):
+            raise errors.PeerUnavailableError(
+                'the connection was given up',
+                step='watch',
+                peer=self._agent.id,
+            )
         state = await self._agent.next_state(context.params.known)
         messages.write_state(state, context.results.init('state'))
 
--- a/clementinepass/agent/workloads.py
+++ b/clementinepass/agent/workloads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import typing
 
 import msgspec
@@ -76,9 +77,8 @@
         """Return why the gate is closed, if it is."""
         return Progress(trouble=self._gate.closed_reason)
 
-    def weights_capability(self) -> typing.Any:
-        """Return ``None``: a service has no weights."""
-        return None
+    def weights_capability(self) -> None:
+        """Return nothing: a service has no weights."""
 
     def serves(self, version: str) -> bool:
         """Tell that the service has no versions to differ in."""
@@ -95,14 +95,20 @@
         model: str,
         rollout: rollouts.Rollout,
         bridge: bridges.Bridge,
+        health: healths.EndpointHealth,
+        interval: float,
     ) -> None:
         self._model = model
         self._rollout = rollout
         self._bridge = bridge
+        self._health = health
+        self._interval = interval
 
     async def run(self) -> None:
         """Bring the engine to what is wanted, until cancelled."""
-        await self._rollout.run()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._rollout.run())
+            group.create_task(self._watch_health())
 
     def configure(self, catalogue: catalogues.Catalogue) -> None:
         """Want the version that the configuration names.
@@ -140,6 +146,19 @@
         """Return the capability that peers read chunks from."""
         return self._rollout.serve_capability()
 
+    async def _watch_health(self) -> None:
+        """Close the gate soon after the engine's death.
+
+        Reading back takes seconds to notice it; entries would send work to a
+        dead endpoint meanwhile.
+        """
+        while True:
+            alive = await self._bridge.block(self._health.check)
+            serving = self._rollout.progress().serving
+            if serving and not alive:
+                await self._rollout.confirm(serving)
+            await asyncio.sleep(self._interval)
+
     def serves(self, version: str) -> bool:
         """Read back whether the engine serves ``version`` now; blocks."""
         confirmed = self._bridge.submit(self._rollout.confirm(version))
--- a/clementinepass/entry/desk.py
+++ b/clementinepass/entry/desk.py
@@ -139,4 +139,3 @@
 
     def _count(self, team: str, change: int) -> None:
         self._demand_by_team[team] = self.demand(team) + change
-
--- a/clementinepass/entry/entry.py
+++ b/clementinepass/entry/entry.py
@@ -8,6 +8,7 @@
 import time
 import typing
 
+import msgspec
 from loguru import logger
 
 from clementinepass import errors
@@ -43,7 +44,7 @@
 #: Seconds before the next try when the log does not answer.
 _LOG_RETRY = 0.25
 #: Seconds between exchanges of what each entry holds of the promises.
-_SHARES_INTERVAL = 0.25
+_SHARES_INTERVAL = 0.5
 #: Seconds by which the pushes of one configuration are spread over entries,
 #: so that an agent hears it from the first and the others see that it has.
 _PUSH_SPREAD = 0.2
@@ -59,6 +60,19 @@
     max_age: float
 
 
+class AgentStatus(msgspec.Struct, frozen=True):
+    """One agent as operators see it."""
+
+    id: str
+    address: str
+    region: str
+    failure_domain: str
+    #: ``attached``, ``silent`` or ``gone``.
+    liveness: str
+    #: What it said of itself last.
+    state: messages.AgentState | None
+
+
 class Entry:
     """One entry process; everything here lives on the event loop.
 
@@ -202,10 +216,18 @@
         current = self._follower.current
         return current if current.revision > known else None
 
-    def agent_states(self) -> tuple[messages.AgentState | None, ...]:
-        """Return the last state of each agent."""
+    def agent_status(self) -> tuple[AgentStatus, ...]:
+        """Return what operators should know of each agent."""
         return tuple(
-            peer.state for peer in self.fleet.peers_by_agent.values()
+            AgentStatus(
+                instance.id,
+                instance.address,
+                instance.region,
+                instance.failure_domain,
+                self.view.liveness(instance.id).value,
+                self._state_of(instance.id),
+            )
+            for instance in self.view.agents()
         )
 
     # What connections to agents show.
@@ -268,6 +290,10 @@
         """Return the configuration revision in force here."""
         return self._follower.current.revision
 
+    def _state_of(self, agent: str) -> messages.AgentState | None:
+        peer = self.fleet.peers_by_agent.get(agent)
+        return peer.state if peer else None
+
     def _state(self) -> entry_messages.EntryState:
         return entry_messages.EntryState(
             sequence=self._sequence,
@@ -320,7 +346,7 @@
             found.set_capacity(self.fleet.capacity(target))
 
     async def _follow_log(self) -> None:
-        wait = 0.0
+        wait: float = 0
         while True:
             try:
                 await self._bridge.block(self._follower.poll, wait)
--- /dev/null
+++ b/clementinepass/entry/http.py
@@ -0,0 +1,589 @@
+"""The HTTP interface for callers, on cheroot's threads."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import http
+import threading
+import typing
+
+import msgspec
+from cheroot import wsgi
+from loguru import logger
+
+from clementinepass import errors
+from clementinepass.entry import callers, dispatcher
+from clementinepass.entry import outbox as outboxes
+from clementinepass.requests import (
+    claim_records,
+    claims,
+    identity,
+    problem,
+)
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Iterator
+
+    from clementinepass import clock as clocks
+    from clementinepass.entry import entry as entries
+    from clementinepass.requests import claim_service
+    from clementinepass.wire import bridge as bridges
+
+_PORT = 1
+#: Requests waiting to be accepted by the operating system.
+_BACKLOG = 512
+#: Seconds that a caller may take for its headers or between its requests.
+_CALLER_TIMEOUT = 10
+#: Seconds to wait beyond the deadline for the dispatcher's final word.
+_MARGIN = 5.0
+#: Seconds after which a caller refused for lack of a thread may ask again.
+_FULL_RETRY = 1.0
+#: Seconds that a request waits for its claim to be read back.
+_CLAIM_PATIENCE = 3.0
+_PROBLEMS_BY_VERDICT = {
+    claims.Verdict.ANSWER_NOT_KEPT: problem.Reason.ANSWER_NOT_KEPT,
+    claims.Verdict.ANSWER_UNREADABLE: problem.Reason.ANSWER_NOT_KEPT,
+    claims.Verdict.IN_PROGRESS: problem.Reason.KEY_IN_PROGRESS,
+    claims.Verdict.MAY_HAVE_RUN: problem.Reason.KEY_IN_PROGRESS,
+    claims.Verdict.KEY_MISUSED: problem.Reason.KEY_MISUSED,
+    claims.Verdict.UNAVAILABLE: problem.Reason.CLAIM_UNAVAILABLE,
+}
+_EXECUTIONS_BY_VERDICT = {
+    claims.Verdict.ANSWER_NOT_KEPT: errors.Execution.RAN,
+    claims.Verdict.ANSWER_UNREADABLE: errors.Execution.RAN,
+    claims.Verdict.IN_PROGRESS: errors.Execution.MAY_HAVE_RUN,
+    claims.Verdict.MAY_HAVE_RUN: errors.Execution.MAY_HAVE_RUN,
+    claims.Verdict.KEY_MISUSED: errors.Execution.NOT_RUN,
+    claims.Verdict.UNAVAILABLE: errors.Execution.NOT_RUN,
+}
+#: Verdicts after which asking again makes sense, and when, in seconds.
+_RETRY_BY_VERDICT = {
+    claims.Verdict.ANSWER_UNREADABLE: 2.0,
+    claims.Verdict.IN_PROGRESS: 2.0,
+    claims.Verdict.UNAVAILABLE: 2.0,
+}
+
+Headers = list[tuple[str, str]]
+StartResponse = typing.Callable[[str, Headers], typing.Any]
+
+
+class Limits(typing.NamedTuple):
+    """Bounds of the interface."""
+
+    #: Threads that serve callers.
+    threads: int
+    #: Most requests in progress; below the threads, so that a refusal finds
+    #: a thread at once however many answers are being streamed.
+    streams: int
+    #: Bytes of a request's body.
+    body: int
+    #: Seconds for which callers may keep the list of entries.
+    max_age: float
+
+
+class _EntryAddress(msgspec.Struct, frozen=True):
+    address: str
+    failure_domain: str
+    region: str
+
+
+class _EntryList(msgspec.Struct, frozen=True):
+    entries: tuple[_EntryAddress, ...]
+    max_age: float
+
+
+class CallersServer:
+    """Serve callers over HTTP."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        app: App,
+        limits: Limits,
+    ) -> None:
+        self._server = wsgi.Server(
+            (host, port),
+            app,
+            numthreads=limits.threads,
+            request_queue_size=_BACKLOG,
+            timeout=_CALLER_TIMEOUT,
+        )
+        self._server.prepare()
+        self._thread = threading.Thread(
+            target=self._server.serve,
+            name='callers',
+            daemon=True,
+        )
+
+    @property
+    def port(self) -> int:
+        """Return the port that was bound."""
+        return int(self._server.bind_addr[_PORT])
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._server.stop()
+
+
+class App:
+    """The WSGI application; each request runs in one thread."""
+
+    def __init__(
+        self,
+        entry: entries.Entry,
+        bridge: bridges.Bridge,
+        claimer: claim_service.ClaimService,
+        limits: Limits,
+        clock: clocks.Clock,
+        on_ended: Callable[[identity.Request, float], None],
+    ) -> None:
+        self._entry = entry
+        self._bridge = bridge
+        self._claimer = claimer
+        self._limits = limits
+        self._clock = clock
+        self._on_ended = on_ended
+        self._reader = callers.Reader(entry.id, clock)
+        self._places = threading.BoundedSemaphore(limits.streams)
+
+    def __call__(
+        self,
+        environ: dict[str, typing.Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        responder = _Responder(start_response)
+        caller = callers.CallerRequest(
+            identity.new_request_id(),
+            environ['REQUEST_METHOD'],
+            environ['PATH_INFO'],
+            environ.get('QUERY_STRING', ''),
+            _headers(environ),
+            b'',
+        )
+        try:
+            return self._route(environ, caller, responder)
+        except callers.RefusedError as error:
+            return responder.refuse(error.problem)
+
+    def _route(
+        self,
+        environ: dict[str, typing.Any],
+        caller: callers.CallerRequest,
+        responder: _Responder,
+    ) -> Iterable[bytes]:
+        if caller.path == '/v1/entries':
+            return self._list_entries(environ, responder)
+        if caller.path == '/v1/status':
+            return self._show_status(responder)
+        known = caller.path in callers.MODEL_PATHS
+        if known or caller.path.startswith(callers.SERVICES_PREFIX):
+            return self._serve(environ, caller, responder)
+        raise self._reader.refused(
+            caller,
+            problem.Reason.UNKNOWN_TARGET,
+            f'there is no {caller.path}',
+            'path',
+        )
+
+    def _list_entries(
+        self,
+        environ: dict[str, typing.Any],
+        responder: _Responder,
+    ) -> Iterable[bytes]:
+        caller = str(environ.get('REMOTE_ADDR', ''))
+        headers = _headers(environ)
+        name = f'{caller} {headers.get("authorization", "")}'
+        ranked = self._entry.ranked_entries(name)
+        answer = _EntryList(
+            tuple(
+                _EntryAddress(one.address, one.failure_domain, one.region)
+                for one in ranked
+            ),
+            self._limits.max_age,
+        )
+        age = f'max-age={int(self._limits.max_age)}'
+        return responder.json(answer, ('Cache-Control', age))
+
+    def _show_status(self, responder: _Responder) -> Iterable[bytes]:
+        status = self._bridge.submit(_status(self._entry))
+        return responder.json(status.result(_MARGIN))
+
+    def _serve(
+        self,
+        environ: dict[str, typing.Any],
+        caller: callers.CallerRequest,
+        responder: _Responder,
+    ) -> Iterable[bytes]:
+        body = self._body(environ, caller)
+        caller = msgspec.structs.replace(caller, body=body)
+        catalogue = self._entry.catalogue
+        team = self._entry.team_of(callers.bearer_key(caller.headers))
+        request = self._reader.read(caller, catalogue, team)
+        if not self._entry.leaving.accepts(self._clock.now()):
+            raise self._overloaded(request, problem.Reason.LEAVING)
+        if not self._places.acquire(blocking=False):
+            # Load: more requests than places. Harm: a refusal that waits for
+            # a thread behind streams of half a minute. Threads beyond the
+            # places exist only to say this at once.
+            raise self._overloaded(request, problem.Reason.OVERLOADED)
+        return self._serve_admitted(request, responder)
+
+    def _serve_admitted(
+        self,
+        request: identity.Request,
+        responder: _Responder,
+    ) -> Iterable[bytes]:
+        began = self._clock.now()
+        answer: Iterator[bytes] | None = None
+        try:
+            answer = self._answer(request, responder)
+            first = next(answer, b'')
+        except BaseException:
+            self._places.release()
+            raise
+        return _Body(first, answer, lambda: self._ended(request, began))
+
+    def _ended(self, request: identity.Request, began: float) -> None:
+        self._places.release()
+        self._bridge.post(
+            self._on_ended,
+            request,
+            self._clock.now() - began,
+        )
+
+    def _answer(
+        self,
+        request: identity.Request,
+        responder: _Responder,
+    ) -> Iterator[bytes]:
+        held = None
+        if request.needs_claim:
+            held = self._claimer.claim(
+                request.team,
+                request.idempotency_key,
+                request.fingerprint(),
+            )
+            decision = self._claimer.decide(held, _CLAIM_PATIENCE)
+            if decision.verdict is not claims.Verdict.RUN:
+                yield from self._claimed(request, decision, responder)
+                return
+        yield from self._run(request, held, responder)
+
+    def _claimed(
+        self,
+        request: identity.Request,
+        decision: claims.Decision,
+        responder: _Responder,
+    ) -> Iterator[bytes]:
+        if decision.answer is not None:
+            kept = decision.answer
+            yield responder.whole(
+                request,
+                outboxes.Head(kept.status, kept.content_type),
+                kept.body,
+            )
+            return
+        yield from responder.refuse(
+            problem.Problem.of(
+                _PROBLEMS_BY_VERDICT[decision.verdict],
+                _EXECUTIONS_BY_VERDICT[decision.verdict],
+                step='claim',
+                peer=self._entry.id,
+                request_id=request.id,
+                detail=decision.verdict.value,
+                retry_after=_RETRY_BY_VERDICT.get(decision.verdict),
+            ),
+        )
+
+    def _run(
+        self,
+        request: identity.Request,
+        held: claim_service.Held | None,
+        responder: _Responder,
+    ) -> Iterator[bytes]:
+        outbox = outboxes.Outbox()
+        work = dispatcher.Work(request, self._permit(request, held))
+        served = self._bridge.submit(
+            self._entry.dispatcher.serve(work, outbox),
+        )
+        ended = False
+        try:
+            yield from self._relay(request, outbox, responder)
+            ended = True
+        finally:
+            if not ended:
+                # The caller went away in the middle of its answer; nobody
+                # else waits for it.
+                served.cancel()
+            if held is not None:
+                self._settle(held, served)
+
+    def _permit(
+        self,
+        request: identity.Request,
+        held: claim_service.Held | None,
+    ) -> Callable[[], float]:
+        if held is None:
+            return lambda: request.deadline - self._clock.now()
+        return lambda: self._claimer.may_dispatch(held)
+
+    def _relay(
+        self,
+        request: identity.Request,
+        outbox: outboxes.Outbox,
+        responder: _Responder,
+    ) -> Iterator[bytes]:
+        head: outboxes.Head | None = None
+        while True:
+            left = request.deadline - self._clock.now() + _MARGIN
+            event = self._next_event(request, outbox, max(left, _MARGIN))
+            if isinstance(event, outboxes.Head):
+                head = event
+            elif isinstance(event, outboxes.Part):
+                yield responder.part(request, head, event.payload)
+            else:
+                yield from responder.end(request, head, event.problem)
+                return
+
+    def _next_event(
+        self,
+        request: identity.Request,
+        outbox: outboxes.Outbox,
+        timeout: float,
+    ) -> outboxes.Event:
+        try:
+            return outbox.get(timeout)
+        except TimeoutError:
+            # The dispatcher ends each request by its deadline; should it
+            # ever fail to, the caller must still get a final answer.
+            return outboxes.End(
+                problem.Problem.of(
+                    problem.Reason.INTERNAL,
+                    errors.Execution.MAY_HAVE_RUN,
+                    step='relay',
+                    peer=self._entry.id,
+                    request_id=request.id,
+                ),
+            )
+
+    def _settle(
+        self,
+        held: claim_service.Held,
+        served: concurrent.futures.Future[dispatcher.Served],
+    ) -> None:
+        try:
+            result = served.result(_MARGIN)
+        except (
+            concurrent.futures.CancelledError,
+            concurrent.futures.TimeoutError,
+        ):
+            self._claimer.settle(held, errors.Execution.MAY_HAVE_RUN)
+            return
+        answer = None
+        exchange = result.exchange
+        if exchange is not None and exchange.head is not None:
+            answer = claim_records.kept(
+                exchange.head.status,
+                exchange.head.content_type,
+                exchange.body,
+            )
+        self._claimer.settle(held, result.execution, answer)
+
+    def _overloaded(
+        self,
+        request: identity.Request,
+        reason: problem.Reason,
+    ) -> callers.RefusedError:
+        return callers.RefusedError(
+            problem.Problem.not_run(
+                reason,
+                step='accept',
+                peer=self._entry.id,
+                request_id=request.id,
+                retry_after=_FULL_RETRY,
+            ),
+        )
+
+    def _body(
+        self,
+        environ: dict[str, typing.Any],
+        caller: callers.CallerRequest,
+    ) -> bytes:
+        length = environ.get('CONTENT_LENGTH') or ''
+        limit = self._limits.body
+        if length and int(length) > limit:
+            raise self._too_large(caller)
+        if not length and 'HTTP_TRANSFER_ENCODING' not in environ:
+            return b''
+        wanted = int(length) if length else limit + 1
+        body: bytes = environ['wsgi.input'].read(wanted)
+        if len(body) > limit:
+            raise self._too_large(caller)
+        return body
+
+    def _too_large(
+        self,
+        caller: callers.CallerRequest,
+    ) -> callers.RefusedError:
+        return self._reader.refused(
+            caller,
+            problem.Reason.BODY_TOO_LARGE,
+            f'more than {self._limits.body} bytes',
+            'body',
+        )
+
+
+class _Responder:
+    """Begin a response once, with the right status."""
+
+    def __init__(self, start_response: StartResponse) -> None:
+        self._start_response = start_response
+        self._started = False
+
+    def refuse(self, refusal: problem.Problem) -> list[bytes]:
+        """Answer with a problem."""
+        logger.bind(
+            request_id=refusal.request_id,
+            step=refusal.step,
+            peer=refusal.peer,
+        ).info('refused: {} {}', refusal.reason.value, refusal.detail)
+        body = refusal.body()
+        self._start(refusal.status, [*refusal.headers(), _length(body)])
+        return [body]
+
+    def json(
+        self, answer: typing.Any, *headers: tuple[str, str]
+    ) -> list[bytes]:
+        """Answer with a JSON document."""
+        body = msgspec.json.encode(answer)
+        content = ('Content-Type', 'application/json')
+        self._start(http.HTTPStatus.OK, [content, _length(body), *headers])
+        return [body]
+
+    def whole(
+        self,
+        request: identity.Request,
+        head: outboxes.Head,
+        body: bytes,
+    ) -> bytes:
+        """Begin an answer that is known whole, and return its body."""
+        self._start(
+            head.status,
+            [*_answer_headers(request, head), _length(body)],
+        )
+        return body
+
+    def part(
+        self,
+        request: identity.Request,
+        head: outboxes.Head | None,
+        payload: bytes,
+    ) -> bytes:
+        """Return a piece of an answer, which it begins if need be."""
+        if self._started or head is None:
+            return payload
+        if not request.stream:
+            return self.whole(request, head, payload)
+        self._start(head.status, _answer_headers(request, head))
+        return payload
+
+    def end(
+        self,
+        request: identity.Request,
+        head: outboxes.Head | None,
+        failure: problem.Problem | None,
+    ) -> list[bytes]:
+        """Return what ends an answer."""
+        if failure is not None and not self._started:
+            return self.refuse(failure)
+        if failure is not None:
+            # The caller sees that its answer is truncated: an error event in
+            # place of the end mark.
+            return [failure.event()]
+        if not self._started and head is not None:
+            return [self.whole(request, head, b'')]
+        return []
+
+    def _start(self, status: int, headers: Headers) -> None:
+        self._started = True
+        phrase = http.HTTPStatus(status).phrase
+        self._start_response(f'{int(status)} {phrase}', headers)
+
+
+class _Body:
+    """An answer's body that frees its place when it ends or is dropped."""
+
+    def __init__(
+        self,
+        first: bytes,
+        rest: Iterator[bytes],
+        on_close: Callable[[], None],
+    ) -> None:
+        self._first = first
+        self._rest = rest
+        self._on_close = on_close
+
+    def __iter__(self) -> Iterator[bytes]:
+        yield self._first
+        yield from self._rest
+
+    def close(self) -> None:
+        """Free the place; cheroot calls this whatever happened."""
+        closing = getattr(self._rest, 'close', None)
+        try:
+            if closing is not None:
+                closing()
+        finally:
+            self._on_close()
+
+
+class _Status(msgspec.Struct, frozen=True):
+    entry: str
+    revision: int
+    leaving: bool
+    in_progress: int
+    entries: tuple[typing.Any, ...]
+    agents: tuple[typing.Any, ...]
+
+
+async def _status(entry: entries.Entry) -> _Status:
+    return _Status(
+        entry.id,
+        entry.revision(),
+        entry.leaving.announced,
+        entry.in_progress,
+        entry.view.entries(),
+        entry.agent_status(),
+    )
+
+
+def _answer_headers(
+    request: identity.Request,
+    head: outboxes.Head,
+) -> Headers:
+    return [
+        ('Content-Type', head.content_type),
+        ('X-Request-Id', request.id),
+    ]
+
+
+def _length(body: bytes) -> tuple[str, str]:
+    return 'Content-Length', str(len(body))
+
+
+def _headers(environ: dict[str, typing.Any]) -> dict[str, str]:
+    headers = {
+        name.removeprefix('HTTP_').replace('_', '-').lower(): value
+        for name, value in environ.items()
+        if name.startswith('HTTP_')
+    }
+    content_type = environ.get('CONTENT_TYPE')
+    if content_type:
+        headers['content-type'] = content_type
+    return headers
--- a/clementinepass/entry/outbox.py
+++ b/clementinepass/entry/outbox.py
@@ -9,7 +9,7 @@
 import msgspec
 
 if typing.TYPE_CHECKING:
-    from clementinepass.requests import problem
+    from clementinepass.requests import problem as problems
 
 #: Bytes of an answer that wait for a slow caller. A caller that falls behind
 #: by more loses its stream: at 12 tokens a second and some 200 bytes a token
@@ -33,7 +33,7 @@
 class End(msgspec.Struct, frozen=True):
     """The end of an answer; with a problem where it isn't whole."""
 
-    problem: problem.Problem | None = None
+    problem: problems.Problem | None = None
 
 
 Event = Head | Part | End
--- a/clementinepass/entry/servers.py
+++ b/clementinepass/entry/servers.py
@@ -27,3 +27,6 @@
         if newer is not None:
             context.results.revision = newer.revision
             context.results.state = newer.encode()
+
+    def disconnected(self) -> None:
+        """Note nothing: an entry keeps nothing for a connection."""
--- /dev/null
+++ b/clementinepass/lifecycle.py
@@ -0,0 +1,76 @@
+"""Signals of a daemon: when to drain, when to end, when to read the level."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import typing
+
+from loguru import logger
+
+from clementinepass.observability import logs
+from clementinepass.settings import settings as daemon_settings
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+#: Exit code after a second SIGTERM, as a shell reports it.
+_EXIT_AT_ONCE = 128 + signal.SIGTERM
+
+
+class Lifecycle:
+    """Run until SIGTERM, then drain.
+
+    :param path: the settings file, for reading the log level anew.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._path = path
+        self._stopping = asyncio.Event()
+
+    async def run(
+        self,
+        work: Awaitable[None],
+        drain: Callable[[], Awaitable[None]],
+    ) -> None:
+        """Do the work until told to stop, then drain and end."""
+        self._install()
+        working = asyncio.ensure_future(work)
+        stopping = asyncio.ensure_future(self._stopping.wait())
+        await asyncio.wait(
+            {working, stopping},
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if working.done():
+            working.result()
+            return
+        await drain()
+        working.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await working
+
+    def _install(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._terminate)
+        loop.add_signal_handler(signal.SIGINT, self._terminate)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    def _terminate(self) -> None:
+        if self._stopping.is_set():
+            logger.bind(step='stop').warning('ending at once')
+            os._exit(_EXIT_AT_ONCE)
+        self._stopping.set()
+
+    def _reload(self) -> None:
+        try:
+            settings = daemon_settings.Settings.from_file(self._path)
+        except ExceptionGroup as group:
+            logger.bind(step='reload').error(
+                'settings have {} faults; the log level stays',
+                len(group.exceptions),
+            )
+            return
+        logs.set_level(settings.logging.level)
--- /dev/null
+++ b/clementinepass/observability/logs.py
@@ -0,0 +1,61 @@
+"""Structured logs: one event a line, as text or as JSON."""
+
+from __future__ import annotations
+
+import sys
+import typing
+
+import msgspec
+from loguru import logger
+
+#: Settings' names of the formats.
+JSON = 'json'
+_TEXT = (
+    '{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <7} {message} {extra} {exception}'
+)
+
+
+class _LevelFilter:
+    """Pass events from a level on; the level can change while running."""
+
+    def __init__(self, level: str) -> None:
+        self.level = level
+
+    def __call__(self, record: typing.Any) -> bool:
+        return record['level'].no >= logger.level(self.level).no
+
+
+_filter = _LevelFilter('INFO')
+
+
+def configure(level: str, log_format: str) -> None:
+    """Write events to standard error.
+
+    :param level: the least severe level written.
+    :param log_format: ``text`` or ``json``.
+    """
+    _filter.level = level
+    logger.remove()
+    if log_format == JSON:
+        logger.add(_write_json, level=0, filter=_filter)
+    else:
+        logger.add(sys.stderr, level=0, filter=_filter, format=_TEXT)
+
+
+def set_level(level: str) -> None:
+    """Change the least severe level written."""
+    _filter.level = level
+
+
+def _write_json(message: typing.Any) -> None:
+    record = message.record
+    event = {
+        'time': record['time'].isoformat(),
+        'level': record['level'].name,
+        'message': record['message'],
+        **{key: str(value) for key, value in record['extra'].items()},
+    }
+    if record['exception'] is not None:
+        event['exception'] = str(record['exception'].value)
+    sys.stderr.write(f'{msgspec.json.encode(event).decode()}\n')
+    sys.stderr.flush()
--- a/clementinepass/wire/connections.py
+++ b/clementinepass/wire/connections.py
@@ -22,10 +22,17 @@
 _Result = typing.TypeVar('_Result')
 
 
+class Bootstrap(typing.Protocol):
+    """A capability server made for one connection."""
+
+    def disconnected(self) -> None:
+        """Note that the connection has ended."""
+
+
 @contextlib.asynccontextmanager
 async def listen(
     address: addresses.Address,
-    make_bootstrap: Callable[[], typing.Any],
+    make_bootstrap: Callable[[], Bootstrap],
 ) -> AsyncIterator[addresses.Address]:
     """Serve a bootstrap capability, made anew for each connection.
 
@@ -34,8 +41,12 @@
     """
 
     async def serve(stream: typing.Any) -> None:
-        server = capnp.TwoPartyServer(stream, bootstrap=make_bootstrap())
-        await server.on_disconnect()
+        bootstrap = make_bootstrap()
+        server = capnp.TwoPartyServer(stream, bootstrap=bootstrap)
+        try:
+            await server.on_disconnect()
+        finally:
+            bootstrap.disconnected()
 
     server = await capnp.AsyncIoStream.create_server(
         serve,
--- a/clementinepass/wire/messages.py
+++ b/clementinepass/wire/messages.py
@@ -102,12 +102,7 @@
     """
     try:
         return read_message(reader)
-    except (
-        capnp.KjException,
-        UnicodeDecodeError,
-        ValueError,
-        AttributeError,
-    ) as error:
+    except (capnp.KjException, ValueError, AttributeError) as error:
         raise errors.MalformedMessageError(
             f'malformed message: {error}',
             step=read_message.__name__,
