--- a/standins/engine.py
+++ b/standins/engine.py
@@ -37,22 +37,6 @@
     IGNORE = 'ignore'
 
 
-class CompletionBody(msgspec.Struct, frozen=True):
-    """What a caller sends for a completion."""
-
-    prompt: str
-    max_tokens: int = 16
-    stream: bool = False
-
-
-class ChatBody(msgspec.Struct, frozen=True):
-    """What a caller sends for a chat completion."""
-
-    messages: tuple[tokens.Message, ...]
-    max_tokens: int = 16
-    stream: bool = False
-
-
 class RunsAnswer(msgspec.Struct, frozen=True):
     """How often each request was begun, by its id."""
 
@@ -197,24 +181,26 @@
         )
 
     def _complete(self, request: http.Request) -> http.Response:
-        body = msgspec.json.decode(request.body(), type=CompletionBody)
-        return self._run(request, body, body.prompt, chat=False)
+        body = request.body()
+        return self._run(
+            request,
+            msgspec.json.decode(body, type=tokens.CompletionBody),
+        )
 
     def _chat(self, request: http.Request) -> http.Response:
-        body = msgspec.json.decode(request.body(), type=ChatBody)
-        prompt = tokens.chat_prompt(body.messages)
-        return self._run(request, body, prompt, chat=True)
+        body = request.body()
+        return self._run(
+            request,
+            msgspec.json.decode(body, type=tokens.ChatBody),
+        )
 
     def _run(
         self,
         request: http.Request,
-        body: CompletionBody | ChatBody,
-        prompt: str,
-        *,
-        chat: bool,
+        body: tokens.CompletionBody | tokens.ChatBody,
     ) -> http.Response:
         """Let a request wait for its turn and answer with its tokens."""
-        if self._crash_on and self._crash_on in prompt:
+        if self._crash_on and self._crash_on in body.text():
             os._exit(_CRASHED)
         if not 1 <= body.max_tokens <= _MOST_TOKENS:
             return http.answer_problem(400, 'max_tokens out of range')
@@ -229,21 +215,18 @@
             headers = {'Retry-After': '1'}
             return http.answer_problem(429, 'queue full', headers=headers)
         if body.stream:
-            parts = self._stream(job, prompt, chat=chat)
-            return http.Response(parts, content_type=_EVENTS)
-        return _whole(job, prompt, chat=chat)
+            return http.Response(self._stream(job, body), content_type=_EVENTS)
+        return _whole(job, body)
 
     def _stream(
         self,
         job: batching.Job,
-        prompt: str,
-        *,
-        chat: bool,
+        body: tokens.CompletionBody | tokens.ChatBody,
     ) -> Iterator[bytes]:
         """Yield an event for each token; no end mark when cancelled."""
         try:
             for index in job.tokens():
-                yield _event(job, prompt, index, chat=chat)
+                yield _rendering(job, body).event(index)
         except batching.JobCancelled:
             yield b'data: {"error":"cancelled"}\n\n'
             return
@@ -306,51 +289,28 @@
         self.served.swap(f'{version}-other', other)
 
 
-def _event(
+def _whole(
     job: batching.Job,
-    prompt: str,
-    index: int,
-    *,
-    chat: bool,
-) -> bytes:
-    """Encode one token as a server-sent event."""
-    text = tokens.token(prompt, job.version, index)
-    last = index + 1 == job.count
-    choice = tokens.Choice(
-        text='' if chat else text,
-        delta=tokens.Message(text) if chat else None,
-        finish_reason='length' if last else None,
-    )
-    event = tokens.TokenEvent(
-        id=job.request_id,
-        object='chat.completion.chunk' if chat else 'text_completion',
-        version=job.version,
-        token=index,
-        choices=(choice,),
-    )
-    return tokens.frame(b''.join((tokens.DATA, msgspec.json.encode(event))))
-
-
-def _whole(job: batching.Job, prompt: str, *, chat: bool) -> http.Response:
+    body: tokens.CompletionBody | tokens.ChatBody,
+) -> http.Response:
     """Wait for the last token and answer with the whole text."""
     try:
         collections.deque(job.tokens(), maxlen=0)
     except batching.JobCancelled:
         return http.answer_problem(409, 'cancelled')
-    text = tokens.answer_text(prompt, job.version, job.count)
-    choice = tokens.Choice(
-        text='' if chat else text,
-        message=tokens.Message(text) if chat else None,
-        finish_reason='length',
-    )
-    return http.answer_json(
-        tokens.WholeAnswer(
-            id=job.request_id,
-            object='chat.completion' if chat else 'text_completion',
-            version=job.version,
-            tokens=job.count,
-            choices=(choice,),
-        ),
+    return http.answer_json(_rendering(job, body).whole())
+
+
+def _rendering(
+    job: batching.Job,
+    body: tokens.CompletionBody | tokens.ChatBody,
+) -> tokens.Rendering:
+    return tokens.Rendering(
+        request_id=job.request_id,
+        prompt=body.text(),
+        version=job.version,
+        count=job.count,
+        chat=isinstance(body, tokens.ChatBody),
     )
 
 
--- a/standins/tokens.py
+++ b/standins/tokens.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import hashlib
 import typing
 
@@ -15,6 +16,7 @@
 #: What each event begins with.
 DATA = b'data: '
 _EVENT_END = b'\n\n'
+_PLAIN = 'text_completion'
 _TOKEN_LENGTH = 6
 
 
@@ -43,6 +45,30 @@
         return message.content if message else self.text
 
 
+class CompletionBody(msgspec.Struct, frozen=True):
+    """What a caller sends for a completion."""
+
+    prompt: str
+    max_tokens: int = 16
+    stream: bool = False
+
+    def text(self) -> str:
+        """Return the prompt."""
+        return self.prompt
+
+
+class ChatBody(msgspec.Struct, frozen=True):
+    """What a caller sends for a chat completion."""
+
+    messages: tuple[Message, ...]
+    max_tokens: int = 16
+    stream: bool = False
+
+    def text(self) -> str:
+        """Return the prompt that the chat amounts to."""
+        return '\n'.join(message.content for message in self.messages)
+
+
 class TokenEvent(msgspec.Struct, frozen=True):
     """One token of a stream."""
 
@@ -82,9 +108,61 @@
     return ''.join(token(prompt, version, index) for index in range(count))
 
 
-def chat_prompt(messages: typing.Iterable[Message]) -> str:
-    """Return the prompt that a chat amounts to."""
-    return '\n'.join(message.content for message in messages)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rendering:
+    """Encode the answer to one request."""
+
+    request_id: str
+    prompt: str
+    version: str
+    count: int
+    chat: bool = False
+
+    def event(self, index: int) -> bytes:
+        """Return one token as a server-sent event."""
+        last = index + 1 == self.count
+        choice = self._choice(
+            token(self.prompt, self.version, index),
+            'length' if last else None,
+            whole=False,
+        )
+        encoded = msgspec.json.encode(
+            TokenEvent(
+                id=self.request_id,
+                object='chat.completion.chunk' if self.chat else _PLAIN,
+                version=self.version,
+                token=index,
+                choices=(choice,),
+            ),
+        )
+        return frame(b''.join((DATA, encoded)))
+
+    def whole(self) -> WholeAnswer:
+        """Return the whole answer."""
+        text = answer_text(self.prompt, self.version, self.count)
+        return WholeAnswer(
+            id=self.request_id,
+            object='chat.completion' if self.chat else _PLAIN,
+            version=self.version,
+            tokens=self.count,
+            choices=(self._choice(text, 'length', whole=True),),
+        )
+
+    def _choice(
+        self,
+        text: str,
+        finish_reason: str | None,
+        *,
+        whole: bool,
+    ) -> Choice:
+        if not self.chat:
+            return Choice(text=text, finish_reason=finish_reason)
+        message = Message(text)
+        return Choice(
+            message=message if whole else None,
+            delta=None if whole else message,
+            finish_reason=finish_reason,
+        )
 
 
 def verify_stream(body: bytes, prompt: str, count: int) -> str:
