--- /dev/null
+++ b/tests/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the membership view and of the ranking of entries."""
--- /dev/null
+++ b/tests/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of requests: identity, outcomes, streams, claims, quarantine."""
