--- a/clementinepass/entry/dispatcher.py
+++ b/clementinepass/entry/dispatcher.py
@@ -7,6 +7,7 @@
 import typing
 
 import msgspec
+from loguru import logger
 
 from clementinepass import errors
 from clementinepass.decisions import reasons, retry_budget, tickets
@@ -94,10 +95,31 @@
 
     async def serve(self, work: Work, outbox: outboxes.Outbox) -> Served:
         """Serve one request and put its whole answer into the outbox."""
-        served = await self._serve(work, outbox)
+        try:
+            served = await self._serve(work, outbox)
+        except Exception as error:
+            # A fault of ours must not leave the caller waiting for an end
+            # that never comes.
+            logger.bind(request_id=work.request.id).exception('fault')
+            served = self._faulty(work.request, error)
         outbox.put(outboxes.End(served.problem))
         return served
 
+    def _faulty(self, request: identity.Request, error: Exception) -> Served:
+        execution = errors.Execution.MAY_HAVE_RUN
+        return Served(
+            execution,
+            None,
+            problem.Problem.of(
+                problem.Reason.INTERNAL,
+                execution,
+                step='serve',
+                peer=self._entry,
+                request_id=request.id,
+                detail=repr(error),
+            ),
+        )
+
     async def _serve(self, work: Work, outbox: outboxes.Outbox) -> Served:
         request = work.request
         refusal = self._judge(request)
@@ -448,5 +470,5 @@
         body=request.body,
         remaining=int(seconds * _SECOND),
         stream=request.stream,
-        priority=_PRIORITY_CLASSES[request.priority],
+        priority=int(_PRIORITY_CLASSES[request.priority]),
     )
--- a/clementinepass/observability/logs.py
+++ b/clementinepass/observability/logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+import traceback
 import typing
 
 import msgspec
@@ -56,6 +57,8 @@
         **{key: str(value) for key, value in record['extra'].items()},
     }
     if record['exception'] is not None:
-        event['exception'] = str(record['exception'].value)
+        event['exception'] = ''.join(
+            traceback.format_exception(record['exception'].value),
+        )
     sys.stderr.write(f'{msgspec.json.encode(event).decode()}\n')
     sys.stderr.flush()
