--- a/standins/quickstart.py
+++ b/standins/quickstart.py
@@ -74,7 +74,9 @@
     system.start()
     steps.done()
     steps.begin('put the weights into store and origin')
-    manifest = system.publish_weights(_VERSION, random.Random(7).randbytes(_WEIGHTS))
+    manifest = system.publish_weights(
+        _VERSION, random.Random(7).randbytes(_WEIGHTS)
+    )
     steps.done(f'{_WEIGHTS} bytes, manifest {manifest[:12]}')
     steps.begin('check and publish the configuration folder')
     folder = system.write_configuration(_VERSION, manifest)
@@ -97,8 +99,8 @@
     print(
         f'  curl -N http://{entry}/v1/completions '
         f"-H 'Authorization: Bearer {systems.KEY}' "
-        f"-H 'Content-Type: application/json' "
-        f'-d \'{{"model": "{systems.MODEL}", "prompt": "lamp 3 is dark", '
+        "-H 'Content-Type: application/json' "
+        f'-d \'{{"model": "{systems.MODEL}", "prompt": "lamp 3", '
         '"stream": true}\'',
     )
     print(f'  .venv/bin/clementinepass status --entry {entry}')
--- a/standins/system.py
+++ b/standins/system.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import dataclasses
+import functools
 import hashlib
 import pathlib
 import shutil
@@ -300,13 +301,11 @@
 
         :param version: the version that the engines must serve.
         """
+        count = self.shape.engines + self.shape.services
+        holds = functools.partial(_all_serve, version=version, count=count)
         for entry in self.entries:
             self.await_status(
-                lambda status: _all_serve(
-                    status,
-                    version,
-                    self.shape.engines + self.shape.services,
-                ),
+                holds,
                 f'{entry}: {version} served everywhere',
                 timeout,
                 entry,
