Measure the path with staggered streams and processor time for each token

Purpose: bursts of 48 streams at the same instant wait for the next engine step and hide what the path adds.

--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -79,12 +79,18 @@
 
 async def _run(plan: Plan, streams: int, rounds: int) -> Report:
     places = await asyncio.gather(
-        *(_place(plan, rounds) for _ in range(streams)),
+        *(_place(plan, rounds, number / streams) for number in range(streams)),
     )
     return Report([times for place in places for times in place])
 
 
-async def _place(plan: Plan, rounds: int) -> list[StreamTimes]:
+async def _place(
+    plan: Plan,
+    rounds: int,
+    delay: float,
+) -> list[StreamTimes]:
+    # Spread over a second: callers don't all begin at the same instant.
+    await asyncio.sleep(delay)
     return [await _stream(plan) for _ in range(rounds)]
 
 
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -14,15 +14,21 @@
 from benchmarks import load, usage
 from standins import system as systems
 
+#: A token every 83 ms makes 12 tokens a second for each stream.
 _STEP_MS = 83
+#: Few streams run on faster engines, so that what the path adds is not hidden
+#: by waiting for the next step.
+_FAST_STEP_MS = 20
 _ENGINES = 4
 _FEW_STREAMS = 48
+_FEW_ROUNDS = 4
 _MANY_STREAMS = 400
 _TOOLS = 4
 _TOKENS = 60
 _IDLE_SECONDS = 10.0
 _REFUSALS = 100
 _MS = 1000
+_US = 1e6
 _WEIGHTS = bytes(range(256)) * 1024
 _VERSION = 'faults-1'
 
@@ -58,6 +64,9 @@
     full: Latency
     full_direct: Latency
     tokens_per_second: float
+    #: Processor time of the entry and of one agent for each token relayed.
+    entry_us_per_token: float
+    agent_us_per_token: float
     entry_core_percent: float
     agent_core_percent: float
     entry_peak_mb: float
@@ -74,33 +83,38 @@
 
     :param json: print only that line.
     """
-    shape = systems.Shape(
+    with systems.System(_shape(_FAST_STEP_MS)) as system:
+        system.bring_into_service(_VERSION, _WEIGHTS)
+        direct = _latency(_run_direct(system, _FEW_STREAMS, _FEW_ROUNDS))
+        through = _latency(_run_entry(system, _FEW_STREAMS, _FEW_ROUNDS))
+    with systems.System(_shape(_STEP_MS)) as system:
+        system.bring_into_service(_VERSION, _WEIGHTS)
+        result = _measure(system, direct, through)
+    if not json:
+        print(msgspec.json.format(msgspec.json.encode(result)).decode())
+    print(msgspec.json.encode(result).decode())
+
+
+def _shape(step: int) -> systems.Shape:
+    places = _MANY_STREAMS // _ENGINES
+    return systems.Shape(
         entries=1,
         engines=_ENGINES,
         services=0,
-        capacity=_MANY_STREAMS // _ENGINES,
+        capacity=places,
         concurrency=2 * _MANY_STREAMS,
         streams=_MANY_STREAMS,
         threads=_MANY_STREAMS + 40,
-        engine_arguments=(
-            '--step-ms',
-            str(_STEP_MS),
-            '--capacity',
-            str(_MANY_STREAMS // _ENGINES),
-        ),
+        engine_arguments=('--step-ms', str(step), '--capacity', str(places)),
     )
-    with systems.System(shape) as system:
-        system.bring_into_service(_VERSION, _WEIGHTS)
-        result = _measure(system)
-    if not json:
-        print(msgspec.json.format(msgspec.json.encode(result)).decode())
-    print(msgspec.json.encode(result).decode())
 
 
-def _measure(system: systems.System) -> Result:
+def _measure(
+    system: systems.System,
+    direct: Latency,
+    through: Latency,
+) -> Result:
     idle_entry, idle_agent = _idle(system)
-    direct = _latency(_run_direct(system, _FEW_STREAMS))
-    through = _latency(_run_entry(system, _FEW_STREAMS))
     full_direct = _latency(_run_direct(system, _MANY_STREAMS))
     before = _usages(system)
     began = time.monotonic()
@@ -126,6 +140,10 @@
         full=_latency(streams),
         full_direct=full_direct,
         tokens_per_second=tokens / streaming,
+        entry_us_per_token=_processor(before, after, 'entry-0') / tokens * _US,
+        agent_us_per_token=(
+            _processor(before, after, 'agent-0') / tokens * _ENGINES * _US
+        ),
         entry_core_percent=_percent(before, after, 'entry-0', seconds),
         agent_core_percent=_percent(before, after, 'agent-0', seconds),
         entry_peak_mb=after['entry-0'].peak / 1e6,
@@ -165,8 +183,15 @@
     name: str,
     seconds: float,
 ) -> float:
-    used = after[name].processor - before[name].processor
-    return 100 * used / seconds
+    return 100 * _processor(before, after, name) / seconds
+
+
+def _processor(
+    before: dict[str, usage.Usage],
+    after: dict[str, usage.Usage],
+    name: str,
+) -> float:
+    return after[name].processor - before[name].processor
 
 
 def _usages(system: systems.System) -> dict[str, usage.Usage]:
@@ -179,23 +204,27 @@
 def _run_direct(
     system: systems.System,
     streams: int,
+    rounds: int = 1,
 ) -> list[load.StreamTimes]:
     addresses = [
         system.addresses[f'engine-{number}'] for number in range(_ENGINES)
     ]
-    return _run_tools(addresses, streams)
+    return _run_tools(addresses, streams, rounds)
 
 
 def _run_entry(
     system: systems.System,
     streams: int,
+    rounds: int = 1,
 ) -> list[load.StreamTimes]:
-    return _run_tools([system.callers['entry-0']] * _TOOLS, streams)
+    addresses = [system.callers['entry-0']] * _TOOLS
+    return _run_tools(addresses, streams, rounds)
 
 
 def _run_tools(
     addresses: typing.Sequence[str],
     streams: int,
+    rounds: int,
 ) -> list[load.StreamTimes]:
     tools = [
         subprocess.Popen(  # noqa: S603
@@ -213,6 +242,8 @@
                 str(streams // len(addresses)),
                 '--tokens',
                 str(_TOKENS),
+                '--rounds',
+                str(rounds),
             ],
             stdout=subprocess.PIPE,
         )
