--- a/benchmarks/weights.py
+++ b/benchmarks/weights.py
@@ -65,22 +65,35 @@
     stuck: tuple[str, ...] = ()
 
 
-@dataclasses.dataclass(slots=True)
+@cyclopts.Parameter(name='*')
+@dataclasses.dataclass(slots=True, kw_only=True)
 class Plan:
-    """What is run."""
+    """What is run.
 
-    agents: int
-    size: int
-    window: float
-    faults: bool
-    seed: int
-    chunk: int
-    request_rate: float
-    step_ms: float
+    :param window: W in seconds; the links are 4 S/W and 2 S/W.
+    :param request_rate: live requests a second to each instance.
+    :param step_ms: how long an engine's step takes.
+    :param wave: the percentage of replicas that may load at once.
+    :param faults: whether to bring about faults on the way.
+    :param alone: whether everyone reads everything from the origin.
+    """
+
+    agents: int = 24
+    size_mb: float = 64
+    window: float = 16
+    chunk_kb: int = 256
+    request_rate: float = 4
+    step_ms: float = 40
     wave: int = 25
-    #: Whether everyone reads everything from the origin.
+    seed: int = 1
+    faults: bool = False
     alone: bool = False
 
+    @property
+    def size(self) -> int:
+        """The version's bytes."""
+        return int(self.size_mb * _MEBIBYTE)
+
     @property
     def link_rate(self) -> float:
         """Bytes a second on each direction of an instance's link."""
@@ -98,13 +111,15 @@
             upload_rate=0.92 * self.link_rate,
             download_rate=0.95 * self.link_rate,
             origin_rate=0 if self.alone else 0.92 * self.origin_rate,
-            slice_bytes=64 * 1024,
-            stall_timeout=1.5 if not self.alone else 60,
-            gather=0.1,
+            slice_bytes=128 * 1024,
+            stall_timeout=60 if self.alone else 1.5,
+            gather=0.15,
             hold=1,
-            patience=1,
+            patience=1.5,
+            downloads=10,
+            origin_reads=4,
             distrust=5,
-            poll=0.1,
+            poll=0.05,
             read_back=1,
             wave=self.wave,
             near=0 if self.alone else 12,
@@ -124,7 +139,7 @@
         self._ended: list[weights_fleet.Agent] = []
         self._want: weights_messages.Want | None = None
         self._count = 0
-        self._sizes: dict[str, int] = {}
+        self._revision = 0
 
     async def measure(self) -> Result:
         """Start everything, roll out, and end all that was started."""
@@ -185,8 +200,8 @@
         self._chance.shuffle(names)
         for agent in self._agents.values():
             agent.program.send(weights_messages.Disturb(corrupt=0.01))
-        for name in names[:2]:
-            self._agents[name].program.send(
+        for stalled in names[:2]:
+            self._agents[stalled].program.send(
                 weights_messages.Disturb(stall_seconds=60)
             )
         await asyncio.sleep(window / 4)
@@ -247,23 +262,23 @@
     def _publish(self, version: str, size: int) -> None:
         whole = random.Random(f'{self._plan.seed}{version}').randbytes(size)
         manifest = manifests.Manifest.from_bytes(
-            version, whole, self._plan.chunk
+            version, whole, self._plan.chunk_kb * 1024
         )
         digest = self._platform.publish(manifest, whole)
-        revision = 1 + (self._want.revision if self._want else 0)
+        self._revision += 1
         self._want = weights_messages.Want(
-            version, manifest.digest, digest, revision
+            version, manifest.digest, digest, self._revision
         )
         for agent in self._agents.values():
             agent.program.send(self._want)
 
     async def _all_serve(self, version: str, limit: float) -> list[float]:
-        waits = [agent.serves(version) for agent in self._agents.values()]
-        tasks = [asyncio.ensure_future(wait) for wait in waits]
-        done, pending = await asyncio.wait(tasks, timeout=limit)
-        for task in pending:
-            task.cancel()
-        return [task.result() for task in done]
+        waits = [
+            asyncio.wait_for(agent.serves(version), limit)
+            for agent in self._agents.values()
+        ]
+        times = await asyncio.gather(*waits, return_exceptions=True)
+        return [one for one in times if isinstance(one, float)]
 
     async def _reports(self) -> list[weights_messages.Figures]:
         return list(
@@ -311,7 +326,7 @@
             half_time_ratio=times[len(times) // 2] / half,
             baseline_time_ratio=0,
             baseline_origin_copies=0,
-            ttft_p95_ratio=live_p95 / idle_p95 if idle_p95 else 0,
+            ttft_p95_ratio=live_p95 / (idle_p95 or 1),
             ttft_p95_ms_idle=idle_p95 * 1000,
             ttft_p95_ms=live_p95 * 1000,
             mixed_or_partial=wrong + sum(one.mismatched for one in figures),
@@ -349,39 +364,17 @@
 
 
 def main(
+    plan: Plan | None = None,
     *,
-    agents: int = 24,
-    size_mb: float = 64,
-    window: float = 16,
-    chunk_kb: int = 256,
-    request_rate: float = 4,
-    step_ms: float = 40,
-    wave: int = 25,
-    seed: int = 1,
-    faults: bool = False,
     json: bool = False,
     baseline: bool = True,
 ) -> None:
     """Roll a version out to agents in processes of their own.
 
-    :param window: W in seconds; the links are 4 S/W and 2 S/W.
-    :param request_rate: live requests a second to each instance.
-    :param step_ms: how long an engine's step takes.
-    :param wave: the percentage of replicas that may load at once.
     :param json: print one JSON object on the last line.
     :param baseline: whether to measure everyone reading from the origin.
     """
-    plan = Plan(
-        agents=agents,
-        size=int(size_mb * _MEBIBYTE),
-        window=window,
-        faults=faults,
-        seed=seed,
-        chunk=chunk_kb * 1024,
-        request_rate=request_rate,
-        step_ms=step_ms,
-        wave=wave,
-    )
+    plan = plan or Plan()
     began = time.monotonic()
     measured = asyncio.run(Run(plan).measure())
     if baseline:
@@ -402,7 +395,7 @@
     """
     scaled = dataclasses.replace(
         plan,
-        size=plan.size // _BASELINE_SCALE,
+        size_mb=plan.size_mb / _BASELINE_SCALE,
         window=plan.window / _BASELINE_SCALE,
         faults=False,
         request_rate=0,
--- a/benchmarks/weights_agent.py
+++ b/benchmarks/weights_agent.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import copy
 import random
 import sys
 import time
@@ -219,7 +220,7 @@
         progress = self._rollout.progress()
         ledger = self._rollout.ledger
         before = self._before
-        self._before = ledgers.Ledger(*_astuple(ledger))
+        self._before = copy.copy(ledger)
         cpu = time.process_time()
         _emit(
             weights_messages.Figures(
@@ -269,19 +270,6 @@
         return made
 
 
-def _astuple(ledger: ledgers.Ledger) -> tuple[int, ...]:
-    return (
-        ledger.origin,
-        ledger.store,
-        ledger.peers,
-        ledger.crossed,
-        ledger.sent,
-        ledger.corrupt,
-        ledger.stalled,
-        ledger.calls,
-    )
-
-
 def _emit(event: msgspec.Struct) -> None:
     sys.stdout.buffer.write(weights_messages.line(event))
     sys.stdout.buffer.flush()
--- a/benchmarks/weights_messages.py
+++ b/benchmarks/weights_messages.py
@@ -100,4 +100,4 @@
 
 def line(message: msgspec.Struct) -> bytes:
     """Encode a message as one line."""
-    return msgspec.json.encode(message) + b'\n'
+    return b'%s\n' % msgspec.json.encode(message)
--- a/clementinepass/weights/chunks.py
+++ b/clementinepass/weights/chunks.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import typing
 
 from clementinepass import errors
@@ -30,6 +29,10 @@
         self.changes = 0
         self._content_by_digest: dict[str, bytes] = {}
         self._pinned: set[str] = set()
+        # Neighbours ask for the same bitmap many times between two changes.
+        self._bitmap_of: manifests.Manifest | None = None
+        self._bitmap_changes = 0
+        self._bitmap = 0
 
     def pin(self, manifest: manifests.Manifest) -> None:
         """Make room for one version; its chunks are not evicted.
@@ -72,6 +75,14 @@
 
     def bitmap(self, manifest: manifests.Manifest) -> int:
         """Return one bit for each chunk held, the first chunk lowest."""
+        fresh = self._bitmap_of is manifest
+        if not fresh or self._bitmap_changes != self.changes:
+            self._bitmap = self._new_bitmap(manifest)
+            self._bitmap_of = manifest
+            self._bitmap_changes = self.changes
+        return self._bitmap
+
+    def _new_bitmap(self, manifest: manifests.Manifest) -> int:
         bits = 0
         for index, chunk in enumerate(manifest.chunks):
             if chunk.digest in self._content_by_digest:
@@ -91,22 +102,6 @@
                 )
             yield content
 
-    def verify_whole(self, manifest: manifests.Manifest) -> None:
-        """Check the digest and length of the assembled whole.
-
-        :raises ManifestError: every chunk is right, yet the whole is not
-            what the manifest promises, so the manifest lies.
-        """
-        hasher = hashlib.sha256()
-        for part in self.parts(manifest):
-            hasher.update(part)
-        if hasher.hexdigest() != manifest.digest:
-            raise errors.ManifestError(
-                'the whole does not match the digest in its manifest',
-                step='assemble',
-                peer=manifest.version,
-            )
-
     def _make_room(self, size: int) -> None:
         # Without a disk, holding two versions whole may not fit. Chunks that
         # no pinned version lists go first: the engine has its own copy of
@@ -124,6 +119,7 @@
                     'memory for chunks is full', step=_STEP, peer='chunks'
                 )
             freed = len(self._content_by_digest.pop(digest))
+            self.changes += 1
             self.used -= freed
             excess -= freed
 
--- a/clementinepass/weights/pace.py
+++ b/clementinepass/weights/pace.py
@@ -28,3 +28,8 @@
         start = max(now, self._free_at)
         self._free_at = start + size / (self.rate * share)
         return start - now
+
+    def refund(self, size: int) -> None:
+        """Give back a reservation that was not used."""
+        if self.rate > 0:
+            self._free_at -= size / self.rate
--- a/clementinepass/weights/replica.py
+++ b/clementinepass/weights/replica.py
@@ -18,7 +18,7 @@
 from clementinepass.endpoints import protocols as endpoint_protocols
 from clementinepass.weights import chunks as chunk_stores
 from clementinepass.weights import manifest as manifests
-from clementinepass.weights import protocols
+from clementinepass.weights import protocols, tasks
 from clementinepass.weights import settings as weight_settings
 
 #: Readings without an answer before the gate is closed.
@@ -42,9 +42,10 @@
         """
 
     async def fetch(self, manifest: manifests.Manifest) -> None:
-        """Return when every chunk is in the store.
+        """Return when every chunk is held and the whole is verified.
 
         :raises MemoryLimitError: the version does not fit.
+        :raises ManifestError: the whole does not match its digest.
         """
 
 
@@ -144,7 +145,7 @@
             if work.done():
                 work.result()
         finally:
-            await _cancel(work, change)
+            await tasks.cancel(work, change)
 
     async def _converge(self, wanted: protocols.Wanted) -> None:
         try:
@@ -176,12 +177,8 @@
             )
         if await self._serves(manifest):
             return manifest
-        await self._complete(manifest)
-        return manifest
-
-    async def _complete(self, manifest: manifests.Manifest) -> None:
         await self._supply.fetch(manifest)
-        await asyncio.to_thread(self._store.verify_whole, manifest)
+        return manifest
 
     async def _bring_into_service(
         self,
@@ -196,7 +193,7 @@
             return
         # The chunks may be gone if the engine served this version at the
         # start and lost it since.
-        await self._complete(manifest)
+        await self._supply.fetch(manifest)
         if self._served is not None:
             self._enter(protocols.Phase.WAITING)
             await self._until_turn(wanted)
@@ -222,7 +219,7 @@
                 {turn, lost}, return_when=asyncio.FIRST_COMPLETED
             )
         finally:
-            await _cancel(turn, lost)
+            await tasks.cancel(turn, lost)
 
     async def _load(
         self,
@@ -372,9 +369,3 @@
         manifest.version,
         manifest.digest,
     )
-
-
-async def _cancel(*tasks: asyncio.Future[typing.Any]) -> None:
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
--- a/clementinepass/weights/seed.py
+++ b/clementinepass/weights/seed.py
@@ -15,7 +15,7 @@
 
 #: An upload that would wait longer is declined, so that the asker, whose
 #: patience is the stall timeout, goes to a sender with a shorter queue.
-_LONGEST_QUEUE = 1.0
+_LONGEST_QUEUE = 0.6
 _POSITIVE = 0x7FFFFFFFFFFFFFFF
 _STEP = 'seed'
 
--- a/clementinepass/weights/spreading.py
+++ b/clementinepass/weights/spreading.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import random
 import typing
 
@@ -23,6 +24,8 @@
 ORIGIN = ''
 #: How many candidates are compared for the rarest.
 _SAMPLE = 32
+#: How many candidates are looked at.
+_WINDOW = 256
 #: Nobody waits for more turns than this before it helps itself.
 _LAST_TURN = 8
 #: Turns that the members of a chunk's home domain have before the others.
@@ -260,12 +263,12 @@
     def _rarest(self, candidates: int) -> int | None:
         if not candidates:
             return None
-        turned = self._chance.randrange(self._manifest.count)
-        sample = _first_bits(candidates >> turned, _SAMPLE, turned)
-        if len(sample) < _SAMPLE:
-            low = candidates & ((1 << turned) - 1)
-            sample += _first_bits(low, _SAMPLE - len(sample), 0)
-        self._chance.shuffle(sample)
+        # From the lower half, at random: members then hold different chunks
+        # to exchange, and yet the check of the whole, which must go from the
+        # beginning, follows closely towards the end.
+        lowest = list(itertools.islice(bits(candidates), _WINDOW))
+        half = lowest[: max(_SAMPLE, len(lowest) // 2)]
+        sample = self._chance.sample(half, min(_SAMPLE, len(half)))
         return min(sample, key=self._copies)
 
     def _copies(self, index: int) -> int:
@@ -286,15 +289,6 @@
         mask ^= lowest
 
 
-def _first_bits(mask: int, limit: int, offset: int) -> list[int]:
-    found: list[int] = []
-    for place in bits(mask):
-        if len(found) == limit:
-            break
-        found.append(place + offset)
-    return found
-
-
 def _union(masks: typing.Iterable[int]) -> int:
     union = 0
     for mask in masks:
--- a/clementinepass/weights/supply.py
+++ b/clementinepass/weights/supply.py
@@ -8,8 +8,17 @@
 from clementinepass import errors
 from clementinepass.platform import protocols as platform_protocols
 from clementinepass.weights import manifest as manifests
-from clementinepass.weights import protocols, ranking, seed, transfer
-
+from clementinepass.weights import (
+    protocols,
+    ranking,
+    seed,
+    tasks,
+    transfer,
+    whole,
+)
+
+#: Seconds between two steps of the check of the whole.
+_CHECK_INTERVAL = 0.05
 #: Members that read a manifest from the weight store without waiting.
 _FIRST_READERS = 2
 #: Nobody waits for more turns than this.
@@ -59,18 +68,35 @@
         return known
 
     async def fetch(self, manifest: manifests.Manifest) -> None:
-        """Return when every chunk is in the store."""
+        """Return when every chunk is held and the whole is verified."""
         self._around.store.pin(manifest)
         running = transfer.Transfer(manifest, self._around)
         self._transfer = running
         digest = manifests.manifest_digest(manifest)
         self._seed.follow(digest, lambda: running.coming)
         try:
-            await running.run()
+            await self._transfer_and_check(running, manifest)
         finally:
             self._seed.follow('', int)
             self._transfer = None
 
+    async def _transfer_and_check(
+        self,
+        running: transfer.Transfer,
+        manifest: manifests.Manifest,
+    ) -> None:
+        check = whole.WholeCheck(manifest, self._around.store)
+        work = asyncio.create_task(running.run())
+        try:
+            while not work.done():
+                await asyncio.wait({work}, timeout=_CHECK_INTERVAL)
+                if check.ready:
+                    await asyncio.to_thread(check.advance)
+            work.result()
+        finally:
+            await tasks.cancel(work)
+        await asyncio.to_thread(check.finish)
+
     async def _find(self, digest: str) -> manifests.Manifest:
         settings = self._around.settings
         wait = settings.retry
--- a/clementinepass/weights/transfer.py
+++ b/clementinepass/weights/transfer.py
@@ -21,8 +21,8 @@
 from clementinepass.weights import pace, protocols, spreading
 from clementinepass.weights import settings as weight_settings
 
-#: The longest sleep of a worker that has found nothing to do.
-_IDLE = 0.1
+#: The longest time between two looks for something to fetch.
+_IDLE = 0.05
 _ORIGIN_FAILURES = (
     errors.PlatformUnavailableError,
     errors.MalformedMessageError,
@@ -66,6 +66,9 @@
         self._watchers: dict[protocols.Member, asyncio.Task[None]] = {}
         self._incoming = pace.Pace(around.settings.download_rate)
         self._fallbacks = pace.Pace(0)
+        self._from_peers = 0
+        self._from_origin = 0
+        self._origin_wait = around.settings.retry
         #: Why the last fetch failed; empty since the last one that did not.
         self.trouble = ''
 
@@ -82,6 +85,9 @@
     async def run(self) -> None:
         """Return when every chunk is held."""
         self._note_held()
+        # Before the first choice of a fetch: whoever knows no other members
+        # would take itself for the first reader of everything.
+        self._swarm.set_members(self._around.members())
         async with asyncio.TaskGroup() as group:
             follower = group.create_task(self._follow_members(group))
             await self._work()
@@ -90,11 +96,30 @@
                 watcher.cancel()
 
     async def _work(self) -> None:
+        # One place decides for all fetches: were each fetch to look for its
+        # successor, every message about holdings would wake all of them.
         async with asyncio.TaskGroup() as group:
-            for _ in range(self._settings.downloads):
-                group.create_task(self._from_peers())
-            for _ in range(self._settings.origin_reads):
-                group.create_task(self._from_origin())
+            while self._swarm.missing:
+                changed = self._changed
+                self._start_fetches(group)
+                await self._pause(changed)
+
+    def _start_fetches(self, group: asyncio.TaskGroup) -> None:
+        now = self._now()
+        while self._from_peers < self._settings.downloads:
+            fetch = self._swarm.from_peer(now)
+            if fetch is None:
+                break
+            self._swarm.begin(fetch)
+            self._from_peers += 1
+            group.create_task(self._fetch_from_peer(fetch))
+        while self._from_origin < self._settings.origin_reads:
+            fetch = self._swarm.from_origin(now)
+            if fetch is None:
+                break
+            self._swarm.begin(fetch)
+            self._from_origin += 1
+            group.create_task(self._fetch_from_origin(fetch))
 
     def _note_held(self) -> None:
         held = self._around.store.bitmap(self._manifest)
@@ -145,18 +170,13 @@
                 member, self._digest, known
             )
 
-    async def _from_peers(self) -> None:
-        while self._swarm.missing:
-            fetch = self._swarm.from_peer(self._now())
-            if fetch is None:
-                await self._pause(_IDLE)
-                continue
-            held = False
-            self._swarm.begin(fetch)
-            try:
-                held = await self._take(fetch)
-            finally:
-                self._finish(fetch, held=held)
+    async def _fetch_from_peer(self, fetch: spreading.Fetch) -> None:
+        held = False
+        try:
+            held = await self._take(fetch)
+        finally:
+            self._from_peers -= 1
+            self._finish(fetch, held=held)
 
     async def _take(self, fetch: spreading.Fetch) -> bool:
         chunk = self._manifest.chunks[fetch.index]
@@ -192,36 +212,51 @@
         for offset in range(0, chunk.size, slice_bytes):
             length = min(slice_bytes, chunk.size - offset)
             await asyncio.sleep(self._incoming.reserve(length, self._now()))
-            async with asyncio.timeout(self._settings.stall_timeout):
-                part = await self._around.peers.read(
-                    member, chunk.digest, offset, length
-                )
-            self._count_received(member, len(part))
-            if len(part) != length:
-                raise errors.ChunkCorruptError(
-                    'slice is short', step='read', peer=member.id
-                )
+            try:
+                part = await self._read_slice(member, chunk, offset, length)
+            except errors.PeerBusyError:
+                self._incoming.refund(length)
+                raise
             parts.append(part)
         return parts[0] if len(parts) == 1 else b''.join(parts)
 
-    async def _from_origin(self) -> None:
-        wait = self._settings.retry
-        while self._swarm.missing:
-            fetch = self._swarm.from_origin(self._now())
-            if fetch is None:
-                await self._pause(_IDLE / 2)
-                continue
-            held = False
-            self._swarm.begin(fetch)
-            try:
-                held = await self._take_from_origin(fetch)
-            finally:
-                self._finish(fetch, held=held)
-            if held:
-                wait = self._settings.retry
-            else:
-                await asyncio.sleep(self._jittered(wait))
-                wait = min(2 * wait, self._settings.retry_limit)
+    async def _read_slice(
+        self,
+        member: protocols.Member,
+        chunk: manifests.Chunk,
+        offset: int,
+        length: int,
+    ) -> bytes:
+        async with asyncio.timeout(self._settings.stall_timeout):
+            part = await self._around.peers.read(
+                member, chunk.digest, offset, length
+            )
+        self._count_received(member, len(part))
+        if len(part) != length:
+            raise errors.ChunkCorruptError(
+                'slice has the wrong length', step='read', peer=member.id
+            )
+        return part
+
+    async def _fetch_from_origin(self, fetch: spreading.Fetch) -> None:
+        held = False
+        try:
+            held = await self._take_from_origin(fetch)
+            await self._rest_after(held=held)
+        finally:
+            self._from_origin -= 1
+            self._finish(fetch, held=held)
+
+    async def _rest_after(self, *, held: bool) -> None:
+        # An origin that is down or slow must not meet everybody's retries at
+        # once: each wait doubles and is drawn apart from the others'.
+        if held:
+            self._origin_wait = self._settings.retry
+            return
+        await asyncio.sleep(self._jittered(self._origin_wait))
+        self._origin_wait = min(
+            2 * self._origin_wait, self._settings.retry_limit
+        )
 
     async def _take_from_origin(self, fetch: spreading.Fetch) -> bool:
         chunk = self._manifest.chunks[fetch.index]
@@ -285,10 +320,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _pause(self, limit: float) -> None:
-        """Sleep until something changes, at most for ``limit`` seconds."""
+    async def _pause(self, changed: asyncio.Event) -> None:
+        """Sleep until something changes or a chunk may have become due."""
         try:
-            async with asyncio.timeout(limit):
-                await self._changed.wait()
+            async with asyncio.timeout(_IDLE):
+                await changed.wait()
         except TimeoutError:
             return
