--- a/clementinepass/agent/links.py
+++ b/clementinepass/agent/links.py
@@ -28,8 +28,8 @@
     """The runs of one process of an entry and the way to it.
 
     :param peer: the entry's process.
-    :param coalesce: seconds to wait for more frames before sending some; it
-        bounds the messages a second, whatever the number of streams.
+    :param coalesce: least seconds between two messages with frames; it bounds
+        the messages a second, whatever the number of streams.
     :param silence: seconds without an answer after which a connection counts
         as silent.
     """
@@ -90,9 +90,15 @@
 
     async def pump(self, connection: int, sink: typing.Any) -> None:
         """Send frames over one connection until it fails or is replaced."""
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
         while self.is_current(connection):
             await self._dirty.wait()
-            await asyncio.sleep(self._coalesce)
+            # Messages are kept apart rather than held back: a frame that
+            # comes after a quiet moment, such as a first token, goes at once.
+            quiet = loop.time() - sent_at
+            await asyncio.sleep(max(self._coalesce - quiet, 0))
+            sent_at = loop.time()
             self._dirty.clear()
             batch = self._collect()
             if not batch:
--- a/clementinepass/agent/rollout.py
+++ b/clementinepass/agent/rollout.py
@@ -112,6 +112,10 @@
         """Read back now whether the engine serves ``version`` whole."""
         return await self._replica.confirm(version)
 
+    def serves_now(self, version: str) -> bool:
+        """Read back the same from any thread; blocks, and closes nothing."""
+        return self._replica.serves_now(version)
+
     def serve_capability(self) -> weights_peers.WeightsServer:
         """Return the object that answers for ``Agent.weights()``."""
         return weights_peers.WeightsServer(self._seed)
--- a/clementinepass/agent/workloads.py
+++ b/clementinepass/agent/workloads.py
@@ -160,6 +160,13 @@
             await asyncio.sleep(self._interval)
 
     def serves(self, version: str) -> bool:
-        """Read back whether the engine serves ``version`` now; blocks."""
+        """Read back whether the engine serves ``version`` now; blocks.
+
+        The thread of the run asks the engine itself: two changes of thread
+        less before each first token. Only a no goes to the event loop, which
+        alone may close the gate.
+        """
+        if self._rollout.serves_now(version):
+            return True
         confirmed = self._bridge.submit(self._rollout.confirm(version))
         return confirmed.result(_CONFIRM_TIMEOUT)
--- a/clementinepass/weights/replica.py
+++ b/clementinepass/weights/replica.py
@@ -132,6 +132,20 @@
             return False
         return await self._check(served)
 
+    def serves_now(self, version: str) -> bool:
+        """Read back like :meth:`confirm`, from any thread; blocks.
+
+        It closes nothing: whoever hears a no asks :meth:`confirm`.
+        """
+        served = self._served
+        if served is None or served.version != version:
+            return False
+        try:
+            status = self._engine.status()
+        except errors.EndpointError:
+            return False
+        return _matches(status, served)
+
     async def _until_changed(self, wanted: protocols.Wanted | None) -> None:
         if wanted is None:
             await self._changed.wait()
