Test the platform's adapters by contract and under faults

One suite for each service runs against the fake in memory and against adapter and stand-in over loopback; faults stand in tables.

--- a/clementinepass/endpoints/transport.py
+++ b/clementinepass/endpoints/transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 import typing
 
 import urllib3
@@ -14,6 +15,8 @@
     from collections.abc import Iterable, Mapping
 
 _STEP = 'call'
+_METHOD = re.compile('[A-Z]+')
+_PRINTABLE = re.compile('[!-~ ]*')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,11 +71,14 @@
         #: Bounds on the calls.
         self.limits = limits or Limits()
         self._clock = timer or clock.MonotonicClock()
-        self._pool = urllib3.PoolManager(maxsize=self.limits.connections)
+        self._pool = urllib3.connection_from_url(
+            f'http://{address}',
+            maxsize=self.limits.connections,
+        )
 
     def close(self) -> None:
         """Close the idle connections."""
-        self._pool.clear()
+        self._pool.close()
 
     def call(
         self,
@@ -83,6 +89,7 @@
 
         :param reader_for: chooses what cuts the body into parts.
         """
+        self._check(call)
         deadline = self._clock.now() + call.timeout
         response = self.send(
             Exchange(
@@ -129,7 +136,7 @@
         try:
             response = self._pool.request(
                 exchange.method,
-                f'http://{self.peer}{exchange.path}',
+                exchange.path,
                 body=exchange.body,
                 headers=dict(exchange.headers),
                 # The gate alone may decide on a second run: a retry here
@@ -173,6 +180,23 @@
         """Return what reads a body that ends with its length."""
         return answers.WholeReader(self.limits.answer_bytes)
 
+    def _check(self, call: protocols.Call) -> None:
+        """Refuse what cannot be sent, while it is certain that it wasn't.
+
+        The HTTP library refuses it too, but in a way that doesn't tell
+        whether anything was sent before.
+        """
+        texts = (call.method, call.path, call.request_id, call.content_type)
+        if _METHOD.fullmatch(call.method) and call.path.startswith('/'):
+            if all(_PRINTABLE.fullmatch(text) for text in texts):
+                return
+        raise errors.EndpointError(
+            'call cannot be sent over HTTP',
+            step=_STEP,
+            peer=self.peer,
+            execution=errors.Execution.NOT_RUN,
+        )
+
     def _silence(self, call: protocols.Call) -> float:
         """Return how long a call may be silent.
 
--- a/clementinepass/platform/transport.py
+++ b/clementinepass/platform/transport.py
@@ -68,11 +68,14 @@
         self.peer = address
         self._limits = limits or Limits()
         self._clock = timer or clock.MonotonicClock()
-        self._pool = urllib3.PoolManager(maxsize=self._limits.connections)
+        self._pool = urllib3.connection_from_url(
+            f'http://{address}',
+            maxsize=self._limits.connections,
+        )
 
     def close(self) -> None:
         """Close the idle connections."""
-        self._pool.clear()
+        self._pool.close()
 
     def exchange(
         self,
@@ -138,7 +141,7 @@
     ) -> urllib3.BaseHTTPResponse:
         return self._pool.request(
             method,
-            f'http://{self.peer}{path}',
+            path,
             body=body,
             headers=None if body is None else _JSON_HEADERS,
             # A retry here could append a record twice without a word to the
--- /dev/null
+++ b/tests/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapters for the endpoints."""
--- /dev/null
+++ b/tests/platform/test_content.py
@@ -0,0 +1,170 @@
+"""Tests of weight store and origin: their contract, and faults."""
+
+from __future__ import annotations
+
+import testtools
+
+from clementinepass import errors
+from clementinepass.platform import origin, transport, weight_store
+from standins import limits, memory
+from standins import origin as origin_standin
+from standins import weight_store as store_standin
+from tests import serving, tables
+
+_QUICK = transport.Limits(read_timeout=0.3, answer_bytes=100_000)
+_DIGEST = 'ab' * 32
+
+
+class ContentContract:
+    """What every holder of content keeps to.
+
+    Mixed into a test case that sets ``fetch`` and ``put``, and orders faults.
+    """
+
+    def test_returns_what_is_held(self):
+        """Content comes back byte by byte."""
+        content = bytes(range(256)) * 300
+        self.put(_DIGEST, content)
+        self.assertEqual(content, self.fetch(_DIGEST))
+
+    def test_empty(self):
+        """Empty content is content."""
+        self.put(_DIGEST, b'')
+        self.assertEqual(b'', self.fetch(_DIGEST))
+
+    def test_missing(self):
+        """What isn't held is told apart from an outage."""
+        self.assertRaises(errors.ContentMissingError, self.fetch, _DIGEST)
+
+    def test_throttled(self):
+        """Above the rate limit the error says how long to wait."""
+        self.put(_DIGEST, b'a')
+        self.throttle()
+        error = self.assertRaises(errors.ThrottledError, self.fetch, _DIGEST)
+        self.assertGreater(error.retry_after, 0)
+        self.assertEqual(b'a', self.fetch(_DIGEST))
+
+    def test_outage(self):
+        """An outage is an error, and passes."""
+        self.put(_DIGEST, b'a')
+        self.outage(on=True)
+        self.assertRaises(errors.PlatformUnavailableError, self.fetch, _DIGEST)
+        self.outage(on=False)
+        self.assertEqual(b'a', self.fetch(_DIGEST))
+
+    def test_corrupted(self):
+        """Bytes changed on the way come as they are, for the caller to see."""
+        self.put(_DIGEST, b'abc')
+        self.corrupt()
+        self.assertNotEqual(b'abc', self.fetch(_DIGEST))
+        self.assertEqual(b'abc', self.fetch(_DIGEST))
+
+
+class MemoryContract(ContentContract):
+    """Faults of the fakes in memory."""
+
+    def outage(self, on):
+        self.holder.outage = on
+
+    def throttle(self):
+        self.holder.throttled = 1
+
+    def corrupt(self):
+        self.holder.corrupt = 1
+
+
+class MemoryStoreTest(MemoryContract, testtools.TestCase):
+    """The weight store in memory keeps to the contract."""
+
+    def setUp(self):
+        super().setUp()
+        self.holder = memory.MemoryWeightStore()
+        self.put = self.holder.put
+        self.fetch = self.holder.manifest
+
+
+class MemoryOriginTest(MemoryContract, testtools.TestCase):
+    """The origin in memory keeps to the contract."""
+
+    def setUp(self):
+        super().setUp()
+        self.holder = memory.MemoryOrigin()
+        self.put = self.holder.put
+        self.fetch = self.holder.chunk
+
+
+@tables.expand
+class HttpContract(ContentContract):
+    """Faults of the stand-ins, and what only an adapter can meet."""
+
+    def outage(self, on):
+        serving.order(self.address, outage=on)
+
+    def throttle(self):
+        self.show(serving.fault('status', status=429, seconds=1))
+
+    def corrupt(self):
+        self.show(serving.fault('corrupt'))
+
+    def show(self, fault):
+        serving.order(self.address, faults=(fault,))
+
+    def put(self, digest, content):
+        path = f'{self.path}/{digest}'
+        serving.control(self.address, path, content, method='PUT')
+
+    @tables.cases(
+        dropped=serving.fault('drop_before'),
+        answer_lost=serving.fault('drop_after'),
+        silent=serving.fault('silence_before', seconds=5),
+        truncated=serving.fault('truncate'),
+        stalled=serving.fault('stall', seconds=5),
+        wrong_length=serving.fault('wrong_length'),
+    )
+    def test_cut(self, fault):
+        """A part of the content is never taken for the whole."""
+        self.put(_DIGEST, b'a' * 50_000)
+        self.show(fault)
+        error = self.assertRaises(
+            errors.PlatformUnavailableError, self.fetch, _DIGEST
+        )
+        self.assertEqual(self.address, error.peer)
+
+    def test_oversized(self):
+        """Content over the limit is refused before it fills the memory."""
+        self.put(_DIGEST, b'a' * 100_001)
+        self.assertRaises(errors.MalformedMessageError, self.fetch, _DIGEST)
+
+
+class HttpStoreTest(HttpContract, testtools.TestCase):
+    """The weight store's adapter and stand-in keep to the contract."""
+
+    path = '/v1/manifests'
+
+    def setUp(self):
+        super().setUp()
+        handlers = store_standin.ManifestHandlers(limits.RateLimit(0))
+        self.address = serving.serve(self, handlers.application())
+        store = weight_store.HttpWeightStore(self.address, _QUICK)
+        self.addCleanup(store.close)
+        self.fetch = store.manifest
+
+
+class HttpOriginTest(HttpContract, testtools.TestCase):
+    """The origin's adapter and stand-in keep to the contract."""
+
+    path = '/v1/chunks'
+
+    def setUp(self):
+        super().setUp()
+        handlers = origin_standin.ChunkHandlers(limits.Link(0))
+        self.address = serving.serve(self, handlers.application())
+        holder = origin.HttpOrigin(self.address, _QUICK)
+        self.addCleanup(holder.close)
+        self.fetch = holder.chunk
+
+    def test_cut_in_the_middle(self):
+        """The connection is lost after a piece of a chunk has arrived."""
+        self.put(_DIGEST, b'a' * 50_000)
+        self.show(serving.fault('truncate', parts=1))
+        self.assertRaises(errors.PlatformUnavailableError, self.fetch, _DIGEST)
