--- a/clementinepass/configuration/publisher.py
+++ b/clementinepass/configuration/publisher.py
@@ -129,15 +129,27 @@
         return self._outcome(publication)
 
     def _append(self, publication: records.Publication) -> None:
-        try:
-            self._log.append(records.STREAM, [publication.encode()])
-        except errors.PlatformUnavailableError as failure:
-            if not failure.sent:
-                raise
-            # The append may have taken effect with its answer lost. A second
-            # append could apply the change again after others have changed
-            # it back, so the record is looked for by its id instead.
-            logger.warning('append of {} unanswered', publication.id)
+        deadline = self._clock.now() + self._timeout
+        while True:
+            try:
+                self._log.append(records.STREAM, [publication.encode()])
+            except errors.ThrottledError as throttled:
+                # Nothing was appended, so asking again is no second append.
+                if self._clock.now() + throttled.retry_after > deadline:
+                    raise
+                self._sleep(throttled.retry_after)
+            except errors.PlatformUnavailableError as failure:
+                if not failure.sent:
+                    raise
+                return
+            except errors.MalformedMessageError:
+                # The append may have taken effect with its answer lost or
+                # garbled, here as above. A second append could apply the
+                # change again after others have changed it back, so the
+                # record is looked for by its id instead.
+                return
+            else:
+                return
 
     def _outcome(self, publication: records.Publication) -> Accepted:
         result = self._find(publication.id)
@@ -167,7 +179,11 @@
     def _poll(self, wait: float) -> None:
         try:
             self._follower.poll(wait)
-        except errors.PlatformUnavailableError as failure:
+        except (
+            errors.PlatformUnavailableError,
+            errors.MalformedMessageError,
+            errors.ThrottledError,
+        ) as failure:
             logger.debug('log unavailable: {}', failure)
             self._sleep(min(wait, _RETRY))
 
--- a/tests/configuration/logs.py
+++ b/tests/configuration/logs.py
@@ -7,6 +7,7 @@
 import typing
 
 from clementinepass import errors
+from clementinepass.configuration import records
 from clementinepass.platform import protocols
 
 
@@ -37,8 +38,10 @@
         self.fates: dict[str, list[Fate]] = collections.defaultdict(list)
         #: Appends that arrive when released.
         self.held: list[tuple[str, list[bytes]]] = []
-        #: Called before each append, to let others go first.
-        self.before_append: typing.Callable[[str], None] = _nothing
+        #: Publications that appends were called with.
+        self.attempted: list[bytes] = []
+        #: Called before each publication, to let others go first.
+        self.before_append: typing.Callable[[], None] = _nothing
 
     def append(
         self,
@@ -46,7 +49,9 @@
         payloads: typing.Sequence[bytes],
     ) -> tuple[int, ...]:
         """Append, or do what the next fate says."""
-        self.before_append(stream)
+        if stream == records.STREAM:
+            self.before_append()
+            self.attempted.extend(payloads)
         fate = self.fates[stream].pop(0) if self.fates[stream] else None
         if self.down or fate is Fate.REFUSED:
             raise _unavailable('append', sent=False)
@@ -110,7 +115,7 @@
         self.oldest[stream] = max(kept, self.oldest[stream])
 
 
-def _nothing(_stream: str) -> None:
+def _nothing() -> None:
     """Let nobody go first."""
 
 
