--- /dev/null
+++ b/benchmarks/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load, baseline and chosen side by side."""
--- /dev/null
+++ b/benchmarks/decisions/entries.py
@@ -0,0 +1,327 @@
+"""An entry that puts the decisions together, and what they cost callers."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from benchmarks.decisions import simulation
+from clementinepass.decisions import (
+    admission,
+    ejection,
+    placing,
+    reasons,
+    retry_budget,
+    shares,
+    tickets,
+)
+
+#: Seconds between reports of endpoints and entries.
+REPORT_SECONDS = 0.25
+#: Seconds before a request that found its endpoint full is placed again.
+_AGAIN_SECONDS = 0.02
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Request:
+    """A caller's request, with all its attempts, and its outcome."""
+
+    request_id: str
+    team: str
+    priority_class: tickets.PriorityClass
+    work: simulation.Work
+    cost: float
+    arrived: float
+    deadline: float
+    offers: int = 0
+    dispatches: int = 0
+    crashes: int = 0
+    #: When the first token came, whether or not in time.
+    first_token: float | None = None
+    answered: float | None = None
+    #: Slot-seconds spent on it.
+    spent: float = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Policy:
+    """The decisions of one entry."""
+
+    admission: admission.Admission
+    placer: placing.Placer
+    ejector: ejection.Detector
+    budget: retry_budget.Budget
+    #: Share of the slots, and of each team's promise.
+    slots_share: shares.Share
+    share_by_team: dict[str, shares.Share]
+    #: Whether endpoints refuse when full, rather than queue.
+    is_gated: bool
+    #: Whether admission follows shares and ejections.
+    is_adaptive: bool
+
+
+class _Dispatch:
+    """One attempt at an endpoint."""
+
+    def __init__(
+        self,
+        entry: Entry,
+        ticket: tickets.Ticket,
+        endpoint: simulation.Endpoint,
+    ) -> None:
+        self.ticket = ticket
+        self.endpoint = endpoint
+        self.sent = entry.simulation.now
+        self.has_token = False
+        self.is_overdue = False
+        self.run: simulation.Run | None = None
+        self._entry = entry
+
+    def first_token(self) -> None:
+        """Take the first token."""
+        self.has_token = True
+        self._entry.on_first_token(self)
+
+    def ended(self) -> None:
+        """Take the last token."""
+        self._entry.on_end(self)
+
+    def failed(self) -> None:
+        """Take the loss of the endpoint."""
+        self._entry.on_failure(self)
+
+
+class Entry:
+    """One entry instance."""
+
+    def __init__(
+        self,
+        sim: simulation.Simulation,
+        name: str,
+        *,
+        endpoints: typing.Sequence[simulation.Endpoint],
+        policy: Policy,
+        refused: typing.Callable[[Request, float], None],
+    ) -> None:
+        self.simulation = sim
+        self.name = name
+        self.endpoints_by_id = {one.endpoint_id: one for one in endpoints}
+        self.policy = policy
+        self.own_in_flight = dict.fromkeys(self.endpoints_by_id, 0)
+        #: The last reports to arrive: running, and our own part of it.
+        self.reported = dict.fromkeys(self.endpoints_by_id, (0, 0))
+        self._refused = refused
+        self._is_pump_due = False
+        self._requests_by_id: dict[str, Request] = {}
+        self._in_flight: dict[str, _Dispatch] = {}
+        self._demand_by_team: dict[str, int] = dict.fromkeys(
+            policy.share_by_team,
+            0,
+        )
+
+    def offer(self, request: Request) -> None:
+        """Take a request in."""
+        request.offers += 1
+        ticket = tickets.Ticket(
+            f'{request.request_id}/{request.offers}',
+            request.team,
+            request.priority_class,
+            request.deadline,
+            request.cost,
+        )
+        self._requests_by_id[ticket.request_id] = request
+        self._demand_by_team[ticket.team] += 1
+        self.policy.budget.fresh(self.simulation.now)
+        self._follow(self.policy.admission.offer(ticket, self.simulation.now))
+        self.pump()
+
+    def pump(self) -> None:
+        """Follow what admission decides about those that wait."""
+        self._is_pump_due = False
+        for decision in self.policy.admission.next(self.simulation.now):
+            self._follow(decision)
+
+    def tick(self) -> None:
+        """Do what is done at intervals."""
+        self._note_overdue()
+        if self.policy.is_adaptive:
+            self._update_limits()
+        self.pump()
+
+    def reports(self) -> dict[str, shares.Report]:
+        """Return what to tell the other entries, by team; '' for slots."""
+        by_team = {
+            team: share.report(self._demand_by_team[team])
+            for team, share in self.policy.share_by_team.items()
+        }
+        demand = sum(self._demand_by_team.values())
+        by_team[''] = self.policy.slots_share.report(demand)
+        return by_team
+
+    def receive(self, reports: typing.Mapping[str, shares.Report]) -> None:
+        """Take in the reports of another entry."""
+        for team, report in reports.items():
+            if team:
+                self.policy.share_by_team[team].receive(report)
+            else:
+                self.policy.slots_share.receive(report)
+
+    def on_first_token(self, dispatch: _Dispatch) -> None:
+        """Note the first token; stop if the caller has gone."""
+        now = self.simulation.now
+        seconds = now - dispatch.sent
+        endpoint_id = dispatch.endpoint.endpoint_id
+        self.policy.ejector.observe(endpoint_id, seconds, now)
+        request = self._requests_by_id[dispatch.ticket.request_id]
+        if request.first_token is None:
+            request.first_token = now
+        if now >= request.deadline:
+            self._stop(dispatch)
+        else:
+            self.simulation.at(request.deadline, lambda: self._stop(dispatch))
+
+    def on_end(self, dispatch: _Dispatch) -> None:
+        """Note the answer."""
+        request = self._requests_by_id[dispatch.ticket.request_id]
+        request.answered = self.simulation.now
+        self._release(dispatch, succeeded=True)
+        self.pump()
+
+    def on_failure(self, dispatch: _Dispatch) -> None:
+        """Try again or give up."""
+        now = self.simulation.now
+        self.policy.ejector.failed(dispatch.endpoint.endpoint_id, now)
+        request = self._requests_by_id[dispatch.ticket.request_id]
+        request.crashes += dispatch.run is not None and dispatch.run.has_begun
+        attempt = retry_budget.Attempt(
+            request.dispatches,
+            request.crashes,
+            may_have_run=False,
+            idempotent=True,
+        )
+        decision = retry_budget.decide(attempt, self.policy.budget, now)
+        is_again = decision is reasons.Retry.ALLOWED
+        self._release(dispatch, succeeded=False, is_again=is_again)
+        if not is_again:
+            self._refused(request, 1)
+        self.pump()
+
+    def _follow(self, decision: tickets.Decision) -> None:
+        if decision.kind is tickets.Kind.ADMIT:
+            self._dispatch(decision.ticket)
+        elif decision.kind is tickets.Kind.REFUSE:
+            self._demand_by_team[decision.ticket.team] -= 1
+            request = self._requests_by_id.pop(decision.ticket.request_id)
+            self._refused(request, decision.retry_after)
+
+    def _candidates(self) -> list[placing.Candidate]:
+        now = self.simulation.now
+        ejector = self.policy.ejector
+        ejected = ejector.ejected(now)
+        candidates = []
+        for endpoint_id, endpoint in self.endpoints_by_id.items():
+            running, own = self.reported[endpoint_id]
+            own_now = self.own_in_flight[endpoint_id]
+            candidates.append(
+                placing.Candidate(
+                    endpoint_id,
+                    endpoint.domain,
+                    running,
+                    self._slots(endpoint, now),
+                    own_now,
+                    endpoint_id in ejected,
+                    own_now - own,
+                ),
+            )
+        return candidates
+
+    def _slots(self, endpoint: simulation.Endpoint, now: float) -> int:
+        ejector = self.policy.ejector
+        if isinstance(ejector, ejection.Ejector):
+            return ejector.slots(endpoint.endpoint_id, endpoint.slots, now)
+        return endpoint.slots
+
+    def _dispatch(self, ticket: tickets.Ticket) -> None:
+        request = self._requests_by_id[ticket.request_id]
+        choice = self.policy.placer.choose(
+            self._candidates(),
+            self.simulation.now,
+            request.work.prefix_key,
+        )
+        if choice is None:
+            raise RuntimeError('no endpoints')
+        endpoint = self.endpoints_by_id[choice.endpoint_id]
+        is_full = endpoint.running >= endpoint.slots
+        if self.policy.is_gated and is_full and not endpoint.is_dead:
+            self.policy.admission.returned(ticket, self.simulation.now)
+            self._pump_again()
+            return
+        request.dispatches += 1
+        dispatch = _Dispatch(self, ticket, endpoint)
+        self._in_flight[ticket.request_id] = dispatch
+        self.own_in_flight[choice.endpoint_id] += 1
+        dispatch.run = endpoint.start(request.work, dispatch)
+
+    def _pump_again(self) -> None:
+        if not self._is_pump_due:
+            self._is_pump_due = True
+            later = self.simulation.now + _AGAIN_SECONDS
+            self.simulation.at(later, self.pump)
+
+    def _stop(self, dispatch: _Dispatch) -> None:
+        if dispatch.run is None or dispatch.run.is_over:
+            return
+        dispatch.endpoint.cancel(dispatch.run)
+        self._release(dispatch, succeeded=True)
+        self.pump()
+
+    def _release(
+        self,
+        dispatch: _Dispatch,
+        *,
+        succeeded: bool,
+        is_again: bool = False,
+    ) -> None:
+        ticket = dispatch.ticket
+        self.own_in_flight[dispatch.endpoint.endpoint_id] -= 1
+        del self._in_flight[ticket.request_id]
+        if dispatch.run is not None:
+            request = self._requests_by_id[ticket.request_id]
+            request.spent += dispatch.run.seconds
+        now = self.simulation.now
+        if is_again:
+            self.policy.admission.returned(ticket, now)
+            return
+        self._demand_by_team[ticket.team] -= 1
+        self.policy.admission.finished(ticket, now, succeeded=succeeded)
+
+    def _note_overdue(self) -> None:
+        ejector = self.policy.ejector
+        if not isinstance(ejector, ejection.Ejector):
+            return
+        now = self.simulation.now
+        for dispatch in self._in_flight.values():
+            if not (dispatch.has_token or dispatch.is_overdue):
+                endpoint_id = dispatch.endpoint.endpoint_id
+                waited = now - dispatch.sent
+                dispatch.is_overdue = ejector.overdue(endpoint_id, waited, now)
+
+    def _update_limits(self) -> None:
+        now = self.simulation.now
+        endpoints = self.endpoints_by_id.values()
+        usable = sum(self._slots(endpoint, now) for endpoint in endpoints)
+        nominal = sum(endpoint.slots for endpoint in endpoints)
+        held = self.policy.slots_share.held()
+        # The part held is rounded down, or the entries together would
+        # exceed the slots; one slot remains for the first caller.
+        capacity = int(held * usable / nominal + 1e-6)
+        if usable:
+            capacity = max(capacity, 1)
+        self.policy.admission.set_capacity(capacity)
+        if isinstance(self.policy.admission, admission.Controller):
+            self.policy.admission.set_promises(
+                {
+                    team: share.held()
+                    for team, share in self.policy.share_by_team.items()
+                },
+            )
--- /dev/null
+++ b/benchmarks/decisions/policies.py
@@ -0,0 +1,133 @@
+"""The policies compared: two baselines, the chosen one, and variants of it."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+from benchmarks.decisions import entries, workloads
+from clementinepass.decisions import (
+    admission,
+    ejection,
+    placing,
+    retry_budget,
+    shares,
+)
+
+_RETRY_SHARE = 0.1
+
+
+class MakePolicy(typing.Protocol):
+    """Create the policy of one entry."""
+
+    def __call__(
+        self,
+        workload: workloads.Workload,
+        name: str,
+        names: typing.Sequence[str],
+        seed: int,
+    ) -> entries.Policy:
+        """Create the policy of the entry ``name``, one of ``names``."""
+
+
+class Baseline:
+    """First come, first served; nothing is refused, all is retried."""
+
+    def __init__(self, make_placer: typing.Callable[[], placing.Placer]):
+        self._make_placer = make_placer
+
+    def __call__(
+        self,
+        workload: workloads.Workload,
+        name: str,
+        names: typing.Sequence[str],
+        seed: int,
+    ) -> entries.Policy:
+        """Create the policy of one entry."""
+        count = len(names)
+        return entries.Policy(
+            admission=admission.FirstComeController(workloads.SLOTS),
+            placer=self._make_placer(),
+            ejector=ejection.NoEjector(),
+            budget=retry_budget.UnboundedBudget(),
+            slots_share=shares.EqualShare(name, workloads.SLOTS, count),
+            share_by_team={
+                team.name: shares.EqualShare(name, team.promise, count)
+                for team in workload.teams
+            },
+            is_gated=False,
+            is_adaptive=False,
+        )
+
+
+class Chosen:
+    """What the product does, with parts to exchange for comparison."""
+
+    def __init__(
+        self,
+        make_placer: typing.Callable[[random.Random], placing.Placer],
+    ):
+        self._make_placer = make_placer
+
+    def __call__(
+        self,
+        workload: workloads.Workload,
+        name: str,
+        names: typing.Sequence[str],
+        seed: int,
+    ) -> entries.Policy:
+        """Create the policy of one entry."""
+        rng = random.Random(f'{name}/{seed}')
+        share_by_team: dict[str, shares.Share] = {
+            team.name: shares.PromiseShare.from_view(
+                name,
+                promise=team.promise,
+                entries=names,
+                revision=1,
+            )
+            for team in workload.teams
+        }
+        slots_share = shares.PromiseShare.from_view(
+            name,
+            promise=workloads.SLOTS,
+            entries=names,
+            revision=1,
+        )
+        return entries.Policy(
+            admission=admission.Controller.from_promises(
+                {team: one.held() for team, one in share_by_team.items()},
+                capacity=int(slots_share.held()),
+                rng=rng,
+            ),
+            placer=self._make_placer(rng),
+            ejector=ejection.Ejector(),
+            budget=retry_budget.RetryBudget.from_share(_RETRY_SHARE),
+            slots_share=slots_share,
+            share_by_team=share_by_team,
+            is_gated=True,
+            is_adaptive=True,
+        )
+
+
+def _full_scan(rng: random.Random) -> placing.Placer:
+    return placing.CostPlacer(rng, domain='a', sample=workloads.ENDPOINTS)
+
+
+def _sample_of_two(rng: random.Random) -> placing.Placer:
+    return placing.CostPlacer(rng, domain='a', sample=2)
+
+
+def _sample_of_four(rng: random.Random) -> placing.Placer:
+    return placing.CostPlacer(rng, domain='a', sample=4)
+
+
+POLICIES: typing.Final[dict[str, MakePolicy]] = {
+    'round_robin': Baseline(placing.RoundRobinPlacer),
+    'least_in_flight': Baseline(placing.LeastInFlightPlacer),
+    'chosen': Chosen(_sample_of_four),
+}
+
+VARIANTS: typing.Final[dict[str, MakePolicy]] = {
+    'full_scan': Chosen(_full_scan),
+    'sample_of_two': Chosen(_sample_of_two),
+}
--- a/clementinepass/decisions/admission.py
+++ b/clementinepass/decisions/admission.py
@@ -72,6 +72,9 @@
     ) -> None:
         """Note that an admitted request left its slot."""
 
+    def returned(self, ticket: tickets.Ticket, now: float) -> None:
+        """Let an admitted request wait again, before all others."""
+
     def set_capacity(self, capacity: int) -> None:
         """Set the number of slots."""
 
@@ -117,6 +120,11 @@
         """Free the slot."""
         self._in_flight -= 1
 
+    def returned(self, ticket: tickets.Ticket, now: float) -> None:
+        """Put the request at the front of the line."""
+        self._in_flight -= 1
+        self._waiting.appendleft(ticket)
+
     def set_capacity(self, capacity: int) -> None:
         """Set the number of slots."""
         self._capacity = capacity
--- a/clementinepass/decisions/ejection.py
+++ b/clementinepass/decisions/ejection.py
@@ -3,6 +3,11 @@
 Made for an endpoint that still answers, only far slower than its peers, or
 that fails each request at once. Harm: a slow one holds its requests past
 their deadlines; a failing one looks idle and draws all traffic.
+
+The two are treated apart. Slow is a comparison, which can err, so a floor
+bounds how many may be out for it. An endpoint that has failed several
+requests in a row is known to serve nobody; any number of them may be out, and
+each is tried with single requests until one succeeds.
 """
 
 from __future__ import annotations
@@ -25,10 +30,14 @@
     most_failures: int = 3
     #: Peers with samples needed for a median worth comparing with.
     least_peers: int = 3
-    #: The part that may be out. Beyond it the fault is hardly that of single
-    #: endpoints, and the rest would be overloaded by what the others leave.
+    #: The part that may be out for slowness. Beyond it the fault is hardly
+    #: that of single endpoints, and the rest would be overloaded by what the
+    #: others leave.
     most_ejected_part: float = 0.5
-    #: Seconds of the first ejection; each further one doubles it.
+    #: Seconds between trials of a failing endpoint. In a full outage this is
+    #: all the load there is, and it bounds how late its end is noticed.
+    failing_seconds: float = 1
+    #: Seconds of the first ejection for slowness; each further one doubles.
     first_seconds: float = 5
     #: Long enough that an endpoint that is slow for hours costs next to
     #: nothing, short enough that a repaired one is back within a minute.
@@ -55,6 +64,7 @@
         'samples',
         'seconds',
         'until',
+        'was_failing',
     )
 
     def __init__(self) -> None:
@@ -63,12 +73,14 @@
         self.samples = 0
         #: Failures since the last success.
         self.failures = 0
-        #: Ejections since it was last found healthy.
+        #: Ejections for slowness since it was last found healthy.
         self.ejections = 0
         self.is_ejected = False
         self.is_on_probation = False
         #: When the present ejection ends.
         self.until: float = 0
+        #: Whether the last ejection was for failing, not for slowness.
+        self.was_failing = False
 
     def note(self, seconds: float) -> None:
         """Add a sample."""
@@ -79,11 +91,25 @@
         else:
             self.seconds += _GAIN * (seconds - self.seconds)
 
-    def reset(self) -> None:
-        """Forget samples and failures, not the number of ejections."""
+    def take_out(self, until: float) -> None:
+        """Begin an ejection."""
+        self.is_ejected = True
+        self.is_on_probation = False
+        self.until = until
+
+    def start_probation(self) -> None:
+        """End the ejection; samples from before it no longer count."""
+        self.is_ejected = False
+        self.is_on_probation = True
         self.samples = 0
         self.failures = 0
 
+    def end_probation(self) -> None:
+        """Trust the endpoint again."""
+        self.is_on_probation = False
+        if not self.was_failing:
+            self.ejections = 0
+
 
 class Detector(typing.Protocol):
     """Tell which endpoints to avoid."""
@@ -164,15 +190,20 @@
         """Note the time to first token of a request."""
         self._record(endpoint_id).note(first_token_seconds)
 
-    def overdue(self, endpoint_id: str, seconds: float, now: float) -> None:
+    def overdue(self, endpoint_id: str, seconds: float, now: float) -> bool:
         """Note a first token that has not come after ``seconds``.
 
         A slow endpoint's samples arrive late by as much as it is slow; the
         wait so far is a lower bound that is known in time. Only a wait
         beyond the ratio counts, since any other may still end well.
+
+        :returns: whether it counted; then don't call it for that request
+            again.
         """
-        if self._median and seconds > self._limits.slow_ratio * self._median:
-            self._record(endpoint_id).note(seconds)
+        if not self._median or seconds <= self._slow_seconds():
+            return False
+        self._record(endpoint_id).note(seconds)
+        return True
 
     def failed(self, endpoint_id: str, now: float) -> None:
         """Note a request that the endpoint failed or left unanswered."""
@@ -185,13 +216,17 @@
             self._judge(now)
         return self._ejected
 
-    def on_probation(self, now: float) -> frozenset[str]:
-        """Return the endpoints that may have few requests in flight.
+    def slots(self, endpoint_id: str, capacity: int, now: float) -> int:
+        """Return how many requests the endpoint may be given at a time.
 
-        See :attr:`Limits.probation_in_flight`.
+        Used as the capacity of candidates and, summed up, of admission, so
+        that an outage leaves admission with the trials alone.
         """
-        self.ejected(now)
-        return self._probation
+        if endpoint_id in self.ejected(now):
+            return 0
+        if endpoint_id in self._probation:
+            return min(capacity, self._limits.probation_in_flight)
+        return capacity
 
     def slowness(self, endpoint_id: str) -> float:
         """Return the time to first token relative to the peers' median."""
@@ -209,65 +244,69 @@
 
     def _judge(self, now: float) -> None:
         records = list(self._records_by_id.values())
-        self._release(records, now)
+        for record in records:
+            if record.is_ejected and now >= record.until:
+                record.start_probation()
+        self._update_median(records)
+        for record in records:
+            if record.is_on_probation and self._has_recovered(record):
+                record.end_probation()
+        self._eject_failing(records, now)
+        self._eject_slow(records, now)
+        self._publish()
+
+    def _update_median(self, records: list[_Record]) -> None:
         seconds = [one.seconds for one in records if self._is_sampled(one)]
         if len(seconds) >= self._limits.least_peers:
             self._median = statistics.median_low(seconds)
         else:
             self._median = 0
-        self._end_probations(records)
-        self._eject(records, now)
-        self._publish()
 
     def _is_sampled(self, record: _Record) -> bool:
         return record.samples >= self._limits.least_samples
 
-    def _release(self, records: list[_Record], now: float) -> None:
-        for record in records:
-            if record.is_ejected and now >= record.until:
-                record.is_ejected = False
-                record.is_on_probation = True
-                record.reset()
+    def _has_recovered(self, record: _Record) -> bool:
+        if record.was_failing:
+            return bool(record.samples)
+        return self._is_sampled(record) and not self._is_slow(record)
 
-    def _end_probations(self, records: list[_Record]) -> None:
-        for record in records:
-            is_judged = record.is_on_probation and self._is_sampled(record)
-            if is_judged and not self._badness(record):
-                record.is_on_probation = False
-                record.ejections = 0
-
-    def _badness(self, record: _Record) -> float:
-        """Return 0 for a healthy endpoint, and more the worse it is."""
+    def _is_failing(self, record: _Record) -> bool:
         # On probation a single failure is enough: it was out for a reason.
-        most = 1 if record.is_on_probation else self._limits.most_failures
-        if record.failures >= most:
-            return float('inf')
+        if record.is_on_probation:
+            return bool(record.failures)
+        return record.failures >= self._limits.most_failures
+
+    def _is_slow(self, record: _Record) -> bool:
         if not (self._median and self._is_sampled(record)):
-            return 0
-        ratio = record.seconds / self._median
-        return ratio if ratio > self._limits.slow_ratio else 0
+            return False
+        return record.seconds > self._slow_seconds()
 
-    def _eject(self, records: list[_Record], now: float) -> None:
-        # Load: many endpoints look bad at once. Harm: ejecting them all
+    def _slow_seconds(self) -> float:
+        return self._limits.slow_ratio * self._median
+
+    def _eject_failing(self, records: list[_Record], now: float) -> None:
+        for record in records:
+            if not record.is_ejected and self._is_failing(record):
+                record.take_out(now + self._limits.failing_seconds)
+                record.was_failing = True
+
+    def _eject_slow(self, records: list[_Record], now: float) -> None:
+        # Load: many endpoints look slow at once. Harm: ejecting them all
         # turns a slow service into none. The floor keeps the better half,
-        # and the worst go first when not all may go.
+        # and the slowest go first when not all may go.
         most = int(len(records) * self._limits.most_ejected_part)
         room = most - sum(record.is_ejected for record in records)
-        bad = [
+        slow = [
             record
             for record in records
-            if not record.is_ejected and self._badness(record)
+            if not record.is_ejected and self._is_slow(record)
         ]
-        bad.sort(key=self._badness, reverse=True)
-        for record in bad[: max(room, 0)]:
-            self._take_out(record, now)
-
-    def _take_out(self, record: _Record, now: float) -> None:
-        seconds = self._limits.first_seconds * 2**record.ejections
-        record.until = now + min(seconds, self._limits.most_seconds)
-        record.ejections += 1
-        record.is_ejected = True
-        record.is_on_probation = False
+        slow.sort(key=_first_token_seconds, reverse=True)
+        for record in slow[: max(room, 0)]:
+            seconds = self._limits.first_seconds * 2**record.ejections
+            record.take_out(now + min(seconds, self._limits.most_seconds))
+            record.was_failing = False
+            record.ejections += 1
 
     def _publish(self) -> None:
         self._ejected = frozenset(
@@ -280,3 +319,7 @@
             for endpoint_id, record in self._records_by_id.items()
             if record.is_on_probation
         )
+
+
+def _first_token_seconds(record: _Record) -> float:
+    return record.seconds
--- a/clementinepass/decisions/placing.py
+++ b/clementinepass/decisions/placing.py
@@ -151,17 +151,17 @@
         """Return the cheapest of a sample."""
         if not candidates:
             return None
-        drawn = self._draw(candidates)
-        usable = [candidate for candidate in drawn if not candidate.ejected]
+        usable = _usable(self._draw(candidates))
         reason = reasons.Placement.LEAST_COST
         if not usable:
-            # The sample may have missed the usable ones.
-            usable = [one for one in candidates if not one.ejected]
+            # The sample may have missed those with room.
+            usable = _usable(candidates)
         if not usable:
-            # Load: every endpoint looks bad. Harm: refusing everything
-            # because of a judgement that only compares peers. Use them all.
-            usable = list(drawn)
-            reason = reasons.Placement.ALL_EJECTED
+            # Load: every endpoint looks full or bad. Harm: refusing all
+            # because of reports that lag and a judgement that only compares
+            # peers. The gate at the endpoint knows better; let it decide.
+            usable = list(candidates)
+            reason = reasons.Placement.NONE_USABLE
         best = min(usable, key=self._cost)
         return Choice(best.endpoint_id, reason, self._cost(best))
 
@@ -185,5 +185,13 @@
         return cost
 
 
+def _usable(candidates: typing.Iterable[Candidate]) -> list[Candidate]:
+    return [
+        candidate
+        for candidate in candidates
+        if not candidate.ejected and candidate.load < candidate.capacity
+    ]
+
+
 def _own_in_flight(candidate: Candidate) -> int:
     return candidate.own_in_flight
--- a/clementinepass/decisions/reasons.py
+++ b/clementinepass/decisions/reasons.py
@@ -29,8 +29,8 @@
     LEAST_COST = 'least_cost'
     #: It probably holds the request's prefix, and its wait is acceptable.
     WARM_PREFIX = 'warm_prefix'
-    #: All candidates were ejected; a slow endpoint is better than none.
-    ALL_EJECTED = 'all_ejected'
+    #: All candidates seemed full or were ejected; the gate decides.
+    NONE_USABLE = 'none_usable'
     #: It was next in turn.
     TURN = 'turn'
 
