Distrust senders for longer with each fault and bound what is promised

Cause: with 1% of chunks corrupted every agent soon distrusted most senders, and stalled senders were asked again every 1.5 s. Distrust doubles from a short start, a promise of a chunk is believed for a limited time, and nobody reads in another's place while its own origin reads are unanswered.

--- a/clementinepass/weights/protocols.py
+++ b/clementinepass/weights/protocols.py
@@ -101,6 +101,9 @@
     async def standing(self, member: Member) -> Standing:
         """Return how far a peer's replica is."""
 
+    def reset(self, member: Member) -> None:
+        """Give the connection to a peer up; the next call opens a new one."""
+
 
 class Gate(typing.Protocol):
     """Stands before the engine and lets requests through."""
--- a/clementinepass/weights/spreading.py
+++ b/clementinepass/weights/spreading.py
@@ -22,6 +22,10 @@
 
 #: The source of a fetch that is the origin and no member.
 ORIGIN = ''
+#: Promised chunks are waited for so many times the patience.
+_PROMISE = 3
+#: Beyond this many faults in a row the distrust grows no longer.
+_MOST_FAULTS = 16
 #: How many candidates are compared for the rarest.
 _SAMPLE = 32
 #: How many candidates are looked at.
@@ -50,8 +54,12 @@
     held: int = 0
     coming: int = 0
     under_way: int = 0
-    #: Not asked before this time: it was busy, silent or sent rubbish.
+    #: Not asked before this time, being busy or distrusted.
     resume_at: float = 0
+    #: What it says it holds counts for nothing before this time.
+    distrusted_until: float = 0
+    #: Faults since the last chunk that came from it.
+    faults: int = 0
 
 
 class Swarm:
@@ -72,6 +80,7 @@
         self._neighbours: dict[str, _Neighbour] = {}
         self._under_way = 0
         self._coming = 0
+        self._coming_since: dict[int, float] = {}
         self._outside_since: dict[int, float] = {}
         self._ranks: dict[int, int] = {}
         self._homes: dict[int, int] = {}
@@ -82,10 +91,19 @@
         self._due = self._schedule(start)
         self._alive = 1
 
-    @property
-    def coming(self) -> int:
-        """Chunks on their way from the origin or another domain."""
-        return self._coming
+    def coming(self, now: float) -> int:
+        """Chunks that are on their way from the origin or another domain.
+
+        Those that this member is the first to read and that are due count,
+        though their turn has not come: others need not read them too.
+        """
+        coming = self._coming
+        for index in bits(self.missing):
+            if self._due[index] > now:
+                break
+            if not self._origin_turn(index):
+                coming |= 1 << index
+        return coming
 
     @property
     def alive(self) -> int:
@@ -130,21 +148,35 @@
             return
         neighbour.held = holdings.held
         neighbour.coming = holdings.coming
+        for promised in bits(holdings.coming & self.missing):
+            self._coming_since.setdefault(promised, now)
         if not neighbour.near:
             for index in bits(holdings.held & self.missing):
                 self._outside_since.setdefault(index, now)
 
-    def forget(self, member_id: str, until: float) -> None:
-        """Ask a neighbour for nothing before ``until``.
-
-        What it said is forgotten, so that nobody waits for a peer that is
-        gone: this is how a silent or lying source stops to count.
-        """
+    def forget(self, member_id: str) -> None:
+        """Forget what a neighbour said: nobody waits for one that is gone."""
         neighbour = self._neighbours.get(member_id)
         if neighbour is not None:
             neighbour.held = 0
             neighbour.coming = 0
-            neighbour.resume_at = max(neighbour.resume_at, until)
+
+    def distrust(self, member_id: str, now: float, seconds: float) -> None:
+        """Do without a neighbour that stalled or sent a corrupt chunk.
+
+        One bad chunk may happen to anyone, and leaving many senders out for
+        long would take the swarm apart; a sender that is always bad must not
+        be asked again and again. Hence the time doubles with each fault.
+        """
+        neighbour = self._neighbours.get(member_id)
+        if neighbour is None or now < neighbour.distrusted_until:
+            # Calls that fail together are one fault.
+            return
+        longest = self._settings.distrust
+        until = now + min(longest, seconds * 2**neighbour.faults)
+        neighbour.faults = min(neighbour.faults + 1, _MOST_FAULTS)
+        neighbour.distrusted_until = until
+        neighbour.resume_at = max(neighbour.resume_at, until)
 
     def rest(self, member_id: str, until: float) -> None:
         """Ask a busy neighbour again at ``until``; what it holds counts."""
@@ -172,22 +204,19 @@
         neighbour = self._neighbours.get(fetch.source)
         if neighbour is not None:
             neighbour.under_way = max(0, neighbour.under_way - 1)
+            if held:
+                neighbour.faults = 0
 
     def from_peer(self, now: float) -> Fetch | None:
         """Choose the next chunk to take from a neighbour."""
         ready = [
             one
             for one in self._neighbours.values()
-            if one.resume_at <= now
-            and one.under_way < self._settings.downloads_each
+            if one.resume_at <= now and one.under_way < self._limit(one)
         ]
         near = _union(one.held for one in ready if one.near)
         far = _union(one.held for one in ready if not one.near)
-        near_all = _union(
-            one.held | one.coming
-            for one in self._neighbours.values()
-            if one.near
-        )
+        near_all = self._known(now, near_only=True)
         wanted = self.missing & ~self._under_way
         across = far & wanted & ~near_all
         candidates = near & wanted
@@ -201,9 +230,7 @@
 
     def from_origin(self, now: float) -> Fetch | None:
         """Choose the next chunk to read from the origin."""
-        known = _union(
-            one.held | one.coming for one in self._neighbours.values()
-        )
+        known = self._known(now, near_only=False)
         for index in bits(self.missing & ~self._under_way & ~known):
             if self._due[index] > now:
                 break
@@ -212,6 +239,27 @@
                 return Fetch(index, ORIGIN, fallback=turn > 0)
         return None
 
+    def _limit(self, neighbour: _Neighbour) -> int:
+        # After a fault one chunk is enough to learn whether it is mended.
+        return 1 if neighbour.faults else self._settings.downloads_each
+
+    def _known(self, now: float, *, near_only: bool) -> int:
+        """Return the chunks that neighbours have or say to be coming."""
+        trusted = [
+            one
+            for one in self._neighbours.values()
+            if one.distrusted_until <= now and (one.near or not near_only)
+        ]
+        held = _union(one.held for one in trusted)
+        coming = _union(one.coming for one in trusted) & self.missing & ~held
+        # A promise is believed for a while: whoever gave it may have lost
+        # its way to the origin, and still answer.
+        longest = _PROMISE * self._settings.patience
+        for index in bits(coming):
+            if now - self._coming_since.get(index, now) > longest:
+                coming &= ~(1 << index)
+        return held | coming
+
     def _schedule(self, start: float) -> list[float]:
         # All agents start within seconds of each other. If each read its
         # chunks at once, hundreds of reads would share the origin's link and
--- a/clementinepass/weights/supply.py
+++ b/clementinepass/weights/supply.py
@@ -9,6 +9,7 @@
 from clementinepass.platform import protocols as platform_protocols
 from clementinepass.weights import manifest as manifests
 from clementinepass.weights import (
+    asking,
     protocols,
     ranking,
     seed,
@@ -144,11 +145,7 @@
         for member in self._neighbours():
             try:
                 payload = await self._ask(member, digest)
-            except (
-                errors.PeerUnavailableError,
-                errors.PeerBusyError,
-                TimeoutError,
-            ):
+            except (errors.PeerUnavailableError, errors.PeerBusyError):
                 continue
             found = self._checked(payload, digest, member.id)
             if found is not None:
@@ -162,8 +159,12 @@
         )
 
     async def _ask(self, member: protocols.Member, digest: str) -> bytes:
-        async with asyncio.timeout(self._around.settings.stall_timeout):
-            return await self._around.peers.manifest(member, digest)
+        return await asking.ask(
+            self._around.peers,
+            member,
+            self._around.settings.stall_timeout,
+            self._around.peers.manifest(member, digest),
+        )
 
     def _checked(
         self,
--- a/clementinepass/weights/transfer.py
+++ b/clementinepass/weights/transfer.py
@@ -18,7 +18,7 @@
 from clementinepass.weights import chunks as chunk_stores
 from clementinepass.weights import ledger as ledgers
 from clementinepass.weights import manifest as manifests
-from clementinepass.weights import pace, protocols, spreading
+from clementinepass.weights import asking, pace, protocols, spreading
 from clementinepass.weights import settings as weight_settings
 
 #: The longest time between two looks for something to fetch.
@@ -80,7 +80,7 @@
     @property
     def coming(self) -> int:
         """One bit for each chunk on its way into this failure domain."""
-        return self._swarm.coming
+        return self._swarm.coming(self._now())
 
     async def run(self) -> None:
         """Return when every chunk is held."""
@@ -115,7 +115,10 @@
             group.create_task(self._fetch_from_peer(fetch))
         while self._from_origin < self._settings.origin_reads:
             fetch = self._swarm.from_origin(now)
-            if fetch is None:
+            if fetch is None or (fetch.fallback and self._from_origin):
+                # Whoever waits for the origin itself takes nothing in
+                # another's place: an origin that falls silent would find
+                # everything asked for many times once it speaks again.
                 break
             self._swarm.begin(fetch)
             self._from_origin += 1
@@ -146,10 +149,10 @@
         while self._swarm.missing:
             try:
                 holdings = await self._ask_holdings(member, known)
-            except (errors.PeerUnavailableError, TimeoutError):
+            except errors.PeerUnavailableError:
                 # A peer that fell silent may still look alive in the list of
                 # instances; what it said it held would make others wait.
-                self._swarm.forget(member.id, self._now() + wait)
+                self._swarm.forget(member.id)
                 known = 0
                 await asyncio.sleep(self._jittered(wait))
                 wait = min(2 * wait, self._settings.retry_limit)
@@ -164,11 +167,12 @@
         member: protocols.Member,
         known: int,
     ) -> protocols.Holdings:
-        limit = self._settings.hold + self._settings.stall_timeout
-        async with asyncio.timeout(limit):
-            return await self._around.peers.holdings(
-                member, self._digest, known
-            )
+        return await asking.ask(
+            self._around.peers,
+            member,
+            self._settings.hold + self._settings.stall_timeout,
+            self._around.peers.holdings(member, self._digest, known),
+        )
 
     async def _fetch_from_peer(self, fetch: spreading.Fetch) -> None:
         held = False
@@ -189,13 +193,10 @@
         except errors.PeerBusyError:
             self._swarm.rest(fetch.source, self._now() + self._jittered(0.1))
         except errors.ChunkCorruptError as error:
-            # Dropped before it is stored. The sender may corrupt everything,
-            # so it is left out for a while, and the chunk comes from another.
+            # Dropped before it is stored; the chunk comes from another.
             self._around.ledger.corrupt += 1
-            self._distrust(fetch.source, self._settings.distrust, error)
-        except (errors.PeerUnavailableError, TimeoutError) as error:
-            # A stalled link keeps its socket open: only the missing progress
-            # shows it. The adapter opens a new connection for the next call.
+            self._distrust(fetch.source, self._settings.retry, error)
+        except errors.PeerUnavailableError as error:
             self._around.ledger.stalled += 1
             self._distrust(fetch.source, self._settings.stall_timeout, error)
         else:
@@ -227,10 +228,12 @@
         offset: int,
         length: int,
     ) -> bytes:
-        async with asyncio.timeout(self._settings.stall_timeout):
-            part = await self._around.peers.read(
-                member, chunk.digest, offset, length
-            )
+        part = await asking.ask(
+            self._around.peers,
+            member,
+            self._settings.stall_timeout,
+            self._around.peers.read(member, chunk.digest, offset, length),
+        )
         self._count_received(member, len(part))
         if len(part) != length:
             raise errors.ChunkCorruptError(
@@ -301,9 +304,9 @@
         seconds: float,
         error: Exception,
     ) -> None:
-        logger.warning('no chunks from {}: {!r}', member_id, error)
-        self.trouble = str(error) or f'{member_id} stalled'
-        self._swarm.forget(member_id, self._now() + seconds)
+        logger.debug('no chunks from {}: {}', member_id, error)
+        self.trouble = str(error)
+        self._swarm.distrust(member_id, self._now(), seconds)
 
     def _count_received(self, member: protocols.Member, size: int) -> None:
         self._around.ledger.peers += size
--- a/clementinepass/weights/waves.py
+++ b/clementinepass/weights/waves.py
@@ -11,7 +11,7 @@
 import typing
 
 from clementinepass import errors
-from clementinepass.weights import protocols, ranking, transfer
+from clementinepass.weights import asking, protocols, ranking, transfer
 
 _ALL = 100
 
@@ -45,9 +45,13 @@
         member: protocols.Member,
     ) -> protocols.Standing | None:
         try:
-            async with asyncio.timeout(self._around.settings.stall_timeout):
-                return await self._around.peers.standing(member)
-        except (errors.PeerUnavailableError, TimeoutError):
+            return await asking.ask(
+                self._around.peers,
+                member,
+                self._around.settings.stall_timeout,
+                self._around.peers.standing(member),
+            )
+        except errors.PeerUnavailableError:
             return None
 
 
--- a/clementinepass/wire/weights_peers.py
+++ b/clementinepass/wire/weights_peers.py
@@ -74,9 +74,9 @@
 class WeightsPeers:
     """Clients of other agents, one connection each, opened on demand.
 
-    Must be used inside ``capnp.kj_loop``. A call that fails or is given up
-    closes its connection: one that went silent for good never comes back,
-    while a new one works.
+    Must be used inside ``capnp.kj_loop``. A call that fails closes its
+    connection, and a caller that waits in vain resets it: one that went
+    silent for good never comes back, while a new one works.
 
     :param connect_timeout: seconds for opening a connection.
     """
@@ -130,10 +130,20 @@
             protocols.Phase(answer.phase), answer.revision
         )
 
+    def reset(self, member: protocols.Member) -> None:
+        """Give the connection to a peer up; the next call opens a new one."""
+        opening = self._links.pop(member, None)
+        if opening is None:
+            return
+        if not opening.done():
+            opening.cancel()
+        elif not opening.cancelled() and opening.exception() is None:
+            opening.result().client.close()
+
     def keep(self, members: typing.Iterable[protocols.Member]) -> None:
         """Close the connections to all but ``members``."""
         for gone in self._links.keys() - set(members):
-            self._drop(gone)
+            self.reset(gone)
 
     def close(self) -> None:
         """Close all connections."""
@@ -147,11 +157,8 @@
         try:
             link = await self._link(member)
             return await call(link.weights)
-        except asyncio.CancelledError:
-            self._drop(member)
-            raise
         except (capnp.KjException, OSError, TimeoutError) as error:
-            self._drop(member)
+            self.reset(member)
             raise errors.PeerUnavailableError(
                 str(error) or 'connection timed out',
                 step='weights',
@@ -175,15 +182,6 @@
             answer = await agent.weights()
         return _Link(client, answer.weights)
 
-    def _drop(self, member: protocols.Member) -> None:
-        opening = self._links.pop(member, None)
-        if opening is None:
-            return
-        if not opening.done():
-            opening.cancel()
-        elif not opening.cancelled() and opening.exception() is None:
-            opening.result().client.close()
-
 
 class _Link:
     __slots__ = ('client', 'weights')
