Count turns from when a chunk is missed and pass over suspects in ranks

Cause: when a holder of many chunks stalled, its chunks had long been due, so every agent's turn had passed and all read them from the origin at once; one chunk was read up to eight times.

--- a/clementinepass/weights/spreading.py
+++ b/clementinepass/weights/spreading.py
@@ -82,9 +82,11 @@
         self._coming = 0
         self._coming_since: dict[int, float] = {}
         self._outside_since: dict[int, float] = {}
+        self._lost_since: dict[int, float] = {}
         self._ranks: dict[int, int] = {}
         self._homes: dict[int, int] = {}
         self._domain: list[str] = []
+        self._suspects: frozenset[str] = frozenset()
         self._domains: list[str] = []
         #: One bit for each chunk that is still to be had.
         self.missing = (1 << manifest.count) - 1
@@ -113,6 +115,7 @@
     def set_members(
         self,
         members: typing.Sequence[protocols.Member],
+        now: float,
     ) -> list[protocols.Member]:
         """Take a new view of the members and return whom to watch."""
         alive = [one for one in members if one.alive and one.id != self._own.id]
@@ -134,6 +137,7 @@
             self._own, alive, self._settings.near, self._settings.far
         )
         self._keep({one.id: one for one in chosen})
+        self._suspect(now)
         return chosen
 
     def set_holdings(
@@ -177,6 +181,7 @@
         neighbour.faults = min(neighbour.faults + 1, _MOST_FAULTS)
         neighbour.distrusted_until = until
         neighbour.resume_at = max(neighbour.resume_at, until)
+        self._suspect(now)
 
     def rest(self, member_id: str, until: float) -> None:
         """Ask a busy neighbour again at ``until``; what it holds counts."""
@@ -231,11 +236,17 @@
     def from_origin(self, now: float) -> Fetch | None:
         """Choose the next chunk to read from the origin."""
         known = self._known(now, near_only=False)
+        for lost in bits(self.missing & known):
+            self._lost_since.pop(lost, None)
         for index in bits(self.missing & ~self._under_way & ~known):
             if self._due[index] > now:
                 break
+            # Counted from when it was first missed here, not from when it
+            # was due: when a holder of many chunks stalls, everybody would
+            # otherwise read all of them at once.
+            since = self._lost_since.setdefault(index, now)
             turn = self._origin_turn(index)
-            if self._due[index] + turn * self._settings.patience <= now:
+            if since + turn * self._settings.patience <= now:
                 return Fetch(index, ORIGIN, fallback=turn > 0)
         return None
 
@@ -281,11 +292,24 @@
                 near = member.failure_domain == self._own.failure_domain
                 self._neighbours[name] = _Neighbour(member, near)
 
+    def _suspect(self, now: float) -> None:
+        # Whoever is distrusted is passed over in the ranks, so that the next
+        # one does its part without a wait.
+        suspects = frozenset(
+            name
+            for name, one in self._neighbours.items()
+            if one.distrusted_until > now
+        )
+        if suspects != self._suspects:
+            self._suspects = suspects
+            self._ranks.clear()
+
     def _rank(self, index: int) -> int:
         found = self._ranks.get(index)
         if found is None:
             digest = self._manifest.chunks[index].digest
-            found = ranking.rank(digest, self._own.id, self._domain)
+            trusted = set(self._domain) - self._suspects
+            found = ranking.rank(digest, self._own.id, trusted)
             self._ranks[index] = found
         return found
 
--- a/clementinepass/weights/transfer.py
+++ b/clementinepass/weights/transfer.py
@@ -87,7 +87,7 @@
         self._note_held()
         # Before the first choice of a fetch: whoever knows no other members
         # would take itself for the first reader of everything.
-        self._swarm.set_members(self._around.members())
+        self._swarm.set_members(self._around.members(), self._now())
         async with asyncio.TaskGroup() as group:
             follower = group.create_task(self._follow_members(group))
             await self._work()
@@ -131,7 +131,9 @@
 
     async def _follow_members(self, group: asyncio.TaskGroup) -> None:
         while self._swarm.missing:
-            chosen = self._swarm.set_members(self._around.members())
+            chosen = self._swarm.set_members(
+                self._around.members(), self._now()
+            )
             rate = self._settings.origin_rate
             self._fallbacks.rate = rate / self._swarm.alive
             for gone in self._watchers.keys() - set(chosen):
