--- a/clementinepass/agent/rollout.py
+++ b/clementinepass/agent/rollout.py
@@ -95,6 +95,11 @@
             on_change=self._tell_standing,
         )
 
+    @property
+    def sender(self) -> seed.Seed:
+        """What answers other agents."""
+        return self._seed
+
     @property
     def ledger(self) -> ledgers.Ledger:
         """What the weights have cost since the start."""
