--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -11,7 +11,8 @@
 import cyclopts
 import msgspec
 
-from benchmarks import load, usage
+from benchmarks import load as load_tool
+from benchmarks import usage
 from standins import system as systems
 
 #: A token every 75 ms makes 13 tokens a second for each stream.
@@ -148,8 +149,8 @@
         agent_core_percent=_percent(before, after, 'agent-0', seconds),
         entry_peak_mb=after['entry-0'].peak / 1e6,
         agent_peak_mb=after['agent-0'].peak / 1e6,
-        refusal_p50_ms=load.percentile(refusals, 50) * _MS,
-        refusal_p95_ms=load.percentile(refusals, 95) * _MS,
+        refusal_p50_ms=load_tool.percentile(refusals, 50) * _MS,
+        refusal_p95_ms=load_tool.percentile(refusals, 95) * _MS,
         refusals=len(refusals),
         idle_entry=idle_entry,
         idle_agent=idle_agent,
@@ -205,7 +206,7 @@
     system: systems.System,
     streams: int,
     rounds: int = 1,
-) -> list[load.StreamTimes]:
+) -> list[load_tool.StreamTimes]:
     addresses = [
         system.addresses[f'engine-{number}'] for number in range(_ENGINES)
     ]
@@ -216,8 +217,8 @@
     system: systems.System,
     streams: int,
     rounds: int = 1,
-) -> list[load.StreamTimes]:
-    addresses = [system.callers['entry-0']] * _TOOLS
+) -> list[load_tool.StreamTimes]:
+    addresses = [system.callers['entry-0'] for _ in range(_TOOLS)]
     return _run_tools(addresses, streams, rounds)
 
 
@@ -225,7 +226,7 @@
     addresses: typing.Sequence[str],
     streams: int,
     rounds: int,
-) -> list[load.StreamTimes]:
+) -> list[load_tool.StreamTimes]:
     tools = [
         subprocess.Popen(  # noqa: S603
             [
@@ -251,19 +252,19 @@
     ]
     outputs = [tool.communicate()[0] for tool in tools]
     reports = [
-        msgspec.json.decode(output, type=load.Report) for output in outputs
+        msgspec.json.decode(output, type=load_tool.Report) for output in outputs
     ]
     return [times for report in reports for times in report.streams]
 
 
-def _latency(streams: typing.Sequence[load.StreamTimes]) -> Latency:
+def _latency(streams: typing.Sequence[load_tool.StreamTimes]) -> Latency:
     firsts = [one.first for one in streams if one.first]
     gaps = [gap for one in streams for gap in one.gaps]
     return Latency(
-        load.percentile(firsts, 50) * _MS,
-        load.percentile(firsts, 95) * _MS,
-        load.percentile(gaps, 50) * _MS,
-        load.percentile(gaps, 95) * _MS,
+        load_tool.percentile(firsts, 50) * _MS,
+        load_tool.percentile(firsts, 95) * _MS,
+        load_tool.percentile(gaps, 50) * _MS,
+        load_tool.percentile(gaps, 95) * _MS,
         max(gaps, default=0) * _MS,
         len(streams),
         sum(one.whole for one in streams),
--- a/clementinepass/agent/assembly.py
+++ b/clementinepass/agent/assembly.py
@@ -196,6 +196,7 @@
         return workloads.EngineWorkload(
             self._endpoint.serves,
             rollout.Rollout(around),
+            self._neighbours,
             self._bridge,
             watch,
             self._settings.peers.heartbeat,
--- a/clementinepass/agent/neighbours.py
+++ b/clementinepass/agent/neighbours.py
@@ -1,4 +1,4 @@
-"""Other agents of the same model, out of the platform's instance list."""
+"""Other agents, out of the platform's instance list."""
 
 from __future__ import annotations
 
@@ -18,6 +18,10 @@
 
 #: Seconds between looks at the instance list, spread by a half.
 _INTERVAL = 1.0
+#: Seconds between looks until the list shows this agent.
+_FIRST_INTERVAL = 0.1
+#: Seconds after which a list that does not show this agent is used as it is.
+_PATIENCE = 5.0
 
 
 class Neighbours:
@@ -36,6 +40,7 @@
         self._instance_list = instance_list
         self._bridge = bridge
         self._members: tuple[weight_protocols.Member, ...] = ()
+        self._shown = asyncio.Event()
 
     def peers_for(
         self,
@@ -44,6 +49,22 @@
         """Return the agents that may hold chunks of a model."""
         return self._members
 
+    async def settle(self) -> None:
+        """Wait until the list shows this agent, for a bounded time.
+
+        A list that doesn't show it yet doesn't show those that started with
+        it either. An agent that begins to fetch then takes itself for the
+        first reader of every chunk: after a failure domain's restart, each of
+        hundreds would read a whole copy from the origin.
+        """
+        try:
+            await asyncio.wait_for(self._shown.wait(), _PATIENCE)
+        except TimeoutError:
+            logger.bind(step='instance list', peer=self._own_id).warning(
+                'not listed after {} s; going on',
+                _PATIENCE,
+            )
+
     async def run(self) -> None:
         """Follow the list until cancelled; an outage keeps the last one."""
         while True:
@@ -57,15 +78,17 @@
                     error.detail,
                 )
             else:
-                self._members = tuple(
-                    _to_member(instance)
-                    for instance in listed
-                    if instance.role is protocols.Role.AGENT
-                    and instance.id != self._own_id
-                )
-            await asyncio.sleep(
-                _INTERVAL * random.uniform(0.5, 1.5),
-            )
+                self._take(listed)
+            interval = _INTERVAL if self._shown.is_set() else _FIRST_INTERVAL
+            await asyncio.sleep(interval * random.uniform(0.5, 1.5))
+
+    def _take(self, listed: tuple[protocols.Instance, ...]) -> None:
+        agents = [one for one in listed if one.role is protocols.Role.AGENT]
+        self._members = tuple(
+            _to_member(one) for one in agents if one.id != self._own_id
+        )
+        if any(one.id == self._own_id for one in agents):
+            self._shown.set()
 
 
 def _to_member(instance: protocols.Instance) -> weight_protocols.Member:
--- a/clementinepass/agent/workloads.py
+++ b/clementinepass/agent/workloads.py
@@ -11,6 +11,7 @@
 if typing.TYPE_CHECKING:
     from clementinepass.agent import gate as gates
     from clementinepass.agent import health as healths
+    from clementinepass.agent import neighbours
     from clementinepass.agent import rollout as rollouts
     from clementinepass.configuration import catalogue as catalogues
     from clementinepass.wire import bridge as bridges
@@ -94,12 +95,14 @@
         self,
         model: str,
         rollout: rollouts.Rollout,
+        neighbours: neighbours.Neighbours,
         bridge: bridges.Bridge,
         health: healths.EndpointHealth,
         interval: float,
     ) -> None:
         self._model = model
         self._rollout = rollout
+        self._neighbours = neighbours
         self._bridge = bridge
         self._health = health
         self._interval = interval
@@ -107,7 +110,7 @@
     async def run(self) -> None:
         """Bring the engine to what is wanted, until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._rollout.run())
+            group.create_task(self._bring_up())
             group.create_task(self._watch_health())
 
     def configure(self, catalogue: catalogues.Catalogue) -> None:
@@ -146,6 +149,10 @@
         """Return the capability that peers read chunks from."""
         return self._rollout.serve_capability()
 
+    async def _bring_up(self) -> None:
+        await self._neighbours.settle()
+        await self._rollout.run()
+
     async def _watch_health(self) -> None:
         """Close the gate soon after the engine's death.
 
