--- a/clementinepass/agent/assembly.py
+++ b/clementinepass/agent/assembly.py
@@ -102,9 +102,10 @@
             lambda: self._gate.phase is messages.Phase.SERVING,
         )
         listen = addresses.Address(daemon.listen.host, daemon.listen.port)
+        life = lifecycle.Lifecycle(path)
         async with connections.listen(
             listen,
-            lambda: servers.AgentServer(self._agent),
+            lambda: servers.AgentServer(self._agent, life.stop),
         ) as bound:
             logger.bind(
                 step='listening',
@@ -113,7 +114,7 @@
                 peers=bound,
                 metrics=f'{daemon.metrics_listen.host}:{exposed.port}',
             ).info('listening')
-            await lifecycle.Lifecycle(path).run(self._work(), self._drain)
+            await life.run(self._work(), self._drain)
         exposed.close()
         self._bridge.close()
 
--- a/clementinepass/agent/servers.py
+++ b/clementinepass/agent/servers.py
@@ -12,6 +12,8 @@
 from clementinepass.wire import messages, schema
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
     from clementinepass.agent import agent as agents
     from clementinepass.agent import links
 
@@ -19,8 +21,13 @@
 class AgentServer(schema.peers.Agent.Server):
     """The bootstrap capability, one for each connection."""
 
-    def __init__(self, agent: agents.Agent) -> None:
+    def __init__(
+        self,
+        agent: agents.Agent,
+        stop: Callable[[], None],
+    ) -> None:
         self._agent = agent
+        self._stop = stop
         self._pump: asyncio.Task[None] | None = None
         self._link: links.EntryLink | None = None
         self._connection = 0
@@ -45,6 +52,10 @@
             self._connection,
         )
 
+    async def drain(self, **_: typing.Any) -> None:
+        """Leave, as on SIGTERM."""
+        self._stop()
+
     async def weights(self, _context: typing.Any, **_: typing.Any) -> None:
         """Hand out the capability for the transfer of weights."""
         capability = self._agent.weights_capability()
--- /dev/null
+++ b/clementinepass/cli/entry_client.py
@@ -0,0 +1,155 @@
+"""What the command line asks of an entry over HTTP."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+import urllib3
+
+from clementinepass import errors
+
+_TIMEOUT = 10
+_SUCCESS = 200
+
+
+class AgentState(msgspec.Struct, frozen=True):
+    """What an agent said of itself last."""
+
+    phase: str
+    kind: str
+    serves: str
+    version: str
+    running: int
+    capacity: int
+    revision: int
+    wanted: str
+    chunks_held: int
+    chunks_wanted: int
+    trouble: str
+    bytes_origin: int
+    bytes_peers: int
+
+
+class Agent(msgspec.Struct, frozen=True):
+    """One agent as the entry sees it."""
+
+    id: str
+    address: str
+    region: str
+    failure_domain: str
+    liveness: str
+    state: AgentState | None
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """One entry as the entry asked sees it."""
+
+    id: str
+    address: str
+    region: str
+    failure_domain: str
+    state: str
+    callers_address: str
+
+
+class Status(msgspec.Struct, frozen=True):
+    """An entry's view of the whole system."""
+
+    entry: str
+    revision: int
+    leaving: bool
+    in_progress: int
+    entries: tuple[Entry, ...]
+    agents: tuple[Agent, ...]
+
+
+class Offered(msgspec.Struct, frozen=True):
+    """An address that a caller may use."""
+
+    address: str
+    failure_domain: str
+    region: str
+
+
+class OfferedList(msgspec.Struct, frozen=True):
+    """The addresses for a caller, the best first."""
+
+    entries: tuple[Offered, ...]
+    #: Seconds for which the list may be kept.
+    max_age: float
+
+
+_Document = typing.TypeVar('_Document', bound=msgspec.Struct)
+
+
+class EntryClient:
+    """Ask one entry.
+
+    :param address: where the entry takes callers, ``host:port``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._http = urllib3.PoolManager(retries=False, timeout=_TIMEOUT)
+
+    def status(self) -> Status:
+        """Return the entry's view of the system."""
+        return self._get('/v1/status', Status)
+
+    def offered(self) -> OfferedList:
+        """Return the entries that callers should use."""
+        return self._get('/v1/entries', OfferedList)
+
+    def complete(
+        self,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+    ) -> urllib3.BaseHTTPResponse:
+        """Post a request and return the answer, its body unread.
+
+        :raises PeerUnavailableError: the entry did not answer.
+        """
+        try:
+            return self._http.request(
+                'POST',
+                f'http://{self._address}{path}',
+                body=body,
+                headers={'Content-Type': 'application/json', **headers},
+                preload_content=False,
+                timeout=urllib3.Timeout(connect=_TIMEOUT, read=None),
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise self._unavailable(path, error) from error
+
+    def _get(self, path: str, document: type[_Document]) -> _Document:
+        try:
+            answer = self._http.request('GET', f'http://{self._address}{path}')
+        except urllib3.exceptions.HTTPError as error:
+            raise self._unavailable(path, error) from error
+        if answer.status != _SUCCESS:
+            raise errors.PeerUnavailableError(
+                f'status {answer.status}',
+                step=path,
+                peer=self._address,
+            )
+        try:
+            return msgspec.json.decode(answer.data, type=document)
+        except msgspec.MsgspecError as error:
+            raise errors.MalformedMessageError(
+                str(error),
+                step=path,
+                peer=self._address,
+            ) from error
+
+    def _unavailable(
+        self,
+        path: str,
+        error: Exception,
+    ) -> errors.PeerUnavailableError:
+        return errors.PeerUnavailableError(
+            str(error),
+            step=path,
+            peer=self._address,
+        )
--- /dev/null
+++ b/clementinepass/cli/rollout_commands.py
@@ -0,0 +1,200 @@
+"""Commands about rollouts: how far each replica is, and why it is stuck."""
+
+from __future__ import annotations
+
+import sys
+import time
+
+import cyclopts
+import msgspec
+from rich import progress
+
+from clementinepass.cli import (
+    entry_client,
+    exits,
+    output,
+    system_commands,
+)
+
+app = cyclopts.App(name='rollout', help='Follow rollouts of versions.')
+
+_INTERVAL = 0.5
+_ENGINE = 'engine'
+
+
+class Replica(msgspec.Struct, frozen=True):
+    """One replica of a model."""
+
+    agent: str
+    failure_domain: str
+    model: str
+    #: ``serving``, ``loading``, ``fetching``, ``stuck`` or ``unreachable``.
+    phase: str
+    wanted: str
+    serving: str
+    chunks_held: int
+    chunks_wanted: int
+    bytes_origin: int
+    bytes_peers: int
+    trouble: str
+
+
+class Rollout(msgspec.Struct, frozen=True):
+    """All replicas, and how many serve what is wanted."""
+
+    serving: int
+    replicas: tuple[Replica, ...]
+
+    @classmethod
+    def from_status(cls, status: entry_client.Status) -> Rollout:
+        """Return the replicas that an entry sees."""
+        replicas = tuple(
+            _to_replica(agent)
+            for agent in status.agents
+            if agent.state is None or agent.state.kind == _ENGINE
+        )
+        serving = sum(one.phase == 'serving' for one in replicas)
+        return cls(serving, replicas)
+
+    @property
+    def done(self) -> bool:
+        """Tell whether every replica serves what is wanted."""
+        return bool(self.replicas) and self.serving == len(self.replicas)
+
+
+@app.command(name='status')
+def status(
+    *,
+    entry: system_commands.EntryAddress,
+    watch: bool = False,
+    json: bool = False,
+) -> None:
+    """Show how far each replica is, and why one is stuck.
+
+    Exit code 1 with ``--watch`` means that it was interrupted.
+
+    Example: ``clementinepass rollout status --watch --entry 127.0.0.1:8080``
+
+    :param watch: wait until every replica serves what is wanted.
+    :param json: print one JSON document for each look.
+    """
+    client = entry_client.EntryClient(entry)
+    with exits.reported():
+        rollout = Rollout.from_status(client.status())
+        if watch and not json:
+            rollout = _watch(client, rollout)
+        while watch and json and not rollout.done:
+            output.print_json(rollout)
+            time.sleep(_INTERVAL)
+            rollout = Rollout.from_status(client.status())
+    if json:
+        output.print_json(rollout)
+    else:
+        _print(rollout)
+
+
+def _watch(client: entry_client.EntryClient, rollout: Rollout) -> Rollout:
+    columns = (
+        progress.TextColumn('{task.description}'),
+        progress.BarColumn(),
+        progress.MofNCompleteColumn(),
+        progress.TimeElapsedColumn(),
+        progress.TimeRemainingColumn(),
+    )
+    try:
+        with progress.Progress(*columns, console=output.screen) as bar:
+            chunks = bar.add_task('chunks held')
+            serving = bar.add_task('replicas serving')
+            while not rollout.done:
+                time.sleep(_INTERVAL)
+                rollout = Rollout.from_status(client.status())
+                bar.update(
+                    chunks,
+                    completed=sum(one.chunks_held for one in rollout.replicas),
+                    total=sum(one.chunks_wanted for one in rollout.replicas),
+                )
+                bar.update(
+                    serving,
+                    completed=rollout.serving,
+                    total=len(rollout.replicas),
+                )
+    except KeyboardInterrupt:
+        _print(rollout)
+        sys.exit(exits.REJECTED)
+    return rollout
+
+
+def _print(rollout: Rollout) -> None:
+    output.print_table(
+        f'{rollout.serving} of {len(rollout.replicas)} replicas serve',
+        (
+            'failure domain',
+            'agent',
+            'model',
+            'phase',
+            'wanted',
+            'serving',
+            'chunks',
+            'MB from origin',
+            'MB from peers',
+            'trouble',
+        ),
+        sorted(_row(replica) for replica in rollout.replicas),
+    )
+
+
+def _row(replica: Replica) -> list[str]:
+    megabyte = 1e6
+    return [
+        replica.failure_domain,
+        replica.agent,
+        replica.model,
+        replica.phase,
+        replica.wanted,
+        replica.serving,
+        f'{replica.chunks_held}/{replica.chunks_wanted}',
+        f'{replica.bytes_origin / megabyte:.1f}',
+        f'{replica.bytes_peers / megabyte:.1f}',
+        replica.trouble,
+    ]
+
+
+def _to_replica(agent: entry_client.Agent) -> Replica:
+    state = agent.state
+    if state is None or agent.liveness != 'attached':
+        return Replica(
+            agent.id,
+            agent.failure_domain,
+            model=state.serves if state else '',
+            phase='unreachable',
+            wanted=state.wanted if state else '',
+            serving='',
+            chunks_held=0,
+            chunks_wanted=0,
+            bytes_origin=0,
+            bytes_peers=0,
+            trouble=f'connection is {agent.liveness}',
+        )
+    return Replica(
+        agent.id,
+        agent.failure_domain,
+        model=state.serves,
+        phase=_phase_of(state),
+        wanted=state.wanted,
+        serving=state.version,
+        chunks_held=state.chunks_held,
+        chunks_wanted=state.chunks_wanted,
+        bytes_origin=state.bytes_origin,
+        bytes_peers=state.bytes_peers,
+        trouble=state.trouble,
+    )
+
+
+def _phase_of(state: entry_client.AgentState) -> str:
+    if state.wanted and state.version == state.wanted:
+        return 'serving'
+    if state.trouble:
+        return 'stuck'
+    if not state.wanted or state.chunks_held < state.chunks_wanted:
+        return 'fetching'
+    return 'loading'
--- a/clementinepass/entry/assembly.py
+++ b/clementinepass/entry/assembly.py
@@ -111,9 +111,10 @@
         )
         listen = addresses.Address(daemon.listen.host, daemon.listen.port)
         self._claimer.start()
+        life = lifecycle.Lifecycle(path)
         async with connections.listen(
             listen,
-            lambda: servers.EntryServer(self._entry),
+            lambda: servers.EntryServer(self._entry, life.stop),
         ) as bound:
             callers.start()
             logger.bind(
@@ -124,10 +125,7 @@
                 callers=f'{self._callers.listen.host}:{callers.port}',
                 metrics=f'{daemon.metrics_listen.host}:{health.port}',
             ).info('listening')
-            await lifecycle.Lifecycle(path).run(
-                self._entry.run(),
-                self._drain,
-            )
+            await life.run(self._entry.run(), self._drain)
         callers.close()
         self._claimer.stop()
         health.close()
--- a/clementinepass/entry/servers.py
+++ b/clementinepass/entry/servers.py
@@ -7,14 +7,25 @@
 from clementinepass.wire import entry_messages, schema
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
     from clementinepass.entry import entry as entries
 
 
 class EntryServer(schema.peers.Entry.Server):
     """What other entries may ask."""
 
-    def __init__(self, entry: entries.Entry) -> None:
+    def __init__(
+        self,
+        entry: entries.Entry,
+        stop: Callable[[], None],
+    ) -> None:
         self._entry = entry
+        self._stop = stop
+
+    async def drain(self, **_: typing.Any) -> None:
+        """Leave, as on SIGTERM."""
+        self._stop()
 
     async def watch_context(self, context: typing.Any) -> None:
         """Answer once the state has changed, or after a heartbeat."""
--- a/clementinepass/lifecycle.py
+++ b/clementinepass/lifecycle.py
@@ -31,6 +31,10 @@
         self._path = path
         self._stopping = asyncio.Event()
 
+    def stop(self) -> None:
+        """Begin to drain, as on SIGTERM."""
+        self._stopping.set()
+
     async def run(
         self,
         work: Awaitable[None],
--- a/clementinepass/wire/peers.capnp
+++ b/clementinepass/wire/peers.capnp
@@ -87,7 +87,12 @@
   configure @4 (revision :UInt64, state :Data) -> (revision :UInt64);
 }
 
-interface Agent {
+interface Process {
+  # The same as SIGTERM: take no new work, finish what runs, end.
+  drain @0 () -> ();
+}
+
+interface Agent extends(Process) {
   attach @0 (peer :Peer, sink :FrameSink) -> (session :Session);
   weights @1 () -> (weights :Weights.Weights);
 }
@@ -117,7 +122,7 @@
   shares @4 :List(ShareReport);
 }
 
-interface Entry {
+interface Entry extends(Process) {
   # Returns an empty state where nothing newer than known is in force here.
   configuration @0 (known :UInt64) -> (revision :UInt64, state :Data);
   watch @1 (known :UInt64) -> (state :EntryState);
