Test the endpoints' adapters by contract and under faults

One suite for engines and one for plain services run against the fakes in memory and against adapter and stand-in over loopback.

--- a/standins/faults.py
+++ b/standins/faults.py
@@ -102,6 +102,11 @@
                 self._outage = order.outage
             self._pending.extend(order.faults)
 
+    def release(self) -> None:
+        """Drop all faults and let no call be silent any more."""
+        self.apply(FaultOrder(clear=True))
+        self._released.set()
+
     def take(
         self,
         method: str,
--- a/standins/http.py
+++ b/standins/http.py
@@ -64,10 +64,19 @@
         return arguments.get(name, [default])[0]
 
     def pieces(self) -> Iterator[bytes]:
-        """Yield the body piece by piece."""
+        """Yield the body piece by piece.
+
+        :raises ValueError: the body is shorter than its head says.
+        """
         reader = self.environ['wsgi.input']
+        missing = int(self.environ.get('CONTENT_LENGTH') or 0)
         while piece := reader.read(_PIECE):
+            missing -= len(piece)
             yield piece
+        # A sender that died in the middle of a body must not have its half
+        # taken for the whole.
+        if missing > 0:
+            raise ValueError(f'{missing} bytes of the body are missing')
 
     def body(self) -> bytes:
         """Return the whole body."""
@@ -383,7 +392,7 @@
         traceback: TracebackType | None,
     ) -> None:
         """Stop serving and release calls that are held silent."""
-        self._application.board.apply(faults.FaultOrder(clear=True))
+        self._application.board.release()
         self._server.stop()
         if self._thread is not None:
             self._thread.join()
--- /dev/null
+++ b/tests/endpoints/test_answers.py
@@ -0,0 +1,121 @@
+"""Tests of the reading of answers, with arbitrary bytes."""
+
+from __future__ import annotations
+
+import contextlib
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+
+from clementinepass import errors
+from clementinepass.endpoints import answers, engine, protocols, transport
+from tests import serving
+
+_LIMIT = 10_000
+_HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+_CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+_PIECES = strategies.lists(
+    strategies.sampled_from(
+        (b'data: [DONE]', b'data:[DONE]', b'\n\n', b'\r\n\r\n', b'\n', b'data')
+    )
+    | strategies.binary(max_size=6),
+    max_size=12,
+)
+_SETTINGS = hypothesis.settings(
+    max_examples=80, deadline=None, derandomize=True, database=None
+)
+
+
+class EventReaderTest(testtools.TestCase):
+    """Events are cut where they end, however they arrive."""
+
+    @hypothesis.settings(max_examples=300, derandomize=True, database=None)
+    @hypothesis.given(_PIECES)
+    def test_any_pieces(self, pieces):
+        """Nothing is lost, doubled or handed on before it is whole."""
+        reader = answers.EventReader(_LIMIT)
+        handed_on = b''
+        received = b''
+        for piece in pieces:
+            received += piece
+            try:
+                part = reader.feed(piece)
+            except answers.BodyFaultError:
+                return
+            self.assertTrue(not part or part.endswith(b'\n'))
+            handed_on += part
+        self.assertTrue(received.startswith(handed_on))
+
+    def test_end_mark_in_a_text(self):
+        """The end mark's text within an event does not end the stream."""
+        reader = answers.EventReader(_LIMIT)
+        reader.feed(b'data: "data: [DONE]"\n\n')
+        self.assertFalse(reader.complete())
+        self.assertRaises(answers.BodyFaultError, reader.finish)
+        reader.feed(b'data: [DONE]\r\n\r')
+        self.assertFalse(reader.complete())
+        reader.feed(b'\n')
+        self.assertTrue(reader.complete())
+        reader.finish()
+
+    def test_faults(self):
+        """Endless events, endless bodies and later events are refused."""
+        for body in (
+            b'a' * (_LIMIT + 1),
+            b'data: [DONE]\n\ndata: more\n\n',
+        ):
+            reader = answers.EventReader(_LIMIT)
+            self.assertRaises(answers.BodyFaultError, reader.feed, body)
+        reader = answers.EventReader(1 << 30)
+        self.assertRaises(answers.BodyFaultError, reader.feed, b'a' * (1 << 21))
+
+
+class RawAnswerTest(testtools.TestCase):
+    """Answers that a broken engine, or something between, might send."""
+
+    def setUp(self):
+        super().setUp()
+        self.server = serving.RawServer()
+        self.addCleanup(self.server.close)
+        self.engine = engine.HttpEngine(
+            self.server.address,
+            transport.Limits(read_timeout=1, answer_bytes=_LIMIT),
+        )
+        self.addCleanup(self.engine.close)
+
+    def attempt(self, answer):
+        self.server.answer = answer
+        call = protocols.Call('r1', 'POST', '/', b'', stream=True)
+        return b''.join(self.engine.call(call).parts())
+
+    def test_end_mark_without_last_chunk(self):
+        """All has come but the last chunk: the answer is whole."""
+        body = b'data: [DONE]\n\n'
+        chunk = b'e\r\n' + body + b'\r\n'
+        self.assertEqual(body, self.attempt(_HEAD + _CHUNKED + chunk))
+
+    def test_last_chunk_without_end_mark(self):
+        """The HTTP answer is whole, and the stream in it isn't."""
+        error = self.assertRaises(
+            errors.EndpointError,
+            self.attempt,
+            _HEAD + _CHUNKED + b'9\r\ndata: a\n\n\r\n0\r\n\r\n',
+        )
+        self.assertIn('end mark', error.detail)
+
+    def test_no_length(self):
+        """A body that ends with its connection proves nothing."""
+        self.assertRaises(
+            errors.EndpointError, self.attempt, _HEAD + b'\r\ndata: [DONE]\n\n'
+        )
+
+    @_SETTINGS
+    @hypothesis.given(
+        strategies.sampled_from((b'', _HEAD, _HEAD + _CHUNKED)),
+        strategies.binary(max_size=200),
+    )
+    def test_any_bytes(self, head, garbage):
+        """Whatever arrives ends in an answer or in an error of ours."""
+        with contextlib.suppress(errors.EndpointError):
+            self.attempt(head + garbage)
--- /dev/null
+++ b/tests/endpoints/test_service.py
@@ -0,0 +1,74 @@
+"""Tests of plain services: their contract, and their adapter under faults."""
+
+from __future__ import annotations
+
+import testtools
+
+from clementinepass import errors
+from clementinepass.endpoints import protocols, service, transport
+from standins import memory_endpoints
+from standins import service as standin
+from tests import serving, tables
+from tests.endpoints import contracts
+
+_QUICK = transport.Limits(read_timeout=0.4, answer_bytes=1000)
+_CALL = protocols.Call('r1', 'POST', '/dispatch', b'{}', timeout=0.4)
+
+
+class MemoryServiceTest(contracts.ServiceContract, testtools.TestCase):
+    """The fake in memory keeps to the contract."""
+
+    def setUp(self):
+        super().setUp()
+        self.service = memory_endpoints.MemoryService()
+
+
+@tables.expand
+class HttpServiceTest(contracts.ServiceContract, testtools.TestCase):
+    """The adapter and the stand-in keep to the contract together."""
+
+    def setUp(self):
+        super().setUp()
+        application = standin.ServiceHandlers().application()
+        self.address = serving.serve(self, application)
+        self.service = service.HttpService(self.address, _QUICK)
+        self.addCleanup(self.service.close)
+
+    @tables.cases(
+        dropped=('drop_before', 1, {}),
+        answer_lost=('drop_after', 2, {}),
+        silent=('silence_before', 1, {'seconds': 5}),
+        silent_answer=('silence_after', 2, {'seconds': 5}),
+        truncated=('truncate', 2, {}),
+        stalled=('stall', 2, {'seconds': 5}),
+        wrong_length=('wrong_length', 2, {}),
+        oversized=('replace', 2, {'body': 'a' * 1001}),
+    )
+    def test_fault(self, case):
+        """An answer is lost, and nobody can tell whether the call was run.
+
+        The error says so whether it was or not, and the call is not sent
+        again: the next run is the one that the caller orders.
+        """
+        kind, next_run, details = case
+        fault = serving.fault(kind, **details)
+        serving.order(self.address, faults=(fault,))
+        error = self.assertRaises(errors.EndpointError, self.attempt)
+        self.assertEqual(errors.Execution.MAY_HAVE_RUN, error.execution)
+        self.assertIn(f'"run":{next_run},'.encode(), self.attempt())
+
+    def attempt(self):
+        return contracts.whole(self.service.call(_CALL))
+
+    def test_status_is_handed_on(self):
+        """A service's own refusal is its answer."""
+        fault = serving.fault('status', status=404)
+        serving.order(self.address, faults=(fault,))
+        self.assertEqual(404, self.service.call(_CALL).head.status)
+
+    def test_refused(self):
+        """Nothing listens: only then is it certain that nothing was run."""
+        gone = service.HttpService(serving.closed_address(), _QUICK)
+        error = self.assertRaises(errors.EndpointError, gone.call, _CALL)
+        self.assertEqual(errors.Execution.NOT_RUN, error.execution)
+        self.assertFalse(gone.healthy())
