--- a/standins/limits.py
+++ b/standins/limits.py
@@ -53,6 +53,10 @@
     :param bytes_per_s: the speed; 0 for no limit.
     """
 
+    #: Seconds of unused time that a late sender makes up for: timers wake
+    #: late, and without it a lone sender would lose speed at each piece.
+    slack: typing.ClassVar[float] = 0.005
+
     __slots__ = ('_bytes_per_s', '_free_at', '_lock')
 
     def __init__(self, bytes_per_s: float) -> None:
@@ -65,9 +69,9 @@
         if self._bytes_per_s <= 0:
             return 0
         with self._lock:
-            start = max(now, self._free_at)
+            start = max(now - self.slack, self._free_at)
             self._free_at = start + size / self._bytes_per_s
-            return self._free_at - now
+            return max(0, self._free_at - now)
 
     def send(
         self,
