Mend what the first proofs found: deadlines of claims, suspects, kept streams

Found by proofs with real processes, each of which failed first: - A call under an idempotency key was cut off after 15 s ("may have run"), since the age of its claim bounded the whole answer. It now bounds only when the gate may begin, told to the gate as a time of day. That also stops a dispatch that lay in the buffer of a frozen process past its claim. - A request that kills engines took a third one: two entries retried their suspects of one crash at the same engine, so the second crash told nothing. Only the gate sees the suspects of all entries, so it lets one in at a time; the others wait at their entries, and are no longer failed for lack of a place. - The repeat of a streamed call under a key got an empty answer with status 200. A streamed answer is not held, so it is recorded as ran without it. Ruled out for the suspects: sharing evidence faster, since two entries learn of a crash in the same instant and retry at once.

--- a/clementinepass/agent/agent.py
+++ b/clementinepass/agent/agent.py
@@ -95,7 +95,7 @@
         link: links.EntryLink,
     ) -> messages.Verdict:
         """Offer an attempt to the gate and start it if it is admitted."""
-        verdict = self._gate.offer(dispatch, self.now())
+        verdict = self._gate.offer(dispatch, self.now(), time.time())
         if verdict.accepted:
             run = execution.Run(
                 dispatch,
--- a/clementinepass/agent/gate.py
+++ b/clementinepass/agent/gate.py
@@ -16,6 +16,9 @@
     from collections.abc import Callable
 
 
+_SECOND = 1000
+
+
 class Refusal(enum.Enum):
     """Why the gate refused an attempt; each means that it was not run."""
 
@@ -30,6 +33,8 @@
     WRONG_TARGET = 'wrong_target'
     #: The caller's deadline has passed.
     DEADLINE_PASSED = 'deadline_passed'
+    #: Another request that may kill endpoints is running.
+    SUSPECT_RUNNING = messages.SUSPECT_RUNNING
     #: The entry asked about this attempt before it arrived, and was told that
     #: it would not run.
     BARRED = 'barred'
@@ -72,6 +77,7 @@
         #: Called when something changed that entries should learn at once.
         self.on_change: Callable[[], None] = _ignore
         self._versioned = versioned
+        self._suspects: set[AttemptKey] = set()
         self._book = gatebook.GateBook()
 
     def open(self, version: str) -> None:
@@ -98,6 +104,7 @@
         self,
         dispatch: messages.Dispatch,
         now: float,
+        wall_time: float,
     ) -> messages.Verdict:
         """Decide on one attempt that has not been seen before.
 
@@ -106,8 +113,9 @@
         run" has been said of it.
 
         :param now: monotonic seconds.
+        :param wall_time: Unix seconds.
         """
-        refusal = self._refusal(dispatch)
+        refusal = self._refusal(dispatch, wall_time)
         if refusal is not None:
             self._book.resume(dispatch.request_id, dispatch.attempt, now)
             return messages.Verdict(accepted=False, reason=refusal.value)
@@ -119,6 +127,8 @@
         if admission is gatebook.Admission.NEW:
             key = AttemptKey(dispatch.request_id, dispatch.attempt)
             self.running.add(key)
+            if dispatch.suspect:
+                self._suspects.add(key)
             return messages.Verdict(accepted=True)
         return messages.Verdict(
             accepted=False,
@@ -146,6 +156,7 @@
         second for a figure that is a hint only.
         """
         self.running.discard(key)
+        self._suspects.discard(key)
 
     def _enter(self, phase: messages.Phase) -> None:
         # A drain is final: weights that become ready during it must not
@@ -154,13 +165,32 @@
             self.phase = phase
         self.on_change()
 
-    def _refusal(self, dispatch: messages.Dispatch) -> Refusal | None:
+    def _refusal(
+        self,
+        dispatch: messages.Dispatch,
+        wall_time: float,
+    ) -> Refusal | None:
         checks = (
             (self.phase is messages.Phase.DRAINING, Refusal.DRAINING),
             (self.phase is messages.Phase.STARTING, Refusal.CLOSED),
             (dispatch.target != self.target, Refusal.WRONG_TARGET),
             (self._mismatches(dispatch.version), Refusal.VERSION_MISMATCH),
             (dispatch.remaining == 0, Refusal.DEADLINE_PASSED),
+            # A dispatch can lie in a buffer while this process or its entry
+            # is frozen, and come out when its claim has expired and another
+            # has run the request. What remained when it was sent is no
+            # guide then; the time of day is.
+            (
+                wall_time * _SECOND > dispatch.admit_before,
+                Refusal.DEADLINE_PASSED,
+            ),
+            # Entries learn of each other's suspects late. Were two of one
+            # crash to meet here, the next crash could not tell which of
+            # them kills endpoints; only the gate sees those of all entries.
+            (
+                dispatch.suspect and bool(self._suspects),
+                Refusal.SUSPECT_RUNNING,
+            ),
             # Load: more attempts than the endpoint has places. Queueing them
             # here would hide the wait from the entries, which hold the fair
             # queues and know the deadlines; so the surplus goes back at once.
--- a/clementinepass/entry/dispatcher.py
+++ b/clementinepass/entry/dispatcher.py
@@ -35,6 +35,13 @@
 _NO_ENDPOINT_RETRY = 2.0
 #: The share of fresh traffic that may be retried.
 _RETRY_SHARE = 0.1
+#: Seconds between tries of a suspect to find an endpoint without another
+#: suspect. Load: all that ran at an endpoint that died comes back one by one;
+#: 16 requests at 20 tries a second stay far below what a gate can answer.
+_APART_POLL = 0.05
+#: Seconds by which the clocks of two instances may differ. Far less than the
+#: log keeps claims, far more than clocks are apart in practice.
+_CLOCK_TOLERANCE = 10.0
 #: Times that a request may go back to the queue because all gates were full.
 #: Each follows a fresh report, so a request that meets full gates so often
 #: competes with others that will not give way before its deadline.
@@ -61,6 +68,8 @@
     crash_retries: int = 0
     returns: int = 0
     excluded: set[str] = msgspec.field(default_factory=set)
+    #: Whether a gate kept it apart from another suspect.
+    kept_apart: bool = False
     last: exchanges.Exchange | None = None
 
 
@@ -177,16 +186,11 @@
     ) -> Served | None:
         """Make one attempt; ``None`` where another one may follow."""
         request = work.request
-        seconds = min(work.permit(), request.deadline - self._clock.now())
-        if seconds <= 0:
-            return self._late(request, trial)
         fingerprint = request.fingerprint()
-        placed = self._fleet.place(
-            request.target,
-            fingerprint,
-            frozenset(trial.excluded),
-            time.time(),
-        )
+        placed = await self._place(request, trial)
+        permit = min(work.permit(), request.deadline - self._clock.now())
+        if permit <= 0:
+            return self._late(request, trial)
         if placed is None:
             return self._nowhere(request, trial)
         trial.attempts += 1
@@ -199,7 +203,7 @@
         trial.last = exchange
         self._fleet.began(agent, exchange, fingerprint, time.time())
         try:
-            await self._exchange(placed, exchange, seconds)
+            await self._exchange(placed, exchange, permit)
         finally:
             self._fleet.finished(agent, exchange)
             placed.peer.finish(exchange)
@@ -209,10 +213,19 @@
         self,
         placed: fleets.Placed,
         exchange: exchanges.Exchange,
-        seconds: float,
+        permit: float,
     ) -> None:
         began = self._clock.now()
-        dispatch = _to_dispatch(exchange, placed.candidate, seconds)
+        # The permit bounds when the gate may begin, the deadline the rest:
+        # a claim that allows a dispatch for 15 s allows a run of a minute.
+        seconds = exchange.request.deadline - began
+        dispatch = _to_dispatch(
+            exchange,
+            placed.candidate,
+            seconds,
+            admit_before=time.time() + permit + _CLOCK_TOLERANCE,
+            suspect=self._is_suspect(exchange.request),
+        )
         try:
             async with asyncio.timeout(seconds):
                 verdict = await placed.peer.dispatch(exchange, dispatch)
@@ -284,6 +297,7 @@
             exchange.attempt.accepted()
             return
         exchange.detail = f'the gate refused: {verdict.reason}'
+        exchange.refusal = verdict.reason
         exchange.attempt.refused()
         self._metrics.gate_refused(verdict.reason)
         if verdict.reason == 'full':
@@ -325,7 +339,9 @@
         )
         if retry is outcome.Retry.FORBIDDEN:
             return self._failed(exchange)
-        trial.excluded.add(attempt.peer)
+        trial.kept_apart = exchange.refusal == messages.SUSPECT_RUNNING
+        if not trial.kept_apart:
+            trial.excluded.add(attempt.peer)
         if attempt.phase is outcome.Phase.REFUSED:
             # The gate did no work for it, so it costs no retry budget.
             return None
@@ -347,6 +363,41 @@
         )
         return left is None and trial.returns < _MOST_RETURNS
 
+    async def _place(
+        self,
+        request: identity.Request,
+        trial: Trial,
+    ) -> fleets.Placed | None:
+        """Choose an endpoint; a suspect waits for one without another.
+
+        Suspects of one crash run one by one at each endpoint. They wait for
+        their turn here: refused, innocent requests would fail for having
+        been beside the one that kills endpoints.
+        """
+        while True:
+            if trial.kept_apart:
+                await asyncio.sleep(_APART_POLL)
+            excluded = frozenset(trial.excluded)
+            placed = self._fleet.place(
+                request.target,
+                request.fingerprint(),
+                excluded,
+                time.time(),
+            )
+            waits = (
+                placed is None
+                and self._is_suspect(request)
+                and self._fleet.serves(request.target, excluded)
+                and self._clock.now() < request.deadline
+            )
+            if not waits:
+                return placed
+            trial.kept_apart = True
+
+    def _is_suspect(self, request: identity.Request) -> bool:
+        judgement = self._quarantine.judge(request.fingerprint(), time.time())
+        return judgement.standing is not quarantine.Standing.FREE
+
     def _judge(self, request: identity.Request) -> problem.Problem | None:
         judgement = self._quarantine.judge(request.fingerprint(), time.time())
         if judgement.standing is not quarantine.Standing.QUARANTINED:
@@ -456,6 +507,9 @@
     exchange: exchanges.Exchange,
     candidate: typing.Any,
     seconds: float,
+    *,
+    admit_before: float,
+    suspect: bool,
 ) -> messages.Dispatch:
     request = exchange.request
     return messages.Dispatch(
@@ -471,4 +525,6 @@
         remaining=int(seconds * _SECOND),
         stream=request.stream,
         priority=int(_PRIORITY_CLASSES[request.priority]),
+        admit_before=int(admit_before * _SECOND),
+        suspect=suspect,
     )
--- a/clementinepass/entry/exchange.py
+++ b/clementinepass/entry/exchange.py
@@ -52,6 +52,8 @@
         self.sent_at = time.time()
         #: The crash that ended the attempt; empty for none.
         self.crash = ''
+        #: Why the gate refused; empty where it did not.
+        self.refusal = ''
         #: What went wrong, for the caller's problem.
         self.detail = ''
         #: The answer's head and body, for requests with a claim.
--- a/clementinepass/entry/fleet.py
+++ b/clementinepass/entry/fleet.py
@@ -121,6 +121,14 @@
             candidates_by_id[choice.endpoint_id],
         )
 
+    def serves(self, target: str, excluded: frozenset[str]) -> bool:
+        """Tell whether any endpoint but the excluded ones takes work."""
+        return any(
+            candidate.agent not in excluded
+            and candidate.agent in self.peers_by_agent
+            for candidate in self._view.candidates(target)
+        )
+
     def began(
         self,
         agent: str,
--- a/clementinepass/entry/http.py
+++ b/clementinepass/entry/http.py
@@ -392,7 +392,10 @@
             return
         answer = None
         exchange = result.exchange
-        if exchange is not None and exchange.head is not None:
+        # A streamed answer went out as it came and is not held, so there is
+        # nothing to keep: an empty body would pass for the answer.
+        streamed = exchange is not None and exchange.request.stream
+        if exchange is not None and exchange.head is not None and not streamed:
             answer = claim_records.kept(
                 exchange.head.status,
                 exchange.head.content_type,
--- a/clementinepass/wire/messages.py
+++ b/clementinepass/wire/messages.py
@@ -63,6 +63,10 @@
     bytes_peers: int = 0
 
 
+#: The gate's reason for keeping a suspect apart from another one.
+SUSPECT_RUNNING = 'suspect_running'
+
+
 class Dispatch(msgspec.Struct, frozen=True):
     """One attempt of a request, from an entry to an agent."""
 
@@ -80,6 +84,10 @@
     remaining: int
     stream: bool
     priority: int
+    #: Unix milliseconds after which the gate must not admit it any more.
+    admit_before: int
+    #: Whether it was in flight when an endpoint died.
+    suspect: bool = False
 
 
 class Verdict(msgspec.Struct, frozen=True):
@@ -181,6 +189,8 @@
         remaining=reader.remaining,
         stream=reader.stream,
         priority=reader.priority,
+        admit_before=reader.admitBefore,
+        suspect=reader.suspect,
     )
 
 
@@ -198,6 +208,8 @@
     builder.remaining = dispatch.remaining
     builder.stream = dispatch.stream
     builder.priority = dispatch.priority
+    builder.admitBefore = dispatch.admit_before
+    builder.suspect = dispatch.suspect
 
 
 def read_verdict(reader: typing.Any) -> Verdict:
--- a/clementinepass/wire/peers.capnp
+++ b/clementinepass/wire/peers.capnp
@@ -48,6 +48,10 @@
   remaining @9 :UInt32;
   stream @10 :Bool;
   priority @11 :Int32;
+  # Unix time after which the gate must not admit it any more.
+  admitBefore @12 :UInt64;
+  # Whether it was in flight when an endpoint died.
+  suspect @13 :Bool;
 }
 
 struct Verdict {
--- a/standins/service.py
+++ b/standins/service.py
@@ -23,19 +23,23 @@
 
 
 class RunsAnswer(msgspec.Struct, frozen=True):
-    """How often each request was run, by its id."""
+    """How often each request was run."""
 
+    #: By its id; each call of a caller has its own.
     runs: dict[str, int]
+    #: By its path; a caller's repeat has the same.
+    runs_by_path: dict[str, int]
 
 
 class ServiceHandlers:
     """Run any request and count its runs."""
 
-    __slots__ = ('_delay', '_lock', '_runs_by_id')
+    __slots__ = ('_delay', '_lock', '_runs_by_id', '_runs_by_path')
 
     def __init__(self, delay: float = 0) -> None:
         self._delay = delay
         self._runs_by_id: dict[str, int] = {}
+        self._runs_by_path: dict[str, int] = {}
         self._lock = threading.Lock()
 
     def application(self) -> http.Application:
@@ -51,7 +55,11 @@
         with self._lock:
             run = self._runs_by_id.get(request_id, 0) + 1
             self._runs_by_id[request_id] = run
-        time.sleep(self._delay)
+            earlier = self._runs_by_path.get(request.path, 0)
+            self._runs_by_path[request.path] = earlier + 1
+        if request_id:
+            # Questions about its health carry no id and are quick.
+            time.sleep(self._delay)
         return http.answer_json(
             ServiceAnswer(
                 request.method,
@@ -64,7 +72,11 @@
 
     def _runs(self, request: http.Request) -> http.Response:
         with self._lock:
-            return http.answer_json(RunsAnswer(dict(self._runs_by_id)))
+            answer = RunsAnswer(
+                dict(self._runs_by_id),
+                dict(self._runs_by_path),
+            )
+        return http.answer_json(answer)
 
 
 def main(
