Make heartbeats light: state only when it changed, once a second

Cause: each heartbeat carried the whole state, twice a second. Slopes, with two entries: 1,408 bytes/s at an idle agent, so nine entries would cost 6.3 KB/s against a budget of 2 KB/s for a node. Ruled out: growth with teams. Change: an unchanged state is left out, the load still comes; one beat a second. Changes are still told at once. A silent connection is noticed a half second later.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -17,9 +17,10 @@
 import cyclopts
 import msgspec
 
-from benchmarks import counting, usage
+from benchmarks import usage
 from clementinepass.configuration import folder, publisher
 from clementinepass.platform import log_service
+from standins import relays
 from standins import system as systems
 
 _VERSION = 'faults-1'
@@ -165,7 +166,7 @@
     """Entries and agents before one plain service, with counted bytes."""
 
     def __init__(self, agents: int, entries: int) -> None:
-        self._relays = counting.CountingRelays()
+        self._relays = relays.Relays()
         self.system = systems.System(
             systems.Shape(entries=entries, engines=0, services=1),
         )
@@ -174,6 +175,7 @@
 
     def __enter__(self) -> typing.Self:
         """Start everything and wait until every entry sees every agent."""
+        self._relays.__enter__()
         system = self.system
         system.start_platform()
         system.start_endpoint('service-0')
@@ -196,30 +198,39 @@
     def __exit__(self, *_: object) -> None:
         """Stop everything."""
         self.system.__exit__()
-        self._relays.close()
+        self._relays.__exit__(None, None, None)
 
     def _enlist(self, name: str, listening: dict[str, str]) -> None:
         if name in {'agent-0', 'entry-0'}:
-            listening['peers'] = self._relays.place(name, listening['peers'])
+            spec = relays.RelaySpec(name, listening['peers'])
+            listening['peers'] = self._relays.add(spec)
         self.system.enlist(name, listening)
 
     def idle(self) -> dict[str, float]:
         """Return what an idle agent and an idle entry cost."""
         names = ('agent-0', 'entry-0')
         before = {name: self._usage(name) for name in names}
-        bytes_before = {name: self._relays.passed(name) for name in names}
+        bytes_before = self._passed_by_name()
         time.sleep(_IDLE_SECONDS)
+        bytes_after = self._passed_by_name()
         figures = {}
         for name in names:
             role = name.partition('-')[0]
             after = self._usage(name)
             used = after.processor - before[name].processor
-            passed = self._relays.passed(name) - bytes_before[name]
+            passed = bytes_after[name] - bytes_before[name]
             figures[f'{role}_core_percent'] = _PERCENT * used / _IDLE_SECONDS
             figures[f'{role}_resident_mb'] = after.resident / _MB
             figures[f'{role}_bytes_per_s'] = passed / _IDLE_SECONDS
         return figures
 
+    def _passed_by_name(self) -> dict[str, int]:
+        return {
+            state.name: state.counters.bytes_to_target
+            + state.counters.bytes_from_target
+            for state in self._relays.states()
+        }
+
     def _usage(self, name: str) -> usage.Usage:
         return usage.of(self.system.by_name[name].pid)
 
--- a/clementinepass/agent/servers.py
+++ b/clementinepass/agent/servers.py
@@ -123,8 +123,11 @@
                 step='watch',
                 peer=self._agent.id,
             )
-        state = await self._agent.next_state(context.params.known)
-        messages.write_state(state, context.results.init('state'))
+        known = context.params.known
+        state = await self._agent.next_state(known)
+        context.results.running = state.running
+        if state.sequence != known:
+            messages.write_state(state, context.results.init('state'))
 
     async def cancel_context(self, context: typing.Any) -> None:
         """Stop an attempt that nobody waits for any more."""
--- a/clementinepass/entry/agent_peers.py
+++ b/clementinepass/entry/agent_peers.py
@@ -7,6 +7,7 @@
 import random
 import typing
 
+import msgspec
 from loguru import logger
 
 from clementinepass import errors
@@ -256,9 +257,20 @@
             peer=self.agent,
             timeout=self._patience,
         )
-        state = messages.read(messages.read_state, answer.state, self.agent)
         self._heard_at = self._clock.now()
-        self._take_state(state)
+        if answer._has('state'):
+            state = messages.read(
+                messages.read_state,
+                answer.state,
+                self.agent,
+            )
+            self._take_state(state)
+        elif self.state is not None:
+            self._take_load(self.state, answer.running)
+
+    def _take_load(self, state: messages.AgentState, running: int) -> None:
+        self.state = msgspec.structs.replace(state, running=running)
+        self._events.reported(self.agent, self.state)
 
     def _take_state(self, state: messages.AgentState) -> None:
         previous = self.state
--- a/clementinepass/settings/defaults.py
+++ b/clementinepass/settings/defaults.py
@@ -172,7 +172,7 @@
 
     heartbeat: float = setting(
         values.DURATION,
-        '500ms',
+        '1s',
         'Time between heartbeats.',
     )
     silence: float = setting(
--- a/clementinepass/wire/peers.capnp
+++ b/clementinepass/wire/peers.capnp
@@ -85,7 +85,8 @@
 
 interface Session {
   dispatch @0 (dispatch :Dispatch) -> (verdict :Verdict);
-  watch @1 (known :UInt64) -> (state :AgentState);
+  # The state is left out where it is the known one; running always comes.
+  watch @1 (known :UInt64) -> (state :AgentState, running :UInt32);
   cancel @2 (requestId :Text, attempt :UInt32) -> ();
   resume @3 (requestId :Text, attempt :UInt32, next :UInt64) -> (verdict :Verdict);
   configure @4 (revision :UInt64, state :Data) -> (revision :UInt64);
