--- a/standins/engine.py
+++ b/standins/engine.py
@@ -225,8 +225,7 @@
     ) -> Iterator[bytes]:
         """Yield an event for each token; no end mark when cancelled."""
         try:
-            for index in job.tokens():
-                yield _rendering(job, body).event(index)
+            yield from _events(job, body)
         except batching.JobCancelled:
             yield b'data: {"error":"cancelled"}\n\n'
             return
@@ -301,6 +300,18 @@
     return http.answer_json(_rendering(job, body).whole())
 
 
+def _events(
+    job: batching.Job,
+    body: tokens.CompletionBody | tokens.ChatBody,
+) -> Iterator[bytes]:
+    """Yield an event for each token."""
+    rendering = None
+    for index in job.tokens():
+        # The version is known only from the first step on.
+        rendering = rendering or _rendering(job, body)
+        yield rendering.event(index)
+
+
 def _rendering(
     job: batching.Job,
     body: tokens.CompletionBody | tokens.ChatBody,
