Read smaller pages of the log where a page is too long

Cause: a page of many large records exceeds the longest answer that the adapter accepts, and does so again at each retry, so that a reader never gets past it. The adapter now asks for fewer records; only a single record over the limit is still an error. Ruled out: raising the limit, which the number of records times their size exceeds again. The malformed cases now show their fault on every call, so that a second, smaller read cannot hide it. Idle connections kept go from 8 to 16: four claim streams each read and append at once beside the configuration.

--- a/clementinepass/errors.py
+++ b/clementinepass/errors.py
@@ -155,6 +155,10 @@
     """A message from a peer could not be decoded."""
 
 
+class MessageTooLongError(MalformedMessageError):
+    """A message from a peer is longer than what is accepted."""
+
+
 class ManifestError(ClementinepassError):
     """A manifest contradicts itself or the chunks it lists."""
 
--- a/clementinepass/platform/log_service.py
+++ b/clementinepass/platform/log_service.py
@@ -15,6 +15,8 @@
 
 _GONE = 410
 _MS_PER_SECOND = 1000
+#: By how much a page shrinks that was too long.
+_FEWER = 4
 
 
 class AppendBody(msgspec.Struct, frozen=True):
@@ -110,14 +112,33 @@
         :raises PlatformUnavailableError: the service did not answer.
         :raises MalformedMessageError: the answer could not be decoded.
         """
-        wait_ms = int(wait * _MS_PER_SECOND)
+        count = limit
+        while True:
+            try:
+                return self._read_page(stream, offset, count, wait)
+            except errors.MessageTooLongError:
+                # A page of many large records is longer than what we accept,
+                # and would be so again at each retry: the reader would never
+                # get past it. Reading has no effect, so fewer are asked for.
+                if count <= 1:
+                    raise
+                count = max(1, count // _FEWER)
+
+    def _read_page(
+        self,
+        stream: str,
+        offset: int,
+        limit: int,
+        wait: float,
+    ) -> protocols.RecordPage:
+        """Read a page of at most ``limit`` records."""
         reply = self._transport.exchange(
             'GET',
             '{0}?offset={1}&limit={2}&wait_ms={3}'.format(
                 _records_path(stream),
                 offset,
                 limit,
-                wait_ms,
+                int(wait * _MS_PER_SECOND),
             ),
             step='read',
             wait=wait,
--- a/clementinepass/platform/transport.py
+++ b/clementinepass/platform/transport.py
@@ -37,7 +37,7 @@
     read_timeout: float = 10
     total_timeout: float = 60
     answer_bytes: int = 64 * 1024 * 1024
-    connections: int = 8
+    connections: int = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,8 +95,9 @@
         :raises PlatformUnavailableError: there was no whole answer, or one
             that says that the service failed.
         :raises ThrottledError: the service asks for fewer calls.
-        :raises MalformedMessageError: the answer is too long, or has no end
-            by which it could be told to be whole.
+        :raises MessageTooLongError: the answer is too long.
+        :raises MalformedMessageError: the answer has no end by which it could
+            be told to be whole.
         """
         deadline = self._clock.now() + wait + self._limits.total_timeout
         try:
@@ -170,16 +171,23 @@
         # has little of it, and all that it runs would die with us.
         limit = self._limits.answer_bytes
         if (response.length_remaining or 0) > limit:
-            raise self.malformed(step, f'answer over {limit} bytes')
+            raise self._too_long(step)
         content = bytearray()
         for piece in http_bodies.pieces(response):
             content += piece
             if len(content) > limit:
-                raise self.malformed(step, f'answer over {limit} bytes')
+                raise self._too_long(step)
             if self._clock.now() > deadline:
                 raise self._unavailable('answer took too long', step)
         return bytes(content)
 
+    def _too_long(self, step: str) -> errors.MessageTooLongError:
+        return errors.MessageTooLongError(
+            f'answer over {self._limits.answer_bytes} bytes',
+            step=step,
+            peer=self.peer,
+        )
+
     def _refusal(
         self,
         response: urllib3.BaseHTTPResponse,
--- a/tests/platform/test_log_service.py
+++ b/tests/platform/test_log_service.py
@@ -131,7 +131,7 @@
     )
     def test_malformed(self, body):
         """An answer that contradicts the protocol is never taken in."""
-        fault = serving.fault('replace', body=body)
+        fault = serving.fault('replace', body=body, calls=0)
         serving.order(self.address, faults=(fault,))
         error = self.assertRaises(
             errors.MalformedMessageError, self.log.read, 's', 0
@@ -160,6 +160,24 @@
         )
         self.assertFalse(error.sent)
 
+    def test_page_too_long(self):
+        """Many large records lie ahead of a reader.
+
+        A page of them all is longer than what the adapter accepts. The
+        reader gets them in smaller pages, instead of failing on the same
+        page for ever.
+        """
+        self.log.append('s', [b'a' * 300] * 9)
+        position = 0
+        while position < 10:
+            page = self.log.read('s', position, limit=100)
+            self.assertTrue(page.records)
+            position = page.next_offset
+        self.log.append('s', [b'a' * 2000])
+        self.assertRaises(
+            errors.MessageTooLongError, self.log.read, 's', position
+        )
+
     def test_expired_in_a_circle(self):
         """A 410 that would send a reader round in a circle is malformed."""
         self.log.append('s', [b'b'])
