Give each call to an endpoint a connection of its own

Cause: a kept connection that the endpoint closes while a call is written to it leaves the caller with 'may have run' for a call that the endpoint never saw. Ruled out: looking at the connection before it is used, which urllib3 does and which leaves the moment between look and write. Status, cancellation and health have a timeout of their own of 5 s instead of the 30 s for a silent answer: an engine that fell silent was found late.

--- a/clementinepass/endpoints/transport.py
+++ b/clementinepass/endpoints/transport.py
@@ -15,6 +15,8 @@
     from collections.abc import Iterable, Mapping
 
 _STEP = 'call'
+#: No more are kept at once, all of them closed.
+_FRESH_CONNECTIONS = 1024
 _METHOD = re.compile('[A-Z]+')
 _PRINTABLE = re.compile('[!-~ ]*')
 
@@ -25,16 +27,20 @@
 
     :param connect_timeout: seconds until a connection must stand.
     :param read_timeout: seconds of silence until a call is given up.
+    :param control_timeout: seconds for a status or a cancellation, which an
+        endpoint that lives answers at once.
     :param load_timeout: seconds for an order to load a version.
     :param answer_bytes: the longest answer that is accepted.
-    :param connections: how many idle connections are kept.
+    :param connections: how many idle connections are kept for status and
+        cancellations.
     """
 
     connect_timeout: float = 2
     read_timeout: float = 30
+    control_timeout: float = 5
     load_timeout: float = 300
     answer_bytes: int = 64 * 1024 * 1024
-    connections: int = 32
+    connections: int = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +54,8 @@
     body: bytes | Iterable[bytes] | None = None
     connect_timeout: float = 0
     read_timeout: float = 0
+    #: Whether it has a connection of its own.
+    fresh: bool = False
 
 
 class Transport:
@@ -58,7 +66,7 @@
     :param address: the endpoint's address, ``host:port``.
     """
 
-    __slots__ = ('_clock', '_pool', 'limits', 'peer')
+    __slots__ = ('_clock', '_fresh', '_pool', 'limits', 'peer')
 
     def __init__(
         self,
@@ -75,10 +83,15 @@
             f'http://{address}',
             maxsize=self.limits.connections,
         )
+        self._fresh = urllib3.connection_from_url(
+            f'http://{address}',
+            maxsize=_FRESH_CONNECTIONS,
+        )
 
     def close(self) -> None:
         """Close the idle connections."""
         self._pool.close()
+        self._fresh.close()
 
     def call(
         self,
@@ -100,9 +113,15 @@
                     'Content-Type': call.content_type,
                     'X-Request-Id': call.request_id,
                     'X-Priority': str(call.priority),
+                    # An endpoint that closes an idle connection at the moment
+                    # at which a call is written to it would leave us with
+                    # "may have run" for a call that it never saw, and a call
+                    # that isn't idempotent would be lost for no fault.
+                    'Connection': 'close',
                 },
                 body=call.body,
                 read_timeout=self._silence(call),
+                fresh=True,
             ),
         )
         return answers.HttpAnswer(
@@ -115,7 +134,7 @@
     def fetch(self, exchange: Exchange) -> answers.WholeReply:
         """Send a request and return its whole answer."""
         response = self.send(exchange)
-        timeout = exchange.read_timeout or self.limits.read_timeout
+        timeout = exchange.read_timeout or self.limits.control_timeout
         answer = answers.HttpAnswer(
             response,
             peer=self.peer,
@@ -133,8 +152,9 @@
             connection came to stand.
         """
         limits = self.limits
+        pool = self._fresh if exchange.fresh else self._pool
         try:
-            response = self._pool.request(
+            response = pool.request(
                 exchange.method,
                 exchange.path,
                 body=exchange.body,
@@ -147,7 +167,7 @@
                 decode_content=False,
                 timeout=urllib3.Timeout(
                     connect=exchange.connect_timeout or limits.connect_timeout,
-                    read=exchange.read_timeout or limits.read_timeout,
+                    read=exchange.read_timeout or limits.control_timeout,
                 ),
             )
         except (
--- a/tests/endpoints/test_engine.py
+++ b/tests/endpoints/test_engine.py
@@ -16,7 +16,9 @@
 from tests import serving, tables
 from tests.endpoints import contracts
 
-_QUICK = transport.Limits(read_timeout=0.4, load_timeout=0.6)
+_QUICK = transport.Limits(
+    read_timeout=0.4, control_timeout=0.4, load_timeout=0.6
+)
 
 
 class MemoryEngineTest(contracts.EngineContract, testtools.TestCase):
--- a/tests/endpoints/test_service.py
+++ b/tests/endpoints/test_service.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import http.server
+import threading
+
 import testtools
 
 from clementinepass import errors
@@ -11,7 +14,9 @@
 from tests import serving, tables
 from tests.endpoints import contracts
 
-_QUICK = transport.Limits(read_timeout=0.4, answer_bytes=1000)
+_QUICK = transport.Limits(
+    read_timeout=0.4, control_timeout=0.4, answer_bytes=1000
+)
 _CALL = protocols.Call('r1', 'POST', '/dispatch', b'{}', timeout=0.4)
 
 
@@ -66,6 +71,46 @@
         serving.order(self.address, faults=(fault,))
         self.assertEqual(404, self.service.call(_CALL).head.status)
 
+    def test_own_connection(self):
+        """A service closes the connections that it keeps idle.
+
+        A call that is written to one of them at that moment may have run,
+        for all that its sender can tell. So no call uses a kept connection,
+        neither one of another call nor one of a health check.
+        """
+        connections = []
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = 'HTTP/1.1'
+
+            def setup(self):
+                connections.append(self.client_address)
+                super().setup()
+
+            def do_GET(self):
+                self.send_response(200)
+                self.send_header('Content-Length', '0')
+                self.end_headers()
+
+            def log_message(self, *arguments):
+                pass
+
+        server = http.server.ThreadingHTTPServer(('127.0.0.1', 0), Handler)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        self.addCleanup(server.server_close)
+        self.addCleanup(server.shutdown)
+        adapter = service.HttpService(
+            '127.0.0.1:{0}'.format(server.server_address[1])
+        )
+        self.addCleanup(adapter.close)
+        for _ in range(2):
+            self.assertTrue(adapter.healthy())
+        self.assertEqual(1, len(connections))
+        for _ in range(3):
+            call = protocols.Call('r1', 'GET', '/', b'')
+            contracts.whole(adapter.call(call))
+        self.assertEqual(4, len(connections))
+
     def test_refused(self):
         """Nothing listens: only then is it certain that nothing was run."""
         gone = service.HttpService(serving.closed_address(), _QUICK)
