Judge endpoints by their fastest samples; lend unused slots

Cause: with prompts of different length the smoothed time to first token of healthy endpoints strayed beyond three times the median, and ejecting one moved its queue to the next.

Change: the smallest of the last eight samples, for 3 s without a break; one slow answer on probation. Entries may use slots that nobody asks for, since the gate at the endpoint checks again; a refusal there counts as a fresh report.

--- a/benchmarks/decisions/entries.py
+++ b/benchmarks/decisions/entries.py
@@ -110,6 +110,8 @@
         self.own_in_flight = dict.fromkeys(self.endpoints_by_id, 0)
         #: The last reports to arrive: running, and our own part of it.
         self.reported = dict.fromkeys(self.endpoints_by_id, (0, 0))
+        self._reported_at: dict[str, float]
+        self._reported_at = dict.fromkeys(self.endpoints_by_id, 0)
         self._refused = refused
         self._is_pump_due = False
         self._requests_by_id: dict[str, Request] = {}
@@ -166,12 +168,25 @@
             else:
                 self.policy.slots_share.receive(report)
 
+    def receive_load(
+        self,
+        endpoint_id: str,
+        running: int,
+        own: int,
+        taken_at: float,
+    ) -> None:
+        """Take in how much runs at an endpoint, unless newer is known."""
+        if taken_at >= self._reported_at[endpoint_id]:
+            self._reported_at[endpoint_id] = taken_at
+            self.reported[endpoint_id] = (running, own)
+
     def on_first_token(self, dispatch: _Dispatch) -> None:
         """Note the first token; stop if the caller has gone."""
         now = self.simulation.now
         seconds = now - dispatch.sent
         endpoint_id = dispatch.endpoint.endpoint_id
-        self.policy.ejector.observe(endpoint_id, seconds, now)
+        if not dispatch.is_overdue:
+            self.policy.ejector.observe(endpoint_id, seconds, now)
         request = self._requests_by_id[dispatch.ticket.request_id]
         if request.first_token is None:
             request.first_token = now
@@ -254,6 +269,13 @@
         is_full = endpoint.running >= endpoint.slots
         if self.policy.is_gated and is_full and not endpoint.is_dead:
             self.policy.admission.returned(ticket, self.simulation.now)
+            # The refusal tells the load there, newer than any report.
+            self.receive_load(
+                choice.endpoint_id,
+                endpoint.running,
+                self.own_in_flight[choice.endpoint_id],
+                self.simulation.now,
+            )
             self._pump_again()
             return
         request.dispatches += 1
@@ -311,10 +333,11 @@
         endpoints = self.endpoints_by_id.values()
         usable = sum(self._slots(endpoint, now) for endpoint in endpoints)
         nominal = sum(endpoint.slots for endpoint in endpoints)
-        held = self.policy.slots_share.held()
-        # The part held is rounded down, or the entries together would
-        # exceed the slots; one slot remains for the first caller.
-        capacity = int(held * usable / nominal + 1e-6)
+        share = self.policy.slots_share
+        slots = min(share.held() + share.unused(), nominal)
+        # Rounded down, or the entries together would exceed the slots; one
+        # slot remains for the first caller.
+        capacity = int(slots * usable / nominal + 1e-6)
         if usable:
             capacity = max(capacity, 1)
         self.policy.admission.set_capacity(capacity)
--- a/benchmarks/decisions/runner.py
+++ b/benchmarks/decisions/runner.py
@@ -184,15 +184,16 @@
             self._later(entries.REPORT_SECONDS, self._report)
 
     def _report_to(self, entry: entries.Entry) -> None:
-        reported = {
-            endpoint.endpoint_id: (
+        lag = self.workload.report_lag
+        for endpoint in self.endpoints:
+            arrive = functools.partial(
+                entry.receive_load,
+                endpoint.endpoint_id,
                 endpoint.running,
                 entry.own_in_flight[endpoint.endpoint_id],
+                self.simulation.now,
             )
-            for endpoint in self.endpoints
-        }
-        lag = self.workload.report_lag
-        self._later(lag, lambda: entry.reported.update(reported))
+            self._later(lag, arrive)
         peers = [peer for peer in self.entries if peer is not entry]
         if not peers:
             entry.reports()
--- a/clementinepass/decisions/ejection.py
+++ b/clementinepass/decisions/ejection.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import statistics
 import typing
@@ -26,6 +27,12 @@
     slow_ratio: float = 3
     #: Samples before an endpoint is judged: one slow answer proves nothing.
     least_samples: int = 5
+    #: Samples kept. Eight span one batch of a small engine.
+    most_samples: int = 8
+    #: Seconds for which it must be that slow without a break. A queue of
+    #: long prompts makes a healthy endpoint slow for a moment; ejecting it
+    #: moves the queue to the next one, which is then ejected in turn.
+    least_slow_seconds: float = 3
     #: Failures in a row that take an endpoint out. One is an accident.
     most_failures: int = 3
     #: Peers with samples needed for a median worth comparing with.
@@ -49,10 +56,6 @@
     probation_in_flight: int = 1
 
 
-#: Weight of a new sample: a tenfold slowdown shows after two samples.
-_GAIN = 0.3
-
-
 class _Record:
     """What is known of one endpoint."""
 
@@ -63,18 +66,27 @@
         'is_on_probation',
         'samples',
         'seconds',
+        'slow_since',
         'until',
         'was_failing',
     )
 
-    def __init__(self) -> None:
-        #: Smoothed time to first token.
+    def __init__(self, most_samples: int) -> None:
+        #: The latest times to first token.
+        self.samples: collections.deque[float] = collections.deque(
+            maxlen=most_samples,
+        )
+        #: The smallest sample, by which the endpoint is judged. Prompts of
+        #: very different length make a mean or median of few samples stray
+        #: by more than any sensible ratio; a slow endpoint is slow for the
+        #: short ones as well.
         self.seconds: float = 0
-        self.samples = 0
         #: Failures since the last success.
         self.failures = 0
         #: Ejections for slowness since it was last found healthy.
         self.ejections = 0
+        #: Since when it has been slow without a break.
+        self.slow_since: float | None = None
         self.is_ejected = False
         self.is_on_probation = False
         #: When the present ejection ends.
@@ -85,11 +97,19 @@
     def note(self, seconds: float) -> None:
         """Add a sample."""
         self.failures = 0
-        self.samples += 1
-        if self.samples == 1:
-            self.seconds = seconds
-        else:
-            self.seconds += _GAIN * (seconds - self.seconds)
+        self.samples.append(seconds)
+
+    def summarise(self) -> None:
+        """Find the smallest sample."""
+        if self.samples:
+            self.seconds = min(self.samples)
+
+    def note_slow(self, now: float, *, is_slow: bool) -> None:
+        """Keep the time since which the endpoint has been slow."""
+        if not is_slow:
+            self.slow_since = None
+        elif self.slow_since is None:
+            self.slow_since = now
 
     def take_out(self, until: float) -> None:
         """Begin an ejection."""
@@ -101,7 +121,8 @@
         """End the ejection; samples from before it no longer count."""
         self.is_ejected = False
         self.is_on_probation = True
-        self.samples = 0
+        self.samples.clear()
+        self.slow_since = None
         self.failures = 0
 
     def end_probation(self) -> None:
@@ -176,7 +197,7 @@
         Endpoints without samples count towards the floor as well.
         """
         self._records_by_id = {
-            endpoint_id: self._records_by_id.get(endpoint_id) or _Record()
+            endpoint_id: self._record(endpoint_id)
             for endpoint_id in endpoint_ids
         }
         self._publish()
@@ -197,8 +218,8 @@
         wait so far is a lower bound that is known in time. Only a wait
         beyond the ratio counts, since any other may still end well.
 
-        :returns: whether it counted; then don't call it for that request
-            again.
+        :returns: whether it counted; then neither this nor :meth:`observe`
+            is to be called for that request again.
         """
         if not self._median or seconds <= self._slow_seconds():
             return False
@@ -228,29 +249,25 @@
             return min(capacity, self._limits.probation_in_flight)
         return capacity
 
-    def slowness(self, endpoint_id: str) -> float:
-        """Return the time to first token relative to the peers' median."""
-        record = self._records_by_id.get(endpoint_id)
-        if record is None or not record.samples or not self._median:
-            return 1
-        return record.seconds / self._median
-
     def _record(self, endpoint_id: str) -> _Record:
         record = self._records_by_id.get(endpoint_id)
         if record is None:
-            record = _Record()
+            record = _Record(self._limits.most_samples)
             self._records_by_id[endpoint_id] = record
         return record
 
     def _judge(self, now: float) -> None:
         records = list(self._records_by_id.values())
         for record in records:
+            record.summarise()
             if record.is_ejected and now >= record.until:
                 record.start_probation()
         self._update_median(records)
         for record in records:
             if record.is_on_probation and self._has_recovered(record):
                 record.end_probation()
+        for record in records:
+            record.note_slow(now, is_slow=self._is_slow(record))
         self._eject_failing(records, now)
         self._eject_slow(records, now)
         self._publish()
@@ -263,7 +280,7 @@
             self._median = 0
 
     def _is_sampled(self, record: _Record) -> bool:
-        return record.samples >= self._limits.least_samples
+        return len(record.samples) >= self._limits.least_samples
 
     def _has_recovered(self, record: _Record) -> bool:
         if record.was_failing:
@@ -277,10 +294,19 @@
         return record.failures >= self._limits.most_failures
 
     def _is_slow(self, record: _Record) -> bool:
-        if not (self._median and self._is_sampled(record)):
+        # On probation a single slow answer is enough, as with failures.
+        is_sampled = record.is_on_probation or self._is_sampled(record)
+        if not (self._median and record.samples and is_sampled):
             return False
         return record.seconds > self._slow_seconds()
 
+    def _is_slow_for_long(self, record: _Record, now: float) -> bool:
+        if record.slow_since is None:
+            return False
+        if record.is_on_probation:
+            return True
+        return now - record.slow_since >= self._limits.least_slow_seconds
+
     def _slow_seconds(self) -> float:
         return self._limits.slow_ratio * self._median
 
@@ -299,7 +325,7 @@
         slow = [
             record
             for record in records
-            if not record.is_ejected and self._is_slow(record)
+            if not record.is_ejected and self._is_slow_for_long(record, now)
         ]
         slow.sort(key=_first_token_seconds, reverse=True)
         for record in slow[: max(room, 0)]:
--- a/clementinepass/decisions/placing.py
+++ b/clementinepass/decisions/placing.py
@@ -31,8 +31,6 @@
     ejected: bool = False
     #: Dispatches of this entry, less those finished, since that report.
     own_since_report: int = 0
-    #: Time to first token relative to its peers.
-    slowness: float = 1
 
     @property
     def load(self) -> int:
@@ -179,7 +177,7 @@
         ahead = max(candidate.load + 1 - capacity, 0)
         wait = ahead * costs.service / capacity
         interference = costs.interference * candidate.load / capacity
-        cost = (wait + costs.prefill + interference) * candidate.slowness
+        cost = wait + costs.prefill + interference
         if candidate.failure_domain != self._domain:
             cost += costs.other_domain
         return cost
--- a/clementinepass/decisions/shares.py
+++ b/clementinepass/decisions/shares.py
@@ -53,6 +53,9 @@
     def held(self) -> float:
         """Return the slots that are the team's own at this entry."""
 
+    def unused(self) -> float:
+        """Return what no entry asks for, by the reports that have come."""
+
     def receive(self, report: Report) -> None:
         """Take in a peer's report; old and doubled ones do no harm."""
 
@@ -73,6 +76,10 @@
         """Return the equal part."""
         return self._part
 
+    def unused(self) -> float:
+        """Return 0: nothing is lent."""
+        return 0
+
     def receive(self, report: Report) -> None:
         """Ignore the report."""
 
@@ -151,6 +158,20 @@
         given = sum(self._given_by_entry.values())
         return max(self._promise / len(self._entries) + received - given, 0)
 
+    def unused(self) -> float:
+        """Return what no entry asks for, by the reports that have come.
+
+        Several entries may count on it at once, so it suits only what is
+        checked again further on: slots, which the endpoint's gate guards,
+        and never a team's own part. Holding entries strictly to their parts
+        of the slots would make requests wait for a transfer, two reports
+        long, beside endpoints that are free.
+        """
+        asked = self._demand + sum(
+            report.demand for report in self._reports_by_entry.values()
+        )
+        return max(self._promise - asked, 0)
+
     def receive(self, report: Report) -> None:
         """Take in a peer's report; old and doubled ones do no harm."""
         if report.epoch != self._epoch or report.entry == self._entry:
