Trust load reports less the older they are

Cause: with reports 2 s late and requests of 1 s, placing followed what had already ended. Change: what others run counts by its deviation from the mean, times exp(-age / service time); the own count is exact.

--- a/benchmarks/decisions/entries.py
+++ b/benchmarks/decisions/entries.py
@@ -246,6 +246,7 @@
                     own_now,
                     endpoint_id in ejected,
                     own_now - own,
+                    now - self._reported_at[endpoint_id],
                 ),
             )
         return candidates
--- a/clementinepass/decisions/placing.py
+++ b/clementinepass/decisions/placing.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 
 from clementinepass.decisions import reasons
@@ -31,12 +32,14 @@
     ejected: bool = False
     #: Dispatches of this entry, less those finished, since that report.
     own_since_report: int = 0
+    #: Seconds since that report was taken.
+    report_age: float = 0
 
     @property
-    def load(self) -> int:
-        """Return the best estimate of what runs there now."""
-        reported = self.running_reported + self.own_since_report
-        return max(reported, self.own_in_flight)
+    def others_reported(self) -> int:
+        """Return what ran there for other entries at the last report."""
+        own_then = self.own_in_flight - self.own_since_report
+        return max(self.running_reported - own_then, 0)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -149,19 +152,19 @@
         """Return the cheapest of a sample."""
         if not candidates:
             return None
-        usable = _usable(self._draw(candidates))
+        usable = self._usable(self._draw(candidates))
         reason = reasons.Placement.LEAST_COST
         if not usable:
             # The sample may have missed those with room.
-            usable = _usable(candidates)
+            usable = self._usable(candidates)
         if not usable:
             # Load: every endpoint looks full or bad. Harm: refusing all
             # because of reports that lag and a judgement that only compares
             # peers. The gate at the endpoint knows better; let it decide.
-            usable = list(candidates)
+            usable = self._estimates(candidates)
             reason = reasons.Placement.NONE_USABLE
         best = min(usable, key=self._cost)
-        return Choice(best.endpoint_id, reason, self._cost(best))
+        return Choice(best.candidate.endpoint_id, reason, self._cost(best))
 
     def _draw(
         self,
@@ -171,24 +174,62 @@
             return candidates
         return self._rng.sample(candidates, self._sample)
 
-    def _cost(self, candidate: Candidate) -> float:
+    def _usable(
+        self,
+        candidates: typing.Sequence[Candidate],
+    ) -> list[_Estimate]:
+        return [
+            estimate
+            for estimate in self._estimates(candidates)
+            if estimate.load < estimate.candidate.capacity
+            and not estimate.candidate.ejected
+        ]
+
+    def _estimates(
+        self,
+        candidates: typing.Sequence[Candidate],
+    ) -> list[_Estimate]:
+        """Estimate what runs at each candidate now.
+
+        Load: reports 2 s late while a request takes 1 s. Harm: what the
+        report saw has ended, all entries avoid and seek the same endpoints,
+        and the old figure is worse than none. So what others run counts by
+        its deviation from the mean, the less the older it is; the own count
+        is exact.
+        """
+        others = [candidate.others_reported for candidate in candidates]
+        mean = sum(others) / len(others)
+        return [
+            _Estimate(
+                candidate,
+                candidate.own_in_flight
+                + mean
+                + (reported - mean) * self._confidence(candidate.report_age),
+            )
+            for candidate, reported in zip(candidates, others, strict=True)
+        ]
+
+    def _confidence(self, report_age: float) -> float:
+        return math.exp(-report_age / self._costs.service)
+
+    def _cost(self, estimate: _Estimate) -> float:
         costs = self._costs
-        capacity = max(candidate.capacity, 1)
-        ahead = max(candidate.load + 1 - capacity, 0)
+        capacity = max(estimate.candidate.capacity, 1)
+        ahead = max(estimate.load + 1 - capacity, 0)
         wait = ahead * costs.service / capacity
-        interference = costs.interference * candidate.load / capacity
+        interference = costs.interference * estimate.load / capacity
         cost = wait + costs.prefill + interference
-        if candidate.failure_domain != self._domain:
+        if estimate.candidate.failure_domain != self._domain:
             cost += costs.other_domain
         return cost
 
 
-def _usable(candidates: typing.Iterable[Candidate]) -> list[Candidate]:
-    return [
-        candidate
-        for candidate in candidates
-        if not candidate.ejected and candidate.load < candidate.capacity
-    ]
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Estimate:
+    """A candidate with the load that it probably has now."""
+
+    candidate: Candidate
+    load: float
 
 
 def _own_in_flight(candidate: Candidate) -> int:
