--- a/benchmarks/weights.py
+++ b/benchmarks/weights.py
@@ -88,8 +88,6 @@
     seed: int = 1
     faults: bool = False
     alone: bool = False
-    way: str = 'swarm'
-    kill: int = 0
 
     @property
     def size(self) -> int:
@@ -179,8 +177,6 @@
         to_spread = self._plan.size
         if self._plan.faults:
             version, began, to_spread = await self._disturb(began)
-        if self._plan.kill:
-            await self._kill()
         times = await self._all_serve(version, 8 * self._plan.window)
         took = weights_fleet.monotonic() - began
         busy = _busy_seconds() - busy
@@ -222,15 +218,6 @@
         self._platform.origin.program.pause(paused=False)
         return 'v2', began, self._plan.size + min(read, self._plan.size)
 
-    async def _kill(self) -> None:
-        await asyncio.sleep(self._plan.window / 8)
-        for name in sorted(self._agents)[1 : 1 + self._plan.kill]:
-            gone = self._agents.pop(name)
-            self._ended.append(gone)
-            await gone.end()
-        await asyncio.sleep(1)
-        self._tell_members()
-
     async def _replace(self, name: str) -> None:
         gone = self._agents.pop(name)
         self._ended.append(gone)
@@ -255,7 +242,6 @@
             link_rate=self._plan.link_rate,
             request_rate=self._plan.request_rate,
             seed=self._plan.seed + number,
-            way=self._plan.way,
             settings=self._plan.settings(),
         )
         agent = await weights_fleet.Agent.start(start, engine)
--- a/benchmarks/weights_agent.py
+++ b/benchmarks/weights_agent.py
@@ -13,7 +13,7 @@
 import capnp
 import msgspec
 
-from benchmarks import weights_links, weights_messages, weights_ways
+from benchmarks import weights_links, weights_messages
 from clementinepass import clock, errors
 from clementinepass.agent import rollout
 from clementinepass.endpoints import engine as engines
@@ -21,7 +21,7 @@
 from clementinepass.platform import origin as origins
 from clementinepass.platform import weight_store as weight_stores
 from clementinepass.weights import ledger as ledgers
-from clementinepass.weights import protocols, transfer
+from clementinepass.weights import protocols
 from clementinepass.wire import schema, weights_peers
 
 _REQUEST_BYTES = 4096
@@ -280,7 +280,6 @@
     start = msgspec.json.decode(
         sys.stdin.buffer.readline(), type=weights_messages.Start
     )
-    transfer.spreading.Swarm = weights_ways.WAYS[start.way]  # type: ignore[misc]
     asyncio.run(capnp.run(Process(start).run()))
 
 
--- a/benchmarks/weights_messages.py
+++ b/benchmarks/weights_messages.py
@@ -23,7 +23,6 @@
     #: Live requests a second.
     request_rate: float
     seed: int
-    way: str
     settings: weight_settings.WeightSettings
 
 
--- a/clementinepass/weights/spreading.py
+++ b/clementinepass/weights/spreading.py
@@ -24,6 +24,8 @@
 ORIGIN = ''
 #: Promised chunks are waited for so many times the patience.
 _PROMISE = 3
+#: Seconds between two looks for what is overdue.
+_LOOK_INTERVAL = 0.1
 #: Beyond this many faults in a row the distrust grows no longer.
 _MOST_FAULTS = 16
 #: How many candidates are compared for the rarest.
@@ -83,6 +85,11 @@
         self._coming_since: dict[int, float] = {}
         self._outside_since: dict[int, float] = {}
         self._lost_since: dict[int, float] = {}
+        self._lost = 0
+        self._first: int | None = None
+        self._overdue = 0
+        self._broken = 0
+        self._looked_at = float('-inf')
         self._ranks: dict[int, int] = {}
         self._homes: dict[int, int] = {}
         self._domain: list[str] = []
@@ -100,7 +107,7 @@
         though their turn has not come: others need not read them too.
         """
         coming = self._coming
-        for index in bits(self.missing):
+        for index in bits(self.missing & self._allowed_across(now)):
             if self._due[index] > now:
                 break
             if not self._origin_turn(index):
@@ -133,6 +140,7 @@
             self._domains = domains
             self._ranks.clear()
             self._homes.clear()
+            self._first = None
         chosen = ranking.neighbours(
             self._own, alive, self._settings.near, self._settings.far
         )
@@ -223,12 +231,8 @@
         far = _union(one.held for one in ready if not one.near)
         near_all = self._known(now, near_only=True)
         wanted = self.missing & ~self._under_way
-        across = far & wanted & ~near_all
-        candidates = near & wanted
-        for crossing in bits(across):
-            if self._may_cross(crossing, now):
-                candidates |= 1 << crossing
-        rarest = self._rarest(candidates)
+        across = far & wanted & ~near_all & self._allowed_across(now)
+        rarest = self._rarest(near & wanted | across)
         if rarest is None:
             return None
         return Fetch(rarest, self._holder(rarest, ready))
@@ -236,14 +240,16 @@
     def from_origin(self, now: float) -> Fetch | None:
         """Choose the next chunk to read from the origin."""
         known = self._known(now, near_only=False)
-        for lost in bits(self.missing & known):
-            self._lost_since.pop(lost, None)
+        for found in bits(self._lost & known):
+            self._lost_since.pop(found, None)
+        self._lost &= ~known
         for index in bits(self.missing & ~self._under_way & ~known):
             if self._due[index] > now:
                 break
             # Counted from when it was first missed here, not from when it
             # was due: when a holder of many chunks stalls, everybody would
             # otherwise read all of them at once.
+            self._lost |= 1 << index
             since = self._lost_since.setdefault(index, now)
             turn = self._origin_turn(index)
             if since + turn * self._settings.patience <= now:
@@ -265,11 +271,8 @@
         coming = _union(one.coming for one in trusted) & self.missing & ~held
         # A promise is believed for a while: whoever gave it may have lost
         # its way to the origin, and still answer.
-        longest = _PROMISE * self._settings.patience
-        for index in bits(coming):
-            if now - self._coming_since.get(index, now) > longest:
-                coming &= ~(1 << index)
-        return held | coming
+        self._look_at_clock(now)
+        return held | coming & ~self._broken
 
     def _schedule(self, start: float) -> list[float]:
         # All agents start within seconds of each other. If each read its
@@ -303,6 +306,7 @@
         if suspects != self._suspects:
             self._suspects = suspects
             self._ranks.clear()
+            self._first = None
 
     def _rank(self, index: int) -> int:
         found = self._ranks.get(index)
@@ -327,10 +331,37 @@
         home = self._home(index)
         return min(home * _HOME_TURNS + self._rank(index), _LAST_TURN)
 
-    def _may_cross(self, index: int, now: float) -> bool:
-        since = self._outside_since.setdefault(index, now)
-        turn = min(self._rank(index), _LAST_TURN)
-        return since + turn * self._settings.patience <= now
+    def _allowed_across(self, now: float) -> int:
+        """Return the chunks that may be taken from another domain."""
+        if self._first is None:
+            first = 0
+            for index in bits(self.missing):
+                if not self._rank(index):
+                    first |= 1 << index
+            self._first = first
+        self._look_at_clock(now)
+        return self._first | self._overdue
+
+    def _look_at_clock(self, now: float) -> None:
+        # Looking through all chunks for what is overdue is too much for each
+        # choice of a fetch, and patience is far longer than this interval.
+        if now - self._looked_at < _LOOK_INTERVAL:
+            return
+        self._looked_at = now
+        patience = self._settings.patience
+        self._overdue = 0
+        for crossing, since in self._outside_since.items():
+            if since + self._turn_across(crossing) * patience <= now:
+                self._overdue |= 1 << crossing
+        self._broken = 0
+        for promised, since in self._coming_since.items():
+            if since + _PROMISE * patience < now:
+                self._broken |= 1 << promised
+
+    def _turn_across(self, index: int) -> int:
+        if not self.missing >> index & 1:
+            return 0
+        return min(self._rank(index), _LAST_TURN)
 
     def _rarest(self, candidates: int) -> int | None:
         if not candidates:
--- a/clementinepass/weights/transfer.py
+++ b/clementinepass/weights/transfer.py
@@ -23,6 +23,8 @@
 
 #: The longest time between two looks for something to fetch.
 _IDLE = 0.05
+#: The shortest time between two such looks.
+_BETWEEN_LOOKS = 0.01
 _ORIGIN_FAILURES = (
     errors.PlatformUnavailableError,
     errors.MalformedMessageError,
@@ -103,6 +105,8 @@
                 changed = self._changed
                 self._start_fetches(group)
                 await self._pause(changed)
+                # Changes come in bursts; each look takes them all in.
+                await asyncio.sleep(_BETWEEN_LOOKS)
 
     def _start_fetches(self, group: asyncio.TaskGroup) -> None:
         now = self._now()
