--- a/clementinepass/weights/spreading.py
+++ b/clementinepass/weights/spreading.py
@@ -89,6 +89,7 @@
         self._first: int | None = None
         self._overdue = 0
         self._broken = 0
+        self._own_due = 0
         self._looked_at = float('-inf')
         self._ranks: dict[int, int] = {}
         self._homes: dict[int, int] = {}
@@ -106,13 +107,8 @@
         Those that this member is the first to read and that are due count,
         though their turn has not come: others need not read them too.
         """
-        coming = self._coming
-        for index in bits(self.missing & self._allowed_across(now)):
-            if self._due[index] > now:
-                break
-            if not self._origin_turn(index):
-                coming |= 1 << index
-        return coming
+        self._look_at_clock(now)
+        return (self._coming | self._own_due) & self.missing
 
     @property
     def alive(self) -> int:
@@ -333,14 +329,18 @@
 
     def _allowed_across(self, now: float) -> int:
         """Return the chunks that may be taken from another domain."""
+        self._look_at_clock(now)
+        return self._firsts() | self._overdue
+
+    def _firsts(self) -> int:
+        """Return the chunks of which this member is its domain's first."""
         if self._first is None:
             first = 0
             for index in bits(self.missing):
                 if not self._rank(index):
                     first |= 1 << index
             self._first = first
-        self._look_at_clock(now)
-        return self._first | self._overdue
+        return self._first
 
     def _look_at_clock(self, now: float) -> None:
         # Looking through all chunks for what is overdue is too much for each
@@ -357,6 +357,12 @@
         for promised, since in self._coming_since.items():
             if since + _PROMISE * patience < now:
                 self._broken |= 1 << promised
+        self._own_due = 0
+        for index in bits(self.missing & self._firsts()):
+            if self._due[index] > now:
+                break
+            if not self._home(index):
+                self._own_due |= 1 << index
 
     def _turn_across(self, index: int) -> int:
         if not self.missing >> index & 1:
