--- a/clementinepass/agent/links.py
+++ b/clementinepass/agent/links.py
@@ -22,14 +22,41 @@
 
 #: The most frames in one message: about 5 ms of processor time at each end.
 _MOST_FRAMES = 256
+#: Messages that may follow each other without a pause after a quiet moment.
+_MOST_AT_ONCE = 4
+
+
+class _Pace:
+    """Bound the messages a second, yet let a few go at once.
+
+    A first token and the end of a short answer come after a quiet moment and
+    must not wait; the frames of hundreds of streams come all the time and
+    cost less in few messages.
+    """
+
+    def __init__(
+        self,
+        interval: float,
+        now: typing.Callable[[], float],
+    ) -> None:
+        self._interval = interval
+        self._now = now
+        self._free_at = now()
+
+    def wait(self) -> float:
+        """Return the seconds to wait before the next message."""
+        now = self._now()
+        earliest = now - _MOST_AT_ONCE * self._interval
+        self._free_at = max(self._free_at, earliest) + self._interval
+        return max(self._free_at - now, 0)
 
 
 class EntryLink:
     """The runs of one process of an entry and the way to it.
 
     :param peer: the entry's process.
-    :param coalesce: seconds to wait for more frames before sending some; it
-        bounds the messages a second, whatever the number of streams.
+    :param coalesce: least seconds between two messages with frames; it bounds
+        the messages a second, whatever the number of streams.
     :param silence: seconds without an answer after which a connection counts
         as silent.
     """
@@ -61,9 +88,13 @@
             run.cursor = None
         return self._connection
 
+    def is_current(self, connection: int) -> bool:
+        """Tell whether a connection is the newest and still works."""
+        return connection == self._connection and self.lost_at is None
+
     def detach(self, connection: int, now: float) -> None:
         """Note the end of a connection, unless a newer one has replaced it."""
-        if connection == self._connection:
+        if self.is_current(connection):
             self.lost_at = now
 
     def add(self, run: execution.Run) -> None:
@@ -86,9 +117,10 @@
 
     async def pump(self, connection: int, sink: typing.Any) -> None:
         """Send frames over one connection until it fails or is replaced."""
-        while connection == self._connection:
+        pace = _Pace(self._coalesce, asyncio.get_running_loop().time)
+        while self.is_current(connection):
             await self._dirty.wait()
-            await asyncio.sleep(self._coalesce)
+            await asyncio.sleep(pace.wait())
             self._dirty.clear()
             batch = self._collect()
             if not batch:
@@ -101,7 +133,7 @@
                     error.detail,
                 )
                 return
-            if connection == self._connection:
+            if self.is_current(connection):
                 self._confirm(batch)
 
     async def _push(
--- a/clementinepass/entry/exchange.py
+++ b/clementinepass/entry/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import typing
 
 from loguru import logger
@@ -47,8 +48,12 @@
         self.finished = asyncio.Event()
         #: Set with the first piece of the answer.
         self.answering = asyncio.Event()
+        #: Unix seconds at which the attempt was sent.
+        self.sent_at = time.time()
         #: The crash that ended the attempt; empty for none.
         self.crash = ''
+        #: Why the gate refused; empty where it did not.
+        self.refusal = ''
         #: What went wrong, for the caller's problem.
         self.detail = ''
         #: The answer's head and body, for requests with a claim.
@@ -84,15 +89,15 @@
         elif frame.kind is streams.FrameKind.PART:
             self._take_part(frame.payload)
         elif frame.kind is streams.FrameKind.END:
+            self._release()
             self.attempt.ended()
-            if not self.request.stream:
-                self._release()
         else:
             self._take_failure(frame)
 
     def _take_head(self, frame: streams.Frame) -> None:
         self.attempt.head_seen()
-        self.head = outboxes.Head(frame.status, frame.payload.decode())
+        content_type = frame.payload.decode(errors='replace')
+        self.head = outboxes.Head(frame.status, content_type)
 
     def _take_part(self, payload: bytes) -> None:
         if not self.request.stream:
@@ -104,14 +109,15 @@
         if not self._outbox.put(outboxes.Part(payload)):
             # A slow caller must not take the entry's memory; its stream ends
             # as truncated and the endpoint is told to stop.
-            self.detail = 'the caller reads too slowly'
+            self.detail = 'the caller is gone or reads too slowly'
             self.attempt.given_up()
 
     def _release(self) -> None:
-        if self.head is not None:
+        if self.head is not None and not self.attempt.relayed:
             self.attempt.relayed = True
             self._outbox.put(self.head)
-        self._outbox.put(outboxes.Part(self.body))
+        if not self.request.stream:
+            self._outbox.put_whole(self.body)
 
     def _take_failure(self, frame: streams.Frame) -> None:
         failure = frame.failure()
--- a/clementinepass/errors.py
+++ b/clementinepass/errors.py
@@ -194,13 +194,17 @@
     """A process of the system could not be reached, or fell silent."""
 
 
+class PeerGoneError(PeerUnavailableError):
+    """Nobody listens at a peer's address: its process has ended."""
+
+
+class StreamLostError(ClementinepassError):
+    """A stream can't be resumed: its frames are no longer kept."""
+
+
 class PeerBusyError(ClementinepassError):
     """A peer declined for now: its cap is reached or the chunk is gone."""
 
 
 class TransferAbandonedError(ClementinepassError):
     """A newer revision took the place of the one under way."""
-
-
-class StreamLostError(ClementinepassError):
-    """A stream can't be resumed: its frames are no longer kept."""
--- a/clementinepass/wire/peers.capnp
+++ b/clementinepass/wire/peers.capnp
@@ -48,6 +48,10 @@
   remaining @9 :UInt32;
   stream @10 :Bool;
   priority @11 :Int32;
+  # Unix time after which the gate must not admit it any more.
+  admitBefore @12 :UInt64;
+  # Whether it was in flight when an endpoint died.
+  suspect @13 :Bool;
 }
 
 struct Verdict {
@@ -87,7 +91,12 @@
   configure @4 (revision :UInt64, state :Data) -> (revision :UInt64);
 }
 
-interface Agent {
+interface Process {
+  # The same as SIGTERM: take no new work, finish what runs, end.
+  drain @0 () -> ();
+}
+
+interface Agent extends(Process) {
   attach @0 (peer :Peer, sink :FrameSink) -> (session :Session);
   weights @1 () -> (weights :Weights.Weights);
 }
@@ -117,7 +126,7 @@
   shares @4 :List(ShareReport);
 }
 
-interface Entry {
+interface Entry extends(Process) {
   # Returns an empty state where nothing newer than known is in force here.
   configuration @0 (known :UInt64) -> (revision :UInt64, state :Data);
   watch @1 (known :UInt64) -> (state :EntryState);
