Judge slow endpoints among those of their own target

Cause: one detector compared the time to first token of all endpoints; engines are slower than plain services by nature and would be ejected for it. Found by reading. Also: the entry passes the age of load reports and the slots of endpoints on probation to placing.

--- a/clementinepass/entry/dispatcher.py
+++ b/clementinepass/entry/dispatcher.py
@@ -252,9 +252,9 @@
             self._note_crash(placed, exchange)
         else:
             await placed.peer.cancel(exchange)
-        self._fleet.ejector.failed(
+        self._fleet.failed(
+            exchange.request.target,
             placed.candidate.agent,
-            self._clock.now(),
         )
 
     async def _follow(
@@ -276,10 +276,10 @@
             now = self._clock.now()
             if exchange.answering.is_set():
                 self._metrics.first_token(exchange.request, now - began)
-                self._fleet.ejector.observe(
+                self._fleet.answered(
+                    exchange.request.target,
                     placed.candidate.agent,
                     now - began,
-                    now,
                 )
             await finished
         finally:
--- a/clementinepass/entry/fleet.py
+++ b/clementinepass/entry/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 from clementinepass.decisions import ejection, placing
@@ -42,14 +43,18 @@
         self.peers_by_agent: dict[str, agent_peers.AgentPeer] = {}
         #: What is in flight where, for crash reports.
         self.in_flight = quarantines.InFlight()
-        #: Detects slow and failing endpoints.
-        self.ejector = ejection.Ejector()
+        # One for each target: a model is slower than a plain service by
+        # nature, and compared with one all its endpoints would be ejected.
+        self._ejectors_by_target: dict[str, ejection.Ejector] = (
+            collections.defaultdict(ejection.Ejector)
+        )
         self._view = view
         self._quarantine = quarantine
         self._clock = clock
         self._placer = placing.CostPlacer(chance, domain=failure_domain)
         self._others_by_agent: dict[str, int] = {}
         self._since_report_by_agent: dict[str, int] = {}
+        self._reported_at_by_agent: dict[str, float] = {}
 
     def reported(self, agent: str, state: messages.AgentState) -> None:
         """Take in an agent's state."""
@@ -57,6 +62,24 @@
         own = self.in_flight.count(agent)
         self._others_by_agent[agent] = max(state.running - own, 0)
         self._since_report_by_agent[agent] = 0
+        self._reported_at_by_agent[agent] = self._clock.now()
+
+    def answered(
+        self,
+        target: str,
+        agent: str,
+        first_token: float,
+    ) -> None:
+        """Note the seconds to the first piece of an answer."""
+        self._ejectors_by_target[target].observe(
+            agent,
+            first_token,
+            self._clock.now(),
+        )
+
+    def failed(self, target: str, agent: str) -> None:
+        """Note an attempt that an endpoint failed or left unanswered."""
+        self._ejectors_by_target[target].failed(agent, self._clock.now())
 
     def full(self, agent: str) -> None:
         """Note that an agent's gate refused an attempt because it is full.
@@ -94,7 +117,7 @@
         :param wall_time: Unix seconds, for the quarantine's evidence.
         """
         now = self._clock.now()
-        ejected = self.ejector.ejected(now)
+        ejector = self._ejectors_by_target[target]
         candidates_by_id = {
             candidate.agent: candidate
             for candidate in self._view.candidates(target)
@@ -109,7 +132,7 @@
         }
         choice = self._placer.choose(
             [
-                self._to_placing(candidate, ejected)
+                self._to_placing(candidate, ejector, now)
                 for candidate in candidates_by_id.values()
             ],
             now,
@@ -157,18 +180,23 @@
     def _to_placing(
         self,
         candidate: views.Candidate,
-        ejected: frozenset[str],
+        ejector: ejection.Ejector,
+        now: float,
     ) -> placing.Candidate:
         agent = candidate.agent
         return placing.Candidate(
             endpoint_id=agent,
             failure_domain=candidate.failure_domain,
             running_reported=candidate.report.running,
-            capacity=candidate.report.capacity,
+            capacity=ejector.slots(
+                agent,
+                candidate.report.capacity,
+                now,
+            ),
             own_in_flight=self.in_flight.count(agent),
-            ejected=agent in ejected,
+            ejected=agent in ejector.ejected(now),
             own_since_report=self._since_report_by_agent.get(agent, 0),
-            slowness=self.ejector.slowness(agent),
+            report_age=now - self._reported_at_by_agent.get(agent, now),
         )
 
 
