--- a/clementinepass/decisions/placing.py
+++ b/clementinepass/decisions/placing.py
@@ -170,9 +170,12 @@
         self,
         candidates: typing.Sequence[Candidate],
     ) -> typing.Sequence[Candidate]:
-        if len(candidates) <= self._sample:
-            return candidates
-        return self._rng.sample(candidates, self._sample)
+        # Also when all are drawn: in an order of its own, since equals are
+        # told apart by their place. Otherwise the requests of a quiet hour
+        # would all go to the first endpoint, and those of all entries to the
+        # same one.
+        number = min(len(candidates), self._sample)
+        return self._rng.sample(candidates, number)
 
     def _usable(
         self,
