--- a/benchmarks/weights.py
+++ b/benchmarks/weights.py
@@ -116,7 +116,6 @@
             gather=0.15,
             hold=1,
             patience=1.5,
-            downloads=10,
             origin_reads=4,
             distrust=5,
             poll=0.05,
--- a/tests/weights/test_replica.py
+++ b/tests/weights/test_replica.py
@@ -112,6 +112,26 @@
             orders = fleet.nodes[0].engine.orders
             self.assertEqual(wanted, orders[: len(wanted)])
 
+    def test_no_order_to_an_engine_with_a_newer_one(self) -> None:
+        """An old order is not even given when the engine has had a newer.
+
+        The engine shows the fencing number of another agent's order. Sending
+        a whole version for a refusal would take its link for nothing.
+        """
+
+        async def story(fleet: fakes.Fleet) -> None:
+            node = fleet.add('a')
+            node.engine.largest = 9
+            fleet.want('v1', fleet.publish('v1', seed=1))
+            await fakes.until(
+                lambda: 'revision 9' in node.rollout.progress().trouble
+            )
+            self.assertEqual('', node.gate.version)
+
+        fleet = fakes.run(story)
+        self._check(fleet)
+        self.assertEqual([], fleet.nodes[0].engine.orders)
+
     def test_changed_back_with_an_order_under_way(self) -> None:
         """Going back while the engine loads waits for the order's end.
 
