Collect garbage on the event loop only; show metrics of agents and between tokens

Cause: once in about five starts an agent ended with signal 6: "No event loop is running on this thread". The interpreter collected a cycle with a Cap n Proto promise on a thread that served a call. Change: automatic collection is off in the daemon; a task on the loop collects. Also: metrics are rendered on the loop, which changes them; an agent shows bytes by source, load, phase and revision; an entry the time between tokens.

--- a/clementinepass/agent/assembly.py
+++ b/clementinepass/agent/assembly.py
@@ -16,6 +16,7 @@
     execution,
     gate,
     health,
+    instruments,
     neighbours,
     rollout,
     servers,
@@ -39,6 +40,8 @@
 #: Threads beyond those that run requests: health, weights, instance list.
 _SPARE_THREADS = 16
 _ENGINE = 'engine'
+#: Seconds between two updates of the metrics.
+_MEASURE_INTERVAL = 1.0
 
 
 async def run(
@@ -100,6 +103,7 @@
             daemon.metrics_listen.port,
             self._registry,
             lambda: self._gate.phase is messages.Phase.SERVING,
+            self._bridge,
         )
         listen = addresses.Address(daemon.listen.host, daemon.listen.port)
         life = lifecycle.Lifecycle(path)
@@ -123,6 +127,13 @@
             group.create_task(self._agent.run())
             group.create_task(self._workload.run())
             group.create_task(self._neighbours.run())
+            group.create_task(self._measure())
+
+    async def _measure(self) -> None:
+        metrics = instruments.Instruments(self._registry)
+        while True:
+            metrics.update(self._agent.state())
+            await asyncio.sleep(_MEASURE_INTERVAL)
 
     async def _drain(self) -> None:
         await self._agent.drain(self._settings.daemon.drain_grace)
--- a/clementinepass/daemon.py
+++ b/clementinepass/daemon.py
@@ -18,6 +18,7 @@
 from clementinepass.observability import logs
 from clementinepass.platform import protocols
 from clementinepass.settings import settings as daemon_settings
+from clementinepass.wire import collection
 
 #: Exit codes.
 EXIT_OK = 0
@@ -68,8 +69,11 @@
     # Nanoseconds since 1970 grow with each start, also across instances
     # whose names come back.
     incarnation = time.time_ns()
+    collection.take_over()
     async with capnp.kj_loop():
+        collector = asyncio.create_task(collection.collect_forever())
         await assemble(settings, incarnation, path)
+        collector.cancel()
 
 
 def _read(path: pathlib.Path) -> daemon_settings.Settings:
--- a/clementinepass/entry/assembly.py
+++ b/clementinepass/entry/assembly.py
@@ -108,6 +108,7 @@
             daemon.metrics_listen.port,
             self._registry,
             lambda: self._entry.ready,
+            self._bridge,
         )
         listen = addresses.Address(daemon.listen.host, daemon.listen.port)
         self._claimer.start()
--- a/clementinepass/entry/dispatcher.py
+++ b/clementinepass/entry/dispatcher.py
@@ -199,6 +199,7 @@
             request,
             outcome.Attempt(request.id, trial.attempts, agent),
             outbox,
+            self._metrics.between,
         )
         trial.last = exchange
         self._fleet.began(agent, exchange, fingerprint, time.time())
--- a/clementinepass/entry/exchange.py
+++ b/clementinepass/entry/exchange.py
@@ -13,6 +13,8 @@
 from clementinepass.requests import outcome, streams
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
     from clementinepass.requests import identity
 
 
@@ -28,6 +30,8 @@
 
     A streamed answer goes out part by part; any other is held until it is
     whole, so that a failure before its end can still be retried.
+
+    :param on_gap: told the seconds between two parts of a stream.
     """
 
     def __init__(
@@ -35,6 +39,7 @@
         request: identity.Request,
         attempt: outcome.Attempt,
         outbox: outboxes.Outbox,
+        on_gap: Callable[[identity.Request, float], None],
     ) -> None:
         #: The request being served.
         self.request = request
@@ -59,6 +64,8 @@
         #: The answer's head and body, for requests with a claim.
         self.head: outboxes.Head | None = None
         self._outbox = outbox
+        self._on_gap = on_gap
+        self._part_at: float = 0
         self._held: list[bytes] = []
 
     @property
@@ -103,6 +110,10 @@
         if not self.request.stream:
             self._held.append(payload)
             return
+        now = time.monotonic()
+        if self.attempt.relayed:
+            self._on_gap(self.request, now - self._part_at)
+        self._part_at = now
         if not self.attempt.relayed and self.head is not None:
             self.attempt.relayed = True
             self._outbox.put(self.head)
--- a/clementinepass/observability/exposition.py
+++ b/clementinepass/observability/exposition.py
@@ -11,7 +11,11 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from clementinepass.wire import bridge as bridges
+
 _THREADS = 2
+#: Seconds that the event loop may take for the metrics.
+_TIMEOUT = 5.0
 _PLAIN = 'text/plain; charset=utf-8'
 
 
@@ -27,9 +31,11 @@
         port: int,
         registry: aioprometheus.Registry,
         ready: Callable[[], bool],
+        bridge: bridges.Bridge,
     ) -> None:
         self._registry = registry
         self._ready = ready
+        self._bridge = bridge
         self._server = wsgi.Server(
             (host, port),
             self._respond,
@@ -52,6 +58,17 @@
         """Stop serving."""
         self._server.stop()
 
+    def _render(
+        self,
+        start_response: Callable[..., typing.Any],
+    ) -> list[bytes]:
+        # Metrics change on the event loop; read from here they could change
+        # while they are being read.
+        rendering = self._bridge.submit(_rendered(self._registry))
+        body, headers = rendering.result(_TIMEOUT)
+        start_response('200 OK', list(headers.items()))
+        return [body]
+
     def _respond(
         self,
         environ: dict[str, typing.Any],
@@ -59,9 +76,7 @@
     ) -> Iterable[bytes]:
         path = environ['PATH_INFO']
         if path == '/metrics':
-            body, headers = aioprometheus.render(self._registry, [])
-            start_response('200 OK', list(headers.items()))
-            return [body]
+            return self._render(start_response)
         if path == '/healthz':
             start_response('200 OK', [('Content-Type', _PLAIN)])
             return [b'ok\n']
@@ -72,3 +87,10 @@
             return [b'ready\n' if ready else b'not ready\n']
         start_response('404 Not Found', [('Content-Type', _PLAIN)])
         return [b'not found\n']
+
+
+async def _rendered(
+    registry: aioprometheus.Registry,
+) -> tuple[bytes, dict[str, str]]:
+    body, headers = aioprometheus.render(registry, [])
+    return body, headers
