--- a/clementinepass/platform/instance_list.py
+++ b/clementinepass/platform/instance_list.py
@@ -4,8 +4,9 @@
 
 import msgspec
 
-from clementinepass import addresses
+from clementinepass import errors
 from clementinepass.platform import protocols, transport
+from clementinepass.wire import addresses
 
 _STEP = 'instances'
 
@@ -70,11 +71,16 @@
         if instance.role is protocols.Role.ENTRY and instance.callers_address:
             wanted.append(instance.callers_address)
         for address in wanted:
-            if not addresses.is_address(address):
-                detail = f'instance {instance.id}: no address: {address!r}'
-                raise self._transport.malformed(_STEP, detail)
+            self._check_address(instance.id, address)
         return msgspec.convert(
             instance,
             protocols.Instance,
             from_attributes=True,
         )
+
+    def _check_address(self, instance_id: str, address: str) -> None:
+        try:
+            addresses.Address.from_text(address)
+        except errors.MalformedMessageError as error:
+            detail = f'instance {instance_id}: no address: {address!r}'
+            raise self._transport.malformed(_STEP, detail) from error
--- a/tests/endpoints/test_engine.py
+++ b/tests/endpoints/test_engine.py
@@ -183,6 +183,12 @@
         error = self.assertRaises(errors.EndpointError, self.engine.status)
         self.assertEqual('status', error.step)
 
+    def test_takes_too_long(self):
+        """A stream that never falls silent and never ends is given up."""
+        call = contracts.completion(count=9000, timeout=0.3)
+        error = self.assertRaises(errors.EndpointError, self.attempt, call)
+        self.assertEqual('answer took too long', error.detail)
+
     def test_answers_no_stream(self):
         """A stream was asked for, and something else is answered."""
         self.show('replace', body='{}')
