Close each endpoint connection with its answer, and take slow chunks

Asked to close a connection, a server may answer without saying that it will; urllib3 then kept it and wrote the next call to it while it was closed. Status and health use their own ones too: a status lost in this way took a live engine for dead. A platform's answer that is slow and gets on is no longer given up after 60 s: chunks from a scarce link would be read again.

--- a/clementinepass/endpoints/answers.py
+++ b/clementinepass/endpoints/answers.py
@@ -14,7 +14,7 @@
 from clementinepass.endpoints import protocols
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from clementinepass import clock
 
@@ -150,6 +150,7 @@
 
     :param response: the answer, with its body still to be read.
     :param reader_for: chooses what cuts the body into parts.
+    :param release: called once nothing more is read.
     """
 
     __slots__ = (
@@ -158,6 +159,7 @@
         '_lock',
         '_peer',
         '_reader',
+        '_release',
         '_response',
         '_step',
         'head',
@@ -170,7 +172,8 @@
         peer: str,
         reader_for: ReaderFor,
         expiry: Expiry,
-        step: str = 'answer',
+        step: str,
+        release: Callable[[], None],
     ) -> None:
         #: Status and type.
         self.head = protocols.AnswerHead(
@@ -182,6 +185,7 @@
         self._reader = reader_for(self.head)
         self._expiry = expiry
         self._step = step
+        self._release = release
         self._given_up = False
         self._lock = threading.Lock()
 
@@ -201,6 +205,7 @@
             # A connection whose answer was not read to its end must not be
             # used again: the rest would be taken for the next one's answer.
             self._response.close()
+            self._release()
 
     def close(self) -> None:
         """Give the connection up; safe from another thread.
@@ -214,6 +219,7 @@
             self._response.shutdown()
         with self._lock:
             self._response.close()
+            self._release()
 
     def _parts(self) -> Iterator[bytes]:
         pieces = http_bodies.pieces(self._response)
--- a/clementinepass/endpoints/engine.py
+++ b/clementinepass/endpoints/engine.py
@@ -45,10 +45,6 @@
     ) -> None:
         self._transport = transport.Transport(address, limits)
 
-    def close(self) -> None:
-        """Close the idle connections."""
-        self._transport.close()
-
     def call(self, call: protocols.Call) -> answers.HttpAnswer:
         """Send a request and return its answer once the head is there.
 
--- a/clementinepass/endpoints/service.py
+++ b/clementinepass/endpoints/service.py
@@ -27,10 +27,6 @@
         self._transport = transport.Transport(address, limits)
         self._health_path = health_path
 
-    def close(self) -> None:
-        """Close the idle connections."""
-        self._transport.close()
-
     def call(self, call: protocols.Call) -> answers.HttpAnswer:
         """Send a request and return its answer once the head is there.
 
--- a/clementinepass/endpoints/transport.py
+++ b/clementinepass/endpoints/transport.py
@@ -15,8 +15,6 @@
     from collections.abc import Iterable, Mapping
 
 _STEP = 'call'
-#: No more are kept at once, all of them closed.
-_FRESH_CONNECTIONS = 1024
 _METHOD = re.compile('[A-Z]+')
 _PRINTABLE = re.compile('[!-~ ]*')
 
@@ -31,8 +29,6 @@
         endpoint that lives answers at once.
     :param load_timeout: seconds for an order to load a version.
     :param answer_bytes: the longest answer that is accepted.
-    :param connections: how many idle connections are kept for status and
-        cancellations.
     """
 
     connect_timeout: float = 2
@@ -40,7 +36,6 @@
     control_timeout: float = 5
     load_timeout: float = 300
     answer_bytes: int = 64 * 1024 * 1024
-    connections: int = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,8 +49,6 @@
     body: bytes | Iterable[bytes] | None = None
     connect_timeout: float = 0
     read_timeout: float = 0
-    #: Whether it has a connection of its own.
-    fresh: bool = False
 
 
 class Transport:
@@ -66,7 +59,7 @@
     :param address: the endpoint's address, ``host:port``.
     """
 
-    __slots__ = ('_clock', '_fresh', '_pool', 'limits', 'peer')
+    __slots__ = ('_clock', 'limits', 'peer')
 
     def __init__(
         self,
@@ -79,19 +72,6 @@
         #: Bounds on the calls.
         self.limits = limits or Limits()
         self._clock = timer or clock.MonotonicClock()
-        self._pool = urllib3.connection_from_url(
-            f'http://{address}',
-            maxsize=self.limits.connections,
-        )
-        self._fresh = urllib3.connection_from_url(
-            f'http://{address}',
-            maxsize=_FRESH_CONNECTIONS,
-        )
-
-    def close(self) -> None:
-        """Close the idle connections."""
-        self._pool.close()
-        self._fresh.close()
 
     def call(
         self,
@@ -104,61 +84,88 @@
         """
         self._check(call)
         deadline = self._clock.now() + call.timeout
-        response = self.send(
-            Exchange(
-                method=call.method,
-                path=call.path,
-                step=_STEP,
-                headers={
-                    'Content-Type': call.content_type,
-                    'X-Request-Id': call.request_id,
-                    'X-Priority': str(call.priority),
-                    # An endpoint that closes an idle connection at the moment
-                    # at which a call is written to it would leave us with
-                    # "may have run" for a call that it never saw, and a call
-                    # that isn't idempotent would be lost for no fault.
-                    'Connection': 'close',
-                },
-                body=call.body,
-                read_timeout=self._silence(call),
-                fresh=True,
-            ),
+        exchange = Exchange(
+            method=call.method,
+            path=call.path,
+            step=_STEP,
+            headers={
+                'Content-Type': call.content_type,
+                'X-Request-Id': call.request_id,
+                'X-Priority': str(call.priority),
+            },
+            body=call.body,
+            read_timeout=self._silence(call),
         )
-        return answers.HttpAnswer(
-            response,
-            peer=self.peer,
-            reader_for=reader_for,
-            expiry=answers.Expiry(self._clock, deadline),
+        return self._begin(
+            exchange,
+            reader_for,
+            answers.Expiry(self._clock, deadline),
         )
 
     def fetch(self, exchange: Exchange) -> answers.WholeReply:
         """Send a request and return its whole answer."""
-        response = self.send(exchange)
         timeout = exchange.read_timeout or self.limits.control_timeout
-        answer = answers.HttpAnswer(
+        deadline = self._clock.now() + exchange.connect_timeout + timeout
+        answer = self._begin(
+            exchange,
+            self.whole_reader,
+            answers.Expiry(self._clock, deadline),
+        )
+        content = b''.join(answer.parts())
+        return answers.WholeReply(answer.head.status, content)
+
+    def whole_reader(self, head: protocols.AnswerHead) -> answers.BodyReader:
+        """Return what reads a body that ends with its length."""
+        return answers.WholeReader(self.limits.answer_bytes)
+
+    def _begin(
+        self,
+        exchange: Exchange,
+        reader_for: answers.ReaderFor,
+        expiry: answers.Expiry,
+    ) -> answers.HttpAnswer:
+        """Send a request on a connection of its own.
+
+        An endpoint that closes an idle connection at the moment at which a
+        request is written to it would leave us with "may have run" for a call
+        that it never saw, and a call that isn't idempotent would be lost for
+        no fault; or it would be taken for dead because of its status. So each
+        connection comes from a pool that is closed with the answer: not all
+        servers say in their answer that they are going to close the
+        connection, as they were asked to.
+        """
+        own = urllib3.connection_from_url(f'http://{self.peer}', maxsize=1)
+        try:
+            response = self._send(exchange, own)
+        except errors.EndpointError:
+            own.close()
+            raise
+        return answers.HttpAnswer(
             response,
             peer=self.peer,
-            reader_for=self.whole_reader,
-            expiry=answers.Expiry(self._clock, self._clock.now() + timeout),
+            reader_for=reader_for,
+            expiry=expiry,
             step=exchange.step,
+            release=own.close,
         )
-        content = b''.join(answer.parts())
-        return answers.WholeReply(answer.head.status, content)
 
-    def send(self, exchange: Exchange) -> urllib3.BaseHTTPResponse:
+    def _send(
+        self,
+        exchange: Exchange,
+        pool: urllib3.HTTPConnectionPool,
+    ) -> urllib3.BaseHTTPResponse:
         """Send a request and return its answer, with the body to be read.
 
         :raises EndpointError: there was no answer; not run only where no
             connection came to stand.
         """
         limits = self.limits
-        pool = self._fresh if exchange.fresh else self._pool
         try:
             response = pool.request(
                 exchange.method,
                 exchange.path,
                 body=exchange.body,
-                headers=dict(exchange.headers),
+                headers={**exchange.headers, 'Connection': 'close'},
                 # The gate alone may decide on a second run: a retry here
                 # could file a dispatch twice and nobody would know.
                 retries=False,
@@ -196,10 +203,6 @@
             )
         return response
 
-    def whole_reader(self, head: protocols.AnswerHead) -> answers.BodyReader:
-        """Return what reads a body that ends with its length."""
-        return answers.WholeReader(self.limits.answer_bytes)
-
     def _check(self, call: protocols.Call) -> None:
         """Refuse what cannot be sent, while it is certain that it wasn't.
 
--- a/clementinepass/platform/transport.py
+++ b/clementinepass/platform/transport.py
@@ -27,8 +27,12 @@
 
     :param connect_timeout: seconds until a connection must stand.
     :param read_timeout: seconds of silence until the service is given up.
-    :param total_timeout: seconds for the whole answer, so that a service
-        that sends a byte now and then cannot hold a caller for ever.
+    :param total_timeout: seconds after which an answer that still comes in
+        must come at the least rate, so that a service that sends a byte now
+        and then cannot hold a caller for ever.
+    :param least_rate: bytes a second; slower answers are given up. A scarce
+        link that many share is slow and gets there: to give it up would read
+        the same bytes from it again.
     :param answer_bytes: the longest answer that is accepted.
     :param connections: how many idle connections are kept.
     """
@@ -36,6 +40,7 @@
     connect_timeout: float = 2
     read_timeout: float = 10
     total_timeout: float = 60
+    least_rate: float = 4096
     answer_bytes: int = 64 * 1024 * 1024
     connections: int = 16
 
@@ -48,6 +53,30 @@
     body: bytes
 
 
+class _Patience:
+    """Tell when an answer that is not silent has become too slow."""
+
+    __slots__ = ('_begun', '_clock', '_limits', '_wait')
+
+    def __init__(
+        self,
+        limits: Limits,
+        timer: clock.Clock,
+        wait: float,
+    ) -> None:
+        self._limits = limits
+        self._clock = timer
+        self._wait = wait
+        self._begun = timer.now()
+
+    def ended(self, received: int) -> bool:
+        """Tell whether to give an answer up after so many bytes."""
+        elapsed = self._clock.now() - self._begun - self._wait
+        if elapsed <= self._limits.total_timeout:
+            return False
+        return received < elapsed * self._limits.least_rate
+
+
 class Transport:
     """Exchange one request for one whole answer; never sends one twice.
 
@@ -99,7 +128,7 @@
         :raises MalformedMessageError: the answer has no end by which it could
             be told to be whole.
         """
-        deadline = self._clock.now() + wait + self._limits.total_timeout
+        patience = _Patience(self._limits, self._clock, wait)
         try:
             response = self._send(method, path, body, wait)
         except (
@@ -110,7 +139,7 @@
         except urllib3.exceptions.HTTPError as error:
             raise self._unavailable(error, step) from error
         try:
-            content = self._read(response, step, deadline)
+            content = self._read(response, step, patience)
         except urllib3.exceptions.HTTPError as error:
             raise self._unavailable(error, step) from error
         finally:
@@ -162,7 +191,7 @@
         self,
         response: urllib3.BaseHTTPResponse,
         step: str,
-        deadline: float,
+        patience: _Patience,
     ) -> bytes:
         """Read a whole body within the limits of size and time."""
         if not http_bodies.has_end(response):
@@ -177,7 +206,7 @@
             content += piece
             if len(content) > limit:
                 raise self._too_long(step)
-            if self._clock.now() > deadline:
+            if patience.ended(len(content)):
                 raise self._unavailable('answer took too long', step)
         return bytes(content)
 
