Free Cap'n Proto objects on their event loop only

Cause: a daemon aborted ("No event loop is running on this thread") when the garbage collector ran in a thread and freed a session that was part of a cycle; seen as an agent that dies soon after entries replace their connections. Errors that cross the bridge take the same risk along in the frames of their tracebacks. Change: the automatic collector is off and the loop collects; errors cross the bridge without frames.

--- a/clementinepass/daemon.py
+++ b/clementinepass/daemon.py
@@ -18,6 +18,7 @@
 from clementinepass.observability import logs
 from clementinepass.platform import protocols
 from clementinepass.settings import settings as daemon_settings
+from clementinepass.wire import garbage
 
 #: Exit codes.
 EXIT_OK = 0
@@ -68,7 +69,7 @@
     # Nanoseconds since 1970 grow with each start, also across instances
     # whose names come back.
     incarnation = time.time_ns()
-    async with capnp.kj_loop():
+    async with capnp.kj_loop(), garbage.collected_on_loop():
         await assemble(settings, incarnation, path)
 
 
--- a/clementinepass/wire/bridge.py
+++ b/clementinepass/wire/bridge.py
@@ -35,7 +35,10 @@
         coroutine: Coroutine[typing.Any, typing.Any, _Result],
     ) -> concurrent.futures.Future[_Result]:
         """Run a coroutine on the loop; to be called from a thread."""
-        return asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+        return asyncio.run_coroutine_threadsafe(
+            _without_frames(coroutine),
+            self._loop,
+        )
 
     def post(
         self,
@@ -65,3 +68,20 @@
     def close(self) -> None:
         """Stop taking calls; those under way are not waited for."""
         self._pool.shutdown(wait=False, cancel_futures=True)
+
+
+async def _without_frames(
+    coroutine: Coroutine[typing.Any, typing.Any, _Result],
+) -> _Result:
+    """Run a coroutine; its error takes no frames along to the thread.
+
+    The frames of a traceback hold Cap'n Proto objects. Were the thread the
+    last to hold them, they would be freed outside their event loop's thread,
+    which aborts the process.
+    """
+    try:
+        return await coroutine
+    except Exception as error:
+        error.__cause__ = None
+        error.__context__ = None
+        raise error.with_traceback(None)
