--- a/tests/wire/test_collection.py
+++ b/tests/wire/test_garbage_in_process.py
@@ -8,9 +8,9 @@
 import testtools
 
 _PROGRAM = """
-import asyncio, sys, threading
+import asyncio, contextlib, sys
 import capnp
-from clementinepass.wire import addresses, collection, connections, schema
+from clementinepass.wire import addresses, connections, garbage, schema
 
 guarded = sys.argv[1] == 'guarded'
 
@@ -25,13 +25,11 @@
         kept = [[] for _ in range(1000)]
 
 async def main():
-    if guarded:
-        collection.take_over()
     address = addresses.Address('127.0.0.1', 0)
-    async with capnp.kj_loop():
-        collector = None
-        if guarded:
-            collector = asyncio.create_task(collection.collect_forever())
+    guard = contextlib.nullcontext()
+    if guarded:
+        guard = garbage.collected_on_loop()
+    async with capnp.kj_loop(), guard:
         async with connections.listen(address, Server) as bound:
             for _ in range(20):
                 connection = await connections.Connection.open(bound, 5)
@@ -41,8 +39,6 @@
                 del cycle
                 await asyncio.to_thread(allocate)
                 connection.close()
-        if collector:
-            collector.cancel()
     print('ended')
 
 asyncio.run(main())
