Give operators the configuration and settings commands

Wrong arguments end with 2 like other bad input; the library ended with 1, which would read as a rejection.

A section both set and removed is a listed fault; it ended in a traceback.

--- /dev/null
+++ b/clementinepass/cli/config_commands.py
@@ -0,0 +1,293 @@
+"""Commands about the configuration: check, diff, publish, show, history."""
+
+from __future__ import annotations
+
+import getpass
+import pathlib
+import sys
+import typing
+
+import cyclopts
+import msgspec
+
+from clementinepass.cli import exits, output
+from clementinepass.configuration import (
+    changes,
+    checks,
+    folder,
+    history as past,
+    publisher,
+    schema,
+)
+from clementinepass.ini import values
+from clementinepass.platform import log_service
+
+app = cyclopts.App(
+    name='config',
+    help='Check, publish and show the configuration.',
+)
+
+LogAddress = typing.Annotated[
+    str,
+    cyclopts.Parameter(
+        name='--log',
+        env_var='CLEMENTINEPASS_LOG',
+        help='Where the log service is, host:port.',
+    ),
+]
+Removed = typing.Annotated[
+    tuple[str, ...],
+    cyclopts.Parameter(
+        name='--remove',
+        negative=(),
+        help="Remove a section, such as 'team alpha'; may be repeated.",
+    ),
+]
+
+
+class Difference(msgspec.Struct, frozen=True):
+    """One key that differs; an absent side is empty."""
+
+    section: str
+    key: str
+    in_force: str
+    folder: str
+
+
+class Differences(msgspec.Struct, frozen=True):
+    """What publishing a folder would change."""
+
+    revision: int
+    differences: tuple[Difference, ...]
+    #: Sections in force that the folder lacks; publishing keeps them.
+    only_in_force: tuple[str, ...]
+
+
+class Published(msgspec.Struct, frozen=True):
+    """A publication that is in force."""
+
+    revision: int
+    #: Empty if nothing had to change.
+    id: str
+
+
+class Shown(msgspec.Struct, frozen=True):
+    """One section in force."""
+
+    section: str
+    revision: int
+    values: dict[str, str]
+
+
+@app.command
+def check(path: pathlib.Path, *, json: bool = False) -> None:
+    """Check a folder without asking anybody; list all faults.
+
+    Example: ``clementinepass config check configuration/``
+
+    :param path: the folder of INI files.
+    :param json: print one JSON document.
+    """
+    with exits.reported():
+        sections = folder.read(path)
+        checks.check(sections)
+    names = sorted(sections.by_name)
+    if json:
+        output.print_json(names)
+    else:
+        output.screen.print(f'{path}: {len(names)} sections, no faults')
+
+
+@app.command
+def diff(path: pathlib.Path, *, log: LogAddress, json: bool = False) -> None:
+    """Show what publishing a folder would change.
+
+    Example: ``clementinepass config diff configuration/ --log 10.0.0.5:7100``
+
+    :param path: the folder of INI files.
+    :param json: print one JSON document instead of a table.
+    """
+    with exits.reported():
+        sections = folder.read(path)
+        current = _publisher(log).current()
+    wanted = changes.Changes.between(current, sections, ())
+    in_force = current.values_by_section()
+    shown = Differences(
+        current.revision,
+        tuple(_differences(in_force, wanted.set_by_section)),
+        tuple(
+            name
+            for name in sorted(in_force.keys() - sections.by_name.keys())
+            if schema.kind_of(name) != schema.KEY_OWNER
+        ),
+    )
+    if json:
+        output.print_json(shown)
+        return
+    output.print_table(
+        f'against revision {shown.revision}',
+        ('section', 'key', 'in force', 'folder'),
+        (msgspec.structs.astuple(row) for row in shown.differences),
+    )
+    for name in shown.only_in_force:
+        output.screen.print(f'only in force: {name}', markup=False)
+
+
+@app.command
+def publish(
+    path: pathlib.Path,
+    *,
+    log: LogAddress,
+    message: typing.Annotated[
+        str, cyclopts.Parameter(name=('--message', '-m'))
+    ],
+    operator: typing.Annotated[
+        str,
+        cyclopts.Parameter(env_var='CLEMENTINEPASS_OPERATOR'),
+    ] = '',
+    remove: Removed = (),
+    base: int | None = None,
+    timeout: float = 10,
+    json: bool = False,
+) -> None:
+    """Publish a folder; return once the change is in force.
+
+    Sections in force that the folder lacks are kept unless removed by name.
+
+    Example: ``clementinepass config publish configuration/ -m 'Add team'``
+
+    :param path: the folder of INI files.
+    :param message: what the change is for.
+    :param operator: who asks for it; the name logged in under by default.
+    :param base: the revision that the folder was made from; sections that
+        others have changed since are not overwritten.
+    :param timeout: seconds for which to look for the own record.
+    :param json: print one JSON document.
+    """
+    with exits.reported():
+        accepted = _publisher(log, timeout).publish(
+            folder.read(path),
+            remove,
+            operator=operator or getpass.getuser(),
+            message=message,
+            base=base,
+        )
+    if json:
+        output.print_json(Published(accepted.revision, accepted.id))
+    elif accepted.id:
+        output.screen.print(
+            f'accepted at revision {accepted.revision} ({accepted.id})',
+        )
+    else:
+        output.screen.print(f'nothing to change at {accepted.revision}')
+
+
+@app.command
+def show(
+    section: str = '',
+    *,
+    log: LogAddress,
+    json: bool = False,
+) -> None:
+    """Show the sections in force with the revisions that set them.
+
+    Example: ``clementinepass config show 'model faults'``
+
+    :param section: the section to show; all by default.
+    :param json: print one JSON document instead of a table.
+    """
+    with exits.reported():
+        current = _publisher(log).current()
+    shown = [
+        Shown(name, found.revision, found.values)
+        for name, found in sorted(current.sections_by_name.items())
+        if section in {'', name} and schema.kind_of(name) != schema.KEY_OWNER
+    ]
+    if json:
+        output.print_json(shown)
+    else:
+        output.print_table(
+            f'in force at revision {current.revision}',
+            ('section', 'revision', 'key', 'value'),
+            (
+                (one.section, one.revision, key, text)
+                for one in shown
+                for key, text in (one.values or {'': ''}).items()
+            ),
+        )
+    if section and not shown:
+        sys.stderr.write(f'[{section}] is not in force\n')
+        sys.exit(exits.REJECTED)
+
+
+@app.command
+def history(
+    *,
+    log: LogAddress,
+    id: str = '',  # noqa: WPS125 (the option's name)
+    limit: int = 50,
+    json: bool = False,
+) -> None:
+    """Show the publications that the log keeps and what became of them.
+
+    Example: ``clementinepass config history --id 3f2a... --json``
+
+    :param id: show this publication only.
+    :param limit: the most publications to show, counted from the newest.
+    :param json: print one JSON document instead of a table.
+    """
+    with exits.reported():
+        events = past.read(_connect(log))
+    chosen = [event for event in events if id in {'', event.id}][-limit:]
+    if json:
+        output.print_json(chosen)
+    else:
+        output.print_table(
+            'publications',
+            ('revision', 'operator', 'message', 'outcome', 'detail', 'id'),
+            (
+                (
+                    event.revision,
+                    event.operator,
+                    event.message,
+                    event.outcome,
+                    event.detail,
+                    event.id,
+                )
+                for event in chosen
+            ),
+        )
+    if id and not chosen:
+        sys.stderr.write(f'publication {id} is not in the log, as yet\n')
+        sys.exit(exits.REJECTED)
+
+
+def _connect(address: str) -> log_service.HttpLogService:
+    try:
+        values.ADDRESS.parse(address)
+    except ValueError:
+        detail = values.ADDRESS.expected()
+        sys.stderr.write(f'--log: {address!r}: {detail}\n')
+        sys.exit(exits.BAD_INPUT)
+    return log_service.HttpLogService(address)
+
+
+def _publisher(address: str, timeout: float = 10) -> publisher.Publisher:
+    return publisher.Publisher(_connect(address), timeout=timeout)
+
+
+def _differences(
+    in_force: dict[str, dict[str, str]],
+    set_by_section: dict[str, dict[str, str]],
+) -> typing.Iterator[Difference]:
+    for section, wanted in sorted(set_by_section.items()):
+        present = in_force.get(section, {})
+        for key in sorted(present.keys() | wanted.keys()):
+            row = Difference(
+                section,
+                key,
+                present.get(key, ''),
+                wanted.get(key, ''),
+            )
+            if row.in_force != row.folder:
+                yield row
--- a/clementinepass/cli/exits.py
+++ b/clementinepass/cli/exits.py
@@ -24,6 +24,8 @@
     errors.PlatformUnavailableError,
     errors.PeerUnavailableError,
     errors.ThrottledError,
+    errors.OutcomeUnknownError,
+    errors.RecordsExpiredError,
 )
 
 
--- a/clementinepass/cli/main.py
+++ b/clementinepass/cli/main.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+import sys
 import typing
 
 import cyclopts
 
-from clementinepass.cli import rollout_commands, system_commands
+from clementinepass.cli import (
+    config_commands,
+    exits,
+    rollout_commands,
+    settings_commands,
+    system_commands,
+)
 
 if typing.TYPE_CHECKING:
     from collections.abc import Sequence
@@ -23,11 +30,18 @@
 app.command(system_commands.drain)
 app.command(system_commands.request)
 app.command(rollout_commands.app)
+app.command(config_commands.app)
+app.command(settings_commands.app)
 
 
 def main(arguments: Sequence[str] | None = None) -> None:
     """Run the command line."""
-    app(arguments)
+    try:
+        app(arguments, exit_on_error=False)
+    except cyclopts.CycloptsError:
+        # The library has printed what is wrong with the arguments; its own
+        # exit code would read as a rejection.
+        sys.exit(exits.BAD_INPUT)
 
 
 if __name__ == '__main__':
--- a/clementinepass/configuration/publisher.py
+++ b/clementinepass/configuration/publisher.py
@@ -19,6 +19,7 @@
     records,
     state,
 )
+from clementinepass.ini import reader
 
 if typing.TYPE_CHECKING:
     from clementinepass.platform import protocols
@@ -112,6 +113,7 @@
             and may still land.
         :raises PlatformUnavailableError: nothing was appended.
         """
+        _check_removed(sections, removed)
         current = self.current()
         wanted = changes.Changes.between(current, sections, removed)
         if not wanted:
@@ -205,6 +207,26 @@
         )
 
 
+def _check_removed(
+    sections: folder.Sections,
+    removed: typing.Collection[str],
+) -> None:
+    both = [
+        sections.by_name[name] for name in removed if name in sections.by_name
+    ]
+    folder.raise_faults(
+        [
+            reader.Fault(
+                section.file,
+                section.line,
+                section.name,
+                'is set here and to be removed at once',
+            )
+            for section in both
+        ],
+    )
+
+
 def _check(
     wanted: changes.Changes,
     current: state.State,
--- a/clementinepass/configuration/snapshots.py
+++ b/clementinepass/configuration/snapshots.py
@@ -130,18 +130,28 @@
         return behind >= self._every or aged
 
 
-def _highest(log: protocols.LogService, start: int) -> Snapshot | None:
-    found: Snapshot | None = None
+def kept(
+    log: protocols.LogService,
+    start: int = 0,
+) -> typing.Iterator[Snapshot]:
+    """Yield the stream's snapshots from an offset or the oldest kept.
+
+    :raises PlatformUnavailableError: the log did not answer.
+    """
     offset = start
     while True:
         page = _read_kept(log, offset, limit=_NEWEST_FIRST)
         for record in page.records:
             snapshot = _decode_or_none(record.payload)
-            if found is None or _revision(snapshot) > _revision(found):
-                found = snapshot
+            if snapshot is not None:
+                yield snapshot
         offset = page.next_offset
         if not page.records or offset >= page.end:
-            return found
+            return
+
+
+def _highest(log: protocols.LogService, start: int) -> Snapshot | None:
+    return max(kept(log, start), key=_rank, default=None)
 
 
 def _decode_or_none(payload: bytes) -> Snapshot | None:
@@ -151,8 +161,10 @@
         return None
 
 
-def _revision(snapshot: Snapshot | None) -> int:
-    return snapshot.state.revision if snapshot else -1
+def _rank(snapshot: Snapshot) -> tuple[int, float]:
+    # Of copies of one revision the newest counts: with the oldest, each
+    # entry would take the revision for due by age and add one more copy.
+    return snapshot.state.revision, snapshot.written_at
 
 
 def _read_kept(
--- /dev/null
+++ b/clementinepass/settings/reference.py
@@ -0,0 +1,57 @@
+"""The reference page of all settings, from the table of defaults."""
+
+from __future__ import annotations
+
+import typing
+
+from clementinepass.platform import protocols
+from clementinepass.settings import defaults
+
+_HEAD = """\
+# Settings of the daemon
+
+Written by `clementinepass settings reference` from the table of defaults.
+
+`clementinepassd` reads one INI file at its start. It checks the whole file
+before it opens anything and lists all faults together; check one by hand
+with `clementinepass settings check FILE`. SIGHUP re-reads `[logging] level`
+only. Durations are written as `250ms`, `4s`, `2min` or `1h`, sizes as `64MB`
+or `64MiB`, rates as `100MB/s`, addresses as IP number and port.
+"""
+_COLUMNS = ('key', 'value', 'default', 'meaning')
+
+
+def render() -> str:
+    """Return the whole page."""
+    parts = [_HEAD]
+    for name, section_type in defaults.SECTIONS_BY_NAME.items():
+        parts.append(_render_section(name, section_type))
+    return '\n'.join(parts)
+
+
+def _render_section(name: str, section_type: defaults.SectionType) -> str:
+    role = ''
+    if section_type.roles != defaults.BOTH:
+        role = f' ({_only(section_type.roles)} only)'
+    lines = [
+        f'## `[{name}]`{role}',
+        '',
+        section_type.record.__doc__ or '',
+        '',
+        _row(_COLUMNS),
+        _row(['---' for _ in _COLUMNS]),
+    ]
+    for key, setting in section_type.settings_by_key().items():
+        required = setting.default is defaults.REQUIRED
+        default = 'required' if required else f'`{setting.default}`'
+        value = setting.value_type.name
+        lines.append(_row((f'`{key}`', value, default, setting.description)))
+    return '\n'.join([*lines, ''])
+
+
+def _only(roles: frozenset[protocols.Role]) -> str:
+    return ', '.join(sorted(role.value for role in roles))
+
+
+def _row(cells: typing.Iterable[str]) -> str:
+    return f'| {" | ".join(cells)} |'
