Prove that racing operators are told the truth and nothing reverts

The proof found that losers were told of the derived section of the old key rather than of the team; its kind now sorts after the team. The command line no longer mixes the log events of the library into its errors.

--- a/clementinepass/cli/main.py
+++ b/clementinepass/cli/main.py
@@ -6,6 +6,7 @@
 import typing
 
 import cyclopts
+from loguru import logger
 
 from clementinepass.cli import (
     config_commands,
@@ -36,6 +37,8 @@
 
 def main(arguments: Sequence[str] | None = None) -> None:
     """Run the command line."""
+    # Events are for daemons; here errors are printed as what they are.
+    logger.remove()
     try:
         app(arguments, exit_on_error=False)
     except cyclopts.CycloptsError:
--- a/clementinepass/configuration/schema.py
+++ b/clementinepass/configuration/schema.py
@@ -13,7 +13,8 @@
 PROMISE = 'promise'
 SERVICE = 'service'
 #: Derived by the publisher, never written by operators: who owns a key.
-KEY_OWNER = 'key'
+#: Sorts after the team itself, so that a loser is told of the team first.
+KEY_OWNER = 'team-key'
 
 #: Separates kind and name in a section's header.
 SEPARATOR = ' '
--- a/tests/configuration/test_checks.py
+++ b/tests/configuration/test_checks.py
@@ -23,9 +23,9 @@
     ),
     'derived kind': (
         '[team alpha]',
-        '[key alpha]',
+        '[team-key alpha]',
         [
-            '0.ini:1: key alpha: unknown section',
+            '0.ini:1: team-key alpha: unknown section',
             '0.ini:13: promise alpha/m: there is no [team alpha]',
             '0.ini:16: promise alpha/desk: there is no [team alpha]',
         ],
--- a/tests/configuration/test_races.py
+++ b/tests/configuration/test_races.py
@@ -285,7 +285,7 @@
         in_force = {
             name: values
             for name, values in self.truth[-1].state.values_by_section().items()
-            if not name.startswith('key ')
+            if not name.startswith('team-key ')
         }
         checks.check(folder.Sections.from_values(in_force, 'in force'))
 
