--- a/benchmarks/decisions/entries.py
+++ b/benchmarks/decisions/entries.py
@@ -20,6 +20,8 @@
 REPORT_SECONDS = 0.25
 #: Seconds before a request that found its endpoint full is placed again.
 _AGAIN_SECONDS = 0.02
+#: Endpoints that a request is offered to in a row.
+_MOST_TRIES = 3
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -262,6 +264,23 @@
 
     def _dispatch(self, ticket: tickets.Ticket) -> None:
         request = self._requests_by_id[ticket.request_id]
+        for _ in range(_MOST_TRIES):
+            endpoint = self._choose(request)
+            if not self._is_refused_by(endpoint):
+                self._send(ticket, request, endpoint)
+                return
+            # The refusal tells the load there, newer than any report.
+            self.receive_load(
+                endpoint.endpoint_id,
+                endpoint.running,
+                self.own_in_flight[endpoint.endpoint_id],
+                self.simulation.now,
+            )
+        now = self.simulation.now
+        self.policy.admission.returned(ticket, now, found_full=True)
+        self._pump_again()
+
+    def _choose(self, request: Request) -> simulation.Endpoint:
         choice = self.policy.placer.choose(
             self._candidates(),
             self.simulation.now,
@@ -269,23 +288,22 @@
         )
         if choice is None:
             raise RuntimeError('no endpoints')
-        endpoint = self.endpoints_by_id[choice.endpoint_id]
+        return self.endpoints_by_id[choice.endpoint_id]
+
+    def _is_refused_by(self, endpoint: simulation.Endpoint) -> bool:
         is_full = endpoint.running >= endpoint.slots
-        if self.policy.is_gated and is_full and not endpoint.is_dead:
-            self.policy.admission.returned(ticket, self.simulation.now)
-            # The refusal tells the load there, newer than any report.
-            self.receive_load(
-                choice.endpoint_id,
-                endpoint.running,
-                self.own_in_flight[choice.endpoint_id],
-                self.simulation.now,
-            )
-            self._pump_again()
-            return
+        return self.policy.is_gated and is_full and not endpoint.is_dead
+
+    def _send(
+        self,
+        ticket: tickets.Ticket,
+        request: Request,
+        endpoint: simulation.Endpoint,
+    ) -> None:
         request.dispatches += 1
         dispatch = _Dispatch(self, ticket, endpoint)
         self._in_flight[ticket.request_id] = dispatch
-        self.own_in_flight[choice.endpoint_id] += 1
+        self.own_in_flight[endpoint.endpoint_id] += 1
         dispatch.run = endpoint.start(request.work, dispatch)
 
     def _pump_again(self) -> None:
--- a/clementinepass/decisions/admission.py
+++ b/clementinepass/decisions/admission.py
@@ -12,6 +12,7 @@
 import collections
 import dataclasses
 import heapq
+import math
 import typing
 
 from clementinepass.decisions import (
@@ -72,7 +73,13 @@
     ) -> None:
         """Note that an admitted request left its slot."""
 
-    def returned(self, ticket: tickets.Ticket, now: float) -> None:
+    def returned(
+        self,
+        ticket: tickets.Ticket,
+        now: float,
+        *,
+        found_full: bool = False,
+    ) -> None:
         """Let an admitted request wait again, before all others."""
 
     def set_capacity(self, capacity: int) -> None:
@@ -120,7 +127,13 @@
         """Free the slot."""
         self._in_flight -= 1
 
-    def returned(self, ticket: tickets.Ticket, now: float) -> None:
+    def returned(
+        self,
+        ticket: tickets.Ticket,
+        now: float,
+        *,
+        found_full: bool = False,
+    ) -> None:
         """Put the request at the front of the line."""
         self._in_flight -= 1
         self._waiting.appendleft(ticket)
@@ -139,6 +152,7 @@
 
     __slots__ = (
         '_capacity',
+        '_ceiling',
         '_displaced',
         '_expiries',
         '_limits',
@@ -162,6 +176,8 @@
         self._limits = limits
         self._rng = rng
         self._capacity = 0
+        #: Requests that may run since endpoints were last found full.
+        self._ceiling = math.inf
         #: Part of the shares that the capacity covers, 0 to 1.
         self._scale = 1.0
         self._shares_by_team: dict[str, float] = {}
@@ -230,7 +246,7 @@
         refusal = self._refusal(ticket, now)
         if refusal is not None:
             return self._refuse(ticket, refusal)
-        if not self._waiting_by_id and self.in_flight < self._capacity:
+        if not self._waiting_by_id and self._has_room():
             return self._admit(ticket, now)
         return self._enqueue(ticket)
 
@@ -242,7 +258,7 @@
         ]
         self._displaced.clear()
         decisions.extend(self._shed(now))
-        while self._waiting_by_id and self.in_flight < self._capacity:
+        while self._waiting_by_id and self._has_room():
             decisions.append(self._decide_first(now))
         return decisions
 
@@ -270,19 +286,37 @@
         """
         started = self._started_by_id.pop(ticket.request_id)
         self._queue.finished(ticket.team)
+        self._ceiling += 1
+        if self._ceiling > self._capacity:
+            self._ceiling = math.inf
         if succeeded:
             self._service_time.observe(now - started, ticket.cost)
 
-    def returned(self, ticket: tickets.Ticket, now: float) -> None:
+    def returned(
+        self,
+        ticket: tickets.Ticket,
+        now: float,
+        *,
+        found_full: bool = False,
+    ) -> None:
         """Put an admitted ticket back at the front of its team's queue.
 
-        For a dispatch that an endpoint's gate refused as not run. The queue's
-        bound is not applied again: the ticket was let in before.
+        For a dispatch that an endpoint's gate refused as not run, or that is
+        to be retried. The queue's bound is not applied again: the ticket was
+        let in before.
+
+        :param found_full: whether the gate refused it for lack of a slot.
         """
         del self._started_by_id[ticket.request_id]
         self._queue.finished(ticket.team)
         self._queue.push_front(ticket)
         self._note_waiting(ticket)
+        if found_full:
+            # Load: entries count on the same free slots. Harm: each would
+            # knock at full endpoints over and over. So no more than what
+            # runs now; each end then allows one more, which makes at most
+            # one refusal for each request that ends.
+            self._ceiling = max(self.in_flight, 1)
 
     def withdrawn(self, ticket: tickets.Ticket) -> None:
         """Drop a waiting ticket whose caller has gone away.
@@ -292,6 +326,9 @@
         if self._waiting_by_id.pop(ticket.request_id, None) is not None:
             self._queue.remove(ticket)
 
+    def _has_room(self) -> bool:
+        return self.in_flight < min(self._capacity, self._ceiling)
+
     def _rescale(self) -> None:
         # Load: endpoints are lost and the promises add up to more than what
         # is left. Harm: teams below their full share would go first and
@@ -347,7 +384,7 @@
         )
 
     def _expected_wait(self, ticket: tickets.Ticket) -> float:
-        if self.in_flight < self._capacity and not self._waiting_by_id:
+        if self._has_room() and not self._waiting_by_id:
             return 0
         # By Little's law the team's part of the slots drains its queue at
         # slots / seconds-for-a-unit units of cost a second.
