--- a/tests/decisions/test_invariants.py
+++ b/tests/decisions/test_invariants.py
@@ -99,7 +99,11 @@
         ticket = self._pick(index)
         if ticket is not None:
             self.queued[ticket.request_id] = ticket
-            self.controller.returned(ticket, self.now)
+            self.controller.returned(
+                ticket,
+                self.now,
+                found_full=bool(index % 2),
+            )
 
     def _withdraw(self, index: int) -> None:
         ids = sorted(self.queued)
--- /dev/null
+++ b/tests/decisions/test_retry_budget.py
@@ -0,0 +1,39 @@
+"""Tests of the retry budget."""
+
+from __future__ import annotations
+
+import testtools
+
+from clementinepass.decisions import reasons, retry_budget
+
+
+class RetryBudgetTest(testtools.TestCase):
+    """Retries are a share of fresh traffic."""
+
+    def test_share(self) -> None:
+        """After the savings, one retry in ten requests."""
+        budget = retry_budget.RetryBudget.from_share(0.1)
+        allowed = 0
+        for _ in range(1000):
+            budget.fresh(0)
+            allowed += budget.may_retry(0) + budget.may_retry(0)
+        self.assertLessEqual(allowed, 1000 * 0.1 + 10)
+        self.assertGreater(allowed, 100)
+
+    def test_rules_before_budget(self) -> None:
+        """What must not run again isn't, whatever the budget holds."""
+        table = [
+            ((1, 0, False, False), reasons.Retry.ALLOWED),
+            ((1, 0, True, True), reasons.Retry.ALLOWED),
+            ((1, 0, True, False), reasons.Retry.MAY_HAVE_RUN),
+            ((1, 1, True, True), reasons.Retry.ALLOWED),
+            ((2, 2, True, True), reasons.Retry.CRASHED_TWICE),
+            ((3, 0, False, True), reasons.Retry.TOO_MANY_ATTEMPTS),
+        ]
+        for fields, expected in table:
+            budget = retry_budget.RetryBudget.from_share(0.1)
+            attempt = retry_budget.Attempt(*fields)
+            self.assertEqual(
+                expected,
+                retry_budget.decide(attempt, budget, 0),
+            )
