--- /dev/null
+++ b/clementinepass/observability/exposition.py
@@ -0,0 +1,96 @@
+"""Metrics and health of a daemon over HTTP, on a port of their own."""
+
+from __future__ import annotations
+
+import threading
+import typing
+
+import aioprometheus
+from cheroot import wsgi
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from clementinepass.wire import bridge as bridges
+
+_THREADS = 2
+#: Seconds that the event loop may take for the metrics.
+_TIMEOUT = 5.0
+_PLAIN = 'text/plain; charset=utf-8'
+
+
+class Exposition:
+    """Serve ``/metrics``, ``/healthz`` and ``/readyz``.
+
+    :param ready: tells whether the daemon does its work.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        registry: aioprometheus.Registry,
+        ready: Callable[[], bool],
+        bridge: bridges.Bridge,
+    ) -> None:
+        self._registry = registry
+        self._ready = ready
+        self._bridge = bridge
+        self._server = wsgi.Server(
+            (host, port),
+            self._respond,
+            numthreads=_THREADS,
+        )
+        self._server.prepare()
+        self._thread = threading.Thread(
+            target=self._server.serve,
+            name='exposition',
+            daemon=True,
+        )
+        self._thread.start()
+
+    @property
+    def port(self) -> int:
+        """Return the port that was bound."""
+        return int(self._server.bind_addr[1])
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._server.stop()
+
+    def _render(
+        self,
+        start_response: Callable[..., typing.Any],
+    ) -> list[bytes]:
+        # Metrics change on the event loop; read from here they could change
+        # while they are being read.
+        rendering = self._bridge.submit(_rendered(self._registry))
+        body, headers = rendering.result(_TIMEOUT)
+        start_response('200 OK', list(headers.items()))
+        return [body]
+
+    def _respond(
+        self,
+        environ: dict[str, typing.Any],
+        start_response: Callable[..., typing.Any],
+    ) -> Iterable[bytes]:
+        path = environ['PATH_INFO']
+        if path == '/metrics':
+            return self._render(start_response)
+        if path == '/healthz':
+            start_response('200 OK', [('Content-Type', _PLAIN)])
+            return [b'ok\n']
+        if path == '/readyz':
+            ready = self._ready()
+            status = '200 OK' if ready else '503 Service Unavailable'
+            start_response(status, [('Content-Type', _PLAIN)])
+            return [b'ready\n' if ready else b'not ready\n']
+        start_response('404 Not Found', [('Content-Type', _PLAIN)])
+        return [b'not found\n']
+
+
+async def _rendered(
+    registry: aioprometheus.Registry,
+) -> tuple[bytes, dict[str, str]]:
+    body, headers = aioprometheus.render(registry, [])
+    return body, headers
--- a/clementinepass/wire/peers.capnp
+++ b/clementinepass/wire/peers.capnp
@@ -48,6 +48,10 @@
   remaining @9 :UInt32;
   stream @10 :Bool;
   priority @11 :Int32;
+  # Unix time after which the gate must not admit it any more.
+  admitBefore @12 :UInt64;
+  # Whether it was in flight when an endpoint died.
+  suspect @13 :Bool;
 }
 
 struct Verdict {
@@ -81,18 +85,50 @@
 
 interface Session {
   dispatch @0 (dispatch :Dispatch) -> (verdict :Verdict);
-  watch @1 (known :UInt64) -> (state :AgentState);
+  # The state is left out where it is the known one; running always comes.
+  watch @1 (known :UInt64) -> (state :AgentState, running :UInt32);
   cancel @2 (requestId :Text, attempt :UInt32) -> ();
   resume @3 (requestId :Text, attempt :UInt32, next :UInt64) -> (verdict :Verdict);
   configure @4 (revision :UInt64, state :Data) -> (revision :UInt64);
 }
 
-interface Agent {
+interface Process {
+  # The same as SIGTERM: take no new work, finish what runs, end.
+  drain @0 () -> ();
+}
+
+interface Agent extends(Process) {
   attach @0 (peer :Peer, sink :FrameSink) -> (session :Session);
   weights @1 () -> (weights :Weights.Weights);
 }
 
-interface Entry {
+struct Amount {
+  entry @0 :Text;
+  slots @1 :Float64;
+}
+
+# What an entry tells its peers about one team's promise on one target.
+struct ShareReport {
+  team @0 :Text;
+  target @1 :Text;
+  epoch @2 :Text;
+  demand @3 :Float64;
+  held @4 :Float64;
+  given @5 :List(Amount);
+  received @6 :List(Amount);
+}
+
+struct EntryState {
+  # Grows with each change that a watcher should learn at once.
+  sequence @0 :UInt64;
+  incarnation @1 :UInt64;
+  leaving @2 :Bool;
+  revision @3 :UInt64;
+  shares @4 :List(ShareReport);
+}
+
+interface Entry extends(Process) {
   # Returns an empty state where nothing newer than known is in force here.
   configuration @0 (known :UInt64) -> (revision :UInt64, state :Data);
+  watch @1 (known :UInt64) -> (state :EntryState);
 }
--- a/standins/http.py
+++ b/standins/http.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import contextlib
 import dataclasses
 import http
 import logging
@@ -64,10 +66,19 @@
         return arguments.get(name, [default])[0]
 
     def pieces(self) -> Iterator[bytes]:
-        """Yield the body piece by piece."""
+        """Yield the body piece by piece.
+
+        :raises ValueError: the body is shorter than its head says.
+        """
         reader = self.environ['wsgi.input']
+        missing = int(self.environ.get('CONTENT_LENGTH') or 0)
         while piece := reader.read(_PIECE):
+            missing -= len(piece)
             yield piece
+        # A sender that died in the middle of a body must not have its half
+        # taken for the whole.
+        if missing > 0:
+            raise ValueError(f'{missing} bytes of the body are missing')
 
     def body(self) -> bytes:
         """Return the whole body."""
@@ -75,8 +86,9 @@
 
     def discard(self) -> None:
         """Read the body and keep nothing of it."""
-        for _ in self.pieces():
-            """The connection must be empty before its next request."""
+        # A sender that died half-way has nothing more to be read.
+        with contextlib.suppress(ValueError):
+            collections.deque(self.pieces(), maxlen=0)
 
     def drop(self) -> None:
         """Close the connection under the request."""
@@ -161,13 +173,14 @@
         self,
         routes: Iterable[Route],
         fallback: type_handler | None = None,
+        board: faults.FaultBoard | None = None,
     ) -> None:
         self._routes = [
             *routes,
             Route('POST', '/control/faults', self._set_faults),
         ]
         #: The faults in force.
-        self.board = faults.FaultBoard()
+        self.board = board or faults.FaultBoard()
         #: What handles a request that no route is for.
         self.fallback = fallback or _not_found
 
@@ -382,7 +395,7 @@
         traceback: TracebackType | None,
     ) -> None:
         """Stop serving and release calls that are held silent."""
-        self._application.board.apply(faults.FaultOrder(clear=True))
+        self._application.board.release()
         self._server.stop()
         if self._thread is not None:
             self._thread.join()
