--- a/clementinepass/weights/replica.py
+++ b/clementinepass/weights/replica.py
@@ -351,7 +351,8 @@
     async def _status(self) -> endpoint_protocols.EngineStatus | None:
         try:
             return await asyncio.to_thread(self._engine.status)
-        except errors.EndpointError:
+        except errors.EndpointError as error:
+            logger.debug('engine does not answer: {}', error)
             return None
 
     def _open(self, manifest: manifests.Manifest) -> None:
--- a/clementinepass/weights/settings.py
+++ b/clementinepass/weights/settings.py
@@ -23,8 +23,8 @@
     #: The most that one call between agents carries.
     slice_bytes: int = 256 * 1024
     #: Chunks on their way from peers at once.
-    downloads: int = 8
-    #: Chunks on their way from one peer at once.
+    downloads: int = 16
+    #: Chunks on their way from one peer at once; more with few peers.
     downloads_each: int = 2
     #: Chunks on their way from the origin at once.
     origin_reads: int = 2
--- a/clementinepass/weights/spreading.py
+++ b/clementinepass/weights/spreading.py
@@ -254,7 +254,10 @@
 
     def _limit(self, neighbour: _Neighbour) -> int:
         # After a fault one chunk is enough to learn whether it is mended.
-        return 1 if neighbour.faults else self._settings.downloads_each
+        if neighbour.faults:
+            return 1
+        share = self._settings.downloads // len(self._neighbours)
+        return max(self._settings.downloads_each, share)
 
     def _known(self, now: float, *, near_only: bool) -> int:
         """Return the chunks that neighbours have or say to be coming."""
