Tell all callers of a connection that was given up while it opened

Cause: giving up a connection cancelled its opening, and that cancellation reached every other caller that waited for it. Their tasks seemed cancelled and ended in silence, so a watcher of a slow peer never came back. The test fails without the guard. Connections to peers no longer watched are closed.

--- a/clementinepass/weights/transfer.py
+++ b/clementinepass/weights/transfer.py
@@ -142,6 +142,7 @@
             self._fallbacks.rate = rate / self._swarm.alive
             for gone in self._watchers.keys() - set(chosen):
                 self._watchers.pop(gone).cancel()
+                self._around.peers.reset(gone)
             for member in chosen:
                 if member not in self._watchers:
                     self._watchers[member] = group.create_task(
--- a/clementinepass/wire/weights_peers.py
+++ b/clementinepass/wire/weights_peers.py
@@ -140,14 +140,10 @@
         elif not opening.cancelled() and opening.exception() is None:
             opening.result().client.close()
 
-    def keep(self, members: typing.Iterable[protocols.Member]) -> None:
-        """Close the connections to all but ``members``."""
-        for gone in self._links.keys() - set(members):
-            self.reset(gone)
-
     def close(self) -> None:
         """Close all connections."""
-        self.keep(())
+        for member in tuple(self._links):
+            self.reset(member)
 
     async def _call(
         self,
@@ -170,7 +166,18 @@
         if opening is None:
             opening = asyncio.create_task(self._open(member))
             self._links[member] = opening
-        return await asyncio.shield(opening)
+        try:
+            return await asyncio.shield(opening)
+        except asyncio.CancelledError:
+            # Another caller has given this connection up while it was being
+            # opened. That cancels the opening and must not pass for the
+            # cancellation of this caller, whose task would end in silence.
+            task = asyncio.current_task()
+            if opening.cancelled() and task and not task.cancelling():
+                raise errors.PeerUnavailableError(
+                    'connection given up', step='weights', peer=member.id
+                ) from None
+            raise
 
     async def _open(self, member: protocols.Member) -> _Link:
         async with asyncio.timeout(self._connect_timeout):
--- a/tests/weights/test_over_wire.py
+++ b/tests/weights/test_over_wire.py
@@ -11,8 +11,9 @@
 import testtools
 from testtools import matchers
 
+from clementinepass import errors
 from clementinepass.agent import rollout
-from clementinepass.weights import protocols
+from clementinepass.weights import asking, protocols
 from clementinepass.wire import schema, weights_peers
 from tests.weights import fakes
 
@@ -96,6 +97,39 @@
         self.assertEqual(12, fleet.source.chunk_reads)
 
 
+class SilentPeerTest(testtools.TestCase):
+    """A peer that accepts and never answers."""
+
+    def test_all_callers_learn_of_it(self) -> None:
+        """Every caller of a silent peer gets an error in time.
+
+        Something between two agents has lost track of their connection: it
+        is accepted and nothing ever comes back. Two tasks wait for it to
+        open; the first gives it up, and the second must get an error too
+        rather than seem cancelled, which would end its task in silence.
+        """
+        outcomes = asyncio.run(capnp.run(_ask_silent_peer()))
+        for outcome in outcomes:
+            self.assertIsInstance(outcome, errors.PeerUnavailableError)
+
+
+async def _ask_silent_peer() -> list[typing.Any]:
+    server = await asyncio.start_server(
+        lambda reader, writer: None, '127.0.0.1', 0
+    )
+    port = server.sockets[0].getsockname()[1]
+    silent = fakes.member('silent', port=port)
+    peers = weights_peers.WeightsPeers(connect_timeout=30)
+    outcomes = await asyncio.gather(
+        asking.ask(peers, silent, 0.05, peers.standing(silent)),
+        asking.ask(peers, silent, 30, peers.standing(silent)),
+        return_exceptions=True,
+    )
+    peers.close()
+    server.close()
+    return outcomes
+
+
 async def _spread(count: int) -> tuple[_Fleet, list[_Node]]:
     fleet = _Fleet()
     manifest = fleet.source.publish('v1', fakes.weights(1))
