Offer an agent work only while there is a session to it

Cause: requests sent while all connections were being replaced were refused "not run, disconnected". The view called an agent attached from its first state on, before its session was there; after a connection was given up for a new one; and after its address had changed. Change: a state is reported once the session stands, the end of a session is reported as silence, and an agent that is parted from as gone.

--- a/clementinepass/entry/agent_peers.py
+++ b/clementinepass/entry/agent_peers.py
@@ -209,8 +209,14 @@
             await self._attach(connection)
             await self._watch_until_suspected()
         finally:
-            self._session = None
-            connection.close()
+            self._disconnect(connection)
+
+    def _disconnect(self, connection: connections.Connection) -> None:
+        self._session = None
+        connection.close()
+        # Without a session a dispatch fails at once: no new work comes here
+        # until the next connection has brought a state.
+        self._events.silent(self.agent)
 
     async def _attach(self, connection: connections.Connection) -> None:
         request = connection.bootstrap(schema.peers.Agent).attach_request()
@@ -227,6 +233,8 @@
         await self._resume_all(session)
         self._session = session
         self._events.attached(self)
+        if self.state is not None:
+            self._events.reported(self.agent, self.state)
 
     async def _watch_until_suspected(self) -> None:
         session = self._session
@@ -278,7 +286,10 @@
         if previous is not None and previous.incarnation != state.incarnation:
             # A new process knows nothing of what the old one ran.
             self._end_all()
-        self._events.reported(self.agent, state)
+        if self._session is not None:
+            # Reported before the session is there, an agent would be offered
+            # work that it can't be sent.
+            self._events.reported(self.agent, state)
 
     async def _resume_all(self, session: typing.Any) -> None:
         for exchange in tuple(self._exchanges_by_key.values()):
--- a/clementinepass/entry/entry.py
+++ b/clementinepass/entry/entry.py
@@ -418,6 +418,7 @@
         if task is not None:
             task.cancel()
         self.fleet.peers_by_agent.pop(agent).close()
+        self.gone(agent)
 
     def _meet_entry(self, instance: protocols.Instance) -> None:
         name = f'entry {instance.id} {instance.address}'
