End trial processes with the trial that started them

Cause: a bench that was killed left 51 processes behind, which loaded the machine (found by their parent id, 1). The kernel now ends them with their parent.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -228,7 +228,7 @@
     rounds: int,
 ) -> list[load_tool.StreamTimes]:
     tools = [
-        subprocess.Popen(  # noqa: S603
+        subprocess.Popen(
             [
                 sys.executable,
                 '-m',
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ctypes
 import json
 import os
 import pathlib
@@ -15,9 +16,20 @@
 _START_TIMEOUT = 60.0
 #: Seconds that a process may take to end once it was told to.
 _STOP_TIMEOUT = 40.0
+#: The number of the option in the kernel's interface.
+_PR_SET_PDEATHSIG = 1
 _ROOT = pathlib.Path(__file__).parent.parent
 
 
+def _end_with_parent() -> None:
+    """Have the kernel end this process when the one that started it ends.
+
+    A trial that is killed can't stop its processes; left behind, they load
+    the machine and hold ports.
+    """
+    ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class StartError(Exception):
     """A process did not come up; carries where its log is."""
 
@@ -53,13 +65,14 @@
         self._came_up = threading.Event()
         self._lines = threading.Condition()
         self._kept: list[str] = []
-        self._process = subprocess.Popen(  # noqa: S603
+        self._process = subprocess.Popen(
             [sys.executable, '-m', module, *arguments],
             cwd=_ROOT,
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
             text=True,
             errors='replace',
+            preexec_fn=_end_with_parent,
         )
         self._reader = threading.Thread(target=self._read, daemon=True)
         self._reader.start()
