Give the platform's blocking calls threads of their own

Cause: a read of the origin that was given up holds its thread until the origin answers. With a silent origin and many changes of version the hanging reads used up the threads for all blocking calls, and the agent could no longer read back what its engine serves. The new test timed out before and passes now.

--- a/benchmarks/weights.py
+++ b/benchmarks/weights.py
@@ -26,6 +26,7 @@
 _DOMAINS = ('trnava', 'zvolen', 'presov')
 _FIRST = 'v0'
 _BASELINE_SCALE = 16
+_TICKS_A_SECOND = 100
 #: The window for which the times of the settings are given, in seconds.
 _USUAL_WINDOW = 16
 
@@ -174,12 +175,13 @@
         busy = _busy_seconds()
         version = 'v1'
         self._publish(version, self._plan.size)
-        began = weights_fleet.monotonic()
+        start = weights_fleet.monotonic()
+        began = start
         to_spread = self._plan.size
         if self._plan.faults:
             version, began, to_spread = await self._disturb(began)
         times = await self._all_serve(version, self._plan.window * 8 + 60)
-        took = weights_fleet.monotonic() - began
+        took = weights_fleet.monotonic() - start
         busy = _busy_seconds() - busy
         figures = await self._reports()
         origin = self._platform.origin_bytes() - before
@@ -365,7 +367,7 @@
     """Return the processor seconds that the whole machine has spent."""
     with open('/proc/stat', encoding='ascii') as file:
         fields = [int(field) for field in file.readline().split()[1:]]
-    return (sum(fields) - fields[3] - fields[4]) / 100
+    return (sum(fields[:7]) - fields[3] - fields[4]) / _TICKS_A_SECOND
 
 
 def main(
--- a/clementinepass/agent/rollout.py
+++ b/clementinepass/agent/rollout.py
@@ -165,6 +165,7 @@
             members=lambda: around.members.peers_for(around.model),
             peers=around.peers,
             origin=around.origin,
+            threads=transfer.PlatformThreads(around.settings.origin_reads),
             store=self._store,
             settings=around.settings,
             clock=around.clock,
--- a/clementinepass/weights/supply.py
+++ b/clementinepass/weights/supply.py
@@ -22,6 +22,8 @@
 _CHECK_INTERVAL = 0.05
 #: Members that read a manifest from the weight store without waiting.
 _FIRST_READERS = 2
+#: Reads of the weight store at once; one more may hang, given up.
+_STORE_READS = 2
 #: Nobody waits for more turns than this.
 _LAST_TURN = 8
 
@@ -38,6 +40,7 @@
         self._around = around
         self._weight_store = weight_store
         self._seed = sender
+        self._threads = transfer.PlatformThreads(_STORE_READS)
         self._transfer: transfer.Transfer | None = None
         self._wanted: manifests.Manifest | None = None
         #: Why the last step failed; empty for no trouble.
@@ -123,7 +126,7 @@
 
     async def _from_store(self, digest: str) -> manifests.Manifest | None:
         try:
-            payload = await asyncio.to_thread(
+            payload = await self._threads.call(
                 self._weight_store.manifest, digest
             )
         except errors.ThrottledError as error:
--- a/clementinepass/weights/transfer.py
+++ b/clementinepass/weights/transfer.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 import typing
+from concurrent import futures
 
 from loguru import logger
 
@@ -31,6 +32,27 @@
 )
 
 
+class PlatformThreads:
+    """Threads for the platform's blocking calls, apart from all others.
+
+    A call that was given up still holds its thread until the platform
+    answers. While the origin is silent and versions change, such calls pile
+    up; in threads of their own they can't hold up the calls to the engine.
+    """
+
+    def __init__(self, count: int) -> None:
+        self._pool = futures.ThreadPoolExecutor(count, 'platform')
+
+    async def call(
+        self,
+        function: typing.Callable[[str], bytes],
+        digest: str,
+    ) -> bytes:
+        """Return what ``function`` returns for ``digest``."""
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self._pool, function, digest)
+
+
 class Surroundings(typing.NamedTuple):
     """Everything that a transfer reaches outside of itself."""
 
@@ -38,6 +60,7 @@
     members: typing.Callable[[], typing.Sequence[protocols.Member]]
     peers: protocols.ChunkPeers
     origin: platform_protocols.Origin
+    threads: PlatformThreads
     store: chunk_stores.ChunkStore
     settings: weight_settings.WeightSettings
     clock: clocks.Clock
@@ -277,7 +300,7 @@
             pause = self._fallbacks.reserve(chunk.size, self._now())
             await asyncio.sleep(self._jittered(pause))
         try:
-            content = await asyncio.to_thread(
+            content = await self._around.threads.call(
                 self._around.origin.chunk, chunk.digest
             )
             self._around.ledger.origin += len(content)
--- a/tests/weights/fakes.py
+++ b/tests/weights/fakes.py
@@ -52,6 +52,9 @@
         self.chunk_reads = 0
         self.manifest_reads = 0
         self.origin_down = False
+        #: Reads of the origin hang until this is set.
+        self.origin_speaks = threading.Event()
+        self.origin_speaks.set()
         self.store_faults: list[Exception] = []
 
     def publish(self, version: str, whole: bytes) -> manifests.Manifest:
@@ -78,6 +81,7 @@
 
     def chunk(self, digest: str) -> bytes:
         """Answer as the origin."""
+        self.origin_speaks.wait(20)
         if self.origin_down:
             raise errors.PlatformUnavailableError(
                 'down', step='chunk', peer='origin'
--- a/tests/weights/test_spreading_failures.py
+++ b/tests/weights/test_spreading_failures.py
@@ -246,6 +246,34 @@
             fleet.source.chunk_reads, matchers.LessThan(4 * _CHUNKS)
         )
 
+    def test_silent_origin_and_many_changes(self) -> None:
+        """An origin that hangs takes no threads from engine calls.
+
+        Operators publish one version after another while the origin accepts
+        reads and never answers. Each abandoned transfer leaves its reads
+        hanging; were they to use up the threads for blocking calls, the agent
+        could no longer ask its engine anything, and dispatches would hang.
+        """
+
+        async def story(fleet: fakes.Fleet) -> None:
+            await _seeded(fleet, 'a')
+            node = fleet.nodes[0]
+            fleet.source.origin_speaks.clear()
+            try:
+                for seed in range(2, 40):
+                    version = f'v{seed}'
+                    fleet.want(version, fleet.publish(version, seed, 3))
+                    await fakes.until(
+                        lambda: node.rollout.progress().chunks_wanted == 3
+                    )
+                    await asyncio.sleep(0.005)
+                async with asyncio.timeout(5):
+                    self.assertTrue(await node.rollout.confirm('v1'))
+            finally:
+                fleet.source.origin_speaks.set()
+
+        self._check(fakes.run(story))
+
     def test_memory_limit(self) -> None:
         """A version that does not fit is refused and the old one kept.
 
