--- a/benchmarks/decisions/entries.py
+++ b/benchmarks/decisions/entries.py
@@ -20,6 +20,8 @@
 REPORT_SECONDS = 0.25
 #: Seconds before a request that found its endpoint full is placed again.
 _AGAIN_SECONDS = 0.02
+#: Endpoints that a request is offered to in a row.
+_MOST_TRIES = 3
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -51,8 +53,11 @@
     placer: placing.Placer
     ejector: ejection.Detector
     budget: retry_budget.Budget
-    #: Share of the slots, and of each team's promise.
+    #: Tells what is asked of all slots together.
     slots_share: shares.Share
+    #: The entry's equal part of the slots that are promised to nobody.
+    unpromised: float
+    #: The entry's part of each team's promise.
     share_by_team: dict[str, shares.Share]
     #: Whether endpoints refuse when full, rather than queue.
     is_gated: bool
@@ -110,6 +115,8 @@
         self.own_in_flight = dict.fromkeys(self.endpoints_by_id, 0)
         #: The last reports to arrive: running, and our own part of it.
         self.reported = dict.fromkeys(self.endpoints_by_id, (0, 0))
+        self._reported_at: dict[str, float]
+        self._reported_at = dict.fromkeys(self.endpoints_by_id, 0)
         self._refused = refused
         self._is_pump_due = False
         self._requests_by_id: dict[str, Request] = {}
@@ -166,12 +173,25 @@
             else:
                 self.policy.slots_share.receive(report)
 
+    def receive_load(
+        self,
+        endpoint_id: str,
+        running: int,
+        own: int,
+        taken_at: float,
+    ) -> None:
+        """Take in how much runs at an endpoint, unless newer is known."""
+        if taken_at >= self._reported_at[endpoint_id]:
+            self._reported_at[endpoint_id] = taken_at
+            self.reported[endpoint_id] = (running, own)
+
     def on_first_token(self, dispatch: _Dispatch) -> None:
         """Note the first token; stop if the caller has gone."""
         now = self.simulation.now
         seconds = now - dispatch.sent
         endpoint_id = dispatch.endpoint.endpoint_id
-        self.policy.ejector.observe(endpoint_id, seconds, now)
+        if not dispatch.is_overdue:
+            self.policy.ejector.observe(endpoint_id, seconds, now)
         request = self._requests_by_id[dispatch.ticket.request_id]
         if request.first_token is None:
             request.first_token = now
@@ -231,6 +251,7 @@
                     own_now,
                     endpoint_id in ejected,
                     own_now - own,
+                    now - self._reported_at[endpoint_id],
                 ),
             )
         return candidates
@@ -243,6 +264,23 @@
 
     def _dispatch(self, ticket: tickets.Ticket) -> None:
         request = self._requests_by_id[ticket.request_id]
+        for _ in range(_MOST_TRIES):
+            endpoint = self._choose(request)
+            if not self._is_refused_by(endpoint):
+                self._send(ticket, request, endpoint)
+                return
+            # The refusal tells the load there, newer than any report.
+            self.receive_load(
+                endpoint.endpoint_id,
+                endpoint.running,
+                self.own_in_flight[endpoint.endpoint_id],
+                self.simulation.now,
+            )
+        now = self.simulation.now
+        self.policy.admission.returned(ticket, now, found_full=True)
+        self._pump_again()
+
+    def _choose(self, request: Request) -> simulation.Endpoint:
         choice = self.policy.placer.choose(
             self._candidates(),
             self.simulation.now,
@@ -250,16 +288,22 @@
         )
         if choice is None:
             raise RuntimeError('no endpoints')
-        endpoint = self.endpoints_by_id[choice.endpoint_id]
+        return self.endpoints_by_id[choice.endpoint_id]
+
+    def _is_refused_by(self, endpoint: simulation.Endpoint) -> bool:
         is_full = endpoint.running >= endpoint.slots
-        if self.policy.is_gated and is_full and not endpoint.is_dead:
-            self.policy.admission.returned(ticket, self.simulation.now)
-            self._pump_again()
-            return
+        return self.policy.is_gated and is_full and not endpoint.is_dead
+
+    def _send(
+        self,
+        ticket: tickets.Ticket,
+        request: Request,
+        endpoint: simulation.Endpoint,
+    ) -> None:
         request.dispatches += 1
         dispatch = _Dispatch(self, ticket, endpoint)
         self._in_flight[ticket.request_id] = dispatch
-        self.own_in_flight[choice.endpoint_id] += 1
+        self.own_in_flight[endpoint.endpoint_id] += 1
         dispatch.run = endpoint.start(request.work, dispatch)
 
     def _pump_again(self) -> None:
@@ -311,12 +355,13 @@
         endpoints = self.endpoints_by_id.values()
         usable = sum(self._slots(endpoint, now) for endpoint in endpoints)
         nominal = sum(endpoint.slots for endpoint in endpoints)
-        held = self.policy.slots_share.held()
-        # The part held is rounded down, or the entries together would
-        # exceed the slots; one slot remains for the first caller.
-        capacity = int(held * usable / nominal + 1e-6)
-        if usable:
-            capacity = max(capacity, 1)
+        parts = self.policy.share_by_team.values()
+        capacity = shares.slots_of_entry(
+            held=self.policy.unpromised + sum(one.held() for one in parts),
+            unused=self.policy.slots_share.unused(),
+            nominal=nominal,
+            usable=usable,
+        )
         self.policy.admission.set_capacity(capacity)
         if isinstance(self.policy.admission, admission.Controller):
             self.policy.admission.set_promises(
--- a/clementinepass/endpoints/engine.py
+++ b/clementinepass/endpoints/engine.py
@@ -45,10 +45,6 @@
     ) -> None:
         self._transport = transport.Transport(address, limits)
 
-    def close(self) -> None:
-        """Close the idle connections."""
-        self._transport.close()
-
     def call(self, call: protocols.Call) -> answers.HttpAnswer:
         """Send a request and return its answer once the head is there.
 
@@ -131,10 +127,6 @@
                     'Content-Length': str(size),
                 },
                 body=self._sized(parts, size),
-                # A socket keeps the connection's timeout while it sends, and
-                # an engine may pause its reading while it writes to its own
-                # memory; a short timeout would abandon a good order.
-                connect_timeout=timeout,
                 read_timeout=timeout,
             ),
         )
--- a/clementinepass/entry/agent_peers.py
+++ b/clementinepass/entry/agent_peers.py
@@ -7,6 +7,7 @@
 import random
 import typing
 
+import msgspec
 from loguru import logger
 
 from clementinepass import errors
@@ -208,8 +209,14 @@
             await self._attach(connection)
             await self._watch_until_suspected()
         finally:
-            self._session = None
-            connection.close()
+            self._disconnect(connection)
+
+    def _disconnect(self, connection: connections.Connection) -> None:
+        self._session = None
+        connection.close()
+        # Without a session a dispatch fails at once: no new work comes here
+        # until the next connection has brought a state.
+        self._events.silent(self.agent)
 
     async def _attach(self, connection: connections.Connection) -> None:
         request = connection.bootstrap(schema.peers.Agent).attach_request()
@@ -226,6 +233,8 @@
         await self._resume_all(session)
         self._session = session
         self._events.attached(self)
+        if self.state is not None:
+            self._events.reported(self.agent, self.state)
 
     async def _watch_until_suspected(self) -> None:
         session = self._session
@@ -256,9 +265,20 @@
             peer=self.agent,
             timeout=self._patience,
         )
-        state = messages.read(messages.read_state, answer.state, self.agent)
         self._heard_at = self._clock.now()
-        self._take_state(state)
+        if answer._has('state'):
+            state = messages.read(
+                messages.read_state,
+                answer.state,
+                self.agent,
+            )
+            self._take_state(state)
+        elif self.state is not None:
+            self._take_load(self.state, answer.running)
+
+    def _take_load(self, state: messages.AgentState, running: int) -> None:
+        self.state = msgspec.structs.replace(state, running=running)
+        self._events.reported(self.agent, self.state)
 
     def _take_state(self, state: messages.AgentState) -> None:
         previous = self.state
@@ -266,7 +286,10 @@
         if previous is not None and previous.incarnation != state.incarnation:
             # A new process knows nothing of what the old one ran.
             self._end_all()
-        self._events.reported(self.agent, state)
+        if self._session is not None:
+            # Reported before the session is there, an agent would be offered
+            # work that it can't be sent.
+            self._events.reported(self.agent, state)
 
     async def _resume_all(self, session: typing.Any) -> None:
         for exchange in tuple(self._exchanges_by_key.values()):
--- a/tests/endpoints/test_engine.py
+++ b/tests/endpoints/test_engine.py
@@ -16,7 +16,9 @@
 from tests import serving, tables
 from tests.endpoints import contracts
 
-_QUICK = transport.Limits(read_timeout=0.4, load_timeout=0.6)
+_QUICK = transport.Limits(
+    read_timeout=0.4, control_timeout=0.4, load_timeout=0.6
+)
 
 
 class MemoryEngineTest(contracts.EngineContract, testtools.TestCase):
@@ -47,7 +49,6 @@
         )
         self.address = serving.serve(self, handlers.application())
         self.engine = engine.HttpEngine(self.address, self.limits)
-        self.addCleanup(self.engine.close)
 
     def runs_by_id(self):
         answer = urllib3.request('GET', f'http://{self.address}/v1/runs')
@@ -181,6 +182,12 @@
         error = self.assertRaises(errors.EndpointError, self.engine.status)
         self.assertEqual('status', error.step)
 
+    def test_takes_too_long(self):
+        """A stream that never falls silent and never ends is given up."""
+        call = contracts.completion(count=9000, timeout=0.3)
+        error = self.assertRaises(errors.EndpointError, self.attempt, call)
+        self.assertEqual('answer took too long', error.detail)
+
     def test_answers_no_stream(self):
         """A stream was asked for, and something else is answered."""
         self.show('replace', body='{}')
