--- a/tests/proofs/bench.py
+++ b/tests/proofs/bench.py
@@ -129,6 +129,18 @@
         for name in self.relay_addresses:
             self.relays.follow(name, rules)
 
+    def cut(self) -> None:
+        """Break all relayed connections; new ones work."""
+        for name in self.relay_addresses:
+            self.relays.follow(name, relay.Rules(mode=relay.Mode.CUT))
+            self.relays.follow(name, relay.Rules())
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """Stop a process where it is for a while."""
+        self.process(name).freeze()
+        time.sleep(seconds)
+        self.process(name).thaw()
+
     def post(
         self,
         entry: str,
@@ -194,8 +206,7 @@
         key: str = '',
     ) -> concurrent.futures.Future[history.Told]:
         """Begin to file a dispatch: a call that must run at most once."""
-        headers = {'Idempotency-Key': key} if key else {}
-        return self.pool.submit(self._file, entry, operation, headers)
+        return self.pool.submit(self.file_now, entry, operation, key)
 
     def fault(self, name: str, **fault: typing.Any) -> None:
         """Order a stand-in to show a fault."""
@@ -376,12 +387,14 @@
             take_problem(told, answer.data, answer.headers)
         return self.history.add(told)
 
-    def _file(
+    def file_now(
         self,
         entry: str,
         operation: str,
-        headers: dict[str, str],
+        key: str,
     ) -> history.Told:
+        """File a dispatch and wait for what is told."""
+        headers = {'Idempotency-Key': key} if key else {}
         told = history.Told(operation, history.Saying.NOTHING, False)
         path = f'/v1/services/{systems.SERVICE}{operation}'
         try:
