Pass service paths on as written; count only the dead as crashed

Cause: the server unescapes the path, and passed on so "a%3Fb" became a query; an endpoint too slow to answer a status counted as a crash, which makes innocent requests suspects. Change: the path goes on as the caller wrote it; an endpoint has died only where nobody listens. Events of libraries go through the log like all others.

--- a/clementinepass/agent/health.py
+++ b/clementinepass/agent/health.py
@@ -30,27 +30,36 @@
         self._crashes = 0
 
     def check(self) -> bool:
-        """Ask the endpoint whether it lives; blocks."""
-        alive = self._endpoint.healthy()
-        with self._lock:
-            if self._alive and not alive:
-                self._crashes += 1
-                logger.bind(step='health').error('the endpoint has died')
-            self._alive = alive
-        return alive
+        """Ask the endpoint whether it answers; blocks."""
+        healthy = self._endpoint.healthy()
+        self._note(gone=not healthy and self._endpoint.gone())
+        return healthy
 
     def crash_of(self, failure: errors.EndpointError) -> str:
         """Return the crash that ended a run; empty if the endpoint lives.
 
+        Only an endpoint at which nobody listens has died. One that is slow to
+        answer, as under heavy load, has not: its requests must not become
+        suspects for that.
+
         Runs in the thread of each failed run. All runs of one crash get the
         same name, since only the first of them finds the endpoint still
         marked as alive.
         """
-        if self.check():
+        gone = self._endpoint.gone()
+        self._note(gone=gone)
+        if not gone:
             return ''
         with self._lock:
             return f'{self._process}/{self._crashes}'
 
+    def _note(self, *, gone: bool) -> None:
+        with self._lock:
+            if self._alive and gone:
+                self._crashes += 1
+                logger.bind(step='health').error('the endpoint has died')
+            self._alive = not gone
+
 
 class ServiceMonitor:
     """Keep the gate of a plain service open while the service lives.
--- a/clementinepass/endpoints/engine.py
+++ b/clementinepass/endpoints/engine.py
@@ -76,6 +76,14 @@
             return False
         return True
 
+    def gone(self) -> bool:
+        """Tell whether nobody listens there any more."""
+        try:
+            self.status()
+        except errors.EndpointError as error:
+            return error.execution is errors.Execution.NOT_RUN
+        return False
+
     def status(self) -> protocols.EngineStatus:
         """Read back what the engine serves now.
 
--- a/clementinepass/endpoints/protocols.py
+++ b/clementinepass/endpoints/protocols.py
@@ -77,6 +77,13 @@
     def healthy(self) -> bool:
         """Tell whether the endpoint answers at all."""
 
+    def gone(self) -> bool:
+        """Tell whether nobody listens there any more.
+
+        A slow or frozen endpoint is not gone: it is neither dead, nor did a
+        request kill it.
+        """
+
 
 class Engine(Endpoint, typing.Protocol):
     """A model engine: an endpoint that takes orders about weights."""
--- a/clementinepass/endpoints/service.py
+++ b/clementinepass/endpoints/service.py
@@ -46,3 +46,12 @@
         except errors.EndpointError:
             return False
         return reply.status < _SERVER_ERROR
+
+    def gone(self) -> bool:
+        """Tell whether nobody listens there any more."""
+        exchange = transport.Exchange('GET', self._health_path, step='health')
+        try:
+            self._transport.fetch(exchange)
+        except errors.EndpointError as error:
+            return error.execution is errors.Execution.NOT_RUN
+        return False
--- a/clementinepass/entry/http.py
+++ b/clementinepass/entry/http.py
@@ -6,6 +6,7 @@
 import http
 import threading
 import typing
+import urllib.parse
 
 import msgspec
 from cheroot import wsgi
@@ -162,7 +163,7 @@
         caller = callers.CallerRequest(
             identity.new_request_id(),
             environ['REQUEST_METHOD'],
-            environ['PATH_INFO'],
+            _raw_path(environ),
             environ.get('QUERY_STRING', ''),
             _headers(environ),
             b'',
@@ -617,6 +618,18 @@
     ]
 
 
+def _raw_path(environ: dict[str, typing.Any]) -> str:
+    """Return the path as the caller wrote it.
+
+    The server's own is unquoted: passed on, ``a%3Fb`` would become a query
+    and ``%25`` be lost, and a service would see another request.
+    """
+    path, _, _ = str(environ['REQUEST_URI']).partition('?')
+    if '://' in path:
+        path = urllib.parse.urlsplit(path).path
+    return path or '/'
+
+
 def _length(body: bytes) -> tuple[str, str]:
     return 'Content-Length', str(len(body))
 
--- a/clementinepass/observability/logs.py
+++ b/clementinepass/observability/logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import sys
 import traceback
 import typing
@@ -37,6 +38,11 @@
     """
     _filter.level = level
     logger.remove()
+    logging.basicConfig(
+        handlers=[_StandardLogging()],
+        level=logging.WARNING,
+        force=True,
+    )
     if log_format == JSON:
         logger.add(_write_json, level=0, filter=_filter)
     else:
@@ -48,6 +54,18 @@
     _filter.level = level
 
 
+class _StandardLogging(logging.Handler):
+    """Pass on what libraries write to the standard logging."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a library's event as one of ours."""
+        logger.bind(step=record.name).log(
+            record.levelname,
+            '{}',
+            record.getMessage(),
+        )
+
+
 def _write_json(message: typing.Any) -> None:
     record = message.record
     event = {
--- a/standins/memory_endpoints.py
+++ b/standins/memory_endpoints.py
@@ -64,6 +64,11 @@
         """Tell whether the endpoint answers at all."""
         return not self.failures
 
+    def gone(self) -> bool:
+        """Tell whether the next call would be refused."""
+        refused = errors.Execution.NOT_RUN
+        return bool(self.failures) and self.failures[0] is refused
+
     def _begin(self, request_id: str) -> None:
         """Count a run, or fail as ordered; only a refusal has no run."""
         failure = self.failures.popleft() if self.failures else None
--- a/tests/entry/test_http_edges.py
+++ b/tests/entry/test_http_edges.py
@@ -76,6 +76,18 @@
             self.assertEqual('not_run', problem['execution'])
             self.assertEqual('entry-0', problem['peer'])
 
+    def test_path_is_passed_on_as_written(self) -> None:
+        """An escaped path reaches the service as the caller wrote it.
+
+        A user sees: the crew of station ``3?`` can't be found. The entry
+        passed on the path unescaped, so a part of it became a query.
+        """
+        path = '/v1/services/dispatches/a%3Fb/%25/c%2Fd'
+        answer = self.system.call('entry-0', 'GET', f'{path}?q=%26')
+        served = msgspec.json.decode(answer.body)['path']
+        # The service's server unescapes once, and leaves slashes alone.
+        self.assertEqual('/a?b/%/c%2Fd', served)
+
     def test_serves_afterwards(self) -> None:
         """Noise on the peers' port and on the callers' port harms nobody."""
         for use in ('peers', 'metrics'):
