Tell a state adopted during a read from a log that lost records

Cause: a read waits at the log while a peer passes on a newer state; the page that comes ends before that state and was reported as a log that lost records, an alarm for nothing. The end is now compared with the offset that was asked for.

--- a/clementinepass/configuration/follower.py
+++ b/clementinepass/configuration/follower.py
@@ -75,10 +75,11 @@
         if not self._placed:
             self._jump(0)
             self._placed = True
+        asked = self._state.revision
         try:
             page = self._log.read(
                 records.STREAM,
-                self._state.revision,
+                asked,
                 wait=0 if self.trouble is Trouble.HOLE else wait,
             )
         except errors.RecordsExpiredError as expired:
@@ -89,7 +90,7 @@
                 # would keep the log busy for nothing.
                 snapshots.wait_for_another(self._log, wait)
         else:
-            self._take(page)
+            self._report(self._take(page, asked))
         return self._state
 
     def adopt(self, other: state.State) -> bool:
@@ -108,7 +109,7 @@
                 snapshot.state.revision,
             )
 
-    def _take(self, page: protocols.RecordPage) -> None:
+    def _take(self, page: protocols.RecordPage, asked: int) -> Trouble:
         self.end = page.end
         for record in page.records:
             with self._lock:
@@ -117,16 +118,16 @@
                 if record.offset > expected:
                     # The log skipped records. Folding on would yield a state
                     # that no other reader has.
-                    self._report(Trouble.HOLE)
-                    return
+                    return Trouble.HOLE
                 if record.offset < expected:
                     continue
                 result = fold.fold(self._state, record)
                 self._state = result.state
             if self._observe is not None:
                 self._observe(result)
-        behind = page.end < self._state.revision
-        self._report(Trouble.LOG_BEHIND if behind else Trouble.NONE)
+        # Compared with what was asked for: a peer's state adopted during the
+        # read may be ahead of a page that is sound.
+        return Trouble.LOG_BEHIND if page.end < asked else Trouble.NONE
 
     def _report(self, trouble: Trouble) -> None:
         if trouble is not self.trouble and trouble is not Trouble.NONE:
--- a/tests/configuration/test_publisher.py
+++ b/tests/configuration/test_publisher.py
@@ -261,6 +261,27 @@
         self.assertEqual(30, reader.poll().revision)
         self.assertIs(follower.Trouble.LOG_BEHIND, reader.trouble)
 
+    def test_adoption_during_a_read(self) -> None:
+        """A peer's state that arrives during a read is no sign of loss.
+
+        A read waits at the log while a peer passes on a newer state; the
+        page that then comes ends before it. Nothing has been lost, and
+        nothing is folded twice.
+        """
+        reader = follower.Follower(self.log)
+        reader.poll()
+        self._append(3)
+        read = self.log.read
+
+        def slow_read(*arguments: object, **options: object) -> object:
+            page = read(*arguments, **options)
+            reader.adopt(state.State(40))
+            return page
+
+        self.log.read = slow_read
+        self.assertEqual(state.State(40), reader.poll())
+        self.assertIs(follower.Trouble.NONE, reader.trouble)
+
     def test_history_after_expiry(self) -> None:
         """The history says what it can't prove."""
         self._snapshotter().consider(self._current())
