--- a/clementinepass/weights/chunks.py
+++ b/clementinepass/weights/chunks.py
@@ -58,6 +58,13 @@
         :raises MemoryLimitError: nothing more can be evicted.
         """
         verify(chunk, content)
+        self.add_verified(chunk, content)
+
+    def add_verified(self, chunk: manifests.Chunk, content: bytes) -> None:
+        """Keep a chunk that the caller has verified.
+
+        :raises MemoryLimitError: nothing more can be evicted.
+        """
         if chunk.digest in self._content_by_digest:
             return
         self._make_room(chunk.size)
--- a/clementinepass/weights/transfer.py
+++ b/clementinepass/weights/transfer.py
@@ -219,7 +219,7 @@
             return False
         try:
             content = await self._read(member, chunk)
-            self._around.store.add(chunk, content)
+            await self._keep(chunk, content)
         except errors.PeerBusyError:
             self._swarm.rest(fetch.source, self._now() + self._jittered(0.1))
         except errors.ChunkCorruptError as error:
@@ -304,7 +304,7 @@
                 self._around.origin.chunk, chunk.digest
             )
             self._around.ledger.origin += len(content)
-            self._around.store.add(chunk, content)
+            await self._keep(chunk, content)
         except errors.ThrottledError as error:
             self.trouble = str(error)
             await asyncio.sleep(self._jittered(error.retry_after))
@@ -318,6 +318,12 @@
             return True
         return False
 
+    async def _keep(self, chunk: manifests.Chunk, content: bytes) -> None:
+        # In a thread: hashing a large chunk takes tens of milliseconds, and
+        # live requests pass through the same event loop.
+        await asyncio.to_thread(chunk_stores.verify, chunk, content)
+        self._around.store.add_verified(chunk, content)
+
     def _finish(self, fetch: spreading.Fetch, *, held: bool) -> None:
         self._swarm.end(fetch, held=held)
         if held:
