--- a/standins/processes.py
+++ b/standins/processes.py
@@ -21,11 +21,16 @@
 _ROOT = pathlib.Path(__file__).parent.parent
 
 
+def _in_main_thread() -> bool:
+    return threading.current_thread() is threading.main_thread()
+
+
 def _end_with_parent() -> None:
     """Have the kernel end this process when the one that started it ends.
 
     A trial that is killed can't stop its processes; left behind, they load
-    the machine and hold ports.
+    the machine and hold ports. The kernel goes by the thread that started
+    the process, so this is for processes that the main thread starts.
     """
     ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
 
@@ -72,7 +77,7 @@
             stderr=subprocess.STDOUT,
             text=True,
             errors='replace',
-            preexec_fn=_end_with_parent,
+            preexec_fn=_end_with_parent if _in_main_thread() else None,
         )
         self._reader = threading.Thread(target=self._read, daemon=True)
         self._reader.start()
