--- a/clementinepass/entry/agent_peers.py
+++ b/clementinepass/entry/agent_peers.py
@@ -32,7 +32,7 @@
 
 
 class PeerEvents(typing.Protocol):
-    """Who learns what a connection to an agent shows."""
+    """Callbacks for what a connection to an agent shows."""
 
     def attached(self, peer: AgentPeer) -> None:
         """Note a new connection."""
@@ -48,7 +48,7 @@
 
 
 class _Sink(schema.peers.FrameSink.Server):
-    """Takes the frames that an agent sends."""
+    """Receive the frames that an agent sends."""
 
     def __init__(self, peer: AgentPeer) -> None:
         self._peer = peer
@@ -119,7 +119,7 @@
             backoff = min(2 * backoff, _LONGEST_BACKOFF)
 
     def close(self) -> None:
-        """End what is under way; the agent is no longer listed."""
+        """End the attempts under way; the agent is no longer listed."""
         self._end_all()
 
     async def dispatch(
@@ -178,7 +178,7 @@
             )
 
     async def configure(self, revision: int, payload: bytes) -> None:
-        """Give the agent a configuration."""
+        """Send a configuration; the agent keeps its own if that is newer."""
         session = self._session
         if session is None:
             return
--- a/clementinepass/entry/direct.py
+++ b/clementinepass/entry/direct.py
@@ -64,7 +64,7 @@
     """Cheroot's gateway, with a writer for the application."""
 
     def get_environ(self) -> typing.Any:
-        """Return the environment of one request."""
+        """Return the WSGI environment of one request, writer included."""
         environ = super().get_environ()
         environ[ENVIRON_KEY] = DirectWriter(self.req)
         return environ
--- a/clementinepass/entry/dispatcher.py
+++ b/clementinepass/entry/dispatcher.py
@@ -62,7 +62,7 @@
 
 
 class Trial(msgspec.Struct):
-    """What was tried for one request so far."""
+    """Attempts made for one request so far."""
 
     attempts: int = 0
     crash_retries: int = 0
@@ -83,7 +83,7 @@
 
 
 class Dispatcher:
-    """Serve requests over the agents' connections."""
+    """Serve requests: admit, place, dispatch, retry and conclude."""
 
     def __init__(
         self,
--- a/clementinepass/entry/entry.py
+++ b/clementinepass/entry/entry.py
@@ -99,9 +99,9 @@
         self.id = identity.id
         #: Agents and entries as this entry sees them.
         self.view = views.MembershipView()
-        #: Requests that kill endpoints.
+        #: Evidence about requests that kill endpoints.
         self.quarantine = quarantine.Quarantine()
-        #: The endpoints.
+        #: Endpoints, and what this entry has in flight at each.
         self.fleet = fleet.Fleet(
             self.view,
             self.quarantine,
@@ -113,7 +113,7 @@
         self.catalogue = catalogues.Catalogue.from_state(follower.current)
         #: Whether and how long new requests are taken.
         self.leaving = entry_ranking.Leaving(max_age=limits.max_age)
-        #: Serves requests.
+        #: Takes each request from admission to its final answer.
         self.dispatcher = dispatcher.Dispatcher(
             identity.id,
             self.fleet,
@@ -174,7 +174,7 @@
         self._tell()
 
     def desk_for(self, target: str) -> desk.Desk:
-        """Return the admission of a target."""
+        """Return the desk that admits requests for a target."""
         found = self._desks_by_target.get(target)
         if found is None:
             found = desk.Desk(self._clock, self._chance)
@@ -200,7 +200,7 @@
         )
 
     async def next_state(self, known: int) -> entry_messages.EntryState:
-        """Return what other entries should know, once it is new."""
+        """Return the state once it differs, or after a heartbeat."""
         if known == self._sequence:
             changed = self._changed
             with contextlib.suppress(TimeoutError):
--- a/clementinepass/entry/entry_peers.py
+++ b/clementinepass/entry/entry_peers.py
@@ -23,7 +23,7 @@
 
 
 class EntryEvents(typing.Protocol):
-    """Who learns what a connection to another entry shows."""
+    """Callbacks for what a connection to another entry shows."""
 
     def entry_reported(
         self,
@@ -43,7 +43,7 @@
 
 
 class EntryPeer:
-    """One other entry.
+    """The connection to one other entry.
 
     :param patience: seconds without a state after which the connection is
         given up for a new one.
--- a/clementinepass/entry/exchange.py
+++ b/clementinepass/entry/exchange.py
@@ -47,7 +47,7 @@
         self.attempt = attempt
         #: What identifies the attempt.
         self.key = AttemptKey(request.id, attempt.number)
-        #: The order of the answer's frames.
+        #: Puts the answer's frames in order and drops copies.
         self.reassembly = streams.Reassembly(request.id, attempt.number)
         #: Set once nothing more can change.
         self.finished = asyncio.Event()
@@ -85,7 +85,7 @@
         return arrival
 
     def settle(self) -> None:
-        """Wake whoever waits for the end, if it has come."""
+        """Set :attr:`finished` if the attempt has come to its end."""
         if self.attempt.finished:
             self.finished.set()
 
--- a/clementinepass/entry/http.py
+++ b/clementinepass/entry/http.py
@@ -31,7 +31,7 @@
     from clementinepass.wire import bridge as bridges
 
 _PORT = 1
-#: Requests waiting to be accepted by the operating system.
+#: Connections that the operating system holds until accepted.
 _BACKLOG = 512
 #: Seconds that a caller may take for its headers or between its requests.
 _CALLER_TIMEOUT = 10
@@ -467,7 +467,7 @@
 
 
 class _Responder:
-    """Begin a response once, with the right status."""
+    """Write one response; status and headers go out once."""
 
     def __init__(
         self,
--- a/clementinepass/entry/instruments.py
+++ b/clementinepass/entry/instruments.py
@@ -90,7 +90,7 @@
         request: identity.Request,
         reason: problem.Reason,
     ) -> None:
-        """Count a refusal."""
+        """Count a request that was refused before any dispatch."""
         self._refusals.inc({**_labels(request), 'reason': reason.value})
 
     def gate_refused(self, reason: str) -> None:
@@ -98,7 +98,7 @@
         self._gate_refusals.inc({'reason': reason})
 
     def retried(self, request: identity.Request) -> None:
-        """Count a retry."""
+        """Count a request that is sent again after a failed attempt."""
         self._retries.inc(_labels(request))
 
     def revision(self, revision: int) -> None:
--- a/clementinepass/entry/outbox.py
+++ b/clementinepass/entry/outbox.py
@@ -1,4 +1,4 @@
-"""The way of one answer from the event loop to its caller."""
+"""Hand one answer from the event loop to its caller's thread."""
 
 from __future__ import annotations
 
--- a/clementinepass/entry/servers.py
+++ b/clementinepass/entry/servers.py
@@ -13,7 +13,7 @@
 
 
 class EntryServer(schema.peers.Entry.Server):
-    """What other entries may ask."""
+    """Calls that other entries may make."""
 
     def __init__(
         self,
@@ -40,4 +40,4 @@
             context.results.state = newer.encode()
 
     def disconnected(self) -> None:
-        """Note nothing: an entry keeps nothing for a connection."""
+        """Do nothing: an entry keeps no state for a connection."""
