--- a/clementinepass/agent/agent.py
+++ b/clementinepass/agent/agent.py
@@ -125,7 +125,7 @@
         return messages.Verdict(accepted=False, reason='lost')
 
     async def next_state(self, known: int) -> messages.AgentState:
-        """Return the state once it differs from ``known``, or after a beat."""
+        """Return the state once it is newer, or after a heartbeat."""
         if known == self._sequence:
             changed = self._changed
             with contextlib.suppress(TimeoutError):
@@ -179,7 +179,7 @@
         return self._workload.weights_capability()
 
     async def run(self) -> None:
-        """Look after runs whose entry is gone, until cancelled."""
+        """Cancel runs whose entry stays away; loop until cancelled."""
         while True:
             await asyncio.sleep(_HOUSEKEEPING)
             self._give_up_orphans()
--- a/clementinepass/agent/gate.py
+++ b/clementinepass/agent/gate.py
@@ -1,4 +1,4 @@
-"""The gate in front of one endpoint: the truth about its work in flight.
+"""The gate in front of one endpoint: admission, with all work in view.
 
 Pure: no sockets, tasks or clocks. Entries only see reports that lag; the gate
 alone knows all work from all entries, so it has the last word on admission.
@@ -68,7 +68,7 @@
         self.capacity = capacity
         #: Attempts in flight now.
         self.running: set[AttemptKey] = set()
-        #: Where the agent stands in its life.
+        #: The phase that entries are told of.
         self.phase = messages.Phase.STARTING
         #: The verified version being served; empty while closed.
         self.version = ''
--- a/clementinepass/agent/neighbours.py
+++ b/clementinepass/agent/neighbours.py
@@ -1,4 +1,4 @@
-"""Other agents, out of the platform's instance list."""
+"""Other agents, read from the platform's instance list."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 class Neighbours:
-    """Know the other agents; the list lags, and views of it differ.
+    """Keep the other agents; the list lags, and views of it differ.
 
     Agents of other models hold no chunks of this one; asked, they say so.
     """
--- a/clementinepass/agent/rollout.py
+++ b/clementinepass/agent/rollout.py
@@ -1,4 +1,4 @@
-"""The agent's part in a rollout: weights put together from their parts."""
+"""The agent's part in a rollout: replica, supply, seed and wave wired up."""
 
 from __future__ import annotations
 
@@ -118,11 +118,11 @@
         return await self._replica.confirm(version)
 
     def serves_now(self, version: str) -> bool:
-        """Read back the same from any thread; blocks, and closes nothing."""
+        """Read back as :meth:`confirm`; blocks and leaves the gate alone."""
         return self._replica.serves_now(version)
 
     def serve_capability(self) -> weights_peers.WeightsServer:
-        """Return the object that answers for ``Agent.weights()``."""
+        """Return the server that ``Agent.weights()`` hands out."""
         return weights_peers.WeightsServer(self._seed)
 
     def progress(self) -> Progress:
--- a/clementinepass/agent/servers.py
+++ b/clementinepass/agent/servers.py
@@ -89,7 +89,7 @@
 
 
 class SessionServer(schema.peers.Session.Server):
-    """What one entry may ask over one connection."""
+    """Calls that one entry may make over one connection."""
 
     def __init__(
         self,
--- a/clementinepass/agent/workloads.py
+++ b/clementinepass/agent/workloads.py
@@ -39,7 +39,7 @@
     kind: str
 
     async def run(self) -> None:
-        """Look after the endpoint until cancelled."""
+        """Keep the gate in step with the endpoint until cancelled."""
 
     def configure(self, catalogue: catalogues.Catalogue) -> None:
         """Take a newer configuration."""
@@ -72,7 +72,7 @@
         await self._monitor.run()
 
     def configure(self, catalogue: catalogues.Catalogue) -> None:
-        """Note nothing: a service has no versions."""
+        """Ignore it: a service has no versions."""
 
     def progress(self) -> Progress:
         """Return why the gate is closed, if it is."""
@@ -82,7 +82,7 @@
         """Return nothing: a service has no weights."""
 
     def serves(self, version: str) -> bool:
-        """Tell that the service has no versions to differ in."""
+        """Return true: a service has no versions."""
         return True
 
 
--- a/clementinepass/membership/view.py
+++ b/clementinepass/membership/view.py
@@ -45,7 +45,7 @@
     #: Grows with each change within an incarnation.
     sequence: int
     phase: AgentPhase
-    #: ``model`` or ``service``.
+    #: ``engine`` or ``service``.
     kind: str
     #: The name of the model or service behind it.
     serves: str
--- a/clementinepass/wire/messages.py
+++ b/clementinepass/wire/messages.py
@@ -1,7 +1,7 @@
 """Typed messages of the peers' protocol, read from and written to Cap'n Proto.
 
-Everything from a peer is checked here: text that is no UTF-8 or a value out of
-an enumeration raises :class:`errors.MalformedMessageError`.
+Everything from a peer is checked here: text that isn't UTF-8, or a value that
+its enumeration lacks, raises :class:`errors.MalformedMessageError`.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 
 
 class Phase(enum.Enum):
-    """Where an agent stands in its life."""
+    """Whether an agent takes work: not yet, now, or no longer."""
 
     STARTING = 'starting'
     SERVING = 'serving'
