--- a/tests/proofs/bench.py
+++ b/tests/proofs/bench.py
@@ -318,6 +318,29 @@
             entry=name,
         )
 
+    def replace_agent(self, index: int) -> None:
+        """Tell an agent to leave, and start another for its endpoint."""
+        shape = self.system.shape
+        engines = [f'engine-{each}' for each in range(shape.engines)]
+        services = [f'service-{each}' for each in range(shape.services)]
+        name = f'agent-{index}'
+        self.process(name).terminate()
+        if self.process(name).wait():
+            raise RuntimeError(f'{name} failed while it left')
+        del self.system.by_name[name]
+        endpoint = (engines + services)[index]
+        self.system.start_agent(name, endpoint, index)
+        self.system.enlist(name, self.process(name).listening())
+        for entry in self.system.entries:
+            self.system.await_status(
+                lambda status: (
+                    list(_phases(status).values()).count('serving')
+                    == len(engines + services)
+                ),
+                f'{name} serves again',
+                entry=entry,
+            )
+
     def await_that(
         self,
         holds: typing.Callable[[], bool],
--- a/tests/proofs/test_leaving.py
+++ b/tests/proofs/test_leaving.py
@@ -52,7 +52,7 @@
             max_age='2s',
         ) as bench:
             streams = [
-                bench.stream('entry-0', f's{each}', 400) for each in range(4)
+                bench.stream('entry-0', f's{each}', 1400) for each in range(4)
             ]
             for one in streams:
                 one.begun.wait()
