Wire the settings of weights and each models wave; leave others out of waves

Cause: three keys of [weights] changed nothing, the wave of a model in the configuration neither, and agents of other models and plain services counted in the waves, so a replica could wait its whole patience for one that never loads the version. Found by reading. Change: the table holds the keys that the transfer has, each passed on; the wave travels with the wanted version; the instance list names what an agent serves, and only agents of the same model are members.

--- a/benchmarks/weights.py
+++ b/benchmarks/weights.py
@@ -123,7 +123,6 @@
             distrust=5 * second,
             poll=0.05,
             read_back=1,
-            wave=self.wave,
             near=8,
             far=4,
             retry=0.2,
@@ -270,7 +269,11 @@
         digest = self._platform.publish(manifest, whole)
         self._revision += 1
         self._want = weights_messages.Want(
-            version, manifest.digest, digest, self._revision
+            version,
+            manifest.digest,
+            digest,
+            self._revision,
+            self._plan.wave,
         )
         for agent in self._agents.values():
             agent.program.send(self._want)
--- a/benchmarks/weights_agent.py
+++ b/benchmarks/weights_agent.py
@@ -206,7 +206,10 @@
             case weights_messages.Want():
                 self._gate.digests[order.version] = order.digest
                 self._rollout.want(
-                    order.version, order.manifest, order.revision
+                    order.version,
+                    order.manifest,
+                    order.revision,
+                    order.wave,
                 )
             case weights_messages.Disturb():
                 self._faults.corrupt = order.corrupt
--- a/benchmarks/weights_messages.py
+++ b/benchmarks/weights_messages.py
@@ -39,6 +39,8 @@
     digest: str
     manifest: str
     revision: int
+    #: The percentage of replicas that may load at once.
+    wave: int
 
 
 class Disturb(msgspec.Struct, frozen=True, tag='disturb'):
--- a/clementinepass/agent/assembly.py
+++ b/clementinepass/agent/assembly.py
@@ -198,10 +198,7 @@
             ),
             origin=origin.HttpOrigin(str(platform.origin), limits),
             members=self._neighbours,
-            settings=weight_settings.WeightSettings(
-                memory_limit=self._weights.memory_limit,
-                upload_rate=self._weights.upload_rate,
-            ),
+            settings=self._weight_settings(),
             clock=self._clock,
             live=lambda: len(self._gate.running),
         )
@@ -214,6 +211,22 @@
             self._settings.peers.heartbeat,
         )
 
+    def _weight_settings(self) -> weight_settings.WeightSettings:
+        weights = self._weights
+        return weight_settings.WeightSettings(
+            memory_limit=weights.memory_limit,
+            upload_rate=weights.upload_rate,
+            download_rate=weights.download_rate,
+            origin_rate=weights.origin_rate,
+            yield_share=weights.yield_share,
+            slice_bytes=weights.slice_bytes,
+            downloads=weights.downloads,
+            patience=weights.patience,
+            stall_timeout=weights.stall_timeout,
+            gather=weights.gather,
+            wave_patience=weights.wave_patience,
+        )
+
     def _service_workload(
         self,
         watch: health.EndpointHealth,
--- a/clementinepass/agent/neighbours.py
+++ b/clementinepass/agent/neighbours.py
@@ -39,15 +39,21 @@
         self._own_id = own_id
         self._instance_list = instance_list
         self._bridge = bridge
-        self._members: tuple[weight_protocols.Member, ...] = ()
+        self._agents: tuple[protocols.Instance, ...] = ()
         self._shown = asyncio.Event()
 
     def peers_for(
         self,
         model: str,
     ) -> tuple[weight_protocols.Member, ...]:
-        """Return the agents that may hold chunks of a model."""
-        return self._members
+        """Return the agents that may hold chunks of a model.
+
+        Those of other models and of services would count in the waves: a
+        replica would wait for agents that never load its version.
+        """
+        return tuple(
+            _to_member(one) for one in self._agents if one.serves in {'', model}
+        )
 
     async def settle(self) -> None:
         """Wait until the list shows this agent, for a bounded time.
@@ -84,9 +90,7 @@
 
     def _take(self, listed: tuple[protocols.Instance, ...]) -> None:
         agents = [one for one in listed if one.role is protocols.Role.AGENT]
-        self._members = tuple(
-            _to_member(one) for one in agents if one.id != self._own_id
-        )
+        self._agents = tuple(one for one in agents if one.id != self._own_id)
         if any(one.id == self._own_id for one in agents):
             self._shown.set()
 
--- a/clementinepass/agent/rollout.py
+++ b/clementinepass/agent/rollout.py
@@ -109,9 +109,18 @@
         """Follow what is wanted until cancelled."""
         await self._replica.run()
 
-    def want(self, version: str, manifest: str, revision: int) -> None:
-        """Take a newer configuration; an older or equal one is ignored."""
-        self._replica.want(protocols.Wanted(version, manifest, revision))
+    def want(
+        self,
+        version: str,
+        manifest: str,
+        revision: int,
+        wave: int = protocols.DEFAULT_WAVE,
+    ) -> None:
+        """Take a newer configuration; an older or equal one is ignored.
+
+        :param wave: the percentage of replicas that may load at once.
+        """
+        self._replica.want(protocols.Wanted(version, manifest, revision, wave))
 
     async def confirm(self, version: str) -> bool:
         """Read back now whether the engine serves ``version`` whole."""
--- a/clementinepass/agent/workloads.py
+++ b/clementinepass/agent/workloads.py
@@ -18,6 +18,7 @@
 
 #: Seconds that a run waits for the engine to say what it serves.
 _CONFIRM_TIMEOUT = 5.0
+_PERCENT = 100
 
 
 class Progress(msgspec.Struct, frozen=True):
@@ -131,6 +132,7 @@
             version.name,
             version.manifest,
             max(model.revision, version.revision),
+            round(model.wave * _PERCENT),
         )
 
     def progress(self) -> Progress:
--- a/clementinepass/platform/protocols.py
+++ b/clementinepass/platform/protocols.py
@@ -89,6 +89,9 @@
     state: InstanceState = InstanceState.LIVE
     #: Where an entry takes callers' HTTP, ``host:port``; empty for agents.
     callers_address: str = ''
+    #: The model or service of an agent's endpoint; empty where the list does
+    #: not say, and then the agent may belong to any.
+    serves: str = ''
 
 
 class InstanceList(typing.Protocol):
--- a/clementinepass/settings/defaults.py
+++ b/clementinepass/settings/defaults.py
@@ -198,23 +198,54 @@
     )
     upload_rate: int = setting(
         values.RATE,
-        '200MB/s',
-        'Most bytes a second sent to peers.',
+        '0MB/s',
+        'Most bytes a second sent to other agents; 0 for no limit.',
     )
-    uploads: int = setting(
-        values.POSITIVE,
-        '4',
-        'Most chunks sent to peers at once.',
+    download_rate: int = setting(
+        values.RATE,
+        '0MB/s',
+        'Most bytes a second taken from other agents; 0 for no limit.',
     )
-    origin_copies: int = setting(
-        values.POSITIVE,
-        '4',
-        "Copies that the origin's link carries at once.",
+    origin_rate: int = setting(
+        values.RATE,
+        '0MB/s',
+        'Most bytes a second that all agents together read from the origin; '
+        '0 for no limit.',
+    )
+    yield_share: float = setting(
+        values.PERCENTAGE,
+        '90%',
+        'Part of upload_rate used while requests are in progress.',
     )
-    window: int = setting(
+    slice_bytes: int = setting(
+        values.SIZE,
+        '256KiB',
+        'Most that one call between agents carries.',
+    )
+    downloads: int = setting(
         values.POSITIVE,
-        '8',
-        'Most chunks asked for at once.',
+        '16',
+        'Most chunks on their way from other agents at once.',
+    )
+    patience: float = setting(
+        values.DURATION,
+        '2s',
+        'Wait for other agents before reading their part from the origin.',
+    )
+    stall_timeout: float = setting(
+        values.DURATION,
+        '3s',
+        'Silence after which a call between agents has stalled.',
+    )
+    gather: float = setting(
+        values.DURATION,
+        '200ms',
+        'Time for which new chunks are gathered before others are told.',
+    )
+    wave_patience: float = setting(
+        values.DURATION,
+        '30s',
+        'Wait for a loading or stuck replica before the wave passes it.',
     )
 
 
--- a/clementinepass/weights/protocols.py
+++ b/clementinepass/weights/protocols.py
@@ -25,6 +25,10 @@
     STUCK = 'stuck'
 
 
+#: The percentage of replicas that load at once where nothing else is said.
+DEFAULT_WAVE = 25
+
+
 class Wanted(msgspec.Struct, frozen=True):
     """The version that a replica is to serve."""
 
@@ -33,6 +37,8 @@
     manifest: str
     #: The configuration revision; the order's fencing number.
     revision: int
+    #: The percentage of replicas that may be loading at once.
+    wave: int = DEFAULT_WAVE
 
 
 class Member(msgspec.Struct, frozen=True):
--- a/clementinepass/weights/settings.py
+++ b/clementinepass/weights/settings.py
@@ -46,8 +46,6 @@
     poll: float = 0.5
     #: Between two readings of what the engine serves.
     read_back: float = 2
-    #: The percentage of replicas that may be loading at once.
-    wave: int = 25
     #: How long the wave waits for a replica that is loading or stuck.
     wave_patience: float = 30
     #: The first wait after a failure; it doubles up to ``retry_limit``.
--- a/clementinepass/weights/waves.py
+++ b/clementinepass/weights/waves.py
@@ -30,7 +30,6 @@
                 self._around.own,
                 self._around.members(),
                 wanted,
-                self._around.settings.wave,
             )
             if before is None:
                 return
@@ -97,13 +96,12 @@
     own: protocols.Member,
     members: typing.Iterable[protocols.Member],
     wanted: protocols.Wanted,
-    wave: int,
 ) -> tuple[protocols.Member | None, int]:
     """Return the member to wait for, and how many waves go before."""
     by_id = {one.id: one for one in members if one.alive}
     by_id[own.id] = own
     order = ranking.ranked(wanted.manifest, by_id)
-    width = max(1, len(order) * wave // _ALL)
+    width = max(1, len(order) * wanted.wave // _ALL)
     place = order.index(own.id)
     if place < width:
         return None, 0
--- a/standins/system.py
+++ b/standins/system.py
@@ -87,7 +87,7 @@
         #: Addresses for callers by name of the entry.
         self.callers: dict[str, str] = {}
         self.http = urllib3.PoolManager(maxsize=64, retries=False)
-        self._started = 0
+        self._serves_by_agent: dict[str, str] = {}
 
     def __enter__(self) -> typing.Self:
         """Start everything."""
@@ -156,6 +156,7 @@
         """Start the agent before an endpoint."""
         kind = endpoint.partition('-')[0]
         serves = MODEL if kind == 'engine' else SERVICE
+        self._serves_by_agent[name] = serves
         self._start_daemon(
             name,
             index,
@@ -206,6 +207,7 @@
             failure_domain=domain_of(int(name.rpartition('-')[2])),
             state=state,
             callers_address=listening.get('callers', ''),
+            serves=self._serves_by_agent.get(name, ''),
         )
         self.put('list', f'/v1/instances/{name}', instance)
 
--- a/tests/endpoints/test_engine.py
+++ b/tests/endpoints/test_engine.py
@@ -16,9 +16,7 @@
 from tests import serving, tables
 from tests.endpoints import contracts
 
-_QUICK = transport.Limits(
-    read_timeout=2, control_timeout=2, load_timeout=3
-)
+_QUICK = transport.Limits(read_timeout=2, control_timeout=2, load_timeout=3)
 
 
 class MemoryEngineTest(contracts.EngineContract, testtools.TestCase):
--- a/tests/endpoints/test_service.py
+++ b/tests/endpoints/test_service.py
@@ -14,9 +14,7 @@
 from tests import serving, tables
 from tests.endpoints import contracts
 
-_QUICK = transport.Limits(
-    read_timeout=2, control_timeout=2, answer_bytes=1000
-)
+_QUICK = transport.Limits(read_timeout=2, control_timeout=2, answer_bytes=1000)
 _CALL = protocols.Call('r1', 'POST', '/dispatch', b'{}', timeout=2)
 
 
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -50,7 +50,7 @@
     'host name': ('127.0.0.1:7100', 'log.local:7100', ['9: platform.log']),
     'other role': (
         '[callers]',
-        '[weights]\nuploads = 4\n[callers]',
+        '[weights]\ndownloads = 4\n[callers]',
         ['weights: is not for role entry'],
     ),
     'unknown role': ('= entry', '= leader', ["2: daemon.role: 'leader'"]),
@@ -99,7 +99,7 @@
         self.assertIsNone(entry.endpoint)
         agent = settings.Settings.from_text(AGENT, 'f.ini')
         self.assertEqual('engine', agent.endpoint.kind)
-        self.assertEqual(4, agent.weights.origin_copies)
+        self.assertEqual(16, agent.weights.downloads)
         self.assertIsNone(agent.callers)
 
     def test_faults(self) -> None:
--- a/tests/weights/fakes.py
+++ b/tests/weights/fakes.py
@@ -30,7 +30,6 @@
     distrust=5,
     poll=0.01,
     read_back=0.02,
-    wave=100,
     wave_patience=0.3,
     retry=0.01,
     retry_limit=0.05,
@@ -311,6 +310,8 @@
         self.nodes: list[Node] = []
         self.members: list[protocols.Member] = []
         self._revision = 0
+        #: The percentage of replicas that may load at once.
+        self.wave = 100
 
     def add(
         self,
@@ -337,7 +338,7 @@
         """Let all nodes, or some, want a version; return the revision."""
         self._revision += 1
         for node in nodes or self.nodes:
-            node.rollout.want(version, digest, self._revision)
+            node.rollout.want(version, digest, self._revision, self.wave)
         return self._revision
 
     async def serving(self, version: str, *nodes: Node) -> None:
--- a/tests/weights/test_waves.py
+++ b/tests/weights/test_waves.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import msgspec
 import testtools
 from testtools import matchers
 
@@ -10,6 +9,7 @@
 from tests.weights import fakes
 
 _WANTED = protocols.Wanted('v2', 'digest', 7)
+_NARROW = protocols.Wanted('v2', 'digest', 7, wave=1)
 _SERVING = protocols.Standing(protocols.Phase.SERVING, 7)
 _LOADING = protocols.Standing(protocols.Phase.LOADING, 7)
 _STUCK = protocols.Standing(protocols.Phase.STUCK, 7)
@@ -25,7 +25,7 @@
         """Each member but a wave's width waits for one other."""
         members = [fakes.member(f'n{at}') for at in range(20)]
         befores = [
-            waves.before_own(one, members, _WANTED, 25)[0] for one in members
+            waves.before_own(one, members, _WANTED)[0] for one in members
         ]
         waited_for = [one.id for one in befores if one is not None]
         self.assertEqual(5, befores.count(None))
@@ -35,7 +35,7 @@
         """However small the wave, one replica may load."""
         members = [fakes.member(f'n{at}') for at in range(3)]
         befores = [
-            waves.before_own(one, members, _WANTED, 1)[0] for one in members
+            waves.before_own(one, members, _NARROW)[0] for one in members
         ]
         self.assertEqual(1, befores.count(None))
 
@@ -70,12 +70,12 @@
         replicas open at any time. One engine does not load at all; its wave
         must not keep the other replicas on the old version.
         """
-        quarter = msgspec.structs.replace(fakes.SETTINGS, wave=25)
         closed: list[int] = []
 
         async def story(fleet: fakes.Fleet) -> None:
             for at in range(8):
-                fleet.add(f'n{at}', settings=quarter)
+                fleet.add(f'n{at}')
+            fleet.wave = 25
             fleet.want('v1', fleet.publish('v1', seed=1))
             await fleet.serving('v1')
             stuck, *others = fleet.nodes
