Start replaced readers in the thread of the test

Trial processes now end with the thread that started them, and the replacement was started by a thread that ends with each race.

--- a/tests/proofs/test_configuration_races.py
+++ b/tests/proofs/test_configuration_races.py
@@ -11,7 +11,6 @@
 import subprocess
 import sys
 import tempfile
-import threading
 
 import msgspec
 import testtools
@@ -34,6 +33,8 @@
 _READERS = 6
 #: Operators who race for one team.
 _TEAMS = 5
+#: Seconds between two disturbances.
+_PAUSE = 0.4
 _APPENDS = f'/v1/streams/{records.STREAM}/'
 _STATE = re.compile(r'state (\d+) (\w+) ')
 _LOST_TO = re.compile(r'\[(team shared-\d)\] \w+ at revision (\d+) by op')
@@ -49,6 +50,9 @@
     err: str
 
 
+_Future = concurrent.futures.Future[_Told]
+
+
 class ConfigurationRacesTest(testtools.TestCase):
     """Twenty operators race while the log fails in every way it can.
 
@@ -128,16 +132,17 @@
         )
         return _Told(ended.returncode, ended.stdout, ended.stderr)
 
-    def _disturb(self, turn: int, done: threading.Event) -> None:
-        """Bring outages, freezes, kills and expiry until all are done."""
-        wait = 0.4
+    def _disturb(self, turn: int, told: list[_Future]) -> None:
+        """Bring outages, freezes and kills until all operators are told."""
         number = 0
-        while not done.wait(wait):
+        # Processes are started here, in the test's own thread: one that is
+        # started by another thread is ended together with it.
+        while concurrent.futures.wait(told, _PAUSE).not_done:
             self._order('faults', faults.FaultOrder(outage=True))
-            done.wait(wait)
+            concurrent.futures.wait(told, _PAUSE)
             self._order('faults', faults.FaultOrder(outage=False))
             self.log.freeze()
-            done.wait(wait)
+            concurrent.futures.wait(told, _PAUSE)
             self.log.thaw()
             if number < 2:
                 victim = 2 * turn + number
@@ -150,21 +155,15 @@
         self._fail(faults.Kind.DELAY, calls=_OPERATORS, seconds=1)
         self._fail(faults.Kind.DROP_AFTER, calls=4)
         self._fail(faults.Kind.DROP_BEFORE, calls=1)
-        done = threading.Event()
-        with concurrent.futures.ThreadPoolExecutor(_OPERATORS + 1) as pool:
-            disturber = pool.submit(self._disturb, turn, done)
-            told = list(
-                pool.map(
-                    self._publish,
-                    range(_OPERATORS),
-                    [turn] * _OPERATORS,
-                ),
-            )
-            done.set()
-            disturber.result()
+        with concurrent.futures.ThreadPoolExecutor(_OPERATORS) as pool:
+            told = [
+                pool.submit(self._publish, operator, turn)
+                for operator in range(_OPERATORS)
+            ]
+            self._disturb(turn, told)
         self._order('faults', faults.FaultOrder(clear=True, outage=False))
         self._observe()
-        return told
+        return [future.result() for future in told]
 
     def _observe(self) -> None:
         while self.observer.poll().revision < self.observer.end:
@@ -255,7 +254,10 @@
             for result in self.results
         }
         for reader in self.readers:
-            reader.wait_for(f'state {last} {states[last]}')
+            try:
+                reader.wait_for(f'state {last} {states[last]}')
+            except TimeoutError:
+                self.fail(reader.log.read_text()[-3000:])
         logs = sorted(self.where.glob('reader-*.log'))
         self.assertLess(len(self.readers), len(logs))
         for path in logs:
