--- a/clementinepass/weights/transfer.py
+++ b/clementinepass/weights/transfer.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 import typing
+from concurrent import futures
 
 from loguru import logger
 
@@ -31,6 +32,27 @@
 )
 
 
+class PlatformThreads:
+    """Threads for the platform's blocking calls, apart from all others.
+
+    A call that was given up still holds its thread until the platform
+    answers. While the origin is silent and versions change, such calls pile
+    up; in threads of their own they can't hold up the calls to the engine.
+    """
+
+    def __init__(self, count: int) -> None:
+        self._pool = futures.ThreadPoolExecutor(count, 'platform')
+
+    async def call(
+        self,
+        function: typing.Callable[[str], bytes],
+        digest: str,
+    ) -> bytes:
+        """Return what ``function`` returns for ``digest``."""
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self._pool, function, digest)
+
+
 class Surroundings(typing.NamedTuple):
     """Everything that a transfer reaches outside of itself."""
 
@@ -38,6 +60,7 @@
     members: typing.Callable[[], typing.Sequence[protocols.Member]]
     peers: protocols.ChunkPeers
     origin: platform_protocols.Origin
+    threads: PlatformThreads
     store: chunk_stores.ChunkStore
     settings: weight_settings.WeightSettings
     clock: clocks.Clock
@@ -196,7 +219,7 @@
             return False
         try:
             content = await self._read(member, chunk)
-            self._around.store.add(chunk, content)
+            await self._keep(chunk, content)
         except errors.PeerBusyError:
             self._swarm.rest(fetch.source, self._now() + self._jittered(0.1))
         except errors.ChunkCorruptError as error:
@@ -277,11 +300,11 @@
             pause = self._fallbacks.reserve(chunk.size, self._now())
             await asyncio.sleep(self._jittered(pause))
         try:
-            content = await asyncio.to_thread(
+            content = await self._around.threads.call(
                 self._around.origin.chunk, chunk.digest
             )
             self._around.ledger.origin += len(content)
-            self._around.store.add(chunk, content)
+            await self._keep(chunk, content)
         except errors.ThrottledError as error:
             self.trouble = str(error)
             await asyncio.sleep(self._jittered(error.retry_after))
@@ -295,6 +318,12 @@
             return True
         return False
 
+    async def _keep(self, chunk: manifests.Chunk, content: bytes) -> None:
+        # In a thread: hashing a large chunk takes tens of milliseconds, and
+        # live requests pass through the same event loop.
+        await asyncio.to_thread(chunk_stores.verify, chunk, content)
+        self._around.store.add_verified(chunk, content)
+
     def _finish(self, fetch: spreading.Fetch, *, held: bool) -> None:
         self._swarm.end(fetch, held=held)
         if held:
--- a/tests/proofs/bench.py
+++ b/tests/proofs/bench.py
@@ -129,6 +129,18 @@
         for name in self.relay_addresses:
             self.relays.follow(name, rules)
 
+    def cut(self) -> None:
+        """Break all relayed connections; new ones work."""
+        for name in self.relay_addresses:
+            self.relays.follow(name, relay.Rules(mode=relay.Mode.CUT))
+            self.relays.follow(name, relay.Rules())
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """Stop a process where it is for a while."""
+        self.process(name).freeze()
+        time.sleep(seconds)
+        self.process(name).thaw()
+
     def post(
         self,
         entry: str,
@@ -194,8 +206,7 @@
         key: str = '',
     ) -> concurrent.futures.Future[history.Told]:
         """Begin to file a dispatch: a call that must run at most once."""
-        headers = {'Idempotency-Key': key} if key else {}
-        return self.pool.submit(self._file, entry, operation, headers)
+        return self.pool.submit(self.file_now, entry, operation, key)
 
     def fault(self, name: str, **fault: typing.Any) -> None:
         """Order a stand-in to show a fault."""
@@ -307,6 +318,29 @@
             entry=name,
         )
 
+    def replace_agent(self, index: int) -> None:
+        """Tell an agent to leave, and start another for its endpoint."""
+        shape = self.system.shape
+        engines = [f'engine-{each}' for each in range(shape.engines)]
+        services = [f'service-{each}' for each in range(shape.services)]
+        name = f'agent-{index}'
+        self.process(name).terminate()
+        if self.process(name).wait():
+            raise RuntimeError(f'{name} failed while it left')
+        del self.system.by_name[name]
+        endpoint = (engines + services)[index]
+        self.system.start_agent(name, endpoint, index)
+        self.system.enlist(name, self.process(name).listening())
+        for entry in self.system.entries:
+            self.system.await_status(
+                lambda status: (
+                    list(_phases(status).values()).count('serving')
+                    == len(engines + services)
+                ),
+                f'{name} serves again',
+                entry=entry,
+            )
+
     def await_that(
         self,
         holds: typing.Callable[[], bool],
@@ -376,12 +410,14 @@
             take_problem(told, answer.data, answer.headers)
         return self.history.add(told)
 
-    def _file(
+    def file_now(
         self,
         entry: str,
         operation: str,
-        headers: dict[str, str],
+        key: str,
     ) -> history.Told:
+        """File a dispatch and wait for what is told."""
+        headers = {'Idempotency-Key': key} if key else {}
         told = history.Told(operation, history.Saying.NOTHING, False)
         path = f'/v1/services/{systems.SERVICE}{operation}'
         try:
