--- a/benchmarks/decisions/runner.py
+++ b/benchmarks/decisions/runner.py
@@ -100,6 +100,9 @@
         self.workload = workload
         self.simulation = simulation.Simulation()
         self.requests: list[entries.Request] = []
+        self._parts_by_team = {
+            team.name: team.entry_parts for team in workload.teams
+        }
         self._rng = random.Random(f'{workload.name}/{seed}')
         self.endpoints = [
             simulation.Endpoint(
@@ -164,7 +167,7 @@
         self._offer(request)
 
     def _offer(self, request: entries.Request) -> None:
-        parts = self.workload.entry_parts
+        parts = self._parts_by_team[request.team] or self.workload.entry_parts
         self._rng.choices(self.entries, parts)[0].offer(request)
 
     def _refused(self, request: entries.Request, retry_after: float) -> None:
--- a/benchmarks/decisions/workloads.py
+++ b/benchmarks/decisions/workloads.py
@@ -63,6 +63,8 @@
     demand: float
     mix: Mix = Mix()
     surge: Surge | None = None
+    #: The part of its callers at each entry; empty for the workload's.
+    entry_parts: tuple[float, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -153,6 +155,17 @@
         report_lag=2,
         entry_parts=(0.6, 0.3, 0.1),
     ),
+    Workload(
+        'team_at_one_entry',
+        (
+            Team('greedy', 24, 3.9),
+            Team('at_first', 16, 0.85, entry_parts=(1, 0, 0)),
+            Team('at_second', 16, 0.85, entry_parts=(0, 1, 0)),
+            Team('at_third', 8, 0.85, entry_parts=(0, 0, 1)),
+        ),
+        seconds=65,
+        entry_parts=(1, 1, 1),
+    ),
     Workload('half_lost', _even(0.8), fault=Fault(20, 40, 4, 0)),
     Workload(
         'full_outage',
--- a/tests/decisions/test_outcomes.py
+++ b/tests/decisions/test_outcomes.py
@@ -31,6 +31,7 @@
             ('long_with_short', 0.95, 0.9, 0.02),
             ('saturation_2x', 0.95, 0.9, 0.02),
             ('crowded_entry', 0.95, 0.9, 0.02),
+            ('team_at_one_entry', 0.95, 0.9, 0.02),
         ]
         for name, kept, goodput, wasted in table:
             outcome = _run(name)
