Let placing know prefixes, overdue answers and ejected endpoints

Purpose: what the decisions offer was not used by the entry. The prefix of long bodies goes into placing (kept apart by team; adopted on the measurement in docs/measurements/decisions.md), a first piece that is overdue counts before it comes, ejected endpoints leave admission their trials only, gates found full bound the line, and agents that are gone are forgotten. Whether a request is a suspect is asked once and not for each endpoint.

--- a/clementinepass/entry/desk.py
+++ b/clementinepass/entry/desk.py
@@ -65,9 +65,21 @@
             decision = await self._wait(ticket)
         return self._counted(decision)
 
-    async def enter_again(self, ticket: tickets.Ticket) -> tickets.Decision:
-        """Wait again with a request that no endpoint's gate let in."""
-        self._controller.returned(ticket, self._clock.now())
+    async def enter_again(
+        self,
+        ticket: tickets.Ticket,
+        *,
+        found_full: bool,
+    ) -> tickets.Decision:
+        """Wait again with a request that no endpoint's gate let in.
+
+        :param found_full: whether the gates refused for lack of a slot.
+        """
+        self._controller.returned(
+            ticket,
+            self._clock.now(),
+            found_full=found_full,
+        )
         return self._counted(await self._wait(ticket))
 
     def leave(self, ticket: tickets.Ticket, *, succeeded: bool) -> None:
--- a/clementinepass/entry/dispatcher.py
+++ b/clementinepass/entry/dispatcher.py
@@ -7,6 +7,7 @@
 import typing
 
 import msgspec
+import xxhash
 from loguru import logger
 
 from clementinepass import errors
@@ -46,6 +47,14 @@
 #: Each follows a fresh report, so a request that meets full gates so often
 #: competes with others that will not give way before its deadline.
 _MOST_RETURNS = 20
+#: Bytes of a body that must be equal for its prompt to count as repeated, and
+#: the least length for which a cached beginning is worth a detour: about 500
+#: tokens.
+_LEAST_PREFIX = 2048
+#: Seconds between looks at a request whose first piece has not come.
+_OVERDUE_POLL = 0.25
+#: What a gate says that has no free place.
+_FULL = 'full'
 _PRIORITY_CLASSES = {
     identity.Priority.INTERACTIVE: tickets.PriorityClass.NORMAL,
     identity.Priority.BATCH: tickets.PriorityClass.BATCH,
@@ -164,7 +173,10 @@
                 served = await self._attempt(work, outbox, trial)
                 if served is None and self._all_full(work.request, trial):
                     admitted = False
-                    decision = await desk.enter_again(ticket)
+                    decision = await desk.enter_again(
+                        ticket,
+                        found_full=_found_full(trial),
+                    )
                     admitted = decision.kind is tickets.Kind.ADMIT
                     if not admitted:
                         served = _refused(
@@ -270,23 +282,43 @@
         answering = asyncio.ensure_future(exchange.answering.wait())
         finished = asyncio.ensure_future(exchange.finished.wait())
         try:
-            await asyncio.wait(
-                {answering, finished},
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            now = self._clock.now()
-            if exchange.answering.is_set():
-                self._metrics.first_token(exchange.request, now - began)
-                self._fleet.answered(
+            overdue = False
+            while not (answering.done() or finished.done()):
+                await asyncio.wait(
+                    {answering, finished},
+                    timeout=_OVERDUE_POLL,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                overdue = overdue or self._fleet.overdue(
                     exchange.request.target,
                     placed.candidate.agent,
-                    now - began,
+                    self._clock.now() - began,
                 )
+            self._note_first(placed, exchange, began, overdue=overdue)
             await finished
         finally:
             answering.cancel()
             finished.cancel()
 
+    def _note_first(
+        self,
+        placed: fleets.Placed,
+        exchange: exchanges.Exchange,
+        began: float,
+        *,
+        overdue: bool,
+    ) -> None:
+        if not exchange.answering.is_set():
+            return
+        seconds = self._clock.now() - began
+        self._metrics.first_token(exchange.request, seconds)
+        if not overdue:
+            self._fleet.answered(
+                exchange.request.target,
+                placed.candidate.agent,
+                seconds,
+            )
+
     def _take_verdict(
         self,
         exchange: exchanges.Exchange,
@@ -301,7 +333,7 @@
         exchange.refusal = verdict.reason
         exchange.attempt.refused()
         self._metrics.gate_refused(verdict.reason)
-        if verdict.reason == 'full':
+        if verdict.reason == _FULL:
             self._fleet.full(exchange.attempt.peer)
 
     def _note_crash(
@@ -384,6 +416,7 @@
                 request.fingerprint(),
                 excluded,
                 time.time(),
+                _prefix_key(request),
             )
             waits = (
                 placed is None
@@ -488,6 +521,23 @@
         )
 
 
+def _found_full(trial: Trial) -> bool:
+    last = trial.last
+    return last is not None and last.refusal == _FULL
+
+
+def _prefix_key(request: identity.Request) -> str:
+    """Return what requests with the same beginning have in common.
+
+    Kept apart by team: which prompts are cached where must not show in
+    another team's waiting times.
+    """
+    if len(request.body) < _LEAST_PREFIX:
+        return ''
+    digest = xxhash.xxh3_64_hexdigest(request.body[:_LEAST_PREFIX])
+    return f'{request.team}/{request.target}/{digest}'
+
+
 def _refused(refusal: problem.Problem) -> Served:
     return Served(errors.Execution.NOT_RUN, None, refusal)
 
--- a/clementinepass/entry/entry.py
+++ b/clementinepass/entry/entry.py
@@ -389,6 +389,7 @@
         for agent in tuple(self.fleet.peers_by_agent):
             if agent not in agents_by_id:
                 self._part_from(agent)
+        self.fleet.retain(frozenset(self.fleet.peers_by_agent))
         for instance in self.view.entries():
             if instance.id != self.id:
                 self._meet_entry(instance)
--- a/clementinepass/entry/fleet.py
+++ b/clementinepass/entry/fleet.py
@@ -51,7 +51,11 @@
         self._view = view
         self._quarantine = quarantine
         self._clock = clock
-        self._placer = placing.CostPlacer(chance, domain=failure_domain)
+        self._placer = placing.CostPlacer(
+            chance,
+            domain=failure_domain,
+            memory=placing.PrefixMemory(),
+        )
         self._others_by_agent: dict[str, int] = {}
         self._since_report_by_agent: dict[str, int] = {}
         self._reported_at_by_agent: dict[str, float] = {}
@@ -77,6 +81,24 @@
             self._clock.now(),
         )
 
+    def overdue(self, target: str, agent: str, seconds: float) -> bool:
+        """Note that the first piece has not come after ``seconds``.
+
+        :return: whether it counted; then nothing more is to be noted of the
+            first piece.
+        """
+        return self._ejectors_by_target[target].overdue(
+            agent,
+            seconds,
+            self._clock.now(),
+        )
+
+    def retain(self, agents: frozenset[str]) -> None:
+        """Forget what is known of agents that are gone."""
+        for target, ejector in self._ejectors_by_target.items():
+            serving = {one.agent for one in self._view.candidates(target)}
+            ejector.retain(serving & agents)
+
     def failed(self, target: str, agent: str) -> None:
         """Note an attempt that an endpoint failed or left unanswered."""
         self._ejectors_by_target[target].failed(agent, self._clock.now())
@@ -95,9 +117,11 @@
 
     def capacity(self, target: str) -> int:
         """Return the slots that this entry may fill at a target."""
+        now = self._clock.now()
+        ejector = self._ejectors_by_target[target]
         return sum(
             max(
-                candidate.report.capacity
+                ejector.slots(candidate.agent, candidate.report.capacity, now)
                 - self._others_by_agent.get(candidate.agent, 0),
                 0,
             )
@@ -110,32 +134,43 @@
         fingerprint: str,
         excluded: frozenset[str],
         wall_time: float,
+        prefix_key: str = '',
     ) -> Placed | None:
         """Choose the endpoint for an attempt.
 
         :param excluded: agents that refused this request or failed it.
         :param wall_time: Unix seconds, for the quarantine's evidence.
+        :param prefix_key: what requests with the same beginning have in
+            common; empty for none.
         """
         now = self._clock.now()
         ejector = self._ejectors_by_target[target]
+        ejected = ejector.ejected(now)
         candidates_by_id = {
             candidate.agent: candidate
             for candidate in self._view.candidates(target)
             if candidate.agent not in excluded
             and candidate.agent in self.peers_by_agent
-            and self.in_flight.may_place(
-                candidate.agent,
+        }
+        judgement = self._quarantine.judge(fingerprint, wall_time)
+        if judgement.standing is not quarantines.Standing.FREE:
+            candidates_by_id = self._apart(
+                candidates_by_id,
                 fingerprint,
-                self._quarantine,
                 wall_time,
             )
-        }
         choice = self._placer.choose(
             [
-                self._to_placing(candidate, ejector, now)
+                self._to_placing(
+                    candidate,
+                    ejector,
+                    now,
+                    ejected=candidate.agent in ejected,
+                )
                 for candidate in candidates_by_id.values()
             ],
             now,
+            prefix_key,
         )
         if choice is None:
             return None
@@ -144,6 +179,24 @@
             candidates_by_id[choice.endpoint_id],
         )
 
+    def _apart(
+        self,
+        candidates_by_id: dict[str, views.Candidate],
+        fingerprint: str,
+        wall_time: float,
+    ) -> dict[str, views.Candidate]:
+        """Return the endpoints at which a suspect meets no other suspect."""
+        return {
+            agent: candidate
+            for agent, candidate in candidates_by_id.items()
+            if self.in_flight.may_place(
+                agent,
+                fingerprint,
+                self._quarantine,
+                wall_time,
+            )
+        }
+
     def serves(self, target: str, excluded: frozenset[str]) -> bool:
         """Tell whether any endpoint but the excluded ones takes work."""
         return any(
@@ -182,6 +235,8 @@
         candidate: views.Candidate,
         ejector: ejection.Ejector,
         now: float,
+        *,
+        ejected: bool,
     ) -> placing.Candidate:
         agent = candidate.agent
         return placing.Candidate(
@@ -194,7 +249,7 @@
                 now,
             ),
             own_in_flight=self.in_flight.count(agent),
-            ejected=agent in ejector.ejected(now),
+            ejected=ejected,
             own_since_report=self._since_report_by_agent.get(agent, 0),
             report_age=now - self._reported_at_by_agent.get(agent, now),
         )
--- a/clementinepass/platform/instance_list.py
+++ b/clementinepass/platform/instance_list.py
@@ -21,6 +21,7 @@
     failure_domain: str
     state: protocols.InstanceState = protocols.InstanceState.LIVE
     callers_address: str = ''
+    serves: str = ''
 
 
 class InstancesAnswer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/platform/test_instance_list.py
+++ b/tests/platform/test_instance_list.py
@@ -18,6 +18,7 @@
     region='rw',
     failure_domain='kigali',
     callers_address='127.0.0.1:8001',
+    serves='lamps',
 )
 _AGENT = protocols.Instance(
     id='a1',
