Give agents the part of the configuration that they use

Purpose: with each change the whole state went to each agent. Entries now send the sections about the model or service served.

Ruled out: sending records for agents to fold, since an agent that misses one would need the whole state again.

--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -18,6 +18,7 @@
 from clementinepass import errors
 from clementinepass.configuration import (
     changes,
+    excerpt,
     fold,
     folder,
     publisher,
@@ -42,6 +43,8 @@
     run: int
     sections: int
     state_bytes: int
+    #: What one agent is given of the state.
+    excerpt_bytes: int
     record_bytes: int
     fold_us_per_record: float
     encode_ms: float
@@ -157,6 +160,7 @@
         run=run,
         sections=size,
         state_bytes=len(payload),
+        excerpt_bytes=len(excerpt.for_endpoint(current, 'm').encode()),
         record_bytes=record_bytes,
         fold_us_per_record=round(took / _RECORDS * _US, 1),
         encode_ms=round((encoded - start) * _MS, 3),
--- a/clementinepass/entry/entry.py
+++ b/clementinepass/entry/entry.py
@@ -14,7 +14,7 @@
 
 from clementinepass import errors
 from clementinepass.configuration import catalogue as catalogues
-from clementinepass.configuration import snapshots
+from clementinepass.configuration import excerpt, snapshots
 from clementinepass.entry import (
     agent_peers,
     desk,
@@ -331,7 +331,8 @@
         if peer is None or peer.state is None:
             return
         if peer.state.revision < current.revision:
-            await peer.configure(current.revision, current.encode())
+            part = excerpt.for_endpoint(current, peer.state.serves)
+            await peer.configure(part.revision, part.encode())
 
     def _refresh_all(self) -> None:
         for target in self._desks_by_target:
