Refuse to list entries before any are known

Cause: an entry that had not read the instance list yet answered with an empty list and a max-age, so a caller kept it and had nowhere to go. Change: 503, reason starting, Retry-After. The proof failed first: 200 with no entries.

--- a/clementinepass/entry/http.py
+++ b/clementinepass/entry/http.py
@@ -180,7 +180,7 @@
         responder: _Responder,
     ) -> Iterable[bytes]:
         if caller.path == '/v1/entries':
-            return self._list_entries(environ, responder)
+            return self._list_entries(environ, caller, responder)
         if caller.path == '/v1/status':
             return self._show_status(responder)
         known = caller.path in callers.MODEL_PATHS
@@ -196,12 +196,24 @@
     def _list_entries(
         self,
         environ: dict[str, typing.Any],
+        caller: callers.CallerRequest,
         responder: _Responder,
     ) -> Iterable[bytes]:
-        caller = str(environ.get('REMOTE_ADDR', ''))
-        headers = _headers(environ)
-        name = f'{caller} {headers.get("authorization", "")}'
+        address = str(environ.get('REMOTE_ADDR', ''))
+        name = f'{address} {caller.headers.get("authorization", "")}'
         ranked = self._entry.ranked_entries(name)
+        if not ranked:
+            # An entry that has not read the instance list yet. Callers would
+            # keep an empty list and have nowhere to go.
+            return responder.refuse(
+                problem.Problem.not_run(
+                    problem.Reason.STARTING,
+                    step='list entries',
+                    peer=self._entry.id,
+                    request_id=caller.id,
+                    retry_after=_FULL_RETRY,
+                ),
+            )
         answer = _EntryList(
             tuple(
                 _EntryAddress(one.address, one.failure_domain, one.region)
--- a/clementinepass/requests/problem.py
+++ b/clementinepass/requests/problem.py
@@ -36,6 +36,7 @@
     SHARE_EXCEEDED = 'share_exceeded'
     NO_ENDPOINT = 'no_endpoint'
     LEAVING = 'leaving'
+    STARTING = 'starting'
     DEADLINE = 'deadline_exceeded'
     ENDPOINT_FAILED = 'endpoint_failed'
     ENDPOINT_DIED = 'endpoint_died'
@@ -84,6 +85,7 @@
     Reason.SHARE_EXCEEDED: _Wording(429, "The team's share is used up."),
     Reason.NO_ENDPOINT: _Wording(503, 'No endpoint serves the target now.'),
     Reason.LEAVING: _Wording(503, 'The instance is leaving.'),
+    Reason.STARTING: _Wording(503, 'The entry has only just started.'),
     Reason.DEADLINE: _Wording(504, 'The deadline has passed.'),
     Reason.ENDPOINT_FAILED: _Wording(502, 'The endpoint failed.'),
     Reason.ENDPOINT_DIED: _Wording(502, 'The endpoint died.'),
--- a/tests/proofs/bench.py
+++ b/tests/proofs/bench.py
@@ -300,6 +300,12 @@
         log = log_service.HttpLogService(self.system.addresses['log'])
         return log.read('quarantine', 0).end
 
+    def start_entry(self, name: str) -> None:
+        """Start another entry, without putting it into the list."""
+        self.system.start_entry(name, int(name.rpartition('-')[2]))
+        listening = self.process(name).listening()
+        self.system.callers[name] = listening['callers']
+
     def restart_entry(self, name: str) -> None:
         """Start a killed entry anew and wait until it serves."""
         self.process(name).wait()
--- a/tests/proofs/test_leaving.py
+++ b/tests/proofs/test_leaving.py
@@ -76,6 +76,21 @@
             self.assertEqual(WHOLE, told.saying)
             bench.await_unlisted('entry-0', at='entry-1')
 
+    def test_entry_that_knows_no_others_yet(self) -> None:
+        """An entry starts while the instance list does not answer.
+
+        A caller that asks it for addresses is told to come back: an empty
+        list would be kept, and leave the caller with nowhere to go.
+        """
+        with benches.Bench(engines=0, services=1) as bench:
+            bench.outage('list', outage=True)
+            bench.start_entry('entry-2')
+            answer = bench.system.call('entry-2', 'GET', '/v1/entries')
+            self.assertEqual(503, answer.status, answer.body)
+            self.assertIn('Retry-After', answer.headers)
+            bench.outage('list', outage=False)
+            bench.await_listed('entry-0', at='entry-2')
+
     def test_engine_serves_something_else(self) -> None:
         """An engine changes its version behind the agent's back.
 
