Go on draining at the first SIGTERM after the drain command

Cause: the drain command and SIGTERM set one event, so the first SIGTERM after `clementinepass drain` was taken for the second and ended the process at once with 143; answers in progress were cut off.

Ruled out: ignoring SIGTERM during a drain; a second one must still end at once.

Change: SIGTERMs are counted apart from the command. The function that ends the process is passed in, so the test needs no process. The test failed before the change at (drain, SIGTERM): exit [143] where none was expected; it passes after it.

--- a/clementinepass/lifecycle.py
+++ b/clementinepass/lifecycle.py
@@ -25,14 +25,34 @@
     """Run until SIGTERM, then drain.
 
     :param path: the settings file, for reading the log level anew.
+    :param end: ends the process at once, with an exit code.
     """
 
-    def __init__(self, path: pathlib.Path) -> None:
+    def __init__(
+        self,
+        path: pathlib.Path,
+        end: Callable[[int], object] = os._exit,
+    ) -> None:
         self._path = path
+        self._end = end
         self._stopping = asyncio.Event()
+        self._terminated = False
 
     def stop(self) -> None:
-        """Begin to drain, as on SIGTERM."""
+        """Begin to drain, or go on with it, as told by the command."""
+        self._stopping.set()
+
+    def terminate(self) -> None:
+        """Take a SIGTERM: drain on the first, end at once on the second.
+
+        Signals are counted apart from the command. Failure: the platform's
+        one SIGTERM after a drain command ended the process and cut off the
+        answers in progress.
+        """
+        if self._terminated:
+            logger.bind(step='stop').warning('ending at once')
+            self._end(_EXIT_AT_ONCE)
+        self._terminated = True
         self._stopping.set()
 
     async def run(
@@ -58,16 +78,10 @@
 
     def _install(self) -> None:
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._terminate)
-        loop.add_signal_handler(signal.SIGINT, self._terminate)
+        loop.add_signal_handler(signal.SIGTERM, self.terminate)
+        loop.add_signal_handler(signal.SIGINT, self.terminate)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
 
-    def _terminate(self) -> None:
-        if self._stopping.is_set():
-            logger.bind(step='stop').warning('ending at once')
-            os._exit(_EXIT_AT_ONCE)
-        self._stopping.set()
-
     def _reload(self) -> None:
         try:
             settings = daemon_settings.Settings.from_file(self._path)
