Let a drain last as long as the longest deadline by default

Cause: drain_grace was 25 s by default while requests may run for 60 s, and for 600 s with a deadline of their own; a graceful shutdown cut those off.

Ruled out: tying the grace to the deadlines of what runs: the requests in progress end by their deadline anyway, and a drain ends as soon as nothing runs.

Change: the default is 10min, the longest deadline.

--- a/clementinepass/entry/callers.py
+++ b/clementinepass/entry/callers.py
@@ -16,7 +16,8 @@
 MODEL_PATHS = frozenset(('/v1/completions', '/v1/chat/completions'))
 SERVICES_PREFIX = '/v1/services/'
 _DEFAULT_DEADLINE = 60.0
-_LONGEST_DEADLINE = 600.0
+#: Seconds that a caller may give at most.
+LONGEST_DEADLINE = 600.0
 _SECOND = 1000
 _LONGEST_KEY = 200
 _BEARER = re.compile(r'Bearer +(\S+)', re.ASCII)
@@ -220,7 +221,7 @@
                 'expected milliseconds',
                 name,
             )
-        return min(int(text) / _SECOND, _LONGEST_DEADLINE)
+        return min(int(text) / _SECOND, LONGEST_DEADLINE)
 
     def _flag(self, caller: CallerRequest, *, default: bool) -> bool:
         name = 'Clementinepass-Idempotent'
--- a/clementinepass/settings/defaults.py
+++ b/clementinepass/settings/defaults.py
@@ -79,7 +79,9 @@
     )
     drain_grace: float = setting(
         values.DURATION,
-        '25s',
+        # As long as the longest deadline that a request may have, so that a
+        # graceful shutdown cuts off nothing.
+        '10min',
         'How long a shutdown waits for requests in progress.',
     )
 
