--- a/clementinepass/agent/rollout.py
+++ b/clementinepass/agent/rollout.py
@@ -1,4 +1,4 @@
-"""The agent's part in a rollout: weights put together from their parts."""
+"""The agent's part in a rollout: replica, supply, seed and wave wired up."""
 
 from __future__ import annotations
 
@@ -109,20 +109,29 @@
         """Follow what is wanted until cancelled."""
         await self._replica.run()
 
-    def want(self, version: str, manifest: str, revision: int) -> None:
-        """Take a newer configuration; an older or equal one is ignored."""
-        self._replica.want(protocols.Wanted(version, manifest, revision))
+    def want(
+        self,
+        version: str,
+        manifest: str,
+        revision: int,
+        wave: int = protocols.DEFAULT_WAVE,
+    ) -> None:
+        """Take a newer configuration; an older or equal one is ignored.
+
+        :param wave: the percentage of replicas that may load at once.
+        """
+        self._replica.want(protocols.Wanted(version, manifest, revision, wave))
 
     async def confirm(self, version: str) -> bool:
         """Read back now whether the engine serves ``version`` whole."""
         return await self._replica.confirm(version)
 
     def serves_now(self, version: str) -> bool:
-        """Read back the same from any thread; blocks, and closes nothing."""
+        """Read back as :meth:`confirm`; blocks and leaves the gate alone."""
         return self._replica.serves_now(version)
 
     def serve_capability(self) -> weights_peers.WeightsServer:
-        """Return the object that answers for ``Agent.weights()``."""
+        """Return the server that ``Agent.weights()`` hands out."""
         return weights_peers.WeightsServer(self._seed)
 
     def progress(self) -> Progress:
--- a/clementinepass/agent/workloads.py
+++ b/clementinepass/agent/workloads.py
@@ -18,6 +18,7 @@
 
 #: Seconds that a run waits for the engine to say what it serves.
 _CONFIRM_TIMEOUT = 5.0
+_PERCENT = 100
 
 
 class Progress(msgspec.Struct, frozen=True):
@@ -39,7 +40,7 @@
     kind: str
 
     async def run(self) -> None:
-        """Look after the endpoint until cancelled."""
+        """Keep the gate in step with the endpoint until cancelled."""
 
     def configure(self, catalogue: catalogues.Catalogue) -> None:
         """Take a newer configuration."""
@@ -72,7 +73,7 @@
         await self._monitor.run()
 
     def configure(self, catalogue: catalogues.Catalogue) -> None:
-        """Note nothing: a service has no versions."""
+        """Ignore it: a service has no versions."""
 
     def progress(self) -> Progress:
         """Return why the gate is closed, if it is."""
@@ -82,7 +83,7 @@
         """Return nothing: a service has no weights."""
 
     def serves(self, version: str) -> bool:
-        """Tell that the service has no versions to differ in."""
+        """Return true: a service has no versions."""
         return True
 
 
@@ -131,6 +132,7 @@
             version.name,
             version.manifest,
             max(model.revision, version.revision),
+            round(model.wave * _PERCENT),
         )
 
     def progress(self) -> Progress:
--- a/clementinepass/entry/http.py
+++ b/clementinepass/entry/http.py
@@ -6,6 +6,7 @@
 import http
 import threading
 import typing
+import urllib.parse
 
 import msgspec
 from cheroot import wsgi
@@ -30,7 +31,7 @@
     from clementinepass.wire import bridge as bridges
 
 _PORT = 1
-#: Requests waiting to be accepted by the operating system.
+#: Connections that the operating system holds until accepted.
 _BACKLOG = 512
 #: Seconds that a caller may take for its headers or between its requests.
 _CALLER_TIMEOUT = 10
@@ -162,7 +163,7 @@
         caller = callers.CallerRequest(
             identity.new_request_id(),
             environ['REQUEST_METHOD'],
-            environ['PATH_INFO'],
+            _raw_path(environ),
             environ.get('QUERY_STRING', ''),
             _headers(environ),
             b'',
@@ -179,7 +180,7 @@
         responder: _Responder,
     ) -> Iterable[bytes]:
         if caller.path == '/v1/entries':
-            return self._list_entries(environ, responder)
+            return self._list_entries(environ, caller, responder)
         if caller.path == '/v1/status':
             return self._show_status(responder)
         known = caller.path in callers.MODEL_PATHS
@@ -195,12 +196,24 @@
     def _list_entries(
         self,
         environ: dict[str, typing.Any],
+        caller: callers.CallerRequest,
         responder: _Responder,
     ) -> Iterable[bytes]:
-        caller = str(environ.get('REMOTE_ADDR', ''))
-        headers = _headers(environ)
-        name = f'{caller} {headers.get("authorization", "")}'
+        address = str(environ.get('REMOTE_ADDR', ''))
+        name = f'{address} {caller.headers.get("authorization", "")}'
         ranked = self._entry.ranked_entries(name)
+        if not ranked:
+            # An entry that has not read the instance list yet. Callers would
+            # keep an empty list and have nowhere to go.
+            return responder.refuse(
+                problem.Problem.not_run(
+                    problem.Reason.STARTING,
+                    step='list entries',
+                    peer=self._entry.id,
+                    request_id=caller.id,
+                    retry_after=_FULL_RETRY,
+                ),
+            )
         answer = _EntryList(
             tuple(
                 _EntryAddress(one.address, one.failure_domain, one.region)
@@ -466,7 +479,7 @@
 
 
 class _Responder:
-    """Begin a response once, with the right status."""
+    """Write one response; status and headers go out once."""
 
     def __init__(
         self,
@@ -617,6 +630,18 @@
     ]
 
 
+def _raw_path(environ: dict[str, typing.Any]) -> str:
+    """Return the path as the caller wrote it.
+
+    The server's own is unquoted: passed on, ``a%3Fb`` would become a query
+    and ``%25`` be lost, and a service would see another request.
+    """
+    path, _, _ = str(environ['REQUEST_URI']).partition('?')
+    if '://' in path:
+        path = urllib.parse.urlsplit(path).path
+    return path or '/'
+
+
 def _length(body: bytes) -> tuple[str, str]:
     return 'Content-Length', str(len(body))
 
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -7,6 +7,7 @@
 import testtools
 
 from clementinepass import errors
+from clementinepass.entry import callers
 from clementinepass.settings import settings
 
 ENTRY = """\
@@ -50,7 +51,7 @@
     'host name': ('127.0.0.1:7100', 'log.local:7100', ['9: platform.log']),
     'other role': (
         '[callers]',
-        '[weights]\nuploads = 4\n[callers]',
+        '[weights]\ndownloads = 4\n[callers]',
         ['weights: is not for role entry'],
     ),
     'unknown role': ('= entry', '= leader', ["2: daemon.role: 'leader'"]),
@@ -90,16 +91,29 @@
 class SettingsTest(testtools.TestCase):
     """Settings are typed, and all faults come together."""
 
+    def test_a_drain_outlasts_every_request(self) -> None:
+        """By default a drain cuts off nothing.
+
+        A request with a deadline of ten minutes was cut off after 25 s of a
+        drain with the default grace, which was shorter than requests may run.
+        """
+        for text in (ENTRY, AGENT):
+            grace = settings.Settings.from_text(text, 'f.ini').daemon
+            self.assertGreaterEqual(
+                grace.drain_grace,
+                callers.LONGEST_DEADLINE,
+            )
+
     def test_roles(self) -> None:
         """Each role has its own sections, with defaults."""
         entry = settings.Settings.from_text(ENTRY, 'f.ini')
-        self.assertEqual(25, entry.daemon.drain_grace)
+        self.assertEqual(600, entry.daemon.drain_grace)
         self.assertEqual(400, entry.callers.streams)
         self.assertEqual(7100, entry.platform.log.port)
         self.assertIsNone(entry.endpoint)
         agent = settings.Settings.from_text(AGENT, 'f.ini')
         self.assertEqual('engine', agent.endpoint.kind)
-        self.assertEqual(4, agent.weights.origin_copies)
+        self.assertEqual(16, agent.weights.downloads)
         self.assertIsNone(agent.callers)
 
     def test_faults(self) -> None:
