--- a/clementinepass/entry/assembly.py
+++ b/clementinepass/entry/assembly.py
@@ -164,7 +164,7 @@
             self._claimer,
             limits,
             self._clock,
-            self._metrics.ended,
+            self._metrics,
         )
         listen = self._callers.listen
         return http.CallersServer(listen.host, listen.port, app, limits)
--- a/clementinepass/entry/dispatcher.py
+++ b/clementinepass/entry/dispatcher.py
@@ -477,7 +477,6 @@
         detail: str = '',
         retry_after: float | None = None,
     ) -> problem.Problem:
-        self._metrics.refused(request, reason)
         return problem.Problem.not_run(
             reason,
             step=step,
--- a/clementinepass/entry/http.py
+++ b/clementinepass/entry/http.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.entry import callers, direct, dispatcher
+from clementinepass.entry import callers, direct, dispatcher, instruments
 from clementinepass.entry import outbox as outboxes
 from clementinepass.requests import (
     claim_records,
@@ -142,14 +142,14 @@
         claimer: claim_service.ClaimService,
         limits: Limits,
         clock: clocks.Clock,
-        on_ended: Callable[[identity.Request, float], None],
+        metrics: instruments.Instruments,
     ) -> None:
         self._entry = entry
         self._bridge = bridge
         self._claimer = claimer
         self._limits = limits
         self._clock = clock
-        self._on_ended = on_ended
+        self._metrics = metrics
         self._reader = callers.Reader(entry.id, clock)
         self._places = threading.BoundedSemaphore(limits.streams)
 
@@ -159,7 +159,11 @@
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         """Answer one request."""
-        responder = _Responder(start_response, environ[direct.ENVIRON_KEY])
+        responder = _Responder(
+            start_response,
+            environ[direct.ENVIRON_KEY],
+            self._told,
+        )
         caller = callers.CallerRequest(
             identity.new_request_id(),
             environ['REQUEST_METHOD'],
@@ -222,11 +226,14 @@
         caller: callers.CallerRequest,
         responder: _Responder,
     ) -> Iterable[bytes]:
-        body = self._body(environ, caller)
-        caller = msgspec.structs.replace(caller, body=body)
         catalogue = self._entry.catalogue
         team = self._entry.team_of(callers.bearer_key(caller.headers))
+        if team is not None:
+            responder.sender = instruments.Sender(team.name)
+        body = self._body(environ, caller)
+        caller = msgspec.structs.replace(caller, body=body)
         request = self._reader.read(caller, catalogue, team)
+        responder.sender = instruments.Sender.of(request)
         if not self._entry.leaving.accepts(self._clock.now()):
             raise self._overloaded(request, problem.Reason.LEAVING)
         if not self._places.acquire(blocking=False):
@@ -254,11 +261,18 @@
     def _ended(self, request: identity.Request, began: float) -> None:
         self._places.release()
         self._bridge.post(
-            self._on_ended,
+            self._metrics.ended,
             request,
             self._clock.now() - began,
         )
 
+    def _told(
+        self,
+        sender: instruments.Sender,
+        final: problem.Problem,
+    ) -> None:
+        self._bridge.post(self._metrics.told, sender, final)
+
     def _answer(
         self,
         request: identity.Request,
@@ -467,15 +481,25 @@
 
 
 class _Responder:
-    """Write one response; status and headers go out once."""
+    """Write one response; status and headers go out once.
+
+    Each problem that a caller is told passes here, whatever found it, so it
+    is counted here and nowhere else.
+
+    :param on_told: told each problem that goes to the caller.
+    """
 
     def __init__(
         self,
         start_response: StartResponse,
         writer: direct.DirectWriter,
+        on_told: Callable[[instruments.Sender, problem.Problem], None],
     ) -> None:
+        #: Whom the request came from, as far as it is known.
+        self.sender = instruments.Sender()
         self._start_response = start_response
         self._writer = writer
+        self._on_told = on_told
         self._started = False
 
     def refuse(self, refusal: problem.Problem) -> list[bytes]:
@@ -485,6 +509,7 @@
             step=refusal.step,
             peer=refusal.peer,
         ).info('refused: {} {}', refusal.reason.value, refusal.detail)
+        self._on_told(self.sender, refusal)
         body = refusal.body()
         self._start(refusal.status, [*refusal.headers(), _length(body)])
         return [body]
@@ -550,6 +575,7 @@
         if failure is not None:
             # The caller sees that its answer is truncated: an error event in
             # place of the end mark.
+            self._on_told(self.sender, failure)
             return [failure.event()]
         if not self._started and head is not None:
             return [self.whole(request, head, b'')]
--- a/clementinepass/entry/instruments.py
+++ b/clementinepass/entry/instruments.py
@@ -20,6 +20,24 @@
 )  # fmt: skip
 
 
+class Sender(typing.NamedTuple):
+    """Whom a request came from; empty where that is not known."""
+
+    team: str = ''
+    #: The request's class.
+    priority: str = ''
+
+    @classmethod
+    def of(cls, request: identity.Request) -> Sender:
+        """Return the sender of a request that was read."""
+        return cls(request.team, request.priority.value)
+
+    @property
+    def labels(self) -> dict[str, str]:
+        """Return the labels of the sender's metrics."""
+        return {'team': self.team, 'class': self.priority}
+
+
 class Instruments:
     """What an entry counts and measures; to be used on the event loop."""
 
@@ -53,6 +71,11 @@
             'Requests refused, by reason.',
             registry=registry,
         )
+        self._failures = aioprometheus.Counter(
+            'clementinepass_failures_total',
+            'Requests that failed after a dispatch, by reason and execution.',
+            registry=registry,
+        )
         self._gate_refusals = aioprometheus.Counter(
             'clementinepass_gate_refusals_total',
             "Attempts refused by an agent's gate, by reason.",
@@ -85,13 +108,14 @@
         """Note the time of a whole request."""
         self._total.observe(_labels(request), seconds)
 
-    def refused(
-        self,
-        request: identity.Request,
-        reason: problem.Reason,
-    ) -> None:
-        """Count a request that was refused before any dispatch."""
-        self._refusals.inc({**_labels(request), 'reason': reason.value})
+    def told(self, sender: Sender, final: problem.Problem) -> None:
+        """Count a problem that a caller was told, a refusal or a failure."""
+        labels = {**sender.labels, 'reason': final.reason.value}
+        if final.is_failure:
+            labels['execution'] = final.execution.value
+            self._failures.inc(labels)
+        else:
+            self._refusals.inc(labels)
 
     def gate_refused(self, reason: str) -> None:
         """Count an attempt that a gate refused."""
@@ -107,4 +131,4 @@
 
 
 def _labels(request: identity.Request) -> dict[str, str]:
-    return {'team': request.team, 'class': request.priority.value}
+    return Sender.of(request).labels
--- a/clementinepass/requests/problem.py
+++ b/clementinepass/requests/problem.py
@@ -114,6 +114,13 @@
     field: str = ''
     #: Seconds after which asking again makes sense.
     retry_after: float | None = None
+    #: The number of the last attempt; 0 where there was none.
+    attempt: int = 0
+
+    @property
+    def is_failure(self) -> bool:
+        """Tell a failure after a dispatch, or within, from a refusal."""
+        return self.attempt > 0 or self.reason is Reason.INTERNAL
 
     @classmethod
     def of(
@@ -127,6 +134,7 @@
         detail: str = '',
         field: str = '',
         retry_after: float | None = None,
+        attempt: int = 0,
     ) -> typing.Self:
         """Return the problem with the reason's status and title."""
         wording = _WORDINGS_BY_REASON[reason]
@@ -141,6 +149,7 @@
             detail=detail,
             field=field,
             retry_after=retry_after,
+            attempt=attempt,
         )
 
     @classmethod
@@ -186,6 +195,7 @@
             request_id=attempt.request_id,
             detail=detail,
             retry_after=retry_after,
+            attempt=attempt.number,
         )
 
     def body(self) -> bytes:
