--- a/clementinepass/entry/entry.py
+++ b/clementinepass/entry/entry.py
@@ -14,7 +14,7 @@
 
 from clementinepass import errors
 from clementinepass.configuration import catalogue as catalogues
-from clementinepass.configuration import snapshots
+from clementinepass.configuration import excerpt, snapshots
 from clementinepass.entry import (
     agent_peers,
     desk,
@@ -331,7 +331,8 @@
         if peer is None or peer.state is None:
             return
         if peer.state.revision < current.revision:
-            await peer.configure(current.revision, current.encode())
+            part = excerpt.for_endpoint(current, peer.state.serves)
+            await peer.configure(part.revision, part.encode())
 
     def _refresh_all(self) -> None:
         for target in self._desks_by_target:
@@ -389,6 +390,7 @@
         for agent in tuple(self.fleet.peers_by_agent):
             if agent not in agents_by_id:
                 self._part_from(agent)
+        self.fleet.retain(frozenset(self.fleet.peers_by_agent))
         for instance in self.view.entries():
             if instance.id != self.id:
                 self._meet_entry(instance)
