Show the bytes read from the weight store

Cause: a rollout counted the bytes of manifests read from the store; nothing carried the figure on, so metrics and rollout status showed the origin and the peers alone.

Change: the figure goes through the workload's progress, the agent's state (a new field of the schema, 0 from older agents), the metric's source "store", and the command line.

--- a/clementinepass/agent/agent.py
+++ b/clementinepass/agent/agent.py
@@ -154,6 +154,7 @@
             trouble=progress.trouble,
             bytes_origin=progress.bytes_origin,
             bytes_peers=progress.bytes_peers,
+            bytes_store=progress.bytes_store,
         )
 
     def configure(self, revision: int, payload: bytes) -> int:
--- a/clementinepass/agent/instruments.py
+++ b/clementinepass/agent/instruments.py
@@ -50,6 +50,7 @@
         """Take over an agent's state."""
         self._bytes.set({'source': 'origin'}, state.bytes_origin)
         self._bytes.set({'source': 'peer'}, state.bytes_peers)
+        self._bytes.set({'source': 'store'}, state.bytes_store)
         target = {'serves': state.serves}
         self._running.set(target, state.running)
         self._capacity.set(target, state.capacity)
--- a/clementinepass/agent/workloads.py
+++ b/clementinepass/agent/workloads.py
@@ -31,6 +31,8 @@
     trouble: str = ''
     bytes_origin: int = 0
     bytes_peers: int = 0
+    #: Manifests, which come from the weight store.
+    bytes_store: int = 0
 
 
 class Workload(typing.Protocol):
@@ -145,6 +147,7 @@
             trouble=progress.trouble,
             bytes_origin=progress.bytes_origin,
             bytes_peers=progress.bytes_peers,
+            bytes_store=progress.bytes_store,
         )
 
     def weights_capability(self) -> typing.Any:
--- a/clementinepass/cli/entry_client.py
+++ b/clementinepass/cli/entry_client.py
@@ -29,6 +29,8 @@
     trouble: str
     bytes_origin: int
     bytes_peers: int
+    #: An entry of an older release does not say.
+    bytes_store: int = 0
 
 
 class Agent(msgspec.Struct, frozen=True):
--- a/clementinepass/cli/rollout_commands.py
+++ b/clementinepass/cli/rollout_commands.py
@@ -36,6 +36,7 @@
     chunks_wanted: int
     bytes_origin: int
     bytes_peers: int
+    bytes_store: int
     trouble: str
 
 
@@ -137,6 +138,7 @@
             'chunks',
             'MB from origin',
             'MB from peers',
+            'MB from store',
             'trouble',
         ),
         sorted(_row(replica) for replica in rollout.replicas),
@@ -155,6 +157,7 @@
         f'{replica.chunks_held}/{replica.chunks_wanted}',
         f'{replica.bytes_origin / megabyte:.1f}',
         f'{replica.bytes_peers / megabyte:.1f}',
+        f'{replica.bytes_store / megabyte:.1f}',
         replica.trouble,
     ]
 
@@ -173,6 +176,7 @@
             chunks_wanted=0,
             bytes_origin=0,
             bytes_peers=0,
+            bytes_store=0,
             trouble=f'connection is {agent.liveness}',
         )
     return Replica(
@@ -186,6 +190,7 @@
         chunks_wanted=state.chunks_wanted,
         bytes_origin=state.bytes_origin,
         bytes_peers=state.bytes_peers,
+        bytes_store=state.bytes_store,
         trouble=state.trouble,
     )
 
--- a/clementinepass/wire/messages.py
+++ b/clementinepass/wire/messages.py
@@ -61,6 +61,8 @@
     trouble: str = ''
     bytes_origin: int = 0
     bytes_peers: int = 0
+    #: Manifests, which come from the weight store.
+    bytes_store: int = 0
 
 
 #: The gate's reason for keeping a suspect apart from another one.
@@ -152,6 +154,7 @@
         trouble=reader.trouble,
         bytes_origin=reader.bytesOrigin,
         bytes_peers=reader.bytesPeers,
+        bytes_store=reader.bytesStore,
     )
 
 
@@ -172,6 +175,7 @@
     builder.trouble = state.trouble
     builder.bytesOrigin = state.bytes_origin
     builder.bytesPeers = state.bytes_peers
+    builder.bytesStore = state.bytes_store
 
 
 def read_dispatch(reader: typing.Any) -> Dispatch:
--- a/clementinepass/wire/peers.capnp
+++ b/clementinepass/wire/peers.capnp
@@ -33,6 +33,7 @@
   trouble @12 :Text;
   bytesOrigin @13 :UInt64;
   bytesPeers @14 :UInt64;
+  bytesStore @15 :UInt64;
 }
 
 struct Dispatch {
