Name request, attempt, team, peer and step in events about requests

Cause: refusals had no team or attempt, faults no step, peer or team, and at an agent not even the request id as a field; a truncated stream had no event of its own at the entry. Found on the way: the text format explained tracebacks with the values of variables, callers' keys and prompts among them.

Change: all those events carry the fields. A truncated stream is one warning with the bytes handed to the caller before, which the outbox counts on both ways out. Failures of the claims log carry step and peer; they are about batches, not about one request. The text format no longer diagnoses.

--- a/clementinepass/agent/agent.py
+++ b/clementinepass/agent/agent.py
@@ -228,13 +228,15 @@
                 continue
             for run in link.runs_by_key.values():
                 if not run.buffer.closed:
-                    self._log_orphan(run)
+                    self._log_orphan(run, link.peer.id)
                     run.cancel()
             del self._links_by_process[process]
 
-    def _log_orphan(self, run: execution.Run) -> None:
+    def _log_orphan(self, run: execution.Run, entry: str) -> None:
         logger.bind(
             step='orphan',
             request_id=run.key.request_id,
             attempt=run.key.attempt,
+            team=run.dispatch.team,
+            peer=entry,
         ).warning('given up: its entry is gone')
--- a/clementinepass/agent/execution.py
+++ b/clementinepass/agent/execution.py
@@ -161,7 +161,13 @@
         except Exception as error:
             # Whatever went wrong here, the caller must not wait for frames
             # that never come.
-            logger.exception('run {} failed', run.key.request_id)
+            logger.bind(
+                request_id=run.key.request_id,
+                attempt=run.key.attempt,
+                team=run.dispatch.team,
+                step='run',
+                peer=run.dispatch.target,
+            ).exception('fault')
             post(run.fail, errors.Execution.MAY_HAVE_RUN, repr(error))
 
     def _relay(self, run: Run) -> None:
--- a/clementinepass/entry/dispatcher.py
+++ b/clementinepass/entry/dispatcher.py
@@ -118,7 +118,12 @@
         except Exception as error:
             # A fault of ours must not leave the caller waiting for an end
             # that never comes.
-            logger.bind(request_id=work.request.id).exception('fault')
+            logger.bind(
+                request_id=work.request.id,
+                team=work.request.team,
+                step='serve',
+                peer=self._entry,
+            ).exception('fault')
             served = self._faulty(work.request, error)
         outbox.put(outboxes.End(served.problem))
         return served
--- a/clementinepass/entry/exchange.py
+++ b/clementinepass/entry/exchange.py
@@ -138,6 +138,7 @@
         logger.bind(
             request_id=frame.request_id,
             attempt=frame.attempt,
+            team=self.request.team,
             peer=self.attempt.peer,
             step='answer',
         ).warning('attempt failed: {}', failure.detail)
--- a/clementinepass/entry/http.py
+++ b/clementinepass/entry/http.py
@@ -380,7 +380,12 @@
                 responder.write_rest(event.payload)
                 responder.hand_over(request, outbox)
             else:
-                yield from responder.end(request, head, event.problem)
+                yield from responder.end(
+                    request,
+                    head,
+                    event.problem,
+                    outbox.relayed,
+                )
                 return
 
     def _next_event(
@@ -516,11 +521,11 @@
 
     def refuse(self, refusal: problem.Problem) -> list[bytes]:
         """Answer with a problem."""
-        logger.bind(
-            request_id=refusal.request_id,
-            step=refusal.step,
-            peer=refusal.peer,
-        ).info('refused: {} {}', refusal.reason.value, refusal.detail)
+        self._event(refusal).info(
+            'failed: {} {}' if refusal.is_failure else 'refused: {} {}',
+            refusal.reason.value,
+            refusal.detail,
+        )
         self._on_told(self.sender, refusal)
         body = refusal.body()
         self._start(refusal.status, [*refusal.headers(), _length(body)])
@@ -580,19 +585,37 @@
         request: identity.Request,
         head: outboxes.Head | None,
         failure: problem.Problem | None,
+        relayed: int,
     ) -> list[bytes]:
-        """Return what ends an answer."""
+        """Return what ends an answer.
+
+        :param relayed: bytes that the caller was sent already.
+        """
         if failure is not None and not self._started:
             return self.refuse(failure)
         if failure is not None:
             # The caller sees that its answer is truncated: an error event in
             # place of the end mark.
+            self._event(failure).warning(
+                'truncated after {} bytes: {}',
+                relayed,
+                failure.detail,
+            )
             self._on_told(self.sender, failure)
             return [failure.event()]
         if not self._started and head is not None:
             return [self.whole(request, head, b'')]
         return []
 
+    def _event(self, final: problem.Problem) -> typing.Any:
+        event = logger.bind(
+            request_id=final.request_id,
+            team=self.sender.team,
+            step=final.step,
+            peer=final.peer,
+        )
+        return event.bind(attempt=final.attempt) if final.attempt else event
+
     def _start(self, status: int, headers: Headers) -> None:
         self._started = True
         phrase = http.HTTPStatus(status).phrase
--- a/clementinepass/entry/outbox.py
+++ b/clementinepass/entry/outbox.py
@@ -58,6 +58,8 @@
     """Hand an answer's events over; bounded by bytes."""
 
     def __init__(self) -> None:
+        #: Bytes of the answer handed to the caller's connection so far.
+        self.relayed = 0
         self._events: queue.SimpleQueue[Event] = queue.SimpleQueue()
         self._lock = threading.Lock()
         self._waiting = 0
@@ -113,6 +115,8 @@
         if isinstance(event, (Part, Rest)):
             with self._lock:
                 self._waiting -= len(event.payload)
+                if isinstance(event, Part):
+                    self.relayed += len(event.payload)
         return event
 
     def _write(self, writer: Writer, part: Part) -> bool:
@@ -120,6 +124,7 @@
             rest = writer.write(part.payload)
         except OSError:
             return False
+        self.relayed += len(part.payload)
         if rest:
             # The socket is full: the thread may wait for it, the loop not.
             self._writer = None
--- a/clementinepass/observability/logs.py
+++ b/clementinepass/observability/logs.py
@@ -46,7 +46,16 @@
     if log_format == JSON:
         logger.add(_write_json, level=0, filter=_filter)
     else:
-        logger.add(sys.stderr, level=0, filter=_filter, format=_TEXT)
+        # Without diagnosis, which writes the values of variables: callers'
+        # keys and the text of their requests would stand in the log.
+        logger.add(
+            sys.stderr,
+            level=0,
+            filter=_filter,
+            format=_TEXT,
+            backtrace=False,
+            diagnose=False,
+        )
 
 
 def set_level(level: str) -> None:
--- a/clementinepass/requests/claim_service.py
+++ b/clementinepass/requests/claim_service.py
@@ -89,7 +89,7 @@
         try:
             page = self._log.read(self._stream, offset, limit=1)
         except errors.ClementinepassError as error:
-            logger.warning('kept answer unreadable: {}', error)
+            _event(error).warning('kept answer unreadable: {}', error)
             return None
         if not page.records or page.records[0].offset != offset:
             return None
@@ -125,13 +125,13 @@
         try:
             self._log.append(self._stream, batch.payloads)
         except errors.PlatformUnavailableError as error:
-            logger.warning('append of claims failed: {}', error)
+            _event(error).warning('append of claims failed: {}', error)
             failed = True
             may_be_there = error.sent
         except errors.ClementinepassError as error:
             # Not every refusal is known to come before the effect: reading
             # tells.
-            logger.warning('append of claims refused: {}', error)
+            _event(error).warning('append of claims refused: {}', error)
             failed = True
         with self.wake:
             self._appending = False
@@ -148,7 +148,7 @@
                 with self.wake:
                     self.partition.records_expired(expired.oldest)
             except errors.ClementinepassError as error:
-                logger.warning('reading claims failed: {}', error)
+                _event(error).warning('reading claims failed: {}', error)
                 self._stopping.wait(RETRY_INTERVAL)
 
     def _read(self) -> None:
@@ -260,3 +260,7 @@
         for worker in self._workers:
             with worker.wake:
                 worker.partition.holder_gone(holder)
+
+
+def _event(error: errors.ClementinepassError) -> typing.Any:
+    return logger.bind(step=error.step, peer=error.peer)
--- a/tests/entry/test_outbox.py
+++ b/tests/entry/test_outbox.py
@@ -63,6 +63,8 @@
             waiting -= len(event.payload)
         used = pieces[: len(thread_turns)]
         assert socket.received == b''.join(used)
+        # What a log of a truncated stream says was sent.
+        assert outbox.relayed == len(socket.received)
 
     def test_caller_gone(self) -> None:
         """A vanished caller's stream is reported, so that it is cancelled."""
--- a/tests/entry/test_told.py
+++ b/tests/entry/test_told.py
@@ -10,6 +10,7 @@
 
 import aioprometheus
 import testtools
+from loguru import logger
 
 from clementinepass import clock as clocks
 from clementinepass import errors
@@ -207,6 +208,45 @@
                 **_SENDER,
             )
 
+    def test_events(self) -> None:
+        """Each problem is one event that names its request and no secret.
+
+        An operator who searches the log for the request id that a caller
+        reports found nothing of a truncated stream, and of other failures
+        neither team nor attempt.
+        """
+        begun = (_HEAD, outbox.Part(b'data: lamp\n\n'))
+        events: list[typing.Any] = []
+        sink = logger.add(lambda line: events.append(line.record), level=0)
+        self.addCleanup(logger.remove, sink)
+        table = (
+            (_BODY, (), 'endpoint_died', 'INFO', 'failed: endpoint_died '),
+            (
+                _STREAMED,
+                begun,
+                'truncated',
+                'WARNING',
+                'truncated after 12 bytes: ',
+            ),
+        )
+        for body, before, reason, level, text in table:
+            events.clear()
+            self.registry = aioprometheus.Registry()
+            self.dispatcher.events = (*before, _end(reason))
+            self._call(body)
+            self.assertEqual([text], [one['message'] for one in events])
+            self.assertEqual(level, events[0]['level'].name)
+            self.assertEqual(
+                {
+                    'request_id': 'r1',
+                    'attempt': 2,
+                    'team': 'depot',
+                    'peer': 'agent-1',
+                    'step': 'answer',
+                },
+                events[0]['extra'],
+            )
+
     def test_success(self) -> None:
         """An answer that is whole counts as neither."""
         self.dispatcher.events = (_HEAD, outbox.Part(b'{}'), outbox.End())
--- /dev/null
+++ b/tests/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of logs."""
