Remove the refusal share_exceeded, which no code gives

Cause: the reason was defined for callers with a status of its own; a team over its share is told overloaded, so callers prepared for what never comes.

--- a/clementinepass/requests/problem.py
+++ b/clementinepass/requests/problem.py
@@ -33,7 +33,6 @@
     CLAIM_UNAVAILABLE = 'claim_unavailable'
     QUARANTINED = 'quarantined'
     OVERLOADED = 'overloaded'
-    SHARE_EXCEEDED = 'share_exceeded'
     NO_ENDPOINT = 'no_endpoint'
     LEAVING = 'leaving'
     STARTING = 'starting'
@@ -82,7 +81,6 @@
         'The request is quarantined: endpoints died while running it.',
     ),
     Reason.OVERLOADED: _Wording(503, 'There is no capacity now.'),
-    Reason.SHARE_EXCEEDED: _Wording(429, "The team's share is used up."),
     Reason.NO_ENDPOINT: _Wording(503, 'No endpoint serves the target now.'),
     Reason.LEAVING: _Wording(503, 'The instance is leaving.'),
     Reason.STARTING: _Wording(503, 'The entry has only just started.'),
