--- a/clementinepass/agent/agent.py
+++ b/clementinepass/agent/agent.py
@@ -154,6 +154,7 @@
             trouble=progress.trouble,
             bytes_origin=progress.bytes_origin,
             bytes_peers=progress.bytes_peers,
+            bytes_store=progress.bytes_store,
         )
 
     def configure(self, revision: int, payload: bytes) -> int:
@@ -227,13 +228,15 @@
                 continue
             for run in link.runs_by_key.values():
                 if not run.buffer.closed:
-                    self._log_orphan(run)
+                    self._log_orphan(run, link.peer.id)
                     run.cancel()
             del self._links_by_process[process]
 
-    def _log_orphan(self, run: execution.Run) -> None:
+    def _log_orphan(self, run: execution.Run, entry: str) -> None:
         logger.bind(
             step='orphan',
             request_id=run.key.request_id,
             attempt=run.key.attempt,
+            team=run.dispatch.team,
+            peer=entry,
         ).warning('given up: its entry is gone')
--- a/clementinepass/requests/problem.py
+++ b/clementinepass/requests/problem.py
@@ -33,7 +33,6 @@
     CLAIM_UNAVAILABLE = 'claim_unavailable'
     QUARANTINED = 'quarantined'
     OVERLOADED = 'overloaded'
-    SHARE_EXCEEDED = 'share_exceeded'
     NO_ENDPOINT = 'no_endpoint'
     LEAVING = 'leaving'
     STARTING = 'starting'
@@ -82,7 +81,6 @@
         'The request is quarantined: endpoints died while running it.',
     ),
     Reason.OVERLOADED: _Wording(503, 'There is no capacity now.'),
-    Reason.SHARE_EXCEEDED: _Wording(429, "The team's share is used up."),
     Reason.NO_ENDPOINT: _Wording(503, 'No endpoint serves the target now.'),
     Reason.LEAVING: _Wording(503, 'The instance is leaving.'),
     Reason.STARTING: _Wording(503, 'The entry has only just started.'),
@@ -116,6 +114,13 @@
     field: str = ''
     #: Seconds after which asking again makes sense.
     retry_after: float | None = None
+    #: The number of the last attempt; 0 where there was none.
+    attempt: int = 0
+
+    @property
+    def is_failure(self) -> bool:
+        """Tell a failure after a dispatch, or within, from a refusal."""
+        return self.attempt > 0 or self.reason is Reason.INTERNAL
 
     @classmethod
     def of(
@@ -129,6 +134,7 @@
         detail: str = '',
         field: str = '',
         retry_after: float | None = None,
+        attempt: int = 0,
     ) -> typing.Self:
         """Return the problem with the reason's status and title."""
         wording = _WORDINGS_BY_REASON[reason]
@@ -143,6 +149,7 @@
             detail=detail,
             field=field,
             retry_after=retry_after,
+            attempt=attempt,
         )
 
     @classmethod
@@ -188,6 +195,7 @@
             request_id=attempt.request_id,
             detail=detail,
             retry_after=retry_after,
+            attempt=attempt.number,
         )
 
     def body(self) -> bytes:
