Count the places of an agent that comes back at once

Ruled out: sessions not yet standing (the status showed them attached). Change: only a report of an attached agent waits to be gathered.

--- a/clementinepass/entry/entry.py
+++ b/clementinepass/entry/entry.py
@@ -242,11 +242,19 @@
     def reported(self, agent: str, state: messages.AgentState) -> None:
         """Note an agent's state, and give it a configuration it lacks."""
         known = self.view.report(agent)
+        unchanged = (
+            known is not None
+            and known.sequence == state.sequence
+            and self.view.liveness(agent) is views.Liveness.ATTACHED
+        )
         self.fleet.reported(agent, state)
-        if known is None or known.sequence != state.sequence:
-            self._refresh(state.serves)
-        else:
+        if unchanged:
             self._refresh_soon(state.serves)
+        else:
+            # An agent that comes back may say the same as before it fell
+            # silent; its places count again at once, or requests are refused
+            # for lack of capacity.
+            self._refresh(state.serves)
         if state.revision < self._follower.current.revision:
             self._push(agent)
 
