Define the key of an attempt once

Cause: AttemptKey stood at the entry and at the agent, alike by chance.

Change: it stands in requests.identity and both use it. The test that both sides have the one type failed before (no such name there) and passes now.

--- a/clementinepass/agent/agent.py
+++ b/clementinepass/agent/agent.py
@@ -17,6 +17,7 @@
 if typing.TYPE_CHECKING:
     from clementinepass import clock as clocks
     from clementinepass.agent import workloads
+    from clementinepass.requests import identity as identities
 
 #: Seconds for which runs of an entry without a connection go on. An entry
 #: that lives is back within its silence limit and one new connection; longer
@@ -109,7 +110,7 @@
     def resume(
         self,
         link: links.EntryLink,
-        key: gates.AttemptKey,
+        key: identities.AttemptKey,
         sequence: int,
     ) -> messages.Verdict:
         """Send an attempt's frames again, or bar it if it is unknown."""
--- a/clementinepass/agent/execution.py
+++ b/clementinepass/agent/execution.py
@@ -8,9 +8,8 @@
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.agent import gate as gates
 from clementinepass.endpoints import protocols
-from clementinepass.requests import streams
+from clementinepass.requests import identity, streams
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,7 +37,7 @@
         on_finished: Callable[[Run], None],
     ) -> None:
         #: What identifies the attempt.
-        self.key = gates.AttemptKey(dispatch.request_id, dispatch.attempt)
+        self.key = identity.AttemptKey(dispatch.request_id, dispatch.attempt)
         #: What the entry asked for.
         self.dispatch = dispatch
         #: Frames that the entry has not confirmed yet.
--- a/clementinepass/agent/gate.py
+++ b/clementinepass/agent/gate.py
@@ -9,13 +9,12 @@
 import enum
 import typing
 
-from clementinepass.requests import gatebook
+from clementinepass.requests import gatebook, identity
 from clementinepass.wire import messages
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
 
-
 _SECOND = 1000
 
 
@@ -40,13 +39,6 @@
     BARRED = 'barred'
 
 
-class AttemptKey(typing.NamedTuple):
-    """What identifies one attempt of one request."""
-
-    request_id: str
-    attempt: int
-
-
 class Gate:
     """Admit attempts to one endpoint.
 
@@ -67,7 +59,7 @@
         #: The most attempts in flight.
         self.capacity = capacity
         #: Attempts in flight now.
-        self.running: set[AttemptKey] = set()
+        self.running: set[identity.AttemptKey] = set()
         #: The phase that entries are told of.
         self.phase = messages.Phase.STARTING
         #: The verified version being served; empty while closed.
@@ -77,7 +69,7 @@
         #: Called when something changed that entries should learn at once.
         self.on_change: Callable[[], None] = _ignore
         self._versioned = versioned
-        self._suspects: set[AttemptKey] = set()
+        self._suspects: set[identity.AttemptKey] = set()
         self._book = gatebook.GateBook()
 
     def open(self, version: str) -> None:
@@ -125,7 +117,7 @@
             now,
         )
         if admission is gatebook.Admission.NEW:
-            key = AttemptKey(dispatch.request_id, dispatch.attempt)
+            key = identity.AttemptKey(dispatch.request_id, dispatch.attempt)
             self.running.add(key)
             if dispatch.suspect:
                 self._suspects.add(key)
@@ -135,7 +127,7 @@
             reason=Refusal.BARRED.value,
         )
 
-    def resume(self, key: AttemptKey, now: float) -> bool:
+    def resume(self, key: identity.AttemptKey, now: float) -> bool:
         """Tell whether an attempt was accepted here; bar it if it was not.
 
         Guards against a dispatch that is still under way on a connection that
@@ -148,7 +140,7 @@
         known = self._book.resume(key.request_id, key.attempt, now)
         return known is gatebook.Resumption.KNOWN
 
-    def finished(self, key: AttemptKey) -> None:
+    def finished(self, key: identity.AttemptKey) -> None:
         """Free the place of an attempt that ended.
 
         Entries learn the load with the next heartbeat, not at once: at 13
--- a/clementinepass/agent/links.py
+++ b/clementinepass/agent/links.py
@@ -13,7 +13,8 @@
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.agent import execution, gate
+from clementinepass.agent import execution
+from clementinepass.requests import identity
 from clementinepass.wire import connections, frames
 
 if typing.TYPE_CHECKING:
@@ -71,7 +72,7 @@
         #: The entry's process.
         self.peer = peer
         #: Runs whose end the entry has not confirmed.
-        self.runs_by_key: dict[gate.AttemptKey, execution.Run] = {}
+        self.runs_by_key: dict[identity.AttemptKey, execution.Run] = {}
         #: Monotonic seconds at which the last connection ended; ``None``
         #: while there is one.
         self.lost_at: float | None = None
@@ -105,7 +106,7 @@
         """Note that there are frames to send."""
         self._dirty.set()
 
-    def resume(self, key: gate.AttemptKey, sequence: int) -> bool:
+    def resume(self, key: identity.AttemptKey, sequence: int) -> bool:
         """Send a run's frames from ``sequence`` on over this connection."""
         run = self.runs_by_key.get(key)
         if run is None:
@@ -164,7 +165,7 @@
 
     def _confirm(self, batch: list[streams.Frame]) -> None:
         for frame in batch:
-            key = gate.AttemptKey(frame.request_id, frame.attempt)
+            key = identity.AttemptKey(frame.request_id, frame.attempt)
             run = self.runs_by_key.get(key)
             if run is None:
                 continue
--- a/clementinepass/agent/servers.py
+++ b/clementinepass/agent/servers.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.agent import gate as gates
+from clementinepass.requests import identity
 from clementinepass.wire import messages, schema
 
 if typing.TYPE_CHECKING:
@@ -131,7 +131,7 @@
 
     async def cancel_context(self, context: typing.Any) -> None:
         """Stop an attempt that nobody waits for any more."""
-        key = gates.AttemptKey(
+        key = identity.AttemptKey(
             context.params.requestId,
             context.params.attempt,
         )
@@ -141,7 +141,7 @@
 
     async def resume_context(self, context: typing.Any) -> None:
         """Send an attempt's frames again, or bar it if it is unknown."""
-        key = gates.AttemptKey(
+        key = identity.AttemptKey(
             context.params.requestId,
             context.params.attempt,
         )
--- a/clementinepass/entry/agent_peers.py
+++ b/clementinepass/entry/agent_peers.py
@@ -12,6 +12,7 @@
 
 from clementinepass import errors
 from clementinepass.entry import exchange as exchanges
+from clementinepass.requests import identity as identities
 from clementinepass.wire import (
     addresses,
     connections,
@@ -96,7 +97,7 @@
         self._chance = chance
         self._session: typing.Any = None
         self._exchanges_by_key: dict[
-            exchanges.AttemptKey,
+            identities.AttemptKey,
             exchanges.Exchange,
         ] = {}
         self._suspected = asyncio.Event()
@@ -194,7 +195,7 @@
 
     def deliver(self, frame: streams.Frame) -> None:
         """Hand a frame to the exchange that it belongs to."""
-        key = exchanges.AttemptKey(frame.request_id, frame.attempt)
+        key = identities.AttemptKey(frame.request_id, frame.attempt)
         exchange = self._exchanges_by_key.get(key)
         if exchange is not None:
             exchange.accept(frame)
--- a/clementinepass/entry/exchange.py
+++ b/clementinepass/entry/exchange.py
@@ -10,20 +10,11 @@
 
 from clementinepass import errors
 from clementinepass.entry import outbox as outboxes
-from clementinepass.requests import outcome, streams
+from clementinepass.requests import identity, outcome, streams
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
 
-    from clementinepass.requests import identity
-
-
-class AttemptKey(typing.NamedTuple):
-    """What identifies one attempt of one request."""
-
-    request_id: str
-    attempt: int
-
 
 class Exchange:
     """Relay one attempt's answer.
@@ -46,7 +37,7 @@
         #: What is known of the attempt.
         self.attempt = attempt
         #: What identifies the attempt.
-        self.key = AttemptKey(request.id, attempt.number)
+        self.key = identity.AttemptKey(request.id, attempt.number)
         #: Puts the answer's frames in order and drops copies.
         self.reassembly = streams.Reassembly(request.id, attempt.number)
         #: Set once nothing more can change.
--- a/clementinepass/requests/identity.py
+++ b/clementinepass/requests/identity.py
@@ -5,6 +5,7 @@
 import enum
 import hashlib
 import secrets
+import typing
 
 import msgspec
 
@@ -26,6 +27,13 @@
     BATCH = 'batch'
 
 
+class AttemptKey(typing.NamedTuple):
+    """What identifies one attempt of one request."""
+
+    request_id: str
+    attempt: int
+
+
 class Request(msgspec.Struct, frozen=True):
     """One caller's request, as an entry understood it."""
 
--- a/tests/agent/test_fault_events.py
+++ b/tests/agent/test_fault_events.py
@@ -1,4 +1,4 @@
-"""Tests that events of faults name the request that they are about."""
+"""Tests of what names a request: keys of attempts, events of faults."""
 
 from __future__ import annotations
 
@@ -90,6 +90,23 @@
         taken.accept(frame)
 
 
+class AttemptKeyTest(testtools.TestCase):
+    """What identifies an attempt is one type."""
+
+    def test_both_sides_have_one_key(self) -> None:
+        """An entry's key of an attempt is what its agent calls it."""
+        attempt = outcome.Attempt('r1', 2, 'agent-1')
+        sent = exchange.Exchange(_REQUEST, attempt, outbox.Outbox(), _UNUSED)
+        run = execution.Run(
+            _DISPATCH,
+            on_frames=lambda: None,
+            on_finished=lambda _: None,
+        )
+        self.assertEqual(sent.key, run.key)
+        self.assertIs(identity.AttemptKey, type(sent.key))
+        self.assertIs(identity.AttemptKey, type(run.key))
+
+
 class FaultEventsTest(testtools.TestCase):
     """A search for a request's id finds the event, with its team and peer.
 
--- a/tests/agent/test_gate_guards.py
+++ b/tests/agent/test_gate_guards.py
@@ -6,6 +6,7 @@
 import testtools
 
 from clementinepass.agent import gate as gates
+from clementinepass.requests import identity
 from clementinepass.wire import messages
 
 NOW = 1000.0
@@ -66,6 +67,6 @@
         second = _dispatch('r3', suspect=True)
         verdict = gate.offer(second, NOW, WALL)
         self.assertEqual(messages.SUSPECT_RUNNING, verdict.reason)
-        gate.finished(gates.AttemptKey('r1', 1))
+        gate.finished(identity.AttemptKey('r1', 1))
         again = _dispatch('r3', suspect=True, attempt=2)
         self.assertTrue(gate.offer(again, NOW, WALL).accepted)
