Wait a moment for a dying endpoint before calling it alive

Cause: since only the dead count as crashed, an engine that was just ending was taken for one that failed a call: its listening socket still took connections. The request that killed it was no suspect and took the third engine. Change: an endpoint that neither answers nor is gone is looked at for 0.3 s.

--- a/clementinepass/agent/health.py
+++ b/clementinepass/agent/health.py
@@ -4,10 +4,16 @@
 
 import asyncio
 import threading
+import time
 import typing
 
 from loguru import logger
 
+#: Looks at an endpoint that neither answers nor is gone, and the seconds
+#: between them; a process is gone a few milliseconds after it ended.
+_LOOKS = 10
+_LOOK_INTERVAL = 0.03
+
 if typing.TYPE_CHECKING:
     from clementinepass import errors
     from clementinepass.agent import gate as gates
@@ -46,10 +52,19 @@
         same name, since only the first of them finds the endpoint still
         marked as alive.
         """
-        gone = self._endpoint.gone()
-        self._note(gone=gone)
-        if not gone:
-            return ''
+        for _ in range(_LOOKS):
+            if self._endpoint.gone():
+                self._note(gone=True)
+                return self._name()
+            if self._endpoint.healthy():
+                return ''
+            # A process that is ending still has its listening socket for a
+            # moment: connections are taken and reset. Taken for a failed
+            # call, the request that killed it would not become a suspect.
+            time.sleep(_LOOK_INTERVAL)
+        return ''
+
+    def _name(self) -> str:
         with self._lock:
             return f'{self._process}/{self._crashes}'
 
--- a/tests/agent/test_health.py
+++ b/tests/agent/test_health.py
@@ -21,6 +21,7 @@
     def __init__(self) -> None:
         self.answers = True
         self.listens = True
+        self.looks_before_gone = -1
 
     def healthy(self) -> bool:
         """Tell whether it answers."""
@@ -28,6 +29,9 @@
 
     def gone(self) -> bool:
         """Tell whether nobody listens."""
+        if self.looks_before_gone == 0:
+            return True
+        self.looks_before_gone -= 1
         return not self.listens
 
 
@@ -51,6 +55,17 @@
         self.assertFalse(self.health.check())
         self.assertEqual('', self.health.crash_of(_FAILED))
 
+    def test_dying_endpoint_is_waited_for(self) -> None:
+        """An engine that is just ending counts as dead, not as failing.
+
+        A user sees: one request takes down engine after engine. The dying
+        process still took connections for a moment, so its death passed for
+        a failed call and the request was simply sent again.
+        """
+        self.endpoint.answers = False
+        self.endpoint.looks_before_gone = 2
+        self.assertNotEqual('', self.health.crash_of(_FAILED))
+
     def test_one_name_for_a_death(self) -> None:
         """All runs that a death ended name the same one; the next differs."""
         self.endpoint.listens = False
