--- a/clementinepass/entry/entry.py
+++ b/clementinepass/entry/entry.py
@@ -242,8 +242,12 @@
     def reported(self, agent: str, state: messages.AgentState) -> None:
         """Note an agent's state, and give it a configuration it lacks."""
         known = self.view.report(agent)
+        # An agent that was silent counted for nothing; while its return
+        # waited to be taken over, requests were refused for no capacity.
+        returned = self.view.liveness(agent) is not views.Liveness.ATTACHED
         self.fleet.reported(agent, state)
-        if known is None or known.sequence != state.sequence:
+        changed = known is None or known.sequence != state.sequence
+        if changed or returned:
             self._refresh(state.serves)
         else:
             self._refresh_soon(state.serves)
