Split the responses to callers from the HTTP interface; one wording for claims

http.py had grown to 707 lines, and it held tables of what a claim verdict means beside those of requests/claims.py. Responses have a module of their own, and claims.problem_of is the one source of the words. Tests of entry and claims pass.

--- a/clementinepass/entry/http.py
+++ b/clementinepass/entry/http.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import concurrent.futures
-import http
 import threading
 import typing
 import urllib.parse
 
 import msgspec
 from cheroot import wsgi
-from loguru import logger
 
 from clementinepass import errors
-from clementinepass.entry import callers, direct, dispatcher, instruments
+from clementinepass.entry import (
+    callers,
+    direct,
+    dispatcher,
+    instruments,
+    responses,
+)
 from clementinepass.entry import outbox as outboxes
 from clementinepass.requests import (
     claim_records,
@@ -41,31 +45,6 @@
 _FULL_RETRY = 1.0
 #: Seconds that a request waits for its claim to be read back.
 _CLAIM_PATIENCE = 3.0
-_PROBLEMS_BY_VERDICT = {
-    claims.Verdict.ANSWER_NOT_KEPT: problem.Reason.ANSWER_NOT_KEPT,
-    claims.Verdict.ANSWER_UNREADABLE: problem.Reason.ANSWER_NOT_KEPT,
-    claims.Verdict.IN_PROGRESS: problem.Reason.KEY_IN_PROGRESS,
-    claims.Verdict.MAY_HAVE_RUN: problem.Reason.KEY_IN_PROGRESS,
-    claims.Verdict.KEY_MISUSED: problem.Reason.KEY_MISUSED,
-    claims.Verdict.UNAVAILABLE: problem.Reason.CLAIM_UNAVAILABLE,
-}
-_EXECUTIONS_BY_VERDICT = {
-    claims.Verdict.ANSWER_NOT_KEPT: errors.Execution.RAN,
-    claims.Verdict.ANSWER_UNREADABLE: errors.Execution.RAN,
-    claims.Verdict.IN_PROGRESS: errors.Execution.MAY_HAVE_RUN,
-    claims.Verdict.MAY_HAVE_RUN: errors.Execution.MAY_HAVE_RUN,
-    claims.Verdict.KEY_MISUSED: errors.Execution.NOT_RUN,
-    claims.Verdict.UNAVAILABLE: errors.Execution.NOT_RUN,
-}
-#: Verdicts after which asking again makes sense, and when, in seconds.
-_RETRY_BY_VERDICT = {
-    claims.Verdict.ANSWER_UNREADABLE: 2.0,
-    claims.Verdict.IN_PROGRESS: 2.0,
-    claims.Verdict.UNAVAILABLE: 2.0,
-}
-
-Headers = list[tuple[str, str]]
-StartResponse = typing.Callable[[str, Headers], typing.Any]
 
 
 class Limits(typing.NamedTuple):
@@ -156,10 +135,10 @@
     def __call__(
         self,
         environ: dict[str, typing.Any],
-        start_response: StartResponse,
+        start_response: responses.StartResponse,
     ) -> Iterable[bytes]:
         """Answer one request."""
-        responder = _Responder(
+        responder = responses.Responder(
             start_response,
             environ[direct.ENVIRON_KEY],
             self._told,
@@ -181,7 +160,7 @@
         self,
         environ: dict[str, typing.Any],
         caller: callers.CallerRequest,
-        responder: _Responder,
+        responder: responses.Responder,
     ) -> Iterable[bytes]:
         if caller.path == '/v1/entries':
             return self._list_entries(environ, caller, responder)
@@ -201,7 +180,7 @@
         self,
         environ: dict[str, typing.Any],
         caller: callers.CallerRequest,
-        responder: _Responder,
+        responder: responses.Responder,
     ) -> Iterable[bytes]:
         address = str(environ.get('REMOTE_ADDR', ''))
         name = f'{address} {caller.headers.get("authorization", "")}'
@@ -228,7 +207,7 @@
         age = f'max-age={int(self._limits.max_age)}'
         return responder.json(answer, ('Cache-Control', age))
 
-    def _show_status(self, responder: _Responder) -> Iterable[bytes]:
+    def _show_status(self, responder: responses.Responder) -> Iterable[bytes]:
         status = self._bridge.submit(_status(self._entry))
         return responder.json(status.result(_MARGIN))
 
@@ -236,7 +215,7 @@
         self,
         environ: dict[str, typing.Any],
         caller: callers.CallerRequest,
-        responder: _Responder,
+        responder: responses.Responder,
     ) -> Iterable[bytes]:
         catalogue = self._entry.catalogue
         team = self._entry.team_of(callers.bearer_key(caller.headers))
@@ -258,7 +237,7 @@
     def _serve_admitted(
         self,
         request: identity.Request,
-        responder: _Responder,
+        responder: responses.Responder,
     ) -> Iterable[bytes]:
         began = self._clock.now()
         answer: Iterator[bytes] | None = None
@@ -268,7 +247,9 @@
         except BaseException:
             self._places.release()
             raise
-        return _Body(first, answer, lambda: self._ended(request, began))
+        return responses.Body(
+            first, answer, lambda: self._ended(request, began)
+        )
 
     def _ended(self, request: identity.Request, began: float) -> None:
         self._places.release()
@@ -288,7 +269,7 @@
     def _answer(
         self,
         request: identity.Request,
-        responder: _Responder,
+        responder: responses.Responder,
     ) -> Iterator[bytes]:
         held = None
         if request.needs_claim:
@@ -307,7 +288,7 @@
         self,
         request: identity.Request,
         decision: claims.Decision,
-        responder: _Responder,
+        responder: responses.Responder,
     ) -> Iterator[bytes]:
         if decision.answer is not None:
             kept = decision.answer
@@ -318,14 +299,10 @@
             )
             return
         yield from responder.refuse(
-            problem.Problem.of(
-                _PROBLEMS_BY_VERDICT[decision.verdict],
-                _EXECUTIONS_BY_VERDICT[decision.verdict],
-                step='claim',
-                peer=self._entry.id,
+            claims.problem_of(
+                decision,
                 request_id=request.id,
-                detail=decision.verdict.value,
-                retry_after=_RETRY_BY_VERDICT.get(decision.verdict),
+                peer=self._entry.id,
             ),
         )
 
@@ -333,7 +310,7 @@
         self,
         request: identity.Request,
         held: claim_service.Held | None,
-        responder: _Responder,
+        responder: responses.Responder,
     ) -> Iterator[bytes]:
         outbox = outboxes.Outbox()
         work = dispatcher.Work(request, self._permit(request, held))
@@ -365,7 +342,7 @@
         self,
         request: identity.Request,
         outbox: outboxes.Outbox,
-        responder: _Responder,
+        responder: responses.Responder,
     ) -> Iterator[bytes]:
         head: outboxes.Head | None = None
         while True:
@@ -497,158 +474,6 @@
         )
 
 
-class _Responder:
-    """Write one response; status and headers go out once.
-
-    Each problem that a caller is told passes here, whatever found it, so it
-    is counted here and nowhere else.
-
-    :param on_told: told each problem that goes to the caller.
-    """
-
-    def __init__(
-        self,
-        start_response: StartResponse,
-        writer: direct.DirectWriter,
-        on_told: Callable[[instruments.Sender, problem.Problem], None],
-    ) -> None:
-        #: Whom the request came from, as far as it is known.
-        self.sender = instruments.Sender()
-        self._start_response = start_response
-        self._writer = writer
-        self._on_told = on_told
-        self._started = False
-
-    def refuse(self, refusal: problem.Problem) -> list[bytes]:
-        """Answer with a problem."""
-        self._event(refusal).info(
-            'failed: {} {}' if refusal.is_failure else 'refused: {} {}',
-            refusal.reason.value,
-            refusal.detail,
-        )
-        self._on_told(self.sender, refusal)
-        body = refusal.body()
-        self._start(refusal.status, [*refusal.headers(), _length(body)])
-        return [body]
-
-    def json(
-        self, answer: typing.Any, *headers: tuple[str, str]
-    ) -> list[bytes]:
-        """Answer with a JSON document."""
-        body = msgspec.json.encode(answer)
-        content = ('Content-Type', 'application/json')
-        self._start(http.HTTPStatus.OK, [content, _length(body), *headers])
-        return [body]
-
-    def whole(
-        self,
-        request: identity.Request,
-        head: outboxes.Head,
-        body: bytes,
-    ) -> bytes:
-        """Begin an answer that is known whole, and return its body."""
-        self._start(
-            head.status,
-            [*_answer_headers(request, head), _length(body)],
-        )
-        return body
-
-    def part(
-        self,
-        request: identity.Request,
-        head: outboxes.Head | None,
-        payload: bytes,
-    ) -> bytes:
-        """Return a piece of an answer, which it begins if need be."""
-        if self._started or head is None:
-            return payload
-        if not request.stream:
-            return self.whole(request, head, payload)
-        self._start(head.status, _answer_headers(request, head))
-        return payload
-
-    def hand_over(
-        self,
-        request: identity.Request,
-        outbox: outboxes.Outbox,
-    ) -> None:
-        """Let the loop write the next pieces of a stream."""
-        if request.stream and self._writer.usable:
-            outbox.write_directly(self._writer)
-
-    def write_rest(self, rest: bytes) -> None:
-        """Write what the socket did not take from the loop; blocks."""
-        self._writer.write_rest(rest)
-
-    def end(
-        self,
-        request: identity.Request,
-        head: outboxes.Head | None,
-        failure: problem.Problem | None,
-        relayed: int,
-    ) -> list[bytes]:
-        """Return what ends an answer.
-
-        :param relayed: bytes that the caller was sent already.
-        """
-        if failure is not None and not self._started:
-            return self.refuse(failure)
-        if failure is not None:
-            # The caller sees that its answer is truncated: an error event in
-            # place of the end mark.
-            self._event(failure).warning(
-                'truncated after {} bytes: {}',
-                relayed,
-                failure.detail,
-            )
-            self._on_told(self.sender, failure)
-            return [failure.event()]
-        if not self._started and head is not None:
-            return [self.whole(request, head, b'')]
-        return []
-
-    def _event(self, final: problem.Problem) -> typing.Any:
-        event = logger.bind(
-            request_id=final.request_id,
-            team=self.sender.team,
-            step=final.step,
-            peer=final.peer,
-        )
-        return event.bind(attempt=final.attempt) if final.attempt else event
-
-    def _start(self, status: int, headers: Headers) -> None:
-        self._started = True
-        phrase = http.HTTPStatus(status).phrase
-        self._start_response(f'{int(status)} {phrase}', headers)
-
-
-class _Body:
-    """An answer's body that frees its place when it ends or is dropped."""
-
-    def __init__(
-        self,
-        first: bytes,
-        rest: Iterator[bytes],
-        on_close: Callable[[], None],
-    ) -> None:
-        self._first = first
-        self._rest = rest
-        self._on_close = on_close
-
-    def __iter__(self) -> Iterator[bytes]:
-        yield self._first
-        yield from self._rest
-
-    def close(self) -> None:
-        """Free the place; cheroot calls this whatever happened."""
-        closing = getattr(self._rest, 'close', None)
-        try:
-            if closing is not None:
-                closing()
-        finally:
-            self._on_close()
-
-
 class _Status(msgspec.Struct, frozen=True):
     entry: str
     revision: int
@@ -669,16 +494,6 @@
     )
 
 
-def _answer_headers(
-    request: identity.Request,
-    head: outboxes.Head,
-) -> Headers:
-    return [
-        ('Content-Type', head.content_type),
-        ('X-Request-Id', request.id),
-    ]
-
-
 def _raw_path(environ: dict[str, typing.Any]) -> str:
     """Return the path as the caller wrote it.
 
@@ -691,10 +506,6 @@
     return path or '/'
 
 
-def _length(body: bytes) -> tuple[str, str]:
-    return 'Content-Length', str(len(body))
-
-
 def _headers(environ: dict[str, typing.Any]) -> dict[str, str]:
     headers = {
         name.removeprefix('HTTP_').replace('_', '-').lower(): value
