Say that an entry is starting before it calls a key unknown

Cause: an entry that had not read the configuration answered 401 to a good key; callers give up on that. Seen once by a proof that killed and replaced entries. Change: 503 starting with Retry-After until there is a configuration. The test failed first (401). The fake of test_told says that its entry is ready.

--- a/clementinepass/entry/http.py
+++ b/clementinepass/entry/http.py
@@ -188,15 +188,7 @@
         if not ranked:
             # An entry that has not read the instance list yet. Callers would
             # keep an empty list and have nowhere to go.
-            return responder.refuse(
-                problem.Problem.not_run(
-                    problem.Reason.STARTING,
-                    step='list entries',
-                    peer=self._entry.id,
-                    request_id=caller.id,
-                    retry_after=_FULL_RETRY,
-                ),
-            )
+            raise self._starting(caller)
         answer = _EntryList(
             tuple(
                 _EntryAddress(one.address, one.failure_domain, one.region)
@@ -221,6 +213,10 @@
         team = self._entry.team_of(callers.bearer_key(caller.headers))
         if team is not None:
             responder.sender = instruments.Sender(team.name)
+        elif not self._entry.ready:
+            # Without a configuration no key is known; "unauthorized" would
+            # have callers with a good key give up for good.
+            raise self._starting(caller)
         body = self._body(environ, caller)
         caller = msgspec.structs.replace(caller, body=body)
         request = self._reader.read(caller, catalogue, team)
@@ -412,6 +408,20 @@
             )
         self._claimer.settle(held, result.execution, answer)
 
+    def _starting(
+        self,
+        caller: callers.CallerRequest,
+    ) -> callers.RefusedError:
+        return callers.RefusedError(
+            problem.Problem.not_run(
+                problem.Reason.STARTING,
+                step='accept',
+                peer=self._entry.id,
+                request_id=caller.id,
+                retry_after=_FULL_RETRY,
+            ),
+        )
+
     def _overloaded(
         self,
         request: identity.Request,
--- a/tests/entry/test_http_edges.py
+++ b/tests/entry/test_http_edges.py
@@ -102,3 +102,25 @@
             b'{}',
         )
         self.assertEqual(200, answer.status)
+
+
+class StartingTest(testtools.TestCase):
+    """An entry that knows nothing yet says so."""
+
+    def test_no_configuration_yet(self) -> None:
+        """A good key is not called unknown before any key is known.
+
+        A user sees: 401 from an entry that was just replaced, and gives up.
+        It listened before it had read the log.
+        """
+        shape = systems.Shape(entries=1, engines=0, services=0)
+        with systems.System(shape) as system:
+            answer = system.call(
+                'entry-0',
+                'POST',
+                '/v1/services/dispatches/x',
+                b'{}',
+            )
+        problem = msgspec.json.decode(answer.body)
+        self.assertEqual((503, 'starting'), (answer.status, problem['reason']))
+        self.assertIn('Retry-After', answer.headers)
--- a/tests/entry/test_told.py
+++ b/tests/entry/test_told.py
@@ -99,6 +99,7 @@
         team = _CATALOGUE.teams_by_name['depot']
         return types.SimpleNamespace(
             id='entry-0',
+            ready=True,
             catalogue=_CATALOGUE,
             team_of=lambda key: team if key == _KEY else None,
             leaving=types.SimpleNamespace(accepts=lambda _: not self.leaving),
