Keep a draining agent until entries have heard of it

Cause: an agent with nothing to finish ended within milliseconds of announcing its drain; a dispatch that crossed with the announcement found nobody, and a request that must not run twice ended as "may have run". Ruled out: the gate (it never saw the dispatch), the list. Change: a draining agent stays for a second at least and refuses as not run.

--- a/clementinepass/agent/agent.py
+++ b/clementinepass/agent/agent.py
@@ -25,6 +25,10 @@
 _ORPHAN_GRACE = 10.0
 _HOUSEKEEPING = 1.0
 _POLL_DRAIN = 0.05
+#: Seconds for which a draining agent stays although nothing runs. Entries hear
+#: of the drain in one way across the network, a few milliseconds, and what they
+#: sent before arrives in as many.
+_LINGER = 1.0
 
 
 class Limits(typing.NamedTuple):
@@ -196,8 +200,16 @@
             'draining, {} in progress',
             len(self._gate.running),
         )
-        deadline = time.monotonic() + grace
-        while self._busy() and time.monotonic() < deadline:
+        began = time.monotonic()
+        # A dispatch may be on its way from an entry that has not heard of the
+        # drain yet. Were the process gone when it arrives, the entry could
+        # say no more than "may have run"; while it lives, the gate says "not
+        # run", and the request goes elsewhere.
+        heard = began + min(_LINGER, grace)
+        deadline = began + grace
+        while time.monotonic() < heard or (
+            self._busy() and time.monotonic() < deadline
+        ):
             await asyncio.sleep(_POLL_DRAIN)
         logger.bind(step='drain').info(
             'drained, {} cut off',
