--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -103,7 +103,7 @@
     rows: typing.Iterable[typing.Sequence[str]],
 ) -> str:
     lines = [
-        f'### {title}',
+        f'## {title}',
         '',
         _line(headings),
         _line('---' for _ in headings),
