--- /dev/null
+++ b/clementinepass/decisions/nearest_place.py
@@ -0,0 +1,66 @@
+"""Choose the endpoint for a request that goes there directly.
+
+Load: entries that place on one another's counts, which are some hundred
+milliseconds old, onto engines that run a fixed number of requests at once.
+A request more than that waits, and one waiting costs as much time as an
+answer takes, divided by the slots.
+"""
+
+from __future__ import annotations
+
+import typing
+
+if typing.TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+#: By how many running requests an endpoint of the own failure domain may be
+#: ahead and still be preferred. Bytes between domains have a price; more than
+#: two requests cost the caller more in the speed of each step.
+_NEARNESS = 1.5
+#: Requests by which the counts of other entries are uncertain. Without it all
+#: entries send to the endpoint that was emptiest in the same last message.
+_BLUR = 1.0
+
+
+class Option(typing.NamedTuple):
+    """An endpoint that could take the request.
+
+    :param load: requests there, of this entry and the others.
+    :param slots: requests that it runs at once.
+    :param is_near: whether it is in the own failure domain.
+    """
+
+    endpoint_id: str
+    load: float
+    slots: int
+    is_near: bool
+
+    @property
+    def waiting(self) -> float:
+        """Return how many would wait there, this request included."""
+        return max(self.load + 1 - self.slots, 0)
+
+
+class Choice(typing.NamedTuple):
+    """The endpoint chosen, and how many wait there for a slot."""
+
+    endpoint_id: str
+    waiting: float
+    slots: int
+
+
+def choose(options: Sequence[Option], rng: random.Random) -> Choice | None:
+    """Return the endpoint where a request starts soonest."""
+    if not options:
+        return None
+    best = min(options, key=lambda option: _cost(option, rng))
+    return Choice(best.endpoint_id, best.waiting, best.slots)
+
+
+def _cost(option: Option, rng: random.Random) -> float:
+    nearness = 0 if option.is_near else _NEARNESS
+    blurred = option.load + nearness + rng.random() * _BLUR
+    waiting = max(blurred + 1 - option.slots, 0)
+    # A slot that is free is worth more than any nearness.
+    return blurred / option.slots + waiting
--- /dev/null
+++ b/clementinepass/direct/__init__.py
@@ -0,0 +1,1 @@
+"""The direct path: entries that call endpoints without a process between."""
--- /dev/null
+++ b/clementinepass/direct/beats.py
@@ -0,0 +1,73 @@
+"""What entries and agents tell one another several times a second."""
+
+from __future__ import annotations
+
+import typing
+
+if typing.TYPE_CHECKING:
+    from clementinepass.direct import members
+
+
+class NamedVersion(typing.NamedTuple):
+    """A version of a model's weights that the operator named.
+
+    :param age: seconds since its naming was acknowledged, at the sender.
+    """
+
+    model: str
+    version: int
+    age: float
+
+
+class Held(typing.NamedTuple):
+    """The layers of one version that the engine at an address holds."""
+
+    address: str
+    version: int
+    first: int
+    end: int
+
+
+class Beat:
+    """One message.
+
+    :param sender: ``None`` from an agent, which is no entry.
+    :param members: entries that the sender knows.
+    :param in_flight_by_endpoint: the sender's requests at endpoints.
+    :param operator_offset: up to where it has read the operator's records.
+    :param endpoints_offset: the same of the endpoints' records.
+    :param held: what agents read of their engines.
+    :param evidence: on requests that kill endpoints.
+    """
+
+    __slots__ = (
+        'endpoints_offset',
+        'evidence',
+        'held',
+        'in_flight_by_endpoint',
+        'members',
+        'operator_offset',
+        'sender',
+        'versions',
+    )
+
+    def __init__(
+        self,
+        *,
+        sender: members.Member | None = None,
+        members: tuple[members.Member, ...] = (),
+        in_flight_by_endpoint: dict[str, int] | None = None,
+        operator_offset: int = 0,
+        endpoints_offset: int = 0,
+        versions: tuple[NamedVersion, ...] = (),
+        held: tuple[Held, ...] = (),
+        evidence: bytes = b'',
+    ) -> None:
+        self.sender = sender
+        self.members = members
+        self.in_flight_by_endpoint = in_flight_by_endpoint or {}
+        self.operator_offset = operator_offset
+        self.endpoints_offset = endpoints_offset
+        self.versions = versions
+        self.held = held
+        self.evidence = evidence
--- /dev/null
+++ b/clementinepass/direct/beliefs.py
@@ -0,0 +1,207 @@
+"""What an entry believes: configuration, versions, endpoints and loads."""
+
+from __future__ import annotations
+
+import typing
+
+from loguru import logger
+
+from clementinepass.decisions import ejection, nearest_place
+from clementinepass.direct import beats, endpoints
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from clementinepass.direct import node, routing
+
+#: Seconds before the bound on older versions from which only the newest gets
+#: requests: one sent may wait that long at an engine before it begins.
+_VERSION_MARGIN = 1.2
+#: Seconds after which another entry's count of its requests says nothing.
+_LOAD_LIFETIME = 2.5
+
+
+class _Named:
+    """The newest version of a model and when its naming was acknowledged."""
+
+    __slots__ = ('since', 'version')
+
+    def __init__(self, version: int, since: float) -> None:
+        self.version = version
+        self.since = since
+
+
+class _PeerLoads:
+    """Another entry's requests at endpoints, as it last told."""
+
+    __slots__ = ('at', 'in_flight_by_endpoint')
+
+    def __init__(
+        self, in_flight_by_endpoint: dict[str, int], at: float
+    ) -> None:
+        self.in_flight_by_endpoint = in_flight_by_endpoint
+        self.at = at
+
+
+class Beliefs:
+    """What an entry believes now.
+
+    :param own: who the entry is.
+    """
+
+    __slots__ = (
+        '_loads_by_peer',
+        '_named_by_model',
+        '_own',
+        'ejector',
+        'endpoints',
+        'routing',
+    )
+
+    def __init__(self, own: node.Node) -> None:
+        self._own = own
+        #: The configuration in force; ``None`` until one is known.
+        self.routing: routing.Routing | None = None
+        self.endpoints = endpoints.Endpoints()
+        self.ejector = ejection.Ejector()
+        self._named_by_model: dict[str, _Named] = {}
+        self._loads_by_peer: dict[str, _PeerLoads] = {}
+
+    def configured(self, newer: routing.Routing) -> bool:
+        """Take a configuration, unless a newer one is in force."""
+        current = self.routing
+        if current is not None and newer.version <= current.version:
+            return False
+        self.routing = newer
+        logger.bind(
+            version=newer.version,
+            before=0 if current is None else current.version,
+        ).info('configuration in force')
+        return True
+
+    def named(self, model: str, version: int, since: float) -> bool:
+        """Take it that a version was named; tell whether it is news."""
+        known = self._named_by_model.get(model)
+        if known is not None and version <= known.version:
+            if version == known.version:
+                known.since = min(known.since, since)
+            return False
+        self._named_by_model[model] = _Named(version, since)
+        logger.bind(model=model, version=version).info('version named')
+        return True
+
+    def versions(self, now: float) -> tuple[beats.NamedVersion, ...]:
+        """Return the named versions, to tell others."""
+        return tuple(
+            beats.NamedVersion(model, named.version, max(now - named.since, 0))
+            for model, named in self._named_by_model.items()
+        )
+
+    def wanted_version(self, model: str) -> int:
+        """Return the newest version named of a model; 0 for none."""
+        named = self._named_by_model.get(model)
+        return 0 if named is None else named.version
+
+    def required_version(self, engine: routing.Engine, now: float) -> int:
+        """Return the only version on which requests may begin; 0 for any."""
+        named = self._named_by_model.get(engine.model)
+        if named is None:
+            return 0
+        strict_from = named.since + self._own.duties.version - _VERSION_MARGIN
+        return named.version if now >= strict_from else 0
+
+    def heard_loads(
+        self,
+        peer: str,
+        in_flight_by_endpoint: dict[str, int],
+        now: float,
+    ) -> None:
+        """Take another entry's counts of its requests at endpoints."""
+        self._loads_by_peer[peer] = _PeerLoads(in_flight_by_endpoint, now)
+
+    def heard_held(self, held: beats.Held) -> None:
+        """Take an agent's word on what its engine holds."""
+        for endpoint in self.endpoints:
+            if endpoint.listing.address == held.address:
+                weights = endpoints.Weights(held.version, held.first, held.end)
+                if weights != endpoint.weights and endpoint.gone_at is None:
+                    endpoint.weights = weights
+                    logger.bind(
+                        endpoint=endpoint.listing.id,
+                        version=held.version,
+                        layers=held.end - held.first,
+                    ).info('engine holds weights')
+
+    def in_flight_by_endpoint(self) -> dict[str, int]:
+        """Return this entry's requests at endpoints, to tell others."""
+        return {
+            endpoint.listing.id: endpoint.in_flight
+            for endpoint in self.endpoints
+            if endpoint.in_flight
+        }
+
+    def load(self, endpoint: endpoints.Endpoint, now: float) -> int:
+        """Return the requests at an endpoint, of this entry and others."""
+        name = endpoint.listing.id
+        others = sum(
+            peer.in_flight_by_endpoint.get(name, 0)
+            for peer in self._loads_by_peer.values()
+            if now - peer.at < _LOAD_LIFETIME
+        )
+        return endpoint.in_flight + others
+
+    def candidates(
+        self,
+        service: routing.Service,
+        now: float,
+    ) -> list[endpoints.Endpoint]:
+        """Return the endpoints that could run a request of a service."""
+        found = self.endpoints.of_service(service.name, now)
+        engine = service.engine
+        if engine is None:
+            return found
+        version = self.required_version(engine, now)
+        return [each for each in found if each.holds(engine, version)]
+
+    def options(
+        self,
+        candidates: Iterable[endpoints.Endpoint],
+        now: float,
+    ) -> list[nearest_place.Option]:
+        """Return what placing compares, without those that fail."""
+        ejected = self.ejector.ejected(now)
+        return [
+            self._option(each, now)
+            for each in candidates
+            if each.listing.id not in ejected
+        ]
+
+    def options_of_failing(
+        self,
+        candidates: Iterable[endpoints.Endpoint],
+        now: float,
+    ) -> list[nearest_place.Option]:
+        """Return what placing compares when all endpoints seem to fail."""
+        return [self._option(each, now) for each in candidates]
+
+    def forget(self, now: float) -> list[endpoints.Endpoint]:
+        """Drop what is long gone; return the endpoints dropped."""
+        for peer in list(self._loads_by_peer):
+            if now - self._loads_by_peer[peer].at > _LOAD_LIFETIME:
+                del self._loads_by_peer[peer]
+        dropped = self.endpoints.forget(now)
+        if dropped:
+            self.ejector.retain([one.listing.id for one in self.endpoints])
+        return dropped
+
+    def _option(
+        self,
+        endpoint: endpoints.Endpoint,
+        now: float,
+    ) -> nearest_place.Option:
+        return nearest_place.Option(
+            endpoint.listing.id,
+            self.load(endpoint, now),
+            endpoint.listing.slots,
+            endpoint.listing.domain == self._own.domain,
+        )
--- /dev/null
+++ b/clementinepass/direct/events.py
@@ -0,0 +1,90 @@
+"""Cut a stream of server-sent events into whole events with their ids."""
+
+from __future__ import annotations
+
+import re
+import typing
+
+from clementinepass import errors
+
+#: Bytes of one event that are kept until it is whole.
+_LONGEST_EVENT = 1 << 20
+#: What ends an event: a line without anything on it.
+_BLANK_LINE = re.compile(b'\n\n|\r\n\r\n')
+
+
+class Event(typing.NamedTuple):
+    """One whole event as it came, with its id."""
+
+    payload: bytes
+    #: ``None`` for an event without an id.
+    id: int | None
+
+
+class StreamBrokenError(errors.ClementinepassError):
+    """A stream's events don't follow on one another."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail, step='relay', peer='endpoint')
+
+
+class Splitter:
+    """Collect bytes and hand out whole events in their order.
+
+    Endpoints stop in the middle of an event when they crash.  Only whole
+    events go to a caller, so that another endpoint can go on after the last.
+
+    :param after: the last event that the caller has; ``None`` at the start.
+    """
+
+    __slots__ = ('_pending', 'last')
+
+    def __init__(self, after: int | None) -> None:
+        self._pending = b''
+        #: The id of the last event handed out.
+        self.last = after
+
+    @property
+    def partial(self) -> bool:
+        """Tell whether an event has begun and isn't whole."""
+        return bool(self._pending)
+
+    def feed(self, payload: bytes) -> list[Event]:
+        """Take bytes and return the events that are whole now.
+
+        :raises StreamBrokenError: an event is missing, comes twice, or
+            is too long.
+        """
+        self._pending += payload
+        found = []
+        end = _end_of_event(self._pending)
+        while end:
+            event = Event(self._pending[:end], _id_of(self._pending[:end]))
+            self._pending = self._pending[end:]
+            self._follow(event)
+            found.append(event)
+            end = _end_of_event(self._pending)
+        if len(self._pending) > _LONGEST_EVENT:
+            raise StreamBrokenError('an event has no end')
+        return found
+
+    def _follow(self, event: Event) -> None:
+        if event.id is None:
+            return
+        if self.last is not None and event.id != self.last + 1:
+            raise StreamBrokenError(f'{event.id} follows on {self.last}')
+        self.last = event.id
+
+
+def _end_of_event(pending: bytes) -> int:
+    """Return where the first event ends; 0 where none is whole."""
+    found = _BLANK_LINE.search(pending)
+    return found.end() if found else 0
+
+
+def _id_of(event: bytes) -> int | None:
+    for line in event.splitlines():
+        if line.startswith(b'id:'):
+            field = line.removeprefix(b'id:').strip()
+            return int(field) if field.isdigit() else None
+    return None
--- /dev/null
+++ b/clementinepass/direct/follower.py
@@ -0,0 +1,194 @@
+"""Follow a topic of the store: the newest record of each key, and changes.
+
+What a follower knows only grows by offset.  Older answers that come after
+newer ones, and snapshots taken before what is known, change nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import typing
+
+from loguru import logger
+
+from clementinepass import errors
+from clementinepass.direct import records
+
+if typing.TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    Listener = Callable[[records.Record], None]
+
+#: Seconds that a read waits for a change. Each call has a price, so long;
+#: a read on a connection that fell silent is noticed only at its end, unless
+#: a peer tells of the change before.
+WAIT_SECONDS = 8.0
+#: Seconds between tries while the store doesn't answer: first, and at most.
+#: All processes try again at once after an outage, and the store's rates are
+#: for all of them together, so the pause is drawn at random.
+_FIRST_PAUSE = 0.1
+_LONGEST_PAUSE = 0.6
+#: Removals remembered, to tell peers of them.
+_MOST_REMOVALS = 256
+
+
+class Known:
+    """The newest record of each key, with the removals that came last."""
+
+    __slots__ = ('_removals', '_by_key', 'next_offset')
+
+    def __init__(self) -> None:
+        self._by_key: dict[str, records.Record] = {}
+        self._removals: collections.OrderedDict[str, records.Record]
+        self._removals = collections.OrderedDict()
+        #: The offset from which changes are unknown.
+        self.next_offset = 0
+
+    def take(self, record: records.Record) -> bool:
+        """Take a record; tell whether it is news."""
+        known = self._by_key.get(record.key) or self._removals.get(record.key)
+        if known is not None and record.offset <= known.offset:
+            return False
+        if record.payload is None:
+            self._by_key.pop(record.key, None)
+            self._removals[record.key] = record
+            if len(self._removals) > _MOST_REMOVALS:
+                self._removals.popitem(last=False)
+        else:
+            self._removals.pop(record.key, None)
+            self._by_key[record.key] = record
+        return True
+
+    def missing(self, snapshot: records.Page) -> list[records.Record]:
+        """Return removals for the keys that a snapshot no longer has."""
+        if snapshot.next_offset < self.next_offset:
+            return []
+        present = {record.key for record in snapshot.records}
+        return [
+            records.Record(key, snapshot.next_offset - 1, None)
+            for key, record in self._by_key.items()
+            if key not in present and record.offset < snapshot.next_offset
+        ]
+
+    def since(self, offset: int) -> records.Page:
+        """Return what is known from an offset on, in order."""
+        every = (*self._by_key.values(), *self._removals.values())
+        newer = [record for record in every if record.offset >= offset]
+        newer.sort(key=_offset)
+        return records.Page(tuple(newer), self.next_offset)
+
+
+class Follower:
+    """Keep up with one topic.
+
+    :param listener: told of each record that is news, removals included.
+    """
+
+    __slots__ = (
+        '_failing_since',
+        '_listener',
+        '_rng',
+        '_store',
+        'contact',
+        'known',
+        'lost_until',
+        'started',
+        'topic',
+    )
+
+    def __init__(
+        self,
+        store: records.Store,
+        topic: records.Topic,
+        listener: Listener,
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self.topic = topic
+        self._listener = listener
+        self._rng = rng
+        self._failing_since: float | None = None
+        self.known = Known()
+        #: Monotonic seconds of the store's last answer.
+        self.contact: float = 0
+        #: Monotonic seconds at which the last outage seen ended.
+        self.lost_until = float('-inf')
+        #: Whether the topic was read once, from the store or from a peer.
+        self.started = False
+
+    @property
+    def in_touch(self) -> bool:
+        """Tell whether the last call to the store was answered."""
+        return self._failing_since is None
+
+    async def run(self) -> None:
+        """Follow the topic for ever."""
+        pause: float = 0
+        read = self._read_newest
+        while True:
+            try:
+                read = await read()
+                pause = 0
+            except errors.RecordsExpiredError:
+                logger.bind(topic=self.topic.value).info('history was dropped')
+                read = self._read_newest
+            except errors.ClementinepassError as error:
+                self._lost(error)
+                pause = min(max(2 * pause, _FIRST_PAUSE), _LONGEST_PAUSE)
+                await asyncio.sleep(pause * self._rng.uniform(0.5, 1.5))
+
+    def take(self, page: records.Page) -> int:
+        """Take records, of the store or a peer; return how many are news."""
+        news = 0
+        for record in page.records:
+            if self.known.take(record):
+                news += 1
+                self._listener(record)
+        self.known.next_offset = max(self.known.next_offset, page.next_offset)
+        self.started = True
+        return news
+
+    async def _read_newest(self) -> typing.Any:
+        page = await self._store.newest(self.topic)
+        self._regained()
+        for record in self.known.missing(page):
+            if self.known.take(record):
+                self._listener(record)
+        self.take(page)
+        return self._read_changes
+
+    async def _read_changes(self) -> typing.Any:
+        page = await self._store.changes(
+            self.topic,
+            self.known.next_offset,
+            WAIT_SECONDS if self.in_touch else 0,
+        )
+        self._regained()
+        self.take(page)
+        return self._read_changes
+
+    def _lost(self, error: errors.ClementinepassError) -> None:
+        if self._failing_since is None:
+            self._failing_since = asyncio.get_running_loop().time()
+            logger.bind(
+                topic=self.topic.value,
+                error=str(error),
+                last_answer_ago=round(self._failing_since - self.contact, 3),
+            ).warning('store lost')
+
+    def _regained(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self.contact = now
+        if self._failing_since is not None:
+            logger.bind(
+                topic=self.topic.value,
+                lost_for=round(now - self._failing_since, 3),
+            ).info('store regained')
+            self._failing_since = None
+            self.lost_until = now
+
+
+def _offset(record: records.Record) -> int:
+    return record.offset
--- /dev/null
+++ b/clementinepass/direct/gossip.py
@@ -0,0 +1,275 @@
+"""Send and take beats, and fetch records from a peer that knows more."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+import typing
+
+from loguru import logger
+
+from clementinepass import errors
+from clementinepass.direct import beats, members, records
+from clementinepass.http import front, messages, pool
+from clementinepass.wire import beats as wire_beats
+
+if typing.TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from clementinepass.direct import beliefs, follower, node
+
+#: Seconds between beats. Counts of requests at endpoints are as old as this
+#: when others place by them; each beat costs some 150 bytes a peer.
+_BEAT_SECONDS = 0.4
+#: Of so many beats one carries all members. New ones are heard of within two
+#: seconds, and most beats stay short.
+_MEMBERS_EACH = 5
+#: Peers that a beat goes to. More are told in turn, so that the traffic of
+#: one process doesn't grow with the system.
+_MOST_PEERS = 16
+#: Seconds for which a peer may be ahead in reading the store before its
+#: records are fetched from it: the store itself tells within milliseconds.
+_BEHIND_SECONDS = 0.25
+_FETCH_SECONDS = 1.0
+_RECORDS_PATH = b'/records/'
+_OK = 200
+_NOT_FOUND = 404
+
+
+class Peers:
+    """The other processes: who they are, and what they say.
+
+    :param own: who this process is.
+    :param known: what an entry believes; ``None`` for an agent.
+    """
+
+    def __init__(
+        self,
+        own: node.Node,
+        followers: dict[records.Topic, follower.Follower],
+        known: beliefs.Beliefs,
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._followers = followers
+        self._beliefs = known
+        self._rng = rng
+        self._boot = time.time_ns()
+        self._heartbeat = 0
+        self._transport: asyncio.DatagramTransport | None = None
+        self._front = front.Front(self._serve)
+        self._behind_since: dict[records.Topic, float] = {}
+        self._fetching: set[asyncio.Task[None]] = set()
+        #: The entries.
+        self.members = members.Members(own.ip)
+        #: What this process says of itself.
+        self.phase = members.Phase.STARTING
+        #: What an agent read of its engine.
+        self.held: tuple[beats.Held, ...] = ()
+
+    async def listen(self) -> None:
+        """Listen on the system's own ports."""
+        loop = asyncio.get_running_loop()
+        opened = await loop.create_datagram_endpoint(
+            lambda: _Datagrams(self),
+            local_addr=(self._own.ip, self._own.first_port),
+        )
+        self._transport = opened[0]
+        await self._front.listen(self._own.ip, self._own.first_port)
+
+    async def run(self) -> None:
+        """Speak for ever."""
+        while True:
+            self.speak()
+            await asyncio.sleep(_BEAT_SECONDS * self._rng.uniform(0.9, 1.1))
+
+    def speak(self) -> None:
+        """Send one beat to some of the others."""
+        self._heartbeat += 1
+        payload = wire_beats.write_beat(self._beat())
+        for ip in self._targets():
+            self._send(payload, ip)
+
+    def tell(self, ips: list[str]) -> None:
+        """Send one beat to given processes."""
+        payload = wire_beats.write_beat(self._beat())
+        for ip in ips:
+            self._send(payload, ip)
+
+    def met(self, ips: Iterable[str]) -> None:
+        """Speak to processes that were found in the store."""
+        self.tell([ip for ip in ips if ip != self._own.ip])
+
+    def own_member(self) -> members.Member | None:
+        """Return what this entry says of itself; ``None`` for an agent."""
+        if not self._own.callers:
+            return None
+        return members.Member(
+            self._own.ip,
+            self._boot,
+            self._heartbeat,
+            self.phase,
+            self._own.callers,
+            self._own.domain,
+            self._own.region,
+        )
+
+    def heard(self, payload: bytes, ip: str) -> None:
+        """Take a beat."""
+        try:
+            beat = wire_beats.read_beat(payload, ip)
+        except errors.MalformedMessageError as error:
+            logger.bind(peer=ip).warning('beat dropped: {}', error)
+            return
+        now = asyncio.get_running_loop().time()
+        senders = () if beat.sender is None else (beat.sender,)
+        for member in self.members.heard((*senders, *beat.members), now):
+            logger.bind(peer=member.ip, phase=member.phase.value).info(
+                'member changed',
+            )
+        self._learn(beat, ip, now)
+
+    def _learn(self, beat: beats.Beat, ip: str, now: float) -> None:
+        if beat.sender is not None:
+            self._beliefs.heard_loads(ip, beat.in_flight_by_endpoint, now)
+        for named in beat.versions:
+            self._beliefs.named(named.model, named.version, now - named.age)
+        for held in beat.held:
+            self._beliefs.heard_held(held)
+        self._compare(records.Topic.OPERATOR, beat.operator_offset, ip, now)
+        self._compare(records.Topic.ENDPOINTS, beat.endpoints_offset, ip, now)
+
+    def _compare(
+        self,
+        topic: records.Topic,
+        offset: int,
+        ip: str,
+        now: float,
+    ) -> None:
+        """Fetch records from a peer that has read further for a while.
+
+        The store may turn this process away, or a read may hang on a
+        connection that fell silent, while others hear of each change.
+        """
+        own = self._followers.get(topic)
+        if own is None:
+            return
+        if offset <= own.known.next_offset and own.started:
+            self._behind_since.pop(topic, None)
+            return
+        since = self._behind_since.setdefault(topic, now)
+        if now - since < _BEHIND_SECONDS and own.started:
+            return
+        self._behind_since[topic] = now
+        task = asyncio.create_task(self._fetch(own, ip))
+        self._fetching.add(task)
+        task.add_done_callback(self._fetching.discard)
+
+    async def _fetch(self, own: follower.Follower, ip: str) -> None:
+        path = _RECORDS_PATH + own.topic.value.encode()
+        target = b'%b?%d' % (path, own.known.next_offset)
+        request = messages.request_bytes(
+            b'GET',
+            target,
+            [(b'Host', ip.encode())],
+            b'',
+        )
+        peers = pool.Pool(ip, self._own.first_port)
+        try:
+            fetched = await pool.fetch(peers, request, _FETCH_SECONDS)
+            page = wire_beats.read_records(fetched.body, ip)
+        except errors.ClementinepassError as error:
+            logger.bind(peer=ip).info('records not fetched: {}', error)
+            return
+        finally:
+            peers.close()
+        news = own.take(page)
+        logger.bind(
+            peer=ip,
+            topic=own.topic.value,
+            news=news,
+            offset=page.next_offset,
+        ).info('records taken from a peer')
+
+    async def _serve(
+        self,
+        request: messages.Request,
+        reply: front.Reply,
+    ) -> None:
+        """Hand records of the store to a peer that knows less."""
+        for topic, own in self._followers.items():
+            if request.path == _RECORDS_PATH + topic.value.encode():
+                offset = int(request.target.partition(b'?')[2] or b'0')
+                page = own.known.since(offset)
+                reply.send(_OK, [], wire_beats.write_records(page))
+                return
+        reply.send(_NOT_FOUND, [], b'')
+
+    def _beat(self) -> beats.Beat:
+        now = asyncio.get_running_loop().time()
+        whole = self._heartbeat % _MEMBERS_EACH == 1
+        alive = tuple(self.members.alive(now)) if whole else ()
+        return beats.Beat(
+            sender=self.own_member(),
+            members=alive[:_MOST_PEERS],
+            in_flight_by_endpoint=self._beliefs.in_flight_by_endpoint(),
+            operator_offset=self._offset(records.Topic.OPERATOR),
+            endpoints_offset=self._offset(records.Topic.ENDPOINTS),
+            versions=self._beliefs.versions(now) if whole else (),
+            held=self.held,
+        )
+
+    def _offset(self, topic: records.Topic) -> int:
+        own = self._followers.get(topic)
+        return 0 if own is None else own.known.next_offset
+
+    def _targets(self) -> list[str]:
+        """Return whom this beat goes to."""
+        ips = self.members.addresses()
+        if not ips or self._heartbeat % _MEMBERS_EACH == 1:
+            others = (*self._own.seeds, *self._near_agents())
+            ips.extend(ip for ip in set(others) if ip not in ips)
+        if len(ips) > _MOST_PEERS:
+            return self._rng.sample(ips, _MOST_PEERS)
+        return ips
+
+    def _near_agents(self) -> list[str]:
+        """Return agents of the own failure domain.
+
+        An agent learns from them which entries there are, and tells all of
+        them when its engine has new weights.
+        """
+        if not self._own.callers:
+            return []
+        return [
+            endpoint.listing.address.rpartition(':')[0]
+            for endpoint in self._beliefs.endpoints
+            if endpoint.listing.domain == self._own.domain
+            and endpoint.gone_at is None
+        ]
+
+    def _send(self, payload: bytes, ip: str) -> None:
+        if self._transport is None or ip == self._own.ip:
+            return
+        with contextlib.suppress(OSError):
+            self._transport.sendto(payload, (ip, self._own.first_port))
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    """Hand datagrams on."""
+
+    def __init__(self, peers: Peers) -> None:
+        self._peers = peers
+
+    def datagram_received(
+        self,
+        payload: bytes,
+        address: tuple[str | typing.Any, int],
+    ) -> None:
+        """Take one datagram."""
+        self._peers.heard(payload, str(address[0]))
+
+    def error_received(self, error: Exception) -> None:
+        """Pass over a peer that isn't there; its silence says it."""
--- /dev/null
+++ b/clementinepass/direct/members.py
@@ -0,0 +1,124 @@
+"""Which processes of the system are there, as told by themselves.
+
+Each process counts its heartbeats, and each message carries the counts that
+its sender knows.  One whose count stops growing is gone, whoever stopped
+hearing of it; a process that is cut off from one other is still seen through
+the rest.
+"""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
+
+#: Seconds without a new heartbeat after which a process is taken for gone.
+#: Six heartbeats: datagrams are lost now and then, and one gone too early
+#: takes callers off an entry that serves.
+SILENCE_SECONDS = 2.4
+#: Seconds for which one that is gone is remembered, so that the word of one
+#: who hasn't noticed doesn't bring it back.
+_FORGET_SECONDS = 20.0
+
+
+class Phase(enum.Enum):
+    """What a process says of itself."""
+
+    STARTING = 'starting'
+    READY = 'ready'
+    LEAVING = 'leaving'
+
+
+class Member(typing.NamedTuple):
+    """An entry as it tells of itself, and what it has come to know.
+
+    :param boot: another at each start, growing.
+    :param heartbeat: grows by one each time that it speaks.
+    :param callers: ``host:port`` where callers connect.
+    """
+
+    ip: str
+    boot: int
+    heartbeat: int
+    phase: Phase
+    callers: str
+    domain: str
+    region: str
+
+
+class _Seen:
+    """The newest word of a member and when it came."""
+
+    __slots__ = ('at', 'member')
+
+    def __init__(self, member: Member, at: float) -> None:
+        self.member = member
+        self.at = at
+
+
+class Members:
+    """The entries, by IP number.
+
+    :param own_ip: the number of this process, which isn't listed.
+    """
+
+    __slots__ = ('_own_ip', '_seen_by_ip')
+
+    def __init__(self, own_ip: str) -> None:
+        self._own_ip = own_ip
+        self._seen_by_ip: dict[str, _Seen] = {}
+
+    def heard(self, members: Iterable[Member], now: float) -> list[Member]:
+        """Take members' words; return those that are new or changed."""
+        return [member for member in members if self._take(member, now)]
+
+    def alive(self, now: float) -> list[Member]:
+        """Return the members that are there."""
+        return [
+            seen.member
+            for seen in self._seen_by_ip.values()
+            if now - seen.at <= SILENCE_SECONDS
+        ]
+
+    def ready(self, now: float) -> list[Member]:
+        """Return the members that callers may be sent to."""
+        return [
+            member for member in self.alive(now) if member.phase is Phase.READY
+        ]
+
+    def lately(self, now: float, seconds: float) -> int:
+        """Count the members heard of within some seconds."""
+        return sum(
+            now - seen.at <= seconds for seen in self._seen_by_ip.values()
+        )
+
+    def addresses(self) -> list[str]:
+        """Return the IP numbers known, also of those that fell silent."""
+        return list(self._seen_by_ip)
+
+    def forget(self, now: float) -> list[Member]:
+        """Drop members that are long gone; return them."""
+        gone = [
+            seen.member
+            for seen in self._seen_by_ip.values()
+            if now - seen.at > _FORGET_SECONDS
+        ]
+        for member in gone:
+            del self._seen_by_ip[member.ip]
+        return gone
+
+    def _take(self, member: Member, now: float) -> bool:
+        if member.ip == self._own_ip:
+            return False
+        seen = self._seen_by_ip.get(member.ip)
+        if seen is None:
+            self._seen_by_ip[member.ip] = _Seen(member, now)
+            return True
+        known = seen.member
+        if (member.boot, member.heartbeat) <= (known.boot, known.heartbeat):
+            return False
+        seen.member = member
+        seen.at = now
+        return known.boot != member.boot or known.phase is not member.phase
--- /dev/null
+++ b/clementinepass/direct/path.py
@@ -0,0 +1,273 @@
+"""The path of a request: receive, admit, place, send, relay, conclude."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from clementinepass.decisions import nearest_place, next_try, window_budget
+from clementinepass.direct import attempt, calls, request_log, serving
+
+if typing.TYPE_CHECKING:
+    import random
+
+    from clementinepass.direct import beliefs, endpoints, node, routing
+    from clementinepass.http import front, messages
+
+_BAD_REQUEST = 400
+_UNAUTHORIZED = 401
+_NOT_FOUND = 404
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
+#: Seconds after which a caller may ask again when nothing says how long it
+#: will take: an entry that starts knows its configuration by then.
+_RETRY_AFTER = 0.4
+#: Requests that may wait at an endpoint, for each of its slots. An engine
+#: ends one of sixteen answers each 60 ms, so that four wait a quarter of a
+#: second; one more comes too late to be of full value and holds up the rest.
+_WAITING_PART = 0.35
+
+
+class Path:
+    """Serve callers' requests.
+
+    :param entries: returns how many entries there are, this one included.
+    """
+
+    __slots__ = (
+        '_beliefs',
+        '_budgets_by_service',
+        '_dialect',
+        '_entries',
+        '_log',
+        '_own',
+        '_rng',
+        '_sender',
+    )
+
+    def __init__(
+        self,
+        own: node.Node,
+        known: beliefs.Beliefs,
+        dialect: calls.Dialect,
+        sender: attempt.Sender,
+        log: request_log.RequestLog,
+        entries: typing.Callable[[], int],
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._beliefs = known
+        self._dialect = dialect
+        self._sender = sender
+        self._log = log
+        self._entries = entries
+        self._rng = rng
+        self._budgets_by_service: dict[str, window_budget.WindowBudget] = {}
+
+    async def serve(
+        self,
+        request: messages.Request,
+        reply: front.Reply,
+    ) -> None:
+        """Serve one request to its end."""
+        try:
+            call = self._dialect.call(request)
+        except calls.BadCallError as error:
+            self._log.malformed(error)
+            reply.send(_BAD_REQUEST, self._dialect.refusal(None), b'')
+            return
+        admitted = self._admit(call, reply)
+        if admitted is None:
+            return
+        try:
+            async with asyncio.timeout_at(admitted.final_at):
+                await self._answer(admitted)
+        except TimeoutError:
+            self._conclude(admitted, serving.Ending.TIMEOUT)
+        except asyncio.CancelledError:
+            self._log.caller_left(admitted)
+            raise
+
+    # Admission.
+
+    def _admit(
+        self,
+        call: calls.Call,
+        reply: front.Reply,
+    ) -> serving.Serving | None:
+        """Find out what a request is; refuse it if it is nothing."""
+        current = self._beliefs.routing
+        if current is None:
+            self._refuse(call, reply, serving.Ending.STARTING, _UNAVAILABLE)
+            return None
+        route = current.route(call.host, call.request.path)
+        if route is None:
+            self._refuse(call, reply, serving.Ending.UNKNOWN_ROUTE, _NOT_FOUND)
+            return None
+        team = None
+        if current.has_teams and not route.is_public:
+            team = current.teams_by_key.get(call.key)
+            if team is None:
+                ending = serving.Ending.UNKNOWN_KEY
+                self._refuse(call, reply, ending, _UNAUTHORIZED)
+                return None
+        return serving.Serving(
+            call,
+            reply,
+            route,
+            self._service(current, route),
+            team,
+            calls.final_at(call, route),
+        )
+
+    def _service(
+        self,
+        current: routing.Routing,
+        route: routing.Route,
+    ) -> routing.Service:
+        name = route.service_at(self._rng.random())
+        return current.services_by_name[name]
+
+    def _refuse(
+        self,
+        call: calls.Call,
+        reply: front.Reply,
+        ending: serving.Ending,
+        status: int,
+    ) -> None:
+        pairs = self._dialect.refusal(call)
+        if status == _UNAVAILABLE:
+            pairs.append((b'Retry-After', b'%.2f' % _RETRY_AFTER))
+        self._log.refused(call, ending, status)
+        reply.send(status, pairs, b'')
+
+    # Attempts.
+
+    async def _answer(self, admitted: serving.Serving) -> None:
+        """Send the request until it is answered or nothing is left to try."""
+        endpoint = self._place(admitted)
+        while endpoint is not None:
+            self._note_sending(admitted)
+            tried = await self._sender.send(admitted, endpoint)
+            if tried is serving.Tried.ANSWERED:
+                self._log.answered(admitted)
+                return
+            if not self._may_repeat(admitted):
+                self._conclude(admitted, self._ending_of(admitted, tried))
+                return
+            endpoint = self._place(admitted)
+        self._conclude(admitted, self._ending_unplaced(admitted))
+
+    def _place(self, admitted: serving.Serving) -> endpoints.Endpoint | None:
+        """Choose an endpoint; ``None`` if there is none with room."""
+        now = asyncio.get_running_loop().time()
+        candidates = self._beliefs.candidates(admitted.service, now)
+        untried = [
+            one
+            for one in candidates
+            if one.listing.id not in admitted.tried_ids
+        ]
+        options = self._beliefs.options(untried, now)
+        if not options and untried:
+            # All fail: each is the wrong one to leave out.
+            options = self._beliefs.options_of_failing(untried, now)
+        choice = nearest_place.choose(options, self._rng)
+        if choice is None:
+            return None
+        overloaded = choice.waiting > choice.slots * _WAITING_PART
+        if overloaded and not admitted.attempts:
+            self._log.overloaded(admitted, choice)
+            return None
+        return self._beliefs.endpoints.get(choice.endpoint_id)
+
+    def _note_sending(self, admitted: serving.Serving) -> None:
+        if not admitted.attempts:
+            now = asyncio.get_running_loop().time()
+            self._budget(admitted.service.name).sent_first(now)
+
+    def _may_repeat(self, admitted: serving.Serving) -> bool:
+        now = asyncio.get_running_loop().time()
+        decision = next_try.decide(
+            next_try.Past(
+                attempts=len(admitted.attempts),
+                runs=admitted.runs,
+                most_runs=admitted.route.most_attempts,
+                repeatable=admitted.route.repeatable,
+                seconds_left=admitted.final_at - now,
+            ),
+        )
+        allowed = decision is next_try.NextTry.ALLOWED
+        if allowed:
+            budget = self._budget(admitted.service.name)
+            allowed = budget.may_repeat(now, self._entries())
+        self._log.repeat(admitted, decision, allowed)
+        return allowed
+
+    def _budget(self, service: str) -> window_budget.WindowBudget:
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            duties = self._own.duties
+            budget = window_budget.WindowBudget(
+                duties.budget_share,
+                duties.budget_surplus,
+                duties.budget_window,
+            )
+            self._budgets_by_service[service] = budget
+        return budget
+
+    # The end.
+
+    def _ending_of(
+        self,
+        admitted: serving.Serving,
+        tried: serving.Tried,
+    ) -> serving.Ending:
+        if tried is serving.Tried.NOT_RUN and admitted.not_run:
+            return serving.Ending.TURNED_AWAY
+        return serving.Ending.BROKEN
+
+    def _ending_unplaced(self, admitted: serving.Serving) -> serving.Ending:
+        if admitted.attempts:
+            return self._ending_of(admitted, serving.Tried.NOT_RUN)
+        now = asyncio.get_running_loop().time()
+        if self._beliefs.candidates(admitted.service, now):
+            return serving.Ending.OVERLOAD
+        return serving.Ending.NO_ENDPOINT
+
+    def _conclude(
+        self,
+        admitted: serving.Serving,
+        ending: serving.Ending,
+    ) -> None:
+        """Give the final answer to a request that has none."""
+        reply = admitted.reply
+        if reply.done:
+            return
+        if reply.begun:
+            self._log.ended(admitted, ending, 0)
+            reply.break_off()
+            return
+        if admitted.failure is not None:
+            failure = admitted.failure
+            self._log.ended(admitted, ending, failure.status)
+            reply.send(failure.status, failure.pairs, failure.body)
+            return
+        pairs = self._dialect.refusal(admitted.call)
+        status = self._status(admitted, ending)
+        if status == _UNAVAILABLE:
+            pairs.append((b'Retry-After', b'%.2f' % _RETRY_AFTER))
+        self._log.ended(admitted, ending, status)
+        reply.send(status, pairs, b'')
+
+    def _status(
+        self,
+        admitted: serving.Serving,
+        ending: serving.Ending,
+    ) -> int:
+        """Return the status; 503 promises that the request never runs."""
+        if admitted.not_run:
+            return _UNAVAILABLE
+        if ending is serving.Ending.TIMEOUT:
+            return _GATEWAY_TIMEOUT
+        return _BAD_GATEWAY
--- /dev/null
+++ b/clementinepass/direct/request_log.py
@@ -0,0 +1,237 @@
+"""What is told of each request: log lines and metrics.
+
+Lines of requests that went well are written for one request in some, chosen
+by its id, so that the same requests are followed at every process; whatever
+went wrong is written for each.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+import zlib
+
+import aioprometheus
+from loguru import logger
+
+from clementinepass.direct import serving
+
+if typing.TYPE_CHECKING:
+    from clementinepass.decisions import nearest_place, next_try
+    from clementinepass.direct import calls, endpoints
+
+#: Of so many requests that go well one is followed in the log.
+_FOLLOWED_EACH = 16
+_BUCKETS = (
+    0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, float('inf'),
+)  # fmt: skip
+_NO_STATUS = 0
+
+
+class RequestLog:
+    """Write and count what happens to requests.
+
+    :param registry: where the metrics are registered.
+    """
+
+    __slots__ = ('_attempts', '_endings', '_first', '_repeats', '_whole')
+
+    def __init__(self, registry: aioprometheus.Registry) -> None:
+        self._endings = aioprometheus.Counter(
+            'clementinepass_requests_total',
+            'Requests by how they ended.',
+            registry=registry,
+        )
+        self._attempts = aioprometheus.Counter(
+            'clementinepass_attempts_total',
+            'Attempts that failed, by what became of them.',
+            registry=registry,
+        )
+        self._repeats = aioprometheus.Counter(
+            'clementinepass_repeats_total',
+            'Decisions on sending once more.',
+            registry=registry,
+        )
+        self._first = aioprometheus.Histogram(
+            'clementinepass_first_piece_seconds',
+            'Time from a request to the first piece of its answer.',
+            buckets=_BUCKETS,
+            registry=registry,
+        )
+        self._whole = aioprometheus.Histogram(
+            'clementinepass_request_seconds',
+            'Time from a request to the end of its answer.',
+            buckets=_BUCKETS,
+            registry=registry,
+        )
+
+    def malformed(self, error: Exception) -> None:
+        """Tell of a request that could not be read."""
+        self._endings.inc({'ending': serving.Ending.MALFORMED.value})
+        logger.bind(step='receive').info('refused: {}', error)
+
+    def refused(
+        self,
+        call: calls.Call,
+        ending: serving.Ending,
+        status: int,
+    ) -> None:
+        """Tell of a request that was refused before it was admitted."""
+        self._endings.inc({'ending': ending.value})
+        logger.bind(
+            request=call.id,
+            reason=ending.value,
+            status=status,
+            host=call.host.decode('latin-1'),
+        ).info('refused')
+
+    def overloaded(
+        self,
+        admitted: serving.Serving,
+        choice: nearest_place.Choice,
+    ) -> None:
+        """Tell that even the best endpoint has too many waiting."""
+        logger.bind(
+            request=admitted.call.id,
+            service=admitted.service.name,
+            endpoint=choice.endpoint_id,
+            waiting=round(choice.waiting, 1),
+            slots=choice.slots,
+        ).info('no endpoint has room')
+
+    def sending(
+        self,
+        admitted: serving.Serving,
+        endpoint: endpoints.Endpoint,
+    ) -> None:
+        """Tell where a request is sent."""
+        number = len(admitted.attempts)
+        if number == 1 and not _followed(admitted.call.id):
+            return
+        logger.bind(
+            request=admitted.call.id,
+            attempt=number,
+            endpoint=endpoint.listing.id,
+            in_flight=endpoint.in_flight,
+            left=round(admitted.final_at - _now(), 3),
+            resume_after=admitted.resume_after,
+        ).info('sent')
+
+    def attempt_failed(
+        self,
+        admitted: serving.Serving,
+        endpoint: endpoints.Endpoint,
+        error: Exception,
+    ) -> None:
+        """Tell of an attempt without an answer."""
+        attempt = admitted.attempts[-1]
+        self._attempts.inc({'outcome': attempt.execution.value})
+        logger.bind(
+            request=admitted.call.id,
+            attempt=attempt.number,
+            endpoint=endpoint.listing.id,
+            execution=attempt.execution.value,
+            error=str(error),
+            after_event=admitted.resume_after,
+        ).warning('attempt failed')
+
+    def turned_away(
+        self,
+        admitted: serving.Serving,
+        endpoint: endpoints.Endpoint,
+        status: int,
+    ) -> None:
+        """Tell of an endpoint that did not run a request."""
+        self._attempts.inc({'outcome': 'turned_away'})
+        logger.bind(
+            request=admitted.call.id,
+            attempt=admitted.attempts[-1].number,
+            endpoint=endpoint.listing.id,
+            status=status,
+            in_flight=endpoint.in_flight,
+        ).info('turned away by the endpoint')
+
+    def misdirected(
+        self,
+        admitted: serving.Serving,
+        endpoint: endpoints.Endpoint,
+        instance: str,
+    ) -> None:
+        """Tell of an endpoint, or of weights, that are others than expected."""
+        self._attempts.inc({'outcome': 'misdirected'})
+        logger.bind(
+            request=admitted.call.id,
+            endpoint=endpoint.listing.id,
+            answered_by=instance,
+            version=endpoint.weights.version,
+        ).info('another endpoint or version answered')
+
+    def repeat(
+        self,
+        admitted: serving.Serving,
+        decision: next_try.NextTry,
+        allowed: bool,  # noqa: FBT001
+    ) -> None:
+        """Tell whether a request is sent once more."""
+        reason = decision.value
+        if not allowed and reason == 'allowed':
+            reason = 'budget_spent'
+        self._repeats.inc({'decision': reason})
+        logger.bind(
+            request=admitted.call.id,
+            attempts=len(admitted.attempts),
+            decision=reason,
+        ).info('sending once more' if allowed else 'not sending once more')
+
+    def answered(self, admitted: serving.Serving) -> None:
+        """Tell of a whole answer."""
+        self._endings.inc({'ending': 'answered'})
+        received = admitted.call.request.received
+        seconds = _now() - received
+        labels = {'route': admitted.route.kind.value}
+        self._whole.observe(labels, seconds)
+        first = (admitted.first_event_at or _now()) - received
+        self._first.observe(labels, first)
+        if len(admitted.attempts) > 1 or _followed(admitted.call.id):
+            logger.bind(
+                request=admitted.call.id,
+                status=admitted.reply.status,
+                attempts=len(admitted.attempts),
+                first=round(first, 3),
+                seconds=round(seconds, 3),
+            ).info('answered')
+
+    def ended(
+        self,
+        admitted: serving.Serving,
+        ending: serving.Ending,
+        status: int,
+    ) -> None:
+        """Tell of a request without a success."""
+        self._endings.inc({'ending': ending.value})
+        logger.bind(
+            request=admitted.call.id,
+            reason=ending.value,
+            status=status,
+            service=admitted.service.name,
+            attempts=len(admitted.attempts),
+            runs=admitted.runs,
+            seconds=round(_now() - admitted.call.request.received, 3),
+        ).warning('ended without an answer')
+
+    def caller_left(self, admitted: serving.Serving) -> None:
+        """Tell of a caller that didn't wait for its answer."""
+        self._endings.inc({'ending': 'caller_left'})
+        logger.bind(
+            request=admitted.call.id,
+            attempts=len(admitted.attempts),
+            seconds=round(_now() - admitted.call.request.received, 3),
+        ).info('caller left')
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _followed(request_id: str) -> bool:
+    return zlib.crc32(request_id.encode()) % _FOLLOWED_EACH == 0
--- /dev/null
+++ b/clementinepass/direct/serving.py
@@ -0,0 +1,133 @@
+"""One admitted request on its way: what was tried and what came of it."""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+from clementinepass import errors
+from clementinepass.direct import events
+from clementinepass.requests import outcome
+
+if typing.TYPE_CHECKING:
+    from clementinepass.direct import calls, routing
+    from clementinepass.http import front, messages
+
+
+class Ending(enum.Enum):
+    """Why a request gets an answer of the system's own, or none."""
+
+    #: No configuration is known yet.
+    STARTING = 'starting'
+    MALFORMED = 'malformed'
+    UNKNOWN_ROUTE = 'unknown_route'
+    UNKNOWN_KEY = 'unknown_key'
+    #: It would wait too long.
+    OVERLOAD = 'overload'
+    #: No endpoint can run it at present.
+    NO_ENDPOINT = 'no_endpoint'
+    #: All endpoints that were tried turned it away.
+    TURNED_AWAY = 'turned_away'
+    #: The endpoint broke off or spoiled its answer.
+    BROKEN = 'broken'
+    #: The time that it has is over.
+    TIMEOUT = 'timeout'
+
+
+class Tried(enum.Enum):
+    """What became of one attempt."""
+
+    #: The caller has the whole answer.
+    ANSWERED = 'answered'
+    #: The endpoint did not run the request.
+    NOT_RUN = 'not_run'
+    #: It may have run; there is no answer, or only a part of it.
+    BROKEN = 'broken'
+    #: It ran and failed; the answer to that is whole.
+    FAILED = 'failed'
+
+
+class Failure(typing.NamedTuple):
+    """An endpoint's whole answer that it failed."""
+
+    status: int
+    pairs: list[messages.Pair]
+    body: bytes
+
+
+class Serving:
+    """One admitted request.
+
+    :param final_at: monotonic seconds by which the final answer is due.
+    """
+
+    __slots__ = (
+        'attempts',
+        'call',
+        'failure',
+        'final_at',
+        'first_event_at',
+        'reply',
+        'route',
+        'service',
+        'splitter',
+        'team',
+        'tried_ids',
+    )
+
+    def __init__(
+        self,
+        call: calls.Call,
+        reply: front.Reply,
+        route: routing.Route,
+        service: routing.Service,
+        team: routing.Team | None,
+        final_at: float,
+    ) -> None:
+        self.call = call
+        self.reply = reply
+        self.route = route
+        self.service = service
+        self.team = team
+        self.final_at = final_at
+        self.attempts: list[outcome.Attempt] = []
+        #: Endpoints that it was sent to.
+        self.tried_ids: set[str] = set()
+        #: An endpoint's answer to fall back on.
+        self.failure: Failure | None = None
+        #: When the first piece of the answer went to the caller.
+        self.first_event_at: float | None = None
+        #: Follows the events of a stream over all attempts.
+        self.splitter = events.Splitter(call.resume_after)
+
+    @property
+    def resume_after(self) -> int | None:
+        """Return the last event that the caller has."""
+        return self.splitter.last
+
+    @property
+    def runs(self) -> int:
+        """Return the attempts that ran, or may have."""
+        return sum(
+            attempt.execution is not errors.Execution.NOT_RUN
+            for attempt in self.attempts
+        )
+
+    @property
+    def not_run(self) -> bool:
+        """Tell whether it is known that no endpoint ran the request."""
+        return not self.runs
+
+    def begin_attempt(self, endpoint_id: str) -> outcome.Attempt:
+        """Begin another attempt."""
+        attempt = outcome.Attempt(
+            self.call.id,
+            len(self.attempts) + 1,
+            endpoint_id,
+        )
+        self.attempts.append(attempt)
+        self.tried_ids.add(endpoint_id)
+        # What one endpoint left unfinished is no beginning of what the next
+        # one sends.
+        self.splitter = events.Splitter(self.splitter.last)
+        return attempt
--- /dev/null
+++ b/clementinepass/platform/dialect.py
@@ -0,0 +1,176 @@
+"""Callers' and endpoints' headers, read and written."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+from clementinepass.direct import calls
+from clementinepass.http import messages
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
+_MS = 1000
+_ID = b'X-Attempt-Id'
+_ID_NAME = b'x-attempt-id'
+_KEY_NAME = b'x-api-key'
+#: How many milliseconds the caller waits; sent on with what is left.
+_DEADLINE = b'X-Deadline-Ms'
+_DEADLINE_NAME = b'x-deadline-ms'
+#: Tokens of the prompt and of the longest answer, with a comma between.
+_USAGE_NAME = b'x-token-usage'
+_RESUME = b'Last-Event-Id'
+_RESUME_NAME = b'last-event-id'
+_EXPECT_INSTANCE = b'X-Expect-Instance'
+_EXPECT_VERSION = b'X-Expect-Version'
+#: The name of the team whose key the caller showed.
+_TEAM = b'X-Tenant'
+_URGENCY = b'X-Request-Priority'
+#: What makes an answer an endpoint's own.
+_STAMP_NAME = b'x-server-stamp'
+#: Says that the endpoint did not run the request, whatever the status.
+_NOT_RUN_NAME = b'x-not-executed'
+_INSTANCE_NAME = b'x-instance-id'
+_MISDIRECTED = 421
+_SUCCESS = range(200, 300)
+_EVENTS = b'text/event-stream'
+_LONGEST_ID = 200
+_PRIVATE = frozenset((_KEY_NAME,))
+#: Headers that the system sets itself, whatever the caller sent.
+_SET_HERE = frozenset(
+    (
+        _KEY_NAME,
+        _DEADLINE_NAME,
+        _RESUME_NAME,
+        b'x-expect-instance',
+        b'x-expect-version',
+        b'x-tenant',
+        b'x-request-priority',
+        b'path',
+    ),
+)
+_T = typing.TypeVar('_T')
+
+
+class HeaderDialect:
+    """Read and write the headers of the users' callers and endpoints."""
+
+    __slots__ = ()
+
+    def call(self, request: messages.Request) -> calls.Call:
+        """Decode a caller's request.
+
+        :raises BadCallError: it has no id, or one of its numbers is none.
+        """
+        headers = request.headers
+        name = headers.get(_ID_NAME) or b''
+        if not 0 < len(name) <= _LONGEST_ID or headers.count(_ID_NAME) != 1:
+            raise calls.BadCallError('a request needs one id')
+        prompt, answer = _usage(headers.get(_USAGE_NAME))
+        return calls.Call(
+            id=name.decode('latin-1'),
+            request=request,
+            host=headers.get(b'host') or b'',
+            key=headers.get(_KEY_NAME) or b'',
+            patience=_number(headers.get(_DEADLINE_NAME), _seconds),
+            prompt_tokens=prompt,
+            answer_tokens=answer,
+            resume_after=_number(headers.get(_RESUME_NAME), _event_id),
+        )
+
+    def attempt(self, call: calls.Call, sending: calls.Sending) -> bytes:
+        """Return the request for an endpoint as it goes on the wire."""
+        request = call.request
+        pairs = request.headers.end_to_end(_SET_HERE)
+        left = max(int(sending.seconds * _MS), 1)
+        pairs.append((_DEADLINE, b'%d' % left))
+        pairs.append((_EXPECT_INSTANCE, sending.endpoint_id.encode()))
+        pairs.append((_URGENCY, b'%d' % sending.urgency))
+        if sending.team:
+            pairs.append((_TEAM, sending.team.encode()))
+        if sending.version:
+            pairs.append((_EXPECT_VERSION, b'%d' % sending.version))
+        if sending.resume_after is not None:
+            pairs.append((_RESUME, b'%d' % sending.resume_after))
+        return messages.request_bytes(
+            request.method,
+            request.target,
+            pairs,
+            request.body,
+        )
+
+    def answer(
+        self,
+        call: calls.Call,
+        head: messages.AnswerHead,
+    ) -> calls.AnswerFacts:
+        """Decode the head of an endpoint's answer."""
+        headers = head.headers
+        content_type = headers.get(b'content-type') or b''
+        return calls.AnswerFacts(
+            verdict=_verdict(call, head),
+            is_stream=content_type.lower().startswith(_EVENTS),
+            pairs=headers.end_to_end(_PRIVATE),
+            instance=(headers.get(_INSTANCE_NAME) or b'').decode('latin-1'),
+        )
+
+    def refusal(self, call: calls.Call | None) -> list[messages.Pair]:
+        """Return the headers of an answer of the system's own."""
+        if call is None:
+            return []
+        return [(_ID, call.id.encode('latin-1'))]
+
+
+def _verdict(call: calls.Call, head: messages.AnswerHead) -> calls.Verdict:
+    headers = head.headers
+    echoed = headers.get(_ID_NAME)
+    if echoed is not None and echoed != call.id.encode('latin-1'):
+        return calls.Verdict.FOREIGN
+    if head.status == _MISDIRECTED:
+        return calls.Verdict.MISDIRECTED
+    if headers.get(_NOT_RUN_NAME) is not None:
+        return calls.Verdict.NOT_RUN
+    encoded = headers.get(b'content-encoding') not in {None, b'identity'}
+    if echoed is None or encoded or headers.get(_STAMP_NAME) is None:
+        return calls.Verdict.SPOILED
+    if head.status in _SUCCESS:
+        return calls.Verdict.SUCCESS
+    return calls.Verdict.FAILURE
+
+
+def _number(field: bytes | None, read: Callable[[bytes], _T]) -> _T | None:
+    """Read a number, if there is one.
+
+    :raises BadCallError: there is something else.
+    """
+    if field is None:
+        return None
+    try:
+        return read(field)
+    except ValueError as error:
+        raise calls.BadCallError('a header holds no number') from error
+
+
+def _seconds(field: bytes) -> float:
+    seconds = float(field) / _MS
+    if not math.isfinite(seconds) or seconds < 0:
+        raise ValueError(field)
+    return seconds
+
+
+def _event_id(field: bytes) -> int:
+    if not field.isdigit():
+        raise ValueError(field)
+    return int(field)
+
+
+def _usage(field: bytes | None) -> tuple[int, int]:
+    """Return tokens to read and to write; zeros where it isn't said.
+
+    An estimate of the load only, so that a strange one refuses nobody.
+    """
+    parts = (field or b'').split(b',')
+    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
+        return 0, 0
+    return int(parts[0]), int(parts[1])
--- /dev/null
+++ b/clementinepass/platform/directory.py
@@ -0,0 +1,61 @@
+"""Answer where to connect, and whether an entry is ready."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import msgspec
+
+if typing.TYPE_CHECKING:
+    from clementinepass.direct import directory
+    from clementinepass.http import front, messages
+
+_RESOLVE = b'/api/resolve'
+_READY = b'/api/readyz'
+_OK = 200
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+_JSON = [(b'Content-Type', b'application/json')]
+#: Addresses in one answer; callers take no more.
+_MOST_ADDRESSES = 64
+
+
+class _Resolved(msgspec.Struct, rename='camel'):
+    """The callers' addresses of entries, and how long to keep the list."""
+
+    addresses: list[str]
+    ttl_s: float = msgspec.field(name='ttlS')
+
+
+class DirectorySpelling:
+    """Speak the two questions' protocol.
+
+    :param keep_seconds: for which callers may keep an answer.
+    """
+
+    __slots__ = ('_keep_seconds',)
+
+    def __init__(self, keep_seconds: float) -> None:
+        self._keep_seconds = keep_seconds
+
+    def handler(self, offers: directory.Offers) -> front.Handler:
+        """Return what answers the questions."""
+
+        async def answer(  # noqa: WPS430
+            request: messages.Request,
+            reply: front.Reply,
+        ) -> None:
+            if request.path == _RESOLVE:
+                self._resolve(offers, reply)
+            elif request.path == _READY:
+                reply.send(_OK if offers.ready else _UNAVAILABLE, [], b'')
+            else:
+                reply.send(_NOT_FOUND, [], b'')
+
+        return answer
+
+    def _resolve(self, offers: directory.Offers, reply: front.Reply) -> None:
+        found = offers.offered(asyncio.get_running_loop().time())
+        resolved = _Resolved(found[:_MOST_ADDRESSES], self._keep_seconds)
+        reply.send(_OK, _JSON, msgspec.json.encode(resolved))
--- /dev/null
+++ b/clementinepass/platform/node_settings.py
@@ -0,0 +1,119 @@
+"""Decode the settings file that the platform writes for each process.
+
+The deploy file has it written as JSON, with the platform's names.
+"""
+
+from __future__ import annotations
+
+import pathlib
+
+import msgspec
+
+from clementinepass import errors
+from clementinepass.direct import node
+
+#: The environment variable with the file's path.
+VARIABLE = 'CLEMENTINEPASS_SETTINGS'
+_MS = 1000
+_STEP = 'read settings'
+
+
+class _Camel(msgspec.Struct, rename='camel'):
+    """A table in the platform's spelling; unknown fields are passed over."""
+
+
+class _Listen(_Camel):
+    #: Callers' requests.
+    front: str = ''
+    #: The platform's question whether the process is ready.
+    ready: str = ''
+    #: Callers' question which entries to use.
+    directory: str = ''
+
+
+class _Bounds(msgspec.Struct):
+    """The names are in two spellings, as sent."""
+
+    drainMs: float = 2000  # noqa: N815
+    graceS: float = 8  # noqa: N815
+    budgetRatio: float = 0.2  # noqa: N815
+    budgetWindowS: float = 10  # noqa: N815
+    budgetSlack: float = 100  # noqa: N815
+    version_ms: float = 8000
+    #: Seconds for which callers keep a list of entries at most.
+    ttl_max_s: float = 5
+
+
+class _Platform(_Camel):
+    address: str
+
+
+class _Settings(_Camel):
+    node_name: str
+    ip: str
+    zone: str
+    region: str
+    platform: _Platform
+    zones: dict[str, str] = {}
+    listen: _Listen | None = None
+    internal_ports: list[int] = []
+    #: Addresses of a kind of listener that this project does not use; only
+    #: their IP numbers say where other processes are.
+    seeds: list[str] = []
+    bounds: _Bounds | None = None
+    #: The address of the endpoint on this machine.
+    app: str = ''
+    service: str = ''
+
+
+def read(path: str) -> node.Node:
+    """Read the settings file.
+
+    :raises SettingsError: the file is missing or can't be understood.
+    """
+    try:
+        settings = msgspec.json.decode(
+            pathlib.Path(path).read_bytes(),
+            type=_Settings,
+        )
+    except (OSError, msgspec.MsgspecError) as error:
+        raise errors.SettingsError(
+            str(error),
+            file=path,
+            line=0,
+            key=_STEP,
+        ) from error
+    return _node(settings)
+
+
+def _node(settings: _Settings) -> node.Node:
+    listen = settings.listen or _Listen()
+    ports = settings.internal_ports or [7700]
+    return node.Node(
+        name=settings.node_name,
+        ip=settings.ip,
+        domain=settings.zone,
+        region=settings.region,
+        regions_by_domain=settings.zones,
+        first_port=ports[0],
+        store=settings.platform.address,
+        duties=_duties(settings.bounds or _Bounds()),
+        callers=listen.front,
+        readiness=listen.ready,
+        directory=listen.directory,
+        endpoint=settings.app,
+        service=settings.service,
+        seeds=tuple(seed.rpartition(':')[0] for seed in settings.seeds),
+    )
+
+
+def _duties(bounds: _Bounds) -> node.Duties:
+    return node.Duties(
+        drain=bounds.drainMs / _MS,
+        grace=bounds.graceS,
+        budget_share=bounds.budgetRatio,
+        budget_window=bounds.budgetWindowS,
+        budget_surplus=bounds.budgetSlack,
+        version=bounds.version_ms / _MS,
+        longest_offer=bounds.ttl_max_s,
+    )
--- /dev/null
+++ b/clementinepass/platform/operator.py
@@ -0,0 +1,217 @@
+"""Decode what the operator writes: configurations and named versions."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from clementinepass import errors
+from clementinepass.direct import routing
+from clementinepass.http import front
+
+if typing.TYPE_CHECKING:
+    from clementinepass.direct import records
+
+#: The operator's key of the whole configuration.
+_CONFIG_KEY = 'config'
+#: What its keys of named versions begin with; the model's name follows.
+_VERSION_PREFIX = 'version/'
+_MS = 1000
+_KINDS_BY_NAME = {
+    'streaming': routing.RouteKind.STREAM,
+    'idempotent': routing.RouteKind.IDEMPOTENT,
+    'non_idempotent': routing.RouteKind.ONCE,
+}
+
+
+class _Camel(msgspec.Struct, rename='camel'):
+    """A body in the operator's spelling; unknown fields are passed over."""
+
+
+class _Backend(_Camel):
+    service: str
+    weight: float = 1
+
+
+class _Route(_Camel):
+    name: str
+    host: str
+    path_prefix: str
+    #: What may be repeated; anything unknown is taken for the strictest.
+    route_kind: str = ''
+    timeout_ms: float = 30000
+    #: The time within which an answer earns its full value.
+    slo_ms: float = 1000
+    priority: int = 0
+    service: str = ''
+    backends: list[_Backend] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    #: The longest pause between events of a stream that is on time.
+    gap_target_ms: float = 0
+
+
+class _EngineModel(_Camel):
+    name: str
+
+
+class _Usual(_Camel):
+    prompt: float = 0
+    answer: float = 0
+
+
+class _Engine(msgspec.Struct):
+    """Some names are in snake case, others in camel case, as sent."""
+
+    slots: int
+    models: list[_EngineModel] = []
+    layers: int = 0
+    chunks: int = 0
+    chunkBytes: int = 0  # noqa: N815
+    #: Milliseconds for a token of each running request.
+    step_ms: float = 0
+    #: Prompt tokens read in a second.
+    read_per_s: float = 0
+    usual: _Usual | None = None
+
+
+class _Service(_Camel):
+    name: str
+    max_conns: int = 64
+    engine: _Engine | None = None
+    origin: str = ''
+    zone: str = ''
+
+
+class _Limits(_Camel):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _Tenant(_Camel):
+    name: str
+    api_keys: list[str] = []
+    priority: int = 0
+
+
+class _Config(_Camel):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits | None = None
+    tenants: list[_Tenant] | None = None
+
+
+class _Version(_Camel):
+    model: str
+    version: int
+
+
+class NamedVersion:
+    """The version of a model's weights that endpoints should serve."""
+
+    __slots__ = ('model', 'version')
+
+    def __init__(self, model: str, version: int) -> None:
+        self.model = model
+        self.version = version
+
+
+def read(record: records.Record) -> routing.Routing | NamedVersion | None:
+    """Decode a record of the operator; ``None`` for one of no concern.
+
+    :raises MalformedMessageError: the record can't be decoded.
+    """
+    if record.payload is None:
+        return None
+    try:
+        if record.key == _CONFIG_KEY:
+            return _routing(msgspec.json.decode(record.payload, type=_Config))
+        if record.key.startswith(_VERSION_PREFIX):
+            named = msgspec.json.decode(record.payload, type=_Version)
+            return NamedVersion(named.model, named.version)
+    except msgspec.MsgspecError as error:
+        raise errors.MalformedMessageError(
+            str(error),
+            step='decode',
+            peer=f'operator record {record.key}',
+        ) from error
+    return None
+
+
+def _routing(config: _Config) -> routing.Routing:
+    teams_by_key = None
+    if config.tenants is not None:
+        teams_by_key = {
+            key.encode(): routing.Team(tenant.name, tenant.priority)
+            for tenant in config.tenants
+            for key in tenant.api_keys
+        }
+    return routing.Routing(
+        config.version,
+        map(_route, config.routes),
+        map(_service, config.services),
+        teams_by_key,
+        _bounds(config.limits or _Limits()),
+    )
+
+
+def _route(route: _Route) -> routing.Route:
+    backends = tuple(
+        routing.Backend(backend.service, backend.weight)
+        for backend in route.backends
+        if backend.weight > 0
+    )
+    return routing.Route(
+        name=route.name,
+        host=route.host.lower().encode(),
+        prefix=route.path_prefix.encode(),
+        kind=_KINDS_BY_NAME.get(route.route_kind, routing.RouteKind.ONCE),
+        backends=backends or (routing.Backend(route.service, 1),),
+        timeout=route.timeout_ms / _MS,
+        aim=route.slo_ms / _MS,
+        longest_gap=route.gap_target_ms / _MS,
+        priority=route.priority,
+        most_attempts=max(route.max_attempts, 1),
+        is_public=route.public,
+        resumable=route.resumable,
+    )
+
+
+def _service(service: _Service) -> routing.Service:
+    engine = service.engine
+    return routing.Service(
+        service.name,
+        service.max_conns,
+        engine=None if engine is None else _engine(engine),
+        origin=service.origin,
+        domain=service.zone,
+    )
+
+
+def _engine(engine: _Engine) -> routing.Engine:
+    usual = engine.usual or _Usual()
+    return routing.Engine(
+        model=engine.models[0].name if engine.models else '',
+        slots=engine.slots,
+        layers=engine.layers,
+        chunks=engine.chunks,
+        chunk_bytes=engine.chunkBytes,
+        step_seconds=engine.step_ms / _MS,
+        read_per_second=engine.read_per_s,
+        usual_prompt=usual.prompt,
+        usual_answer=usual.answer,
+    )
+
+
+def _bounds(limits: _Limits) -> front.Bounds:
+    return front.Bounds(
+        header_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+        header_seconds=limits.header_timeout_ms / _MS,
+        idle_seconds=limits.idle_timeout_ms / _MS,
+    )
--- /dev/null
+++ b/clementinepass/platform/store.py
@@ -0,0 +1,244 @@
+"""Adapter for the platform's store of records."""
+
+from __future__ import annotations
+
+import base64
+import typing
+import urllib.parse
+
+import msgspec
+
+from clementinepass import errors
+from clementinepass.direct import records
+from clementinepass.http import channel, messages, pool
+
+#: The store's names of what is followed. The first two belong to others and
+#: may only be read.
+_NAME_BY_TOPIC = {
+    records.Topic.OPERATOR: 'keyed.op',
+    records.Topic.ENDPOINTS: 'keyed.servers',
+    records.Topic.ENTRIES: 'keyed.entries',
+}
+_LENGTH_BYTES = 4
+_OFFSET_BYTES = 8
+_MS = 1000
+_GONE = 410
+_TOO_MANY = 429
+_OK = 200
+#: Seconds beyond the time that a read may wait until it is overdue. The store
+#: answers in some milliseconds; sixty times that when it is slow.
+_ANSWER_SECONDS = 1.0
+#: Seconds for a write or the newest records; a slow store needs most of it.
+_CALL_SECONDS = 2.5
+_DEFAULT_RETRY_AFTER = 1.0
+
+
+class _NewestEntry(msgspec.Struct):
+    """One record among the newest; its value in base64."""
+
+    key: str
+    offset: int
+    value: str = ''
+
+
+class _NewestAnswer(msgspec.Struct, rename='camel'):
+    """A page of the newest records; ``after`` its last key there is more."""
+
+    entries: list[_NewestEntry]
+    end_offset: int
+    has_more: bool = False
+
+
+class HttpStore:
+    """Speak the store's protocol.
+
+    Long reads have a connection each; the pool opens what is needed.
+
+    :param address: the store's address, ``host:port``.
+    """
+
+    __slots__ = ('_address', '_pool', 'calls')
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._pool = pool.Pool.from_address(address)
+        #: Calls made so far.
+        self.calls = 0
+
+    async def newest(self, topic: records.Topic) -> records.Page:
+        """Return the newest record of each key.
+
+        Pages are no snapshot: the first page's end is where changes are
+        followed from, so that a record written meanwhile is seen again.
+
+        :raises PlatformUnavailableError: the store did not answer.
+        """
+        after = ''
+        found: list[records.Record] = []
+        end = -1
+        while True:
+            answer = await self._newest_page(topic, after)
+            found.extend(map(_record, answer.entries))
+            end = answer.end_offset if end < 0 else end
+            if not (answer.has_more and answer.entries):
+                return records.Page(tuple(found), end)
+            after = answer.entries[-1].key
+
+    async def changes(
+        self,
+        topic: records.Topic,
+        offset: int,
+        wait: float,
+    ) -> records.Page:
+        """Return the records from an offset on, waiting for the first.
+
+        :raises RecordsExpiredError: the offset is no longer kept.
+        :raises PlatformUnavailableError: the store did not answer in time.
+        """
+        query = {
+            'topic': _NAME_BY_TOPIC[topic],
+            'part': 0,
+            'from': offset,
+            'waitMs': int(wait * _MS),
+        }
+        fetched = await self._call(
+            'GET',
+            'log-read',
+            query,
+            seconds=wait + _ANSWER_SECONDS,
+        )
+        if fetched.status == _GONE:
+            raise errors.RecordsExpiredError(
+                step='read',
+                peer=self._address,
+                oldest=0,
+            )
+        self._check(fetched, 'read')
+        try:
+            return _page(fetched.body, offset)
+        except (ValueError, IndexError) as error:
+            raise self._malformed('read', error) from error
+
+    async def put(
+        self,
+        topic: records.Topic,
+        key: str,
+        payload: bytes,
+    ) -> None:
+        """Write the newest record of a key.
+
+        :raises PlatformUnavailableError: the store did not answer; the
+            record may have been written.
+        """
+        name = key.encode()
+        record = bytes((len(name),)) + name + payload
+        framed = len(record).to_bytes(_LENGTH_BYTES, 'big') + record
+        query = {'topic': _NAME_BY_TOPIC[topic], 'part': 0}
+        fetched = await self._call(
+            'POST',
+            'log-append',
+            query,
+            body=framed,
+            seconds=_CALL_SECONDS,
+        )
+        self._check(fetched, 'append')
+
+    async def _newest_page(
+        self,
+        topic: records.Topic,
+        after: str,
+    ) -> _NewestAnswer:
+        query = {'topic': _NAME_BY_TOPIC[topic], 'part': 0}
+        if after:
+            query['after'] = after
+        fetched = await self._call(
+            'GET',
+            'log-newest',
+            query,
+            seconds=_CALL_SECONDS,
+        )
+        self._check(fetched, 'newest')
+        try:
+            return msgspec.json.decode(fetched.body, type=_NewestAnswer)
+        except msgspec.MsgspecError as error:
+            raise self._malformed('newest', error) from error
+
+    async def _call(
+        self,
+        method: str,
+        call: str,
+        query: dict[str, typing.Any],
+        *,
+        seconds: float,
+        body: bytes = b'',
+    ) -> pool.Fetched:
+        target = f'/api/{call}?{urllib.parse.urlencode(query)}'
+        request = messages.request_bytes(
+            method.encode(),
+            target.encode(),
+            [(b'Host', self._address.encode())],
+            body,
+        )
+        self.calls += 1
+        try:
+            return await pool.fetch(self._pool, request, seconds)
+        except channel.ChannelBrokenError as error:
+            raise errors.PlatformUnavailableError(
+                error.detail,
+                step=call,
+                peer=self._address,
+            ) from error
+
+    def _check(self, fetched: pool.Fetched, step: str) -> None:
+        if fetched.status == _OK:
+            return
+        if fetched.status == _TOO_MANY:
+            raise errors.ThrottledError(
+                step=step,
+                peer=self._address,
+                retry_after=_DEFAULT_RETRY_AFTER,
+            )
+        raise errors.PlatformUnavailableError(
+            f'status {fetched.status}',
+            step=step,
+            peer=self._address,
+        )
+
+    def _malformed(self, step: str, error: Exception) -> Exception:
+        return errors.MalformedMessageError(
+            str(error),
+            step=step,
+            peer=self._address,
+        )
+
+
+def _record(entry: _NewestEntry) -> records.Record:
+    # A key without a value was dropped.
+    payload = base64.b64decode(entry.value) or None
+    return records.Record(entry.key, entry.offset, payload)
+
+
+def _page(body: bytes, offset: int) -> records.Page:
+    """Read the end and the first offset, then the records from ``offset``."""
+    position = 2 * _OFFSET_BYTES
+    found = []
+    following = offset
+    while position < len(body):
+        length = int.from_bytes(
+            body[position : position + _LENGTH_BYTES], 'big'
+        )
+        position += _LENGTH_BYTES
+        whole = body[position : position + length]
+        if len(whole) != length:
+            raise ValueError('a record is cut short')
+        found.append(_keyed(whole, following))
+        position += length
+        following += 1
+    return records.Page(tuple(found), following)
+
+
+def _keyed(whole: bytes, offset: int) -> records.Record:
+    """Read a record's key and value."""
+    end = 1 + whole[0]
+    payload = whole[end:] or None
+    return records.Record(whole[1:end].decode(), offset, payload)
--- /dev/null
+++ b/clementinepass/wire/beats.py
@@ -0,0 +1,153 @@
+"""Messages of the direct path, read from and written to Cap'n Proto."""
+
+from __future__ import annotations
+
+import pathlib
+import typing
+
+import capnp
+
+from clementinepass import errors
+from clementinepass.direct import beats, members, records
+
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('direct.capnp')))
+_PHASES = tuple(members.Phase)
+_MS = 1000
+
+
+def write_beat(beat: beats.Beat) -> bytes:
+    """Return a beat as the bytes of a datagram."""
+    message = _SCHEMA.Beat.new_message()
+    if beat.sender is not None:
+        _write_member(message.sender, beat.sender)
+    for slot, member in zip(
+        message.init('members', len(beat.members)),
+        beat.members,
+        strict=True,
+    ):
+        _write_member(slot, member)
+    loads = message.init('loads', len(beat.in_flight_by_endpoint))
+    pairs = beat.in_flight_by_endpoint.items()
+    for slot, (endpoint, in_flight) in zip(loads, pairs, strict=True):
+        slot.endpoint = endpoint
+        slot.inFlight = min(in_flight, 65535)
+    message.follow.operatorOffset = beat.operator_offset
+    message.follow.endpointsOffset = beat.endpoints_offset
+    _write_versions(message, beat)
+    _write_held(message, beat)
+    message.evidence = beat.evidence
+    return bytes(message.to_bytes_packed())
+
+
+def read_beat(payload: bytes, peer: str) -> beats.Beat:
+    """Read a beat.
+
+    :raises MalformedMessageError: the bytes are something else.
+    """
+    try:
+        message = _SCHEMA.Beat.from_bytes_packed(payload)
+        return _beat(message)
+    except (capnp.KjException, IndexError, UnicodeDecodeError) as error:
+        raise errors.MalformedMessageError(
+            str(error),
+            step='read a beat',
+            peer=peer,
+        ) from error
+
+
+def write_records(page: records.Page) -> bytes:
+    """Return records of the store as one message."""
+    message = _SCHEMA.Records.new_message()
+    slots = message.init('records', len(page.records))
+    for slot, record in zip(slots, page.records, strict=True):
+        slot.key = record.key
+        slot.offset = record.offset
+        slot.removed = record.payload is None
+        slot.payload = record.payload or b''
+    message.nextOffset = page.next_offset
+    return bytes(message.to_bytes_packed())
+
+
+def read_records(payload: bytes, peer: str) -> records.Page:
+    """Read records of the store.
+
+    :raises MalformedMessageError: the bytes are something else.
+    """
+    try:
+        message = _SCHEMA.Records.from_bytes_packed(payload)
+        found = tuple(
+            records.Record(
+                record.key,
+                record.offset,
+                None if record.removed else bytes(record.payload),
+            )
+            for record in message.records
+        )
+        return records.Page(found, message.nextOffset)
+    except (capnp.KjException, UnicodeDecodeError) as error:
+        raise errors.MalformedMessageError(
+            str(error),
+            step='read records',
+            peer=peer,
+        ) from error
+
+
+def _write_member(slot: typing.Any, member: members.Member) -> None:
+    slot.ip = member.ip
+    slot.boot = member.boot
+    slot.heartbeat = member.heartbeat
+    slot.phase = _PHASES.index(member.phase)
+    slot.callers = member.callers
+    slot.domain = member.domain
+    slot.region = member.region
+
+
+def _write_versions(message: typing.Any, beat: beats.Beat) -> None:
+    slots = message.init('versions', len(beat.versions))
+    for slot, named in zip(slots, beat.versions, strict=True):
+        slot.model = named.model
+        slot.version = named.version
+        slot.ageMs = min(int(named.age * _MS), 2**32 - 1)
+
+
+def _write_held(message: typing.Any, beat: beats.Beat) -> None:
+    slots = message.init('held', len(beat.held))
+    for slot, held in zip(slots, beat.held, strict=True):
+        slot.address = held.address
+        slot.version = held.version
+        slot.first = held.first
+        slot.end = held.end
+
+
+def _beat(message: typing.Any) -> beats.Beat:
+    sender = _member(message.sender)
+    return beats.Beat(
+        sender=sender if sender.ip else None,
+        members=tuple(map(_member, message.members)),
+        in_flight_by_endpoint={
+            load.endpoint: load.inFlight for load in message.loads
+        },
+        operator_offset=message.follow.operatorOffset,
+        endpoints_offset=message.follow.endpointsOffset,
+        versions=tuple(
+            beats.NamedVersion(named.model, named.version, named.ageMs / _MS)
+            for named in message.versions
+        ),
+        held=tuple(
+            beats.Held(held.address, held.version, held.first, held.end)
+            for held in message.held
+        ),
+        evidence=bytes(message.evidence),
+    )
+
+
+def _member(slot: typing.Any) -> members.Member:
+    return members.Member(
+        ip=slot.ip,
+        boot=slot.boot,
+        heartbeat=slot.heartbeat,
+        phase=_PHASES[slot.phase],
+        callers=slot.callers,
+        domain=slot.domain,
+        region=slot.region,
+    )
--- /dev/null
+++ b/clementinepass/wire/direct.capnp
@@ -0,0 +1,63 @@
+@0xb7c1d52e9f30a846;
+# Messages between entries and agents on the direct path. Each fits into a
+# datagram; records of the store, which may be long, go over a connection.
+
+struct Member {
+  ip @0 :Text;
+  boot @1 :UInt64;
+  heartbeat @2 :UInt32;
+  phase @3 :UInt8;
+  callers @4 :Text;
+  domain @5 :Text;
+  region @6 :Text;
+}
+
+struct Load {
+  # Requests of the sender at one endpoint.
+  endpoint @0 :Text;
+  inFlight @1 :UInt16;
+}
+
+struct Follow {
+  # How far the sender has read the store.
+  operatorOffset @0 :UInt64;
+  endpointsOffset @1 :UInt64;
+}
+
+struct NamedVersion {
+  # A version of weights and how long ago its naming was acknowledged.
+  model @0 :Text;
+  version @1 :UInt32;
+  ageMs @2 :UInt32;
+}
+
+struct Held {
+  # What an engine has loaded, as its agent read it.
+  address @0 :Text;
+  version @1 :UInt32;
+  first @2 :UInt16;
+  end @3 :UInt16;
+}
+
+struct Beat {
+  sender @0 :Member;
+  members @1 :List(Member);
+  loads @2 :List(Load);
+  follow @3 :Follow;
+  versions @4 :List(NamedVersion);
+  held @5 :List(Held);
+  # Evidence on requests that kill endpoints, as the quarantine encodes it.
+  evidence @6 :Data;
+}
+
+struct Record {
+  key @0 :Text;
+  offset @1 :UInt64;
+  payload @2 :Data;
+  removed @3 :Bool;
+}
+
+struct Records {
+  records @0 :List(Record);
+  nextOffset @1 :UInt64;
+}
