Bring engines to the named version, piece by piece

Cause: added engines held no layers, and a named version reached nobody. Agents now get pieces from one another, each entering a region once, check them, stage them, check again and order.

--- /dev/null
+++ b/clementinepass/decisions/named_versions.py
@@ -0,0 +1,57 @@
+"""Which versions of a model's weights requests may still begin on.
+
+Load: versions that are named faster than they spread.  Each has a bound of
+its own, counted from its naming: a version that is named while the one before
+it spreads must not put off the bound of that one.
+"""
+
+from __future__ import annotations
+
+#: Versions remembered. Those before are long past their bound.
+_MOST_VERSIONS = 8
+
+
+class NamedVersions:
+    """The versions of one model that were named lately.
+
+    :param bound: seconds after the naming of a version from which requests
+        begin on no older one.
+    """
+
+    __slots__ = ('_bound', 'since_by_version')
+
+    def __init__(self, bound: float) -> None:
+        self._bound = bound
+        #: When each version was named; monotonic seconds.
+        self.since_by_version: dict[int, float] = {}
+
+    @property
+    def newest(self) -> int:
+        """Return the newest version; 0 where none was named."""
+        return max(self.since_by_version, default=0)
+
+    def named(self, version: int, since: float) -> bool:
+        """Take it that a version was named; tell whether it is news.
+
+        Of two times for one version the earlier counts: whoever heard of it
+        late, or was restarted, can't know when it was named.
+        """
+        known = self.since_by_version.get(version)
+        if known is not None:
+            self.since_by_version[version] = min(known, since)
+            return False
+        self.since_by_version[version] = since
+        if len(self.since_by_version) > _MOST_VERSIONS:
+            del self.since_by_version[min(self.since_by_version)]
+        return version == self.newest
+
+    def oldest_allowed(self, now: float) -> int:
+        """Return the oldest version on which requests may begin."""
+        return max(
+            (
+                version
+                for version, since in self.since_by_version.items()
+                if now >= since + self._bound
+            ),
+            default=0,
+        )
--- /dev/null
+++ b/clementinepass/direct/agent.py
@@ -0,0 +1,346 @@
+"""An agent: keeps the engine on its machine at the version that is wanted."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import typing
+
+from loguru import logger
+
+from clementinepass import errors
+from clementinepass.decisions import piece_sources, superseding
+from clementinepass.direct import (
+    beats,
+    beliefs,
+    exchange,
+    gossip,
+    intake,
+    loading,
+    records,
+    weights,
+)
+
+if typing.TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from clementinepass.direct import node, pieces, routing
+
+#: Seconds between looks at the engine: while something is to be done, and
+#: otherwise. Reports to its own machine cost the engine nothing.
+_BUSY_SECONDS = 0.1
+_IDLE_SECONDS = 0.3
+#: Seconds without a word of an entry after which the store is read instead.
+_ALONE_SECONDS = 2.5
+#: Times that news of the engine is told; datagrams are lost now and then.
+_TOLD_TIMES = 3
+_TELL_SECONDS = 0.15
+_BITS = 8
+_MEGA = 1_000_000
+#: Time for a version's pieces against the time that their bytes take on a
+#: link that carries nothing else: heads, waits and answers of the engine.
+_OVERHEAD = 1.15
+
+
+class Boundary(typing.NamedTuple):
+    """What an agent needs from the users' platform.
+
+    :param origin: makes a source of the origin's address.
+    """
+
+    store: records.Store
+    engine: weights.Engine
+    origin: Callable[[str], weights.Source]
+    readers: intake.Readers
+
+
+class Agent:
+    """One agent.
+
+    :param own: who it is.
+    :param boundary: how it speaks to the engine, the origin and the store.
+    """
+
+    def __init__(
+        self,
+        own: node.Node,
+        boundary: Boundary,
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._boundary = boundary
+        self._rng = rng
+        self.beliefs = beliefs.Beliefs(own)
+        taking = intake.Intake(self.beliefs, boundary.readers)
+        self._followers = taking.followers(boundary.store, rng)
+        self._handout = exchange.Handout(
+            self,
+            exchange.Uplink(own.link_mbps),
+        )
+        self.peers = gossip.Peers(
+            own,
+            self._followers,
+            self.beliefs,
+            rng,
+            self._handout.serve,
+        )
+        self._loading = loading.Loading(
+            boundary.engine,
+            self,
+            self._ordering,
+        )
+        #: By IP number, the origin by its address.
+        self._sources_by_name: dict[str, weights.Source] = {}
+        self._report: weights.EngineReport | None = None
+        self._trouble = ''
+
+    async def run(self) -> None:
+        """Work until told to stop."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, stop.set)
+        await self.peers.listen()
+        logger.bind(node=self._own.name, engine=self._own.endpoint).info(
+            'agent started',
+        )
+        async with asyncio.TaskGroup() as tasks:
+            works = (self._keep_up(), self._keep_loaded())
+            background = [tasks.create_task(work) for work in works]
+            await stop.wait()
+            for task in background:
+                task.cancel()
+        logger.bind(node=self._own.name).info('stopped')
+
+    # What handing out asks.
+
+    def pieces_of(self, model: str, version: int) -> pieces.Pieces | None:
+        """Return the pieces of a version that are here or on their way."""
+        now = asyncio.get_running_loop().time()
+        self.beliefs.named(model, version, now)
+        return self._loading.pieces_of(model, version)
+
+    def has_loaded(self, version: int) -> bool:
+        """Tell whether the engine serves that version."""
+        report = self._report
+        return report is not None and report.weights.version == version
+
+    async def staged_piece(
+        self,
+        model: str,
+        version: int,
+        number: int,
+    ) -> bytes | None:
+        """Return a piece that lies staged at the engine, unchecked.
+
+        Only of the version that the engine has loaded: pieces of another
+        take their place one by one while that is being brought.
+        """
+        if not self.has_loaded(version):
+            return None
+        try:
+            return await self._boundary.engine.staged_piece(model, number)
+        except errors.PeerUnavailableError as error:
+            logger.bind(piece=number).info('not handed out: {}', error)
+            return None
+
+    # What loading asks.
+
+    def wanted(self) -> tuple[str, int]:
+        """Return the model and the version that the engine should have.
+
+        Where none was named, whatever other engines have.
+        """
+        engine = self._engine_of()
+        if engine is None:
+            return '', 0
+        named = self.beliefs.wanted_version(engine.model)
+        if named:
+            return engine.model, self._next_version(engine, named)
+        held = [peer.weights.version for peer in self._fellows()]
+        return engine.model, max(held, default=0) or 1
+
+    def question(
+        self,
+        model: str,
+        version: int,
+        number: int,
+    ) -> piece_sources.Question:
+        """Return what choosing a source for a piece needs."""
+        engine = self._engine_of()
+        routing_now = self.beliefs.routing
+        origin = None if routing_now is None else routing_now.origin
+        peers = [
+            piece_sources.Peer(
+                fellow.listing.address.rpartition(':')[0],
+                self._own.region_of(fellow.listing.domain),
+                engine is not None and fellow.holds(engine, version),
+            )
+            for fellow in self._fellows()
+            if fellow.listing.address != self._own.endpoint
+        ]
+        return piece_sources.Question(
+            piece_sources.Peer(self._own.ip, self._own.region, holds=False),
+            peers,
+            '' if origin is None else self._own.region_of(origin.domain),
+            number,
+        )
+
+    def source(self, ip: str) -> weights.Source | None:
+        """Return a source by its IP number, or the origin."""
+        if ip == piece_sources.ORIGIN:
+            return self._origin()
+        return self._kept(ip, self._agent_source)
+
+    # Details.
+
+    def _next_version(self, engine: routing.Engine, newest: int) -> int:
+        """Return the newest version, or the one to finish before it."""
+        begun = self._loading.begun
+        if begun is None or not begun.missing:
+            return newest
+        current = begun.manifest.version
+        left = self.beliefs.seconds_left(engine.model, current)
+        if current >= newest or left is None:
+            return newest
+        first = superseding.finish_first(
+            superseding.Transfer(
+                self._seconds(engine, len(begun.missing)),
+                left,
+            ),
+            superseding.Transfer(
+                self._seconds(engine, engine.chunks),
+                self.beliefs.seconds_left(engine.model, newest) or 0,
+            ),
+        )
+        return current if first else newest
+
+    def _seconds(self, engine: routing.Engine, chunks: int) -> float:
+        """Return how long pieces take over this machine's link."""
+        bits = chunks * engine.chunk_bytes * _BITS
+        return _OVERHEAD * bits / (self._own.link_mbps * _MEGA)
+
+    def _kept(
+        self,
+        name: str,
+        make: Callable[[str], weights.Source],
+    ) -> weights.Source:
+        """Return a source, made when it is first asked for."""
+        known = self._sources_by_name.get(name) or make(name)
+        self._sources_by_name[name] = known
+        return known
+
+    def _agent_source(self, ip: str) -> weights.Source:
+        return exchange.PeerSource(ip, self._own.first_port)
+
+    def _origin(self) -> weights.Source | None:
+        current = self.beliefs.routing
+        service = None if current is None else current.origin
+        if service is None:
+            return None
+        # By its address, which a new configuration may change.
+        return self._kept(service.origin, self._boundary.origin)
+
+    def _engine_of(self) -> routing.Engine | None:
+        current = self.beliefs.routing
+        if current is None:
+            return None
+        service = current.services_by_name.get(self._own.service)
+        return None if service is None else service.engine
+
+    def _fellows(self) -> list[beliefs.endpoints.Endpoint]:
+        now = asyncio.get_running_loop().time()
+        return self.beliefs.endpoints.of_service(self._own.service, now)
+
+    async def _keep_up(self) -> None:
+        """Speak to entries; read the store where none answers."""
+        loop = asyncio.get_running_loop()
+        alone_since = loop.time() - _ALONE_SECONDS
+        while True:
+            if self.peers.members.alive(loop.time()):
+                alone_since = loop.time()
+            elif loop.time() - alone_since >= _ALONE_SECONDS:
+                await self._read_store()
+                alone_since = loop.time()
+            self.beliefs.forget(loop.time())
+            await asyncio.sleep(_IDLE_SECONDS)
+
+    async def _read_store(self) -> None:
+        store = self._boundary.store
+        try:
+            for topic, own in self._followers.items():
+                own.take(await store.newest(topic))
+            page = await store.newest(records.Topic.ENTRIES)
+            self.peers.met(record.key for record in page.records)
+        except errors.ClementinepassError as error:
+            logger.info('store not read: {}', error)
+
+    async def _keep_loaded(self) -> None:
+        while True:
+            try:
+                done = await self._look()
+            except errors.ClementinepassError as error:
+                self._note_trouble(str(error))
+                done = True
+            await asyncio.sleep(_IDLE_SECONDS if done else _BUSY_SECONDS)
+
+    def _note_trouble(self, trouble: str) -> None:
+        """Write why the engine isn't loaded, once for each reason."""
+        if trouble and trouble != self._trouble:
+            logger.bind(node=self._own.name).info('not loaded: {}', trouble)
+        self._trouble = trouble
+
+    async def _look(self) -> bool:
+        """Look at the engine and do what is next; tell if there is nothing."""
+        report = await self._boundary.engine.report()
+        self._note_trouble('')
+        self._told_of(report)
+        model, version = self.wanted()
+        engine = self._engine_of()
+        if engine is None or not version:
+            return True
+        held = report.weights
+        whole = held.first == 0 and held.end >= engine.layers
+        if whole and held.version >= version:
+            return True
+        if not report.busy:
+            await self._loading.bring(model, version)
+        return False
+
+    def _told_of(self, report: weights.EngineReport) -> None:
+        """Tell entries what the engine holds when that has changed."""
+        before = self._report
+        self._report = report
+        if before is not None and before.weights == report.weights:
+            return
+        self._tell(report.weights)
+        logger.bind(
+            version=report.weights.version,
+            layers=report.weights.end - report.weights.first,
+            busy=report.busy,
+        ).info('engine holds weights')
+
+    def _ordering(self) -> None:
+        """Tell entries that the engine takes no request until it has loaded.
+
+        It finishes what runs and takes nothing new meanwhile; a request sent
+        there would wait for all of that.
+        """
+        if self._report is not None:
+            self._tell(self._report.weights._replace(version=0, end=0))
+
+    def _tell(self, held: typing.Any) -> None:
+        word = beats.Held(
+            self._own.endpoint,
+            held.version,
+            held.first,
+            held.end,
+        )
+        self.peers.held = (word,)
+        loop = asyncio.get_running_loop()
+        for time in range(_TOLD_TIMES):
+            loop.call_later(time * _TELL_SECONDS, self._tell_all)
+
+    def _tell_all(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self.peers.tell([one.ip for one in self.peers.members.alive(now)])
--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -236,8 +236,9 @@
         now = asyncio.get_running_loop().time()
         engine = admitted.service.engine
         version = 0
-        if engine is not None:
-            version = self._beliefs.required_version(engine, now)
+        if engine is not None and self._beliefs.required_version(engine, now):
+            # The engine may have restarted with older weights unseen.
+            version = endpoint.weights.version
         team = admitted.team
         return calls.Sending(
             endpoint_id=endpoint.listing.id,
--- a/clementinepass/direct/beliefs.py
+++ b/clementinepass/direct/beliefs.py
@@ -2,35 +2,30 @@
 
 from __future__ import annotations
 
+import time
 import typing
 
 from loguru import logger
 
-from clementinepass.decisions import ejection, nearest_place
+from clementinepass.decisions import (
+    ejection,
+    named_versions,
+    nearest_place,
+)
 from clementinepass.direct import beats, endpoints
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from clementinepass.direct import node, routing
 
 #: Seconds before the bound on older versions from which only the newest gets
 #: requests: one sent may wait that long at an engine before it begins.
-_VERSION_MARGIN = 1.2
+_VERSION_MARGIN = 0.6
 #: Seconds after which another entry's count of its requests says nothing.
 _LOAD_LIFETIME = 2.5
 
 
-class _Named:
-    """The newest version of a model and when its naming was acknowledged."""
-
-    __slots__ = ('since', 'version')
-
-    def __init__(self, version: int, since: float) -> None:
-        self.version = version
-        self.since = since
-
-
 class _PeerLoads:
     """Another entry's requests at endpoints, as it last told."""
 
@@ -47,24 +42,34 @@
     """What an entry believes now.
 
     :param own: who the entry is.
+    :param clock: monotonic seconds, the same as the event loop's.
     """
 
     __slots__ = (
+        '_clock',
         '_loads_by_peer',
         '_named_by_model',
         '_own',
         'ejector',
+        'on_named',
         'endpoints',
         'routing',
     )
 
-    def __init__(self, own: node.Node) -> None:
+    def __init__(
+        self,
+        own: node.Node,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._own = own
+        self._clock = clock
+        #: Called when a version was named, to tell others at once.
+        self.on_named: Callable[[], None] | None = None
         #: The configuration in force; ``None`` until one is known.
         self.routing: routing.Routing | None = None
         self.endpoints = endpoints.Endpoints()
         self.ejector = ejection.Ejector()
-        self._named_by_model: dict[str, _Named] = {}
+        self._named_by_model: dict[str, named_versions.NamedVersions] = {}
         self._loads_by_peer: dict[str, _PeerLoads] = {}
 
     def configured(self, newer: routing.Routing) -> bool:
@@ -82,33 +87,45 @@
     def named(self, model: str, version: int, since: float) -> bool:
         """Take it that a version was named; tell whether it is news."""
         known = self._named_by_model.get(model)
-        if known is not None and version <= known.version:
-            if version == known.version:
-                known.since = min(known.since, since)
+        if known is None:
+            bound = self._own.duties.version - _VERSION_MARGIN
+            known = named_versions.NamedVersions(bound)
+            self._named_by_model[model] = known
+        if not known.named(version, since):
             return False
-        self._named_by_model[model] = _Named(version, since)
         logger.bind(model=model, version=version).info('version named')
+        if self.on_named is not None:
+            self.on_named()
         return True
 
     def versions(self, now: float) -> tuple[beats.NamedVersion, ...]:
         """Return the named versions, to tell others."""
         return tuple(
-            beats.NamedVersion(model, named.version, max(now - named.since, 0))
+            beats.NamedVersion(model, version, max(now - since, 0))
             for model, named in self._named_by_model.items()
+            for version, since in named.since_by_version.items()
         )
 
     def wanted_version(self, model: str) -> int:
         """Return the newest version named of a model; 0 for none."""
         named = self._named_by_model.get(model)
-        return 0 if named is None else named.version
+        return 0 if named is None else named.newest
+
+    def seconds_left(self, model: str, version: int) -> float | None:
+        """Return the time until requests begin on no older version.
+
+        ``None`` for a version that was not named.
+        """
+        named = self._named_by_model.get(model)
+        if named is None or version not in named.since_by_version:
+            return None
+        passed = self._clock() - named.since_by_version[version]
+        return self._own.duties.version - passed
 
     def required_version(self, engine: routing.Engine, now: float) -> int:
-        """Return the only version on which requests may begin; 0 for any."""
+        """Return the oldest version on which requests may begin."""
         named = self._named_by_model.get(engine.model)
-        if named is None:
-            return 0
-        strict_from = named.since + self._own.duties.version - _VERSION_MARGIN
-        return named.version if now >= strict_from else 0
+        return 0 if named is None else named.oldest_allowed(now)
 
     def heard_loads(
         self,
--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -83,12 +83,9 @@
         return self.gone_at is None or now < self.gone_at
 
     def holds(self, engine: routing.Engine, version: int) -> bool:
-        """Tell whether it holds all layers of a version.
-
-        :param version: 0 for any.
-        """
+        """Tell whether it holds all layers of a version, or a newer one."""
         held = self.weights
-        if not held.version or version not in {0, held.version}:
+        if not held.version or held.version < version:
             return False
         return held.first == 0 and held.end >= engine.layers
 
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -13,8 +13,8 @@
 from clementinepass.direct import (
     attempt,
     beliefs,
-    follower,
     gossip,
+    intake,
     leaving,
     members,
     path,
@@ -24,34 +24,21 @@
 from clementinepass.http import front
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from clementinepass.direct import calls, directory, endpoints, node, routing
+    from clementinepass.direct import calls, directory, node, routing
 
 #: Seconds between looks for endpoints and members that are gone.
 _TIDY_SECONDS = 1.0
 #: Seconds for which an entry that fell silent still counts for the budget.
 _COUNTED_SECONDS = 12.0
-#: Seconds that an entry uses an endpoint whose listing lapsed while the store
-#: was away: the time in which endpoints list themselves again.
-_LAPSE_GRACE = 2.1
-#: Seconds after an outage in which a listing that is dropped may have lapsed
-#: during it.
-_LAPSE_SEEN = 1.0
 
 
 class Boundary(typing.NamedTuple):
-    """What an entry needs from the users' platform.
-
-    :param read_operator: decodes a record of the operator.
-    :param read_endpoint: decodes an endpoint's record.
-    """
+    """What an entry needs from the users' platform."""
 
     store: records.Store
     dialect: calls.Dialect
     spelling: directory.Spelling
-    read_operator: Callable[[records.Record], typing.Any]
-    read_endpoint: Callable[[records.Record], endpoints.Listing | None]
+    readers: intake.Readers
 
 
 class Entry:
@@ -71,20 +58,11 @@
         self._own = own
         self._boundary = boundary
         self.beliefs = beliefs.Beliefs(own)
-        operator = follower.Follower(
-            boundary.store,
-            records.Topic.OPERATOR,
-            self._operator_wrote,
-            rng,
-        )
-        listings = follower.Follower(
-            boundary.store,
-            records.Topic.ENDPOINTS,
-            self._endpoint_wrote,
-            rng,
-        )
-        self._followers = {one.topic: one for one in (operator, listings)}
+        taking = intake.Intake(self.beliefs, boundary.readers)
+        self._followers = taking.followers(boundary.store, rng)
         self.peers = gossip.Peers(own, self._followers, self.beliefs, rng)
+        # Agents have eight seconds for five seconds' work.
+        self.beliefs.on_named = self._tell_of_version
         log = request_log.RequestLog(registry)
         self._sender = attempt.Sender(self.beliefs, boundary.dialect, log)
         self._path = path.Path(
@@ -181,6 +159,9 @@
                 self._sender.forget(endpoint.listing.id)
             self.peers.members.forget(now)
 
+    def _tell_of_version(self) -> None:
+        self.peers.speak(whole=True)
+
     def _entries(self) -> int:
         now = asyncio.get_running_loop().time()
         return 1 + self.peers.members.lately(now, _COUNTED_SECONDS)
@@ -188,52 +169,3 @@
     def _bounds(self) -> front.Bounds:
         current: routing.Routing | None = self.beliefs.routing
         return front.Bounds() if current is None else current.bounds
-
-    def _operator_wrote(self, record: records.Record) -> None:
-        try:
-            self._take_operator(self._boundary.read_operator(record))
-        except errors.MalformedMessageError as error:
-            logger.bind(key=record.key, offset=record.offset).error(
-                'record passed over: {}',
-                error,
-            )
-
-    def _take_operator(self, word: typing.Any) -> None:
-        if word is None:
-            return
-        if hasattr(word, 'model'):
-            now = asyncio.get_running_loop().time()
-            self.beliefs.named(word.model, word.version, now)
-        else:
-            self.beliefs.configured(word)
-
-    def _endpoint_wrote(self, record: records.Record) -> None:
-        now = asyncio.get_running_loop().time()
-        try:
-            listing = self._boundary.read_endpoint(record)
-        except errors.MalformedMessageError as error:
-            logger.bind(key=record.key, offset=record.offset).error(
-                'record passed over: {}',
-                error,
-            )
-            return
-        if listing is None:
-            self._endpoint_dropped(record.key, now)
-        elif self.beliefs.endpoints.listed(listing):
-            logger.bind(
-                endpoint=listing.id,
-                service=listing.service,
-                draining=listing.draining,
-                version=listing.weights.version,
-                layers=listing.weights.end - listing.weights.first,
-                offset=record.offset,
-            ).info('endpoint listed')
-
-    def _endpoint_dropped(self, endpoint_id: str, now: float) -> None:
-        follow = self._followers[records.Topic.ENDPOINTS]
-        lapsed = not follow.in_touch or now - follow.lost_until < _LAPSE_SEEN
-        grace = _LAPSE_GRACE if lapsed else 0
-        if self.beliefs.endpoints.removed(endpoint_id, now, grace):
-            logger.bind(endpoint=endpoint_id, used_for=grace).info(
-                'endpoint dropped from the list',
-            )
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -23,16 +23,19 @@
 #: Seconds between beats. Counts of requests at endpoints are as old as this
 #: when others place by them; each beat costs some 150 bytes a peer.
 _BEAT_SECONDS = 0.4
-#: Of so many beats one carries all members. New ones are heard of within two
-#: seconds, and most beats stay short.
-_MEMBERS_EACH = 5
+#: Of so many beats one carries all members and versions. New members are heard
+#: of within two seconds, and most beats stay short.
+_WHOLE_EACH = 5
 #: Peers that a beat goes to. More are told in turn, so that the traffic of
 #: one process doesn't grow with the system.
 _MOST_PEERS = 16
 #: Seconds for which a peer may be ahead in reading the store before its
 #: records are fetched from it: the store itself tells within milliseconds.
 _BEHIND_SECONDS = 0.25
-_FETCH_SECONDS = 1.0
+#: The same for an agent, whose link is narrow: a configuration takes as long
+#: as two pieces of weights, and an agent needs little of it.
+_AGENT_BEHIND_SECONDS = 4.0
+_FETCH_SECONDS = 3.0
 _RECORDS_PATH = b'/records/'
 _OK = 200
 _NOT_FOUND = 404
@@ -42,7 +45,8 @@
     """The other processes: who they are, and what they say.
 
     :param own: who this process is.
-    :param known: what an entry believes; ``None`` for an agent.
+    :param known: what this process believes.
+    :param others: answers peers' requests that aren't for records.
     """
 
     def __init__(
@@ -51,17 +55,22 @@
         followers: dict[records.Topic, follower.Follower],
         known: beliefs.Beliefs,
         rng: random.Random,
+        others: front.Handler | None = None,
     ) -> None:
         self._own = own
         self._followers = followers
         self._beliefs = known
         self._rng = rng
+        self._others = others
         self._boot = time.time_ns()
         self._heartbeat = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._front = front.Front(self._serve)
         self._behind_since: dict[records.Topic, float] = {}
-        self._fetching: set[asyncio.Task[None]] = set()
+        self._fetching_by_topic: dict[records.Topic, asyncio.Task[None]] = {}
+        self._behind_seconds = _AGENT_BEHIND_SECONDS
+        if own.callers:
+            self._behind_seconds = _BEHIND_SECONDS
         #: The entries.
         self.members = members.Members(own.ip)
         #: What this process says of itself.
@@ -85,16 +94,21 @@
             self.speak()
             await asyncio.sleep(_BEAT_SECONDS * self._rng.uniform(0.9, 1.1))
 
-    def speak(self) -> None:
-        """Send one beat to some of the others."""
+    def speak(self, *, whole: bool = False) -> None:
+        """Send one beat to some of the others.
+
+        :param whole: whether to send all that there is to tell, also to the
+            agents near.
+        """
         self._heartbeat += 1
-        payload = wire_beats.write_beat(self._beat())
-        for ip in self._targets():
+        whole = whole or self._heartbeat % _WHOLE_EACH == 1
+        payload = wire_beats.write_beat(self._beat(whole=whole))
+        for ip in self._targets(whole=whole):
             self._send(payload, ip)
 
     def tell(self, ips: list[str]) -> None:
         """Send one beat to given processes."""
-        payload = wire_beats.write_beat(self._beat())
+        payload = wire_beats.write_beat(self._beat(whole=False))
         for ip in ips:
             self._send(payload, ip)
 
@@ -160,12 +174,12 @@
             self._behind_since.pop(topic, None)
             return
         since = self._behind_since.setdefault(topic, now)
-        if now - since < _BEHIND_SECONDS and own.started:
+        if now - since < self._behind_seconds and own.started:
             return
-        self._behind_since[topic] = now
-        task = asyncio.create_task(self._fetch(own, ip))
-        self._fetching.add(task)
-        task.add_done_callback(self._fetching.discard)
+        if topic not in self._fetching_by_topic:
+            self._behind_since[topic] = now
+            task = asyncio.create_task(self._fetch(own, ip))
+            self._fetching_by_topic[topic] = task
 
     async def _fetch(self, own: follower.Follower, ip: str) -> None:
         path = _RECORDS_PATH + own.topic.value.encode()
@@ -185,6 +199,7 @@
             return
         finally:
             peers.close()
+            self._fetching_by_topic.pop(own.topic, None)
         news = own.take(page)
         logger.bind(
             peer=ip,
@@ -205,11 +220,13 @@
                 page = own.known.since(offset)
                 reply.send(_OK, [], wire_beats.write_records(page))
                 return
-        reply.send(_NOT_FOUND, [], b'')
+        if self._others is None:
+            reply.send(_NOT_FOUND, [], b'')
+        else:
+            await self._others(request, reply)
 
-    def _beat(self) -> beats.Beat:
+    def _beat(self, *, whole: bool) -> beats.Beat:
         now = asyncio.get_running_loop().time()
-        whole = self._heartbeat % _MEMBERS_EACH == 1
         alive = tuple(self.members.alive(now)) if whole else ()
         return beats.Beat(
             sender=self.own_member(),
@@ -225,10 +242,10 @@
         own = self._followers.get(topic)
         return 0 if own is None else own.known.next_offset
 
-    def _targets(self) -> list[str]:
+    def _targets(self, *, whole: bool) -> list[str]:
         """Return whom this beat goes to."""
         ips = self.members.addresses()
-        if not ips or self._heartbeat % _MEMBERS_EACH == 1:
+        if whole or not ips:
             others = (*self._own.seeds, *self._near_agents())
             ips.extend(ip for ip in set(others) if ip not in ips)
         if len(ips) > _MOST_PEERS:
--- a/clementinepass/direct/node.py
+++ b/clementinepass/direct/node.py
@@ -43,6 +43,8 @@
     readiness: str = ''
     #: ``host:port`` where callers ask for entries.
     directory: str = ''
+    #: Megabits a second that its link carries.
+    link_mbps: float = 1000
     #: ``host:port`` of the endpoint beside an agent, and its service.
     endpoint: str = ''
     service: str = ''
--- /dev/null
+++ b/clementinepass/direct/weights.py
@@ -0,0 +1,115 @@
+"""What an agent asks of its engine, the origin and other agents."""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+from clementinepass.direct import endpoints
+
+
+class EngineReport(typing.NamedTuple):
+    """An engine's own word, fresh.
+
+    :param busy: whether an order is in progress.
+    :param orders: how many orders it has begun since it started.
+    :param active: requests running.
+    """
+
+    weights: endpoints.Weights
+    busy: bool
+    orders: int
+    active: int
+    queued: int
+
+
+class Manifest(typing.NamedTuple):
+    """The SHA-256 of each piece of a version, in hexadecimal."""
+
+    model: str
+    version: int
+    digests: tuple[str, ...]
+
+
+class Ordered(enum.Enum):
+    """What an engine said to an order."""
+
+    ACCEPTED = 'accepted'
+    #: It was in effect already.
+    DONE = 'done'
+    #: It doesn't fit the engine's state.
+    REJECTED = 'rejected'
+    #: There was no answer; it may have been accepted.
+    UNKNOWN = 'unknown'
+
+
+class Engine(typing.Protocol):
+    """The engine on the agent's machine."""
+
+    async def report(self) -> EngineReport:
+        """Return its state.
+
+        :raises PeerUnavailableError: it doesn't answer.
+        """
+
+    async def staged(self, model: str) -> frozenset[int]:
+        """Return the numbers of the pieces that lie staged.
+
+        :raises PeerUnavailableError: it doesn't answer.
+        """
+
+    async def stage(self, model: str, number: int, piece: bytes) -> None:
+        """Stage a piece, in place of what lies there.
+
+        :raises PeerUnavailableError: it doesn't answer.
+        """
+
+    async def staged_piece(self, model: str, number: int) -> bytes | None:
+        """Return a staged piece as it is now; ``None`` if there is none.
+
+        :raises PeerUnavailableError: it doesn't answer.
+        """
+
+    async def load(
+        self,
+        model: str,
+        version: int,
+        report: EngineReport,
+    ) -> Ordered:
+        """Order it to load what is staged, if it is still as reported."""
+
+
+class Source(typing.Protocol):
+    """Hands out manifests and pieces: the origin, or another agent."""
+
+    async def manifest(self, model: str, version: int) -> Manifest | None:
+        """Return the manifest of a version; ``None`` if it has none.
+
+        :raises PeerUnavailableError: it doesn't answer.
+        """
+
+    async def numbers(
+        self,
+        model: str,
+        version: int,
+        known: int,
+    ) -> frozenset[int]:
+        """Return the numbers of its pieces, once there are more than known.
+
+        :raises PeerUnavailableError: it doesn't answer.
+        """
+
+    async def piece(
+        self,
+        model: str,
+        version: int,
+        number: int,
+        *,
+        first: bool,
+    ) -> bytes | None:
+        """Return a piece, unchecked; ``None`` if it has none.
+
+        :param first: whether others wait for the asking agent to have it.
+
+        :raises PeerUnavailableError: it doesn't answer.
+        """
--- a/clementinepass/machines.py
+++ b/clementinepass/machines.py
@@ -17,9 +17,14 @@
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.direct import node
+from clementinepass.direct import intake, node
 from clementinepass.observability import output
-from clementinepass.platform import node_settings
+from clementinepass.platform import (
+    node_settings,
+    operator,
+    registry,
+    store,
+)
 
 _EXIT_BAD_SETTINGS = 2
 #: Seconds for which callers may keep a list of entries. Some keep it three
@@ -49,21 +54,14 @@
 
 async def _entry(own: node.Node) -> None:
     from clementinepass.direct import entry  # noqa: PLC0415
-    from clementinepass.platform import (  # noqa: PLC0415
-        dialect,
-        directory,
-        operator,
-        registry,
-        store,
-    )
+    from clementinepass.platform import dialect, directory  # noqa: PLC0415
 
     keep = min(_OFFER_SECONDS, own.duties.longest_offer)
     boundary = entry.Boundary(
         store=store.HttpStore(own.store),
         dialect=dialect.HeaderDialect(),
         spelling=directory.DirectorySpelling(keep),
-        read_operator=operator.read,
-        read_endpoint=registry.read,
+        readers=_readers(),
     )
     process = entry.Entry(
         own,
@@ -71,14 +69,34 @@
         aioprometheus.Registry(),
         random.Random(),
     )
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(_COLLECT_EVERY, 20, 20)
+    _settle()
     await process.run()
 
 
 async def _agent(own: node.Node) -> None:
-    await asyncio.Event().wait()
+    from clementinepass.direct import agent  # noqa: PLC0415
+    from clementinepass.platform import engine  # noqa: PLC0415
+
+    boundary = agent.Boundary(
+        store=store.HttpStore(own.store),
+        engine=engine.HttpEngine(own.endpoint),
+        origin=engine.HttpOrigin,
+        readers=_readers(),
+    )
+    process = agent.Agent(own, boundary, random.Random())
+    _settle()
+    await process.run()
+
+
+def _readers() -> intake.Readers:
+    return intake.Readers(operator=operator.read, endpoint=registry.read)
+
+
+def _settle() -> None:
+    """Set garbage collection to how these processes make objects."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_COLLECT_EVERY, 20, 20)
 
 
 if __name__ == '__main__':
--- a/clementinepass/platform/node_settings.py
+++ b/clementinepass/platform/node_settings.py
@@ -48,6 +48,11 @@
     address: str
 
 
+class _Limits(_Camel):
+    #: What the machine's link carries.
+    link_mbps: float = 1000
+
+
 class _Settings(_Camel):
     node_name: str
     ip: str
@@ -61,6 +66,7 @@
     #: their IP numbers say where other processes are.
     seeds: list[str] = []
     bounds: _Bounds | None = None
+    limits: _Limits | None = None
     #: The address of the endpoint on this machine.
     app: str = ''
     service: str = ''
@@ -101,6 +107,7 @@
         callers=listen.front,
         readiness=listen.ready,
         directory=listen.directory,
+        link_mbps=(settings.limits or _Limits()).link_mbps,
         endpoint=settings.app,
         service=settings.service,
         seeds=tuple(seed.rpartition(':')[0] for seed in settings.seeds),
--- a/clementinepass/platform/operator.py
+++ b/clementinepass/platform/operator.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from clementinepass import errors
-from clementinepass.direct import routing
+from clementinepass.direct import intake, routing
 from clementinepass.http import front
 
 if typing.TYPE_CHECKING:
@@ -111,17 +111,9 @@
     version: int
 
 
-class NamedVersion:
-    """The version of a model's weights that endpoints should serve."""
-
-    __slots__ = ('model', 'version')
-
-    def __init__(self, model: str, version: int) -> None:
-        self.model = model
-        self.version = version
-
-
-def read(record: records.Record) -> routing.Routing | NamedVersion | None:
+def read(
+    record: records.Record,
+) -> routing.Routing | intake.NamedVersion | None:
     """Decode a record of the operator; ``None`` for one of no concern.
 
     :raises MalformedMessageError: the record can't be decoded.
@@ -133,7 +125,7 @@
             return _routing(msgspec.json.decode(record.payload, type=_Config))
         if record.key.startswith(_VERSION_PREFIX):
             named = msgspec.json.decode(record.payload, type=_Version)
-            return NamedVersion(named.model, named.version)
+            return intake.NamedVersion(named.model, named.version)
     except msgspec.MsgspecError as error:
         raise errors.MalformedMessageError(
             str(error),
--- a/clementinepass/platform/registry.py
+++ b/clementinepass/platform/registry.py
@@ -19,12 +19,12 @@
     """A body in the endpoints' spelling; unknown fields are passed over."""
 
 
-class _Model(_Camel):
+class Model(_Camel):
     name: str
     version: int = 0
 
 
-class _Layers(msgspec.Struct, rename={'first': 'from', 'end': 'target'}):
+class Layers(msgspec.Struct, rename={'first': 'from', 'end': 'target'}):
     """Layers loaded: from the first up to, but without, the end."""
 
     first: int = 0
@@ -41,8 +41,8 @@
     #: Grows with each heartbeat; says nothing of orders, unlike the field of
     #: the same name in a report.
     sequence: int = 0
-    models: list[_Model] = []
-    layers: _Layers | list[_Layers] | None = None
+    models: list[Model] = []
+    layers: Layers | list[Layers] | None = None
 
 
 def read(record: records.Record) -> endpoints.Listing | None:
@@ -73,8 +73,8 @@
 
 
 def weights(
-    models: list[_Model],
-    layers: _Layers | list[_Layers] | None,
+    models: list[Model],
+    layers: Layers | list[Layers] | None,
 ) -> endpoints.Weights:
     """Return what weights an engine has loaded."""
     if isinstance(layers, list):
