Ask two holders of a version, get only what the engine lacks, refuse what starts too late

Cause: added engines waited ten seconds for their weights. Two of them asked the same holder, since neither knew of the other; and agents that began to get version 1 before their engine had reported went on for ever, and newcomers waited for pieces there that never came.

--- a/clementinepass/decisions/piece_chains.py
+++ b/clementinepass/decisions/piece_chains.py
@@ -22,12 +22,15 @@
 from __future__ import annotations
 
 import typing
+import zlib
 
 if typing.TYPE_CHECKING:
     from collections.abc import Sequence
 
 #: Stands for the origin among sources.
 ORIGIN = ''
+#: Agents asked at once that have the whole version.
+_HOLDERS_ASKED = 2
 
 
 class Peer(typing.NamedTuple):
@@ -56,7 +59,7 @@
 class Plan(typing.NamedTuple):
     """From whom to get pieces, and from which end on."""
 
-    source: str
+    sources: tuple[str, ...]
     ascending: bool
 
 
@@ -66,9 +69,9 @@
         peer for peer in question.peers if peer.region == question.own.region
     ]
     for peers in (near, question.peers):
-        holder = _holder(question.own, peers)
-        if holder is not None:
-            return Plan(holder.ip, ascending=True)
+        holders = _holders(question.own, peers)
+        if holders:
+            return Plan(holders, ascending=True)
     return _chained(question)
 
 
@@ -81,13 +84,15 @@
     return near + far
 
 
-def _holder(own: Peer, peers: Sequence[Peer]) -> Peer | None:
-    """Return an agent that has the version, each asker another."""
-    holders = sorted(peer for peer in peers if peer.holds)
-    if not holders:
-        return None
-    askers = sorted({own, *(peer for peer in peers if not peer.holds)})
-    return holders[askers.index(own) % len(holders)]
+def _holders(own: Peer, peers: Sequence[Peer]) -> tuple[str, ...]:
+    """Return two agents that have the version, most askers two others.
+
+    Two, since askers don't know of one another at once: where both of two
+    askers chose the same single one, each was done after ten seconds.
+    """
+    holders = sorted(peer.ip for peer in peers if peer.holds)
+    turn = zlib.crc32(own.ip.encode()) % max(len(holders), 1)
+    return tuple((holders[turn:] + holders[:turn])[:_HOLDERS_ASKED])
 
 
 def _chained(question: Question) -> Plan:
@@ -97,8 +102,8 @@
         if question.own in chain:
             place = chain.index(question.own)
             source = chain[place - 1].ip if place else ORIGIN
-            return Plan(source, ascending)
-    return Plan(ORIGIN, ascending=True)
+            return Plan((source,), ascending)
+    return Plan((ORIGIN,), ascending=True)
 
 
 def _in_order(question: Question) -> list[Peer]:
--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -166,16 +166,16 @@
     def wanted(self) -> tuple[str, int]:
         """Return the model and the version whose pieces to get now.
 
-        Where none was named, whatever other engines have.
+        Version 0 where nothing is to be got.
         """
         engine = self._engine_of()
         if engine is None:
             return '', 0
-        named = self.beliefs.wanted_version(engine.model)
-        if named:
-            return engine.model, self._next_version(engine, named)
-        held = [peer.weights.version for peer in self._fellows()]
-        return engine.model, max(held, default=0) or 1
+        version = self._aimed_at(engine)
+        here = self._loading.newest_whole(engine.model)
+        if version <= here or self._engine_has(version):
+            return engine.model, 0
+        return engine.model, version
 
     def question(self, model: str, version: int) -> piece_chains.Question:
         """Return what choosing a source for pieces needs."""
@@ -210,6 +210,17 @@
 
     # Details.
 
+    def _aimed_at(self, engine: routing.Engine) -> int:
+        """Return the version that the engine should have next.
+
+        Where none was named, whatever other engines have.
+        """
+        named = self.beliefs.wanted_version(engine.model)
+        if named:
+            return self._next_version(engine, named)
+        held = [peer.weights.version for peer in self._fellows()]
+        return max(held, default=0) or 1
+
     def _next_version(self, engine: routing.Engine, newest: int) -> int:
         """Return the newest version, or the one to finish before it."""
         current = self._fetching
@@ -303,8 +314,7 @@
         """Get the pieces of each version that is wanted."""
         while True:
             model, version = self.wanted()
-            whole = self._loading.newest_whole(model)
-            if model and version > whole and not self._engine_has(version):
+            if self._report is not None and version:
                 try:
                     await self._loading.fetch(model, version)
                 except errors.ClementinepassError as error:
--- a/clementinepass/direct/exchange.py
+++ b/clementinepass/direct/exchange.py
@@ -148,21 +148,30 @@
 
     async def _find(self, wish: _Wish) -> bytes | None:
         held = await self._pieces(wish)
-        if held is None and wish.kind == _MANIFESTS:
-            return None
+        if wish.kind == _PIECES:
+            return await self._piece(wish, held)
         if held is None:
-            if wish.kind != _PIECES:
-                return None
+            return None
+        if wish.kind == _MANIFESTS:
+            return msgspec.json.encode(held.manifest.digests)
+        await held.wait_for_more(wish.number, _WAIT_SECONDS)
+        return msgspec.json.encode(held.numbers)
+
+    async def _piece(
+        self,
+        wish: _Wish,
+        held: pieces.Pieces | None,
+    ) -> bytes | None:
+        """Return a piece from memory, or as it lies staged at the engine."""
+        known = None if held is None else held.get(wish.number)
+        if known is not None:
+            return known
+        if held is None or self._holder.has_loaded(wish.version):
             return await self._holder.staged_piece(
                 wish.model,
                 wish.version,
                 wish.number,
             )
-        if wish.kind == _MANIFESTS:
-            return msgspec.json.encode(held.manifest.digests)
-        if wish.kind == _NUMBERS:
-            await held.wait_for_more(wish.number, _WAIT_SECONDS)
-            return msgspec.json.encode(held.numbers)
         return await held.wait_for(wish.number, _WAIT_SECONDS)
 
     async def _pieces(self, wish: _Wish) -> pieces.Pieces | None:
--- a/clementinepass/direct/fetching.py
+++ b/clementinepass/direct/fetching.py
@@ -65,6 +65,7 @@
         self._has_by_ip: dict[str, frozenset[int]] = {}
         self._watchers_by_ip: dict[str, asyncio.Task[None]] = {}
         self._on_way: dict[int, asyncio.Task[None]] = {}
+        self._asked_of: dict[str, int] = {}
         self._avoided: set[tuple[str, int]] = set()
         self._changed = asyncio.Event()
         self._progress = asyncio.get_running_loop().time()
@@ -95,16 +96,17 @@
         question = self._question()
         plan = piece_chains.plan(question)
         sources = self._sources(question, plan)
-        several = len(sources) > 1 or sources[0] == piece_chains.ORIGIN
-        most = _ASKED_OF_SEVERAL if several else _ASKED_OF_AGENT
+        as_planned = sources == plan.sources
+        most = _most_asked(sources, as_planned=as_planned)
         numbers = self._held.missing
         if not plan.ascending:
             numbers.reverse()
         for number in numbers:
             if len(self._on_way) >= most:
                 return
-            ip = self._source_of(number, sources, several=several)
+            ip = self._source_of(number, sources, as_planned=as_planned)
             if ip is not None:
+                self._asked_of[ip] = self._asked_of.get(ip, 0) + 1
                 self._on_way[number] = asyncio.create_task(
                     self._get(ip, number),
                 )
@@ -113,16 +115,15 @@
         self,
         question: piece_chains.Question,
         plan: piece_chains.Plan,
-    ) -> list[str]:
+    ) -> tuple[str, ...]:
         """Return whom to ask now, and watch what they have."""
         waited = asyncio.get_running_loop().time() - self._progress
-        sources = [plan.source]
-        if waited > _ANYONE_AFTER:
-            sources.extend(piece_chains.anyone(question)[:_MOST_WATCHED])
+        if waited <= _ANYONE_AFTER:
+            return plan.sources
+        others = piece_chains.anyone(question)[:_MOST_WATCHED]
+        sources = (*plan.sources, *others)
         if waited > _ORIGIN_AFTER:
-            sources.append(piece_chains.ORIGIN)
-        if len(sources) == 1:
-            return sources
+            sources = (*sources, piece_chains.ORIGIN)
         holders = {peer.ip for peer in question.peers if peer.holds}
         for ip in sources:
             if ip in holders:
@@ -137,9 +138,9 @@
     def _source_of(
         self,
         number: int,
-        sources: list[str],
+        sources: tuple[str, ...],
         *,
-        several: bool,
+        as_planned: bool,
     ) -> str | None:
         """Return where to get a piece from now; ``None`` to wait.
 
@@ -149,14 +150,20 @@
         """
         if number in self._on_way:
             return None
-        for ip in sources:
-            if (ip, number) in self._avoided:
-                continue
-            if ip == piece_chains.ORIGIN or not several:
-                return ip
-            if number in self._has_by_ip.get(ip, ()):
-                return ip
-        return None
+        able = [
+            ip
+            for ip in sources
+            if (ip, number) not in self._avoided
+            and (
+                as_planned
+                or ip == piece_chains.ORIGIN
+                or number in self._has_by_ip.get(ip, ())
+            )
+        ]
+        return min(able, key=self._asked, default=None)
+
+    def _asked(self, ip: str) -> int:
+        return self._asked_of.get(ip, 0)
 
     def _question(self) -> piece_chains.Question:
         manifest = self._held.manifest
@@ -195,8 +202,12 @@
             else:
                 self._avoided.add((ip, number))
         finally:
-            self._on_way.pop(number, None)
-            self._changed.set()
+            self._ended(ip, number)
+
+    def _ended(self, ip: str, number: int) -> None:
+        self._on_way.pop(number, None)
+        self._asked_of[ip] -= 1
+        self._changed.set()
 
     async def _get_from(self, ip: str, number: int) -> bool:
         manifest = self._held.manifest
@@ -228,3 +239,10 @@
     def _superseded(self) -> bool:
         manifest = self._held.manifest
         return self._view.wanted() != (manifest.model, manifest.version)
+
+
+def _most_asked(sources: tuple[str, ...], *, as_planned: bool) -> int:
+    """Return how many pieces to ask for at once."""
+    if piece_chains.ORIGIN in sources or not as_planned:
+        return _ASKED_OF_SEVERAL
+    return _ASKED_OF_AGENT
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -68,9 +68,14 @@
         self._front = front.Front(self._serve)
         self._behind_since: dict[records.Topic, float] = {}
         self._fetching_by_topic: dict[records.Topic, asyncio.Task[None]] = {}
-        self._behind_seconds = _AGENT_BEHIND_SECONDS
+        self._behind_seconds_by_topic = {
+            records.Topic.OPERATOR: _AGENT_BEHIND_SECONDS,
+            records.Topic.ENDPOINTS: _BEHIND_SECONDS,
+        }
         if own.callers:
-            self._behind_seconds = _BEHIND_SECONDS
+            self._behind_seconds_by_topic[records.Topic.OPERATOR] = (
+                _BEHIND_SECONDS
+            )
         #: The entries.
         self.members = members.Members(own.ip)
         #: What this process says of itself.
@@ -174,7 +179,8 @@
             self._behind_since.pop(topic, None)
             return
         since = self._behind_since.setdefault(topic, now)
-        if now - since < self._behind_seconds and own.started:
+        patience = self._behind_seconds_by_topic[topic]
+        if now - since < patience and own.started:
             return
         if topic not in self._fetching_by_topic:
             self._behind_since[topic] = now
--- a/clementinepass/direct/loading.py
+++ b/clementinepass/direct/loading.py
@@ -119,9 +119,9 @@
         if known is not None:
             return known
         question = self._view.question(model, version)
-        first = piece_chains.plan(question).source
+        first = piece_chains.plan(question).sources
         others = piece_chains.anyone(question)
-        for ip in (first, piece_chains.ORIGIN, *others):
+        for ip in (*first, piece_chains.ORIGIN, *others):
             manifest = await self._ask_manifest(ip, model, version)
             if manifest is not None:
                 held = pieces.Pieces(manifest)
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -5,7 +5,12 @@
 import asyncio
 import typing
 
-from clementinepass.decisions import nearest_place, next_try, window_budget
+from clementinepass.decisions import (
+    first_event,
+    nearest_place,
+    next_try,
+    window_budget,
+)
 from clementinepass.direct import attempt, calls, request_log, serving
 
 if typing.TYPE_CHECKING:
@@ -23,10 +28,7 @@
 #: Seconds after which a caller may ask again when nothing says how long it
 #: will take: an entry that starts knows its configuration by then.
 _RETRY_AFTER = 0.4
-#: Requests that may wait at an endpoint, for each of its slots. An engine
-#: ends one of sixteen answers each 60 ms, so that four wait a quarter of a
-#: second; one more comes too late to be of full value and holds up the rest.
-_WAITING_PART = 0.35
+_UNKNOWN_PACE = first_event.Pace(0, 0)
 
 
 class Path:
@@ -174,13 +176,32 @@
             options = self._beliefs.options_of_failing(untried, now)
         choice = nearest_place.choose(options, self._rng)
         if choice is None:
+            admitted.come_back = first_event.LONGEST_RETURN
             return None
-        overloaded = choice.waiting > choice.slots * _WAITING_PART
-        if overloaded and not admitted.attempts:
+        if not admitted.attempts and not self._fits(admitted, choice, now):
             self._log.overloaded(admitted, choice)
             return None
         return self._beliefs.endpoints.get(choice.endpoint_id)
 
+    def _fits(
+        self,
+        admitted: serving.Serving,
+        choice: nearest_place.Choice,
+        now: float,
+    ) -> bool:
+        """Tell whether the best endpoint answers in time."""
+        engine = admitted.service.engine
+        pace = _UNKNOWN_PACE if engine is None else engine.pace
+        admitted.come_back = first_event.come_back(choice.waiting, pace)
+        wish = first_event.Wish(
+            waiting=choice.waiting,
+            slots=choice.slots,
+            prompt_tokens=admitted.call.prompt_tokens,
+            aim=admitted.route.aim,
+            passed=now - admitted.call.request.received,
+        )
+        return first_event.fits(wish, pace)
+
     def _note_sending(self, admitted: serving.Serving) -> None:
         if not admitted.attempts:
             now = asyncio.get_running_loop().time()
@@ -256,7 +277,7 @@
         pairs = self._dialect.refusal(admitted.call)
         status = self._status(admitted, ending)
         if status == _UNAVAILABLE:
-            pairs.append((b'Retry-After', b'%.2f' % _RETRY_AFTER))
+            pairs.append((b'Retry-After', b'%.2f' % admitted.come_back))
         self._log.ended(admitted, ending, status)
         reply.send(status, pairs, b'')
 
--- a/clementinepass/direct/routing.py
+++ b/clementinepass/direct/routing.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from clementinepass.decisions import first_event
 from clementinepass.http import front
 
 if typing.TYPE_CHECKING:
@@ -91,6 +92,17 @@
     usual_prompt: float
     usual_answer: float
 
+    @property
+    def pace(self) -> first_event.Pace:
+        """Return how fast a full engine works."""
+        return first_event.pace(
+            self.read_per_second,
+            self.usual_prompt,
+            self.usual_answer,
+            self.step_seconds,
+            self.slots,
+        )
+
 
 class Service(msgspec.Struct, frozen=True):
     """A service of the operator."""
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -14,6 +14,11 @@
     from clementinepass.http import front, messages
 
 
+#: Seconds after which a caller may ask again when nothing says how long it
+#: will take: an entry that starts knows its configuration by then.
+_COME_BACK = 0.4
+
+
 class Ending(enum.Enum):
     """Why a request gets an answer of the system's own, or none."""
 
@@ -66,6 +71,7 @@
         'call',
         'failure',
         'final_at',
+        'come_back',
         'first_event_at',
         'reply',
         'route',
@@ -97,6 +103,8 @@
         self.failure: Failure | None = None
         #: When the first piece of the answer went to the caller.
         self.first_event_at: float | None = None
+        #: Seconds after which its caller may find room.
+        self.come_back = _COME_BACK
         #: Follows the events of a stream over all attempts.
         self.splitter = events.Splitter(call.resume_after)
 
