--- a/clementinepass/http/front.py
+++ b/clementinepass/http/front.py
@@ -235,14 +235,13 @@
         self._reading = False
         if self._refused:
             return
-        if not self._parser.should_keep_alive():
-            self._keep = False
         request = messages.Request(
             self._parser.get_method(),
             self._target,
             self._headers,
             b''.join(self._body),
             self._received,
+            is_last=not self._parser.should_keep_alive(),
         )
         self._waiting.append(request)
         self._serve_next()
@@ -313,6 +312,9 @@
         """
         if headers.count(b'host') != 1 or not self._target.startswith(b'/'):
             return False
+        if headers.get(b'upgrade') is not None:
+            # The parser reads nothing after it as a request.
+            return False
         return not any(
             b'\n' in field or b'\r' in field or b'\0' in field
             for _, field in headers
@@ -334,6 +336,8 @@
         if isinstance(item, int):
             self._end_with(item)
             return
+        # Of those that wait only the last may be the connection's last.
+        self._keep = not item.is_last
         self._serving = self._loop.create_task(self._serve(item))
 
     async def _serve(self, request: messages.Request) -> None:
--- a/clementinepass/http/messages.py
+++ b/clementinepass/http/messages.py
@@ -90,7 +90,14 @@
 class Request:
     """One whole request as a caller sent it."""
 
-    __slots__ = ('body', 'headers', 'method', 'received', 'target')
+    __slots__ = (
+        'body',
+        'headers',
+        'is_last',
+        'method',
+        'received',
+        'target',
+    )
 
     def __init__(
         self,
@@ -99,6 +106,8 @@
         headers: Headers,
         body: bytes,
         received: float,
+        *,
+        is_last: bool = False,
     ) -> None:
         self.method = method
         #: Path and query, exactly as sent.
@@ -107,6 +116,8 @@
         self.body = body
         #: Monotonic seconds at which its head was whole.
         self.received = received
+        #: Whether the caller wants the connection to end after it.
+        self.is_last = is_last
 
     @property
     def path(self) -> bytes:
--- /dev/null
+++ b/tests/decisions/test_direct_decisions.py
@@ -0,0 +1,264 @@
+"""Tests of the decisions on the direct path."""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from clementinepass.decisions import (
+    first_event,
+    load_turns,
+    named_versions,
+    nearest_place,
+    next_try,
+    superseding,
+    window_budget,
+)
+
+
+class WindowBudgetTest(testtools.TestCase):
+    """Repeats of all entries together stay within the bound."""
+
+    @given(st.integers(1, 12), st.integers(0, 40))
+    def test_sum_stays_below(self, entries: int, requests: int) -> None:
+        """However many entries repeat whatever they may."""
+        repeats = 0
+        for _ in range(entries):
+            budget = window_budget.WindowBudget(0.2, 100, 10)
+            for number in range(requests):
+                budget.sent_first(number * 0.1)
+            while budget.may_repeat(requests * 0.1, entries):
+                repeats += 1
+        self.assertLessEqual(repeats, 0.2 * requests * entries + 100)
+
+    def test_returns_with_time(self) -> None:
+        """What left the window no longer counts."""
+        budget = window_budget.WindowBudget(0, 10, 10)
+        taken = sum(budget.may_repeat(0, 1) for _ in range(20))
+        self.assertFalse(budget.may_repeat(5, 1))
+        self.assertTrue(budget.may_repeat(11, 1))
+        self.assertEqual(6, taken)
+
+
+class NextTryTest(testtools.TestCase):
+    """What must not run twice isn't sent twice."""
+
+    def test_table(self) -> None:
+        """Each rule alone forbids another attempt."""
+        allowed = next_try.Past(1, 1, 2, repeatable=True, seconds_left=1)
+        table = (
+            (allowed, next_try.NextTry.ALLOWED),
+            (
+                allowed._replace(repeatable=False),
+                next_try.NextTry.MAY_HAVE_RUN,
+            ),
+            (
+                allowed._replace(repeatable=False, runs=0),
+                next_try.NextTry.ALLOWED,
+            ),
+            (allowed._replace(runs=2), next_try.NextTry.ENOUGH_RUNS),
+            (
+                allowed._replace(attempts=4),
+                next_try.NextTry.ENOUGH_ATTEMPTS,
+            ),
+            (allowed._replace(seconds_left=0.01), next_try.NextTry.NO_TIME),
+        )
+        for past, expected in table:
+            self.assertIs(expected, next_try.decide(past), past)
+
+
+class NearestPlaceTest(testtools.TestCase):
+    """Requests go where they start soonest."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.rng = random.Random(7)
+
+    def choose(self, *options: nearest_place.Option) -> str:
+        """Return the choice that is always made."""
+        chosen = {
+            choice.endpoint_id
+            for _ in range(50)
+            if (choice := nearest_place.choose(options, self.rng))
+        }
+        self.assertEqual(1, len(chosen), chosen)
+        return chosen.pop()
+
+    def test_free_slot_before_nearness(self) -> None:
+        """A free slot far away is better than a place in a queue."""
+        near = nearest_place.Option('near', 17, 16, is_near=True)
+        far = nearest_place.Option('far', 12, 16, is_near=False)
+        self.assertEqual('far', self.choose(near, far))
+
+    def test_near_among_equals(self) -> None:
+        """Bytes between failure domains have a price."""
+        near = nearest_place.Option('near', 5, 16, is_near=True)
+        far = nearest_place.Option('far', 5, 16, is_near=False)
+        self.assertEqual('near', self.choose(near, far))
+
+    def test_newest_weights(self) -> None:
+        """An engine that is yet to load cuts what runs when it does."""
+        old = nearest_place.Option('old', 2, 16, is_near=True, is_old=True)
+        new = nearest_place.Option('new', 4, 16, is_near=False)
+        self.assertEqual('new', self.choose(old, new))
+
+    def test_none(self) -> None:
+        """Without an endpoint there is no choice."""
+        self.assertIsNone(nearest_place.choose((), self.rng))
+
+    def test_equals_are_spread(self) -> None:
+        """Entries with the same counts don't all choose the same one."""
+        options = [
+            nearest_place.Option(str(number), 3, 16, is_near=True)
+            for number in range(4)
+        ]
+        chosen = [
+            nearest_place.choose(options, self.rng) for _ in range(400)
+        ]
+        for option in options:
+            times = sum(
+                one is not None and one.endpoint_id == option.endpoint_id
+                for one in chosen
+            )
+            self.assertGreater(times, 50)
+
+
+class FirstEventTest(testtools.TestCase):
+    """What would start too late is refused."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.pace = first_event.pace(30600, 964, 119, 0.00673, 16)
+
+    def fits(self, waiting: float, passed: float = 0) -> bool:
+        """Tell whether a usual request is sent to such a queue."""
+        wish = first_event.Wish(waiting, 16, 964, 0.406, passed)
+        return first_event.fits(wish, self.pace)
+
+    def test_pace(self) -> None:
+        """An engine with these figures ends twelve answers a second."""
+        self.assertAlmostEqual(12.3, self.pace.ended_per_second, 1)
+
+    def test_queue(self) -> None:
+        """Three may wait for a quarter of a second, five may not."""
+        self.assertTrue(self.fits(0))
+        self.assertTrue(self.fits(3))
+        self.assertFalse(self.fits(5))
+
+    def test_free_slot_is_always_taken(self) -> None:
+        """Late or not, a request that runs at once holds up nobody."""
+        self.assertTrue(self.fits(0, passed=3))
+        self.assertTrue(self.fits(1, passed=3))
+        self.assertFalse(self.fits(2, passed=3))
+
+    def test_unknown_pace(self) -> None:
+        """A plain service has a third of its slots waiting at most."""
+        unknown = first_event.pace(0, 0, 0, 0, 6)
+        wish = first_event.Wish(2, 6, 0, 0.4, 0)
+        self.assertTrue(first_event.fits(wish, unknown))
+        self.assertFalse(first_event.fits(wish._replace(waiting=3), unknown))
+
+    def test_come_back(self) -> None:
+        """Callers come back when the queue is shorter, within bounds."""
+        self.assertEqual(0.25, first_event.come_back(0, self.pace))
+        self.assertAlmostEqual(0.81, first_event.come_back(10, self.pace), 1)
+        self.assertEqual(2, first_event.come_back(500, self.pace))
+
+
+class NamedVersionsTest(testtools.TestCase):
+    """Each version has its own bound.
+
+    A user named version 2 and, four seconds later, version 3. Requests began
+    on version 1 ten seconds after version 2 was named: the clock of the newer
+    version had taken the place of the older one's.
+    """
+
+    def test_two_bounds(self) -> None:
+        """Naming a version doesn't put off the bound of the one before."""
+        named = named_versions.NamedVersions(8)
+        named.named(2, 100)
+        named.named(3, 104)
+        self.assertEqual(0, named.oldest_allowed(107.9))
+        self.assertEqual(2, named.oldest_allowed(108))
+        self.assertEqual(3, named.oldest_allowed(112))
+
+    def test_earlier_time_counts(self) -> None:
+        """Whoever was restarted heard of the version later."""
+        named = named_versions.NamedVersions(8)
+        self.assertTrue(named.named(2, 100))
+        self.assertFalse(named.named(2, 95))
+        self.assertFalse(named.named(2, 101))
+        self.assertEqual(2, named.oldest_allowed(103))
+
+    def test_older_is_no_news(self) -> None:
+        """A version told of after a newer one doesn't take its place."""
+        named = named_versions.NamedVersions(8)
+        named.named(3, 100)
+        self.assertFalse(named.named(2, 99))
+        self.assertEqual(3, named.newest)
+
+
+class SupersedingTest(testtools.TestCase):
+    """The shorter gap is chosen."""
+
+    def test_finish(self) -> None:
+        """Four seconds apart: both are in time one after the other."""
+        current = superseding.Transfer(2.3, 4)
+        newer = superseding.Transfer(5.6, 8)
+        self.assertTrue(superseding.finish_first(current, newer))
+
+    def test_drop(self) -> None:
+        """Two seconds apart: the first would make the second late."""
+        current = superseding.Transfer(3.5, 6)
+        newer = superseding.Transfer(5.6, 8)
+        self.assertFalse(superseding.finish_first(current, newer))
+
+    def test_no_gap_either_way(self) -> None:
+        """Without a gap one load is better than two."""
+        current = superseding.Transfer(1, 7)
+        newer = superseding.Transfer(5.6, 8)
+        self.assertFalse(superseding.finish_first(current, newer))
+
+
+class LoadTurnsTest(testtools.TestCase):
+    """Engines load one after the other, domain by domain."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fellows = [
+            load_turns.Fellow(f'10.{domain}.0.{number}:80', str(domain))
+            for domain in (1, 2, 3)
+            for number in (1, 2, 3)
+        ]
+
+    def test_spread(self) -> None:
+        """Turns are spread over the time left, the last in good time."""
+        delays = [
+            load_turns.delay(one, self.fellows, 3) for one in self.fellows
+        ]
+        self.assertEqual(0, min(delays))
+        self.assertAlmostEqual(2, max(delays))
+        self.assertEqual(9, len(set(delays)))
+
+    def test_domains_alternate(self) -> None:
+        """No domain is out as a whole."""
+        ordered = sorted(
+            self.fellows,
+            key=lambda one: load_turns.delay(one, self.fellows, 3),
+        )
+        self.assertEqual(
+            ['1', '2', '3'] * 3,
+            [one.domain for one in ordered],
+        )
+
+    def test_no_time_left(self) -> None:
+        """Then all load at once: nobody may serve the old version."""
+        for one in self.fellows:
+            self.assertEqual(0, load_turns.delay(one, self.fellows, 0.5))
+
+    def test_alone(self) -> None:
+        """An engine alone has nobody to wait for."""
+        self.assertEqual(0, load_turns.delay(self.fellows[0], [], 5))
--- /dev/null
+++ b/tests/direct/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the direct path."""
--- /dev/null
+++ b/tests/direct/test_events.py
@@ -0,0 +1,78 @@
+"""Tests of cutting a stream into events."""
+
+from __future__ import annotations
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from clementinepass.direct import events
+
+
+def stream(first: int, count: int) -> bytes:
+    """Return events with ids from ``first`` on."""
+    return b''.join(
+        b'id: %d\ndata: token %d\n\n' % (number, number)
+        for number in range(first, first + count)
+    )
+
+
+class SplitterTest(testtools.TestCase):
+    """Only whole events pass, each once and in order."""
+
+    @given(st.integers(1, 20), st.lists(st.integers(1, 30), max_size=40))
+    def test_any_cuts(self, count: int, cuts: list[int]) -> None:
+        """However the bytes come, the events are the same."""
+        payload = stream(0, count)
+        splitter = events.Splitter(None)
+        found = []
+        for cut in cuts:
+            found.extend(splitter.feed(payload[:cut]))
+            payload = payload[cut:]
+        found.extend(splitter.feed(payload))
+        self.assertEqual(
+            stream(0, count),
+            b''.join(event.payload for event in found),
+        )
+        self.assertEqual(count - 1, splitter.last)
+        self.assertFalse(splitter.partial)
+
+    def test_crash_in_an_event(self) -> None:
+        """An endpoint died in the middle of an event.
+
+        A user saw an answer with a broken piece followed by the same piece
+        again: half of it had been passed on before the stream was resumed.
+        """
+        splitter = events.Splitter(None)
+        found = splitter.feed(stream(0, 2) + b'id: 2\ndata: tok')
+        self.assertEqual([0, 1], [event.id for event in found])
+        self.assertTrue(splitter.partial)
+        self.assertEqual(1, splitter.last)
+
+    def test_gap_and_repeat(self) -> None:
+        """Pieces that are missing or come twice break the stream."""
+        for following in (2, 0, 5):
+            splitter = events.Splitter(None)
+            splitter.feed(stream(0, 1))
+            self.assertRaises(
+                events.StreamBrokenError,
+                splitter.feed,
+                stream(following, 1),
+            )
+
+    def test_resumed(self) -> None:
+        """A resumed stream goes on right after the last event."""
+        splitter = events.Splitter(7)
+        self.assertEqual(8, splitter.feed(stream(8, 1))[0].id)
+        other = events.Splitter(7)
+        self.assertRaises(
+            events.StreamBrokenError,
+            other.feed,
+            stream(7, 1),
+        )
+
+    def test_other_line_ends(self) -> None:
+        """Events may end their lines in two ways."""
+        splitter = events.Splitter(None)
+        found = splitter.feed(b'id: 0\r\ndata: a\r\n\r\n')
+        self.assertEqual(0, found[0].id)
--- /dev/null
+++ b/tests/direct/test_follower.py
@@ -0,0 +1,157 @@
+"""Tests of following a topic of the store."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import typing
+
+import testtools
+
+from clementinepass import errors
+from clementinepass.direct import follower, records
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
+TOPIC = records.Topic.OPERATOR
+
+
+def record(key: str, offset: int, payload: bytes | None = b'x') -> records.Record:
+    """Return a record."""
+    return records.Record(key, offset, payload)
+
+
+class ScriptedStore:
+    """Answer each call with the next thing that a test wants."""
+
+    def __init__(self, answers: list[records.Page | Exception]) -> None:
+        self.answers = answers
+        self.asked: list[str] = []
+
+    async def newest(self, topic: records.Topic) -> records.Page:
+        """Answer with the next."""
+        return await self._next('newest')
+
+    async def changes(
+        self,
+        topic: records.Topic,
+        offset: int,
+        wait: float,
+    ) -> records.Page:
+        """Answer with the next."""
+        return await self._next(f'from {offset}')
+
+    async def put(self, topic: records.Topic, key: str, payload: bytes) -> None:
+        """Do nothing."""
+
+    async def _next(self, asked: str) -> records.Page:
+        self.asked.append(asked)
+        if not self.answers:
+            await asyncio.Event().wait()
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def followed(
+    answers: list[records.Page | Exception],
+) -> tuple[ScriptedStore, list[records.Record]]:
+    """Follow a store until it has no more answers."""
+    store = ScriptedStore(answers)
+    told: list[records.Record] = []
+
+    async def play(listener: Callable[[records.Record], None]) -> None:
+        own = follower.Follower(store, TOPIC, listener, random.Random(1))
+        task = asyncio.create_task(own.run())
+        while store.answers:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        task.cancel()
+
+    asyncio.run(play(told.append))
+    return store, told
+
+
+class FollowerTest(testtools.TestCase):
+    """What is known only grows."""
+
+    def test_newest_then_changes(self) -> None:
+        """Changes are followed from where the newest records end."""
+        store, told = followed(
+            [
+                records.Page((record('a', 3),), 4),
+                records.Page((record('a', 4),), 5),
+            ],
+        )
+        self.assertEqual(['newest', 'from 4', 'from 5'], store.asked)
+        self.assertEqual([3, 4], [one.offset for one in told])
+
+    def test_history_dropped(self) -> None:
+        """The store forgot the records from where they were to be read.
+
+        An endpoint had left meanwhile; its key is missing from the newest
+        records, and that is how it is known to be gone.
+        """
+        expired = errors.RecordsExpiredError(step='read', peer='s', oldest=9)
+        store, told = followed(
+            [
+                records.Page((record('a', 3), record('b', 4)), 5),
+                expired,
+                records.Page((record('b', 4),), 12),
+            ],
+        )
+        self.assertEqual(['newest', 'from 5', 'newest'], store.asked[:3])
+        self.assertEqual(('a', None), (told[-1].key, told[-1].payload))
+
+    def test_older_snapshot(self) -> None:
+        """An answer from before what is known changes nothing.
+
+        A configuration went back for a moment: the store answered the second
+        question with what it had been three seconds earlier.
+        """
+        expired = errors.RecordsExpiredError(step='read', peer='s', oldest=9)
+        _, told = followed(
+            [
+                records.Page((record('a', 8), record('b', 9)), 10),
+                expired,
+                records.Page((record('a', 3),), 4),
+            ],
+        )
+        self.assertEqual([8, 9], [one.offset for one in told])
+
+    def test_outage(self) -> None:
+        """A store that fails is asked again, and what is known stays."""
+        down = errors.PlatformUnavailableError('down', step='read', peer='s')
+        store, told = followed(
+            [
+                records.Page((record('a', 3),), 4),
+                down,
+                records.Page((record('a', 4, None),), 5),
+            ],
+        )
+        self.assertEqual([b'x', None], [one.payload for one in told])
+
+
+class KnownTest(testtools.TestCase):
+    """Records are handed to peers that know less."""
+
+    def test_since(self) -> None:
+        """A peer gets what is newer, removals included."""
+        known = follower.Known()
+        for one in (record('a', 1), record('b', 2), record('a', 3, None)):
+            known.take(one)
+        known.next_offset = 4
+        self.assertEqual(
+            [('b', 2), ('a', 3)],
+            [one[:2] for one in known.since(2).records],
+        )
+
+    def test_removed_and_back(self) -> None:
+        """A key that came back is no removal any more."""
+        known = follower.Known()
+        for one in (record('a', 1), record('a', 2, None), record('a', 3)):
+            self.assertTrue(known.take(one))
+        self.assertFalse(known.take(record('a', 2, None)))
+        self.assertEqual([3], [one.offset for one in known.since(0).records])
--- /dev/null
+++ b/tests/http/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the front and the client."""
