Pass good events on before a gap; find slow and silent agents in a chain

Cause 1, found by a test of the path with an endpoint that skips an event: one read brought a good event and one too far on; the good one counted as passed on when the gap was found, and the resumed stream lacked it for the caller.

One that sends nothing for 0.6 s is passed over; one that gets pieces slowly though its source is ahead says so by not letting others wait.

--- a/clementinepass/decisions/named_versions.py
+++ b/clementinepass/decisions/named_versions.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 #: Versions remembered. Those before are long past their bound.
 _MOST_VERSIONS = 8
 
@@ -45,6 +47,15 @@
             del self.since_by_version[min(self.since_by_version)]
         return version == self.newest
 
+    def usable_until(self, version: int) -> float:
+        """Return the time until which requests may begin on a version."""
+        newer = [
+            since + self._bound
+            for other, since in self.since_by_version.items()
+            if other > version
+        ]
+        return min(newer, default=math.inf)
+
     def oldest_allowed(self, now: float) -> int:
         """Return the oldest version on which requests may begin."""
         return max(
--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -34,7 +34,9 @@
 #: The part of the time left after which a plain request that may run twice is
 #: tried elsewhere. Answers take a ninth of it, the slowest a half.
 _SILENT_PART = 0.5
-_MIDDLE_URGENCY = 5
+#: Seconds after the time from which an older version gets no more requests,
+#: and well before its bound, at which those that have not begun are given up.
+_BEGIN_SLACK = 0.35
 _MOST_URGENCY = 9
 
 
@@ -88,6 +90,7 @@
         attempt: outcome.Attempt,
     ) -> serving.Tried:
         peers = self._pool(admitted, endpoint)
+        admitted.begin_by = self._begin_by(admitted, endpoint)
         repeatable = admitted.route.repeatable
         try:
             used = await peers.take(
@@ -228,6 +231,23 @@
             admitted.reply.begin(status, facts.pairs)
             admitted.first_event_at = asyncio.get_running_loop().time()
 
+    def _begin_by(
+        self,
+        admitted: serving.Serving,
+        endpoint: endpoints.Endpoint,
+    ) -> float:
+        """Return the time by which a request must begin at an endpoint.
+
+        Failure: a request waited in an engine's queue for longer than its
+        estimate, and began on old weights after their bound. Given up before
+        that, the end of its connection takes it out of the queue.
+        """
+        engine = admitted.service.engine
+        if engine is None:
+            return math.inf
+        by = self._beliefs.begin_by(engine, endpoint.weights.version)
+        return by + _BEGIN_SLACK
+
     def _sending(
         self,
         admitted: serving.Serving,
@@ -301,15 +321,24 @@
     admitted: serving.Serving,
     used: channel.Channel,
 ) -> _Patience:
+    """Return how long to wait for what comes next."""
+    until = _silent_until(admitted)
+    if not admitted.reply.begun:
+        until = min(until, admitted.begin_by)
+    return _Patience(None if until == math.inf else until, used)
+
+
+def _silent_until(admitted: serving.Serving) -> float:
+    """Return the time at which a silent endpoint is given up."""
     now = asyncio.get_running_loop().time()
     route = admitted.route
     if not route.repeatable or admitted.runs >= route.most_attempts:
-        return _Patience(None, used)
+        return math.inf
     if admitted.reply.begun:
-        return _Patience(now + route.longest_gap + _SILENT_GAP, used)
+        return now + route.longest_gap + _SILENT_GAP
     if route.kind is routing.RouteKind.STREAM:
-        return _Patience(now + route.aim + _SILENT_FIRST, used)
-    return _Patience(now + _SILENT_PART * (admitted.final_at - now), used)
+        return now + route.aim + _SILENT_FIRST
+    return now + _SILENT_PART * (admitted.final_at - now)
 
 
 class _Patience:
--- a/clementinepass/direct/beliefs.py
+++ b/clementinepass/direct/beliefs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 import typing
 
@@ -127,6 +128,11 @@
         named = self._named_by_model.get(engine.model)
         return 0 if named is None else named.oldest_allowed(now)
 
+    def begin_by(self, engine: routing.Engine, version: int) -> float:
+        """Return the time by which a request must begin on a version."""
+        named = self._named_by_model.get(engine.model)
+        return math.inf if named is None else named.usable_until(version)
+
     def heard_loads(
         self,
         peer: str,
--- a/clementinepass/direct/calls.py
+++ b/clementinepass/direct/calls.py
@@ -12,6 +12,13 @@
     from clementinepass.http import messages
 
 
+#: What callers wait for an event of a stream: seconds, aims of the route, and
+#: gaps of the route; the longest counts.
+_LEAST_PATIENCE = 2.0
+_AIMS_OF_PATIENCE = 4
+_GAPS_OF_PATIENCE = 8
+
+
 class BadCallError(errors.ClementinepassError):
     """A request lacks what each request must say, or says it wrongly."""
 
@@ -130,6 +137,20 @@
         """Return the headers of an answer of the system's own."""
 
 
+def first_event_by(call: Call, route: routing.Route) -> float:
+    """Return the monotonic seconds until which a stream's caller waits.
+
+    Callers give a stream up, also before its first event, after the longest
+    of two seconds, four aims and eight gaps.
+    """
+    seconds = max(
+        _LEAST_PATIENCE,
+        _AIMS_OF_PATIENCE * route.aim,
+        _GAPS_OF_PATIENCE * route.longest_gap,
+    )
+    return call.request.received + seconds
+
+
 def final_at(call: Call, route: routing.Route) -> float:
     """Return the monotonic seconds by which the final answer is due."""
     seconds = route.timeout
--- a/clementinepass/direct/events.py
+++ b/clementinepass/direct/events.py
@@ -7,6 +7,9 @@
 
 from clementinepass import errors
 
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterator
+
 #: Bytes of one event that are kept until it is whole.
 _LONGEST_EVENT = 1 << 20
 #: What ends an event: a line without anything on it.
@@ -49,24 +52,25 @@
         """Tell whether an event has begun and isn't whole."""
         return bool(self._pending)
 
-    def feed(self, payload: bytes) -> list[Event]:
-        """Take bytes and return the events that are whole now.
+    def feed(self, payload: bytes) -> Iterator[Event]:
+        """Take bytes and yield the events that are whole now.
+
+        One by one: those before a fault were good, and whoever relays them
+        has passed them on when the fault is found.
 
         :raises StreamBrokenError: an event is missing, comes twice, or
             is too long.
         """
         self._pending += payload
-        found = []
         end = _end_of_event(self._pending)
         while end:
             event = Event(self._pending[:end], _id_of(self._pending[:end]))
             self._pending = self._pending[end:]
             self._follow(event)
-            found.append(event)
+            yield event
             end = _end_of_event(self._pending)
         if len(self._pending) > _LONGEST_EVENT:
             raise StreamBrokenError('an event has no end')
-        return found
 
     def _follow(self, event: Event) -> None:
         if event.id is None:
--- a/clementinepass/direct/exchange.py
+++ b/clementinepass/direct/exchange.py
@@ -20,6 +20,8 @@
 _MANIFESTS = 'manifests'
 _NUMBERS = 'numbers'
 _PIECES = 'pieces'
+#: How many pieces of the version the answering agent has.
+_OTHERS = b'Clementinepass-Pieces'
 _OK = 200
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
@@ -98,10 +100,18 @@
         self._streams = streams
         self._turn = asyncio.Lock()
 
-    async def send(self, reply: front.Reply, piece: bytes) -> None:
-        """Send a piece when those before it are out."""
+    async def send(
+        self,
+        reply: front.Reply,
+        piece: bytes,
+        others: int,
+    ) -> None:
+        """Send a piece when those before it are out.
+
+        :param others: how many pieces there are here.
+        """
         async with self._turn:
-            reply.send(_OK, [], piece)
+            reply.send(_OK, [(_OTHERS, b'%d' % others)], piece)
             seconds = len(piece) * _BITS / self._left_for_pieces()
             await asyncio.sleep(min(seconds, _LONGEST_TURN))
 
@@ -142,7 +152,9 @@
             reply.send(_NOT_FOUND, [], b'')
         elif wish.kind == _PIECES:
             self.sent += len(found)
-            await self._uplink.send(reply, found)
+            held = self._holder.pieces_of(wish.model, wish.version)
+            others = 0 if held is None else len(held.numbers)
+            await self._uplink.send(reply, found, others)
         else:
             reply.send(_OK, [], found)
 
@@ -172,7 +184,10 @@
                 wish.version,
                 wish.number,
             )
-        return await held.wait_for(wish.number, _WAIT_SECONDS)
+        # Whoever waits for an agent that is slow to get pieces itself does
+        # better to ask the one before it.
+        seconds = 0 if held.slow else _WAIT_SECONDS
+        return await held.wait_for(wish.number, seconds)
 
     async def _pieces(self, wish: _Wish) -> pieces.Pieces | None:
         """Return the pieces of a version, waiting a moment for them.
@@ -240,13 +255,17 @@
         model: str,
         version: int,
         number: int,
-    ) -> bytes | None:
+    ) -> weights.Piece | None:
         """Return a piece, unchecked; ``None`` if it has none.
 
         :raises PeerUnavailableError: the agent doesn't answer.
         """
         target = f'/{_PIECES}/{model}/{version}/{number}'
-        return await self._get(target, _PIECE_SECONDS)
+        fetched = await self._fetch(target, _PIECE_SECONDS)
+        if fetched.status != _OK:
+            return None
+        others = fetched.headers.get(_OTHERS.lower()) or b'0'
+        return weights.Piece(fetched.body, int(others))
 
     def _decode(self, found: bytes, kind: typing.Any) -> typing.Any:
         try:
@@ -259,6 +278,10 @@
             ) from error
 
     async def _get(self, target: str, seconds: float) -> bytes | None:
+        fetched = await self._fetch(target, seconds)
+        return fetched.body if fetched.status == _OK else None
+
+    async def _fetch(self, target: str, seconds: float) -> pool.Fetched:
         request = messages.request_bytes(
             b'GET',
             target.encode(),
@@ -266,11 +289,10 @@
             b'',
         )
         try:
-            fetched = await pool.fetch(self._pool, request, seconds)
+            return await pool.fetch(self._pool, request, seconds)
         except channel.ChannelBrokenError as error:
             raise errors.PeerUnavailableError(
                 error.detail,
                 step=target,
                 peer=self._ip,
             ) from error
-        return fetched.body if fetched.status == _OK else None
--- a/clementinepass/direct/fetching.py
+++ b/clementinepass/direct/fetching.py
@@ -28,10 +28,30 @@
 #: The same of several sources, which send at the same time: with six on their
 #: way half of the answers were late behind them, with two a tenth.
 _ASKED_OF_SEVERAL = 2
-#: Seconds without a piece after which others are asked, and then the origin.
-#: Pieces come each sixth of a second where links are slowed to a third.
-_ANYONE_AFTER = 0.6
-_ORIGIN_AFTER = 1.5
+#: Seconds without a piece after which its source is passed over. Pieces come
+#: each sixth of a second where links are slowed to a third.
+_SILENT_AFTER = 0.6
+#: Pieces in a row that the source doesn't have and won't wait for, after
+#: which it is passed over too.
+_REFUSALS = 4
+#: Seconds between pieces, twice the usual, and pieces by which the source is
+#: ahead, that show this agent's own link to be slow.
+_SLOW_GAP = 0.13
+_FAR_AHEAD = 6
+#: Seconds for which it is passed over: the time for its machine to wake, or
+#: for the list to drop it.
+_PASSED_OVER = 5.0
+#: Sources in a row that were silent, after which all agents are asked, and
+#: after which the origin is asked too.
+_ROUNDS_TO_ANYONE = 2
+_ROUNDS_TO_ORIGIN = 3
+#: Seconds that pieces on their way may keep the link busy.
+_QUEUE_SECONDS = 0.3
+#: Seconds between pieces: at first, and the longest that is learnt from.
+_USUAL_GAP = 0.06
+_LONGEST_GAP = 0.6
+#: The weight of a new gap; the last four or so count.
+_GAIN = 0.25
 #: Seconds between questions to the source for the pieces that it has.
 _PAUSE_SECONDS = 0.02
 #: Seconds between looks when nothing came.
@@ -69,6 +89,11 @@
         self._avoided: set[tuple[str, int]] = set()
         self._changed = asyncio.Event()
         self._progress = asyncio.get_running_loop().time()
+        self._gap = _USUAL_GAP
+        self._rounds = 0
+        self._source_ahead = 0
+        self._refusals = 0
+        self._silent_until_by_ip: dict[str, float] = {}
         #: Bytes got from the origin and from agents.
         self.from_origin = 0
         self.from_agents = 0
@@ -95,9 +120,15 @@
         """Ask for pieces until enough are on their way."""
         question = self._question()
         plan = piece_chains.plan(question)
+        now = asyncio.get_running_loop().time()
+        refused = self._refusals >= _REFUSALS and self._rounds == 0
+        if refused or now - self._progress > _SILENT_AFTER:
+            self._pass_over(plan, now)
+            question = self._question()
+            plan = piece_chains.plan(question)
         sources = self._sources(question, plan)
         as_planned = sources == plan.sources
-        most = _most_asked(sources, as_planned=as_planned)
+        most = self._most_asked(sources, as_planned=as_planned)
         numbers = self._held.missing
         if not plan.ascending:
             numbers.reverse()
@@ -111,18 +142,38 @@
                     self._get(ip, number),
                 )
 
+    def _pass_over(self, plan: piece_chains.Plan, now: float) -> None:
+        """Give up sources that sent nothing for a while.
+
+        Failure: a machine in the middle of a chain stood still, or had its
+        link narrowed to a quarter, and all agents behind it waited. Without
+        it, the next one has another before it. The origin, which has no other
+        in its place, leaves the agents.
+        """
+        self._progress = now
+        self._refusals = 0
+        self._rounds += 1
+        if plan.sources == (piece_chains.ORIGIN,):
+            self._rounds = max(self._rounds, _ROUNDS_TO_ANYONE)
+        for ip in plan.sources:
+            self._silent_until_by_ip[ip] = now + _PASSED_OVER
+        logger.bind(
+            sources=plan.sources,
+            rounds=self._rounds,
+            missing=len(self._held.missing),
+        ).info('sources silent')
+
     def _sources(
         self,
         question: piece_chains.Question,
         plan: piece_chains.Plan,
     ) -> tuple[str, ...]:
         """Return whom to ask now, and watch what they have."""
-        waited = asyncio.get_running_loop().time() - self._progress
-        if waited <= _ANYONE_AFTER:
+        if self._rounds < _ROUNDS_TO_ANYONE:
             return plan.sources
         others = piece_chains.anyone(question)[:_MOST_WATCHED]
         sources = (*plan.sources, *others)
-        if waited > _ORIGIN_AFTER:
+        if self._rounds >= _ROUNDS_TO_ORIGIN:
             sources = (*sources, piece_chains.ORIGIN)
         holders = {peer.ip for peer in question.peers if peer.holds}
         for ip in sources:
@@ -166,8 +217,17 @@
         return self._asked_of.get(ip, 0)
 
     def _question(self) -> piece_chains.Question:
+        """Return who there is, without those that were silent just now."""
         manifest = self._held.manifest
-        return self._view.question(manifest.model, manifest.version)
+        question = self._view.question(manifest.model, manifest.version)
+        now = asyncio.get_running_loop().time()
+        return question._replace(
+            peers=[
+                peer
+                for peer in question.peers
+                if self._silent_until_by_ip.get(peer.ip, 0) <= now
+            ],
+        )
 
     # Who has what.
 
@@ -197,13 +257,42 @@
     async def _get(self, ip: str, number: int) -> None:
         try:
             if await self._get_from(ip, number):
-                self._progress = asyncio.get_running_loop().time()
-                self._avoided.clear()
+                self._came(asyncio.get_running_loop().time())
             else:
                 self._avoided.add((ip, number))
+                self._refusals += 1
         finally:
             self._ended(ip, number)
 
+    def _came(self, now: float) -> None:
+        """Note how far apart pieces come while some are on their way."""
+        gap = min(now - self._progress, _LONGEST_GAP)
+        self._gap += _GAIN * (gap - self._gap)
+        self._held.slow = (
+            self._gap > _SLOW_GAP and self._source_ahead > _FAR_AHEAD
+        )
+        self._progress = now
+        self._rounds = 0
+        self._refusals = 0
+        self._avoided.clear()
+
+    def _most_asked(
+        self,
+        sources: tuple[str, ...],
+        *,
+        as_planned: bool,
+    ) -> int:
+        """Return how many pieces to ask for at once.
+
+        Failure: on a link narrowed to a quarter five pieces take more than a
+        second, and prompts that queue behind them reach the engine after
+        their callers have left. Fewer are asked for the slower they come.
+        """
+        most = _ASKED_OF_AGENT
+        if piece_chains.ORIGIN in sources or not as_planned:
+            most = _ASKED_OF_SEVERAL
+        return max(min(most, round(_QUEUE_SECONDS / self._gap)), 1)
+
     def _ended(self, ip: str, number: int) -> None:
         self._on_way.pop(number, None)
         self._asked_of[ip] -= 1
@@ -227,22 +316,16 @@
             return False
         if piece is None:
             return False
-        if not self._held.take(number, piece):
+        if not self._held.take(number, piece.payload):
             marked.warning('piece is spoilt')
             return False
+        self._source_ahead = piece.others - len(self._held.numbers)
         if ip == piece_chains.ORIGIN:
-            self.from_origin += len(piece)
+            self.from_origin += len(piece.payload)
         else:
-            self.from_agents += len(piece)
+            self.from_agents += len(piece.payload)
         return True
 
     def _superseded(self) -> bool:
         manifest = self._held.manifest
         return self._view.wanted() != (manifest.model, manifest.version)
-
-
-def _most_asked(sources: tuple[str, ...], *, as_planned: bool) -> int:
-    """Return how many pieces to ask for at once."""
-    if piece_chains.ORIGIN in sources or not as_planned:
-        return _ASKED_OF_SEVERAL
-    return _ASKED_OF_AGENT
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -11,12 +11,18 @@
     next_try,
     window_budget,
 )
-from clementinepass.direct import attempt, calls, request_log, serving
+from clementinepass.direct import (
+    attempt,
+    calls,
+    request_log,
+    routing,
+    serving,
+)
 
 if typing.TYPE_CHECKING:
     import random
 
-    from clementinepass.direct import beliefs, endpoints, node, routing
+    from clementinepass.direct import beliefs, endpoints, node
     from clementinepass.http import front, messages
 
 _BAD_REQUEST = 400
@@ -28,6 +34,8 @@
 #: Seconds after which a caller may ask again when nothing says how long it
 #: will take: an entry that starts knows its configuration by then.
 _RETRY_AFTER = 0.4
+#: Seconds from sending to the first event of a stream; twice the usual.
+_FIRST_EVENT_SECONDS = 0.35
 _UNKNOWN_PACE = first_event.Pace(0, 0)
 
 
@@ -215,7 +223,7 @@
                 runs=admitted.runs,
                 most_runs=admitted.route.most_attempts,
                 repeatable=admitted.route.repeatable,
-                seconds_left=admitted.final_at - now,
+                seconds_left=_seconds_left(admitted, now),
             ),
         )
         allowed = decision is next_try.NextTry.ALLOWED
@@ -292,3 +300,17 @@
         if ending is serving.Ending.TIMEOUT:
             return _GATEWAY_TIMEOUT
         return _BAD_GATEWAY
+
+
+def _seconds_left(admitted: serving.Serving, now: float) -> float:
+    """Return the time in which another attempt is of use.
+
+    A stream that has not begun is given up by its caller long before its
+    deadline; what is sent then reaches an endpoint for nobody.
+    """
+    left = admitted.final_at - now
+    is_stream = admitted.route.kind is routing.RouteKind.STREAM
+    if not is_stream or admitted.reply.begun:
+        return left
+    by = calls.first_event_by(admitted.call, admitted.route)
+    return min(left, by - now - _FIRST_EVENT_SECONDS)
--- a/clementinepass/direct/pieces.py
+++ b/clementinepass/direct/pieces.py
@@ -14,11 +14,13 @@
 class Pieces:
     """Pieces in memory, for this agent's engine and for other agents."""
 
-    __slots__ = ('_arrival', '_by_number', 'manifest')
+    __slots__ = ('_arrival', '_by_number', 'manifest', 'slow')
 
     def __init__(self, manifest: weights.Manifest) -> None:
         self.manifest = manifest
         self._by_number: dict[int, bytes] = {}
+        #: Whether they come here more slowly than their source has them.
+        self.slow = False
         self._arrival = asyncio.Event()
 
     @property
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import typing
 
 from clementinepass import errors
@@ -68,6 +69,7 @@
 
     __slots__ = (
         'attempts',
+        'begin_by',
         'call',
         'failure',
         'final_at',
@@ -103,6 +105,9 @@
         self.failure: Failure | None = None
         #: When the first piece of the answer went to the caller.
         self.first_event_at: float | None = None
+        #: Monotonic seconds by which the attempt must have begun, since the
+        #: weights there are old.
+        self.begin_by = math.inf
         #: Seconds after which its caller may find room.
         self.come_back = _COME_BACK
         #: Follows the events of a stream over all attempts.
--- a/clementinepass/direct/weights.py
+++ b/clementinepass/direct/weights.py
@@ -23,6 +23,16 @@
     queued: int
 
 
+class Piece(typing.NamedTuple):
+    """A piece as it came, unchecked.
+
+    :param others: how many pieces of the version its source has.
+    """
+
+    payload: bytes
+    others: int
+
+
 class Manifest(typing.NamedTuple):
     """The SHA-256 of each piece of a version, in hexadecimal."""
 
@@ -104,7 +114,7 @@
         model: str,
         version: int,
         number: int,
-    ) -> bytes | None:
+    ) -> Piece | None:
         """Return a piece, unchecked; ``None`` if it has none.
 
         :raises PeerUnavailableError: it doesn't answer.
--- a/clementinepass/http/pool.py
+++ b/clementinepass/http/pool.py
@@ -6,7 +6,7 @@
 import math
 import typing
 
-from clementinepass.http import channel
+from clementinepass.http import channel, messages
 
 #: Seconds for which an idle connection is used again when the peer says no
 #: time. Endpoints close idle connections after a time of their own.
@@ -108,6 +108,7 @@
 
     status: int
     body: bytes
+    headers: messages.Headers
 
 
 async def fetch(pool: Pool, request: bytes, seconds: float) -> Fetched:
@@ -139,4 +140,4 @@
         raise
     finally:
         pool.give_back(used)
-    return Fetched(head.status, b''.join(parts))
+    return Fetched(head.status, b''.join(parts), head.headers)
--- a/clementinepass/platform/engine.py
+++ b/clementinepass/platform/engine.py
@@ -270,7 +270,7 @@
         model: str,
         version: int,
         number: int,
-    ) -> bytes | None:
+    ) -> weights.Piece | None:
         """Return a piece, unchecked; ``None`` if the origin has none.
 
         :raises PeerUnavailableError: the origin doesn't answer.
@@ -284,4 +284,4 @@
         if fetched.status in {_GONE, _NOT_FOUND}:
             return None
         self._caller.check(fetched, 'piece')
-        return fetched.body
+        return weights.Piece(fetched.body, 0)
--- /dev/null
+++ b/standins/direct_endpoint.py
@@ -0,0 +1,162 @@
+"""An endpoint as entries meet it on the direct path, with faults on demand.
+
+Speaks what endpoints speak to callers: it runs only what is meant for it,
+echoes each request's id and stamps its answers.  A stream is so many events;
+what goes wrong, and when, is set by whoever plays with it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import typing
+
+from clementinepass.http import front
+
+if typing.TYPE_CHECKING:
+    from clementinepass.http import messages
+
+HOST = '127.0.0.1'
+_OK = 200
+_ERROR = 500
+_UNAVAILABLE = 503
+_MISDIRECTED = 421
+
+
+class Fault(enum.Enum):
+    """What goes wrong with a request."""
+
+    #: Turned away before it runs.
+    FULL = 'full'
+    #: Turned away, as at an address that is another's now.
+    ANOTHER = 'another'
+    #: Runs, and fails.
+    ERROR = 'error'
+    #: Runs, and the connection is reset before the answer.
+    LOST = 'lost'
+    #: Runs, and the stream is cut in the middle of an event.
+    CUT = 'cut'
+    #: Runs, and nothing comes.
+    MUTE = 'mute'
+    #: Answered without what marks an endpoint's answer.
+    UNSTAMPED = 'unstamped'
+    #: Answered with an encoding that nobody asked for.
+    ENCODED = 'encoded'
+    #: Skips an event.
+    GAP = 'gap'
+
+
+class DirectEndpoint:
+    """One endpoint.
+
+    :param endpoint_id: the id that requests must name.
+    :param events: events of each stream.
+    """
+
+    def __init__(self, endpoint_id: str, events: int = 3) -> None:
+        self.id = endpoint_id
+        self.events = events
+        #: What goes wrong with the next requests, in order.
+        self.faults: list[Fault] = []
+        #: Requests that ran.
+        self.ran: list[messages.Request] = []
+        #: Requests that came, those turned away included.
+        self.came: list[messages.Request] = []
+        #: Requests whose caller left while they ran.
+        self.left = 0
+        #: Streams wait here before each event while it isn't set.
+        self.going = asyncio.Event()
+        self.going.set()
+        self.port = 0
+        self._front = front.Front(self._handle)
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port``."""
+        return f'{HOST}:{self.port}'
+
+    async def __aenter__(self) -> typing.Self:
+        """Listen on a port of its own."""
+        self.port = await self._front.listen(HOST, 0)
+        return self
+
+    async def __aexit__(self, *raised: object) -> None:
+        """Stop listening."""
+        await self._front.close()
+
+    async def _handle(
+        self,
+        request: messages.Request,
+        reply: front.Reply,
+    ) -> None:
+        self.came.append(request)
+        fault = self.faults.pop(0) if self.faults else None
+        expected = request.headers.get(b'x-expect-instance')
+        if fault is Fault.ANOTHER or expected != self.id.encode():
+            pairs = [(b'X-Instance-Id', b'i-another')]
+            reply.send(_MISDIRECTED, self._marked(request) + pairs, b'')
+            return
+        if fault is Fault.FULL:
+            pairs = [(b'X-Not-Executed', b'1')]
+            reply.send(_UNAVAILABLE, self._marked(request) + pairs, b'')
+            return
+        self.ran.append(request)
+        try:
+            await self._answer(request, reply, fault)
+        except asyncio.CancelledError:
+            self.left += 1
+            raise
+
+    async def _answer(
+        self,
+        request: messages.Request,
+        reply: front.Reply,
+        fault: Fault | None,
+    ) -> None:
+        if fault is Fault.LOST:
+            reply.break_off()
+        elif fault is Fault.MUTE:
+            await asyncio.Event().wait()
+        elif fault is Fault.ERROR:
+            reply.send(_ERROR, self._marked(request), b'failed')
+        elif b'/stream/' in request.target:
+            await self._stream(request, reply, fault)
+        else:
+            await self.going.wait()
+            pairs = self._marked(request, fault)
+            reply.send(_OK, pairs, b'by %b' % self.id.encode())
+
+    async def _stream(
+        self,
+        request: messages.Request,
+        reply: front.Reply,
+        fault: Fault | None,
+    ) -> None:
+        pairs = self._marked(request, fault)
+        reply.begin(_OK, [*pairs, (b'Content-Type', b'text/event-stream')])
+        last = request.headers.get(b'last-event-id')
+        first = 0 if last is None else int(last) + 1
+        for number in range(first, self.events):
+            await self.going.wait()
+            if fault is Fault.GAP and number == 1:
+                continue
+            event = b'id: %d\ndata: %d\n\n' % (number, number)
+            if fault is Fault.CUT and number == 1:
+                reply.write(event[:-4])
+                await asyncio.sleep(0)
+                reply.break_off()
+                return
+            reply.write(event)
+        reply.end()
+
+    def _marked(
+        self,
+        request: messages.Request,
+        fault: Fault | None = None,
+    ) -> list[messages.Pair]:
+        pairs = [(b'X-Attempt-Id', request.headers.get(b'x-attempt-id') or b'')]
+        if fault is not Fault.UNSTAMPED:
+            pairs.append((b'X-Server-Stamp', b'stamp-%b' % self.id.encode()))
+        if fault is Fault.ENCODED:
+            pairs.append((b'Content-Encoding', b'gzip'))
+        return pairs
--- a/tests/decisions/test_direct_decisions.py
+++ b/tests/decisions/test_direct_decisions.py
@@ -115,9 +115,7 @@
             nearest_place.Option(str(number), 3, 16, is_near=True)
             for number in range(4)
         ]
-        chosen = [
-            nearest_place.choose(options, self.rng) for _ in range(400)
-        ]
+        chosen = [nearest_place.choose(options, self.rng) for _ in range(400)]
         for option in options:
             times = sum(
                 one is not None and one.endpoint_id == option.endpoint_id
--- /dev/null
+++ b/tests/direct/path_world.py
@@ -0,0 +1,209 @@
+"""An entry's path between a caller and scripted endpoints, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import typing
+
+import aioprometheus
+
+from clementinepass.direct import (
+    attempt,
+    beliefs,
+    endpoints,
+    node,
+    path,
+    request_log,
+    routing,
+)
+from clementinepass.http import front, messages, pool
+from clementinepass.platform import dialect
+from standins import direct_endpoint
+
+HOST = direct_endpoint.HOST
+DUTIES = node.Duties(budget_surplus=1000)
+NODE = node.Node(
+    name='entry-1',
+    ip=HOST,
+    domain='north-1',
+    region='north',
+    regions_by_domain={'north-1': 'north'},
+    first_port=0,
+    store='',
+    duties=DUTIES,
+)
+ENGINE = routing.Engine(
+    model='m',
+    slots=16,
+    layers=2,
+    chunks=4,
+    chunk_bytes=8,
+    step_seconds=0.007,
+    read_per_second=30000,
+    usual_prompt=900,
+    usual_answer=100,
+)
+
+
+def route(name: str, **changes: typing.Any) -> routing.Route:
+    """Return a route for a prefix of the same name."""
+    usual: dict[str, typing.Any] = {
+        'name': name,
+        'host': b'h',
+        'prefix': f'/{name}/'.encode(),
+        'kind': routing.RouteKind.STREAM,
+        'backends': (routing.Backend('pool', 1),),
+        'timeout': 10,
+        'aim': 5,
+        'longest_gap': 5,
+        'most_attempts': 2,
+        'resumable': True,
+    }
+    return routing.Route(**{**usual, **changes})
+
+
+ROUTES = (
+    route('stream'),
+    route('stream/once', resumable=False),
+    route('plain', kind=routing.RouteKind.IDEMPOTENT),
+    route('once', kind=routing.RouteKind.ONCE, most_attempts=1),
+    route('once/twice', kind=routing.RouteKind.ONCE),
+    route('public', kind=routing.RouteKind.IDEMPOTENT, is_public=True),
+    route('short', kind=routing.RouteKind.ONCE, timeout=0.05),
+)
+
+
+class PathWorld:
+    """A path, its front and some endpoints."""
+
+    def __init__(self, count: int = 2) -> None:
+        self.endpoints = [
+            direct_endpoint.DirectEndpoint(f'i-{number}')
+            for number in range(count)
+        ]
+        self.beliefs = beliefs.Beliefs(NODE)
+        log = request_log.RequestLog(aioprometheus.Registry())
+        spelling = dialect.HeaderDialect()
+        sender = attempt.Sender(self.beliefs, spelling, log)
+        self.path = path.Path(
+            NODE,
+            self.beliefs,
+            spelling,
+            sender,
+            log,
+            lambda: 1,
+            random.Random(3),
+        )
+        self.front = front.Front(self.path.serve)
+        self.port = 0
+        self._callers: pool.Pool | None = None
+
+    async def __aenter__(self) -> typing.Self:
+        """Listen and believe in all endpoints."""
+        for one in self.endpoints:
+            await one.__aenter__()
+            self.listed(one)
+        self.configure(1, ROUTES)
+        self.port = await self.front.listen(HOST, 0)
+        self._callers = pool.Pool(HOST, self.port)
+        return self
+
+    async def __aexit__(self, *raised: object) -> None:
+        """Close everything."""
+        await self.front.close()
+        for one in self.endpoints:
+            await one.__aexit__()
+
+    def configure(
+        self,
+        version: int,
+        routes: typing.Iterable[routing.Route],
+    ) -> None:
+        """Put a configuration in force."""
+        self.beliefs.configured(
+            routing.Routing(
+                version,
+                routes,
+                [routing.Service('pool', 64, ENGINE)],
+                {b'key': routing.Team('team', 0)},
+                front.Bounds(),
+            ),
+        )
+
+    def listed(
+        self,
+        one: direct_endpoint.DirectEndpoint,
+        **changes: typing.Any,
+    ) -> None:
+        """Believe what an endpoint says of itself."""
+        usual = endpoints.Listing(
+            one.id,
+            'pool',
+            one.address,
+            'north-1',
+            16,
+            draining=False,
+            heartbeat=len(one.came),
+            weights=endpoints.Weights(1, 0, 2),
+        )
+        self.beliefs.endpoints.listed(usual._replace(**changes))
+
+    def fail_first(self, *faults: direct_endpoint.Fault) -> None:
+        """Let the first endpoints that are asked fail, whichever they are."""
+        shared = list(faults)
+        for one in self.endpoints:
+            one.faults = shared
+
+    async def ask(
+        self,
+        target: str,
+        body: bytes = b'body',
+        **headers: str,
+    ) -> pool.Fetched:
+        """Send a request as a caller and return the whole answer."""
+        assert self._callers is not None
+        return await pool.fetch(
+            self._callers,
+            request(target, body, **headers),
+            10,
+        )
+
+    @property
+    def ran(self) -> list[messages.Request]:
+        """Return the requests that ran, at any endpoint."""
+        return [request for one in self.endpoints for request in one.ran]
+
+    @property
+    def came(self) -> list[messages.Request]:
+        """Return the requests that reached any endpoint."""
+        return [request for one in self.endpoints for request in one.came]
+
+
+def request(target: str, body: bytes = b'body', **headers: str) -> bytes:
+    """Return a caller's request; a header of no text is left out."""
+    usual = {
+        'Host': 'h',
+        'X_Attempt_Id': 'r-1',
+        'X_Deadline_Ms': '9000',
+        'X_Api_Key': 'key',
+    }
+    pairs = [
+        (name.replace('_', '-').encode(), field.encode())
+        for name, field in {**usual, **headers}.items()
+        if field
+    ]
+    return messages.request_bytes(b'POST', target.encode(), pairs, body)
+
+
+def run(
+    play: typing.Callable[[PathWorld], typing.Awaitable[None]],
+    count: int = 2,
+) -> None:
+    """Play in a world of some endpoints."""
+
+    async def played() -> None:
+        async with PathWorld(count) as world, asyncio.timeout(30):
+            await play(world)
+
+    asyncio.run(played())
--- a/tests/direct/test_events.py
+++ b/tests/direct/test_events.py
@@ -44,7 +44,7 @@
         again: half of it had been passed on before the stream was resumed.
         """
         splitter = events.Splitter(None)
-        found = splitter.feed(stream(0, 2) + b'id: 2\ndata: tok')
+        found = list(splitter.feed(stream(0, 2) + b'id: 2\ndata: tok'))
         self.assertEqual([0, 1], [event.id for event in found])
         self.assertTrue(splitter.partial)
         self.assertEqual(1, splitter.last)
@@ -53,26 +53,33 @@
         """Pieces that are missing or come twice break the stream."""
         for following in (2, 0, 5):
             splitter = events.Splitter(None)
-            splitter.feed(stream(0, 1))
-            self.assertRaises(
-                events.StreamBrokenError,
-                splitter.feed,
-                stream(following, 1),
-            )
+            list(splitter.feed(stream(0, 1)))
+            with testtools.ExpectedException(events.StreamBrokenError):
+                list(splitter.feed(stream(following, 1)))
+
+    def test_good_events_before_a_gap(self) -> None:
+        """One read brought a good event and, after it, one too far on.
+
+        The good one was lost: it counted as passed on when the gap was
+        found, and the stream was resumed after it.
+        """
+        splitter = events.Splitter(None)
+        found = []
+        with testtools.ExpectedException(events.StreamBrokenError):
+            for event in splitter.feed(stream(0, 1) + stream(2, 1)):
+                found.append(event.id)
+        self.assertEqual(([0], 0), (found, splitter.last))
 
     def test_resumed(self) -> None:
         """A resumed stream goes on right after the last event."""
         splitter = events.Splitter(7)
-        self.assertEqual(8, splitter.feed(stream(8, 1))[0].id)
+        self.assertEqual([8], [one.id for one in splitter.feed(stream(8, 1))])
         other = events.Splitter(7)
-        self.assertRaises(
-            events.StreamBrokenError,
-            other.feed,
-            stream(7, 1),
-        )
+        with testtools.ExpectedException(events.StreamBrokenError):
+            list(other.feed(stream(7, 1)))
 
     def test_other_line_ends(self) -> None:
         """Events may end their lines in two ways."""
         splitter = events.Splitter(None)
         found = splitter.feed(b'id: 0\r\ndata: a\r\n\r\n')
-        self.assertEqual(0, found[0].id)
+        self.assertEqual([0], [one.id for one in found])
--- a/tests/direct/test_follower.py
+++ b/tests/direct/test_follower.py
@@ -17,7 +17,9 @@
 TOPIC = records.Topic.OPERATOR
 
 
-def record(key: str, offset: int, payload: bytes | None = b'x') -> records.Record:
+def record(
+    key: str, offset: int, payload: bytes | None = b'x'
+) -> records.Record:
     """Return a record."""
     return records.Record(key, offset, payload)
 
--- /dev/null
+++ b/tests/direct/test_path.py
@@ -0,0 +1,298 @@
+"""Tests of the path of a request, with endpoints that fail in each way."""
+
+from __future__ import annotations
+
+import asyncio
+
+import testtools
+
+from clementinepass.direct import endpoints
+from clementinepass.http import channel
+from standins import direct_endpoint
+from tests.direct import path_world
+
+Fault = direct_endpoint.Fault
+EVENTS = b''.join(b'id: %d\ndata: %d\n\n' % (one, one) for one in range(3))
+HOST = path_world.HOST
+
+#: Targets, what goes wrong, the status for the caller, how often it ran.
+OUTCOMES = (
+    ('/stream/a', (), 200, 1),
+    ('/stream/a', (Fault.FULL,), 200, 1),
+    ('/stream/a', (Fault.ANOTHER,), 200, 1),
+    ('/stream/a', (Fault.LOST,), 200, 2),
+    ('/stream/a', (Fault.CUT,), 200, 2),
+    ('/stream/a', (Fault.GAP,), 200, 2),
+    ('/stream/a', (Fault.UNSTAMPED,), 200, 2),
+    ('/stream/a', (Fault.ERROR, Fault.ERROR), 500, 2),
+    ('/stream/a', (Fault.LOST, Fault.LOST), 502, 2),
+    ('/stream/a', (Fault.FULL, Fault.FULL), 503, 0),
+    ('/stream/once/a', (Fault.LOST,), 502, 1),
+    ('/stream/once/a', (Fault.FULL,), 200, 1),
+    ('/plain/a', (Fault.ERROR,), 200, 2),
+    ('/plain/a', (Fault.ENCODED,), 200, 2),
+    ('/plain/a', (Fault.FULL, Fault.ERROR), 500, 1),
+    ('/once/a', (), 200, 1),
+    ('/once/a', (Fault.FULL,), 200, 1),
+    ('/once/a', (Fault.FULL, Fault.FULL), 503, 0),
+    ('/once/a', (Fault.ANOTHER, Fault.ANOTHER), 503, 0),
+    ('/once/a', (Fault.LOST,), 502, 1),
+    ('/once/a', (Fault.ERROR,), 500, 1),
+    ('/once/a', (Fault.UNSTAMPED,), 502, 1),
+    ('/once/twice/a', (Fault.LOST,), 502, 1),
+    ('/once/a', (Fault.FULL, Fault.LOST), 502, 1),
+)
+
+
+class OutcomeTest(testtools.TestCase):
+    """Each outcome gets the status that is true of it."""
+
+    def test_table(self) -> None:
+        """Nothing runs twice that must not; 503 means that it never ran."""
+        for target, faults, status, runs in OUTCOMES:
+            story = (target, faults)
+
+            async def play(
+                world: path_world.PathWorld,
+                target: str = target,
+                faults: tuple[Fault, ...] = faults,
+                status: int = status,
+                runs: int = runs,
+            ) -> None:
+                world.fail_first(*faults)
+                fetched = await world.ask(target)
+                self.assertEqual(
+                    (status, runs), (fetched.status, len(world.ran))
+                )
+                if status == 200 and target.startswith('/stream'):
+                    self.assertEqual(EVENTS, fetched.body)
+
+            try:
+                path_world.run(play)
+            except Exception as error:
+                raise AssertionError(story) from error
+
+    def test_answer_is_the_endpoints(self) -> None:
+        """Status, body and stamp come through; an own answer has no stamp."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            for fault, stamped in ((None, True), (Fault.LOST, False)):
+                world.fail_first(*([fault] if fault else []))
+                used = await channel.Channel.connect(HOST, world.port, 5)
+                used.send(path_world.request('/once/a'))
+                head = await used.answer_head()
+                stamp = head.headers.get(b'x-server-stamp')
+                self.assertEqual(stamped, stamp is not None)
+                self.assertEqual(b'r-1', head.headers.get(b'x-attempt-id'))
+                used.abort()
+
+        path_world.run(play)
+
+    def test_stamp_of_the_first(self) -> None:
+        """A stream that is resumed keeps the head of its first endpoint."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            world.fail_first(Fault.CUT)
+            used = await channel.Channel.connect(HOST, world.port, 5)
+            used.send(path_world.request('/stream/a'))
+            head = await used.answer_head()
+            first = next(one for one in world.endpoints if one.ran)
+            self.assertEqual(
+                b'stamp-%b' % first.id.encode(),
+                head.headers.get(b'x-server-stamp'),
+            )
+            while await used.read():
+                """Read to the end."""
+            second = next(one for one in world.endpoints if one is not first)
+            resumed = second.ran[0].headers
+            self.assertEqual(b'0', resumed.get(b'last-event-id'))
+
+        path_world.run(play)
+
+    def test_broken_stream_does_not_look_whole(self) -> None:
+        """A stream that can't be resumed ends without its last chunk."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            world.fail_first(Fault.CUT, Fault.CUT)
+            with testtools.ExpectedException(channel.ChannelBrokenError):
+                await world.ask('/stream/once/a')
+
+        path_world.run(play)
+
+
+class RefusalTest(testtools.TestCase):
+    """What can't be served is refused at once, and nothing is sent on."""
+
+    def test_table(self) -> None:
+        """Bad ids, deadlines, hosts, routes and keys."""
+        table = (
+            ('/plain/a', {'X_Attempt_Id': ''}, 400),
+            ('/plain/a', {'X_Attempt_Id': 'a' * 300}, 400),
+            ('/plain/a', {'X_Deadline_Ms': 'soon'}, 400),
+            ('/plain/a', {'X_Deadline_Ms': '-5'}, 400),
+            ('/plain/a', {'X_Deadline_Ms': 'nan'}, 400),
+            ('/plain/a', {'Last_Event_Id': 'x'}, 400),
+            ('/plain/a', {'Host': 'other'}, 404),
+            ('/plainer/a', {}, 404),
+            ('/plain', {}, 404),
+            ('/plain/a', {'X_Api_Key': ''}, 401),
+            ('/plain/a', {'X_Api_Key': 'wrong'}, 401),
+            ('/public/a', {'X_Api_Key': ''}, 200),
+            ('/plain/a?q=/once/', {}, 200),
+            ('/plain/a', {'Host': 'H:80'}, 200),
+        )
+
+        async def play(world: path_world.PathWorld) -> None:
+            for target, headers, status in table:
+                fetched = await world.ask(target, **headers)
+                self.assertEqual(status, fetched.status, (target, headers))
+            self.assertEqual(3, len(world.came))
+
+        path_world.run(play)
+
+    def test_starting(self) -> None:
+        """An entry that knows no configuration says so, not 404."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            world.beliefs.routing = None
+            self.assertEqual(503, (await world.ask('/plain/a')).status)
+
+        path_world.run(play)
+
+    def test_no_endpoint(self) -> None:
+        """Without weights, or with all leaving, nothing is sent."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            world.listed(
+                world.endpoints[0],
+                heartbeat=99,
+                weights=endpoints.Weights(1, 0, 1),
+            )
+            world.listed(world.endpoints[1], heartbeat=99, draining=True)
+            self.assertEqual(503, (await world.ask('/plain/a')).status)
+            self.assertEqual([], world.came)
+
+        path_world.run(play)
+
+
+class HandedOnTest(testtools.TestCase):
+    """What an endpoint gets of a request."""
+
+    def test_headers(self) -> None:
+        """The key stays here; team, instance and time are set here."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            await world.ask(
+                '/plain/a?b=c',
+                b'the body',
+                X_Tenant='forged',
+                X_Expect_Instance='forged',
+                Path='forged',
+                X_Model='m',
+                Connection='X-Hop',
+                X_Hop='1',
+                X_Other='kept',
+            )
+            (request,) = world.ran
+            headers = request.headers
+            self.assertEqual(b'/plain/a?b=c', request.target)
+            self.assertEqual(b'the body', request.body)
+            self.assertEqual(b'team', headers.get(b'x-tenant'))
+            self.assertEqual(1, headers.count(b'x-tenant'))
+            self.assertEqual(1, headers.count(b'x-expect-instance'))
+            for name in (b'x-api-key', b'path', b'x-hop'):
+                self.assertIsNone(headers.get(name), name)
+            self.assertEqual(b'kept', headers.get(b'x-other'))
+            self.assertEqual(b'm', headers.get(b'x-model'))
+            left = int(headers.get(b'x-deadline-ms') or 0)
+            self.assertLessEqual(left, 9000)
+            self.assertGreater(left, 0)
+
+        path_world.run(play)
+
+    def test_route_timeout_bounds_the_deadline(self) -> None:
+        """An endpoint gets no more time than the route allows."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            await world.ask('/plain/a', X_Deadline_Ms='60000')
+            left = world.ran[0].headers.get(b'x-deadline-ms') or b'0'
+            self.assertLessEqual(int(left), 10000)
+
+        path_world.run(play)
+
+
+class TimeTest(testtools.TestCase):
+    """Deadlines, and callers that leave."""
+
+    def test_timeout(self) -> None:
+        """A request that ran has its final answer when its time is over."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            world.fail_first(Fault.MUTE)
+            self.assertEqual(504, (await world.ask('/short/a')).status)
+            while not any(one.left for one in world.endpoints):
+                await asyncio.sleep(0)
+
+        path_world.run(play)
+
+    def test_caller_left(self) -> None:
+        """An endpoint hears of it when the caller closes its connection.
+
+        Endpoints worked on for callers that had gone, since the end of their
+        connections was only seen when the next event was written.
+        """
+
+        async def play(world: path_world.PathWorld) -> None:
+            for one in world.endpoints:
+                one.going.clear()
+            used = await channel.Channel.connect(HOST, world.port, 5)
+            used.send(path_world.request('/stream/a'))
+            while not world.ran:
+                await asyncio.sleep(0)
+            used.abort()
+            while not any(one.left for one in world.endpoints):
+                await asyncio.sleep(0)
+            self.assertEqual(1, len(world.came))
+
+        path_world.run(play)
+
+
+class VersionTest(testtools.TestCase):
+    """Requests begin on a version only while it may be used."""
+
+    def test_only_the_newest_after_the_bound(self) -> None:
+        """After the bound, engines with older weights get nothing."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            now = asyncio.get_running_loop().time()
+            world.listed(
+                world.endpoints[1],
+                heartbeat=99,
+                weights=endpoints.Weights(2, 0, 2),
+            )
+            world.beliefs.named('m', 2, now - 60)
+            for _ in range(8):
+                await world.ask('/plain/a')
+            self.assertEqual([], world.endpoints[0].came)
+            expected = world.endpoints[1].ran[0].headers
+            self.assertEqual(b'2', expected.get(b'x-expect-version'))
+
+        path_world.run(play)
+
+    def test_given_up_before_the_bound(self) -> None:
+        """A request waited too long in the queue of an old engine.
+
+        It was sent 1.2 seconds before the bound, the queue took longer than
+        estimated, and its first token was made on the old weights after it.
+        """
+
+        async def play(world: path_world.PathWorld) -> None:
+            now = asyncio.get_running_loop().time()
+            world.fail_first(Fault.MUTE, Fault.MUTE)
+            world.beliefs.named('m', 2, now - path_world.DUTIES.version + 0.9)
+            fetched = await world.ask('/stream/a')
+            self.assertEqual(502, fetched.status)
+            while not any(one.left for one in world.endpoints):
+                await asyncio.sleep(0)
+
+        path_world.run(play)
--- a/tests/http/test_channel.py
+++ b/tests/http/test_channel.py
@@ -203,7 +203,7 @@
 
         async def play(peers: pool.Pool) -> None:
             fetched = await pool.fetch(peers, REQUEST, 5)
-            self.assertEqual((200, b'a'), fetched)
+            self.assertEqual((200, b'a'), fetched[:2])
 
         run(peer, play)
 
--- a/tests/http/test_front.py
+++ b/tests/http/test_front.py
@@ -175,7 +175,9 @@
                 + b'GET /second HTTP/1.1\r\nHost: h\r\n\r\n'
                 + b'GET /third HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n',
             )
-            places = [answer.find(b'GET/' + name) for name in (b'a', b's', b't')]
+            places = [
+                answer.find(b'GET/' + name) for name in (b'a', b's', b't')
+            ]
             self.assertEqual(sorted(places), places)
             self.assertNotIn(-1, places)
 
