Let holders of a version head chains, and only the agent next to a break look elsewhere

And a pause in a chain silenced all agents behind it, which then all passed over whoever was before them.

Ruled out: the origin (it sent little).

--- a/clementinepass/decisions/piece_chains.py
+++ b/clementinepass/decisions/piece_chains.py
@@ -14,7 +14,7 @@
 Chains begin and end where regions do, so that a region's border is crossed
 once by each piece.
 
-Where an engine of the region has the version already, nobody needs a chain.
+Where engines have the version already, they head the chains, one each.
 All agents work this out by themselves; where their views differ a piece
 doesn't come as it is meant to, and is asked for elsewhere after a while.
 """
@@ -57,10 +57,14 @@
 
 
 class Plan(typing.NamedTuple):
-    """From whom to get pieces, and from which end on."""
+    """From whom to get pieces, and from which end on.
+
+    :param place: how many agents of the chain are before the asking one.
+    """
 
     sources: tuple[str, ...]
     ascending: bool
+    place: int = 0
 
 
 def plan(question: Question) -> Plan:
@@ -68,10 +72,12 @@
     near = [
         peer for peer in question.peers if peer.region == question.own.region
     ]
-    for peers in (near, question.peers):
-        holders = _holders(question.own, peers)
-        if holders:
-            return Plan(holders, ascending=True)
+    holders = _turned(question.own, near)
+    if holders:
+        return _behind(question.own, near, holders)
+    holders = _turned(question.own, question.peers)
+    if holders:
+        return _behind(question.own, near, holders[:1])
     return _chained(question)
 
 
@@ -84,15 +90,27 @@
     return near + far
 
 
-def _holders(own: Peer, peers: Sequence[Peer]) -> tuple[str, ...]:
-    """Return two agents that have the version, most askers two others.
+def _turned(own: Peer, peers: Sequence[Peer]) -> list[str]:
+    """Return agents that have the version; each region begins with another."""
+    holders = sorted(peer.ip for peer in peers if peer.holds)
+    turn = zlib.crc32(own.region.encode()) % max(len(holders), 1)
+    return holders[turn:] + holders[:turn]
+
+
+def _behind(own: Peer, near: Sequence[Peer], holders: list[str]) -> Plan:
+    """Return a place in a chain that a holder heads, one for each holder.
 
-    Two, since askers don't know of one another at once: where both of two
-    askers chose the same single one, each was done after ten seconds.
+    Heads ask two holders, since askers don't know of one another at once:
+    where two chose the same single one, each was done after ten seconds.  And
+    all askers can't ask holders: two of those served eight for 17 seconds.
     """
-    holders = sorted(peer.ip for peer in peers if peer.holds)
-    turn = zlib.crc32(own.ip.encode()) % max(len(holders), 1)
-    return tuple((holders[turn:] + holders[:turn])[:_HOLDERS_ASKED])
+    askers = sorted({own, *(peer for peer in near if not peer.holds)})
+    place = askers.index(own)
+    if place >= len(holders):
+        before = askers[place - len(holders)]
+        return Plan((before.ip,), ascending=True, place=place // len(holders))
+    turned = holders[place:] + holders[:place]
+    return Plan(tuple(turned[:_HOLDERS_ASKED]), ascending=True)
 
 
 def _chained(question: Question) -> Plan:
@@ -102,7 +120,7 @@
         if question.own in chain:
             place = chain.index(question.own)
             source = chain[place - 1].ip if place else ORIGIN
-            return Plan((source,), ascending)
+            return Plan((source,), ascending, place)
     return Plan((ORIGIN,), ascending=True)
 
 
--- a/clementinepass/direct/fetching.py
+++ b/clementinepass/direct/fetching.py
@@ -31,6 +31,9 @@
 #: Seconds without a piece after which its source is passed over. Pieces come
 #: each sixth of a second where links are slowed to a third.
 _SILENT_AFTER = 0.6
+#: The same for each agent before in the chain: a break silences all behind it,
+#: and only the one next to it has to look elsewhere.
+_SILENT_EACH = 0.2
 #: Pieces in a row that the source doesn't have and won't wait for, after
 #: which it is passed over too.
 _REFUSALS = 4
@@ -122,7 +125,8 @@
         plan = piece_chains.plan(question)
         now = asyncio.get_running_loop().time()
         refused = self._refusals >= _REFUSALS and self._rounds == 0
-        if refused or now - self._progress > _SILENT_AFTER:
+        patience = _SILENT_AFTER + plan.place * _SILENT_EACH
+        if refused or now - self._progress > patience:
             self._pass_over(plan, now)
             question = self._question()
             plan = piece_chains.plan(question)
