--- /dev/null
+++ b/standins/weights_origin.py
@@ -0,0 +1,181 @@
+"""The users' origin of weights, and the engines that load them."""
+
+from __future__ import annotations
+
+import hashlib
+import typing
+import urllib.parse
+
+import msgspec
+
+from clementinepass.http import front
+
+if typing.TYPE_CHECKING:
+    from clementinepass.http import messages
+
+_OK = 200
+_ACCEPTED = 202
+_NOT_FOUND = 404
+_CONFLICT = 409
+
+
+def piece(version: int, number: int) -> bytes:
+    """Return the bytes of a piece."""
+    return b'%d-%d' % (version, number) * 10
+
+
+class WeightsOrigin:
+    """Hands out manifests and pieces.
+
+    :param chunks: pieces of each version.
+    """
+
+    def __init__(self, chunks: int) -> None:
+        self.chunks = chunks
+        self._front = front.Front(self._handle)
+        self.address = ''
+        #: Pieces sent.
+        self.sent = 0
+        #: Numbers of pieces that are spoilt once.
+        self.spoilt: set[int] = set()
+
+    async def listen(self, ip: str) -> None:
+        """Listen on a port of its own."""
+        self.address = f'{ip}:{await self._front.listen(ip, 0)}'
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._front.close()
+
+    async def _handle(
+        self,
+        request: messages.Request,
+        reply: front.Reply,
+    ) -> None:
+        path, _, text = request.target.decode().partition('?')
+        query = dict(urllib.parse.parse_qsl(text))
+        version = int(query['version'])
+        if '/manifest/' in path:
+            manifest = {
+                'model': path.rpartition('/')[2],
+                'version': version,
+                'digests': [
+                    hashlib.sha256(piece(version, number)).hexdigest()
+                    for number in range(self.chunks)
+                ],
+            }
+            reply.send(_OK, [], msgspec.json.encode(manifest))
+            return
+        number = int(query['num'])
+        self.sent += 1
+        payload = piece(version, number)
+        if number in self.spoilt:
+            self.spoilt.discard(number)
+            payload = bytes(reversed(payload))
+        reply.send(_OK, [], payload)
+
+
+class LoadingEngine:
+    """An engine's side towards its agent: what is staged and loaded.
+
+    :param layers: layers of the model.
+    :param version: the version that it holds at first; 0 for none.
+    """
+
+    def __init__(self, layers: int, chunks: int, version: int = 0) -> None:
+        self._layers = layers
+        self._chunks = chunks
+        self.version = version
+        #: Staged pieces by number.
+        self.staged: dict[int, bytes] = {}
+        if version:
+            self.staged = {
+                number: piece(version, number) for number in range(chunks)
+            }
+        #: Versions ordered, in order, and whether what was loaded was whole.
+        self.orders: list[tuple[int, bool]] = []
+        #: Called after each order.
+        self.on_loaded: typing.Callable[[], None] | None = None
+        self._front = front.Front(self._handle)
+        self.address = ''
+
+    async def listen(self, ip: str) -> None:
+        """Listen on a port of its own."""
+        self.address = f'{ip}:{await self._front.listen(ip, 0)}'
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._front.close()
+
+    def entry(self, service: str, domain: str) -> dict[str, typing.Any]:
+        """Return what the engine writes of itself into the list."""
+        return {
+            'service': service,
+            'address': self.address,
+            'zone': domain,
+            'slots': 16,
+            'state': 'ready',
+            'sequence': len(self.orders) + 1,
+            **self._weights(),
+        }
+
+    async def _handle(
+        self,
+        request: messages.Request,
+        reply: front.Reply,
+    ) -> None:
+        path, _, text = request.target.decode().partition('?')
+        number = dict(urllib.parse.parse_qsl(text)).get('num')
+        if path == '/api/report':
+            reply.send(_OK, [], msgspec.json.encode(self._report()))
+        elif path == '/api/order':
+            self._order(msgspec.json.decode(request.body), reply)
+        elif number is None:
+            held = {'held': sorted(self.staged)}
+            reply.send(_OK, [], msgspec.json.encode(held))
+        elif request.method == b'PUT':
+            self.staged[int(number)] = request.body
+            reply.send(_OK, [], b'')
+        else:
+            found = self.staged.get(int(number))
+            status = _NOT_FOUND if found is None else _OK
+            reply.send(status, [], found or b'')
+
+    def _order(
+        self,
+        order: dict[str, typing.Any],
+        reply: front.Reply,
+    ) -> None:
+        if order['expected'] != len(self.orders):
+            reply.send(_CONFLICT, [], b'')
+            return
+        wanted = {
+            number: piece(order['version'], number)
+            for number in range(self._chunks)
+        }
+        self.orders.append((order['version'], self.staged == wanted))
+        self.version = order['version']
+        reply.send(_ACCEPTED, [], b'')
+        if self.on_loaded is not None:
+            self.on_loaded()
+
+    def _report(self) -> dict[str, typing.Any]:
+        return {
+            'busy': False,
+            'sequence': len(self.orders),
+            'active': 0,
+            'queued': 0,
+            **self._weights(),
+        }
+
+    def _weights(self) -> dict[str, typing.Any]:
+        if not self.version:
+            return {'models': []}
+        return {
+            'models': [{'name': 'm', 'version': self.version}],
+            'layers': {
+                'from': 0,
+                'target': self._layers,
+                'version': self.version,
+            },
+        }
