--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -20,6 +20,7 @@
     beliefs,
     endpoints,
     exchange,
+    gauges,
     gossip,
     intake,
     loading,
@@ -31,6 +32,8 @@
     import random
     from collections.abc import Callable
 
+    import aioprometheus
+
     from clementinepass.direct import node, pieces, routing
 
 #: Seconds between looks at the engine, and at what is wanted. Reports to its
@@ -45,6 +48,7 @@
 #: Seconds that an engine gets to finish what it runs before it loads. Half of
 #: the answers end in that time.
 _EMPTY_SECONDS = 0.7
+_HURRY_SECONDS = 0.3
 _TELL_SECONDS = 0.15
 _BITS = 8
 _MEGA = 1_000_000
@@ -77,6 +81,7 @@
         self,
         own: node.Node,
         boundary: Boundary,
+        registry: aioprometheus.Registry,
         rng: random.Random,
     ) -> None:
         self._own = own
@@ -97,6 +102,13 @@
             self._handout.serve,
         )
         self._loading = loading.Loading(boundary.engine, self)
+        #: What is believed, as metrics.
+        self.gauges = gauges.Gauges(
+            registry,
+            self.beliefs,
+            self._followers,
+            self.peers,
+        )
         self._turn_by_version: dict[int, float] = {}
         #: By IP number, the origin by its address.
         self._sources_by_name: dict[str, weights.Source] = {}
@@ -359,18 +371,26 @@
             return
         if self._turn_has_come(engine, version):
             self._ordering(version)
-            await self._emptied(report.active)
+            await self._emptied(engine, version, report.active)
             await self._loading.load(engine.model, version)
 
-    async def _emptied(self, active: int) -> None:
+    async def _emptied(
+        self,
+        engine: routing.Engine,
+        version: int,
+        active: int,
+    ) -> None:
         """Wait a moment for what the engine runs to end.
 
         Short answers end meanwhile; the rest is cut when the engine loads,
         and resumed elsewhere. To finish the longest takes three seconds, in
-        which the engine is lost to all others.
+        which the engine is lost to all others. Less when nobody may send to
+        old weights any more, and callers wait for the first engine.
         """
         loop = asyncio.get_running_loop()
-        until = loop.time() + _EMPTY_SECONDS
+        left = self.beliefs.seconds_left(engine.model, version) or 0
+        seconds = _EMPTY_SECONDS if left > _EMPTY_SECONDS else _HURRY_SECONDS
+        until = loop.time() + seconds
         while active and loop.time() < until:
             await asyncio.sleep(_BUSY_SECONDS)
             report = await self._boundary.engine.report()
--- a/clementinepass/direct/beliefs.py
+++ b/clementinepass/direct/beliefs.py
@@ -186,6 +186,12 @@
         version = self.required_version(engine, now)
         return [each for each in found if each.holds(engine, version)]
 
+    def loading(self, service: routing.Service, now: float) -> bool:
+        """Tell whether some engine of a service takes up weights now."""
+        return any(
+            one.loading for one in self.endpoints.of_service(service.name, now)
+        )
+
     def newest_held(self, candidates: Iterable[endpoints.Endpoint]) -> int:
         """Return the newest version that some endpoint has."""
         return max((each.weights.version for each in candidates), default=0)
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -14,6 +14,7 @@
     attempt,
     background,
     beliefs,
+    gauges,
     gossip,
     intake,
     leaving,
@@ -65,6 +66,13 @@
         # Agents have eight seconds for five seconds' work.
         self.beliefs.on_named = self._tell_of_version
         log = request_log.RequestLog(registry)
+        #: What is believed, as metrics.
+        self.gauges = gauges.Gauges(
+            registry,
+            self.beliefs,
+            self._followers,
+            self.peers,
+        )
         self._sender = attempt.Sender(self.beliefs, boundary.dialect, log)
         self._path = path.Path(
             own,
--- /dev/null
+++ b/clementinepass/direct/exposition.py
@@ -0,0 +1,62 @@
+"""Metrics of a process on the direct path, on a port of their own."""
+
+from __future__ import annotations
+
+import typing
+
+import aioprometheus
+
+from clementinepass.http import front
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from clementinepass.http import messages
+
+#: The port and path that the deploy file names.
+PORT = 9464
+_PATH = b'/metrics'
+_OK = 200
+_NOT_FOUND = 404
+
+
+class Exposition:
+    """Serve the metrics of a registry.
+
+    :param registry: what is served.
+    :param refresh: brings it up to date, before each answer.
+    """
+
+    __slots__ = ('_front', '_refresh', '_registry')
+
+    def __init__(
+        self,
+        registry: aioprometheus.Registry,
+        refresh: Callable[[], None],
+    ) -> None:
+        self._registry = registry
+        self._refresh = refresh
+        self._front = front.Front(self._answer)
+
+    async def listen(self, ip: str, port: int = PORT) -> int:
+        """Listen and return the port that was bound."""
+        return await self._front.listen(ip, port)
+
+    async def close(self) -> None:
+        """Stop serving."""
+        await self._front.close()
+
+    async def _answer(
+        self,
+        request: messages.Request,
+        reply: front.Reply,
+    ) -> None:
+        if request.path != _PATH:
+            reply.send(_NOT_FOUND, [], b'')
+            return
+        self._refresh()
+        body, headers = aioprometheus.render(self._registry, [])
+        pairs = [
+            (name.encode(), field.encode()) for name, field in headers.items()
+        ]
+        reply.send(_OK, pairs, body)
--- /dev/null
+++ b/clementinepass/direct/gauges.py
@@ -0,0 +1,72 @@
+"""What a process believes, as metrics that are worked out when read."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import aioprometheus
+
+if typing.TYPE_CHECKING:
+    from clementinepass.direct import beliefs, follower, gossip, records
+
+
+class Gauges:
+    """Keep gauges of beliefs and their age.
+
+    :param registry: where they are registered.
+    """
+
+    __slots__ = (
+        '_age',
+        '_beliefs',
+        '_endpoints',
+        '_followers',
+        '_members',
+        '_peers',
+        '_version',
+    )
+
+    def __init__(
+        self,
+        registry: aioprometheus.Registry,
+        known: beliefs.Beliefs,
+        followers: dict[records.Topic, follower.Follower],
+        peers: gossip.Peers,
+    ) -> None:
+        self._beliefs = known
+        self._followers = followers
+        self._peers = peers
+        self._version = aioprometheus.Gauge(
+            'clementinepass_configuration_version',
+            'Configuration in force; 0 while none is known.',
+            registry=registry,
+        )
+        self._endpoints = aioprometheus.Gauge(
+            'clementinepass_endpoints',
+            'Endpoints that may be used.',
+            registry=registry,
+        )
+        self._members = aioprometheus.Gauge(
+            'clementinepass_members',
+            'Other entries that are there.',
+            registry=registry,
+        )
+        self._age = aioprometheus.Gauge(
+            'clementinepass_store_answer_age_seconds',
+            "Time since the store's last answer, by topic.",
+            registry=registry,
+        )
+
+    def update(self) -> None:
+        """Set the gauges to what is believed now."""
+        now = asyncio.get_running_loop().time()
+        current = self._beliefs.routing
+        self._version.set({}, 0 if current is None else current.version)
+        usable = sum(one.usable(now) for one in self._beliefs.endpoints)
+        self._endpoints.set({}, usable)
+        self._members.set({}, len(self._peers.members.alive(now)))
+        for topic, own in self._followers.items():
+            if own.contact:
+                age = round(now - own.contact, 3)
+                self._age.set({'topic': topic.value}, age)
--- a/clementinepass/direct/node.py
+++ b/clementinepass/direct/node.py
@@ -5,8 +5,12 @@
 import msgspec
 
 
-class Duties(msgspec.Struct, frozen=True):
-    """Bounds that the operator sets for the whole system; in seconds."""
+class Duties(msgspec.Struct):
+    """Bounds that the operator sets for the whole system; in seconds.
+
+    One object for the life of the process: whoever asks it sees what the
+    newest settings say.
+    """
 
     #: Until no request goes to an endpoint that said it is leaving.
     drain: float = 2
@@ -22,6 +26,13 @@
     #: For which callers may keep a list of entries.
     longest_offer: float = 5
 
+    def take(self, newer: Duties) -> bool:
+        """Take over newer settings; tell whether anything changed."""
+        changed = newer != self
+        for name in self.__struct_fields__:
+            setattr(self, name, getattr(newer, name))
+        return changed
+
 
 class Node(msgspec.Struct, frozen=True, kw_only=True):
     """One process: who and where it is, and whom it asks."""
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -36,6 +36,10 @@
 _RETRY_AFTER = 0.4
 #: Seconds from sending to the first event of a stream; twice the usual.
 _FIRST_EVENT_SECONDS = 0.35
+#: Seconds that a request waits for an engine that loads: the time for it to
+#: finish what it runs, and to load.
+_LOADING_SECONDS = 1.2
+_LOOK_SECONDS = 0.03
 _UNKNOWN_PACE = first_event.Pace(0, 0)
 
 
@@ -156,7 +160,7 @@
 
     async def _answer(self, admitted: serving.Serving) -> None:
         """Send the request until it is answered or nothing is left to try."""
-        endpoint = self._place(admitted)
+        endpoint = await self._first_place(admitted)
         while endpoint is not None:
             self._note_sending(admitted)
             tried = await self._sender.send(admitted, endpoint)
@@ -169,6 +173,28 @@
             endpoint = self._place(admitted)
         self._conclude(admitted, self._ending_unplaced(admitted))
 
+    async def _first_place(
+        self,
+        admitted: serving.Serving,
+    ) -> endpoints.Endpoint | None:
+        """Choose an endpoint, waiting a moment for engines that load.
+
+        Load: a new version while all engines take it up within the same
+        second. Harm: whoever comes then is told to come back after two
+        seconds, though an engine is there after half a second.
+        """
+        loop = asyncio.get_running_loop()
+        until = admitted.call.request.received + _LOADING_SECONDS
+        endpoint = self._place(admitted)
+        while endpoint is None and loop.time() < until:
+            if self._beliefs.candidates(admitted.service, loop.time()):
+                break
+            if not self._beliefs.loading(admitted.service, loop.time()):
+                break
+            await asyncio.sleep(_LOOK_SECONDS)
+            endpoint = self._place(admitted)
+        return endpoint
+
     def _place(self, admitted: serving.Serving) -> endpoints.Endpoint | None:
         """Choose an endpoint; ``None`` if there is none with room."""
         now = asyncio.get_running_loop().time()
--- a/clementinepass/machines.py
+++ b/clementinepass/machines.py
@@ -8,16 +8,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import os
+import pathlib
 import random
+import signal
 import sys
 
 import aioprometheus
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.direct import intake, node
+from clementinepass.direct import background, exposition, intake, node
 from clementinepass.observability import output
 from clementinepass.platform import (
     node_settings,
@@ -30,6 +33,8 @@
 #: Seconds for which callers may keep a list of entries. Some keep it three
 #: times as long, and an entry that leaves serves on for that time.
 _OFFER_SECONDS = 1.5
+#: Seconds between looks whether the settings file has changed.
+_LOOK_SECONDS = 2.0
 #: Objects made between collections of garbage. The defaults collect some ten
 #: times a second under load; what is made at start is never collected.
 _COLLECT_EVERY = 20000
@@ -45,13 +50,60 @@
         logger.bind(step='start').critical('no settings: {}', error)
         lines.flush()
         sys.exit(_EXIT_BAD_SETTINGS)
-    role = sys.argv[1]
     try:
-        asyncio.run(_entry(own) if role == 'entry' else _agent(own))
+        asyncio.run(_run(sys.argv[1], own))
     finally:
         lines.flush()
 
 
+async def _run(role: str, own: node.Node) -> None:
+    path = pathlib.Path(os.environ[node_settings.VARIABLE])
+    following = asyncio.create_task(
+        background.keep_running(lambda: _follow_settings(path, own)),
+    )
+    try:
+        await (_entry(own) if role == 'entry' else _agent(own))
+    finally:
+        following.cancel()
+
+
+async def _follow_settings(path: pathlib.Path, own: node.Node) -> None:
+    """Read the settings anew when told to, and when the file has changed.
+
+    The platform changes them with a signal and without one. Without a
+    handler the signal would end the process, and all that it serves.
+    """
+    loop = asyncio.get_running_loop()
+    told = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, told.set)
+    written = _written(path)
+    while True:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_LOOK_SECONDS):
+                await told.wait()
+        if told.is_set() or _written(path) != written:
+            told.clear()
+            written = _written(path)
+            _reload(path, own)
+
+
+def _written(path: pathlib.Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        return 0
+
+
+def _reload(path: pathlib.Path, own: node.Node) -> None:
+    try:
+        newer = node_settings.read(str(path))
+    except errors.SettingsError as error:
+        logger.bind(step='reload').error('settings stay as they are: {}', error)
+        return
+    changed = own.duties.take(newer.duties)
+    logger.bind(step='reload', changed=changed).info('settings read')
+
+
 async def _entry(own: node.Node) -> None:
     from clementinepass.direct import entry  # noqa: PLC0415
     from clementinepass.platform import dialect, directory  # noqa: PLC0415
@@ -63,12 +115,15 @@
         spelling=directory.DirectorySpelling(keep),
         readers=_readers(),
     )
+    registry_of_metrics = aioprometheus.Registry()
     process = entry.Entry(
         own,
         boundary,
-        aioprometheus.Registry(),
+        registry_of_metrics,
         random.Random(),
     )
+    shown = exposition.Exposition(registry_of_metrics, process.gauges.update)
+    await shown.listen(own.ip)
     _settle()
     await process.run()
 
@@ -83,7 +138,10 @@
         origin=engine.HttpOrigin,
         readers=_readers(),
     )
-    process = agent.Agent(own, boundary, random.Random())
+    registry_of_metrics = aioprometheus.Registry()
+    process = agent.Agent(own, boundary, registry_of_metrics, random.Random())
+    shown = exposition.Exposition(registry_of_metrics, process.gauges.update)
+    await shown.listen(own.ip)
     _settle()
     await process.run()
 
--- a/tests/direct/test_machines.py
+++ b/tests/direct/test_machines.py
@@ -181,7 +181,12 @@
             origin=engine.HttpOrigin,
             readers=READERS,
         )
-        process = agent.Agent(own, boundary, random.Random(ip))
+        process = agent.Agent(
+            own,
+            boundary,
+            aioprometheus.Registry(),
+            random.Random(ip),
+        )
         self._tasks.append(asyncio.create_task(process.run()))
 
     async def ask(self, number: int, target: str = '/plain/a') -> int:
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -257,6 +257,52 @@
         path_world.run(play)
 
 
+class LoadingTest(testtools.TestCase):
+    """All engines take up a version at once.
+
+    For a second no engine could be used, and each request was told to come
+    back after two: it came back when the engines were full.
+    """
+
+    def test_waits_for_an_engine(self) -> None:
+        """A request waits for an engine that says that it loads."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            for one in world.endpoints:
+                world.listed(
+                    one,
+                    heartbeat=98,
+                    weights=endpoints.Weights(2, 0, 0),
+                )
+            asked = asyncio.create_task(world.ask('/plain/a'))
+            while not world.front.busy():
+                await asyncio.sleep(0)
+            self.assertEqual([], world.came)
+            world.listed(
+                world.endpoints[0],
+                heartbeat=99,
+                weights=endpoints.Weights(2, 0, 2),
+            )
+            self.assertEqual(200, (await asked).status)
+
+        path_world.run(play)
+
+    def test_not_for_ever(self) -> None:
+        """It is refused when none is there after all; it never ran."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            for one in world.endpoints:
+                world.listed(
+                    one,
+                    heartbeat=98,
+                    weights=endpoints.Weights(2, 0, 0),
+                )
+            self.assertEqual(503, (await world.ask('/plain/a')).status)
+            self.assertEqual([], world.came)
+
+        path_world.run(play)
+
+
 class VersionTest(testtools.TestCase):
     """Requests begin on a version only while it may be used."""
 
