--- a/clementinepass/direct/beats.py
+++ b/clementinepass/direct/beats.py
@@ -37,12 +37,10 @@
     :param operator_offset: up to where it has read the operator's records.
     :param endpoints_offset: the same of the endpoints' records.
     :param held: what agents read of their engines.
-    :param evidence: on requests that kill endpoints.
     """
 
     __slots__ = (
         'endpoints_offset',
-        'evidence',
         'held',
         'in_flight_by_endpoint',
         'members',
@@ -61,7 +59,6 @@
         endpoints_offset: int = 0,
         versions: tuple[NamedVersion, ...] = (),
         held: tuple[Held, ...] = (),
-        evidence: bytes = b'',
     ) -> None:
         self.sender = sender
         self.members = members
@@ -70,4 +67,3 @@
         self.endpoints_offset = endpoints_offset
         self.versions = versions
         self.held = held
-        self.evidence = evidence
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -140,8 +140,14 @@
         current: routing.Routing,
         route: routing.Route,
     ) -> routing.Service:
+        """Return the service that runs the request.
+
+        One that the configuration lacks has no endpoints, and its requests
+        are refused like others that nobody can run.
+        """
         name = route.service_at(self._rng.random())
-        return current.services_by_name[name]
+        known = current.services_by_name.get(name)
+        return routing.Service(name, 1) if known is None else known
 
     def _refuse(
         self,
--- a/clementinepass/wire/beats.py
+++ b/clementinepass/wire/beats.py
@@ -35,7 +35,6 @@
     message.follow.endpointsOffset = beat.endpoints_offset
     _write_versions(message, beat)
     _write_held(message, beat)
-    message.evidence = beat.evidence
     return bytes(message.to_bytes_packed())
 
 
@@ -137,7 +136,6 @@
             beats.Held(held.address, held.version, held.first, held.end)
             for held in message.held
         ),
-        evidence=bytes(message.evidence),
     )
 
 
--- a/clementinepass/wire/direct.capnp
+++ b/clementinepass/wire/direct.capnp
@@ -46,8 +46,6 @@
   follow @3 :Follow;
   versions @4 :List(NamedVersion);
   held @5 :List(Held);
-  # Evidence on requests that kill endpoints, as the quarantine encodes it.
-  evidence @6 :Data;
 }
 
 struct Record {
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -6,7 +6,7 @@
 
 import testtools
 
-from clementinepass.direct import endpoints
+from clementinepass.direct import endpoints, routing
 from clementinepass.http import channel
 from standins import direct_endpoint
 from tests.direct import path_world
@@ -175,6 +175,20 @@
         path_world.run(play)
 
 
+class ServiceTest(testtools.TestCase):
+    """Routes that lead nowhere."""
+
+    def test_unknown_service(self) -> None:
+        """A route to a service that the configuration lacks is refused."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            backends = (routing.Backend('nobody', 1),)
+            world.configure(2, [path_world.route('plain', backends=backends)])
+            self.assertEqual(503, (await world.ask('/plain/a')).status)
+
+        path_world.run(play)
+
+
 class HandedOnTest(testtools.TestCase):
     """What an endpoint gets of a request."""
 
