--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -24,6 +24,7 @@
     gossip,
     intake,
     loading,
+    neighbours,
     records,
     weights,
 )
@@ -90,6 +91,11 @@
         self.beliefs = beliefs.Beliefs(own)
         taking = intake.Intake(self.beliefs, boundary.readers)
         self._followers = taking.followers(boundary.store, rng)
+        self._neighbours = neighbours.Neighbours(
+            own,
+            self.beliefs,
+            boundary.origin,
+        )
         self._handout = exchange.Handout(
             self,
             exchange.Uplink(own.link_mbps, self._streams),
@@ -110,8 +116,6 @@
             self.peers,
         )
         self._turn_by_version: dict[int, float] = {}
-        #: By IP number, the origin by its address.
-        self._sources_by_name: dict[str, weights.Source] = {}
         self._report: weights.EngineReport | None = None
         self._trouble = ''
         #: The version whose pieces are being got.
@@ -180,7 +184,7 @@
 
         Version 0 where nothing is to be got.
         """
-        engine = self._engine_of()
+        engine = self._neighbours.engine()
         if engine is None:
             return '', 0
         version = self._aimed_at(engine)
@@ -191,34 +195,11 @@
 
     def question(self, model: str, version: int) -> piece_chains.Question:
         """Return what choosing a source for pieces needs."""
-        engine = self._engine_of()
-        current = self.beliefs.routing
-        origin = None if current is None else current.origin
-        peers = [
-            piece_chains.Peer(
-                self._own.region_of(fellow.listing.domain),
-                fellow.listing.domain,
-                fellow.listing.address.rpartition(':')[0],
-                engine is not None and fellow.holds(engine, version),
-            )
-            for fellow in self._fellows()
-            if fellow.listing.address != self._own.endpoint
-        ]
-        return piece_chains.Question(
-            piece_chains.Peer(
-                self._own.region,
-                self._own.domain,
-                self._own.ip,
-            ),
-            peers,
-            '' if origin is None else self._own.region_of(origin.domain),
-        )
+        return self._neighbours.question(version)
 
     def source(self, ip: str) -> weights.Source | None:
         """Return a source by its IP number, or the origin."""
-        if ip == piece_chains.ORIGIN:
-            return self._origin()
-        return self._kept(ip, self._agent_source)
+        return self._neighbours.source(ip)
 
     # Details.
 
@@ -230,7 +211,7 @@
         named = self.beliefs.wanted_version(engine.model)
         if named:
             return self._next_version(engine, named)
-        held = [peer.weights.version for peer in self._fellows()]
+        held = [peer.weights.version for peer in self._neighbours.fellows()]
         return max(held, default=0) or 1
 
     def _next_version(self, engine: routing.Engine, newest: int) -> int:
@@ -267,38 +248,6 @@
         report = self._report
         return 0 if report is None else report.active
 
-    def _kept(
-        self,
-        name: str,
-        make: Callable[[str], weights.Source],
-    ) -> weights.Source:
-        """Return a source, made when it is first asked for."""
-        known = self._sources_by_name.get(name) or make(name)
-        self._sources_by_name[name] = known
-        return known
-
-    def _agent_source(self, ip: str) -> weights.Source:
-        return exchange.PeerSource(ip, self._own.first_port)
-
-    def _origin(self) -> weights.Source | None:
-        current = self.beliefs.routing
-        service = None if current is None else current.origin
-        if service is None:
-            return None
-        # By its address, which a new configuration may change.
-        return self._kept(service.origin, self._boundary.origin)
-
-    def _engine_of(self) -> routing.Engine | None:
-        current = self.beliefs.routing
-        if current is None:
-            return None
-        service = current.services_by_name.get(self._own.service)
-        return None if service is None else service.engine
-
-    def _fellows(self) -> list[endpoints.Endpoint]:
-        now = asyncio.get_running_loop().time()
-        return self.beliefs.endpoints.of_service(self._own.service, now)
-
     async def _keep_up(self) -> None:
         """Speak to entries; read the store where none answers."""
         loop = asyncio.get_running_loop()
@@ -350,7 +299,7 @@
 
     def _engine_has(self, version: int) -> bool:
         """Tell whether the engine holds all layers of a version, or newer."""
-        engine = self._engine_of()
+        engine = self._neighbours.engine()
         report = self._report
         if engine is None or report is None:
             return False
@@ -363,7 +312,7 @@
         report = await self._boundary.engine.report()
         self._note_trouble('')
         self._told_of(report)
-        engine = self._engine_of()
+        engine = self._neighbours.engine()
         if engine is None or report.busy:
             return
         version = self._loading.newest_whole(engine.model)
@@ -408,7 +357,7 @@
                 load_turns.Fellow(self._own.endpoint, self._own.domain),
                 [
                     load_turns.Fellow(one.listing.address, one.listing.domain)
-                    for one in self._fellows()
+                    for one in self._neighbours.fellows()
                 ],
                 left,
             )
--- /dev/null
+++ b/clementinepass/direct/neighbours.py
@@ -0,0 +1,107 @@
+"""Whom an agent can get pieces from."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from clementinepass.decisions import piece_chains
+from clementinepass.direct import exchange
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from clementinepass.direct import (
+        beliefs,
+        endpoints,
+        node,
+        routing,
+        weights,
+    )
+
+
+class Neighbours:
+    """The other agents of the service, and the origin.
+
+    :param own: who the agent is.
+    :param origin: makes a source of the origin's address.
+    """
+
+    __slots__ = ('_beliefs', '_make_origin', '_own', '_sources_by_name')
+
+    def __init__(
+        self,
+        own: node.Node,
+        known: beliefs.Beliefs,
+        origin: Callable[[str], weights.Source],
+    ) -> None:
+        self._own = own
+        self._beliefs = known
+        self._make_origin = origin
+        #: By IP number, the origin by its address.
+        self._sources_by_name: dict[str, weights.Source] = {}
+
+    def engine(self) -> routing.Engine | None:
+        """Return what the operator says of the service's engines."""
+        current = self._beliefs.routing
+        if current is None:
+            return None
+        service = current.services_by_name.get(self._own.service)
+        return None if service is None else service.engine
+
+    def fellows(self) -> list[endpoints.Endpoint]:
+        """Return the endpoints of the service, the own one included."""
+        now = asyncio.get_running_loop().time()
+        return self._beliefs.endpoints.of_service(self._own.service, now)
+
+    def question(self, version: int) -> piece_chains.Question:
+        """Return what choosing a source for pieces needs."""
+        engine = self.engine()
+        current = self._beliefs.routing
+        origin = None if current is None else current.origin
+        peers = [
+            piece_chains.Peer(
+                self._own.region_of(fellow.listing.domain),
+                fellow.listing.domain,
+                fellow.listing.address.rpartition(':')[0],
+                engine is not None and fellow.holds(engine, version),
+            )
+            for fellow in self.fellows()
+            if fellow.listing.address != self._own.endpoint
+        ]
+        return piece_chains.Question(
+            piece_chains.Peer(
+                self._own.region,
+                self._own.domain,
+                self._own.ip,
+            ),
+            peers,
+            '' if origin is None else self._own.region_of(origin.domain),
+        )
+
+    def source(self, ip: str) -> weights.Source | None:
+        """Return a source by its IP number, or the origin."""
+        if ip == piece_chains.ORIGIN:
+            return self._origin()
+        return self._kept(ip, self._agent)
+
+    def _kept(
+        self,
+        name: str,
+        make: Callable[[str], weights.Source],
+    ) -> weights.Source:
+        """Return a source, made when it is first asked for."""
+        known = self._sources_by_name.get(name) or make(name)
+        self._sources_by_name[name] = known
+        return known
+
+    def _agent(self, ip: str) -> weights.Source:
+        return exchange.PeerSource(ip, self._own.first_port)
+
+    def _origin(self) -> weights.Source | None:
+        current = self._beliefs.routing
+        service = None if current is None else current.origin
+        if service is None:
+            return None
+        # By its address, which a new configuration may change.
+        return self._kept(service.origin, self._make_origin)
