Believe that an endpoint leaves whenever its word comes; ask other peers sooner

What fits a request from an entry in touch is a word that is dropped as old: endpoints' words may overtake one another, and leaving with a lower number than the last heartbeat was passed over. The new test fails before. Two other ways to be late are closed too: a fetch of records from a peer that doesn't answer kept others from being asked for 3 s (now 0.8), and a listing that lapsed was trusted for 2.1 s where 2 are allowed (now 1.9).

--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -2,11 +2,11 @@
 
 Endpoints list themselves in the platform's store.  Three things go wrong
 there.  An older word of an endpoint may come after a newer one; a heartbeat
-number and the rule that leaving is final keep it from being believed.  An
-entry of the list lapses while the store is away, though its endpoint lives;
-it is kept until the endpoint has had time to write again.  And an address is
-given to another endpoint; a request names the one that it is meant for, and
-one that answers otherwise is dropped until the list speaks of it again.
+number keeps it from being believed.  Leaving is final, and true whenever the
+word of it comes.  An entry of the list lapses while the store is away, though
+its endpoint lives; it is kept until the endpoint has had time to write again.
+And an address is given to another endpoint; a request names the one that it is
+meant for, and one that answers otherwise is dropped.
 """
 
 from __future__ import annotations
@@ -119,7 +119,8 @@
             self._add(Endpoint(listing))
             return True
         returned = known.removed_at is not None
-        if listing.heartbeat < known.listing.heartbeat and not returned:
+        is_old = listing.heartbeat < known.listing.heartbeat and not returned
+        if is_old and not listing.draining:
             return False
         if known.listing.draining:
             # Each start has an id of its own, so no endpoint ever returns
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -35,7 +35,10 @@
 #: The same for an agent, whose link is narrow: a configuration takes as long
 #: as two pieces of weights, and an agent needs little of it.
 _AGENT_BEHIND_SECONDS = 4.0
-_FETCH_SECONDS = 3.0
+#: Seconds for records from a peer; one that doesn't answer keeps others from
+#: being asked. An agent's narrow link takes longer.
+_FETCH_SECONDS = 0.8
+_AGENT_FETCH_SECONDS = 3.0
 _RECORDS_PATH = b'/records/'
 _OK = 200
 _NOT_FOUND = 404
@@ -72,7 +75,9 @@
             records.Topic.OPERATOR: _AGENT_BEHIND_SECONDS,
             records.Topic.ENDPOINTS: _BEHIND_SECONDS,
         }
+        self._fetch_seconds = _AGENT_FETCH_SECONDS
         if own.callers:
+            self._fetch_seconds = _FETCH_SECONDS
             self._behind_seconds_by_topic[records.Topic.OPERATOR] = (
                 _BEHIND_SECONDS
             )
@@ -198,7 +203,7 @@
         )
         peers = pool.Pool(ip, self._own.first_port)
         try:
-            fetched = await pool.fetch(peers, request, _FETCH_SECONDS)
+            fetched = await pool.fetch(peers, request, self._fetch_seconds)
             page = wire_beats.read_records(fetched.body, ip)
         except errors.ClementinepassError as error:
             logger.bind(peer=ip).info('records not fetched: {}', error)
--- a/clementinepass/direct/intake.py
+++ b/clementinepass/direct/intake.py
@@ -17,8 +17,9 @@
     from clementinepass.direct import beliefs, endpoints
 
 #: Seconds that an endpoint is used whose listing lapsed while the store was
-#: away: the time in which endpoints list themselves again.
-_LAPSE_GRACE = 2.1
+#: away: nearly the two seconds in which endpoints list themselves again, and
+#: less than those after which one that is gone must get nothing.
+_LAPSE_GRACE = 1.9
 #: Seconds after an outage in which a listing that is dropped may have lapsed
 #: during it.
 _LAPSE_SEEN = 1.0
--- a/tests/direct/test_endpoints.py
+++ b/tests/direct/test_endpoints.py
@@ -58,6 +58,19 @@
         self.assertFalse(self.known.listed(listing(heartbeat=6)))
         self.assertEqual([], self.usable())
 
+    def test_leaving_overtaken(self) -> None:
+        """An endpoint's word that it leaves comes after a later heartbeat.
+
+        A request went to an endpoint 2.3 seconds after the store had its word
+        that it was leaving. That word had been taken for an old one: its
+        number was lower than the last heartbeat's.
+        """
+        self.known.listed(listing(heartbeat=8))
+        self.assertTrue(self.known.listed(listing(draining=True, heartbeat=7)))
+        self.assertEqual([], self.usable())
+        self.known.listed(listing(heartbeat=9))
+        self.assertEqual([], self.usable())
+
     def test_leaving_is_final(self) -> None:
         """Each start has an id of its own, so no endpoint comes back."""
         self.known.listed(listing(draining=True, heartbeat=7))
