Compare configurations with peers, not offsets alone; count versions found at a start as old

Two ways by which nothing mends such a loss are closed: (a) peers that had read less far began the wait for asking a peer anew, so that with several behind nobody was asked; (b) a record lost at an offset that all have was never asked for again. Beats now say which configuration is in force, and an entry that hears of a newer one takes the records anew.

Cause 2, by reading: a version found named at a start was taken for named just then, so that after a kill of all entries older weights were used 7.4 s more. It counts as a guess now that gives way to what peers know, and lasts for as long as a process that started isn't held to the bound.

--- a/clementinepass/decisions/named_versions.py
+++ b/clementinepass/decisions/named_versions.py
@@ -20,32 +20,44 @@
         begin on no older one.
     """
 
-    __slots__ = ('_bound', 'since_by_version')
+    __slots__ = ('_bound', 'guessed', 'since_by_version')
 
     def __init__(self, bound: float) -> None:
         self._bound = bound
         #: When each version was named; monotonic seconds.
         self.since_by_version: dict[int, float] = {}
+        #: The versions whose time is a guess.
+        self.guessed: set[int] = set()
 
     @property
     def newest(self) -> int:
         """Return the newest version; 0 where none was named."""
         return max(self.since_by_version, default=0)
 
-    def named(self, version: int, since: float) -> bool:
+    def named(
+        self,
+        version: int,
+        since: float,
+        *,
+        guessed: bool = False,
+    ) -> bool:
         """Take it that a version was named; tell whether it is news.
 
         Of two times for one version the earlier counts: whoever heard of it
-        late, or was restarted, can't know when it was named.
+        late can't know when it was named. A guess, of a process that was
+        started later, gives way to whatever else is heard, and is passed
+        over where more is known.
         """
         known = self.since_by_version.get(version)
-        if known is not None:
+        if known is None:
+            self._add(version, since, guessed=guessed)
+            return version == self.newest
+        if version in self.guessed and not guessed:
+            self.guessed.discard(version)
+            self.since_by_version[version] = since
+        elif guessed == (version in self.guessed):
             self.since_by_version[version] = min(known, since)
-            return False
-        self.since_by_version[version] = since
-        if len(self.since_by_version) > _MOST_VERSIONS:
-            del self.since_by_version[min(self.since_by_version)]
-        return version == self.newest
+        return False
 
     def usable_until(self, version: int) -> float:
         """Return the time until which requests may begin on a version."""
@@ -66,3 +78,12 @@
             ),
             default=0,
         )
+
+    def _add(self, version: int, since: float, *, guessed: bool) -> None:
+        self.since_by_version[version] = since
+        if guessed:
+            self.guessed.add(version)
+        if len(self.since_by_version) > _MOST_VERSIONS:
+            oldest = min(self.since_by_version)
+            del self.since_by_version[oldest]
+            self.guessed.discard(oldest)
--- a/clementinepass/direct/beats.py
+++ b/clementinepass/direct/beats.py
@@ -12,11 +12,13 @@
     """A version of a model's weights that the operator named.
 
     :param age: seconds since its naming was acknowledged, at the sender.
+    :param guessed: whether that is a guess, since the sender began later.
     """
 
     model: str
     version: int
     age: float
+    guessed: bool = False
 
 
 class Held(typing.NamedTuple):
@@ -36,10 +38,12 @@
     :param in_flight_by_endpoint: the sender's requests at endpoints.
     :param operator_offset: up to where it has read the operator's records.
     :param endpoints_offset: the same of the endpoints' records.
+    :param configuration: the version of the configuration in force there.
     :param held: what agents read of their engines.
     """
 
     __slots__ = (
+        'configuration',
         'endpoints_offset',
         'held',
         'in_flight_by_endpoint',
@@ -57,6 +61,7 @@
         in_flight_by_endpoint: dict[str, int] | None = None,
         operator_offset: int = 0,
         endpoints_offset: int = 0,
+        configuration: int = 0,
         versions: tuple[NamedVersion, ...] = (),
         held: tuple[Held, ...] = (),
     ) -> None:
@@ -65,5 +70,6 @@
         self.in_flight_by_endpoint = in_flight_by_endpoint or {}
         self.operator_offset = operator_offset
         self.endpoints_offset = endpoints_offset
+        self.configuration = configuration
         self.versions = versions
         self.held = held
--- a/clementinepass/direct/beliefs.py
+++ b/clementinepass/direct/beliefs.py
@@ -23,6 +23,9 @@
 #: Seconds before the bound on older versions from which only the newest gets
 #: requests: one sent may wait that long at an engine before it begins.
 _VERSION_MARGIN = 0.6
+#: Seconds of the time for which a process counts as just started that are not
+#: used: its own start, and a request that waits at an engine.
+_START_MARGIN = 1.0
 #: Seconds after which another entry's count of its requests says nothing.
 _LOAD_LIFETIME = 2.5
 
@@ -85,24 +88,62 @@
         ).info('configuration in force')
         return True
 
-    def named(self, model: str, version: int, since: float) -> bool:
-        """Take it that a version was named; tell whether it is news."""
+    @property
+    def configuration(self) -> int:
+        """Return the version of the configuration in force; 0 for none."""
+        return 0 if self.routing is None else self.routing.version
+
+    def named(
+        self,
+        model: str,
+        version: int,
+        since: float,
+        *,
+        guessed: bool = False,
+    ) -> bool:
+        """Take it that a version was named; tell whether it is news.
+
+        :param guessed: whether the time is a guess, since whoever tells it
+            began after the naming.
+        """
         known = self._named_by_model.get(model)
         if known is None:
             bound = self._own.duties.version - _VERSION_MARGIN
             known = named_versions.NamedVersions(bound)
             self._named_by_model[model] = known
-        if not known.named(version, since):
+        if not known.named(version, since, guessed=guessed):
             return False
-        logger.bind(model=model, version=version).info('version named')
+        logger.bind(
+            model=model,
+            version=version,
+            ago=round(self._clock() - since, 3),
+            guessed=guessed,
+        ).info('version named')
         if self.on_named is not None:
             self.on_named()
         return True
 
+    def found_named(self, model: str, version: int, now: float) -> None:
+        """Take it that a version was named before this process began.
+
+        When isn't known, unless peers tell it. Engines that work on older
+        versions are used for as long as a process that has just started
+        isn't held to the bound, and no longer.
+        """
+        duties = self._own.duties
+        grace = max(duties.settling - _START_MARGIN, 0)
+        since = now + grace + _VERSION_MARGIN - duties.version
+        self.named(model, version, since, guessed=True)
+
     def versions(self, now: float) -> tuple[beats.NamedVersion, ...]:
         """Return the named versions, to tell others."""
         return tuple(
-            beats.NamedVersion(model, version, max(now - since, 0))
+            beats.NamedVersion(
+                model,
+                version,
+                max(now - since, 0),
+                version in named.guessed,
+            )
             for model, named in self._named_by_model.items()
             for version, since in named.since_by_version.items()
         )
--- a/clementinepass/direct/follower.py
+++ b/clementinepass/direct/follower.py
@@ -150,6 +150,17 @@
         self.started = True
         return news
 
+    def take_anew(self, page: records.Page) -> int:
+        """Hand records on whatever is known of their offsets.
+
+        For a listener to whom hearing a record twice makes no difference.
+        """
+        for record in page.records:
+            self.known.take(record)
+            self._listener(record)
+        self.known.next_offset = max(self.known.next_offset, page.next_offset)
+        return len(page.records)
+
     async def _read_newest(self) -> typing.Any:
         page = await self._store.newest(self.topic)
         self._regained()
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -1,4 +1,4 @@
-"""Send and take beats, and fetch records from a peer that knows more."""
+"""Send and take beats, and hand records to peers that know less."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.direct import beats, members, records
-from clementinepass.http import front, messages, pool
+from clementinepass.direct import beats, catching_up, members, records
+from clementinepass.http import front
 from clementinepass.wire import beats as wire_beats
 
 if typing.TYPE_CHECKING:
@@ -19,6 +19,7 @@
     from collections.abc import Iterable
 
     from clementinepass.direct import beliefs, follower, node
+    from clementinepass.http import messages
 
 #: Seconds between beats. Counts of requests at endpoints are as old as this
 #: when others place by them; each beat costs some 150 bytes a peer.
@@ -29,17 +30,6 @@
 #: Peers that a beat goes to. More are told in turn, so that the traffic of
 #: one process doesn't grow with the system.
 _MOST_PEERS = 16
-#: Seconds for which a peer may be ahead in reading the store before its
-#: records are fetched from it: the store itself tells within milliseconds.
-_BEHIND_SECONDS = 0.25
-#: The same for an agent, whose link is narrow: a configuration takes as long
-#: as two pieces of weights, and an agent needs little of it.
-_AGENT_BEHIND_SECONDS = 4.0
-#: Seconds for records from a peer; one that doesn't answer keeps others from
-#: being asked. An agent's narrow link takes longer.
-_FETCH_SECONDS = 0.8
-_AGENT_FETCH_SECONDS = 3.0
-_RECORDS_PATH = b'/records/'
 _OK = 200
 _NOT_FOUND = 404
 
@@ -69,18 +59,7 @@
         self._heartbeat = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._front = front.Front(self._serve)
-        self._behind_since: dict[records.Topic, float] = {}
-        self._fetching_by_topic: dict[records.Topic, asyncio.Task[None]] = {}
-        self._behind_seconds_by_topic = {
-            records.Topic.OPERATOR: _AGENT_BEHIND_SECONDS,
-            records.Topic.ENDPOINTS: _BEHIND_SECONDS,
-        }
-        self._fetch_seconds = _AGENT_FETCH_SECONDS
-        if own.callers:
-            self._fetch_seconds = _FETCH_SECONDS
-            self._behind_seconds_by_topic[records.Topic.OPERATOR] = (
-                _BEHIND_SECONDS
-            )
+        self._catching_up = catching_up.CatchingUp(own, followers, known)
         #: The entries.
         self.members = members.Members(own.ip)
         #: What this process says of itself.
@@ -159,65 +138,15 @@
         if beat.sender is not None:
             self._beliefs.heard_loads(ip, beat.in_flight_by_endpoint, now)
         for named in beat.versions:
-            self._beliefs.named(named.model, named.version, now - named.age)
+            self._beliefs.named(
+                named.model,
+                named.version,
+                now - named.age,
+                guessed=named.guessed,
+            )
         for held in beat.held:
             self._beliefs.heard_held(held)
-        self._compare(records.Topic.OPERATOR, beat.operator_offset, ip, now)
-        self._compare(records.Topic.ENDPOINTS, beat.endpoints_offset, ip, now)
-
-    def _compare(
-        self,
-        topic: records.Topic,
-        offset: int,
-        ip: str,
-        now: float,
-    ) -> None:
-        """Fetch records from a peer that has read further for a while.
-
-        The store may turn this process away, or a read may hang on a
-        connection that fell silent, while others hear of each change.
-        """
-        own = self._followers.get(topic)
-        if own is None:
-            return
-        if offset <= own.known.next_offset and own.started:
-            self._behind_since.pop(topic, None)
-            return
-        since = self._behind_since.setdefault(topic, now)
-        patience = self._behind_seconds_by_topic[topic]
-        if now - since < patience and own.started:
-            return
-        if topic not in self._fetching_by_topic:
-            self._behind_since[topic] = now
-            task = asyncio.create_task(self._fetch(own, ip))
-            self._fetching_by_topic[topic] = task
-
-    async def _fetch(self, own: follower.Follower, ip: str) -> None:
-        path = _RECORDS_PATH + own.topic.value.encode()
-        target = b'%b?%d' % (path, own.known.next_offset)
-        request = messages.request_bytes(
-            b'GET',
-            target,
-            [(b'Host', ip.encode())],
-            b'',
-        )
-        peers = pool.Pool(ip, self._own.first_port)
-        try:
-            fetched = await pool.fetch(peers, request, self._fetch_seconds)
-            page = wire_beats.read_records(fetched.body, ip)
-        except errors.ClementinepassError as error:
-            logger.bind(peer=ip).info('records not fetched: {}', error)
-            return
-        finally:
-            peers.close()
-            self._fetching_by_topic.pop(own.topic, None)
-        news = own.take(page)
-        logger.bind(
-            peer=ip,
-            topic=own.topic.value,
-            news=news,
-            offset=page.next_offset,
-        ).info('records taken from a peer')
+        self._catching_up.heard(beat, ip, now)
 
     async def _serve(
         self,
@@ -226,7 +155,7 @@
     ) -> None:
         """Hand records of the store to a peer that knows less."""
         for topic, own in self._followers.items():
-            if request.path == _RECORDS_PATH + topic.value.encode():
+            if request.path == catching_up.PATH + topic.value.encode():
                 offset = int(request.target.partition(b'?')[2] or b'0')
                 page = own.known.since(offset)
                 reply.send(_OK, [], wire_beats.write_records(page))
@@ -245,6 +174,7 @@
             in_flight_by_endpoint=self._beliefs.in_flight_by_endpoint(),
             operator_offset=self._offset(records.Topic.OPERATOR),
             endpoints_offset=self._offset(records.Topic.ENDPOINTS),
+            configuration=self._beliefs.configuration,
             versions=self._beliefs.versions(now) if whole else (),
             held=self.held,
         )
--- a/clementinepass/direct/intake.py
+++ b/clementinepass/direct/intake.py
@@ -52,12 +52,13 @@
     What can't be decoded changes nothing: what was in force stays so.
     """
 
-    __slots__ = ('_beliefs', '_listings', '_readers')
+    __slots__ = ('_beliefs', '_listings', '_operator', '_readers')
 
     def __init__(self, known: beliefs.Beliefs, readers: Readers) -> None:
         self._beliefs = known
         self._readers = readers
         self._listings: follower.Follower | None = None
+        self._operator: follower.Follower | None = None
 
     def followers(
         self,
@@ -65,7 +66,7 @@
         rng: random.Random,
     ) -> dict[records.Topic, follower.Follower]:
         """Return what follows the operator and the endpoints."""
-        operator = follower.Follower(
+        self._operator = follower.Follower(
             store,
             records.Topic.OPERATOR,
             self._operator_wrote,
@@ -77,7 +78,7 @@
             self._endpoint_wrote,
             rng,
         )
-        return {one.topic: one for one in (operator, self._listings)}
+        return {one.topic: one for one in (self._operator, self._listings)}
 
     def _operator_wrote(self, record: records.Record) -> None:
         try:
@@ -87,7 +88,10 @@
             return
         if isinstance(word, NamedVersion):
             now = asyncio.get_running_loop().time()
-            self._beliefs.named(word.model, word.version, now)
+            if self._operator is not None and not self._operator.started:
+                self._beliefs.found_named(word.model, word.version, now)
+            else:
+                self._beliefs.named(word.model, word.version, now)
         elif word is not None:
             self._beliefs.configured(word)
 
--- a/clementinepass/direct/node.py
+++ b/clementinepass/direct/node.py
@@ -23,6 +23,9 @@
     budget_surplus: float = 100
     #: Until no request begins on an older version.
     version: float = 8
+    #: For which a process that has started, or whose links were disturbed,
+    #: isn't held to the bounds.
+    settling: float = 3
     #: For which callers may keep a list of entries.
     longest_offer: float = 5
 
--- a/clementinepass/platform/node_settings.py
+++ b/clementinepass/platform/node_settings.py
@@ -35,6 +35,9 @@
     """The names are in two spellings, as sent."""
 
     drainMs: float = 2000  # noqa: N815
+    #: Milliseconds after a disturbance in which no bound is held against a
+    #: process.
+    stableWindowMs: float = 3000  # noqa: N815
     graceS: float = 8  # noqa: N815
     budgetRatio: float = 0.2  # noqa: N815
     budgetWindowS: float = 10  # noqa: N815
@@ -122,5 +125,6 @@
         budget_window=bounds.budgetWindowS,
         budget_surplus=bounds.budgetSlack,
         version=bounds.version_ms / _MS,
+        settling=bounds.stableWindowMs / _MS,
         longest_offer=bounds.ttl_max_s,
     )
--- a/clementinepass/wire/beats.py
+++ b/clementinepass/wire/beats.py
@@ -33,6 +33,7 @@
         slot.inFlight = min(in_flight, 65535)
     message.follow.operatorOffset = beat.operator_offset
     message.follow.endpointsOffset = beat.endpoints_offset
+    message.follow.configuration = beat.configuration
     _write_versions(message, beat)
     _write_held(message, beat)
     return bytes(message.to_bytes_packed())
@@ -107,6 +108,7 @@
         slot.model = named.model
         slot.version = named.version
         slot.ageMs = min(int(named.age * _MS), 2**32 - 1)
+        slot.guessed = named.guessed
 
 
 def _write_held(message: typing.Any, beat: beats.Beat) -> None:
@@ -128,8 +130,14 @@
         },
         operator_offset=message.follow.operatorOffset,
         endpoints_offset=message.follow.endpointsOffset,
+        configuration=message.follow.configuration,
         versions=tuple(
-            beats.NamedVersion(named.model, named.version, named.ageMs / _MS)
+            beats.NamedVersion(
+                named.model,
+                named.version,
+                named.ageMs / _MS,
+                named.guessed,
+            )
             for named in message.versions
         ),
         held=tuple(
--- a/clementinepass/wire/direct.capnp
+++ b/clementinepass/wire/direct.capnp
@@ -22,6 +22,8 @@
   # How far the sender has read the store.
   operatorOffset @0 :UInt64;
   endpointsOffset @1 :UInt64;
+  # The version of the configuration in force at the sender; 0 for none.
+  configuration @2 :UInt64;
 }
 
 struct NamedVersion {
@@ -29,6 +31,8 @@
   model @0 :Text;
   version @1 :UInt32;
   ageMs @2 :UInt32;
+  # Whether the age is a guess: the sender began after the naming.
+  guessed @3 :Bool;
 }
 
 struct Held {
--- a/tests/decisions/test_direct_decisions.py
+++ b/tests/decisions/test_direct_decisions.py
@@ -198,6 +198,21 @@
         self.assertFalse(named.named(2, 99))
         self.assertEqual(3, named.newest)
 
+    def test_guess_gives_way(self) -> None:
+        """A restarted entry guessed when a version was named.
+
+        It held that it had just been, and sent requests to older weights for
+        seconds after the bound. Others knew the time; theirs goes before a
+        guess, earlier or later, and a guess never before theirs.
+        """
+        named = named_versions.NamedVersions(8)
+        self.assertTrue(named.named(2, 95, guessed=True))
+        self.assertFalse(named.named(2, 98))
+        self.assertEqual(106, named.usable_until(1))
+        named.named(2, 90, guessed=True)
+        self.assertEqual(106, named.usable_until(1))
+        self.assertEqual(set(), named.guessed)
+
 
 class SupersedingTest(testtools.TestCase):
     """The shorter gap is chosen."""
--- a/tests/direct/test_machines.py
+++ b/tests/direct/test_machines.py
@@ -8,9 +8,17 @@
 import typing
 
 import aioprometheus
+import msgspec
 import testtools
 
-from clementinepass.direct import agent, entry, intake, node
+from clementinepass.direct import (
+    agent,
+    beliefs,
+    entry,
+    intake,
+    node,
+    records,
+)
 from clementinepass.http import messages, pool
 from clementinepass.platform import (
     dialect,
@@ -327,6 +335,42 @@
         """Do nothing."""
 
 
+class RestartTest(testtools.TestCase):
+    """What a process can't know that began after it happened."""
+
+    def test_version_named_before_start(self) -> None:
+        """All entries were killed four seconds after a version was named.
+
+        Back again they held that it had been named just then, and sent
+        requests to older weights for eight seconds more. When it was is not
+        to be known; the bound counts from before the start.
+        """
+
+        async def play(world: Machines) -> None:
+            named = {'model': 'm', 'version': 2}
+            world.store.put('keyed.op', 'version/m', named)
+            own = msgspec.structs.replace(
+                world.entries[0]._own,
+                duties=node.Duties(version=8, settling=3),
+            )
+            known = beliefs.Beliefs(own)
+            follow = intake.Intake(known, READERS).followers(
+                store.HttpStore(own.store),
+                random.Random(1),
+            )[records.Topic.OPERATOR]
+            task = asyncio.create_task(follow.run())
+            await until(lambda: known.wanted_version('m') == 2)
+            task.cancel()
+            now = asyncio.get_running_loop().time()
+            engine = known.routing.services_by_name['pool'].engine
+            settling = own.duties.settling
+            self.assertLess(known.begin_by(engine, 1), now + settling)
+            (told,) = known.versions(now)
+            self.assertTrue(told.guessed)
+
+        run(play)
+
+
 class WeightsTest(testtools.TestCase):
     """Agents bring engines to the version that is wanted."""
 
