Exchange pieces between chains when the origin is gone; pass over only who is silent or slow

The origin is gone 2.5 s after a version is named; the two chains then have 83 of 96 pieces between them, each the half that the other lacks, and wait for the next one in their order. All agents pass over the one before them, which only waits itself, meet at the same two, and ask the origin together when it is back (2.8 to 5.6 copies). On a link narrowed to a tenth the slow agent accuses the one before it, too, and seven behind it get a piece each 150 ms.

Change: after 0.35 s without a piece an agent goes by what its source has; those that bring pieces into a region ask the other chain. A source is passed over only if it sends no byte for 0.75 s, refuses connections or says that it is slow; one that waits says so within 0.3 s. Slow is measured from head to end of a piece.

Ruled out: the origin's rate (it feeds two at full speed); the turns to load.

Tests: with the exchange taken out test_chains_exchange fails.

--- a/clementinepass/decisions/piece_chains.py
+++ b/clementinepass/decisions/piece_chains.py
@@ -60,24 +60,35 @@
     """From whom to get pieces, and from which end on.
 
     :param place: how many agents of the chain are before the asking one.
+    :param partners: whom to ask besides, the first that answers, while the
+        sources bring nothing: only for agents that bring pieces into their
+        region, so that each border is crossed once.
+    :param anyone: all other agents, those of the own region first.
     """
 
     sources: tuple[str, ...]
     ascending: bool
     place: int = 0
+    partners: tuple[str, ...] = ()
+    anyone: tuple[str, ...] = ()
 
 
 def plan(question: Question) -> Plan:
     """Return from whom the asking agent gets its pieces."""
+    chosen = _sources(question)
+    return chosen._replace(anyone=tuple(anyone(question)))
+
+
+def _sources(question: Question) -> Plan:
     near = [
         peer for peer in question.peers if peer.region == question.own.region
     ]
     holders = _turned(question.own, near)
     if holders:
-        return _behind(question.own, near, holders)
+        return _behind(question.own, near, holders, holders)
     holders = _turned(question.own, question.peers)
     if holders:
-        return _behind(question.own, near, holders[:1])
+        return _behind(question.own, near, holders[:1], holders)
     return _chained(question)
 
 
@@ -97,7 +108,12 @@
     return holders[turn:] + holders[:turn]
 
 
-def _behind(own: Peer, near: Sequence[Peer], holders: list[str]) -> Plan:
+def _behind(
+    own: Peer,
+    near: Sequence[Peer],
+    holders: list[str],
+    partners: list[str],
+) -> Plan:
     """Return a place in a chain that a holder heads, one for each holder.
 
     Heads ask two holders, since askers don't know of one another at once:
@@ -110,18 +126,40 @@
         before = askers[place - len(holders)]
         return Plan((before.ip,), ascending=True, place=place // len(holders))
     turned = holders[place:] + holders[:place]
-    return Plan(tuple(turned[:_HOLDERS_ASKED]), ascending=True)
+    sources = tuple(turned[:_HOLDERS_ASKED])
+    others = tuple(ip for ip in partners if ip not in sources)
+    return Plan(sources, ascending=True, partners=others)
 
 
 def _chained(question: Question) -> Plan:
     ordered = _in_order(question)
     split = _split(ordered)
-    for chain, ascending in ((ordered[:split], True), (ordered[split:], False)):
-        if question.own in chain:
-            place = chain.index(question.own)
-            source = chain[place - 1].ip if place else ORIGIN
-            return Plan((source,), ascending, place)
-    return Plan((ORIGIN,), ascending=True)
+    first, second = ordered[:split], ordered[split:]
+    if question.own in first:
+        return _place_in(first, second, question.own, ascending=True)
+    return _place_in(second, first, question.own, ascending=False)
+
+
+def _place_in(
+    chain: Sequence[Peer],
+    other: Sequence[Peer],
+    own: Peer,
+    *,
+    ascending: bool,
+) -> Plan:
+    """Return an agent's place in its chain.
+
+    The first of each region has partners in the other chain, which begins at
+    the other end: when the origin fails, each chain has what the other lacks.
+    """
+    place = chain.index(own)
+    before = chain[place - 1] if place else None
+    source = ORIGIN if before is None else before.ip
+    partners: tuple[str, ...] = ()
+    if other and (before is None or before.region != own.region):
+        turn = place % len(other)
+        partners = tuple(peer.ip for peer in (*other[turn:], *other[:turn]))
+    return Plan((source,), ascending, place, partners)
 
 
 def _in_order(question: Question) -> list[Peer]:
--- a/clementinepass/direct/exchange.py
+++ b/clementinepass/direct/exchange.py
@@ -20,18 +20,22 @@
 _MANIFESTS = 'manifests'
 _NUMBERS = 'numbers'
 _PIECES = 'pieces'
-#: How many pieces of the version the answering agent has.
+#: How many pieces of the version the answering agent has, and whether they
+#: come slowly to it.
 _OTHERS = b'Clementinepass-Pieces'
+_SLOW = b'Clementinepass-Slow'
 _OK = 200
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
 #: Seconds that an agent which is getting pieces lets another wait for more.
-_WAIT_SECONDS = 1.0
+#: Whoever waits knows by the answer that it lives, so not for long.
+_WAIT_SECONDS = 0.3
 #: Looks during that time whether the version has been begun.
 _LOOKS = 10
 _NUMBERS_SECONDS = 3.0
-#: Seconds for a piece from another agent: those before it are sent first.
-_PIECE_SECONDS = 3.0
+#: Seconds for a piece from another agent: those before it are sent first, and
+#: on a link narrowed to a tenth five of them take as long.
+_PIECE_SECONDS = 4.0
 _MANIFEST_SECONDS = 2.5
 #: Connections to one agent.
 _MOST_CONNECTIONS = 8
@@ -49,6 +53,13 @@
 _LONGEST_TURN = 1.0
 
 
+class _State(msgspec.Struct):
+    """What an agent that gets pieces says of them."""
+
+    numbers: tuple[int, ...]
+    slow: bool
+
+
 class _Wish(typing.NamedTuple):
     """What another agent asks for.
 
@@ -104,14 +115,14 @@
         self,
         reply: front.Reply,
         piece: bytes,
-        others: int,
+        pairs: list[messages.Pair],
     ) -> None:
         """Send a piece when those before it are out.
 
-        :param others: how many pieces there are here.
+        :param pairs: headers that say what else there is here.
         """
         async with self._turn:
-            reply.send(_OK, [(_OTHERS, b'%d' % others)], piece)
+            reply.send(_OK, pairs, piece)
             seconds = len(piece) * _BITS / self._left_for_pieces()
             await asyncio.sleep(min(seconds, _LONGEST_TURN))
 
@@ -148,16 +159,25 @@
             reply.send(_BAD_REQUEST, [], b'')
             return
         found = await self._find(wish)
+        pairs = self._state(wish)
         if found is None:
-            reply.send(_NOT_FOUND, [], b'')
+            reply.send(_NOT_FOUND, pairs, b'')
         elif wish.kind == _PIECES:
             self.sent += len(found)
-            held = self._holder.pieces_of(wish.model, wish.version)
-            others = 0 if held is None else len(held.numbers)
-            await self._uplink.send(reply, found, others)
+            await self._uplink.send(reply, found, pairs)
         else:
             reply.send(_OK, [], found)
 
+    def _state(self, wish: _Wish) -> list[messages.Pair]:
+        """Return the headers that say what there is here."""
+        held = self._holder.pieces_of(wish.model, wish.version)
+        if held is None:
+            return []
+        return [
+            (_OTHERS, b'%d' % len(held.numbers)),
+            (_SLOW, b'%d' % held.slow),
+        ]
+
     async def _find(self, wish: _Wish) -> bytes | None:
         held = await self._pieces(wish)
         if wish.kind == _PIECES:
@@ -167,7 +187,7 @@
         if wish.kind == _MANIFESTS:
             return msgspec.json.encode(held.manifest.digests)
         await held.wait_for_more(wish.number, _WAIT_SECONDS)
-        return msgspec.json.encode(held.numbers)
+        return msgspec.json.encode(_State(tuple(held.numbers), held.slow))
 
     async def _piece(
         self,
@@ -184,8 +204,8 @@
                 wish.version,
                 wish.number,
             )
-        # Whoever waits for an agent that is slow to get pieces itself does
-        # better to ask the one before it.
+        # Whoever waits for an agent to which pieces come slowly does better
+        # to ask the one before it.
         seconds = 0 if held.slow else _WAIT_SECONDS
         return await held.wait_for(wish.number, seconds)
 
@@ -216,6 +236,11 @@
         self._ip = ip
         self._pool = pool.Pool(ip, port, _MOST_CONNECTIONS)
 
+    @property
+    def heard(self) -> float:
+        """Return the monotonic seconds at which a byte of it last came."""
+        return self._pool.heard
+
     async def manifest(
         self,
         model: str,
@@ -238,8 +263,8 @@
         model: str,
         version: int,
         known: int,
-    ) -> frozenset[int]:
-        """Return the numbers of its pieces, once there are more than known.
+    ) -> weights.Holding:
+        """Return what it has, soon after there is more than known.
 
         :raises PeerUnavailableError: the agent doesn't answer.
         :raises MalformedMessageError: it answers with something else.
@@ -247,25 +272,29 @@
         target = f'/{_NUMBERS}/{model}/{version}/{known}'
         found = await self._get(target, _NUMBERS_SECONDS)
         if found is None:
-            return frozenset()
-        return frozenset(self._decode(found, tuple[int, ...]))
+            return weights.Holding()
+        state = self._decode(found, _State)
+        return weights.Holding(frozenset(state.numbers), state.slow)
 
     async def piece(
         self,
         model: str,
         version: int,
         number: int,
-    ) -> weights.Piece | None:
-        """Return a piece, unchecked; ``None`` if it has none.
+    ) -> weights.Piece:
+        """Return a piece, unchecked, waiting a moment until it is there.
 
         :raises PeerUnavailableError: the agent doesn't answer.
         """
         target = f'/{_PIECES}/{model}/{version}/{number}'
         fetched = await self._fetch(target, _PIECE_SECONDS)
-        if fetched.status != _OK:
-            return None
-        others = fetched.headers.get(_OTHERS.lower()) or b'0'
-        return weights.Piece(fetched.body, int(others))
+        headers = fetched.headers
+        return weights.Piece(
+            fetched.body if fetched.status == _OK else None,
+            others=int(headers.get(_OTHERS.lower()) or b'0'),
+            seconds=fetched.seconds,
+            slow=headers.get(_SLOW.lower()) == b'1',
+        )
 
     def _decode(self, found: bytes, kind: typing.Any) -> typing.Any:
         try:
--- a/clementinepass/direct/fetching.py
+++ b/clementinepass/direct/fetching.py
@@ -1,9 +1,10 @@
 """Get the missing pieces of a version, from whoever has them.
 
 Each agent asks the one before it in its chain, in the order in which pieces
-come there.  Where they don't come, agents ask others, and only for what those
-say that they have.  The link is the engine's too, so few pieces are on it at
-once; more would hold up the prompts and events behind them.
+come there, and before they are there.  Where nothing comes for a moment it
+goes by what its source says that it has, and those who bring pieces into their
+region ask the other chain, too.  The link is the engine's as well, so few
+pieces are on it at once; more would hold up the prompts and events behind them.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 
 from clementinepass import errors
 from clementinepass.decisions import piece_chains
+from clementinepass.direct import suppliers
 
 if typing.TYPE_CHECKING:
     from clementinepass.direct import pieces, weights
@@ -28,39 +30,34 @@
 #: The same of several sources, which send at the same time: with six on their
 #: way half of the answers were late behind them, with two a tenth.
 _ASKED_OF_SEVERAL = 2
-#: Seconds without a piece after which its source is passed over. Pieces come
-#: each sixth of a second where links are slowed to a third.
-_SILENT_AFTER = 0.6
-#: The same for each agent before in the chain: a break silences all behind it,
-#: and only the one next to it has to look elsewhere.
-_SILENT_EACH = 0.2
-#: Pieces in a row that the source doesn't have and won't wait for, after
-#: which it is passed over too.
-_REFUSALS = 4
-#: Seconds between pieces, twice the usual, and pieces by which the source is
-#: ahead, that show this agent's own link to be slow.
-_SLOW_GAP = 0.13
-_FAR_AHEAD = 6
-#: Seconds for which it is passed over: the time for its machine to wake, or
-#: for the list to drop it.
-_PASSED_OVER = 5.0
-#: Sources in a row that were silent, after which all agents are asked, and
-#: after which the origin is asked too.
-_ROUNDS_TO_ANYONE = 2
-_ROUNDS_TO_ORIGIN = 3
+#: Pieces asked for that the source doesn't have yet, where what it has is
+#: followed: the next one and one behind it.
+_ASKED_AHEAD = 2
+#: Seconds without a piece after which to go by what the source has. Pieces
+#: come each 60 ms, and each 170 ms where links are slowed to a third.
+_STALLED = 0.35
+#: Seconds without a piece after which the origin and all agents are asked,
+#: and the same for each agent before in the chain. The origin has to send to
+#: two; where all agents turn to it none is done in time.
+_LOST = 8.0
+_LOST_EACH = 1.0
+#: Seconds that a piece takes on this agent's link, four times the usual, and
+#: pieces by which its source is ahead, that show the link to be slow.
+_SLOW_PIECE = 0.22
+_FAR_AHEAD = 4
 #: Seconds that pieces on their way may keep the link busy.
 _QUEUE_SECONDS = 0.3
-#: Seconds between pieces: at first, and the longest that is learnt from.
-_USUAL_GAP = 0.06
-_LONGEST_GAP = 0.6
-#: The weight of a new gap; the last four or so count.
-_GAIN = 0.25
-#: Seconds between questions to the source for the pieces that it has.
-_PAUSE_SECONDS = 0.02
-#: Seconds between looks when nothing came.
-_LOOK_SECONDS = 0.2
-#: Other agents that are watched once pieces don't come as they are meant to.
-_MOST_WATCHED = 12
+#: Seconds that a piece takes on the link: at first, and the longest that is
+#: learnt from.
+_USUAL_PIECE = 0.06
+_LONGEST_PIECE = 0.6
+#: The weight of a new piece's time; the last three or so count.
+_GAIN = 0.35
+#: Seconds between questions to a source that has nothing new.
+_PAUSE_SECONDS = 0.03
+#: Seconds between looks when nothing came, and after a failure.
+_LOOK_SECONDS = 0.1
+_FAILED_PAUSE = 0.2
 
 
 class View(typing.Protocol):
@@ -85,18 +82,13 @@
     def __init__(self, held: pieces.Pieces, view: View) -> None:
         self._held = held
         self._view = view
-        self._has_by_ip: dict[str, frozenset[int]] = {}
-        self._watchers_by_ip: dict[str, asyncio.Task[None]] = {}
-        self._on_way: dict[int, asyncio.Task[None]] = {}
-        self._asked_of: dict[str, int] = {}
-        self._avoided: set[tuple[str, int]] = set()
+        self._suppliers = suppliers.Suppliers(view.source)
+        self._plan: piece_chains.Plan | None = None
         self._changed = asyncio.Event()
         self._progress = asyncio.get_running_loop().time()
-        self._gap = _USUAL_GAP
-        self._rounds = 0
-        self._source_ahead = 0
-        self._refusals = 0
-        self._silent_until_by_ip: dict[str, float] = {}
+        #: Whether to go by what sources have, not by the order of the chain.
+        self._by_holdings = False
+        self._piece_seconds = _USUAL_PIECE
         #: Bytes got from the origin and from agents.
         self.from_origin = 0
         self.from_agents = 0
@@ -105,231 +97,293 @@
         """Get all missing pieces, or end when another version is wanted."""
         try:
             while self._held.missing and not self._superseded():
-                self._start()
+                self._start(asyncio.get_running_loop().time())
                 self._changed.clear()
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(_LOOK_SECONDS):
                         await self._changed.wait()
         finally:
-            for task in (
-                *self._watchers_by_ip.values(),
-                *self._on_way.values(),
-            ):
-                task.cancel()
+            self._suppliers.cancel()
 
     # What to get next.
 
-    def _start(self) -> None:
+    def _start(self, now: float) -> None:
         """Ask for pieces until enough are on their way."""
-        question = self._question()
+        self._suppliers.judge(now)
+        question = self._question(now)
         plan = piece_chains.plan(question)
-        now = asyncio.get_running_loop().time()
-        refused = self._refusals >= _REFUSALS and self._rounds == 0
-        patience = _SILENT_AFTER + plan.place * _SILENT_EACH
-        if refused or now - self._progress > patience:
-            self._pass_over(plan, now)
-            question = self._question()
-            plan = piece_chains.plan(question)
-        sources = self._sources(question, plan)
-        as_planned = sources == plan.sources
-        most = self._most_asked(sources, as_planned=as_planned)
-        numbers = self._held.missing
-        if not plan.ascending:
-            numbers.reverse()
-        for number in numbers:
-            if len(self._on_way) >= most:
+        self._follow_plan(plan, now)
+        if now - self._progress > _STALLED and not self._by_holdings:
+            self._by_holdings = True
+            logger.bind(
+                sources=plan.sources,
+                partners=plan.partners[:1],
+                missing=len(self._held.missing),
+            ).info('pieces stalled')
+        if self._by_holdings:
+            self._ask_for_held(question, plan, now)
+        else:
+            self._ask_in_order(plan, now)
+
+    def _follow_plan(self, plan: piece_chains.Plan, now: float) -> None:
+        """Begin anew where pieces come from others than before."""
+        if self._plan is not None and plan.sources != self._plan.sources:
+            logger.bind(
+                sources=plan.sources,
+                before=self._plan.sources,
+                missing=len(self._held.missing),
+            ).info('sources changed')
+            self._progress = now
+            self._by_holdings = False
+        self._plan = plan
+
+    def _ask_in_order(self, plan: piece_chains.Plan, now: float) -> None:
+        """Ask the planned sources for what comes next in their order.
+
+        They are asked before they have it, and send each piece as it comes:
+        to ask for what is there takes a question and an answer more, each
+        behind a piece on the link.
+        """
+        able = self._suppliers.usable(plan.sources, now)
+        most = self._most_asked(
+            _ASKED_OF_SEVERAL
+            if piece_chains.ORIGIN in plan.sources
+            else _ASKED_OF_AGENT,
+        )
+        for number in self._in_order(plan):
+            if not able or len(self._suppliers.on_way()) >= most:
                 return
-            ip = self._source_of(number, sources, as_planned=as_planned)
-            if ip is not None:
-                self._asked_of[ip] = self._asked_of.get(ip, 0) + 1
-                self._on_way[number] = asyncio.create_task(
-                    self._get(ip, number),
-                )
+            self._ask(min(able, key=_on_way), number, now)
 
-    def _pass_over(self, plan: piece_chains.Plan, now: float) -> None:
-        """Give up sources that sent nothing for a while.
+    def _ask_for_held(
+        self,
+        question: piece_chains.Question,
+        plan: piece_chains.Plan,
+        now: float,
+    ) -> None:
+        """Ask for what sources say that they have.
 
-        Failure: a machine in the middle of a chain stood still, or had its
-        link narrowed to a quarter, and all agents behind it waited. Without
-        it, the next one has another before it. The origin, which has no other
-        in its place, leaves the agents.
+        Failure: the origin was gone 2.5 s after a version was named. One
+        chain had the first half of the pieces and the other the second, and
+        each waited for the next one in its order for six seconds.
         """
-        self._progress = now
-        self._refusals = 0
-        self._rounds += 1
-        if plan.sources == (piece_chains.ORIGIN,):
-            self._rounds = max(self._rounds, _ROUNDS_TO_ANYONE)
-        for ip in plan.sources:
-            self._silent_until_by_ip[ip] = now + _PASSED_OVER
-        logger.bind(
-            sources=plan.sources,
-            rounds=self._rounds,
-            missing=len(self._held.missing),
-        ).info('sources silent')
+        sources = self._sources(plan, now)
+        self._learn(question, sources)
+        ordered = self._in_order(plan)
+        self._ask_known(sources, ordered, now)
+        for one in sources:
+            if one.ip == piece_chains.ORIGIN:
+                self._ask_origin(one, ordered, sources, now)
+        if plan.sources != (piece_chains.ORIGIN,):
+            self._ask_ahead(sources[:1], plan, now)
+
+    def _ask_known(
+        self,
+        sources: list[suppliers.Supplier],
+        ordered: list[int],
+        now: float,
+    ) -> None:
+        """Ask for pieces that sources are known to have."""
+        room = self._most_asked(_ASKED_OF_SEVERAL)
+        room -= sum(len(one.has.intersection(one.on_way)) for one in sources)
+        for number in ordered:
+            if room <= 0:
+                return
+            able = [one for one in sources if number in one.has]
+            if able:
+                self._ask(min(able, key=_on_way), number, now)
+                room -= 1
 
-    def _sources(
+    def _ask_ahead(
         self,
-        question: piece_chains.Question,
+        sources: list[suppliers.Supplier],
         plan: piece_chains.Plan,
-    ) -> tuple[str, ...]:
-        """Return whom to ask now, and watch what they have."""
-        if self._rounds < _ROUNDS_TO_ANYONE:
-            return plan.sources
-        others = piece_chains.anyone(question)[:_MOST_WATCHED]
-        sources = (*plan.sources, *others)
-        if self._rounds >= _ROUNDS_TO_ORIGIN:
-            sources = (*sources, piece_chains.ORIGIN)
-        holders = {peer.ip for peer in question.peers if peer.holds}
-        for ip in sources:
-            if ip in holders:
-                every = range(len(self._held.manifest.digests))
-                self._has_by_ip[ip] = frozenset(every)
-            elif ip != piece_chains.ORIGIN and ip not in self._watchers_by_ip:
-                self._watchers_by_ip[ip] = asyncio.create_task(
-                    self._follow(ip),
-                )
-        return sources
+        now: float,
+    ) -> None:
+        """Ask for what comes next in the order of the chain besides.
 
-    def _source_of(
-        self,
-        number: int,
-        sources: tuple[str, ...],
-        *,
-        as_planned: bool,
-    ) -> str | None:
-        """Return where to get a piece from now; ``None`` to wait.
-
-        The agent before in the chain is asked for pieces that it doesn't
-        have yet, and sends each as it comes: to ask for what is there takes
-        a question and an answer more, each behind a piece on the link.
+        So that pieces flow without a pause again once there are new ones.
         """
-        if number in self._on_way:
-            return None
-        able = [
-            ip
-            for ip in sources
-            if (ip, number) not in self._avoided
-            and (
-                as_planned
-                or ip == piece_chains.ORIGIN
-                or number in self._has_by_ip.get(ip, ())
+        for one in sources:
+            ahead = [each for each in one.on_way if each not in one.has]
+            most = self._most_asked(_ASKED_AHEAD) - len(ahead)
+            for number in self._in_order(plan)[: max(most, 0)]:
+                if number not in one.has:
+                    self._ask(one, number, now)
+
+    def _ask_origin(
+        self,
+        origin: suppliers.Supplier,
+        ordered: list[int],
+        sources: list[suppliers.Supplier],
+        now: float,
+    ) -> None:
+        """Ask the origin for pieces that nobody else has."""
+        elsewhere = frozenset().union(*(one.has for one in sources))
+        for number in ordered:
+            if len(origin.on_way) >= _ASKED_OF_SEVERAL:
+                return
+            if number not in elsewhere:
+                self._ask(origin, number, now)
+
+    def _sources(
+        self,
+        plan: piece_chains.Plan,
+        now: float,
+    ) -> list[suppliers.Supplier]:
+        """Return whom to ask for what they have."""
+        partners = self._suppliers.usable(plan.partners, now)[:1]
+        found = [*self._suppliers.usable(plan.sources, now), *partners]
+        if now - self._progress > _LOST + plan.place * _LOST_EACH:
+            others = (*plan.anyone, piece_chains.ORIGIN)
+            found.extend(
+                one
+                for one in self._suppliers.usable(others, now)
+                if one not in found
             )
-        ]
-        return min(able, key=self._asked, default=None)
+        return found
 
-    def _asked(self, ip: str) -> int:
-        return self._asked_of.get(ip, 0)
+    def _in_order(self, plan: piece_chains.Plan) -> list[int]:
+        """Return the numbers to ask for, in the order of the chain."""
+        on_way = self._suppliers.on_way()
+        numbers = [one for one in self._held.missing if one not in on_way]
+        if not plan.ascending:
+            numbers.reverse()
+        return numbers
 
-    def _question(self) -> piece_chains.Question:
-        """Return who there is, without those that were silent just now."""
+    def _question(self, now: float) -> piece_chains.Question:
+        """Return who there is, without those that are passed over."""
         manifest = self._held.manifest
         question = self._view.question(manifest.model, manifest.version)
-        now = asyncio.get_running_loop().time()
+        without = self._suppliers.passed_over(now)
         return question._replace(
-            peers=[
-                peer
-                for peer in question.peers
-                if self._silent_until_by_ip.get(peer.ip, 0) <= now
-            ],
+            peers=[peer for peer in question.peers if peer.ip not in without],
         )
 
+    def _most_asked(self, most: int) -> int:
+        """Return how many pieces to ask for at once.
+
+        Failure: on a link narrowed to a quarter five pieces take more than a
+        second, and prompts that queue behind them reach the engine after
+        their callers have left. Fewer are asked for the slower they come.
+        """
+        return max(min(most, round(_QUEUE_SECONDS / self._piece_seconds)), 1)
+
     # Who has what.
 
-    async def _follow(self, ip: str) -> None:
+    def _learn(
+        self,
+        question: piece_chains.Question,
+        sources: list[suppliers.Supplier],
+    ) -> None:
+        """Follow what sources have; those whose engine has it have all."""
+        holders = {peer.ip for peer in question.peers if peer.holds}
+        for one in sources:
+            if one.ip in holders:
+                one.has = frozenset(range(len(self._held.manifest.digests)))
+            elif one.ip != piece_chains.ORIGIN and one.watcher is None:
+                one.watcher = asyncio.create_task(self._watch(one))
+
+    async def _watch(self, one: suppliers.Supplier) -> None:
+        loop = asyncio.get_running_loop()
         manifest = self._held.manifest
-        known: frozenset[int] = frozenset()
         while True:
-            source = self._view.source(ip)
+            one.asked(loop.time())
             try:
-                if source is not None:
-                    known = await source.numbers(
-                        manifest.model,
-                        manifest.version,
-                        len(known),
-                    )
-            except errors.ClementinepassError:
-                # It has none to give, whatever the reason.
-                known = frozenset()
-                await asyncio.sleep(_LOOK_SECONDS)
-            if known != self._has_by_ip.get(ip):
-                self._has_by_ip[ip] = known
+                holding = await one.source.numbers(
+                    manifest.model,
+                    manifest.version,
+                    len(one.has),
+                )
+            except errors.ClementinepassError as error:
+                self._failed(one, error)
+                await asyncio.sleep(_FAILED_PAUSE)
+                continue
+            one.answered(loop.time(), slow=holding.slow)
+            if holding.numbers != one.has:
+                one.has = holding.numbers
                 self._changed.set()
             await asyncio.sleep(_PAUSE_SECONDS)
 
     # Getting a piece.
 
-    async def _get(self, ip: str, number: int) -> None:
+    def _ask(self, one: suppliers.Supplier, number: int, now: float) -> None:
+        one.asked(now)
+        one.on_way[number] = asyncio.create_task(self._get(one, number))
+
+    async def _get(self, one: suppliers.Supplier, number: int) -> None:
         try:
-            if await self._get_from(ip, number):
-                self._came(asyncio.get_running_loop().time())
-            else:
-                self._avoided.add((ip, number))
-                self._refusals += 1
+            piece = await self._get_from(one, number)
+        except errors.ClementinepassError as error:
+            self._failed(one, error)
+            await asyncio.sleep(_FAILED_PAUSE)
+        else:
+            if piece is None:
+                await asyncio.sleep(_PAUSE_SECONDS)
         finally:
-            self._ended(ip, number)
+            if one.on_way.get(number) is asyncio.current_task():
+                del one.on_way[number]
+            self._changed.set()
 
-    def _came(self, now: float) -> None:
-        """Note how far apart pieces come while some are on their way."""
-        gap = min(now - self._progress, _LONGEST_GAP)
-        self._gap += _GAIN * (gap - self._gap)
-        self._held.slow = (
-            self._gap > _SLOW_GAP and self._source_ahead > _FAR_AHEAD
+    async def _get_from(
+        self,
+        one: suppliers.Supplier,
+        number: int,
+    ) -> weights.Piece | None:
+        manifest = self._held.manifest
+        piece = await one.source.piece(
+            manifest.model,
+            manifest.version,
+            number,
         )
-        self._progress = now
-        self._rounds = 0
-        self._refusals = 0
-        self._avoided.clear()
+        now = asyncio.get_running_loop().time()
+        one.answered(now, slow=piece.slow)
+        if piece.payload is None:
+            return None
+        if not self._held.take(number, piece.payload):
+            logger.bind(piece=number, source=one.ip or 'origin').warning(
+                'piece is spoilt',
+            )
+            return None
+        self._came(one, piece, now)
+        return piece
 
-    def _most_asked(
+    def _came(
         self,
-        sources: tuple[str, ...],
-        *,
-        as_planned: bool,
-    ) -> int:
-        """Return how many pieces to ask for at once.
-
-        Failure: on a link narrowed to a quarter five pieces take more than a
-        second, and prompts that queue behind them reach the engine after
-        their callers have left. Fewer are asked for the slower they come.
+        one: suppliers.Supplier,
+        piece: weights.Piece,
+        now: float,
+    ) -> None:
+        """Note how long pieces take on the link.
+
+        Where they take long though the source has more, the link here is
+        slow, and this agent is no source for others. Time in which a source
+        sends to others isn't counted: it ends before the answer begins.
         """
-        most = _ASKED_OF_AGENT
-        if piece_chains.ORIGIN in sources or not as_planned:
-            most = _ASKED_OF_SEVERAL
-        return max(min(most, round(_QUEUE_SECONDS / self._gap)), 1)
-
-    def _ended(self, ip: str, number: int) -> None:
-        self._on_way.pop(number, None)
-        self._asked_of[ip] -= 1
-        self._changed.set()
-
-    async def _get_from(self, ip: str, number: int) -> bool:
-        manifest = self._held.manifest
-        source = self._view.source(ip)
-        if source is None:
-            return False
-        marked = logger.bind(piece=number, source=ip or 'origin')
-        try:
-            piece = await source.piece(
-                manifest.model,
-                manifest.version,
-                number,
-            )
-        except errors.ClementinepassError as error:
-            marked.info('piece not got: {}', error)
-            await asyncio.sleep(_LOOK_SECONDS)
-            return False
-        if piece is None:
-            return False
-        if not self._held.take(number, piece.payload):
-            marked.warning('piece is spoilt')
-            return False
-        self._source_ahead = piece.others - len(self._held.numbers)
-        if ip == piece_chains.ORIGIN:
-            self.from_origin += len(piece.payload)
+        self._progress = now
+        seconds = min(piece.seconds, _LONGEST_PIECE)
+        self._piece_seconds += _GAIN * (seconds - self._piece_seconds)
+        ahead = piece.others - len(self._held.numbers)
+        self._held.slow = (
+            self._piece_seconds > _SLOW_PIECE
+            and ahead > _FAR_AHEAD
+            and not piece.slow
+        )
+        if one.ip == piece_chains.ORIGIN:
+            self.from_origin += len(piece.payload or b'')
         else:
-            self.from_agents += len(piece.payload)
-        return True
+            self.from_agents += len(piece.payload or b'')
+
+    def _failed(self, one: suppliers.Supplier, error: Exception) -> None:
+        one.failures += 1
+        self._changed.set()
+        if one.failures == 1:
+            logger.bind(source=one.ip or 'origin').info('no answer: {}', error)
 
     def _superseded(self) -> bool:
         manifest = self._held.manifest
         return self._view.wanted() != (manifest.model, manifest.version)
+
+
+def _on_way(one: suppliers.Supplier) -> int:
+    return len(one.on_way)
--- /dev/null
+++ b/clementinepass/direct/suppliers.py
@@ -0,0 +1,180 @@
+"""What an agent knows of the sources that it gets pieces from."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from loguru import logger
+
+from clementinepass.decisions import piece_chains
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from clementinepass.direct import weights
+
+#: Seconds without a byte of a source that was asked, after which it is passed
+#: over. A source answers within a third of a second, if only to say that it
+#: has nothing yet; the rest is for answers that queue behind pieces.
+_SILENT_AFTER = 0.75
+#: Failures in a row that say the same: refused connections, mostly.
+_MOST_FAILURES = 3
+#: Seconds for which a source is passed over: the time for its machine to wake,
+#: or for the list to drop it.
+_PASSED_OVER = 5.0
+
+
+class Supplier:
+    """One source while pieces of a version are got.
+
+    :param ip: its IP number, or the origin.
+    :param source: how it is asked.
+    """
+
+    __slots__ = (
+        'asked_since',
+        'failures',
+        'has',
+        'ip',
+        'is_slow',
+        'on_way',
+        'passed_over_until',
+        'source',
+        'watcher',
+    )
+
+    def __init__(self, ip: str, source: weights.Source) -> None:
+        self.ip = ip
+        self.source = source
+        #: The numbers of the pieces that it is known to have.
+        self.has: frozenset[int] = frozenset()
+        #: Whether it says that pieces come to it slowly.
+        self.is_slow = False
+        #: Questions in a row that it failed to answer.
+        self.failures = 0
+        #: Monotonic seconds of the oldest question without an answer since
+        #: there was none; ``None`` while there is none.
+        self.asked_since: float | None = None
+        self.passed_over_until = float('-inf')
+        #: The pieces on their way from it.
+        self.on_way: dict[int, asyncio.Task[None]] = {}
+        #: Learns what it has, where that is followed.
+        self.watcher: asyncio.Task[None] | None = None
+
+    def trouble(self, now: float) -> str:
+        """Return why it should be passed over; empty if it need not be."""
+        if self.ip == piece_chains.ORIGIN:
+            # There is no other in its place.
+            return ''
+        if self.is_slow:
+            return 'slow'
+        if self.failures >= _MOST_FAILURES:
+            return 'failing'
+        if self.asked_since is None:
+            return ''
+        heard = max(self.asked_since, self.source.heard)
+        return 'silent' if now - heard > _SILENT_AFTER else ''
+
+    def asked(self, now: float) -> None:
+        """Note that a question goes out."""
+        if self.asked_since is None:
+            self.asked_since = now
+
+    def answered(self, now: float, *, slow: bool) -> None:
+        """Note an answer, whatever it says."""
+        if self.failures:
+            logger.bind(
+                source=self.ip or 'origin',
+                failures=self.failures,
+            ).info('source answers again')
+        self.failures = 0
+        self.is_slow = slow
+        self.asked_since = now if self.on_way else None
+
+    def pass_over(self, now: float) -> None:
+        """Stop using it for a while."""
+        self.passed_over_until = now + _PASSED_OVER
+        self.failures = 0
+        self.is_slow = False
+        self.cancel()
+
+    def cancel(self) -> None:
+        """Give up what was asked of it."""
+        self.asked_since = None
+        for task in self.on_way.values():
+            task.cancel()
+        self.on_way.clear()
+        if self.watcher is not None:
+            self.watcher.cancel()
+            self.watcher = None
+
+
+class Suppliers:
+    """The sources of one version, by IP number.
+
+    :param source: returns a source by its IP number, if there is one.
+    """
+
+    __slots__ = ('_by_ip', '_source')
+
+    def __init__(
+        self,
+        source: typing.Callable[[str], weights.Source | None],
+    ) -> None:
+        self._source = source
+        self._by_ip: dict[str, Supplier] = {}
+
+    def __iter__(self) -> typing.Iterator[Supplier]:
+        """Go through all that were used."""
+        return iter(self._by_ip.values())
+
+    def get(self, ip: str) -> Supplier | None:
+        """Return a supplier; ``None`` if nobody is known there."""
+        source = self._source(ip)
+        if source is None:
+            return None
+        known = self._by_ip.get(ip)
+        if known is None or known.source is not source:
+            known = Supplier(ip, source)
+            self._by_ip[ip] = known
+        return known
+
+    def usable(self, ips: Iterable[str], now: float) -> list[Supplier]:
+        """Return those of some that aren't passed over."""
+        found = [self.get(ip) for ip in ips]
+        return [
+            one
+            for one in found
+            if one is not None and one.passed_over_until <= now
+        ]
+
+    def passed_over(self, now: float) -> frozenset[str]:
+        """Return those that are passed over."""
+        return frozenset(one.ip for one in self if one.passed_over_until > now)
+
+    def on_way(self) -> frozenset[int]:
+        """Return the numbers of the pieces on their way."""
+        return frozenset(number for one in self for number in one.on_way)
+
+    def judge(self, now: float) -> None:
+        """Pass over those that are slow, failing or silent.
+
+        Failure: a machine in the middle of a chain stood still, or had its
+        link narrowed to a tenth, and all agents behind it waited. Without it,
+        the next one has another before it. One that merely waits for pieces
+        itself answers and stays: when all behind a break looked elsewhere,
+        they met at the same two agents, and got a piece each 150 ms.
+        """
+        for one in self:
+            trouble = one.trouble(now)
+            if trouble:
+                logger.bind(source=one.ip, trouble=trouble).info(
+                    'source passed over',
+                )
+                one.pass_over(now)
+
+    def cancel(self) -> None:
+        """Give up all that was asked."""
+        for one in self:
+            one.cancel()
--- a/clementinepass/direct/weights.py
+++ b/clementinepass/direct/weights.py
@@ -26,11 +26,26 @@
 class Piece(typing.NamedTuple):
     """A piece as it came, unchecked.
 
+    :param payload: ``None`` where the source doesn't have it.
     :param others: how many pieces of the version its source has.
+    :param seconds: from the first byte of the answer to the last.
+    :param slow: whether pieces come slowly to the source itself.
     """
 
-    payload: bytes
-    others: int
+    payload: bytes | None
+    others: int = 0
+    seconds: float = 0
+    slow: bool = False
+
+
+class Holding(typing.NamedTuple):
+    """What an agent that gets pieces has of them.
+
+    :param slow: whether they come slowly to it.
+    """
+
+    numbers: frozenset[int] = frozenset()
+    slow: bool = False
 
 
 class Manifest(typing.NamedTuple):
@@ -98,13 +113,17 @@
         :raises PeerUnavailableError: it doesn't answer.
         """
 
+    @property
+    def heard(self) -> float:
+        """Return the monotonic seconds at which a byte of it last came."""
+
     async def numbers(
         self,
         model: str,
         version: int,
         known: int,
-    ) -> frozenset[int]:
-        """Return the numbers of its pieces, once there are more than known.
+    ) -> Holding:
+        """Return what it has, soon after there is more than known.
 
         :raises PeerUnavailableError: it doesn't answer.
         """
@@ -114,8 +133,8 @@
         model: str,
         version: int,
         number: int,
-    ) -> Piece | None:
-        """Return a piece, unchecked; ``None`` if it has none.
+    ) -> Piece:
+        """Return a piece, unchecked, waiting a moment until it is there.
 
         :raises PeerUnavailableError: it doesn't answer.
         """
--- a/clementinepass/http/pool.py
+++ b/clementinepass/http/pool.py
@@ -26,13 +26,24 @@
     :param most: connections at a time, busy ones included.
     """
 
-    __slots__ = ('_host', '_idle', '_most', '_port', 'busy', 'opened')
+    __slots__ = (
+        '_heard',
+        '_host',
+        '_idle',
+        '_most',
+        '_port',
+        '_used',
+        'busy',
+        'opened',
+    )
 
     def __init__(self, host: str, port: int, most: int = 64) -> None:
         self._host = host
         self._port = port
         self._most = most
         self._idle: list[channel.Channel] = []
+        self._used: set[channel.Channel] = set()
+        self._heard: float = 0
         #: Connections that carry a request.
         self.busy = 0
         #: Connections opened so far.
@@ -49,6 +60,11 @@
         """Tell whether the peer allows no further connection."""
         return self.busy >= self._most
 
+    @property
+    def heard(self) -> float:
+        """Return the monotonic seconds at which the peer last sent a byte."""
+        return max((self._heard, *(one.heard for one in self._used)))
+
     async def take(
         self,
         *,
@@ -65,10 +81,11 @@
         kept = self._take_kept(longest_idle)
         self.busy += 1
         if kept is not None:
+            self._used.add(kept)
             return kept
         self.opened += 1
         try:
-            return await channel.Channel.connect(
+            opened = await channel.Channel.connect(
                 self._host,
                 self._port,
                 seconds,
@@ -76,10 +93,14 @@
         except BaseException:
             self.busy -= 1
             raise
+        self._used.add(opened)
+        return opened
 
     def give_back(self, used: channel.Channel) -> None:
         """Keep a connection for the next request, or end it."""
         self.busy -= 1
+        self._used.discard(used)
+        self._heard = max(self._heard, used.heard)
         if used.finish():
             self._idle.append(used)
 
@@ -104,11 +125,15 @@
 
 
 class Fetched(typing.NamedTuple):
-    """A whole answer."""
+    """A whole answer.
+
+    :param seconds: from its head to its end.
+    """
 
     status: int
     body: bytes
     headers: messages.Headers
+    seconds: float = 0
 
 
 async def fetch(pool: Pool, request: bytes, seconds: float) -> Fetched:
@@ -132,6 +157,7 @@
     try:
         used.send(request)
         head = await used.answer_head()
+        begun = asyncio.get_running_loop().time()
         parts = []
         while part := await used.read():
             parts.append(part)
@@ -140,4 +166,5 @@
         raise
     finally:
         pool.give_back(used)
-    return Fetched(head.status, b''.join(parts), head.headers)
+    seconds = asyncio.get_running_loop().time() - begun
+    return Fetched(head.status, b''.join(parts), head.headers, seconds)
--- a/clementinepass/platform/engine.py
+++ b/clementinepass/platform/engine.py
@@ -72,6 +72,11 @@
         self._address = address
         self._pool = pool.Pool.from_address(address, most)
 
+    @property
+    def heard(self) -> float:
+        """Return the monotonic seconds at which a byte of it last came."""
+        return self._pool.heard
+
     async def call(
         self,
         method: bytes,
@@ -230,6 +235,11 @@
     def __init__(self, address: str) -> None:
         self._caller = _Caller(address, most=4)
 
+    @property
+    def heard(self) -> float:
+        """Return the monotonic seconds at which a byte of it last came."""
+        return self._caller.heard
+
     async def manifest(
         self,
         model: str,
@@ -261,17 +271,17 @@
         model: str,
         version: int,
         known: int,
-    ) -> frozenset[int]:
+    ) -> weights.Holding:
         """Return nothing: the origin has all pieces, and isn't asked."""
-        return frozenset()
+        return weights.Holding()
 
     async def piece(
         self,
         model: str,
         version: int,
         number: int,
-    ) -> weights.Piece | None:
-        """Return a piece, unchecked; ``None`` if the origin has none.
+    ) -> weights.Piece:
+        """Return a piece, unchecked.
 
         :raises PeerUnavailableError: the origin doesn't answer.
         """
@@ -282,6 +292,6 @@
             seconds=_ORIGIN_SECONDS,
         )
         if fetched.status in {_GONE, _NOT_FOUND}:
-            return None
+            return weights.Piece(None)
         self._caller.check(fetched, 'piece')
-        return weights.Piece(fetched.body, 0)
+        return weights.Piece(fetched.body)
--- /dev/null
+++ b/tests/direct/test_fetching.py
@@ -0,0 +1,263 @@
+"""Tests of getting pieces while sources fail."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import typing
+
+import testtools
+
+from clementinepass import errors
+from clementinepass.decisions import piece_chains
+from clementinepass.direct import fetching, pieces, weights
+
+CHUNKS = 40
+MODEL = 'm'
+PAYLOADS = [b'piece %d' % number for number in range(CHUNKS)]
+MANIFEST = weights.Manifest(
+    MODEL,
+    2,
+    tuple(hashlib.sha256(payload).hexdigest() for payload in PAYLOADS),
+)
+#: Seconds that a piece takes on a link here.
+PIECE = 0.005
+#: Seconds that an agent lets another wait for a piece.
+WAIT = 0.1
+
+
+class _Origin:
+    """Sends pieces until it is gone."""
+
+    def __init__(self) -> None:
+        self.left = CHUNKS * 10
+        self.sent: list[int] = []
+
+    @property
+    def heard(self) -> float:
+        """Return the time of the last byte."""
+        return asyncio.get_running_loop().time()
+
+    async def numbers(self, *asked: object) -> weights.Holding:
+        """Return nothing."""
+        return weights.Holding()
+
+    async def piece(
+        self,
+        model: str,
+        version: int,
+        number: int,
+    ) -> weights.Piece:
+        """Return a piece while there are some left."""
+        if self.left <= 0:
+            raise errors.PeerUnavailableError('gone', step='piece', peer='o')
+        self.left -= 1
+        self.sent.append(number)
+        await asyncio.sleep(PIECE)
+        return weights.Piece(PAYLOADS[number], CHUNKS, PIECE)
+
+
+class _Agent:
+    """An agent, as others see it and as it sees them."""
+
+    def __init__(self, world: _World, peer: piece_chains.Peer) -> None:
+        self._world = world
+        self.peer = peer
+        self.held = pieces.Pieces(MANIFEST)
+        #: Seconds that a piece takes on its link.
+        self.piece_seconds = PIECE
+        #: Whether its machine stands still.
+        self.frozen = False
+        #: Those that asked it for a piece.
+        self.asked_by: set[str] = set()
+
+    def question(self, model: str, version: int) -> piece_chains.Question:
+        """Return who there is."""
+        others = [one.peer for one in self._world.agents if one is not self]
+        return piece_chains.Question(self.peer, others, 'north')
+
+    def source(self, ip: str) -> typing.Any:
+        """Return a source."""
+        if ip == piece_chains.ORIGIN:
+            return self._world.origin
+        return self._world.link(self, ip)
+
+    def wanted(self) -> tuple[str, int]:
+        """Return what is wanted."""
+        return MODEL, 2
+
+
+class _Link:
+    """One agent's way to another."""
+
+    def __init__(self, asker: _Agent, asked: _Agent) -> None:
+        self._asker = asker
+        self._asked = asked
+        self._turn = asyncio.Lock()
+        self.heard: float = 0
+
+    async def numbers(
+        self,
+        model: str,
+        version: int,
+        known: int,
+    ) -> weights.Holding:
+        """Return what it has."""
+        await self._thaw()
+        await self._asked.held.wait_for_more(known, WAIT)
+        self._hear()
+        numbers = frozenset(self._asked.held.numbers)
+        return weights.Holding(numbers, self._asked.held.slow)
+
+    async def piece(
+        self,
+        model: str,
+        version: int,
+        number: int,
+    ) -> weights.Piece:
+        """Return a piece, waiting a moment until it is there."""
+        self._asked.asked_by.add(self._asker.peer.ip)
+        await self._thaw()
+        held = self._asked.held
+        payload = await held.wait_for(number, 0 if held.slow else WAIT)
+        seconds = max(self._asker.piece_seconds, self._asked.piece_seconds)
+        if payload is not None:
+            async with self._turn:
+                await asyncio.sleep(seconds)
+        self._hear()
+        return weights.Piece(payload, len(held.numbers), seconds, held.slow)
+
+    async def _thaw(self) -> None:
+        while self._asked.frozen:
+            await asyncio.sleep(PIECE)
+
+    def _hear(self) -> None:
+        self.heard = asyncio.get_running_loop().time()
+
+
+class _World:
+    """Agents of two regions and the origin."""
+
+    def __init__(self, north: int, south: int) -> None:
+        self.origin = _Origin()
+        peers = [
+            piece_chains.Peer(region, f'{region}-1', f'10.{place}.0.{number}')
+            for place, (region, count) in enumerate(
+                (('north', north), ('south', south)),
+            )
+            for number in range(count)
+        ]
+        self.agents = [_Agent(self, peer) for peer in peers]
+        self._links: dict[tuple[str, str], _Link] = {}
+
+    def link(self, asker: _Agent, ip: str) -> _Link:
+        """Return an agent's way to another."""
+        (asked,) = [one for one in self.agents if one.peer.ip == ip]
+        key = asker.peer.ip, ip
+        return self._links.setdefault(key, _Link(asker, asked))
+
+    def start(self) -> list[asyncio.Task[None]]:
+        """Have all agents get the pieces."""
+        return [
+            asyncio.create_task(fetching.Fetching(one.held, one).run())
+            for one in self.agents
+        ]
+
+    async def all_have(self, count: int, without: _Agent | None = None) -> None:
+        """Wait until all agents have so many pieces."""
+        rest = [one for one in self.agents if one is not without]
+        while any(len(one.held.numbers) < count for one in rest):
+            await asyncio.sleep(PIECE)
+
+
+def play(
+    world: _World,
+    story: typing.Callable[[], typing.Awaitable[None]],
+) -> None:
+    """Play until a story ends."""
+
+    async def played() -> None:
+        tasks = world.start()
+        try:
+            async with asyncio.timeout(30):
+                await story()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    asyncio.run(played())
+
+
+class OriginGoneTest(testtools.TestCase):
+    """The origin fails when each chain has some of the pieces.
+
+    Nobody served for sixteen seconds: both chains together had nine pieces in
+    ten, and each waited for the next one in its order. Agents that looked
+    elsewhere met at the same two, and asked the origin all together when it
+    was back.
+    """
+
+    def test_chains_exchange(self) -> None:
+        """All have what the two chains have together; few turn elsewhere."""
+        world = _World(4, 3)
+        world.origin.left = 30
+
+        async def story() -> None:
+            await world.all_have(30)
+
+        play(world, story)
+        # Each agent has the one after it, and a partner of the other chain.
+        for one in world.agents:
+            self.assertLessEqual(len(one.asked_by), 2, one.peer.ip)
+
+    def test_origin_back(self) -> None:
+        """The rest is got from the origin twice, once for each chain."""
+        world = _World(4, 3)
+        world.origin.left = 30
+
+        async def story() -> None:
+            await world.all_have(30)
+            world.origin.sent.clear()
+            world.origin.left = CHUNKS * 10
+            await world.all_have(CHUNKS)
+
+        play(world, story)
+        self.assertLessEqual(len(world.origin.sent), 2 * (CHUNKS - 30))
+
+
+class BreakInChainTest(testtools.TestCase):
+    """One agent in the middle brings nothing, or next to nothing.
+
+    With its link narrowed to a tenth all seven behind it had a fifth of the
+    pieces after six seconds: each passed over the one before it, which only
+    waited itself, and all met at the head of the chain.
+    """
+
+    def test_frozen(self) -> None:
+        """Only the one next to it asks elsewhere."""
+        world = _World(5, 0)
+        frozen = world.agents[1]
+        frozen.frozen = True
+
+        async def story() -> None:
+            await world.all_have(CHUNKS, without=frozen)
+
+        play(world, story)
+        self.assertEqual(
+            {frozen.peer.ip, world.agents[2].peer.ip},
+            world.agents[0].asked_by | {frozen.peer.ip},
+        )
+
+    def test_slow_link(self) -> None:
+        """It is passed over, gets pieces as it can, and accuses nobody."""
+        world = _World(6, 0)
+        slow = world.agents[1]
+        slow.piece_seconds = 0.3
+
+        async def story() -> None:
+            await world.all_have(CHUNKS, without=slow)
+
+        play(world, story)
+        self.assertIn(slow.peer.ip, world.agents[0].asked_by)
+        self.assertIn(world.agents[2].peer.ip, world.agents[0].asked_by)
