Stage pieces as they come, and get them before an added engine is up

An added engine starts a second after its agent, which waited for it. What is staged may now be another version's while one waits to be loaded, so that staging stops from the first piece read back to the order; without that lock test_next_version_meanwhile fails.

--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -118,6 +118,8 @@
         self._turn_by_version: dict[int, float] = {}
         self._report: weights.EngineReport | None = None
         self._trouble = ''
+        #: Whether the engine was asked for its state, and answered or failed.
+        self._engine_seen = False
         #: The version whose pieces are being got.
         self._fetching = 0
 
@@ -272,10 +274,15 @@
             logger.info('store not read: {}', error)
 
     async def _keep_fetched(self) -> None:
-        """Get the pieces of each version that is wanted."""
+        """Get the pieces of each version that is wanted.
+
+        Also while the engine doesn't answer: one that was added starts a
+        second after its agent, and has no weights. But not before it was
+        asked, since one that runs may have all.
+        """
         while True:
             model, version = self.wanted()
-            if self._report is not None and version:
+            if self._engine_seen and version:
                 try:
                     await self._loading.fetch(model, version)
                 except errors.ClementinepassError as error:
@@ -289,6 +296,7 @@
                 await self._look()
             except errors.ClementinepassError as error:
                 self._note_trouble(f'not loaded: {error}')
+            self._engine_seen = True
             await asyncio.sleep(_BUSY_SECONDS)
 
     def _note_trouble(self, trouble: str) -> None:
--- a/clementinepass/direct/loading.py
+++ b/clementinepass/direct/loading.py
@@ -1,28 +1,29 @@
 """Bring an engine to the versions that the operator names.
 
-Pieces are got into memory and checked.  When the engine's turn has come they
-are staged, read back and checked again, since what lies staged may rot; then
-the engine is ordered to load, on the condition that nobody else has ordered
-meanwhile.  While one version waits for its turn the next may be on its way.
+Pieces are got into memory, checked, and staged as they come.  When the engine's
+turn has come they are read back, since what lies staged may rot, and staged
+anew where they have; then the engine is ordered to load, on the condition that
+nobody else has ordered meanwhile.  While one version waits for its turn the
+next may be on its way.
 """
 
 from __future__ import annotations
 
 import asyncio
 import time
-import typing
 
 from loguru import logger
 
 from clementinepass import errors
 from clementinepass.decisions import piece_chains
-from clementinepass.direct import fetching, pieces
-
-if typing.TYPE_CHECKING:
-    from clementinepass.direct import weights
+from clementinepass.direct import fetching, pieces, weights
 
 #: Versions whose pieces are kept, for the engine and for other agents.
 _MOST_VERSIONS = 3
+#: Seconds after an order without an answer in which nothing else is staged.
+_UNKNOWN_SECONDS = 1.0
+#: Seconds between tries to read what lies staged.
+_RETRY_SECONDS = 0.3
 #: Seconds from the first piece read back to the order, by a clock that also
 #: counts time in which the machine stood still. Pieces may have turned bad
 #: since they were read; the rules excuse three seconds.
@@ -36,12 +37,16 @@
     :param view: who else there is, and what is wanted.
     """
 
-    __slots__ = ('_engine', '_pieces_by_version', '_view')
+    __slots__ = ('_engine', '_pieces_by_version', '_staging', '_view')
 
     def __init__(self, engine: weights.Engine, view: fetching.View) -> None:
         self._engine = engine
         self._view = view
         self._pieces_by_version: dict[int, pieces.Pieces] = {}
+        #: Held while a piece is staged, and from the first piece read back to
+        #: the order: an engine loads whatever lies there when it accepts, and
+        #: pieces of the next version must not come between.
+        self._staging = asyncio.Lock()
 
     def pieces_of(self, model: str, version: int) -> pieces.Pieces | None:
         """Return the pieces of a version that are here or on their way."""
@@ -69,17 +74,21 @@
         :raises ClementinepassError: nobody has the manifest, or the engine
             doesn't answer.
         """
+        is_first = not self._pieces_by_version
         held = await self._manifest(model, version)
         begun = asyncio.get_running_loop().time()
-        fetch = fetching.Fetching(held, self._view)
         logger.bind(version=version, missing=len(held.missing)).info(
             'getting pieces',
         )
-        staged = asyncio.create_task(self._take_staged(held))
+        if is_first:
+            # An agent that was killed finds here what it had got.
+            await self._read_staged(held)
+        fetch = fetching.Fetching(held, self._view)
+        staging = asyncio.create_task(self._keep_staged(held))
         try:
             await fetch.run()
         finally:
-            staged.cancel()
+            staging.cancel()
             logger.bind(
                 version=version,
                 missing=len(held.missing),
@@ -97,6 +106,16 @@
         report = await self._engine.report()
         if report.busy:
             return False
+        async with self._staging:
+            return await self._load(held, report)
+
+    async def _load(
+        self,
+        held: pieces.Pieces,
+        report: weights.EngineReport,
+    ) -> bool:
+        model = held.manifest.model
+        version = held.manifest.version
         begun = _now_with_standstill()
         for number, _ in enumerate(held.manifest.digests):
             await self._stage(held, number)
@@ -112,6 +131,9 @@
             active=report.active,
             answer=ordered.value,
         ).info('ordered to load')
+        if ordered is weights.Ordered.UNKNOWN:
+            # It may be accepted yet, with what lies staged then.
+            await asyncio.sleep(_UNKNOWN_SECONDS)
         return True
 
     async def _manifest(self, model: str, version: int) -> pieces.Pieces:
@@ -153,8 +175,31 @@
             logger.bind(version=version).info('no manifest: {}', error)
             return None
 
-    async def _take_staged(self, held: pieces.Pieces) -> None:
-        """Keep staged pieces that this version has too."""
+    async def _keep_staged(self, held: pieces.Pieces) -> None:
+        """Keep staged pieces that this version has too, and stage the others.
+
+        Staged as they come, since what is in memory goes with the process:
+        agents that were killed when they had nine pieces in ten began anew,
+        and their engines served nothing for six seconds more. Tried until the
+        engine answers: one that starts anew is down for seconds.
+        """
+        while not await self._read_staged(held):
+            await asyncio.sleep(_RETRY_SECONDS)
+        staged: set[int] = set()
+        while True:
+            for number in set(held.numbers) - staged:
+                try:
+                    async with self._staging:
+                        await self._stage(held, number)
+                except errors.ClementinepassError as error:
+                    logger.info('piece not staged: {}', error)
+                    await asyncio.sleep(_RETRY_SECONDS)
+                else:
+                    staged.add(number)
+            await held.wait_for_more(len(staged), _RETRY_SECONDS)
+
+    async def _read_staged(self, held: pieces.Pieces) -> bool:
+        """Take what lies staged and fits; tell whether the engine answered."""
         model = held.manifest.model
         try:
             staged = await self._engine.staged(model)
@@ -164,6 +209,8 @@
                     held.take(number, piece)
         except errors.ClementinepassError as error:
             logger.info('staged pieces not read: {}', error)
+            return False
+        return True
 
     async def _stage(self, held: pieces.Pieces, number: int) -> None:
         """Have a piece lie staged, and read it back.
--- /dev/null
+++ b/tests/direct/test_loading.py
@@ -0,0 +1,186 @@
+"""Tests of staging pieces and ordering an engine to load them."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import typing
+
+import testtools
+
+from clementinepass.decisions import piece_chains
+from clementinepass.direct import endpoints, loading, weights
+
+CHUNKS = 24
+MODEL = 'm'
+STEP = 0.001
+
+
+def payload(version: int, number: int) -> bytes:
+    """Return the bytes of a piece."""
+    return b'%d of %d' % (number, version)
+
+
+class _Engine:
+    """An engine whose staged pieces are a dictionary."""
+
+    def __init__(self) -> None:
+        self.lying: dict[int, bytes] = {}
+        #: What lay staged at each order.
+        self.orders: list[tuple[int, dict[int, bytes]]] = []
+
+    async def report(self) -> weights.EngineReport:
+        """Return its state."""
+        held = endpoints.Weights(1, 0, 4)
+        return weights.EngineReport(held, False, len(self.orders), 0, 0)
+
+    async def staged(self, model: str) -> frozenset[int]:
+        """Return what lies staged."""
+        return frozenset(self.lying)
+
+    async def stage(self, model: str, number: int, piece: bytes) -> None:
+        """Stage a piece."""
+        await asyncio.sleep(STEP)
+        self.lying[number] = piece
+
+    async def staged_piece(self, model: str, number: int) -> bytes | None:
+        """Return a staged piece."""
+        await asyncio.sleep(STEP)
+        return self.lying.get(number)
+
+    async def load(
+        self,
+        model: str,
+        version: int,
+        report: weights.EngineReport,
+    ) -> weights.Ordered:
+        """Take an order."""
+        await asyncio.sleep(STEP)
+        self.orders.append((version, dict(self.lying)))
+        return weights.Ordered.ACCEPTED
+
+
+class _Origin:
+    """Hands out all versions, but no piece from some number on."""
+
+    heard: float = 0
+
+    def __init__(self, end: int = CHUNKS) -> None:
+        self.end = end
+        self.asked: list[int] = []
+        #: Seconds that a piece takes.
+        self.seconds = STEP
+
+    async def manifest(self, model: str, version: int) -> weights.Manifest:
+        """Return the manifest of a version."""
+        digests = (
+            hashlib.sha256(payload(version, number)).hexdigest()
+            for number in range(CHUNKS)
+        )
+        return weights.Manifest(model, version, tuple(digests))
+
+    async def numbers(self, *asked: object) -> weights.Holding:
+        """Return nothing."""
+        return weights.Holding()
+
+    async def piece(
+        self,
+        model: str,
+        version: int,
+        number: int,
+    ) -> weights.Piece:
+        """Return a piece, or wait for ever."""
+        if number >= self.end:
+            await asyncio.Event().wait()
+        self.asked.append(number)
+        await asyncio.sleep(self.seconds)
+        return weights.Piece(payload(version, number))
+
+
+class _View:
+    """A machine alone with the origin."""
+
+    def __init__(self, origin: _Origin) -> None:
+        self._origin = origin
+        self.version = 2
+
+    def question(self, model: str, version: int) -> piece_chains.Question:
+        """Return that there is nobody else."""
+        own = piece_chains.Peer('north', 'north-1', '10.0.0.1')
+        return piece_chains.Question(own, [], 'north')
+
+    def source(self, ip: str) -> typing.Any:
+        """Return the origin."""
+        return self._origin if ip == piece_chains.ORIGIN else None
+
+    def wanted(self) -> tuple[str, int]:
+        """Return the version that is got now."""
+        return MODEL, self.version
+
+
+def run(story: typing.Awaitable[None]) -> None:
+    """Run a story to its end."""
+
+    async def played() -> None:
+        async with asyncio.timeout(20):
+            await story
+
+    asyncio.run(played())
+
+
+class LoadingTest(testtools.TestCase):
+    """What an engine loads is one version, whole."""
+
+    def test_next_version_meanwhile(self) -> None:
+        """Pieces of version 3 came while version 2 was being loaded.
+
+        Each is staged as it comes, in place of the one of version 2 with the
+        same number. Between the last look at version 2 and the order, one of
+        them would have been loaded with the rest of version 2.
+        """
+        engine = _Engine()
+        origin = _Origin()
+        view = _View(origin)
+        own = loading.Loading(engine, view)
+
+        async def story() -> None:
+            await own.fetch(MODEL, 2)
+            view.version = 3
+            origin.seconds = 20 * STEP
+            fetching = asyncio.create_task(own.fetch(MODEL, 3))
+            await asyncio.sleep(STEP)
+            await own.load(MODEL, 2)
+            self.assertFalse(fetching.done())
+            await fetching
+            await own.load(MODEL, 3)
+
+        run(story())
+        self.assertEqual([2, 3], [version for version, _ in engine.orders])
+        for version, lying in engine.orders:
+            for number in range(CHUNKS):
+                self.assertEqual(payload(version, number), lying[number])
+
+    def test_killed_agent(self) -> None:
+        """An agent was killed when it had most of the pieces.
+
+        It began anew, and its engine, which nobody might use any more, served
+        nothing for six seconds. What had come lies staged at the engine.
+        """
+        engine = _Engine()
+        first = _Origin(end=CHUNKS // 2)
+
+        async def story() -> None:
+            killed = asyncio.create_task(
+                loading.Loading(engine, _View(first)).fetch(MODEL, 2),
+            )
+            while len(engine.lying) < CHUNKS // 2:
+                await asyncio.sleep(STEP)
+            killed.cancel()
+            second = _Origin()
+            await loading.Loading(engine, _View(second)).fetch(MODEL, 2)
+            self.assertEqual(
+                list(range(CHUNKS // 2, CHUNKS)),
+                sorted(second.asked),
+            )
+
+        run(story())
