Finish an older version where an empty engine serves longer so; tell entries of slow links

An empty engine now finishes the older one where it serves longer so. Others pass it over meanwhile (it says that it is busy), and it gets the newer one from the last of its chain, which sends to nobody else. A source with far fewer pieces is passed over, too.

Agents tell entries when pieces take long on their link, and placing then prefers any other engine that isn't full.

--- a/clementinepass/decisions/nearest_place.py
+++ b/clementinepass/decisions/nearest_place.py
@@ -22,6 +22,11 @@
 #: ahead and still be preferred. One with older weights cuts what runs when its
 #: turn to load comes; a stream that is cut twice can't be resumed.
 _NEWNESS = 5.0
+#: The same for one whose link isn't slow. On a link narrowed to a tenth a
+#: prompt waits a second behind pieces of weights, and reaches the engine after
+#: its caller has left; its events come late, too. Short of nothing else being
+#: there but a long queue, any other does better.
+_UNSTRAINED = 12.0
 #: Requests by which the counts of other entries are uncertain. Without it all
 #: entries send to the endpoint that was emptiest in the same last message.
 _BLUR = 1.0
@@ -35,6 +40,7 @@
     :param is_near: whether it is in the own failure domain.
     :param is_old: whether others have a newer version of the weights, which
         it will take up soon.
+    :param is_strained: whether its machine's link is slow at present.
     """
 
     endpoint_id: str
@@ -42,6 +48,7 @@
     slots: int
     is_near: bool
     is_old: bool = False
+    is_strained: bool = False
 
     @property
     def waiting(self) -> float:
@@ -69,6 +76,8 @@
     handicap = 0 if option.is_near else _NEARNESS
     if option.is_old:
         handicap += _NEWNESS
+    if option.is_strained:
+        handicap += _UNSTRAINED
     blurred = option.load + handicap + rng.random() * _BLUR
     waiting = max(blurred + 1 - option.slots, 0)
     # A slot that is free is worth more than any nearness.
--- a/clementinepass/decisions/piece_chains.py
+++ b/clementinepass/decisions/piece_chains.py
@@ -49,11 +49,13 @@
     """Who asks, and who else there is.
 
     :param origin_region: the region in which the origin stands.
+    :param is_late: whether the others began a while ago.
     """
 
     own: Peer
     peers: Sequence[Peer]
     origin_region: str
+    is_late: bool = False
 
 
 class Plan(typing.NamedTuple):
@@ -135,11 +137,32 @@
     ordered = _in_order(question)
     split = _split(ordered)
     first, second = ordered[:split], ordered[split:]
+    if question.is_late and len(ordered) > 1:
+        return _behind_all(first, second, question.own)
     if question.own in first:
         return _place_in(first, second, question.own, ascending=True)
     return _place_in(second, first, question.own, ascending=False)
 
 
+def _behind_all(
+    first: Sequence[Peer],
+    second: Sequence[Peer],
+    own: Peer,
+) -> Plan:
+    """Return a place behind the last of the own chain.
+
+    Whoever begins later is no use in the middle, where the one before it
+    would have to send to two: it gets pieces from the only one that sends to
+    nobody. Those behind it in the chain pass it over meanwhile.
+    """
+    ascending = own in first
+    chain = first if ascending else second
+    rest = [peer for peer in chain if peer != own]
+    if not rest:
+        rest = list(second if ascending else first)
+    return Plan((rest[-1].ip,), ascending, len(rest))
+
+
 def _place_in(
     chain: Sequence[Peer],
     other: Sequence[Peer],
--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -9,16 +9,11 @@
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.decisions import (
-    load_turns,
-    piece_chains,
-    superseding,
-)
+from clementinepass.decisions import load_turns, piece_chains
 from clementinepass.direct import (
+    aims,
     background,
-    beats,
     beliefs,
-    endpoints,
     exchange,
     gauges,
     gossip,
@@ -26,6 +21,7 @@
     loading,
     neighbours,
     records,
+    telling,
     weights,
 )
 
@@ -44,19 +40,10 @@
 _IDLE_SECONDS = 0.3
 #: Seconds without a word of an entry after which the store is read instead.
 _ALONE_SECONDS = 2.5
-#: Times that news of the engine is told; datagrams are lost now and then.
-_TOLD_TIMES = 3
 #: Seconds that an engine gets to finish what it runs before it loads. Half of
 #: the answers end in that time.
 _EMPTY_SECONDS = 0.7
 _HURRY_SECONDS = 0.3
-_TELL_SECONDS = 0.15
-_BITS = 8
-_MEGA = 1_000_000
-#: Time for a version's pieces against the time that their bytes take on a
-#: link that carries nothing else: heads, prompts and events. A piece of 24,576
-#: bytes takes 58 ms on a link of 3.65 Mbit/s.
-_OVERHEAD = 1.08
 
 
 class Boundary(typing.NamedTuple):
@@ -107,6 +94,8 @@
             rng,
             self._handout.serve,
         )
+        self._telling = telling.Telling(own, self.peers)
+        self._aims = aims.Aims(own, self.beliefs, self._neighbours)
         self._loading = loading.Loading(boundary.engine, self)
         #: What is believed, as metrics.
         self.gauges = gauges.Gauges(
@@ -120,8 +109,6 @@
         self._trouble = ''
         #: Whether the engine was asked for its state, and answered or failed.
         self._engine_seen = False
-        #: The version whose pieces are being got.
-        self._fetching = 0
 
     async def run(self) -> None:
         """Work until told to stop."""
@@ -160,6 +147,11 @@
         report = self._report
         return report is not None and report.weights.version == version
 
+    def is_busy(self, version: int) -> bool:
+        """Tell whether pieces of another version are got first."""
+        _, wanted = self.wanted()
+        return wanted not in {0, version}
+
     async def staged_piece(
         self,
         model: str,
@@ -186,18 +178,13 @@
 
         Version 0 where nothing is to be got.
         """
-        engine = self._neighbours.engine()
-        if engine is None:
-            return '', 0
-        version = self._aimed_at(engine)
-        here = self._loading.newest_whole(engine.model)
-        if version <= here or self._engine_has(version):
-            return engine.model, 0
-        return engine.model, version
+        return self._aims.wanted(self._loading)
 
     def question(self, model: str, version: int) -> piece_chains.Question:
         """Return what choosing a source for pieces needs."""
-        return self._neighbours.question(version)
+        return self._neighbours.question(version)._replace(
+            is_late=self._aims.is_late(version),
+        )
 
     def source(self, ip: str) -> weights.Source | None:
         """Return a source by its IP number, or the origin."""
@@ -205,47 +192,6 @@
 
     # Details.
 
-    def _aimed_at(self, engine: routing.Engine) -> int:
-        """Return the version that the engine should have next.
-
-        Where none was named, whatever other engines have.
-        """
-        named = self.beliefs.wanted_version(engine.model)
-        if named:
-            return self._next_version(engine, named)
-        held = [peer.weights.version for peer in self._neighbours.fellows()]
-        return max(held, default=0) or 1
-
-    def _next_version(self, engine: routing.Engine, newest: int) -> int:
-        """Return the newest version, or the one to finish before it."""
-        current = self._fetching
-        begun = self._loading.pieces_of(engine.model, current)
-        left = self.beliefs.seconds_left(engine.model, current)
-        if begun is None or left is None or not begun.missing:
-            return self._fetch_next(newest)
-        if current >= newest:
-            return current
-        first = superseding.finish_first(
-            superseding.Transfer(
-                self._seconds(engine, len(begun.missing)),
-                left,
-            ),
-            superseding.Transfer(
-                self._seconds(engine, engine.chunks),
-                self.beliefs.seconds_left(engine.model, newest) or 0,
-            ),
-        )
-        return current if first else self._fetch_next(newest)
-
-    def _fetch_next(self, version: int) -> int:
-        self._fetching = version
-        return version
-
-    def _seconds(self, engine: routing.Engine, chunks: int) -> float:
-        """Return how long pieces take over this machine's link."""
-        bits = chunks * engine.chunk_bytes * _BITS
-        return _OVERHEAD * bits / (self._own.link_mbps * _MEGA)
-
     def _streams(self) -> int:
         report = self._report
         return 0 if report is None else report.active
@@ -261,6 +207,7 @@
                 await self._read_store()
                 alone_since = loop.time()
             self.beliefs.forget(loop.time())
+            self._telling.strained(is_slow=self._loading.is_slow)
             await asyncio.sleep(_IDLE_SECONDS)
 
     async def _read_store(self) -> None:
@@ -283,6 +230,7 @@
         while True:
             model, version = self.wanted()
             if self._engine_seen and version:
+                self._aims.begins(self._loading, model, version)
                 try:
                     await self._loading.fetch(model, version)
                 except errors.ClementinepassError as error:
@@ -305,16 +253,6 @@
             logger.bind(node=self._own.name).info('{}', trouble)
         self._trouble = trouble
 
-    def _engine_has(self, version: int) -> bool:
-        """Tell whether the engine holds all layers of a version, or newer."""
-        engine = self._neighbours.engine()
-        report = self._report
-        if engine is None or report is None:
-            return False
-        held = report.weights
-        whole = held.first == 0 and held.end >= engine.layers
-        return whole and held.version >= version
-
     async def _look(self) -> None:
         """Look at the engine and do what is next."""
         report = await self._boundary.engine.report()
@@ -324,10 +262,10 @@
         if engine is None or report.busy:
             return
         version = self._loading.newest_whole(engine.model)
-        if not version or self._engine_has(version):
+        if not version or self._aims.has(version):
             return
         if self._turn_has_come(engine, version):
-            self._ordering(version)
+            self._telling.loads(version)
             await self._emptied(engine, version, report.active)
             await self._loading.load(engine.model, version)
 
@@ -356,7 +294,7 @@
     def _turn_has_come(self, engine: routing.Engine, version: int) -> bool:
         """Tell whether the engine takes up a version now."""
         now = asyncio.get_running_loop().time()
-        if not self._engine_has(1):
+        if not self._aims.has(1):
             return True
         turn = self._turn_by_version.get(version)
         if turn is None:
@@ -379,35 +317,12 @@
         """Tell entries what the engine holds when that has changed."""
         before = self._report
         self._report = report
+        self._aims.held = report.weights
         if before is not None and before.weights == report.weights:
             return
-        self._tell(report.weights)
+        self._telling.holds(report.weights)
         logger.bind(
             version=report.weights.version,
             layers=report.weights.end - report.weights.first,
             busy=report.busy,
         ).info('engine holds weights')
-
-    def _ordering(self, version: int) -> None:
-        """Tell entries that the engine takes no request until it has loaded.
-
-        It finishes what runs and takes nothing new meanwhile; a request sent
-        there would wait for all of that.
-        """
-        self._tell(endpoints.Weights(version, 0, 0))
-
-    def _tell(self, held: typing.Any) -> None:
-        word = beats.Held(
-            self._own.endpoint,
-            held.version,
-            held.first,
-            held.end,
-        )
-        self.peers.held = (word,)
-        loop = asyncio.get_running_loop()
-        for time in range(_TOLD_TIMES):
-            loop.call_later(time * _TELL_SECONDS, self._tell_all)
-
-    def _tell_all(self) -> None:
-        now = asyncio.get_running_loop().time()
-        self.peers.tell([one.ip for one in self.peers.members.alive(now)])
--- /dev/null
+++ b/clementinepass/direct/aims.py
@@ -0,0 +1,166 @@
+"""Which version an agent gets next, and whether it begins late with it."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import typing
+
+from loguru import logger
+
+from clementinepass.decisions import superseding
+
+if typing.TYPE_CHECKING:
+    from clementinepass.direct import (
+        beliefs,
+        endpoints,
+        loading,
+        neighbours,
+        node,
+        routing,
+    )
+
+_BITS = 8
+_MEGA = 1_000_000
+#: Time for a version's pieces against the time that their bytes take on a
+#: link that carries nothing else: heads, prompts and events. A piece of 24,576
+#: bytes takes 58 ms on a link of 3.65 Mbit/s.
+_OVERHEAD = 1.08
+#: Seconds after its naming from which an agent begins late with a version:
+#: all that were there have begun within half a second.
+_LATE_SECONDS = 1.0
+
+
+class Aims:
+    """What the engine on this machine should have next.
+
+    :param own: who the agent is.
+    :param known: what it believes.
+    :param near: the other agents.
+    """
+
+    __slots__ = (
+        '_beliefs',
+        '_fetching',
+        '_late_versions',
+        '_neighbours',
+        '_own',
+        'held',
+    )
+
+    def __init__(
+        self,
+        own: node.Node,
+        known: beliefs.Beliefs,
+        near: neighbours.Neighbours,
+    ) -> None:
+        self._own = own
+        self._beliefs = known
+        self._neighbours = near
+        #: The version whose pieces are being got.
+        self._fetching = 0
+        #: Versions that the others began to get a while before.
+        self._late_versions: set[int] = set()
+        #: What the engine said last that it holds; ``None`` until it did.
+        self.held: endpoints.Weights | None = None
+
+    def has(self, version: int) -> bool:
+        """Tell whether the engine holds all layers of a version, or newer."""
+        engine = self._neighbours.engine()
+        held = self.held
+        if engine is None or held is None:
+            return False
+        whole = held.first == 0 and held.end >= engine.layers
+        return whole and held.version >= version
+
+    def wanted(self, ready: loading.Loading) -> tuple[str, int]:
+        """Return the model and the version whose pieces to get now.
+
+        Version 0 where nothing is to be got.
+        """
+        engine = self._neighbours.engine()
+        if engine is None:
+            return '', 0
+        version = self._aimed_at(engine, ready)
+        here = ready.newest_whole(engine.model)
+        if version <= here or self.has(version):
+            return engine.model, 0
+        return engine.model, version
+
+    def is_late(self, version: int) -> bool:
+        """Tell whether the others began to get a version before."""
+        return version in self._late_versions
+
+    def begins(self, ready: loading.Loading, model: str, version: int) -> None:
+        """Note whether an empty engine begins to get a version late.
+
+        It was added meanwhile, or got an older version first. The others have
+        their places in a chain by now.
+        """
+        left = self._beliefs.seconds_left(model, version)
+        begun = ready.pieces_of(model, version) is not None
+        if left is None or begun or self.has(1):
+            return
+        if self._beliefs.is_guessed(model, version):
+            return
+        if self._own.duties.version - left > _LATE_SECONDS:
+            self._late_versions.add(version)
+            logger.bind(version=version, left=round(left, 3)).info(
+                'begins late',
+            )
+
+    def _aimed_at(
+        self,
+        engine: routing.Engine,
+        ready: loading.Loading,
+    ) -> int:
+        """Return the version that the engine should have next.
+
+        Where none was named, whatever other engines have.
+        """
+        named = self._beliefs.wanted_version(engine.model)
+        if not named:
+            fellows = self._neighbours.fellows()
+            held = [peer.weights.version for peer in fellows]
+            named = max(held, default=0) or 1
+        elif self._finishes_first(engine, ready, named):
+            return self._fetching
+        self._fetching = named
+        return named
+
+    def _finishes_first(
+        self,
+        engine: routing.Engine,
+        ready: loading.Loading,
+        newest: int,
+    ) -> bool:
+        """Tell whether to finish the version begun before the newest one."""
+        current = self._fetching
+        begun = ready.pieces_of(engine.model, current)
+        if begun is None or not begun.missing or current >= newest:
+            return False
+        missing = self._seconds(engine, len(begun.missing))
+        whole = self._seconds(engine, engine.chunks)
+        if not self.has(1):
+            by = self._beliefs.begin_by(engine, current)
+            used = by - asyncio.get_running_loop().time()
+            return superseding.finish_older(missing, whole, used)
+        left = self._beliefs.seconds_left(engine.model, newest) or 0
+        return superseding.finish_first(
+            superseding.Transfer(missing, self._left(engine, current)),
+            superseding.Transfer(whole, left),
+        )
+
+    def _left(self, engine: routing.Engine, version: int) -> float:
+        """Return the seconds until requests begin on no older version.
+
+        For a version that nobody named, all the time that there is: engines
+        that hold it aren't late.
+        """
+        left = self._beliefs.seconds_left(engine.model, version)
+        return math.inf if left is None else left
+
+    def _seconds(self, engine: routing.Engine, chunks: int) -> float:
+        """Return how long pieces take over this machine's link."""
+        bits = chunks * engine.chunk_bytes * _BITS
+        return _OVERHEAD * bits / (self._own.link_mbps * _MEGA)
--- a/clementinepass/direct/beats.py
+++ b/clementinepass/direct/beats.py
@@ -22,12 +22,16 @@
 
 
 class Held(typing.NamedTuple):
-    """The layers of one version that the engine at an address holds."""
+    """The layers of one version that the engine at an address holds.
+
+    :param strained: whether its machine's link is slow at present.
+    """
 
     address: str
     version: int
     first: int
     end: int
+    strained: bool = False
 
 
 class Beat:
--- a/clementinepass/direct/beliefs.py
+++ b/clementinepass/direct/beliefs.py
@@ -23,6 +23,9 @@
 #: Seconds before the bound on older versions from which only the newest gets
 #: requests: one sent may wait that long at an engine before it begins.
 _VERSION_MARGIN = 0.6
+#: Seconds for which an agent's word counts that its link is slow. It says so
+#: each second while pieces come slowly.
+_STRAIN_LIFETIME = 2.5
 #: Seconds of the time for which a process counts as just started that are not
 #: used: its own start, and a request that waits at an engine.
 _START_MARGIN = 1.0
@@ -153,6 +156,11 @@
         named = self._named_by_model.get(model)
         return 0 if named is None else named.newest
 
+    def is_guessed(self, model: str, version: int) -> bool:
+        """Tell whether it is a guess when a version was named."""
+        named = self._named_by_model.get(model)
+        return named is not None and version in named.guessed
+
     def seconds_left(self, model: str, version: int) -> float | None:
         """Return the time until requests begin on no older version.
 
@@ -184,9 +192,11 @@
         self._loads_by_peer[peer] = _PeerLoads(in_flight_by_endpoint, now)
 
     def heard_held(self, held: beats.Held) -> None:
-        """Take an agent's word on what its engine holds."""
+        """Take an agent's word on its engine and its link."""
+        now = self._clock()
         for endpoint in self.endpoints:
             if endpoint.listing.address == held.address:
+                self._note_strain(endpoint, held, now)
                 weights = endpoints.Weights(held.version, held.first, held.end)
                 if weights != endpoint.weights and endpoint.gone_at is None:
                     endpoint.weights = weights
@@ -196,6 +206,22 @@
                         layers=held.end - held.first,
                     ).info('engine holds weights')
 
+    def _note_strain(
+        self,
+        endpoint: endpoints.Endpoint,
+        held: beats.Held,
+        now: float,
+    ) -> None:
+        was_strained = endpoint.strained_until > now
+        endpoint.strained_until = (
+            now + _STRAIN_LIFETIME if held.strained else now
+        )
+        if held.strained != was_strained:
+            logger.bind(
+                endpoint=endpoint.listing.id,
+                strained=held.strained,
+            ).info('link of an endpoint')
+
     def in_flight_by_endpoint(self) -> dict[str, int]:
         """Return this entry's requests at endpoints, to tell others."""
         return {
@@ -278,6 +304,7 @@
                 each.listing.slots,
                 is_near=each.listing.domain == self._own.domain,
                 is_old=each.weights.version < newest,
+                is_strained=each.strained_until > now,
             )
             for each in candidates
         ]
--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -60,6 +60,7 @@
         'listing',
         'misdirected',
         'removed_at',
+        'strained_until',
         'weights',
     )
 
@@ -73,6 +74,8 @@
         self.misdirected = False
         #: When the list dropped it; ``None`` while it stands there.
         self.removed_at: float | None = None
+        #: Until when its machine's link is taken for slow.
+        self.strained_until = float('-inf')
         #: When it stops to be used after the list dropped it.
         self.gone_at: float | None = None
 
--- a/clementinepass/direct/exchange.py
+++ b/clementinepass/direct/exchange.py
@@ -30,6 +30,8 @@
 #: Seconds that an agent which is getting pieces lets another wait for more.
 #: Whoever waits knows by the answer that it lives, so not for long.
 _WAIT_SECONDS = 0.3
+#: Seconds that one waits for a manifest: the one before has to get it first.
+_BEGIN_SECONDS = 1.0
 #: Looks during that time whether the version has been begun.
 _LOOKS = 10
 _NUMBERS_SECONDS = 3.0
@@ -81,6 +83,9 @@
     def has_loaded(self, version: int) -> bool:
         """Tell whether its engine serves that version."""
 
+    def is_busy(self, version: int) -> bool:
+        """Tell whether it gets pieces of another version first."""
+
     async def staged_piece(
         self,
         model: str,
@@ -172,7 +177,8 @@
         """Return the headers that say what there is here."""
         held = self._holder.pieces_of(wish.model, wish.version)
         if held is None:
-            return []
+            busy = self._holder.is_busy(wish.version)
+            return [(_SLOW, b'%d' % busy)]
         return [
             (_OTHERS, b'%d' % len(held.numbers)),
             (_SLOW, b'%d' % held.slow),
@@ -215,11 +221,14 @@
         Whoever asks for a version has heard of it; this agent may have heard
         of it just now.
         """
+        seconds = _BEGIN_SECONDS if wish.kind == _MANIFESTS else _WAIT_SECONDS
         for _ in range(_LOOKS):
             held = self._holder.pieces_of(wish.model, wish.version)
             if held is not None or self._holder.has_loaded(wish.version):
                 return held
-            await asyncio.sleep(_WAIT_SECONDS / _LOOKS)
+            if self._holder.is_busy(wish.version):
+                return None
+            await asyncio.sleep(seconds / _LOOKS)
         return None
 
 
@@ -274,7 +283,11 @@
         if found is None:
             return weights.Holding()
         state = self._decode(found, _State)
-        return weights.Holding(frozenset(state.numbers), state.slow)
+        return weights.Holding(
+            frozenset(state.numbers),
+            state.slow,
+            len(state.numbers),
+        )
 
     async def piece(
         self,
@@ -291,7 +304,7 @@
         headers = fetched.headers
         return weights.Piece(
             fetched.body if fetched.status == _OK else None,
-            others=int(headers.get(_OTHERS.lower()) or b'0'),
+            others=_count(headers.get(_OTHERS.lower())),
             seconds=fetched.seconds,
             slow=headers.get(_SLOW.lower()) == b'1',
         )
@@ -325,3 +338,7 @@
                 step=target,
                 peer=self._ip,
             ) from error
+
+
+def _count(told: bytes | None) -> int | None:
+    return int(told) if told is not None and told.isdigit() else None
--- a/clementinepass/direct/fetching.py
+++ b/clementinepass/direct/fetching.py
@@ -104,12 +104,13 @@
                         await self._changed.wait()
         finally:
             self._suppliers.cancel()
+            self._held.slow = False
 
     # What to get next.
 
     def _start(self, now: float) -> None:
         """Ask for pieces until enough are on their way."""
-        self._suppliers.judge(now)
+        self._suppliers.judge(now, len(self._held.numbers))
         question = self._question(now)
         plan = piece_chains.plan(question)
         self._follow_plan(plan, now)
@@ -299,7 +300,11 @@
                 self._failed(one, error)
                 await asyncio.sleep(_FAILED_PAUSE)
                 continue
-            one.answered(loop.time(), slow=holding.slow)
+            one.answered(
+                loop.time(),
+                slow=holding.slow,
+                count=holding.total,
+            )
             if holding.numbers != one.has:
                 one.has = holding.numbers
                 self._changed.set()
@@ -337,7 +342,7 @@
             number,
         )
         now = asyncio.get_running_loop().time()
-        one.answered(now, slow=piece.slow)
+        one.answered(now, slow=piece.slow, count=piece.others)
         if piece.payload is None:
             return None
         if not self._held.take(number, piece.payload):
@@ -363,7 +368,7 @@
         self._progress = now
         seconds = min(piece.seconds, _LONGEST_PIECE)
         self._piece_seconds += _GAIN * (seconds - self._piece_seconds)
-        ahead = piece.others - len(self._held.numbers)
+        ahead = (piece.others or 0) - len(self._held.numbers)
         self._held.slow = (
             self._piece_seconds > _SLOW_PIECE
             and ahead > _FAR_AHEAD
--- a/clementinepass/direct/loading.py
+++ b/clementinepass/direct/loading.py
@@ -66,6 +66,11 @@
             default=0,
         )
 
+    @property
+    def is_slow(self) -> bool:
+        """Tell whether pieces come here slowly at present."""
+        return any(held.slow for held in self._pieces_by_version.values())
+
     async def fetch(self, model: str, version: int) -> None:
         """Get the pieces of a version that are missing.
 
--- a/clementinepass/direct/suppliers.py
+++ b/clementinepass/direct/suppliers.py
@@ -20,9 +20,12 @@
 _SILENT_AFTER = 0.75
 #: Failures in a row that say the same: refused connections, mostly.
 _MOST_FAILURES = 3
-#: Seconds for which a source is passed over: the time for its machine to wake,
-#: or for the list to drop it.
-_PASSED_OVER = 5.0
+#: Seconds for which a source is passed over: its machine wakes meanwhile or is
+#: dropped from the list, and all that want the version have it, mostly.
+_PASSED_OVER = 8.0
+#: Pieces by which a source may have fewer and still be one: they come in
+#: another order where both have had some before.
+_FAR_BEHIND = 12
 
 
 class Supplier:
@@ -34,6 +37,7 @@
 
     __slots__ = (
         'asked_since',
+        'count',
         'failures',
         'has',
         'ip',
@@ -49,6 +53,8 @@
         self.source = source
         #: The numbers of the pieces that it is known to have.
         self.has: frozenset[int] = frozenset()
+        #: How many pieces it says that it has; ``None`` if untold.
+        self.count: int | None = None
         #: Whether it says that pieces come to it slowly.
         self.is_slow = False
         #: Questions in a row that it failed to answer.
@@ -62,8 +68,11 @@
         #: Learns what it has, where that is followed.
         self.watcher: asyncio.Task[None] | None = None
 
-    def trouble(self, now: float) -> str:
-        """Return why it should be passed over; empty if it need not be."""
+    def trouble(self, now: float, held: int) -> str:
+        """Return why it should be passed over; empty if it need not be.
+
+        :param held: how many pieces the asking agent has.
+        """
         if self.ip == piece_chains.ORIGIN:
             # There is no other in its place.
             return ''
@@ -71,6 +80,8 @@
             return 'slow'
         if self.failures >= _MOST_FAILURES:
             return 'failing'
+        if self.count is not None and self.count < held - _FAR_BEHIND:
+            return 'behind'
         if self.asked_since is None:
             return ''
         heard = max(self.asked_since, self.source.heard)
@@ -81,7 +92,13 @@
         if self.asked_since is None:
             self.asked_since = now
 
-    def answered(self, now: float, *, slow: bool) -> None:
+    def answered(
+        self,
+        now: float,
+        *,
+        slow: bool,
+        count: int | None,
+    ) -> None:
         """Note an answer, whatever it says."""
         if self.failures:
             logger.bind(
@@ -90,6 +107,7 @@
             ).info('source answers again')
         self.failures = 0
         self.is_slow = slow
+        self.count = count
         self.asked_since = now if self.on_way else None
 
     def pass_over(self, now: float) -> None:
@@ -97,6 +115,7 @@
         self.passed_over_until = now + _PASSED_OVER
         self.failures = 0
         self.is_slow = False
+        self.count = None
         self.cancel()
 
     def cancel(self) -> None:
@@ -157,17 +176,19 @@
         """Return the numbers of the pieces on their way."""
         return frozenset(number for one in self for number in one.on_way)
 
-    def judge(self, now: float) -> None:
-        """Pass over those that are slow, failing or silent.
+    def judge(self, now: float, held: int) -> None:
+        """Pass over those that are slow, failing, silent or far behind.
 
         Failure: a machine in the middle of a chain stood still, or had its
         link narrowed to a tenth, and all agents behind it waited. Without it,
         the next one has another before it. One that merely waits for pieces
         itself answers and stays: when all behind a break looked elsewhere,
         they met at the same two agents, and got a piece each 150 ms.
+
+        :param held: how many pieces the asking agent has.
         """
         for one in self:
-            trouble = one.trouble(now)
+            trouble = one.trouble(now, held)
             if trouble:
                 logger.bind(source=one.ip, trouble=trouble).info(
                     'source passed over',
--- /dev/null
+++ b/clementinepass/direct/telling.py
@@ -0,0 +1,83 @@
+"""Tell entries what an engine holds, and how the link of its machine is."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from clementinepass.direct import beats, endpoints
+
+if typing.TYPE_CHECKING:
+    from clementinepass.direct import gossip, node
+
+#: Times that news of the engine is told; datagrams are lost now and then.
+_TOLD_TIMES = 3
+_TELL_SECONDS = 0.15
+#: Seconds between words that the link is slow.
+_STRAIN_SECONDS = 1.0
+
+
+class Telling:
+    """What an agent tells entries.
+
+    :param own: who it is.
+    :param peers: sends it.
+    """
+
+    __slots__ = ('_held', '_own', '_peers', '_strained_at')
+
+    def __init__(self, own: node.Node, peers: gossip.Peers) -> None:
+        self._own = own
+        self._peers = peers
+        self._held: endpoints.Weights | None = None
+        #: When entries were last told that the link is slow; ``None`` where
+        #: they take it for sound.
+        self._strained_at: float | None = None
+
+    def holds(self, held: endpoints.Weights) -> None:
+        """Tell what the engine holds."""
+        self._held = held
+        self._tell()
+
+    def loads(self, version: int) -> None:
+        """Tell that the engine takes no request until it has loaded.
+
+        It finishes what runs and takes nothing new meanwhile; a request sent
+        there would wait for all of that.
+        """
+        self.holds(endpoints.Weights(version, 0, 0))
+
+    def strained(self, *, is_slow: bool) -> None:
+        """Tell while the link here is slow, and when it no longer is.
+
+        Failure: on a link narrowed to a tenth requests waited behind pieces,
+        and reached the engine when their callers had left.
+        """
+        now = asyncio.get_running_loop().time()
+        told = self._strained_at
+        if not is_slow:
+            self._strained_at = None
+            if told is not None:
+                self._tell()
+        elif told is None or now - told >= _STRAIN_SECONDS:
+            self._strained_at = now
+            self._tell()
+
+    def _tell(self) -> None:
+        if self._held is None:
+            return
+        word = beats.Held(
+            self._own.endpoint,
+            self._held.version,
+            self._held.first,
+            self._held.end,
+            self._strained_at is not None,
+        )
+        self._peers.held = (word,)
+        loop = asyncio.get_running_loop()
+        for time in range(_TOLD_TIMES):
+            loop.call_later(time * _TELL_SECONDS, self._tell_all)
+
+    def _tell_all(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self._peers.tell([one.ip for one in self._peers.members.alive(now)])
--- a/clementinepass/direct/weights.py
+++ b/clementinepass/direct/weights.py
@@ -27,13 +27,13 @@
     """A piece as it came, unchecked.
 
     :param payload: ``None`` where the source doesn't have it.
-    :param others: how many pieces of the version its source has.
+    :param others: how many pieces of the version its source has, if it says.
     :param seconds: from the first byte of the answer to the last.
     :param slow: whether pieces come slowly to the source itself.
     """
 
     payload: bytes | None
-    others: int = 0
+    others: int | None = None
     seconds: float = 0
     slow: bool = False
 
@@ -42,10 +42,12 @@
     """What an agent that gets pieces has of them.
 
     :param slow: whether they come slowly to it.
+    :param total: how many it has; ``None`` where it doesn't say.
     """
 
     numbers: frozenset[int] = frozenset()
     slow: bool = False
+    total: int | None = None
 
 
 class Manifest(typing.NamedTuple):
--- a/clementinepass/wire/beats.py
+++ b/clementinepass/wire/beats.py
@@ -118,6 +118,7 @@
         slot.version = held.version
         slot.first = held.first
         slot.end = held.end
+        slot.strained = held.strained
 
 
 def _beat(message: typing.Any) -> beats.Beat:
@@ -141,7 +142,13 @@
             for named in message.versions
         ),
         held=tuple(
-            beats.Held(held.address, held.version, held.first, held.end)
+            beats.Held(
+                held.address,
+                held.version,
+                held.first,
+                held.end,
+                held.strained,
+            )
             for held in message.held
         ),
     )
--- a/clementinepass/wire/direct.capnp
+++ b/clementinepass/wire/direct.capnp
@@ -41,6 +41,8 @@
   version @1 :UInt32;
   first @2 :UInt16;
   end @3 :UInt16;
+  # Whether what comes to its machine takes several times as long as usual.
+  strained @4 :Bool;
 }
 
 struct Beat {
--- a/tests/decisions/test_direct_decisions.py
+++ b/tests/decisions/test_direct_decisions.py
@@ -99,6 +99,24 @@
         far = nearest_place.Option('far', 5, 16, is_near=False)
         self.assertEqual('near', self.choose(near, far))
 
+    def test_slow_link(self) -> None:
+        """Requests reached an engine when their callers had left.
+
+        Its link was narrowed to a tenth, and they waited there behind pieces
+        of weights. By its count of requests it was the emptiest.
+        """
+        slow = nearest_place.Option(
+            'slow',
+            2,
+            16,
+            is_near=True,
+            is_strained=True,
+        )
+        busy = nearest_place.Option('busy', 11, 16, is_near=False)
+        self.assertEqual('busy', self.choose(slow, busy))
+        full = nearest_place.Option('full', 40, 16, is_near=True)
+        self.assertEqual('slow', self.choose(slow, full))
+
     def test_newest_weights(self) -> None:
         """An engine that is yet to load cuts what runs when it does."""
         old = nearest_place.Option('old', 2, 16, is_near=True, is_old=True)
@@ -236,6 +254,27 @@
         self.assertFalse(superseding.finish_first(current, newer))
 
 
+class FinishOlderTest(testtools.TestCase):
+    """An empty engine brings what serves longest.
+
+    Six of thirteen engines were replaced while version 1 was in use, and had
+    most of its pieces when version 2 was named. All dropped them, and served
+    nothing for the eight seconds until version 2 was there.
+    """
+
+    def test_most_is_here(self) -> None:
+        """With two seconds missing it serves for five and is in time after."""
+        self.assertTrue(superseding.finish_older(2, 5.6, 8))
+
+    def test_nothing_is_here(self) -> None:
+        """To get both takes longer than the older one is of use."""
+        self.assertFalse(superseding.finish_older(5.6, 5.6, 8))
+
+    def test_soon_over(self) -> None:
+        """A version that nobody may use in a second isn't worth a load."""
+        self.assertFalse(superseding.finish_older(0.4, 5.6, 1.5))
+
+
 class LoadTurnsTest(testtools.TestCase):
     """Engines load one after the other, domain by domain."""
 
--- a/tests/decisions/test_piece_chains.py
+++ b/tests/decisions/test_piece_chains.py
@@ -81,6 +81,33 @@
         )
 
 
+class LateTest(testtools.TestCase):
+    """An agent that begins late doesn't slow down those that began before.
+
+    In its place in the chain the one before it would send to two, and all
+    behind them would get pieces at half the pace.
+    """
+
+    def test_behind_the_last(self) -> None:
+        """It gets pieces from one that sends to nobody else."""
+        peers = agents(north=4, south=3, west=3)
+        sources = {
+            source
+            for plan in plans(peers, 'north').values()
+            for source in plan.sources
+        }
+        for own in peers:
+            others = [peer for peer in peers if peer != own]
+            question = piece_chains.Question(own, others, 'north', is_late=True)
+            (source,) = piece_chains.plan(question).sources
+            # The one before itself it frees, since all pass it over.
+            self.assertIn(
+                source,
+                {peer.ip for peer in peers} - sources
+                | set(plans(peers, 'north')[own.ip].sources),
+            )
+
+
 class ManyBehindFewTest(testtools.TestCase):
     """All but two engines lost their weights at once.
 
--- /dev/null
+++ b/tests/direct/test_telling.py
@@ -0,0 +1,115 @@
+"""Tests of what agents tell entries."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import testtools
+
+from clementinepass.direct import (
+    beats,
+    beliefs,
+    endpoints,
+    members,
+    node,
+    telling,
+)
+
+ENGINE = '10.0.0.1:80'
+OWN = node.Node(
+    name='agent-1',
+    ip='10.0.0.1',
+    domain='a',
+    region='a',
+    regions_by_domain={'a': 'a'},
+    first_port=1,
+    store='',
+    duties=node.Duties(),
+    endpoint=ENGINE,
+)
+HELD = endpoints.Weights(2, 0, 4)
+
+
+class _Peers:
+    """Keeps what would be sent."""
+
+    def __init__(self) -> None:
+        self.held: tuple[beats.Held, ...] = ()
+        self.told: list[beats.Held] = []
+        self.members = members.Members('10.0.0.1')
+
+    def tell(self, ips: list[str]) -> None:
+        """Send a beat."""
+        self.told.extend(self.held)
+
+
+class TellingTest(testtools.TestCase):
+    """Entries hear of the engine and of the link beside it."""
+
+    def play(
+        self,
+        story: typing.Callable[[telling.Telling], None],
+    ) -> list[beats.Held]:
+        """Tell a story and return what was sent first after each word."""
+        peers = _Peers()
+
+        async def played() -> None:
+            story(telling.Telling(OWN, typing.cast('typing.Any', peers)))
+            await asyncio.sleep(0.01)
+
+        asyncio.run(played())
+        return peers.told
+
+    def test_loads(self) -> None:
+        """While it loads no layers are told of."""
+        told = self.play(lambda own: own.loads(3))
+        self.assertEqual((3, 0, 0), told[-1][1:4])
+
+    def test_strain_keeps_the_rest(self) -> None:
+        """A slow link while the engine loads.
+
+        The word of the link must not bring back what the engine held before.
+        """
+
+        def story(own: telling.Telling) -> None:
+            own.holds(HELD)
+            own.loads(3)
+            own.strained(is_slow=True)
+
+        told = self.play(story)
+        self.assertEqual(beats.Held(ENGINE, 3, 0, 0, strained=True), told[-1])
+
+    def test_strain_over(self) -> None:
+        """It is told once that the link is sound again."""
+
+        def story(own: telling.Telling) -> None:
+            own.holds(HELD)
+            own.strained(is_slow=True)
+            own.strained(is_slow=False)
+            own.strained(is_slow=False)
+
+        told = self.play(story)
+        self.assertFalse(told[-1].strained)
+        self.assertEqual(3, len(told))
+
+
+class StrainTest(testtools.TestCase):
+    """An entry believes an agent's word on its link for a while."""
+
+    def test_believed_for_a_while(self) -> None:
+        """An agent that falls silent isn't passed by for ever."""
+        now = [100.0]
+        known = beliefs.Beliefs(OWN, clock=lambda: now[0])
+        known.endpoints.listed(
+            endpoints.Listing('i', 's', ENGINE, 'a', 16, False, 1, HELD),
+        )
+        known.heard_held(beats.Held(ENGINE, 2, 0, 4, strained=True))
+
+        def strained() -> bool:
+            (option,) = known.options(known.endpoints, now[0])
+            return option.is_strained
+
+        self.assertTrue(strained())
+        now[0] += 3
+        self.assertFalse(strained())
