Place nothing more on an endpoint that says nothing; end a leaving entry sooner

Now one with three requests and no byte for 0.6 s gets no more until it speaks. Ruled out: ejection, which takes three such failures.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -67,6 +67,8 @@
         """Send a request to an endpoint and hand on what comes."""
         attempt = admitted.begin_attempt(endpoint.listing.id)
         self._log.sending(admitted, endpoint)
+        if not endpoint.in_flight:
+            endpoint.heard = asyncio.get_running_loop().time()
         endpoint.in_flight += 1
         try:
             tried = await self._exchange(admitted, endpoint, attempt)
@@ -140,6 +142,7 @@
                 )
                 head = await used.next_answer()
                 facts = self._dialect.answer(admitted.call, head)
+        endpoint.heard = used.heard
         if facts.verdict is calls.Verdict.MISDIRECTED:
             attempt.refused()
             self._misdirected(admitted, endpoint, facts)
@@ -156,7 +159,7 @@
             )
         if facts.verdict is calls.Verdict.SUCCESS and facts.is_stream:
             return await self._relay(
-                admitted, attempt, used, facts, head.status
+                admitted, endpoint, attempt, used, facts, head.status
             )
         return await self._collect(admitted, attempt, used, facts, head.status)
 
@@ -194,6 +197,7 @@
     async def _relay(
         self,
         admitted: serving.Serving,
+        endpoint: endpoints.Endpoint,
         attempt: outcome.Attempt,
         used: channel.Channel,
         facts: calls.AnswerFacts,
@@ -204,6 +208,7 @@
         while True:
             async with _patience(admitted, used):
                 part = await used.read()
+            endpoint.heard = used.heard
             if not part:
                 break
             for event in admitted.splitter.feed(part):
--- a/clementinepass/direct/beliefs.py
+++ b/clementinepass/direct/beliefs.py
@@ -268,9 +268,13 @@
         candidates: Iterable[endpoints.Endpoint],
         now: float,
     ) -> list[nearest_place.Option]:
-        """Return what placing compares, without those that fail."""
+        """Return what placing compares, without those that fail or stall."""
         ejected = self.ejector.ejected(now)
-        sound = [each for each in candidates if each.listing.id not in ejected]
+        sound = [
+            each
+            for each in candidates
+            if each.listing.id not in ejected and not each.stalled(now)
+        ]
         return self._options(sound, now)
 
     def options_of_failing(
--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -23,6 +23,14 @@
 RELIST_SECONDS = 2.0
 
 
+#: Seconds without a byte of an endpoint, though several requests are there,
+#: after which it gets no more. An engine that works sends events each 60 ms,
+#: and one that reads the longest prompts each 300.
+_STALLED_SECONDS = 0.6
+#: Requests that say so. A single one may wait for its answer for long.
+_LEAST_WAITING = 3
+
+
 class Weights(typing.NamedTuple):
     """The layers of one version that an engine has loaded.
 
@@ -56,6 +64,7 @@
 
     __slots__ = (
         'gone_at',
+        'heard',
         'in_flight',
         'listing',
         'misdirected',
@@ -74,6 +83,9 @@
         self.misdirected = False
         #: When the list dropped it; ``None`` while it stands there.
         self.removed_at: float | None = None
+        #: When a byte of it last came, or a request was sent to it while it had
+        #: none; monotonic seconds.
+        self.heard: float = 0
         #: Until when its machine's link is taken for slow.
         self.strained_until = float('-inf')
         #: When it stops to be used after the list dropped it.
@@ -85,6 +97,16 @@
             return False
         return self.gone_at is None or now < self.gone_at
 
+    def stalled(self, now: float) -> bool:
+        """Tell whether it says nothing though it has requests to answer.
+
+        Failure: a machine stood still for four seconds. Its requests were
+        given up one by one after more than a second each, and until three had
+        been, it looked like the emptiest and drew more.
+        """
+        silent = now - self.heard > _STALLED_SECONDS
+        return silent and self.in_flight >= _LEAST_WAITING
+
     @property
     def loading(self) -> bool:
         """Tell whether its engine takes up a version and runs nothing."""
--- a/clementinepass/direct/leaving.py
+++ b/clementinepass/direct/leaving.py
@@ -24,7 +24,7 @@
 #: longer than callers keep a list that is in use.
 _KEPT_PART = 0.7
 #: The part of it at which whatever remains is ended.
-_LAST_PART = 0.96
+_LAST_PART = 0.92
 _LOOK_SECONDS = 0.05
 
 
--- a/tests/direct/test_endpoints.py
+++ b/tests/direct/test_endpoints.py
@@ -48,6 +48,24 @@
         """Return the ids of those that may be used."""
         return [one.listing.id for one in self.known.of_service('pool', now)]
 
+    def test_stalled(self) -> None:
+        """A machine stood still for four seconds and drew a third of the load.
+
+        Its requests were given up after more than a second each, so that by
+        its count it was the emptiest. Nothing had come from it since it froze.
+        """
+        endpoint = self.known.get('i-1')
+        assert endpoint is not None
+        endpoint.heard = 10
+        endpoint.in_flight = 3
+        self.assertFalse(endpoint.stalled(10.5))
+        self.assertTrue(endpoint.stalled(10.7))
+        endpoint.heard = 10.7
+        self.assertFalse(endpoint.stalled(10.8))
+        # One request alone may be a long one.
+        endpoint.in_flight = 1
+        self.assertFalse(endpoint.stalled(12))
+
     def test_old_word(self) -> None:
         """A word from before the endpoint was leaving comes late.
 
