Take an endpoint for stalled by streams that have begun; serve late agents in their region

In an overload three requests of an entry that wait at an engine behind those of others say nothing for longer than 0.6 s, so that sound engines were left out. Only streams that have begun count now.

An agent on a narrow link passed over seven sound sources, whose answers queued behind a piece; while pieces come from another it waits 2.5 s. The last of a chain stalled at the start and went by holdings to the end, at two thirds of the pace; it goes by the order again.

The proof now waits for the list as the other one of the file does; nothing it checks has changed.

--- a/clementinepass/decisions/piece_chains.py
+++ b/clementinepass/decisions/piece_chains.py
@@ -149,18 +149,20 @@
     second: Sequence[Peer],
     own: Peer,
 ) -> Plan:
-    """Return a place behind the last of the own chain.
+    """Return a place behind the last of the own region, or of the chain.
 
     Whoever begins later is no use in the middle, where the one before it
-    would have to send to two: it gets pieces from the only one that sends to
-    nobody. Those behind it in the chain pass it over meanwhile.
+    would have to send to two: it gets pieces from the one that sends to
+    nobody, or over the border at most. Those behind it in the chain pass it
+    over meanwhile, as it does those that are late themselves.
     """
     ascending = own in first
     chain = first if ascending else second
     rest = [peer for peer in chain if peer != own]
-    if not rest:
-        rest = list(second if ascending else first)
-    return Plan((rest[-1].ip,), ascending, len(rest))
+    near = [peer for peer in rest if peer.region == own.region]
+    other = second if ascending else first
+    last = near or rest or other
+    return Plan((last[-1].ip,), ascending, len(rest))
 
 
 def _place_in(
--- a/clementinepass/decisions/superseding.py
+++ b/clementinepass/decisions/superseding.py
@@ -13,6 +13,9 @@
 
 #: Seconds for an engine to load what lies ready.
 _LOADING = 0.5
+#: The time that pieces take whoever begins late with them, against the usual:
+#: those that could send them are busy with the others.
+_LATE_PART = 1.4
 #: Seconds for which a version must be of use to be worth a load.
 _LEAST_USE = 1.0
 
@@ -54,5 +57,5 @@
     :param left: seconds until requests begin on no older version.
     """
     used = left - missing - _LOADING
-    late = max(missing + whole - left, 0)
+    late = max(missing + whole * _LATE_PART - left, 0)
     return used > max(late, _LEAST_USE)
--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -67,8 +67,6 @@
         """Send a request to an endpoint and hand on what comes."""
         attempt = admitted.begin_attempt(endpoint.listing.id)
         self._log.sending(admitted, endpoint)
-        if not endpoint.in_flight:
-            endpoint.heard = asyncio.get_running_loop().time()
         endpoint.in_flight += 1
         try:
             tried = await self._exchange(admitted, endpoint, attempt)
@@ -142,7 +140,6 @@
                 )
                 head = await used.next_answer()
                 facts = self._dialect.answer(admitted.call, head)
-        endpoint.heard = used.heard
         if facts.verdict is calls.Verdict.MISDIRECTED:
             attempt.refused()
             self._misdirected(admitted, endpoint, facts)
@@ -158,9 +155,13 @@
                 peer=used.peer,
             )
         if facts.verdict is calls.Verdict.SUCCESS and facts.is_stream:
-            return await self._relay(
-                admitted, endpoint, attempt, used, facts, head.status
-            )
+            endpoint.streams += 1
+            try:
+                return await self._relay(
+                    admitted, endpoint, attempt, used, facts, head.status
+                )
+            finally:
+                endpoint.streams -= 1
         return await self._collect(admitted, attempt, used, facts, head.status)
 
     async def _collect(
@@ -205,6 +206,7 @@
     ) -> serving.Tried:
         """Hand on whole events as they come."""
         reply = admitted.reply
+        endpoint.heard = used.heard
         while True:
             async with _patience(admitted, used):
                 part = await used.read()
--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -23,12 +23,12 @@
 RELIST_SECONDS = 2.0
 
 
-#: Seconds without a byte of an endpoint, though several requests are there,
-#: after which it gets no more. An engine that works sends events each 60 ms,
-#: and one that reads the longest prompts each 300.
+#: Seconds without a byte of an endpoint, though streams of it have begun, after
+#: which it gets no more. An engine that works sends events each 60 ms, and one
+#: that reads the longest prompts each 300.
 _STALLED_SECONDS = 0.6
-#: Requests that say so. A single one may wait for its answer for long.
-_LEAST_WAITING = 3
+#: Streams that say so; a single one may have been given up there.
+_LEAST_STREAMS = 2
 
 
 class Weights(typing.NamedTuple):
@@ -70,6 +70,7 @@
         'misdirected',
         'removed_at',
         'strained_until',
+        'streams',
         'weights',
     )
 
@@ -83,9 +84,10 @@
         self.misdirected = False
         #: When the list dropped it; ``None`` while it stands there.
         self.removed_at: float | None = None
-        #: When a byte of it last came, or a request was sent to it while it had
-        #: none; monotonic seconds.
+        #: When a byte of a stream of it last came; monotonic seconds.
         self.heard: float = 0
+        #: Streams of it that have begun and go on.
+        self.streams = 0
         #: Until when its machine's link is taken for slow.
         self.strained_until = float('-inf')
         #: When it stops to be used after the list dropped it.
@@ -98,14 +100,15 @@
         return self.gone_at is None or now < self.gone_at
 
     def stalled(self, now: float) -> bool:
-        """Tell whether it says nothing though it has requests to answer.
+        """Tell whether it says nothing though streams of it have begun.
 
         Failure: a machine stood still for four seconds. Its requests were
         given up one by one after more than a second each, and until three had
-        been, it looked like the emptiest and drew more.
+        been, it looked like the emptiest and drew more. Requests that haven't
+        begun say nothing: they may wait for those of other entries.
         """
         silent = now - self.heard > _STALLED_SECONDS
-        return silent and self.in_flight >= _LEAST_WAITING
+        return silent and self.streams >= _LEAST_STREAMS
 
     @property
     def loading(self) -> bool:
--- a/clementinepass/direct/fetching.py
+++ b/clementinepass/direct/fetching.py
@@ -36,6 +36,10 @@
 #: Seconds without a piece after which to go by what the source has. Pieces
 #: come each 60 ms, and each 170 ms where links are slowed to a third.
 _STALLED = 0.35
+#: Pieces in a row that came in the order of the chain, after which to go by
+#: that again. At the start of a version the last of a chain wait longer than
+#: that; to ask for what is known to be there costs a quarter of the pace.
+_IN_ORDER_AGAIN = 4
 #: Seconds without a piece after which the origin and all agents are asked,
 #: and the same for each agent before in the chain. The origin has to send to
 #: two; where all agents turn to it none is done in time.
@@ -88,6 +92,8 @@
         self._progress = asyncio.get_running_loop().time()
         #: Whether to go by what sources have, not by the order of the chain.
         self._by_holdings = False
+        #: Pieces in a row that came in the order of the chain.
+        self._in_order_run = 0
         self._piece_seconds = _USUAL_PIECE
         #: Bytes got from the origin and from agents.
         self.from_origin = 0
@@ -116,6 +122,7 @@
         self._follow_plan(plan, now)
         if now - self._progress > _STALLED and not self._by_holdings:
             self._by_holdings = True
+            self._in_order_run = 0
             logger.bind(
                 sources=plan.sources,
                 partners=plan.partners[:1],
@@ -345,6 +352,7 @@
         one.answered(now, slow=piece.slow, count=piece.others)
         if piece.payload is None:
             return None
+        self._note_order(number)
         if not self._held.take(number, piece.payload):
             logger.bind(piece=number, source=one.ip or 'origin').warning(
                 'piece is spoilt',
@@ -353,6 +361,19 @@
         self._came(one, piece, now)
         return piece
 
+    def _note_order(self, number: int) -> None:
+        """Go by the order of the chain again once pieces come in it."""
+        missing = self._held.missing
+        plan = self._plan
+        if plan is not None and not plan.ascending:
+            missing.reverse()
+        if number in missing[:_ASKED_OF_AGENT]:
+            self._in_order_run += 1
+        else:
+            self._in_order_run = 0
+        if self._by_holdings and self._in_order_run >= _IN_ORDER_AGAIN:
+            self._by_holdings = False
+
     def _came(
         self,
         one: suppliers.Supplier,
--- a/clementinepass/direct/suppliers.py
+++ b/clementinepass/direct/suppliers.py
@@ -18,6 +18,11 @@
 #: over. A source answers within a third of a second, if only to say that it
 #: has nothing yet; the rest is for answers that queue behind pieces.
 _SILENT_AFTER = 0.75
+#: The same while another source's pieces are coming: on a narrow link answers
+#: queue behind them for seconds, and every source looks silent.
+_SILENT_BESIDE = 2.5
+#: Seconds since a byte of it came in which a source counts as sending.
+_SENDING = 0.3
 #: Failures in a row that say the same: refused connections, mostly.
 _MOST_FAILURES = 3
 #: Seconds for which a source is passed over: its machine wakes meanwhile or is
@@ -68,10 +73,11 @@
         #: Learns what it has, where that is followed.
         self.watcher: asyncio.Task[None] | None = None
 
-    def trouble(self, now: float, held: int) -> str:
+    def trouble(self, now: float, held: int, patience: float) -> str:
         """Return why it should be passed over; empty if it need not be.
 
         :param held: how many pieces the asking agent has.
+        :param patience: seconds for which it may say nothing.
         """
         if self.ip == piece_chains.ORIGIN:
             # There is no other in its place.
@@ -85,7 +91,11 @@
         if self.asked_since is None:
             return ''
         heard = max(self.asked_since, self.source.heard)
-        return 'silent' if now - heard > _SILENT_AFTER else ''
+        return 'silent' if now - heard > patience else ''
+
+    def sends(self, now: float) -> bool:
+        """Tell whether a piece is coming from it."""
+        return bool(self.on_way) and now - self.source.heard < _SENDING
 
     def asked(self, now: float) -> None:
         """Note that a question goes out."""
@@ -188,7 +198,9 @@
         :param held: how many pieces the asking agent has.
         """
         for one in self:
-            trouble = one.trouble(now, held)
+            beside = any(each.sends(now) for each in self if each is not one)
+            patience = _SILENT_BESIDE if beside else _SILENT_AFTER
+            trouble = one.trouble(now, held, patience)
             if trouble:
                 logger.bind(source=one.ip, trouble=trouble).info(
                     'source passed over',
--- a/tests/proofs/test_rolling.py
+++ b/tests/proofs/test_rolling.py
@@ -79,6 +79,8 @@
         No call fails and none that must run once runs twice.
         """
         with benches.Bench(engines=2, services=2) as bench:
+            # An entry that hasn't read the instance list answers 503.
+            bench.await_listed('entry-0', at='entry-0')
             stop = threading.Event()
             callers = [_Caller(bench, each) for each in range(_CALLERS)]
             loads = [bench.pool.submit(one.run, stop) for one in callers]
