--- a/clementinepass/decisions/piece_chains.py
+++ b/clementinepass/decisions/piece_chains.py
@@ -49,13 +49,11 @@
     """Who asks, and who else there is.
 
     :param origin_region: the region in which the origin stands.
-    :param is_late: whether the others began a while ago.
     """
 
     own: Peer
     peers: Sequence[Peer]
     origin_region: str
-    is_late: bool = False
 
 
 class Plan(typing.NamedTuple):
@@ -137,34 +135,11 @@
     ordered = _in_order(question)
     split = _split(ordered)
     first, second = ordered[:split], ordered[split:]
-    if question.is_late and len(ordered) > 1:
-        return _behind_all(first, second, question.own)
     if question.own in first:
         return _place_in(first, second, question.own, ascending=True)
     return _place_in(second, first, question.own, ascending=False)
 
 
-def _behind_all(
-    first: Sequence[Peer],
-    second: Sequence[Peer],
-    own: Peer,
-) -> Plan:
-    """Return a place behind the last of the own region, or of the chain.
-
-    Whoever begins later is no use in the middle, where the one before it
-    would have to send to two: it gets pieces from the one that sends to
-    nobody, or over the border at most. Those behind it in the chain pass it
-    over meanwhile, as it does those that are late themselves.
-    """
-    ascending = own in first
-    chain = first if ascending else second
-    rest = [peer for peer in chain if peer != own]
-    near = [peer for peer in rest if peer.region == own.region]
-    other = second if ascending else first
-    last = near or rest or other
-    return Plan((last[-1].ip,), ascending, len(rest))
-
-
 def _place_in(
     chain: Sequence[Peer],
     other: Sequence[Peer],
--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -147,11 +147,6 @@
         report = self._report
         return report is not None and report.weights.version == version
 
-    def is_busy(self, version: int) -> bool:
-        """Tell whether pieces of another version are got first."""
-        _, wanted = self.wanted()
-        return wanted not in {0, version}
-
     async def staged_piece(
         self,
         model: str,
@@ -182,9 +177,7 @@
 
     def question(self, model: str, version: int) -> piece_chains.Question:
         """Return what choosing a source for pieces needs."""
-        return self._neighbours.question(version)._replace(
-            is_late=self._aims.is_late(version),
-        )
+        return self._neighbours.question(version)
 
     def source(self, ip: str) -> weights.Source | None:
         """Return a source by its IP number, or the origin."""
@@ -230,7 +223,6 @@
         while True:
             model, version = self.wanted()
             if self._engine_seen and version:
-                self._aims.begins(self._loading, model, version)
                 try:
                     await self._loading.fetch(model, version)
                 except errors.ClementinepassError as error:
--- a/clementinepass/direct/aims.py
+++ b/clementinepass/direct/aims.py
@@ -1,13 +1,9 @@
-"""Which version an agent gets next, and whether it begins late with it."""
+"""Which version an agent gets next."""
 
 from __future__ import annotations
 
-import asyncio
-import math
 import typing
 
-from loguru import logger
-
 from clementinepass.decisions import superseding
 
 if typing.TYPE_CHECKING:
@@ -26,9 +22,6 @@
 #: link that carries nothing else: heads, prompts and events. A piece of 24,576
 #: bytes takes 58 ms on a link of 3.65 Mbit/s.
 _OVERHEAD = 1.08
-#: Seconds after its naming from which an agent begins late with a version:
-#: all that were there have begun within half a second.
-_LATE_SECONDS = 1.0
 
 
 class Aims:
@@ -42,7 +35,6 @@
     __slots__ = (
         '_beliefs',
         '_fetching',
-        '_late_versions',
         '_neighbours',
         '_own',
         'held',
@@ -59,8 +51,6 @@
         self._neighbours = near
         #: The version whose pieces are being got.
         self._fetching = 0
-        #: Versions that the others began to get a while before.
-        self._late_versions: set[int] = set()
         #: What the engine said last that it holds; ``None`` until it did.
         self.held: endpoints.Weights | None = None
 
@@ -87,28 +77,6 @@
             return engine.model, 0
         return engine.model, version
 
-    def is_late(self, version: int) -> bool:
-        """Tell whether the others began to get a version before."""
-        return version in self._late_versions
-
-    def begins(self, ready: loading.Loading, model: str, version: int) -> None:
-        """Note whether an empty engine begins to get a version late.
-
-        It was added meanwhile, or got an older version first. The others have
-        their places in a chain by now.
-        """
-        left = self._beliefs.seconds_left(model, version)
-        begun = ready.pieces_of(model, version) is not None
-        if left is None or begun or self.has(1):
-            return
-        if self._beliefs.is_guessed(model, version):
-            return
-        if self._own.duties.version - left > _LATE_SECONDS:
-            self._late_versions.add(version)
-            logger.bind(version=version, left=round(left, 3)).info(
-                'begins late',
-            )
-
     def _aimed_at(
         self,
         engine: routing.Engine,
@@ -139,27 +107,20 @@
         begun = ready.pieces_of(engine.model, current)
         if begun is None or not begun.missing or current >= newest:
             return False
-        missing = self._seconds(engine, len(begun.missing))
-        whole = self._seconds(engine, engine.chunks)
-        if not self.has(1):
-            by = self._beliefs.begin_by(engine, current)
-            used = by - asyncio.get_running_loop().time()
-            return superseding.finish_older(missing, whole, used)
-        left = self._beliefs.seconds_left(engine.model, newest) or 0
+        left = self._beliefs.seconds_left(engine.model, current)
+        if left is None:
+            return False
         return superseding.finish_first(
-            superseding.Transfer(missing, self._left(engine, current)),
-            superseding.Transfer(whole, left),
+            superseding.Transfer(
+                self._seconds(engine, len(begun.missing)),
+                left,
+            ),
+            superseding.Transfer(
+                self._seconds(engine, engine.chunks),
+                self._beliefs.seconds_left(engine.model, newest) or 0,
+            ),
         )
 
-    def _left(self, engine: routing.Engine, version: int) -> float:
-        """Return the seconds until requests begin on no older version.
-
-        For a version that nobody named, all the time that there is: engines
-        that hold it aren't late.
-        """
-        left = self._beliefs.seconds_left(engine.model, version)
-        return math.inf if left is None else left
-
     def _seconds(self, engine: routing.Engine, chunks: int) -> float:
         """Return how long pieces take over this machine's link."""
         bits = chunks * engine.chunk_bytes * _BITS
--- a/clementinepass/direct/beliefs.py
+++ b/clementinepass/direct/beliefs.py
@@ -156,11 +156,6 @@
         named = self._named_by_model.get(model)
         return 0 if named is None else named.newest
 
-    def is_guessed(self, model: str, version: int) -> bool:
-        """Tell whether it is a guess when a version was named."""
-        named = self._named_by_model.get(model)
-        return named is not None and version in named.guessed
-
     def seconds_left(self, model: str, version: int) -> float | None:
         """Return the time until requests begin on no older version.
 
--- a/tests/decisions/test_direct_decisions.py
+++ b/tests/decisions/test_direct_decisions.py
@@ -254,27 +254,6 @@
         self.assertFalse(superseding.finish_first(current, newer))
 
 
-class FinishOlderTest(testtools.TestCase):
-    """An empty engine brings what serves longest.
-
-    Six of thirteen engines were replaced while version 1 was in use, and had
-    most of its pieces when version 2 was named. All dropped them, and served
-    nothing for the eight seconds until version 2 was there.
-    """
-
-    def test_most_is_here(self) -> None:
-        """With two seconds missing it serves for five and is in time after."""
-        self.assertTrue(superseding.finish_older(2, 5.6, 8))
-
-    def test_nothing_is_here(self) -> None:
-        """To get both takes longer than the older one is of use."""
-        self.assertFalse(superseding.finish_older(5.6, 5.6, 8))
-
-    def test_soon_over(self) -> None:
-        """A version that nobody may use in a second isn't worth a load."""
-        self.assertFalse(superseding.finish_older(0.4, 5.6, 1.5))
-
-
 class LoadTurnsTest(testtools.TestCase):
     """Engines load one after the other, domain by domain."""
 
--- a/tests/decisions/test_piece_chains.py
+++ b/tests/decisions/test_piece_chains.py
@@ -81,37 +81,6 @@
         )
 
 
-class LateTest(testtools.TestCase):
-    """An agent that begins late doesn't slow down those that began before.
-
-    In its place in the chain the one before it would send to two, and all
-    behind them would get pieces at half the pace.
-    """
-
-    def test_behind_the_last(self) -> None:
-        """It gets pieces from the last of its region, which sends on least."""
-        peers = agents(north=4, south=3, west=3)
-        for own in peers:
-            others = [peer for peer in peers if peer != own]
-            question = piece_chains.Question(own, others, 'north', is_late=True)
-            (source,) = piece_chains.plan(question).sources
-            near = [peer.ip for peer in others if peer.region == own.region]
-            self.assertEqual(near[-1], source)
-
-    def test_alone_in_its_region(self) -> None:
-        """Without others there it gets them over the border."""
-        peers = agents(north=4, south=1, west=3)
-        question = piece_chains.Question(
-            peers[4],
-            [peer for peer in peers if peer != peers[4]],
-            'north',
-            is_late=True,
-        )
-        plan = piece_chains.plan(question)
-        self.assertEqual(1, len(plan.sources))
-        self.assertNotIn(piece_chains.ORIGIN, plan.sources)
-
-
 class ManyBehindFewTest(testtools.TestCase):
     """All but two engines lost their weights at once.
 
