--- a/clementinepass/direct/exchange.py
+++ b/clementinepass/direct/exchange.py
@@ -51,8 +51,10 @@
 _STREAM_BITS = 36_000
 #: The part of the link that pieces take however many streams there are.
 _LEAST_PART = 0.5
-#: Seconds that one piece may take on a link, whatever its settings say.
-_LONGEST_TURN = 1.0
+#: Seconds that a part may take on a link, whatever its settings say.
+_LONGEST_TURN = 0.5
+#: Bytes sent at a time: 14 ms on a link of 3.65 Mbit/s.
+_PART_BYTES = 6144
 
 
 class _State(msgspec.Struct):
@@ -83,9 +85,6 @@
     def has_loaded(self, version: int) -> bool:
         """Tell whether its engine serves that version."""
 
-    def is_busy(self, version: int) -> bool:
-        """Tell whether it gets pieces of another version first."""
-
     async def staged_piece(
         self,
         model: str,
@@ -96,16 +95,17 @@
 
 
 class Uplink:
-    """Send one piece at a time, no faster than the link takes them.
+    """Send one piece at a time, in parts, no faster than the link takes them.
 
-    Failure: pieces that are handed to the kernel together queue on the link
-    before the engine's events, which then come in bursts a second apart.
+    Failure: pieces that are handed to the kernel whole lie on the link before
+    the engine's events, 54 ms each, and events that come 120 ms after they
+    were made are late. Between parts events find the link free.
 
     :param link_mbps: megabits a second that the machine's link carries.
     :param streams: returns how many streams the engine sends.
     """
 
-    __slots__ = ('_link', '_streams', '_turn')
+    __slots__ = ('_free_at', '_link', '_streams', '_turn')
 
     def __init__(
         self,
@@ -115,6 +115,8 @@
         self._link = link_mbps * _MEGA
         self._streams = streams
         self._turn = asyncio.Lock()
+        #: Monotonic seconds at which what was sent is out.
+        self._free_at: float = 0
 
     async def send(
         self,
@@ -127,9 +129,23 @@
         :param pairs: headers that say what else there is here.
         """
         async with self._turn:
-            reply.send(_OK, pairs, piece)
-            seconds = len(piece) * _BITS / self._left_for_pieces()
-            await asyncio.sleep(min(seconds, _LONGEST_TURN))
+            reply.begin(_OK, pairs)
+            for start in range(0, len(piece), _PART_BYTES):
+                part = piece[start : start + _PART_BYTES]
+                reply.write(part)
+                await self._until_out(len(part))
+            reply.end()
+
+    async def _until_out(self, length: int) -> None:
+        """Wait until the link has taken bytes that were just sent.
+
+        By the time at which they should be out, not by their duration, since
+        timers fire late and four for each piece would add up.
+        """
+        now = asyncio.get_running_loop().time()
+        seconds = min(length * _BITS / self._left_for_pieces(), _LONGEST_TURN)
+        self._free_at = max(self._free_at, now) + seconds
+        await asyncio.sleep(max(self._free_at - now, 0))
 
     def _left_for_pieces(self) -> float:
         """Return the bits a second that the engine's streams leave."""
@@ -177,8 +193,7 @@
         """Return the headers that say what there is here."""
         held = self._holder.pieces_of(wish.model, wish.version)
         if held is None:
-            busy = self._holder.is_busy(wish.version)
-            return [(_SLOW, b'%d' % busy)]
+            return []
         return [
             (_OTHERS, b'%d' % len(held.numbers)),
             (_SLOW, b'%d' % held.slow),
@@ -226,8 +241,6 @@
             held = self._holder.pieces_of(wish.model, wish.version)
             if held is not None or self._holder.has_loaded(wish.version):
                 return held
-            if self._holder.is_busy(wish.version):
-                return None
             await asyncio.sleep(seconds / _LOOKS)
         return None
 
