--- /dev/null
+++ b/benchmarks/day.py
@@ -0,0 +1,202 @@
+"""Play a day on the emulator: ``scripts/bench day [--heavy]``.
+
+Entries and agents run here as they do on machines, around engines that work in
+passes, a store, an origin and callers that follow the pages, all in one process
+on loopback.  A calm day is even traffic.  A heavy day has more of it than the
+engines can run, one engine that stands still, a new version of the weights,
+and the origin gone while it spreads.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import random
+import sys
+import typing
+
+from loguru import logger
+
+from clementinepass.direct import node
+from standins import following_callers, machines, stepping_engine
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
+#: Engines at the start, and requests a second that they run with ease: each
+#: ends one in some 70 ms when it is full.
+_ENGINES = 3
+_CALM_PER_SECOND = 20.0
+_HEAVY_PER_SECOND = 60.0
+#: Mean tokens of prompts and answers.
+_PROMPT = 900
+_ANSWER = 100
+#: Seconds in which a version must be in use.
+_VERSION_SECONDS = 4.0
+_STREAM = b'/stream/a'
+_CONFIG: dict[str, typing.Any] = {
+    'version': 1,
+    'routes': [
+        {
+            'name': 'stream',
+            'host': 'h',
+            'pathPrefix': '/stream/',
+            'routeKind': 'streaming',
+            'resumable': True,
+            'maxAttempts': 2,
+            'timeoutMs': 6000,
+            'sloMs': 400,
+            'gapTargetMs': 300,
+            'service': 'pool',
+        },
+    ],
+    'services': [
+        {
+            'name': 'pool',
+            'maxConns': 200,
+            'engine': {
+                'slots': stepping_engine.SLOTS,
+                'models': [{'name': 'm'}],
+                'layers': machines.LAYERS,
+                'chunks': machines.CHUNKS,
+                'chunkBytes': 30,
+                'step_ms': stepping_engine.STEP_SECONDS * 1000,
+                'read_per_s': stepping_engine.READ_PER_SECOND,
+                'usual': {'prompt': _PROMPT, 'answer': _ANSWER},
+            },
+        },
+    ],
+}
+
+
+class Day:
+    """One day: its world, its callers, and what came of it.
+
+    :param seconds: for which callers send requests.
+    """
+
+    def __init__(self, seconds: float, seed: int, *, heavy: bool) -> None:
+        self._seconds = seconds
+        self._rng = random.Random(seed)
+        self._heavy = heavy
+        self.engines = [
+            stepping_engine.SteppingEngine(
+                f'i-{number}',
+                machines.LAYERS,
+                machines.CHUNKS,
+                version=1,
+            )
+            for number in range(_ENGINES)
+        ]
+        self.callers = following_callers.Callers([], self._rng)
+        self._named_at: float | None = None
+
+    async def play(self) -> None:
+        """Play it."""
+        world = machines.Machines(
+            self.engines,
+            node.Duties(version=_VERSION_SECONDS),
+            _CONFIG,
+        )
+        async with world:
+            await machines.until(
+                lambda: all(one.ready for one in world.entries),
+            )
+            self.callers = following_callers.Callers(
+                [one.directory for one in world.entries],
+                self._rng,
+            )
+            async with asyncio.TaskGroup() as tasks:
+                if self._heavy:
+                    tasks.create_task(self._trouble(world))
+                await self._send(tasks)
+
+    async def _send(self, tasks: asyncio.TaskGroup) -> None:
+        """Send requests at random moments until the day is over."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self._seconds
+        rate = _HEAVY_PER_SECOND if self._heavy else _CALM_PER_SECOND
+        while loop.time() < until:
+            prompt = int(self._rng.expovariate(1 / _PROMPT)) + 40
+            answer = int(self._rng.expovariate(1 / _ANSWER)) + 6
+            tasks.create_task(self.callers.ask(_STREAM, prompt, answer))
+            await asyncio.sleep(self._rng.expovariate(rate))
+
+    async def _trouble(self, world: machines.Machines) -> None:
+        """One engine stands still; a version is named, its origin gone."""
+        loop = asyncio.get_running_loop()
+        part = self._seconds / 5
+        await asyncio.sleep(part)
+        self.engines[0].going.clear()
+        await asyncio.sleep(part)
+        self.engines[0].going.set()
+        named = {'model': 'm', 'version': 2}
+        world.store.put('keyed.op', 'version/m', named)
+        self._named_at = loop.time()
+        world.origin.left = machines.CHUNKS // 2
+        await asyncio.sleep(part)
+        world.origin.left = None
+
+    def broken(self) -> list[str]:
+        """Return what was against the rules, a line each."""
+        found = list(self.callers.broken)
+        runs = [run for one in self.engines for run in one.runs]
+        times = collections.Counter(run.id for run in runs)
+        for name in self.callers.promised & set(times):
+            found.append(f'REFUSED {name}: promised not to run, and ran')
+        for name, count in times.items():
+            if count > 2:
+                found.append(f'BUDGET {name}: ran {count} times')
+        if self._named_at is not None:
+            bound = self._named_at + _VERSION_SECONDS
+            found.extend(
+                f'VERSION {run.id}: began on {run.version}'
+                for run in runs
+                if run.version < 2 and run.at > bound
+            )
+        for one in self.engines:
+            found.extend(
+                f'WHOLE {one.id}: loaded spoilt pieces of {version}'
+                for version, whole in one.orders
+                if not whole
+            )
+        return found
+
+
+def report(day: Day, write: Callable[[str], object]) -> None:
+    """Write what callers got."""
+    told = day.callers.told
+    counts = collections.Counter(one.kind for one in told)
+    firsts = sorted(one.first for one in told if one.first)
+    write(f'requests   {len(told)}')
+    for kind in ('in aim', 'late', 'refused', 'failed'):
+        write(f'{kind:10} {counts[kind]}')
+    for part in (0.5, 0.99):
+        if firsts:
+            first = firsts[int(part * (len(firsts) - 1))]
+            write(f'p{part * 100:.0f} first  {first * 1000:.0f} ms')
+    versions = sorted(one.version for one in day.engines)
+    write(f'versions   {versions}')
+    broken = day.broken()
+    write(f'broken     {len(broken)}')
+    for line in broken[:20]:
+        write(line)
+
+
+def main() -> int:
+    """Play a day and print what came of it; 1 if a rule was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--heavy', action='store_true')
+    parser.add_argument('--seconds', type=float, default=20)
+    parser.add_argument('--seed', type=int, default=1)
+    options = parser.parse_args()
+    logger.remove()
+    day = Day(options.seconds, options.seed, heavy=options.heavy)
+    asyncio.run(day.play())
+    report(day, print)
+    return 1 if day.broken() else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -86,6 +86,16 @@
         self.front = front.Front(self._path.serve, self._bounds)
         self._asked = front.Front(boundary.spelling.handler(self))
 
+    @property
+    def callers(self) -> str:
+        """Return ``host:port`` where callers connect."""
+        return self._own.callers
+
+    @property
+    def directory(self) -> str:
+        """Return ``host:port`` where callers ask for entries."""
+        return self._own.directory or self._own.readiness
+
     @property
     def ready(self) -> bool:
         """Tell whether callers may be sent here."""
--- a/clementinepass/direct/exchange.py
+++ b/clementinepass/direct/exchange.py
@@ -53,6 +53,8 @@
 _LEAST_PART = 0.5
 #: Seconds that a part may take on a link, whatever its settings say.
 _LONGEST_TURN = 0.5
+#: Seconds by which timers fire late, made up for by the next one.
+_LATEST_TIMER = 0.02
 #: Bytes sent at a time: 14 ms on a link of 3.65 Mbit/s.
 _PART_BYTES = 6144
 
@@ -144,7 +146,7 @@
         """
         now = asyncio.get_running_loop().time()
         seconds = min(length * _BITS / self._left_for_pieces(), _LONGEST_TURN)
-        self._free_at = max(self._free_at, now) + seconds
+        self._free_at = max(self._free_at, now - _LATEST_TIMER) + seconds
         await asyncio.sleep(max(self._free_at - now, 0))
 
     def _left_for_pieces(self) -> float:
--- /dev/null
+++ b/standins/machines.py
@@ -0,0 +1,226 @@
+"""A whole small system of the direct path in one process, on loopback.
+
+A store, an origin of weights, entries, and engines with their agents; each has
+an address of its own, as on machines.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import typing
+
+import aioprometheus
+
+from clementinepass.direct import agent, entry, intake, node
+from clementinepass.http import messages, pool
+from clementinepass.platform import (
+    dialect,
+    directory,
+    engine,
+    operator,
+    registry,
+    store,
+)
+from standins import direct_endpoint, keyed_store, weights_origin
+
+CHUNKS = 12
+LAYERS = 4
+READERS = intake.Readers(operator=operator.read, endpoint=registry.read)
+CONFIG: dict[str, typing.Any] = {
+    'version': 1,
+    'routes': [
+        {
+            'name': 'plain',
+            'host': 'h',
+            'pathPrefix': '/plain/',
+            'routeKind': 'idempotent',
+            'timeoutMs': 5000,
+            'sloMs': 1000,
+            'service': 'desk',
+        },
+    ],
+    'services': [
+        {'name': 'desk'},
+        {
+            'name': 'pool',
+            'engine': {
+                'slots': 16,
+                'models': [{'name': 'm'}],
+                'layers': LAYERS,
+                'chunks': CHUNKS,
+                'chunkBytes': 30,
+            },
+        },
+    ],
+}
+
+
+def free_port(ips: list[str]) -> int:
+    """Return a port that is free at all addresses, for both protocols."""
+    while True:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as first:
+            first.bind((ips[0], 0))
+            port = first.getsockname()[1]
+        try:
+            for ip in ips:
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    with socket.socket(socket.AF_INET, kind) as one:
+                        one.bind((ip, port))
+        except OSError:
+            continue
+        return int(port)
+
+
+class Machines:
+    """A store, an origin, two entries and some engines with agents.
+
+    :param engines: the engines, which hold what they hold.
+    :param duties: bounds for all processes.
+    :param config: the operator's first configuration, without the origin.
+    """
+
+    def __init__(
+        self,
+        engines: typing.Sequence[weights_origin.LoadingEngine],
+        duties: node.Duties | None = None,
+        config: dict[str, typing.Any] | None = None,
+    ) -> None:
+        self.store = keyed_store.KeyedStore()
+        self.origin = weights_origin.WeightsOrigin(CHUNKS)
+        self.engines = list(engines)
+        self._duties = duties or node.Duties(version=1.5)
+        self._config = config or CONFIG
+        self.desk = direct_endpoint.DirectEndpoint('i-desk')
+        self.entries: list[entry.Entry] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        #: Entries at 127.1.0.x, engines at 127.2.0.x.
+        self.entry_ips = ['127.1.0.1', '127.1.0.2']
+        self.engine_ips = [
+            f'127.2.0.{one + 1}' for one in range(len(self.engines))
+        ]
+        self.port = free_port(self.entry_ips + self.engine_ips)
+
+    async def __aenter__(self) -> typing.Self:
+        await self.store.__aenter__()
+        await self.desk.__aenter__()
+        await self.origin.listen('127.0.0.1')
+        origin = {'name': 'o', 'origin': self.origin.address, 'zone': 'a'}
+        services = [*self._config['services'], origin]
+        self.configure({**self._config, 'services': services})
+        self.store.put(
+            'keyed.servers',
+            'i-desk',
+            {'service': 'desk', 'address': self.desk.address, 'zone': 'a'},
+        )
+        for ip in self.entry_ips:
+            self._start_entry(ip)
+        for ip, one in zip(self.engine_ips, self.engines, strict=True):
+            await one.listen(ip)
+            one.on_loaded = self.list_engines
+            self._start_agent(ip, one)
+        self.list_engines()
+        return self
+
+    async def __aexit__(self, *raised: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.store.__aexit__()
+        await self.desk.__aexit__()
+        await self.origin.close()
+        for one in self.engines:
+            await one.close()
+
+    def configure(self, config: dict[str, typing.Any]) -> None:
+        """Write a configuration."""
+        self.store.put('keyed.op', 'config', config)
+
+    def list_engines(self) -> None:
+        """Have all engines write what they hold."""
+        for number, one in enumerate(self.engines):
+            domain = 'ab'[number % 2]
+            self.store.put(
+                'keyed.servers',
+                f'i-{number}',
+                one.entry('pool', domain),
+            )
+
+    def _node(self, ip: str, **changes: typing.Any) -> node.Node:
+        return node.Node(
+            name=ip,
+            ip=ip,
+            domain='a',
+            region='a',
+            regions_by_domain={'a': 'a', 'b': 'b'},
+            first_port=self.port,
+            store=self.store.address,
+            duties=self._duties,
+            seeds=(self.entry_ips[0],),
+            **changes,
+        )
+
+    def _start_entry(self, ip: str) -> None:
+        ports = [free_port([ip]) for _ in range(2)]
+        own = self._node(
+            ip,
+            callers=f'{ip}:{ports[0]}',
+            readiness=f'{ip}:{ports[1]}',
+        )
+        boundary = entry.Boundary(
+            store=store.HttpStore(own.store),
+            dialect=dialect.HeaderDialect(),
+            spelling=directory.DirectorySpelling(1),
+            readers=READERS,
+        )
+        one = entry.Entry(
+            own,
+            boundary,
+            aioprometheus.Registry(),
+            random.Random(ip),
+        )
+        self.entries.append(one)
+        self._tasks.append(asyncio.create_task(one.run()))
+
+    def _start_agent(
+        self,
+        ip: str,
+        one: weights_origin.LoadingEngine,
+    ) -> None:
+        own = self._node(ip, endpoint=one.address, service='pool')
+        boundary = agent.Boundary(
+            store=store.HttpStore(own.store),
+            engine=engine.HttpEngine(own.endpoint),
+            origin=engine.HttpOrigin,
+            readers=READERS,
+        )
+        process = agent.Agent(
+            own,
+            boundary,
+            aioprometheus.Registry(),
+            random.Random(ip),
+        )
+        self._tasks.append(asyncio.create_task(process.run()))
+
+    async def ask(self, number: int, target: str = '/plain/a') -> int:
+        """Ask an entry as a caller and return the status."""
+        address = self.entries[number].callers
+        request = messages.request_bytes(
+            b'GET',
+            target.encode(),
+            [(b'Host', b'h'), (b'X-Attempt-Id', b'r')],
+            b'',
+        )
+        fetched = await pool.fetch(
+            pool.Pool.from_address(address),
+            request,
+            10,
+        )
+        return fetched.status
+
+
+async def until(condition: typing.Callable[[], bool]) -> None:
+    """Wait until something is so."""
+    while not condition():
+        await asyncio.sleep(0.01)
--- a/standins/weights_origin.py
+++ b/standins/weights_origin.py
@@ -36,6 +36,8 @@
         self.address = ''
         #: Pieces sent.
         self.sent = 0
+        #: Pieces that it sends before it is gone; ``None`` for all.
+        self.left: int | None = None
         #: Numbers of pieces that are spoilt once.
         self.spoilt: set[int] = set()
 
@@ -67,6 +69,11 @@
             reply.send(_OK, [], msgspec.json.encode(manifest))
             return
         number = int(query['num'])
+        if self.left is not None:
+            if self.left <= 0:
+                reply.break_off()
+                return
+            self.left -= 1
         self.sent += 1
         payload = piece(version, number)
         if number in self.spoilt:
