Say what an engine has loaded, not what its agent has in memory; time each source apart

Loaded pieces count now, and nothing is got before the engine is up unless others have the version. With two holders, one on a narrow link, the mean of both times bounded what was asked of either; each source has its own now. That part has no failing test: in the test of two holders pieces balance either way.

--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -216,13 +216,17 @@
     async def _keep_fetched(self) -> None:
         """Get the pieces of each version that is wanted.
 
-        Also while the engine doesn't answer: one that was added starts a
-        second after its agent, and has no weights. But not before it was
-        asked, since one that runs may have all.
+        Also while the engine doesn't answer, if others have the version: one
+        that was added starts a second after its agent, and has no weights.
+        But not before it was asked, since one that runs may have all; and not
+        when all start together, since they have what they are to serve.
         """
         while True:
             model, version = self.wanted()
-            if self._engine_seen and version:
+            known = self._report is not None
+            if not known and self._engine_seen:
+                known = self._aims.is_in_use(version)
+            if known and version:
                 try:
                     await self._loading.fetch(model, version)
                 except errors.ClementinepassError as error:
--- a/clementinepass/direct/aims.py
+++ b/clementinepass/direct/aims.py
@@ -77,6 +77,16 @@
             return engine.model, 0
         return engine.model, version
 
+    def is_in_use(self, version: int) -> bool:
+        """Tell whether the operator named a version or some engine has it."""
+        engine = self._neighbours.engine()
+        if engine is None:
+            return False
+        fellows = self._neighbours.fellows()
+        held = max((one.weights.version for one in fellows), default=0)
+        named = self._beliefs.wanted_version(engine.model)
+        return 0 < version <= max(held, named)
+
     def _aimed_at(
         self,
         engine: routing.Engine,
--- a/clementinepass/direct/exchange.py
+++ b/clementinepass/direct/exchange.py
@@ -197,10 +197,20 @@
         if held is None:
             return []
         return [
-            (_OTHERS, b'%d' % len(held.numbers)),
+            (_OTHERS, b'%d' % len(self._numbers(wish, held))),
             (_SLOW, b'%d' % held.slow),
         ]
 
+    def _numbers(self, wish: _Wish, held: pieces.Pieces) -> list[int]:
+        """Return the numbers of the pieces that can be handed out.
+
+        All that lie staged where the engine has loaded them, however few of
+        them are in memory.
+        """
+        if self._holder.has_loaded(wish.version):
+            return list(range(len(held.manifest.digests)))
+        return held.numbers
+
     async def _find(self, wish: _Wish) -> bytes | None:
         held = await self._pieces(wish)
         if wish.kind == _PIECES:
@@ -210,7 +220,8 @@
         if wish.kind == _MANIFESTS:
             return msgspec.json.encode(held.manifest.digests)
         await held.wait_for_more(wish.number, _WAIT_SECONDS)
-        return msgspec.json.encode(_State(tuple(held.numbers), held.slow))
+        numbers = self._numbers(wish, held)
+        return msgspec.json.encode(_State(tuple(numbers), held.slow))
 
     async def _piece(
         self,
--- a/clementinepass/direct/fetching.py
+++ b/clementinepass/direct/fetching.py
@@ -51,12 +51,6 @@
 _FAR_AHEAD = 4
 #: Seconds that pieces on their way may keep the link busy.
 _QUEUE_SECONDS = 0.3
-#: Seconds that a piece takes on the link: at first, and the longest that is
-#: learnt from.
-_USUAL_PIECE = 0.06
-_LONGEST_PIECE = 0.6
-#: The weight of a new piece's time; the last three or so count.
-_GAIN = 0.35
 #: Seconds between questions to a source that has nothing new.
 _PAUSE_SECONDS = 0.03
 #: Seconds between looks when nothing came, and after a failure.
@@ -94,7 +88,6 @@
         self._by_holdings = False
         #: Pieces in a row that came in the order of the chain.
         self._in_order_run = 0
-        self._piece_seconds = _USUAL_PIECE
         #: Bytes got from the origin and from agents.
         self.from_origin = 0
         self.from_agents = 0
@@ -161,7 +154,7 @@
         for number in self._in_order(plan):
             if not able or len(self._suppliers.on_way()) >= most:
                 return
-            self._ask(min(able, key=_on_way), number, now)
+            self._ask(min(able, key=_next_after), number, now)
 
     def _ask_for_held(
         self,
@@ -199,7 +192,7 @@
                 return
             able = [one for one in sources if number in one.has]
             if able:
-                self._ask(min(able, key=_on_way), number, now)
+                self._ask(min(able, key=_next_after), number, now)
                 room -= 1
 
     def _ask_ahead(
@@ -275,7 +268,9 @@
         second, and prompts that queue behind them reach the engine after
         their callers have left. Fewer are asked for the slower they come.
         """
-        return max(min(most, round(_QUEUE_SECONDS / self._piece_seconds)), 1)
+        return max(
+            min(most, round(_QUEUE_SECONDS / self._suppliers.piece_seconds)), 1
+        )
 
     # Who has what.
 
@@ -387,11 +382,10 @@
         sends to others isn't counted: it ends before the answer begins.
         """
         self._progress = now
-        seconds = min(piece.seconds, _LONGEST_PIECE)
-        self._piece_seconds += _GAIN * (seconds - self._piece_seconds)
+        one.took(piece.seconds)
         ahead = (piece.others or 0) - len(self._held.numbers)
         self._held.slow = (
-            self._piece_seconds > _SLOW_PIECE
+            self._suppliers.piece_seconds > _SLOW_PIECE
             and ahead > _FAR_AHEAD
             and not piece.slow
         )
@@ -411,5 +405,5 @@
         return self._view.wanted() != (manifest.model, manifest.version)
 
 
-def _on_way(one: suppliers.Supplier) -> int:
-    return len(one.on_way)
+def _next_after(one: suppliers.Supplier) -> float:
+    return one.next_after
--- a/clementinepass/direct/suppliers.py
+++ b/clementinepass/direct/suppliers.py
@@ -33,6 +33,14 @@
 _FAR_BEHIND = 12
 
 
+#: Seconds that a piece takes on the link: at first, and the longest that is
+#: learnt from.
+_USUAL_PIECE = 0.06
+_LONGEST_PIECE = 0.6
+#: The weight of a new piece's time; the last three or so count.
+_GAIN = 0.35
+
+
 class Supplier:
     """One source while pieces of a version are got.
 
@@ -49,6 +57,7 @@
         'is_slow',
         'on_way',
         'passed_over_until',
+        'piece_seconds',
         'source',
         'watcher',
     )
@@ -68,6 +77,8 @@
         #: there was none; ``None`` while there is none.
         self.asked_since: float | None = None
         self.passed_over_until = float('-inf')
+        #: Seconds that a piece of it takes on the links between.
+        self.piece_seconds = _USUAL_PIECE
         #: The pieces on their way from it.
         self.on_way: dict[int, asyncio.Task[None]] = {}
         #: Learns what it has, where that is followed.
@@ -93,6 +104,16 @@
         heard = max(self.asked_since, self.source.heard)
         return 'silent' if now - heard > patience else ''
 
+    @property
+    def next_after(self) -> float:
+        """Return the seconds until a further piece of it would be here."""
+        return (len(self.on_way) + 1) * self.piece_seconds
+
+    def took(self, seconds: float) -> None:
+        """Note how long a piece took."""
+        bounded = min(seconds, _LONGEST_PIECE)
+        self.piece_seconds += _GAIN * (bounded - self.piece_seconds)
+
     def sends(self, now: float) -> bool:
         """Tell whether a piece is coming from it."""
         return bool(self.on_way) and now - self.source.heard < _SENDING
@@ -182,6 +203,17 @@
         """Return those that are passed over."""
         return frozenset(one.ip for one in self if one.passed_over_until > now)
 
+    @property
+    def piece_seconds(self) -> float:
+        """Return what a piece takes from the fastest in use.
+
+        The link of this machine is no slower than that.
+        """
+        return min(
+            (one.piece_seconds for one in self if one.on_way or one.has),
+            default=_USUAL_PIECE,
+        )
+
     def on_way(self) -> frozenset[int]:
         """Return the numbers of the pieces on their way."""
         return frozenset(number for one in self for number in one.on_way)
--- a/tests/direct/test_exchange.py
+++ b/tests/direct/test_exchange.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import typing
 
 import testtools
 
-from clementinepass.direct import exchange
+from clementinepass.direct import exchange, pieces, weights
+from clementinepass.http import front
 
 #: Megabits a second; fast, so that the test is.
 LINK = 1000.0
@@ -74,3 +76,57 @@
         self.send()
         names = [who for who, _ in self.log]
         self.assertEqual(sorted(names), names)
+
+
+class _Holder:
+    """An agent whose engine serves version 1, with one piece in memory."""
+
+    def __init__(self) -> None:
+        digests = tuple(
+            hashlib.sha256(b'%d' % number).hexdigest() for number in range(9)
+        )
+        self._held = pieces.Pieces(weights.Manifest('m', 1, digests))
+        self._held.take(3, b'3')
+
+    def pieces_of(self, model: str, version: int) -> pieces.Pieces:
+        """Return what is in memory."""
+        return self._held
+
+    def has_loaded(self, version: int) -> bool:
+        """Tell whether the engine serves a version."""
+        return version == 1
+
+    async def staged_piece(
+        self,
+        model: str,
+        version: int,
+        number: int,
+    ) -> bytes:
+        """Return what lies staged."""
+        return b'%d' % number
+
+
+class HandoutTest(testtools.TestCase):
+    """An agent says what others can get of it."""
+
+    def test_loaded_but_not_in_memory(self) -> None:
+        """An engine was added, and was ready after eleven seconds.
+
+        Both agents of its region had the version loaded, and a few pieces of
+        it in memory. They said that they had those few, so that the new agent
+        passed them over and got pieces over the border.
+        """
+
+        async def played() -> weights.Holding:
+            uplink = exchange.Uplink(LINK, lambda: 0)
+            handout = exchange.Handout(_Holder(), uplink)
+            listener = front.Front(handout.serve)
+            port = await listener.listen('127.0.0.1', 0)
+            source = exchange.PeerSource('127.0.0.1', port)
+            piece = await source.piece('m', 1, 5)
+            self.assertEqual((b'5', 9), (piece.payload, piece.others))
+            holding = await source.numbers('m', 1, 0)
+            await listener.close()
+            return holding
+
+        self.assertEqual(frozenset(range(9)), asyncio.run(played()).numbers)
--- a/tests/direct/test_fetching.py
+++ b/tests/direct/test_fetching.py
@@ -68,6 +68,8 @@
         self.piece_seconds = PIECE
         #: Whether its machine stands still.
         self.frozen = False
+        #: Pieces that it sent.
+        self.sent = 0
         #: Those that asked it for a piece.
         self.asked_by: set[str] = set()
 
@@ -124,6 +126,7 @@
         if payload is not None:
             async with self._turn:
                 await asyncio.sleep(seconds)
+            self._asked.sent += 1
         self._hear()
         return weights.Piece(payload, len(held.numbers), seconds, held.slow)
 
@@ -163,6 +166,14 @@
             for one in self.agents
         ]
 
+    def hold(self, number: int) -> _Agent:
+        """Have an agent hold the whole version."""
+        one = self.agents[number]
+        one.peer = one.peer._replace(holds=True)
+        for each, payload in enumerate(PAYLOADS):
+            one.held.take(each, payload)
+        return one
+
     async def all_have(self, count: int, without: _Agent | None = None) -> None:
         """Wait until all agents have so many pieces."""
         rest = [one for one in self.agents if one is not without]
@@ -261,3 +272,24 @@
         play(world, story)
         self.assertIn(slow.peer.ip, world.agents[0].asked_by)
         self.assertIn(world.agents[2].peer.ip, world.agents[0].asked_by)
+
+
+class TwoHoldersTest(testtools.TestCase):
+    """An added engine gets pieces from two that have the version."""
+
+    def test_one_is_slow(self) -> None:
+        """Half of the pieces were asked of a holder on a narrow link.
+
+        Each took ten times as long as those of the other, and the engine that
+        was added served only when the last of them had come.
+        """
+        world = _World(3, 0)
+        fast, slow = world.hold(0), world.hold(1)
+        slow.piece_seconds = 0.6
+
+        async def story() -> None:
+            await world.all_have(CHUNKS)
+
+        play(world, story)
+        self.assertLess(slow.sent, CHUNKS // 4)
+        self.assertGreater(fast.sent, CHUNKS // 2)
