Explain a request from the logs of several processes

clementinepass explain ID FILE...: the lines of a request in order, the first that went wrong, what the processes that it met believed when it came and for how long, and what may be missing: dropped lines, a log that begins later, no end. Lines of other programs and cut ones are counted. No daemon changes: only the command line imports it.

--- /dev/null
+++ b/clementinepass/cli/explain_command.py
@@ -0,0 +1,94 @@
+"""The command that tells the story of a request from collected logs."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+import typing
+
+from clementinepass.cli import exits, output
+from clementinepass.observability import stories
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+def explain(
+    request: str,
+    *files: pathlib.Path,
+    json: bool = False,
+) -> None:
+    """Tell what became of a request, from the logs of several processes.
+
+    Shows its lines in order, the first that went wrong, what the processes
+    that it met believed when it came and for how long, and what may be
+    missing.  Times are those of each process's own clock.
+
+    Example: ``clementinepass explain 7b0eacb332610d16 logs/*.log``
+
+    :param request: the id that its caller gave it.
+    :param files: one for each process, named after it.
+    :param json: print one JSON document instead of tables.
+    """
+    collected = _collected(files)
+    story = collected.story(request)
+    if story is None:
+        sys.stderr.write(
+            f'{request}: no line of {len(files)} files is of this request; of '
+            'those that go well one in sixteen is written of '
+            f'(lines that could not be read: {collected.unread})\n',
+        )
+        sys.exit(exits.REJECTED)
+    if json:
+        output.print_json(story)
+        return
+    _show(request, story)
+    if collected.unread:
+        output.screen.print(f'{collected.unread} lines could not be read')
+
+
+def _collected(files: Sequence[pathlib.Path]) -> stories.Collected:
+    collected = stories.Collected()
+    if not files:
+        sys.stderr.write('no files: name the log of each process\n')
+        sys.exit(exits.BAD_INPUT)
+    for path in files:
+        try:
+            payload = path.read_bytes()
+        except OSError as error:
+            sys.stderr.write(f'{path}: {error.strerror}\n')
+            sys.exit(exits.BAD_INPUT)
+        collected.add(path.stem, payload.splitlines())
+    return collected
+
+
+def _show(request: str, story: stories.Story) -> None:
+    begun = story.lines[0].at
+    output.print_table(
+        f'request {request}',
+        ('seconds', 'process', 'what', 'why'),
+        [
+            (f'{line.at - begun:.3f}', line.process, line.message, line.details)
+            for line in story.lines
+        ],
+    )
+    if story.wrong is not None:
+        output.screen.print(
+            f'first went wrong: {story.wrong.message} at '
+            f'{story.wrong.process}: {story.meaning}',
+        )
+    output.print_table(
+        'believed when it came',
+        ('process', 'what', 'for seconds', 'of'),
+        [
+            (
+                belief.line.process,
+                belief.line.message,
+                f'{belief.age:.1f}',
+                belief.line.details,
+            )
+            for belief in story.beliefs
+        ],
+    )
+    for gap in story.gaps:
+        output.screen.print(f'may be missing: {gap}')
--- a/clementinepass/cli/main.py
+++ b/clementinepass/cli/main.py
@@ -11,6 +11,7 @@
 from clementinepass.cli import (
     config_commands,
     exits,
+    explain_command,
     rollout_commands,
     settings_commands,
     system_commands,
@@ -30,6 +31,7 @@
 app.command(system_commands.entries)
 app.command(system_commands.drain)
 app.command(system_commands.request)
+app.command(explain_command.explain)
 app.command(rollout_commands.app)
 app.command(config_commands.app)
 app.command(settings_commands.app)
--- /dev/null
+++ b/tests/cli/test_explain_command.py
@@ -0,0 +1,57 @@
+"""Tests of the command that explains a request."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+
+import testtools
+
+from clementinepass.cli import exits, main
+from tests.observability import test_stories
+
+
+class ExplainTest(testtools.TestCase):
+    """Bad input gets a clear message and no stack trace."""
+
+    def setUp(self) -> None:
+        """Write one log."""
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.log = pathlib.Path(folder.name) / 'entry-1.log'
+        self.log.write_bytes(b'\n'.join(test_stories.ENTRY))
+
+    def explain(self, *arguments: str) -> tuple[object, str, str]:
+        """Run the command; return its code and what it wrote."""
+        out, err = io.StringIO(), io.StringIO()
+        code: object = 0
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            try:
+                main.main(('explain', *arguments))
+            except SystemExit as ended:
+                code = ended.code or 0
+        return code, out.getvalue(), err.getvalue()
+
+    def test_told(self) -> None:
+        """The story is one document for programs."""
+        code, out, _ = self.explain('r', str(self.log), '--json')
+        self.assertEqual(exits.OK, code)
+        self.assertIn('attempt failed', out)
+        json.loads(out)
+
+    def test_unknown(self) -> None:
+        """An id that no line has."""
+        code, _, err = self.explain('other', str(self.log))
+        self.assertEqual(exits.REJECTED, code)
+        self.assertIn('no line of 1 files', err)
+
+    def test_no_such_file(self) -> None:
+        """A file that isn't there, and no file at all."""
+        code, _, err = self.explain('r', str(self.log) + 'x')
+        self.assertEqual(exits.BAD_INPUT, code)
+        self.assertIn('No such file', err)
+        self.assertEqual(exits.BAD_INPUT, self.explain('r')[0])
--- /dev/null
+++ b/tests/observability/test_stories.py
@@ -0,0 +1,90 @@
+"""Tests of telling a request's story from logs."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import testtools
+
+from clementinepass.observability import stories
+
+
+def line(second: float, message: str, **fields: typing.Any) -> bytes:
+    """Return one line of a log."""
+    time = f'2026-01-02T03:04:{second:06.3f}+00:00'
+    told = {'time': time, 'level': 'INFO', 'message': message, 'at': 'm'}
+    return json.dumps({**told, **fields}).encode()
+
+
+ENTRY = [
+    line(1, 'configuration in force', version=3, before=0),
+    line(2, 'engine holds weights', endpoint='i-1', version=1, layers=16),
+    line(2, 'engine holds weights', endpoint='i-2', version=1, layers=16),
+    line(4, 'configuration in force', version=5, before=3),
+    line(10, 'sent', request='r', attempt=1, endpoint='i-1', left=6.0),
+    line(11, 'attempt failed', request='r', endpoint='i-1', error='reset'),
+    line(11.1, 'not sending once more', request='r', decision='enough_runs'),
+    line(11.2, 'ended without an answer', request='r', status=502),
+    line(12, 'configuration in force', version=9, before=5),
+]
+
+
+class StoryTest(testtools.TestCase):
+    """A request that may have run, whose caller got 502."""
+
+    def told(self, *more: bytes, request: str = 'r') -> stories.Story | None:
+        """Return a story from the entry's log with some more lines."""
+        collected = stories.Collected()
+        collected.add('entry-1', [*ENTRY, *more])
+        collected.add('entry-2', [line(9, 'configuration in force', version=4)])
+        return collected.story(request)
+
+    def test_in_order(self) -> None:
+        """Its lines are in order, and the first that went wrong is named."""
+        story = self.told()
+        assert story is not None
+        self.assertEqual('sent', story.lines[0].message)
+        self.assertEqual(4, len(story.lines))
+        assert story.wrong is not None
+        self.assertEqual('attempt failed', story.wrong.message)
+        self.assertIn('error=reset', story.wrong.details)
+        self.assertEqual((), story.gaps)
+
+    def test_beliefs(self) -> None:
+        """What was believed is the newest before it, of those that it met."""
+        story = self.told()
+        assert story is not None
+        known = {
+            (one.line.message, one.line.fields['version']): one.age
+            for one in story.beliefs
+        }
+        self.assertEqual(6, known['configuration in force', 5])
+        self.assertEqual(8, known['engine holds weights', 1])
+        self.assertEqual(2, len(known))
+
+    def test_restart(self) -> None:
+        """What a process believed before it was restarted is no belief."""
+        story = self.told(line(5, 'entry started', node='entry-1'))
+        assert story is not None
+        self.assertEqual((), story.beliefs)
+
+    def test_unknown(self) -> None:
+        """A request that nobody wrote of has no story."""
+        self.assertIsNone(self.told(request='other'))
+
+    def test_foreign_lines(self) -> None:
+        """Cut lines and those of other programs are counted, no more."""
+        collected = stories.Collected()
+        collected.add('entry-1', [ENTRY[4][:30], b'hello', b'[1]', b'', b'{}'])
+        self.assertEqual(4, collected.unread)
+        self.assertIsNone(collected.story('r'))
+
+    def test_gaps(self) -> None:
+        """What may be missing is said."""
+        collected = stories.Collected()
+        dropped = b'{"level":"WARNING","message":"lines dropped","lines":9}'
+        collected.add('entry-1', [ENTRY[4], dropped])
+        story = collected.story('r')
+        assert story is not None
+        self.assertEqual(3, len(story.gaps))
