End the staging of a piece only with its answer

By reading: getting a version is ended while a piece of it is on its way to the engine; the engine may take it a moment later, when the version before has been read back and is ordered, and would load a mixture. The lock is now held until the engine has answered. test_staging_given_up fails before.

--- a/clementinepass/direct/fetching.py
+++ b/clementinepass/direct/fetching.py
@@ -159,7 +159,7 @@
             if one.ip == piece_chains.ORIGIN:
                 self._ask_origin(one, ordered, sources, now)
         if plan.sources != (piece_chains.ORIGIN,):
-            self._ask_ahead(sources[:1], plan, now)
+            self._ask_ahead(sources[:1], now)
 
     def _ask_known(
         self,
@@ -181,7 +181,6 @@
     def _ask_ahead(
         self,
         sources: list[suppliers.Supplier],
-        plan: piece_chains.Plan,
         now: float,
     ) -> None:
         """Ask for what comes next in the order of the chain besides.
--- a/clementinepass/direct/loading.py
+++ b/clementinepass/direct/loading.py
@@ -194,8 +194,9 @@
         while True:
             for number in set(held.numbers) - staged:
                 try:
-                    async with self._staging:
-                        await self._stage(held, number)
+                    # Ended only with its answer: given up, it could take
+                    # effect while the next version is read back.
+                    await asyncio.shield(self._stage_alone(held, number))
                 except errors.ClementinepassError as error:
                     logger.info('piece not staged: {}', error)
                     await asyncio.sleep(_RETRY_SECONDS)
@@ -217,6 +218,10 @@
             return False
         return True
 
+    async def _stage_alone(self, held: pieces.Pieces, number: int) -> None:
+        async with self._staging:
+            await self._stage(held, number)
+
     async def _stage(self, held: pieces.Pieces, number: int) -> None:
         """Have a piece lie staged, and read it back.
 
--- a/clementinepass/direct/suppliers.py
+++ b/clementinepass/direct/suppliers.py
@@ -31,8 +31,6 @@
 #: Pieces by which a source may have fewer and still be one: they come in
 #: another order where both have had some before.
 _FAR_BEHIND = 12
-
-
 #: Seconds that a piece takes on the link: at first, and the longest that is
 #: learnt from.
 _USUAL_PIECE = 0.06
--- a/tests/direct/test_loading.py
+++ b/tests/direct/test_loading.py
@@ -26,6 +26,11 @@
 
     def __init__(self) -> None:
         self.lying: dict[int, bytes] = {}
+        #: Seconds until a piece that was sent lies there, whether or not its
+        #: sender still waits.
+        self.seconds = STEP
+        #: Pieces that are on their way there.
+        self.coming = 0
         #: What lay staged at each order.
         self.orders: list[tuple[int, dict[int, bytes]]] = []
 
@@ -40,8 +45,19 @@
 
     async def stage(self, model: str, number: int, piece: bytes) -> None:
         """Stage a piece."""
-        await asyncio.sleep(STEP)
-        self.lying[number] = piece
+        loop = asyncio.get_running_loop()
+        staged = loop.create_future()
+
+        self.coming += 1
+
+        def take() -> None:
+            self.coming -= 1
+            self.lying[number] = piece
+            if not staged.done():
+                staged.set_result(None)
+
+        loop.call_later(self.seconds, take)
+        await staged
 
     async def staged_piece(self, model: str, number: int) -> bytes | None:
         """Return a staged piece."""
@@ -160,6 +176,36 @@
             for number in range(CHUNKS):
                 self.assertEqual(payload(version, number), lying[number])
 
+    def test_staging_given_up(self) -> None:
+        """Getting version 3 ended while one of its pieces was being staged.
+
+        The engine took that piece a moment later, when version 2 had been read
+        back there and the order to load it was on its way.
+        """
+        engine = _Engine()
+        origin = _Origin()
+        view = _View(origin)
+        own = loading.Loading(engine, view)
+
+        async def story() -> None:
+            await own.fetch(MODEL, 2)
+            await own.load(MODEL, 2)
+            engine.seconds = CHUNKS * STEP / 2
+            view.version = 3
+            origin.seconds = 20 * STEP
+            fetching = asyncio.create_task(own.fetch(MODEL, 3))
+            while not engine.coming:
+                await asyncio.sleep(0)
+            fetching.cancel()
+            await asyncio.gather(fetching, return_exceptions=True)
+            await own.load(MODEL, 2)
+
+        run(story())
+        version, lying = engine.orders[-1]
+        self.assertEqual(2, version)
+        for number in range(CHUNKS):
+            self.assertEqual(payload(2, number), lying[number])
+
     def test_killed_agent(self) -> None:
         """An agent was killed when it had most of the pieces.
 
