--- /dev/null
+++ b/clementinepass/observability/line_table.py
@@ -0,0 +1,491 @@
+"""All log lines of the direct path, and the fields that they have.
+
+From this table the operators' page is made; a test plays a day and compares
+each line that is written with it.
+"""
+
+from __future__ import annotations
+
+import typing
+
+
+class Field(typing.NamedTuple):
+    """A field of a line.
+
+    :param kind: the type of its value.
+    """
+
+    kind: str
+    meaning: str
+
+
+class Kind(typing.NamedTuple):
+    """A kind of line.
+
+    :param fields: what it may have besides what all lines have.
+    :param when: when it is written, or what follows.
+    """
+
+    fields: tuple[str, ...]
+    when: str
+
+
+#: Fields of each line.
+COMMON: dict[str, Field] = {
+    'time': Field('str', 'of the process, to the millisecond'),
+    'level': Field('str', 'INFO, WARNING, ERROR or CRITICAL'),
+    'message': Field('str', 'the kind of line; after a colon, the error'),
+    'at': Field('str', 'the module'),
+}
+#: The other fields, by name.
+FIELDS_BY_NAME: dict[str, Field] = {
+    'active': Field('int', 'requests running at the engine'),
+    'after_event': Field('int or null', 'the last event that the caller has'),
+    'ago': Field('float', 'seconds since, at this process'),
+    'answer': Field('str', 'accepted, done, rejected or unknown'),
+    'answered_by': Field('str', 'the id in the answer; empty if none'),
+    'attempt': Field('int', 'from 1'),
+    'attempts': Field('int', 'so far'),
+    'before': Field('int or list', 'what it was before'),
+    'busy': Field('bool', 'whether an order is in progress'),
+    'callers': Field('str', 'where callers connect'),
+    'changed': Field('bool', 'whether a bound changed'),
+    'connections': Field('int', 'open ones of callers'),
+    'decision': Field(
+        'str',
+        'allowed, or why not: may_have_run, enough_runs, enough_attempts, '
+        'no_time, budget_spent',
+    ),
+    'draining': Field('bool', 'whether it leaves'),
+    'endpoint': Field('str', 'its id'),
+    'engine': Field('str', 'its address'),
+    'error': Field('str', 'with the step and the peer'),
+    'execution': Field('str', 'not_run or may_have_run'),
+    'failures': Field('int', 'in a row'),
+    'first': Field('float', 'seconds to the first piece of the answer'),
+    'from_agents': Field('int', 'bytes'),
+    'from_origin': Field('int', 'bytes'),
+    'guessed': Field(
+        'bool', 'whether the time is a guess, as the process began later'
+    ),
+    'here': Field('int', 'version in force in this process'),
+    'host': Field('str', 'that the caller named'),
+    'in_flight': Field('int', 'requests of this entry there'),
+    'key': Field('str', 'of a record'),
+    'last_answer_ago': Field('float', 'seconds'),
+    'layers': Field('int', 'held'),
+    'left': Field('float', 'seconds until the final answer is due'),
+    'lines': Field('int', 'not written'),
+    'lost_for': Field('float', 'seconds'),
+    'missing': Field('int', 'pieces'),
+    'model': Field('str', 'its name'),
+    'news': Field('int', 'records that were not known'),
+    'node': Field('str', 'the machine'),
+    'offset': Field('int', 'in the topic'),
+    'orders': Field('int', 'that the engine has begun since it started'),
+    'partners': Field('list', 'agents asked besides'),
+    'peer': Field('str', 'IP number'),
+    'phase': Field('str', 'starting, ready or leaving'),
+    'piece': Field('int', 'its number'),
+    'reason': Field(
+        'str',
+        'why a request ended: starting, malformed, unknown_route, '
+        'unknown_key, overload, no_endpoint, turned_away, broken, timeout',
+    ),
+    'request': Field('str', 'the id that its caller gave it'),
+    'resume_after': Field('int or null', 'the last event that the caller has'),
+    'runs': Field('int', 'attempts that ran or may have'),
+    'seconds': Field('float', 'in all'),
+    'service': Field('str', 'its name'),
+    'slots': Field('int', 'requests run at once'),
+    'source': Field('str', 'IP number, or origin'),
+    'sources': Field('list', 'IP numbers; empty text for the origin'),
+    'status': Field('int', 'of the answer'),
+    'step': Field('str', 'what the process was at'),
+    'strained': Field('bool', 'whether the link is slow'),
+    'there': Field('int', 'version in force at the peer'),
+    'topic': Field('str', 'operator or endpoints'),
+    'trouble': Field('str', 'slow, failing, behind or silent'),
+    'used_for': Field('float', 'seconds more'),
+    'version': Field('int', 'of a configuration or of weights'),
+    'wait': Field('float', 'seconds'),
+    'waiting': Field('float', 'requests that would wait'),
+}
+#: The kinds of line, by their message up to a colon.
+KINDS_BY_MESSAGE: dict[str, Kind] = {
+    'agent started': Kind(
+        (
+            'node',
+            'engine',
+        ),
+        'an agent listens',
+    ),
+    'entry started': Kind(
+        (
+            'node',
+            'callers',
+        ),
+        'an entry listens',
+    ),
+    'entry ready': Kind(
+        ('node',),
+        'configuration and endpoints are known; callers may be sent here',
+    ),
+    'leaving': Kind(('connections',), 'an entry was told to end'),
+    'stopped': Kind(
+        (
+            'node',
+            'seconds',
+        ),
+        'a process ends',
+    ),
+    'settings read': Kind(
+        (
+            'step',
+            'changed',
+        ),
+        'the settings were read anew',
+    ),
+    'settings stay as they are': Kind(
+        ('step',), 'newer settings can not be read'
+    ),
+    'no settings': Kind(('step',), 'the process ends, having none'),
+    'lines dropped': Kind(
+        ('lines',), 'more was written in a second than the bound'
+    ),
+    'work begins anew': Kind((), 'a task met a fault that nobody foresaw'),
+    'handler failed': Kind(
+        (
+            'step',
+            'error',
+        ),
+        'the same while a request was served; its caller is cut off',
+    ),
+    'configuration in force': Kind(
+        (
+            'version',
+            'before',
+        ),
+        'requests are handled by it from now on',
+    ),
+    'a peer has a newer configuration': Kind(
+        (
+            'peer',
+            'there',
+            'here',
+            'offset',
+        ),
+        'its records are taken anew from that peer',
+    ),
+    'version named': Kind(
+        (
+            'model',
+            'version',
+            'ago',
+            'guessed',
+        ),
+        'engines are to take up these weights',
+    ),
+    'endpoint listed': Kind(
+        (
+            'endpoint',
+            'service',
+            'draining',
+            'version',
+            'layers',
+            'offset',
+        ),
+        'its own word in the list changed',
+    ),
+    'endpoint dropped from the list': Kind(
+        (
+            'endpoint',
+            'used_for',
+        ),
+        'nothing more is sent to it after that time',
+    ),
+    'engine holds weights': Kind(
+        (
+            'endpoint',
+            'version',
+            'layers',
+            'busy',
+        ),
+        'no layers while it loads',
+    ),
+    'link of an endpoint': Kind(
+        (
+            'endpoint',
+            'strained',
+        ),
+        'requests go elsewhere where they can, or no longer',
+    ),
+    'member changed': Kind(
+        (
+            'peer',
+            'phase',
+        ),
+        'an entry is new, started anew, is ready or leaves',
+    ),
+    'store lost': Kind(
+        (
+            'topic',
+            'error',
+            'last_answer_ago',
+        ),
+        'a call to the store failed',
+    ),
+    'store regained': Kind(
+        (
+            'topic',
+            'lost_for',
+        ),
+        'the store answers again',
+    ),
+    'history was dropped': Kind(
+        ('topic',), 'the newest records are read instead'
+    ),
+    'records taken from a peer': Kind(
+        (
+            'peer',
+            'topic',
+            'news',
+            'offset',
+        ),
+        'it had read further',
+    ),
+    'records not fetched': Kind(('peer',), 'it did not hand them over'),
+    'record passed over': Kind(
+        (
+            'key',
+            'offset',
+        ),
+        'it can not be decoded; what was in force stays',
+    ),
+    'beat dropped': Kind(('peer',), 'a message that is none'),
+    'entries not read': Kind((), 'the list of entries; it is tried again'),
+    'store not read': Kind(
+        (), 'an agent that hears of no entry; it is tried again'
+    ),
+    'sent': Kind(
+        (
+            'request',
+            'attempt',
+            'endpoint',
+            'in_flight',
+            'left',
+            'resume_after',
+        ),
+        'an attempt begins',
+    ),
+    'no endpoint has room': Kind(
+        (
+            'request',
+            'service',
+            'endpoint',
+            'waiting',
+            'slots',
+        ),
+        'the best one, and how many would wait there',
+    ),
+    'turned away by the endpoint': Kind(
+        (
+            'request',
+            'attempt',
+            'endpoint',
+            'status',
+            'in_flight',
+        ),
+        'it did not run the request',
+    ),
+    'another endpoint or version answered': Kind(
+        (
+            'request',
+            'endpoint',
+            'answered_by',
+            'version',
+        ),
+        'it did not run the request',
+    ),
+    'passed over the answer to another request': Kind(
+        ('request',), 'it came where this one was expected'
+    ),
+    'attempt failed': Kind(
+        (
+            'request',
+            'attempt',
+            'endpoint',
+            'execution',
+            'error',
+            'after_event',
+        ),
+        'there is no whole answer',
+    ),
+    'sending once more': Kind(
+        (
+            'request',
+            'attempts',
+            'decision',
+        ),
+        'a repeat is allowed',
+    ),
+    'not sending once more': Kind(
+        (
+            'request',
+            'attempts',
+            'decision',
+        ),
+        'and why not',
+    ),
+    'answered': Kind(
+        (
+            'request',
+            'status',
+            'attempts',
+            'first',
+            'seconds',
+        ),
+        'the caller has the whole answer',
+    ),
+    'ended without an answer': Kind(
+        (
+            'request',
+            'reason',
+            'status',
+            'service',
+            'attempts',
+            'runs',
+            'seconds',
+        ),
+        'status 0 for a connection that was broken off',
+    ),
+    'refused': Kind(
+        (
+            'request',
+            'reason',
+            'status',
+            'host',
+            'step',
+        ),
+        'before it was admitted',
+    ),
+    'caller left': Kind(
+        (
+            'request',
+            'attempts',
+            'seconds',
+        ),
+        'its work is ended',
+    ),
+    'getting pieces': Kind(
+        (
+            'version',
+            'missing',
+        ),
+        'an agent begins with a version',
+    ),
+    'pieces stalled': Kind(
+        (
+            'sources',
+            'partners',
+            'missing',
+        ),
+        'none came for a moment; agents go by what others have',
+    ),
+    'sources changed': Kind(
+        (
+            'sources',
+            'before',
+            'missing',
+        ),
+        'pieces come from others than before',
+    ),
+    'source passed over': Kind(
+        (
+            'source',
+            'trouble',
+        ),
+        'slow, failing, behind or silent',
+    ),
+    'no answer': Kind(('source',), 'of a source, for the first time in a row'),
+    'source answers again': Kind(
+        (
+            'source',
+            'failures',
+        ),
+        'after so many failures',
+    ),
+    'no manifest': Kind(('version',), 'a source did not hand it over'),
+    'piece is spoilt': Kind(
+        (
+            'piece',
+            'source',
+        ),
+        'it is not what its digest says',
+    ),
+    'not handed out': Kind(
+        ('piece',), 'a staged piece could not be read for another agent'
+    ),
+    'pieces got': Kind(
+        (
+            'version',
+            'missing',
+            'from_origin',
+            'from_agents',
+            'seconds',
+        ),
+        'getting a version ends, whole or not',
+    ),
+    'staged pieces not read': Kind((), 'the engine did not answer'),
+    'piece not staged': Kind(
+        (), 'the engine did not take it, or it was spoilt there'
+    ),
+    'staged too long ago': Kind(
+        ('version',), 'it is read back once more before the order'
+    ),
+    'turn to load': Kind(
+        (
+            'version',
+            'wait',
+        ),
+        'seconds until the engine takes it up',
+    ),
+    'ordered to load': Kind(
+        (
+            'version',
+            'orders',
+            'active',
+            'answer',
+        ),
+        'what the engine said',
+    ),
+    'not loaded': Kind(('node',), 'the engine did not answer'),
+    'not fetched': Kind(
+        ('node',), 'nobody had the manifest, or the engine did not answer'
+    ),
+}
+
+
+def kind_of(message: str) -> Kind | None:
+    """Return the kind of a line by its message."""
+    return KINDS_BY_MESSAGE.get(message.partition(': ')[0])
+
+
+def page() -> str:
+    """Return the operators' page on log lines."""
+    lines = [
+        '# Log lines',
+        '',
+        'What processes on the direct path write, one JSON object a line. Made',
+        'from `clementinepass/observability/line_table.py`.',
+        '',
+        '| message | fields | when, or what follows |',
+        '|---|---|---|',
+    ]
+    for message, kind in KINDS_BY_MESSAGE.items():
+        named = ', '.join(f'`{name}`' for name in kind.fields)
+        lines.append(f'| `{message}` | {named} | {kind.when} |')
+    lines += ['', '| field | type | meaning |', '|---|---|---|']
+    for name, field in {**COMMON, **FIELDS_BY_NAME}.items():
+        lines.append(f'| `{name}` | {field.kind} | {field.meaning} |')
+    return '\n'.join([*lines, ''])
--- /dev/null
+++ b/tests/observability/test_line_table.py
@@ -0,0 +1,51 @@
+"""Tests that log lines are what the table says."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import typing
+
+import testtools
+from loguru import logger
+
+from benchmarks import day
+from clementinepass.observability import line_table
+
+PAGE = pathlib.Path(__file__).parents[2] / 'docs/operators/log-lines.md'
+
+
+class LineTableTest(testtools.TestCase):
+    """An engineer finds each line and each field explained."""
+
+    def test_lines_of_a_day(self) -> None:
+        """Each line that a heavy day writes is in the table, and its fields."""
+        unknown: set[str] = set()
+
+        def check(message: typing.Any) -> None:
+            record = message.record
+            kind = line_table.kind_of(record['message'])
+            if kind is None:
+                unknown.add(record['message'])
+            else:
+                rest = set(record['extra']).difference(kind.fields)
+                unknown.update(f'{record["message"]}: {one}' for one in rest)
+
+        handle = logger.add(check, level='INFO', format='{message}')
+        self.addCleanup(logger.remove, handle)
+        heavy = day.Day(5, 1, heavy=True)
+        asyncio.run(heavy.play())
+        self.assertEqual(set(), unknown)
+
+    def test_fields_are_explained(self) -> None:
+        """Each field of a kind has a type and a meaning, and none is spare."""
+        used = {
+            field
+            for kind in line_table.KINDS_BY_MESSAGE.values()
+            for field in kind.fields
+        }
+        self.assertEqual(used, set(line_table.FIELDS_BY_NAME))
+
+    def test_page(self) -> None:
+        """The operators' page is the one that the table makes."""
+        self.assertEqual(line_table.page(), PAGE.read_text())
