--- a/standins/stepping_engine.py
+++ b/standins/stepping_engine.py
@@ -47,8 +47,16 @@
 class _Job:
     """One request in the engine."""
 
-    def __init__(self, request_id: str, prompt: int, events: int) -> None:
+    def __init__(
+        self,
+        request_id: str,
+        rank: int,
+        prompt: int,
+        events: int,
+    ) -> None:
         self.id = request_id
+        #: 0 is admitted first.
+        self.rank = rank
         self.unread = prompt
         self.left = events
         #: Grows by one with each event; ends with ``None``.
@@ -142,7 +150,8 @@
         first = 0 if after is None else int(after) + 1
         events = max(int(usage[1]) // STRIDE, 1) - first
         name = (request.headers.get(b'x-attempt-id') or b'').decode()
-        job = _Job(name, int(usage[0]), events)
+        rank = int(request.headers.get(b'x-request-priority') or b'5')
+        job = _Job(name, rank, int(usage[0]), events)
         self._waiting.append(job)
         self._work.set()
         try:
@@ -197,7 +206,8 @@
 
     def _admit(self) -> None:
         while self._waiting and len(self._running) < SLOTS:
-            job = self._waiting.popleft()
+            job = min(self._waiting, key=_rank)
+            self._waiting.remove(job)
             self._running.append(job)
             self.runs.append(Run(job.id, self.version, time.monotonic()))
 
@@ -225,3 +235,7 @@
             if job.left <= 0:
                 job.events.put_nowait(None)
                 self._running.remove(job)
+
+
+def _rank(job: _Job) -> int:
+    return job.rank
