--- a/tests/test_machines_daemon.py
+++ b/tests/test_machines_daemon.py
@@ -15,8 +15,7 @@
 
 from clementinepass.direct import exposition
 from clementinepass.http import messages, pool
-from standins import keyed_store
-from tests.direct import test_machines
+from standins import keyed_store, machines
 
 IP = '127.3.0.1'
 ROOT = pathlib.Path(__file__).parent.parent
@@ -28,7 +27,7 @@
     def __init__(self, store: str) -> None:
         folder = tempfile.mkdtemp()
         self.path = pathlib.Path(folder) / 'settings.json'
-        self.ports = [test_machines.free_port([IP]) for _ in range(3)]
+        self.ports = [machines.free_port([IP]) for _ in range(3)]
         self.settings: dict[str, typing.Any] = {
             'nodeName': 'e',
             'ip': IP,
@@ -101,7 +100,7 @@
 
         async def play() -> None:
             async with keyed_store.KeyedStore() as store:
-                store.put('keyed.op', 'config', test_machines.CONFIG)
+                store.put('keyed.op', 'config', machines.CONFIG)
                 daemon = Daemon(store.address)
                 try:
                     await self._live(daemon)
