--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -22,13 +22,18 @@
 class Kind(typing.NamedTuple):
     """A kind of line.
 
-    :param fields: what it may have besides what all lines have.
+    :param names: what it may have besides what all lines have, with spaces.
     :param when: when it is written, or what follows.
     """
 
-    fields: tuple[str, ...]
+    names: str
     when: str
 
+    @property
+    def fields(self) -> tuple[str, ...]:
+        """Return the names of its own fields."""
+        return tuple(self.names.split())
+
 
 #: Fields of each line.
 COMMON: dict[str, Field] = {
@@ -113,355 +118,144 @@
 }
 #: The kinds of line, by their message up to a colon.
 KINDS_BY_MESSAGE: dict[str, Kind] = {
-    'agent started': Kind(
-        (
-            'node',
-            'engine',
-        ),
-        'an agent listens',
-    ),
-    'entry started': Kind(
-        (
-            'node',
-            'callers',
-        ),
-        'an entry listens',
-    ),
+    'agent started': Kind('node engine', 'an agent listens'),
+    'entry started': Kind('node callers', 'an entry listens'),
     'entry ready': Kind(
-        ('node',),
+        'node',
         'configuration and endpoints are known; callers may be sent here',
     ),
-    'leaving': Kind(('connections',), 'an entry was told to end'),
-    'stopped': Kind(
-        (
-            'node',
-            'seconds',
-        ),
-        'a process ends',
-    ),
-    'settings read': Kind(
-        (
-            'step',
-            'changed',
-        ),
-        'the settings were read anew',
-    ),
-    'settings stay as they are': Kind(
-        ('step',), 'newer settings can not be read'
-    ),
-    'no settings': Kind(('step',), 'the process ends, having none'),
+    'leaving': Kind('connections', 'an entry was told to end'),
+    'stopped': Kind('node seconds', 'a process ends'),
+    'settings read': Kind('step changed', 'the settings were read anew'),
+    'settings stay as they are': Kind('step', 'newer settings can not be read'),
+    'no settings': Kind('step', 'the process ends, having none'),
     'lines dropped': Kind(
-        ('lines',), 'more was written in a second than the bound'
+        'lines', 'more was written in a second than the bound'
     ),
-    'work begins anew': Kind((), 'a task met a fault that nobody foresaw'),
+    'work begins anew': Kind('', 'a task met a fault that nobody foresaw'),
     'handler failed': Kind(
-        (
-            'step',
-            'error',
-        ),
+        'step error',
         'the same while a request was served; its caller is cut off',
     ),
     'configuration in force': Kind(
-        (
-            'version',
-            'before',
-        ),
-        'requests are handled by it from now on',
+        'version before', 'requests are handled by it from now on'
     ),
     'a peer has a newer configuration': Kind(
-        (
-            'peer',
-            'there',
-            'here',
-            'offset',
-        ),
-        'its records are taken anew from that peer',
+        'peer there here offset', 'its records are taken anew from that peer'
     ),
     'version named': Kind(
-        (
-            'model',
-            'version',
-            'ago',
-            'guessed',
-        ),
-        'engines are to take up these weights',
+        'model version ago guessed', 'engines are to take up these weights'
     ),
     'endpoint listed': Kind(
-        (
-            'endpoint',
-            'service',
-            'draining',
-            'version',
-            'layers',
-            'offset',
-        ),
+        'endpoint service draining version layers offset',
         'its own word in the list changed',
     ),
     'endpoint dropped from the list': Kind(
-        (
-            'endpoint',
-            'used_for',
-        ),
-        'nothing more is sent to it after that time',
+        'endpoint used_for', 'nothing more is sent to it after that time'
     ),
     'engine holds weights': Kind(
-        (
-            'endpoint',
-            'version',
-            'layers',
-            'busy',
-        ),
-        'no layers while it loads',
+        'endpoint version layers busy', 'no layers while it loads'
     ),
     'link of an endpoint': Kind(
-        (
-            'endpoint',
-            'strained',
-        ),
+        'endpoint strained',
         'requests go elsewhere where they can, or no longer',
     ),
     'member changed': Kind(
-        (
-            'peer',
-            'phase',
-        ),
-        'an entry is new, started anew, is ready or leaves',
+        'peer phase', 'an entry is new, started anew, is ready or leaves'
     ),
     'store lost': Kind(
-        (
-            'topic',
-            'error',
-            'last_answer_ago',
-        ),
-        'a call to the store failed',
-    ),
-    'store regained': Kind(
-        (
-            'topic',
-            'lost_for',
-        ),
-        'the store answers again',
-    ),
-    'history was dropped': Kind(
-        ('topic',), 'the newest records are read instead'
+        'topic error last_answer_ago', 'a call to the store failed'
     ),
+    'store regained': Kind('topic lost_for', 'the store answers again'),
+    'history was dropped': Kind('topic', 'the newest records are read instead'),
     'records taken from a peer': Kind(
-        (
-            'peer',
-            'topic',
-            'news',
-            'offset',
-        ),
-        'it had read further',
-    ),
-    'records not fetched': Kind(('peer',), 'it did not hand them over'),
+        'peer topic news offset', 'it had read further'
+    ),
+    'records not fetched': Kind('peer', 'it did not hand them over'),
     'record passed over': Kind(
-        (
-            'key',
-            'offset',
-        ),
-        'it can not be decoded; what was in force stays',
-    ),
-    'beat dropped': Kind(('peer',), 'a message that is none'),
-    'entries not read': Kind((), 'the list of entries; it is tried again'),
+        'key offset', 'it can not be decoded; what was in force stays'
+    ),
+    'beat dropped': Kind('peer', 'a message that is none'),
+    'entries not read': Kind('', 'the list of entries; it is tried again'),
     'store not read': Kind(
-        (), 'an agent that hears of no entry; it is tried again'
+        '', 'an agent that hears of no entry; it is tried again'
     ),
     'sent': Kind(
-        (
-            'request',
-            'attempt',
-            'endpoint',
-            'in_flight',
-            'left',
-            'resume_after',
-        ),
+        'request attempt endpoint in_flight left resume_after',
         'an attempt begins',
     ),
     'no endpoint has room': Kind(
-        (
-            'request',
-            'service',
-            'endpoint',
-            'waiting',
-            'slots',
-        ),
+        'request service endpoint waiting slots',
         'the best one, and how many would wait there',
     ),
     'turned away by the endpoint': Kind(
-        (
-            'request',
-            'attempt',
-            'endpoint',
-            'status',
-            'in_flight',
-        ),
+        'request attempt endpoint status in_flight',
         'it did not run the request',
     ),
     'another endpoint or version answered': Kind(
-        (
-            'request',
-            'endpoint',
-            'answered_by',
-            'version',
-        ),
-        'it did not run the request',
+        'request endpoint answered_by version', 'it did not run the request'
     ),
     'passed over the answer to another request': Kind(
-        ('request',), 'it came where this one was expected'
+        'request', 'it came where this one was expected'
     ),
     'attempt failed': Kind(
-        (
-            'request',
-            'attempt',
-            'endpoint',
-            'execution',
-            'error',
-            'after_event',
-        ),
+        'request attempt endpoint execution error after_event',
         'there is no whole answer',
     ),
     'sending once more': Kind(
-        (
-            'request',
-            'attempts',
-            'decision',
-        ),
-        'a repeat is allowed',
-    ),
-    'not sending once more': Kind(
-        (
-            'request',
-            'attempts',
-            'decision',
-        ),
-        'and why not',
+        'request attempts decision', 'a repeat is allowed'
     ),
+    'not sending once more': Kind('request attempts decision', 'and why not'),
     'answered': Kind(
-        (
-            'request',
-            'status',
-            'attempts',
-            'first',
-            'seconds',
-        ),
+        'request status attempts first seconds',
         'the caller has the whole answer',
     ),
     'ended without an answer': Kind(
-        (
-            'request',
-            'reason',
-            'status',
-            'service',
-            'attempts',
-            'runs',
-            'seconds',
-        ),
+        'request reason status service attempts runs seconds',
         'status 0 for a connection that was broken off',
     ),
     'refused': Kind(
-        (
-            'request',
-            'reason',
-            'status',
-            'host',
-            'step',
-        ),
-        'before it was admitted',
-    ),
-    'caller left': Kind(
-        (
-            'request',
-            'attempts',
-            'seconds',
-        ),
-        'its work is ended',
-    ),
-    'getting pieces': Kind(
-        (
-            'version',
-            'missing',
-        ),
-        'an agent begins with a version',
+        'request reason status host step', 'before it was admitted'
     ),
+    'caller left': Kind('request attempts seconds', 'its work is ended'),
+    'getting pieces': Kind('version missing', 'an agent begins with a version'),
     'pieces stalled': Kind(
-        (
-            'sources',
-            'partners',
-            'missing',
-        ),
+        'sources partners missing',
         'none came for a moment; agents go by what others have',
     ),
     'sources changed': Kind(
-        (
-            'sources',
-            'before',
-            'missing',
-        ),
-        'pieces come from others than before',
+        'sources before missing', 'pieces come from others than before'
     ),
     'source passed over': Kind(
-        (
-            'source',
-            'trouble',
-        ),
-        'slow, failing, behind or silent',
-    ),
-    'no answer': Kind(('source',), 'of a source, for the first time in a row'),
-    'source answers again': Kind(
-        (
-            'source',
-            'failures',
-        ),
-        'after so many failures',
-    ),
-    'no manifest': Kind(('version',), 'a source did not hand it over'),
-    'piece is spoilt': Kind(
-        (
-            'piece',
-            'source',
-        ),
-        'it is not what its digest says',
+        'source trouble', 'slow, failing, behind or silent'
     ),
+    'no answer': Kind('source', 'of a source, for the first time in a row'),
+    'source answers again': Kind('source failures', 'after so many failures'),
+    'no manifest': Kind('version', 'a source did not hand it over'),
+    'piece is spoilt': Kind('piece source', 'it is not what its digest says'),
     'not handed out': Kind(
-        ('piece',), 'a staged piece could not be read for another agent'
+        'piece', 'a staged piece could not be read for another agent'
     ),
     'pieces got': Kind(
-        (
-            'version',
-            'missing',
-            'from_origin',
-            'from_agents',
-            'seconds',
-        ),
+        'version missing from_origin from_agents seconds',
         'getting a version ends, whole or not',
     ),
-    'staged pieces not read': Kind((), 'the engine did not answer'),
+    'staged pieces not read': Kind('', 'the engine did not answer'),
     'piece not staged': Kind(
-        (), 'the engine did not take it, or it was spoilt there'
+        '', 'the engine did not take it, or it was spoilt there'
     ),
     'staged too long ago': Kind(
-        ('version',), 'it is read back once more before the order'
+        'version', 'it is read back once more before the order'
     ),
     'turn to load': Kind(
-        (
-            'version',
-            'wait',
-        ),
-        'seconds until the engine takes it up',
+        'version wait', 'seconds until the engine takes it up'
     ),
     'ordered to load': Kind(
-        (
-            'version',
-            'orders',
-            'active',
-            'answer',
-        ),
-        'what the engine said',
-    ),
-    'not loaded': Kind(('node',), 'the engine did not answer'),
+        'version orders active answer', 'what the engine said'
+    ),
+    'not loaded': Kind('node', 'the engine did not answer'),
     'not fetched': Kind(
-        ('node',), 'nobody had the manifest, or the engine did not answer'
+        'node', 'nobody had the manifest, or the engine did not answer'
     ),
 }
 
