--- a/benchmarks/day.py
+++ b/benchmarks/day.py
@@ -37,20 +37,7 @@
 _STREAM = b'/stream/a'
 _CONFIG: dict[str, typing.Any] = {
     'version': 1,
-    'routes': [
-        {
-            'name': 'stream',
-            'host': 'h',
-            'pathPrefix': '/stream/',
-            'routeKind': 'streaming',
-            'resumable': True,
-            'maxAttempts': 2,
-            'timeoutMs': 6000,
-            'sloMs': 400,
-            'gapTargetMs': 300,
-            'service': 'pool',
-        },
-    ],
+    'routes': [{**machines.STREAM_ROUTE, 'service': 'pool'}],
     'services': [
         {
             'name': 'pool',
--- a/benchmarks/direct_path.py
+++ b/benchmarks/direct_path.py
@@ -20,20 +20,7 @@
 
 _CONFIG: dict[str, typing.Any] = {
     'version': 1,
-    'routes': [
-        {
-            'name': 'stream',
-            'host': 'h',
-            'pathPrefix': '/stream/',
-            'routeKind': 'streaming',
-            'resumable': True,
-            'maxAttempts': 2,
-            'timeoutMs': 6000,
-            'sloMs': 400,
-            'gapTargetMs': 300,
-            'service': 'desk',
-        },
-    ],
+    'routes': [{**machines.STREAM_ROUTE, 'service': 'desk'}],
     'services': [{'name': 'desk'}],
 }
 _MS = 1000
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -28,6 +28,18 @@
 CHUNKS = 12
 LAYERS = 4
 READERS = intake.Readers(operator=operator.read, endpoint=registry.read)
+#: A route of streams that may be resumed; its service is to be named.
+STREAM_ROUTE: dict[str, typing.Any] = {
+    'name': 'stream',
+    'host': 'h',
+    'pathPrefix': '/stream/',
+    'routeKind': 'streaming',
+    'resumable': True,
+    'maxAttempts': 2,
+    'timeoutMs': 6000,
+    'sloMs': 400,
+    'gapTargetMs': 300,
+}
 CONFIG: dict[str, typing.Any] = {
     'version': 1,
     'routes': [
