Say what a leaving entry takes, whom it is offered to, and what it cuts

Cause: logs could not tell apart the ways by which late requests come to an entry that leaves, and blamed the caller ("caller left") for answers that the entry itself cut off at its end. Change: lines for a request taken while leaving (age and number of its connection), for the directory naming a leaving entry, for each answer cut at the end, and the counts at the begin and end of leaving.

--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -14,6 +14,7 @@
     attempt,
     background,
     beliefs,
+    departure,
     gauges,
     gossip,
     intake,
@@ -73,6 +74,7 @@
             self._followers,
             self.peers,
         )
+        self._departure = departure.Departure(own)
         self._sender = attempt.Sender(self.beliefs, boundary.dialect, log)
         self._path = path.Path(
             own,
@@ -81,6 +83,7 @@
             self._sender,
             log,
             self._entries,
+            self._departure,
             rng,
         )
         self.front = front.Front(self._path.serve, self._bounds)
@@ -106,12 +109,18 @@
         found = [member.callers for member in self.peers.members.ready(now)]
         if self.ready or not found:
             found.append(self._own.callers)
+            self._departure.offered(now)
         return found
 
     async def run(self) -> None:
         """Serve until told to stop."""
         await self._listen()
-        leave = leaving.Leaving(self._own, self.front, self.peers)
+        leave = leaving.Leaving(
+            self._own,
+            self.front,
+            self.peers,
+            self._departure,
+        )
         async with asyncio.TaskGroup() as tasks:
             works = (
                 *(one.run for one in self._followers.values()),
--- a/clementinepass/direct/leaving.py
+++ b/clementinepass/direct/leaving.py
@@ -17,7 +17,7 @@
 from clementinepass.direct import members
 
 if typing.TYPE_CHECKING:
-    from clementinepass.direct import gossip, node
+    from clementinepass.direct import departure, gossip, node
     from clementinepass.http import front
 
 #: The part of the time until SIGKILL for which idle connections are kept:
@@ -31,14 +31,16 @@
 class Leaving:
     """Wait for SIGTERM, then leave."""
 
-    __slots__ = ('_front', '_own', '_peers', '_told')
+    __slots__ = ('_departure', '_front', '_own', '_peers', '_told')
 
     def __init__(
         self,
         own: node.Node,
         callers: front.Front,
         peers: gossip.Peers,
+        state: departure.Departure,
     ) -> None:
+        self._departure = state
         self._own = own
         self._front = callers
         self._peers = peers
@@ -51,16 +53,23 @@
         loop.add_signal_handler(signal.SIGINT, self._told.set)
         await self._told.wait()
         begun = loop.time()
+        self._departure.begun = begun
         self._peers.phase = members.Phase.LEAVING
         self._peers.speak()
         self._front.leaving = True
-        logger.bind(connections=len(self._front.connections)).info('leaving')
+        logger.bind(
+            connections=len(self._front.connections),
+            open=self._front.busy(),
+        ).info('leaving')
         await self._until(begun + self._own.duties.grace * _KEPT_PART)
         self._front.stop_listening()
         last = begun + self._own.duties.grace * _LAST_PART
         while self._front.close_idle() and loop.time() < last:
             await asyncio.sleep(_LOOK_SECONDS)
-        logger.bind(seconds=round(loop.time() - begun, 3)).info('stopped')
+        logger.bind(
+            seconds=round(loop.time() - begun, 3),
+            open=self._front.busy(),
+        ).info('stopped')
 
     async def _until(self, when: float) -> None:
         loop = asyncio.get_running_loop()
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -22,7 +22,7 @@
 if typing.TYPE_CHECKING:
     import random
 
-    from clementinepass.direct import beliefs, endpoints, node
+    from clementinepass.direct import beliefs, departure, endpoints, node
     from clementinepass.http import messages, replies
 
 _BAD_REQUEST = 400
@@ -47,11 +47,13 @@
     """Serve callers' requests.
 
     :param entries: returns how many entries there are, this one included.
+    :param leaving: whether, and since when, this entry is to end.
     """
 
     __slots__ = (
         '_beliefs',
         '_budgets_by_service',
+        '_departure',
         '_dialect',
         '_entries',
         '_log',
@@ -68,6 +70,7 @@
         sender: attempt.Sender,
         log: request_log.RequestLog,
         entries: typing.Callable[[], int],
+        leaving: departure.Departure,
         rng: random.Random,
     ) -> None:
         self._own = own
@@ -76,6 +79,7 @@
         self._sender = sender
         self._log = log
         self._entries = entries
+        self._departure = leaving
         self._rng = rng
         self._budgets_by_service: dict[str, window_budget.WindowBudget] = {}
 
@@ -94,13 +98,19 @@
         admitted = self._admit(call, reply)
         if admitted is None:
             return
+        since = self._departure.since(request.received)
+        if since is not None:
+            self._log.taken_while_leaving(admitted, since)
         try:
             async with asyncio.timeout_at(admitted.final_at):
                 await self._answer(admitted)
         except TimeoutError:
             self._conclude(admitted, serving.Ending.TIMEOUT)
         except asyncio.CancelledError:
-            self._log.caller_left(admitted)
+            if reply.was_cut:
+                self._log.cut_at_end(admitted)
+            else:
+                self._log.caller_left(admitted)
             raise
 
     # Admission.
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -228,6 +228,37 @@
             seconds=round(_now() - admitted.call.request.received, 3),
         ).info('caller left')
 
+    def taken_while_leaving(
+        self,
+        admitted: serving.Serving,
+        since: float,
+    ) -> None:
+        """Tell of a request that came to an entry that leaves.
+
+        How it came is told by its connection: a new one is of a caller that
+        found this entry in a list, a kept one of a caller that was not told.
+
+        :param since: seconds since the entry was told to end.
+        """
+        request = admitted.call.request
+        logger.bind(
+            request=admitted.call.id,
+            since=round(since, 3),
+            connected_for=round(request.received - request.connected, 3),
+            number=request.number,
+            left=round(admitted.final_at - request.received, 3),
+        ).info('taken while leaving')
+
+    def cut_at_end(self, admitted: serving.Serving) -> None:
+        """Tell of a request that this process cut off as it ended."""
+        self._endings.inc({'ending': 'cut_at_end'})
+        logger.bind(
+            request=admitted.call.id,
+            attempts=len(admitted.attempts),
+            seconds=round(_now() - admitted.call.request.received, 3),
+            after_event=admitted.resume_after,
+        ).warning('cut off, as this entry ends')
+
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/clementinepass/http/connection.py
+++ b/clementinepass/http/connection.py
@@ -69,6 +69,10 @@
         self._can_write.set()
         self._keep = True
         self._refused = False
+        self._opened = self._loop.time()
+        self._read = 0
+        #: Whether this process ended the connection, whatever was on it.
+        self.was_cut = False
         self._reset_message()
 
     # What the event loop calls.
@@ -166,6 +170,7 @@
         self._reading = False
         if self._refused:
             return
+        self._read += 1
         request = messages.Request(
             self._parser.get_method(),
             self._target,
@@ -173,6 +178,8 @@
             b''.join(self._body),
             self._received,
             is_last=not self._parser.should_keep_alive(),
+            connected=self._opened,
+            number=self._read,
         )
         self._waiting.append(request)
         self._serve_next()
@@ -200,6 +207,11 @@
         """End the connection at once."""
         self._transport.abort()
 
+    def cut(self) -> None:
+        """End the connection at once, since this process ends."""
+        self.was_cut = True
+        self._transport.abort()
+
     def close(self) -> None:
         """End the connection after what was written."""
         self._transport.close()
--- a/clementinepass/http/front.py
+++ b/clementinepass/http/front.py
@@ -58,14 +58,14 @@
                 one.close()
         return len(self.connections)
 
-    def busy(self) -> bool:
-        """Tell whether some connection has a request in progress."""
-        return any(not one.idle for one in self.connections)
+    def busy(self) -> int:
+        """Return how many connections have a request in progress."""
+        return sum(not one.idle for one in self.connections)
 
     async def close(self) -> None:
         """End all connections at once."""
         self.stop_listening()
         for one in list(self.connections):
-            one.abort()
+            one.cut()
         with contextlib.suppress(asyncio.CancelledError):
             await asyncio.sleep(0)
--- a/clementinepass/http/messages.py
+++ b/clementinepass/http/messages.py
@@ -92,9 +92,11 @@
 
     __slots__ = (
         'body',
+        'connected',
         'headers',
         'is_last',
         'method',
+        'number',
         'received',
         'target',
     )
@@ -108,6 +110,8 @@
         received: float,
         *,
         is_last: bool = False,
+        connected: float = 0,
+        number: int = 1,
     ) -> None:
         self.method = method
         #: Path and query, exactly as sent.
@@ -118,6 +122,10 @@
         self.received = received
         #: Whether the caller wants the connection to end after it.
         self.is_last = is_last
+        #: Monotonic seconds at which its connection was opened, and its number
+        #: there, from 1.
+        self.connected = connected
+        self.number = number
 
     @property
     def path(self) -> bytes:
--- a/clementinepass/http/replies.py
+++ b/clementinepass/http/replies.py
@@ -20,6 +20,10 @@
     def abort(self) -> None:
         """End the connection at once."""
 
+    @property
+    def was_cut(self) -> bool:
+        """Tell whether this process ended the connection at its own end."""
+
     async def writable(self) -> None:
         """Wait until there is room for more."""
 
@@ -69,6 +73,11 @@
         self.done = True
         self._connection.write(b'0\r\n\r\n')
 
+    @property
+    def was_cut(self) -> bool:
+        """Tell whether the connection was cut, as this process ends."""
+        return self._connection.was_cut
+
     def break_off(self) -> None:
         """End the connection, so that the answer can't be taken for whole."""
         self.done = True
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -55,6 +55,7 @@
     'busy': Field('bool', 'whether an order is in progress'),
     'callers': Field('str', 'where callers connect'),
     'changed': Field('bool', 'whether a bound changed'),
+    'connected_for': Field('float', 'seconds of its connection'),
     'connections': Field('int', 'open ones of callers'),
     'decision': Field(
         'str',
@@ -86,7 +87,9 @@
     'model': Field('str', 'its name'),
     'news': Field('int', 'records that were not known'),
     'node': Field('str', 'the machine'),
+    'number': Field('int', 'of the request on its connection, from 1'),
     'offset': Field('int', 'in the topic'),
+    'open': Field('int', 'connections with a request in progress'),
     'orders': Field('int', 'that the engine has begun since it started'),
     'partners': Field('list', 'agents asked besides'),
     'peer': Field('str', 'IP number'),
@@ -102,6 +105,7 @@
     'runs': Field('int', 'attempts that ran or may have'),
     'seconds': Field('float', 'in all'),
     'service': Field('str', 'its name'),
+    'since': Field('float', 'seconds since SIGTERM'),
     'slots': Field('int', 'requests run at once'),
     'source': Field('str', 'IP number, or origin'),
     'sources': Field('list', 'IP numbers; empty text for the origin'),
@@ -124,8 +128,21 @@
         'node',
         'configuration and endpoints are known; callers may be sent here',
     ),
-    'leaving': Kind('connections', 'an entry was told to end'),
-    'stopped': Kind('node seconds', 'a process ends'),
+    'leaving': Kind(
+        'connections open', 'an entry was told to end; what it has in progress'
+    ),
+    'offered while leaving': Kind(
+        'node since', 'callers are sent here, as no other entry is ready'
+    ),
+    'taken while leaving': Kind(
+        'request since connected_for number left',
+        'a request came after the entry was told to end',
+    ),
+    'cut off, as this entry ends': Kind(
+        'request attempts seconds after_event',
+        'its caller has no whole answer, and is not to blame',
+    ),
+    'stopped': Kind('node seconds open', 'a process ends, with so many cut'),
     'settings read': Kind('step changed', 'the settings were read anew'),
     'settings stay as they are': Kind('step', 'newer settings can not be read'),
     'no settings': Kind('step', 'the process ends, having none'),
--- a/clementinepass/observability/stories.py
+++ b/clementinepass/observability/stories.py
@@ -38,6 +38,7 @@
         'the endpoint, or its weights, were others than believed'
     ),
     'attempt failed': 'an attempt had no whole answer',
+    'cut off, as this entry ends': 'the entry was told to end and cut it off',
     'caller left': 'its caller did not wait for the answer',
     'ended without an answer': 'nothing was left to try',
 }
@@ -179,6 +180,7 @@
             'ended without an answer',
             'refused',
             'caller left',
+            'cut off, as this entry ends',
         }:
             yield 'no line says how it ended'
 
--- a/tests/direct/path_world.py
+++ b/tests/direct/path_world.py
@@ -11,6 +11,7 @@
 from clementinepass.direct import (
     attempt,
     beliefs,
+    departure,
     endpoints,
     node,
     path,
@@ -83,6 +84,7 @@
             for number in range(count)
         ]
         self.beliefs = beliefs.Beliefs(NODE)
+        self.departure = departure.Departure(NODE)
         log = request_log.RequestLog(aioprometheus.Registry())
         spelling = dialect.HeaderDialect()
         sender = attempt.Sender(self.beliefs, spelling, log)
@@ -93,6 +95,7 @@
             sender,
             log,
             lambda: 1,
+            self.departure,
             random.Random(3),
         )
         self.front = front.Front(self.path.serve)
