Name the cause of each request's ending, by evidence

Cause: explain named the first line that went wrong, with one sentence for each kind of line. Whatever ended a connection was written as 'caller left' but the entry's own end; a deadline, a route's time and a slow reader were one reason; a request that met a fault of the entry, or that could not be read, had no line with its id.

Change: a connection knows why it ended (http/endings.py), a failed attempt what was wrong with it, an ending whose time was over. 'caller left' is written only where the caller ended its side; a reset, a caller that the kernel gave up and an end that nothing explains have lines of their own. Each says what the caller had got, how long it had waited for an event, how long callers wait, and for how long the endpoint had been silent. observability/verdicts.py works the cause out from all lines of a request, the ending first; where a line or a field is missing it is 'not known'.

Ruled out: guessing a reset's sender by the time of our own leaving or of other resets. That is no evidence; it is told as a reset.

Tests: a matrix of 36 cases at an entry between a caller and endpoints that do as they are told. Before: explain's sentence named the cause in 5, named another in 7 (answered after a resumed stream, caller gave up, caller's deadline, reset, caller unreachable, lost after being turned away, cancelled), had no story for 2 (malformed, own fault) and named no cause in 22. The other 31 are the failing cases. Now: 36 right.

--- a/clementinepass/cli/explain_command.py
+++ b/clementinepass/cli/explain_command.py
@@ -20,9 +20,10 @@
 ) -> None:
     """Tell what became of a request, from the logs of several processes.
 
-    Shows its lines in order, the first that went wrong, what the processes
-    that it met believed when it came and for how long, and what may be
-    missing.  Times are those of each process's own clock.
+    Shows its cause, as far as its lines prove one, and what led to it; its
+    lines in order, what the processes that it met believed when it came and
+    for how long, and what may be missing.  Times are those of each process's
+    own clock.
 
     Example: ``clementinepass explain 7b0eacb332610d16 logs/*.log``
 
@@ -72,11 +73,7 @@
             for line in story.lines
         ],
     )
-    if story.wrong is not None:
-        output.screen.print(
-            f'first went wrong: {story.wrong.message} at '
-            f'{story.wrong.process}: {story.meaning}',
-        )
+    _show_cause(story)
     output.print_table(
         'believed when it came',
         ('process', 'what', 'for seconds', 'of'),
@@ -92,3 +89,17 @@
     )
     for gap in story.gaps:
         output.screen.print(f'may be missing: {gap}')
+
+
+def _show_cause(story: stories.Story) -> None:
+    verdict = story.verdict
+    output.screen.print(
+        f'cause: {verdict.cause.value}: {verdict.sentence}',
+        markup=False,
+    )
+    for sentence in verdict.led:
+        output.screen.print(f'led to it: {sentence}', markup=False)
+    if story.wrong is not None:
+        output.screen.print(
+            f'first went wrong: {story.wrong.message} at {story.wrong.process}',
+        )
--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -103,6 +103,7 @@
             self._beliefs.ejector.failed(endpoint.listing.id, now)
             self._log.attempt_failed(admitted, endpoint, error)
             return serving.Tried.NOT_RUN
+        admitted.channel = used
         try:
             return await self._talk(admitted, endpoint, attempt, used)
         except (channel.ChannelBrokenError, events.StreamBrokenError) as error:
@@ -371,4 +372,5 @@
             raise channel.ChannelBrokenError(
                 'the endpoint is silent',
                 peer=self._used.peer,
+                fault=channel.Fault.SILENT,
             ) from error
--- a/clementinepass/direct/calls.py
+++ b/clementinepass/direct/calls.py
@@ -24,6 +24,8 @@
 
     def __init__(self, detail: str) -> None:
         super().__init__(detail, step='receive', peer='caller')
+        #: The request's id, where that much could be read.
+        self.request_id = ''
 
 
 class Call:
@@ -138,17 +140,21 @@
 
 
 def first_event_by(call: Call, route: routing.Route) -> float:
-    """Return the monotonic seconds until which a stream's caller waits.
+    """Return the monotonic seconds until which a stream's caller waits."""
+    return call.request.received + longest_silence(route)
 
-    Callers give a stream up, also before its first event, after the longest
-    of two seconds, four aims and eight gaps.
+
+def longest_silence(route: routing.Route) -> float:
+    """Return the seconds after which a stream's caller gives it up.
+
+    Callers do so, also before its first event, after the longest of two
+    seconds, four aims and eight gaps.
     """
-    seconds = max(
+    return max(
         _LEAST_PATIENCE,
         _AIMS_OF_PATIENCE * route.aim,
         _GAPS_OF_PATIENCE * route.longest_gap,
     )
-    return call.request.received + seconds
 
 
 def final_at(call: Call, route: routing.Route) -> float:
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -17,6 +17,7 @@
     request_log,
     routing,
     serving,
+    withdrawn,
 )
 
 if typing.TYPE_CHECKING:
@@ -60,6 +61,7 @@
         '_own',
         '_rng',
         '_sender',
+        '_withdrawn',
     )
 
     def __init__(
@@ -81,6 +83,7 @@
         self._entries = entries
         self._departure = leaving
         self._rng = rng
+        self._withdrawn = withdrawn.Withdrawn()
         self._budgets_by_service: dict[str, window_budget.WindowBudget] = {}
 
     async def serve(
@@ -92,7 +95,7 @@
         try:
             call = self._dialect.call(request)
         except calls.BadCallError as error:
-            self._log.malformed(error)
+            self._log.malformed(error, _BAD_REQUEST)
             reply.send(_BAD_REQUEST, self._dialect.refusal(None), b'')
             return
         admitted = self._admit(call, reply)
@@ -105,12 +108,12 @@
             async with asyncio.timeout_at(admitted.final_at):
                 await self._answer(admitted)
         except TimeoutError:
-            self._conclude(admitted, serving.Ending.TIMEOUT)
+            self._conclude(admitted, admitted.late)
         except asyncio.CancelledError:
-            if reply.was_cut:
-                self._log.cut_at_end(admitted)
-            else:
-                self._log.caller_left(admitted)
+            self._log.interrupted(admitted)
+            raise
+        except Exception as error:
+            self._log.own_fault(admitted, error)
             raise
 
     # Admission.
@@ -125,6 +128,7 @@
         if current is None:
             self._refuse(call, reply, serving.Ending.STARTING, _UNAVAILABLE)
             return None
+        self._withdrawn.note(current)
         route = current.route(call.host, call.request.path)
         if route is None:
             self._refuse(call, reply, serving.Ending.UNKNOWN_ROUTE, _NOT_FOUND)
@@ -169,9 +173,23 @@
         pairs = self._dialect.refusal(call)
         if status == _UNAVAILABLE:
             pairs.append((b'Retry-After', b'%.2f' % _RETRY_AFTER))
-        self._log.refused(call, ending, status)
+        self._log.refused(
+            call,
+            ending,
+            status,
+            configuration=self._beliefs.configuration,
+            last_in=self._last_in(call, ending),
+        )
         reply.send(status, pairs, b'')
 
+    def _last_in(self, call: calls.Call, ending: serving.Ending) -> int:
+        """Return the newest configuration with what a call lacks."""
+        if ending is serving.Ending.UNKNOWN_KEY:
+            return self._withdrawn.key_last_in(call)
+        if ending is serving.Ending.UNKNOWN_ROUTE:
+            return self._withdrawn.route_last_in(call)
+        return 0
+
     # Attempts.
 
     async def _answer(self, admitted: serving.Serving) -> None:
@@ -183,6 +201,8 @@
             if tried is serving.Tried.ANSWERED:
                 self._log.answered(admitted)
                 return
+            if tried is serving.Tried.FAILED:
+                self._log.failed_by_endpoint(admitted)
             if not self._may_repeat(admitted):
                 self._conclude(admitted, self._ending_of(admitted, tried))
                 return
@@ -304,6 +324,12 @@
         now = asyncio.get_running_loop().time()
         if self._beliefs.candidates(admitted.service, now):
             return serving.Ending.OVERLOAD
+        current = self._beliefs.routing
+        service = admitted.service.name
+        if current is not None and service not in current.services_by_name:
+            return serving.Ending.NO_SERVICE
+        if self._beliefs.endpoints.of_service(service, now):
+            return serving.Ending.NO_WEIGHTS
         return serving.Ending.NO_ENDPOINT
 
     def _conclude(
@@ -321,6 +347,7 @@
             return
         if admitted.failure is not None:
             failure = admitted.failure
+            ending = serving.Ending.ENDPOINT_FAILED
             self._log.ended(admitted, ending, failure.status)
             reply.send(failure.status, failure.pairs, failure.body)
             return
@@ -339,7 +366,7 @@
         """Return the status; 503 promises that the request never runs."""
         if admitted.not_run:
             return _UNAVAILABLE
-        if ending is serving.Ending.TIMEOUT:
+        if ending in serving.LATE:
             return _GATEWAY_TIMEOUT
         return _BAD_GATEWAY
 
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -14,18 +14,31 @@
 import aioprometheus
 from loguru import logger
 
-from clementinepass.direct import serving
+from clementinepass.direct import calls, routing, serving
+from clementinepass.http import channel, endings
 
 if typing.TYPE_CHECKING:
     from clementinepass.decisions import nearest_place, next_try
-    from clementinepass.direct import calls, endpoints
+    from clementinepass.direct import endpoints
 
 #: Of so many requests that go well one is followed in the log.
 _FOLLOWED_EACH = 16
 _BUCKETS = (
     0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, float('inf'),
 )  # fmt: skip
-_NO_STATUS = 0
+#: What is written of a request whose connection ended, and at which level,
+#: by why it did. Only a caller that ended its side is said to have left.
+_INTERRUPTED_BY_END = {
+    endings.End.CALLER_CLOSED: ('INFO', 'caller left'),
+    endings.End.CALLER_RESET: ('INFO', 'connection reset'),
+    endings.End.CALLER_SILENT: ('INFO', 'connection lost'),
+    endings.End.TRANSPORT_FAULT: ('INFO', 'connection lost'),
+    endings.End.CUT: ('WARNING', 'cut off, as this entry ends'),
+}
+#: The fault of an attempt that had not begun when the weights there were
+#: about to be too old.
+_TOO_OLD = 'too_old'
+_NOT_KNOWN = ('WARNING', 'cut off, not known why')
 
 
 class RequestLog:
@@ -65,24 +78,39 @@
             registry=registry,
         )
 
-    def malformed(self, error: Exception) -> None:
+    def malformed(self, error: calls.BadCallError, status: int) -> None:
         """Tell of a request that could not be read."""
-        self._endings.inc({'ending': serving.Ending.MALFORMED.value})
-        logger.bind(step='receive').info('refused: {}', error)
+        ending = serving.Ending.MALFORMED.value
+        self._endings.inc({'ending': ending})
+        logger.bind(
+            request=error.request_id,
+            reason=ending,
+            status=status,
+            error=str(error),
+        ).info('refused')
 
     def refused(
         self,
         call: calls.Call,
         ending: serving.Ending,
         status: int,
+        *,
+        configuration: int,
+        last_in: int,
     ) -> None:
-        """Tell of a request that was refused before it was admitted."""
+        """Tell of a request that was refused before it was admitted.
+
+        :param last_in: the newest configuration with the key or the route that
+            it lacks; 0 if this process knew none.
+        """
         self._endings.inc({'ending': ending.value})
         logger.bind(
             request=call.id,
             reason=ending.value,
             status=status,
             host=call.host.decode('latin-1'),
+            configuration=configuration,
+            last_in=last_in,
         ).info('refused')
 
     def overloaded(
@@ -130,7 +158,11 @@
             request=admitted.call.id,
             attempt=attempt.number,
             endpoint=endpoint.listing.id,
+            engine=endpoint.listing.address,
             execution=attempt.execution.value,
+            fault=_fault(admitted, error),
+            silent=_rounded(admitted.silent(_now())),
+            loading=endpoint.loading,
             error=str(error),
             after_event=admitted.resume_after,
         ).warning('attempt failed')
@@ -151,6 +183,18 @@
             in_flight=endpoint.in_flight,
         ).info('turned away by the endpoint')
 
+    def failed_by_endpoint(self, admitted: serving.Serving) -> None:
+        """Tell of an endpoint's whole answer that it failed."""
+        self._attempts.inc({'outcome': 'failed'})
+        attempt = admitted.attempts[-1]
+        status = 0 if admitted.failure is None else admitted.failure.status
+        logger.bind(
+            request=admitted.call.id,
+            attempt=attempt.number,
+            endpoint=attempt.peer,
+            status=status,
+        ).info('failed by the endpoint')
+
     def misdirected(
         self,
         admitted: serving.Serving,
@@ -161,6 +205,7 @@
         self._attempts.inc({'outcome': 'misdirected'})
         logger.bind(
             request=admitted.call.id,
+            attempt=admitted.attempts[-1].number,
             endpoint=endpoint.listing.id,
             answered_by=instance,
             version=endpoint.weights.version,
@@ -216,17 +261,30 @@
             service=admitted.service.name,
             attempts=len(admitted.attempts),
             runs=admitted.runs,
-            seconds=round(_now() - admitted.call.request.received, 3),
+            **_progress(admitted, _now()),
         ).warning('ended without an answer')
 
-    def caller_left(self, admitted: serving.Serving) -> None:
-        """Tell of a caller that didn't wait for its answer."""
-        self._endings.inc({'ending': 'caller_left'})
+    def interrupted(self, admitted: serving.Serving) -> None:
+        """Tell of a request whose connection ended before its answer."""
+        end = admitted.reply.ending
+        self._endings.inc({'ending': end.value})
+        level, message = _INTERRUPTED_BY_END.get(end, _NOT_KNOWN)
         logger.bind(
             request=admitted.call.id,
+            end=end.value,
             attempts=len(admitted.attempts),
-            seconds=round(_now() - admitted.call.request.received, 3),
-        ).info('caller left')
+            after_event=admitted.resume_after,
+            **_progress(admitted, _now()),
+        ).log(level, message)
+
+    def own_fault(self, admitted: serving.Serving, error: Exception) -> None:
+        """Tell of a request that met a fault which nobody foresaw."""
+        self._endings.inc({'ending': serving.Ending.OWN_FAULT.value})
+        logger.bind(
+            request=admitted.call.id,
+            attempts=len(admitted.attempts),
+            error=repr(error),
+        ).error('cut off by a fault of this entry')
 
     def taken_while_leaving(
         self,
@@ -249,20 +307,52 @@
             left=round(admitted.final_at - request.received, 3),
         ).info('taken while leaving')
 
-    def cut_at_end(self, admitted: serving.Serving) -> None:
-        """Tell of a request that this process cut off as it ended."""
-        self._endings.inc({'ending': 'cut_at_end'})
-        logger.bind(
-            request=admitted.call.id,
-            attempts=len(admitted.attempts),
-            seconds=round(_now() - admitted.call.request.received, 3),
-            after_event=admitted.resume_after,
-        ).warning('cut off, as this entry ends')
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
 
 
+def _progress(admitted: serving.Serving, now: float) -> dict[str, typing.Any]:
+    """Return how far a request had come when it ended.
+
+    With these a caller that gave up is told from one that left of its own
+    accord, and whose silence it was that it gave up on.
+    """
+    received = admitted.call.request.received
+    first = admitted.first_event_at
+    written = admitted.reply.written_at
+    patience = None
+    if admitted.route.kind is routing.RouteKind.STREAM:
+        patience = calls.longest_silence(admitted.route)
+    return {
+        'seconds': round(now - received, 3),
+        'left': round(admitted.final_at - now, 3),
+        'events': admitted.reply.pieces,
+        'first': None if first is None else round(first - received, 3),
+        'waited': round(now - (written or received), 3),
+        'patience': patience,
+        'endpoint': admitted.attempts[-1].peer if admitted.attempts else None,
+        'silent': _rounded(admitted.silent(now)),
+    }
+
+
+def _fault(admitted: serving.Serving, error: Exception) -> str:
+    """Return what was wrong with an attempt.
+
+    One that is given up since the weights there grow too old looks like one
+    at a silent endpoint: both end as nothing has come by a certain time.
+    """
+    if not isinstance(error, channel.ChannelBrokenError):
+        return channel.Fault.SPOILT.value
+    silent = error.fault is channel.Fault.SILENT
+    if silent and not admitted.reply.begun and _now() >= admitted.begin_by:
+        return _TOO_OLD
+    return error.fault.value
+
+
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
+
+
 def _followed(request_id: str) -> bool:
     return zlib.crc32(request_id.encode()) % _FOLLOWED_EACH == 0
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
 import math
 import typing
@@ -12,7 +13,7 @@
 
 if typing.TYPE_CHECKING:
     from clementinepass.direct import calls, routing
-    from clementinepass.http import messages, replies
+    from clementinepass.http import channel, messages, replies
 
 
 #: Seconds after which a caller may ask again when nothing says how long it
@@ -30,14 +31,30 @@
     UNKNOWN_KEY = 'unknown_key'
     #: It would wait too long.
     OVERLOAD = 'overload'
-    #: No endpoint can run it at present.
+    #: The configuration sends it to a service that it lacks.
+    NO_SERVICE = 'no_service'
+    #: No endpoint of its service is there, or all of them are leaving.
     NO_ENDPOINT = 'no_endpoint'
+    #: Endpoints are there, and none has whole weights that may be used.
+    NO_WEIGHTS = 'no_weights'
     #: All endpoints that were tried turned it away.
     TURNED_AWAY = 'turned_away'
     #: The endpoint broke off or spoiled its answer.
     BROKEN = 'broken'
-    #: The time that it has is over.
-    TIMEOUT = 'timeout'
+    #: The endpoint ran it and failed; its own answer is passed on.
+    ENDPOINT_FAILED = 'endpoint_failed'
+    #: The time that its caller gave it is over.
+    DEADLINE = 'deadline'
+    #: The time that its route gives it is over.
+    ROUTE_TIME = 'route_time'
+    #: The same while its caller had yet to read what was sent.
+    SLOW_READER = 'slow_reader'
+    #: A fault of this process.
+    OWN_FAULT = 'own_fault'
+
+
+#: Endings of requests whose time is over.
+LATE = frozenset((Ending.DEADLINE, Ending.ROUTE_TIME, Ending.SLOW_READER))
 
 
 class Tried(enum.Enum):
@@ -70,6 +87,8 @@
     __slots__ = (
         'attempts',
         'begin_by',
+        'begun_at',
+        'channel',
         'call',
         'failure',
         'final_at',
@@ -99,6 +118,9 @@
         self.team = team
         self.final_at = final_at
         self.attempts: list[outcome.Attempt] = []
+        #: When the newest of them began, and its connection once it has one.
+        self.begun_at: float = 0
+        self.channel: channel.Channel | None = None
         #: Endpoints that it was sent to.
         self.tried_ids: set[str] = set()
         #: An endpoint's answer to fall back on.
@@ -118,6 +140,28 @@
         """Return the last event that the caller has."""
         return self.splitter.last
 
+    @property
+    def late(self) -> Ending:
+        """Return whose time it is that is over at ``final_at``."""
+        if self.reply.blocked:
+            return Ending.SLOW_READER
+        patience = self.call.patience
+        if patience is not None and patience <= self.route.timeout:
+            return Ending.DEADLINE
+        return Ending.ROUTE_TIME
+
+    def silent(self, now: float) -> float | None:
+        """Return the seconds for which the endpoint has sent nothing.
+
+        :returns: ``None`` if the request was sent to none.
+        """
+        if not self.attempts:
+            return None
+        since = self.begun_at
+        if self.channel is not None:
+            since = max(since, self.channel.heard)
+        return now - since
+
     @property
     def runs(self) -> int:
         """Return the attempts that ran, or may have."""
@@ -139,6 +183,8 @@
             endpoint_id,
         )
         self.attempts.append(attempt)
+        self.begun_at = asyncio.get_running_loop().time()
+        self.channel = None
         self.tried_ids.add(endpoint_id)
         # What one endpoint left unfinished is no beginning of what the next
         # one sends.
--- a/clementinepass/http/channel.py
+++ b/clementinepass/http/channel.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import enum
 import socket
 import typing
 
@@ -26,14 +27,38 @@
 _BODILESS = frozenset((204, 304))
 
 
+class Fault(enum.Enum):
+    """What was wrong with a connection or with what it carried."""
+
+    #: It could not be opened.
+    UNREACHABLE = 'unreachable'
+    #: It was reset, or the kernel gave it up.
+    LOST = 'lost'
+    #: The peer ended it before the answer was whole.
+    ENDED = 'ended'
+    #: Nothing came for too long.
+    SILENT = 'silent'
+    #: What came is no answer, or none to this request.
+    SPOILT = 'spoilt'
+
+
 class ChannelBrokenError(errors.ClementinepassError):
     """A connection ended, or carried something that is no answer.
 
     :param clean: whether the peer ended it in good order, without a reset.
     """
 
-    def __init__(self, detail: str, *, peer: str, clean: bool = False) -> None:
+    def __init__(
+        self,
+        detail: str,
+        *,
+        peer: str,
+        clean: bool = False,
+        fault: Fault = Fault.SPOILT,
+    ) -> None:
         super().__init__(detail, step='exchange', peer=peer)
+        #: What was wrong.
+        self.fault = fault
         #: Whether the peer ended the connection without a reset.
         self.clean = clean
 
@@ -95,6 +120,7 @@
             raise ChannelBrokenError(
                 f'no connection: {error!r}',
                 peer=peer,
+                fault=Fault.UNREACHABLE,
             ) from error
         return channel
 
@@ -128,7 +154,11 @@
             self._complete = True
             self.reusable = False
         else:
-            self._fail('the peer ended the connection', clean=True)
+            self._fail(
+                'the peer ended the connection',
+                Fault.ENDED,
+                clean=True,
+            )
         self._notify()
         return False
 
@@ -136,7 +166,11 @@
         """Note that the connection is no more."""
         self.reusable = False
         if not self._complete:
-            self._fail(f'connection lost: {error!r}', clean=error is None)
+            self._fail(
+                f'connection lost: {error!r}',
+                Fault.LOST,
+                clean=error is None,
+            )
         self._notify()
 
     # What the parser calls.
@@ -289,16 +323,23 @@
             self._spoil(f'no answer: {error!r}')
 
     def _spoil(self, detail: str) -> None:
-        self._fail(detail)
+        self._fail(detail, Fault.SPOILT)
         self.abort()
 
-    def _fail(self, detail: str, *, clean: bool = False) -> None:
+    def _fail(
+        self,
+        detail: str,
+        fault: Fault,
+        *,
+        clean: bool = False,
+    ) -> None:
         self.reusable = False
         if self._failure is None:
             self._failure = ChannelBrokenError(
                 detail,
                 peer=self.peer,
                 clean=clean,
+                fault=fault,
             )
 
     async def _changed(self) -> None:
--- a/clementinepass/http/connection.py
+++ b/clementinepass/http/connection.py
@@ -15,7 +15,7 @@
 import httptools
 from loguru import logger
 
-from clementinepass.http import messages, replies
+from clementinepass.http import endings, messages, replies
 
 if typing.TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -52,6 +52,9 @@
     connections: set[Connection]
     leaving: bool
 
+    def refused_input(self, status: int) -> None:
+        """Note that something came which is no request to serve."""
+
 
 class Connection(asyncio.Protocol):
     """One caller's connection."""
@@ -71,8 +74,8 @@
         self._refused = False
         self._opened = self._loop.time()
         self._read = 0
-        #: Whether this process ended the connection, whatever was on it.
-        self.was_cut = False
+        #: Why it ended. What came first is the cause, the rest follows.
+        self.ending = endings.End.OPEN
         self._reset_message()
 
     # What the event loop calls.
@@ -102,12 +105,14 @@
         Closing would first write out what a caller that is gone never reads,
         and the endpoint would work on until then.
         """
+        self._end_is(endings.End.CALLER_CLOSED)
         if self._busy:
             self._transport.abort()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Stop the work for a caller that has left."""
+        """Stop the work for a caller that can't be answered any more."""
+        self._end_is(endings.by_error(error))
         self._front.connections.discard(self)
         self._disarm()
         self._can_write.set()
@@ -204,24 +209,36 @@
             self._transport.write(payload)
 
     def abort(self) -> None:
-        """End the connection at once."""
+        """End the connection at once, before its answer is whole."""
+        self._end_is(endings.End.BROKEN_OFF)
         self._transport.abort()
 
     def cut(self) -> None:
         """End the connection at once, since this process ends."""
-        self.was_cut = True
+        self._end_is(endings.End.CUT)
         self._transport.abort()
 
     def close(self) -> None:
-        """End the connection after what was written."""
+        """End the connection after what was written, as this process ends."""
+        self._end_is(endings.End.CUT)
         self._transport.close()
 
+    @property
+    def blocked(self) -> bool:
+        """Tell whether the caller has yet to read what was written."""
+        return not self._can_write.is_set()
+
     async def writable(self) -> None:
         """Wait until there is room for more."""
         await self._can_write.wait()
 
     # Details.
 
+    def _end_is(self, why: endings.End) -> None:
+        """Note why the connection ends, unless that is known."""
+        if self.ending is endings.End.OPEN:
+            self.ending = why
+
     @property
     def _busy(self) -> bool:
         return self._serving is not None or bool(self._waiting)
@@ -303,6 +320,7 @@
         if self._transport.is_closing():
             return
         if not self._keep:
+            self._end_is(endings.End.LAST_ANSWER)
             self._transport.close()
             return
         self._pace_reading()
@@ -312,6 +330,11 @@
 
     def _end_with(self, status: int) -> None:
         self._keep = False
+        late = status == _TIMED_OUT
+        self._end_is(
+            endings.End.HEAD_LATE if late else endings.End.INPUT_REFUSED,
+        )
+        self._front.refused_input(status)
         replies.Reply(self).send(status, [], b'')
         self._arm(_LINGER, self._transport.close)
 
@@ -335,6 +358,7 @@
 
     def _idle_ended(self) -> None:
         if self._serving is None:
+            self._end_is(endings.End.IDLE)
             self._transport.close()
 
     def _head_late(self) -> None:
--- a/clementinepass/http/pool.py
+++ b/clementinepass/http/pool.py
@@ -149,6 +149,7 @@
         raise channel.ChannelBrokenError(
             f'no answer within {seconds:.1f} s',
             peer='',
+            fault=channel.Fault.SILENT,
         ) from error
 
 
--- a/clementinepass/http/replies.py
+++ b/clementinepass/http/replies.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import typing
 
 if typing.TYPE_CHECKING:
-    from clementinepass.http import messages
+    from clementinepass.http import endings, messages
 
 
 class Wire(typing.Protocol):
@@ -21,8 +22,12 @@
         """End the connection at once."""
 
     @property
-    def was_cut(self) -> bool:
-        """Tell whether this process ended the connection at its own end."""
+    def ending(self) -> endings.End:
+        """Return why the connection ended."""
+
+    @property
+    def blocked(self) -> bool:
+        """Tell whether the caller has yet to read what was written."""
 
     async def writable(self) -> None:
         """Wait until there is room for more."""
@@ -31,7 +36,14 @@
 class Reply:
     """The answer to one request, sent whole or piece by piece."""
 
-    __slots__ = ('_connection', 'begun', 'done', 'status')
+    __slots__ = (
+        '_connection',
+        'begun',
+        'done',
+        'pieces',
+        'status',
+        'written_at',
+    )
 
     def __init__(self, connection: Wire) -> None:
         self._connection = connection
@@ -41,6 +53,10 @@
         self.done = False
         #: The status sent; 0 before that.
         self.status = 0
+        #: Pieces of the body that went out.
+        self.pieces = 0
+        #: Monotonic seconds at which the last of them did.
+        self.written_at: float | None = None
 
     def send(
         self,
@@ -66,6 +82,8 @@
 
     def write(self, payload: bytes) -> None:
         """Send one piece of the body."""
+        self.pieces += 1
+        self.written_at = asyncio.get_running_loop().time()
         self._connection.write(b'%x\r\n%b\r\n' % (len(payload), payload))
 
     def end(self) -> None:
@@ -74,9 +92,14 @@
         self._connection.write(b'0\r\n\r\n')
 
     @property
-    def was_cut(self) -> bool:
-        """Tell whether the connection was cut, as this process ends."""
-        return self._connection.was_cut
+    def ending(self) -> endings.End:
+        """Return why the connection ended."""
+        return self._connection.ending
+
+    @property
+    def blocked(self) -> bool:
+        """Tell whether the caller reads too slowly for more to be sent."""
+        return self._connection.blocked
 
     def break_off(self) -> None:
         """End the connection, so that the answer can't be taken for whole."""
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -42,6 +42,8 @@
     'message': Field('str', 'the kind of line; after a colon, the error'),
     'at': Field('str', 'the module'),
 }
+#: How far a request had come when it ended.
+_PROGRESS = 'seconds left events first waited patience endpoint silent'
 #: The other fields, by name.
 FIELDS_BY_NAME: dict[str, Field] = {
     'active': Field('int', 'requests running at the engine'),
@@ -55,6 +57,7 @@
     'busy': Field('bool', 'whether an order is in progress'),
     'callers': Field('str', 'where callers connect'),
     'changed': Field('bool', 'whether a bound changed'),
+    'configuration': Field('int', 'version in force; 0 for none'),
     'connected_for': Field('float', 'seconds of its connection'),
     'connections': Field('int', 'open ones of callers'),
     'decision': Field(
@@ -63,12 +66,24 @@
         'no_time, budget_spent',
     ),
     'draining': Field('bool', 'whether it leaves'),
-    'endpoint': Field('str', 'its id'),
+    'end': Field(
+        'str',
+        'why the connection ended: caller_closed, caller_reset, '
+        'caller_silent, transport_fault, broken_off, cut; open where it '
+        'had not ended',
+    ),
+    'endpoint': Field(
+        'str or null', 'its id; of a request, the last that it was sent to'
+    ),
     'engine': Field('str', 'its address'),
     'error': Field('str', 'with the step and the peer'),
+    'events': Field('int', 'pieces of the answer that the caller got'),
     'execution': Field('str', 'not_run or may_have_run'),
     'failures': Field('int', 'in a row'),
-    'first': Field('float', 'seconds to the first piece of the answer'),
+    'fault': Field(
+        'str', 'unreachable, lost, ended, silent, spoilt or too_old'
+    ),
+    'first': Field('float or null', 'seconds to the first piece of the answer'),
     'from_agents': Field('int', 'bytes'),
     'from_origin': Field('int', 'bytes'),
     'guessed': Field(
@@ -78,10 +93,16 @@
     'host': Field('str', 'that the caller named'),
     'in_flight': Field('int', 'requests of this entry there'),
     'key': Field('str', 'of a record'),
+    'last_in': Field(
+        'int',
+        'the newest configuration known here with the key or the route that '
+        'is lacking; 0 for none',
+    ),
     'last_answer_ago': Field('float', 'seconds'),
     'layers': Field('int', 'held'),
     'left': Field('float', 'seconds until the final answer is due'),
     'lines': Field('int', 'not written'),
+    'loading': Field('bool', 'whether the engine takes up weights'),
     'lost_for': Field('float', 'seconds'),
     'missing': Field('int', 'pieces'),
     'model': Field('str', 'its name'),
@@ -92,19 +113,29 @@
     'open': Field('int', 'connections with a request in progress'),
     'orders': Field('int', 'that the engine has begun since it started'),
     'partners': Field('list', 'agents asked besides'),
+    'patience': Field(
+        'float or null',
+        'seconds without an event after which callers leave; null if no stream',
+    ),
     'peer': Field('str', 'IP number'),
     'phase': Field('str', 'starting, ready or leaving'),
     'piece': Field('int', 'its number'),
     'reason': Field(
         'str',
         'why a request ended: starting, malformed, unknown_route, '
-        'unknown_key, overload, no_endpoint, turned_away, broken, timeout',
+        'unknown_key, overload, no_service, no_endpoint, no_weights, '
+        'turned_away, broken, endpoint_failed, deadline (of its caller), '
+        'route_time, slow_reader',
     ),
+    'refused': Field('int', 'since the line before'),
     'request': Field('str', 'the id that its caller gave it'),
     'resume_after': Field('int or null', 'the last event that the caller has'),
     'runs': Field('int', 'attempts that ran or may have'),
     'seconds': Field('float', 'in all'),
     'service': Field('str', 'its name'),
+    'silent': Field(
+        'float or null', 'seconds since the endpoint last sent a byte'
+    ),
     'since': Field('float', 'seconds since SIGTERM'),
     'slots': Field('int', 'requests run at once'),
     'source': Field('str', 'IP number, or origin'),
@@ -118,6 +149,7 @@
     'used_for': Field('float', 'seconds more'),
     'version': Field('int', 'of a configuration or of weights'),
     'wait': Field('float', 'seconds'),
+    'waited': Field('float', 'seconds since the last event, or since it came'),
     'waiting': Field('float', 'requests that would wait'),
 }
 #: The kinds of line, by their message up to a colon.
@@ -139,7 +171,7 @@
         'a request came after the entry was told to end',
     ),
     'cut off, as this entry ends': Kind(
-        'request attempts seconds after_event',
+        f'request end attempts after_event {_PROGRESS}',
         'its caller has no whole answer, and is not to blame',
     ),
     'stopped': Kind('node seconds open', 'a process ends, with so many cut'),
@@ -210,15 +242,20 @@
         'it did not run the request',
     ),
     'another endpoint or version answered': Kind(
-        'request endpoint answered_by version', 'it did not run the request'
+        'request attempt endpoint answered_by version',
+        'it did not run the request',
     ),
     'passed over the answer to another request': Kind(
         'request', 'it came where this one was expected'
     ),
     'attempt failed': Kind(
-        'request attempt endpoint execution error after_event',
+        'request attempt endpoint engine execution fault silent loading error '
+        'after_event',
         'there is no whole answer',
     ),
+    'failed by the endpoint': Kind(
+        'request attempt endpoint status', 'it ran the request and says so'
+    ),
     'sending once more': Kind(
         'request attempts decision', 'a repeat is allowed'
     ),
@@ -228,13 +265,36 @@
         'the caller has the whole answer',
     ),
     'ended without an answer': Kind(
-        'request reason status service attempts runs seconds',
+        f'request reason status service attempts runs {_PROGRESS}',
         'status 0 for a connection that was broken off',
     ),
     'refused': Kind(
-        'request reason status host step', 'before it was admitted'
+        'request reason status host configuration last_in error',
+        'before it was admitted',
+    ),
+    'input refused': Kind(
+        'status refused',
+        'what came is no request to serve; one line a second at most',
+    ),
+    'caller left': Kind(
+        f'request end attempts after_event {_PROGRESS}',
+        'it ended its side of the connection; its work is ended',
+    ),
+    'connection reset': Kind(
+        f'request end attempts after_event {_PROGRESS}',
+        'by the caller or by something between; its work is ended',
+    ),
+    'connection lost': Kind(
+        f'request end attempts after_event {_PROGRESS}',
+        'the caller can not be reached any more; its work is ended',
+    ),
+    'cut off, not known why': Kind(
+        f'request end attempts after_event {_PROGRESS}',
+        'its work was ended, and its connection had not',
+    ),
+    'cut off by a fault of this entry': Kind(
+        'request attempts error', 'which nobody foresaw; its caller is cut off'
     ),
-    'caller left': Kind('request attempts seconds', 'its work is ended'),
     'getting pieces': Kind('version missing', 'an agent begins with a version'),
     'pieces stalled': Kind(
         'sources partners missing',
--- a/clementinepass/observability/stories.py
+++ b/clementinepass/observability/stories.py
@@ -11,8 +11,10 @@
 
 import msgspec
 
+from clementinepass.observability import lines, verdicts
+
 if typing.TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable
 
 #: Lines on what a process believes, and the fields that tell one belief of a
 #: kind from another.
@@ -29,44 +31,12 @@
 }
 #: Lines with which a process begins, believing nothing.
 _STARTS = frozenset(('entry started', 'agent started'))
-#: Lines of a request that say that something went wrong, and what it means.
-_MEANING_BY_MESSAGE = {
-    'refused': 'it was refused before it was admitted',
-    'no endpoint has room': 'even the best endpoint had too many waiting',
-    'turned away by the endpoint': 'the endpoint said that it did not run it',
-    'another endpoint or version answered': (
-        'the endpoint, or its weights, were others than believed'
-    ),
-    'attempt failed': 'an attempt had no whole answer',
-    'cut off, as this entry ends': 'the entry was told to end and cut it off',
-    'caller left': 'its caller did not wait for the answer',
-    'ended without an answer': 'nothing was left to try',
-}
+#: Lines of a request in which nothing went wrong.
+_IN_ORDER = frozenset(
+    ('sent', 'answered', 'sending once more', 'taken while leaving'),
+)
 #: Seconds around a request in which dropped lines may have been its own.
 _DROPPED_NEAR = 2.0
-#: Fields that each line has, and that say nothing of the request.
-_COMMON = frozenset(('time', 'level', 'message', 'at', 'request'))
-
-
-class Line(typing.NamedTuple):
-    """One line of a process's log.
-
-    :param at: seconds since the epoch, by that process's clock.
-    """
-
-    process: str
-    at: float
-    message: str
-    fields: Mapping[str, typing.Any]
-
-    @property
-    def details(self) -> str:
-        """Return the fields that decided, as text."""
-        return ' '.join(
-            f'{name}={field}'
-            for name, field in self.fields.items()
-            if name not in _COMMON
-        )
 
 
 class Belief(typing.NamedTuple):
@@ -75,7 +45,7 @@
     :param age: seconds since it had come to believe it.
     """
 
-    line: Line
+    line: lines.Line
     age: float
 
 
@@ -83,14 +53,15 @@
     """What is known of one request.
 
     :param lines: what was written of it, in order of time.
+    :param verdict: why it ended as it did, by all of them.
     :param wrong: the first of them that went wrong, if one did.
     :param beliefs: of the processes that it met, when it came.
     :param gaps: what may be missing, a sentence each.
     """
 
-    lines: tuple[Line, ...]
-    wrong: Line | None
-    meaning: str
+    lines: tuple[lines.Line, ...]
+    verdict: verdicts.Verdict
+    wrong: lines.Line | None
     beliefs: tuple[Belief, ...]
     gaps: tuple[str, ...]
 
@@ -101,7 +72,7 @@
     __slots__ = ('_lines', 'unread')
 
     def __init__(self) -> None:
-        self._lines: list[Line] = []
+        self._lines: list[lines.Line] = []
         #: Lines that are cut short or of another program.
         self.unread = 0
 
@@ -133,30 +104,47 @@
             return None
         own.sort(key=_at)
         wrong = next(
-            (each for each in own if each.message in _MEANING_BY_MESSAGE),
+            (each for each in own if each.message not in _IN_ORDER),
             None,
         )
-        meaning = ''
-        if wrong is not None:
-            meaning = _MEANING_BY_MESSAGE[wrong.message]
         processes = {each.process for each in own}
         return Story(
             tuple(own),
+            verdicts.judge(own, self._around(own)),
             wrong,
-            meaning,
             tuple(self._beliefs(own, processes)),
             tuple(self._gaps(own, processes)),
         )
 
+    def _around(self, own: list[lines.Line]) -> verdicts.Around:
+        """Return what was written besides, as far as it may bear on it."""
+        last = own[-1]
+        mine = [one for one in self._lines if one.process == last.process]
+        place = next(place for place, one in enumerate(mine) if one is last)
+        return verdicts.Around(
+            mine[place + 1 :],
+            tuple(self._loads()),
+            dropped=any(_dropped_near(one, last.at, last.at) for one in mine),
+        )
+
+    def _loads(self) -> Iterable[tuple[str, lines.Line]]:
+        """Yield the orders to load, with the address of their engine."""
+        engines: dict[str, str] = {}
+        for one in self._lines:
+            if one.message == 'agent started':
+                engines[one.process] = str(one.fields.get('engine'))
+            elif one.message == 'ordered to load' and one.process in engines:
+                yield engines[one.process], one
+
     def _beliefs(
         self,
-        own: list[Line],
+        own: list[lines.Line],
         processes: set[str],
     ) -> Iterable[Belief]:
         """Return the newest belief of each kind before a request came."""
         endpoints = {each.fields.get('endpoint') for each in own}
         came = own[0].at
-        newest: dict[tuple[typing.Any, ...], Line] = {}
+        newest: dict[tuple[typing.Any, ...], lines.Line] = {}
         before = [one for one in self._lines if one.at <= came]
         for each in sorted(before, key=_at):
             if each.message in _STARTS:
@@ -166,7 +154,9 @@
                 newest[each.process, *about] = each
         return [Belief(one, came - one.at) for one in newest.values()]
 
-    def _gaps(self, own: list[Line], processes: set[str]) -> Iterable[str]:
+    def _gaps(
+        self, own: list[lines.Line], processes: set[str]
+    ) -> Iterable[str]:
         """Say what may be missing."""
         first, last = own[0].at, own[-1].at
         for process in sorted(processes):
@@ -175,18 +165,15 @@
                 yield f'{process}: its log begins with this request'
             if any(_dropped_near(each, first, last) for each in lines):
                 yield f'{process}: lines were dropped then, as it wrote many'
-        if own[-1].message not in {
-            'answered',
-            'ended without an answer',
-            'refused',
-            'caller left',
-            'cut off, as this entry ends',
-        }:
+        endings = [one for one in own if verdicts.ends(one)]
+        if not endings:
             yield 'no line says how it ended'
+        if len(endings) > 1:
+            yield 'more than one line says how it ended: the last one counts'
 
 
 def _about(
-    line: Line,
+    line: lines.Line,
     endpoints: set[typing.Any],
 ) -> tuple[typing.Any, ...] | None:
     """Return what a belief is about; ``None`` for a line of no concern."""
@@ -200,33 +187,33 @@
 
 
 def _without(
-    newest: dict[tuple[typing.Any, ...], Line],
+    newest: dict[tuple[typing.Any, ...], lines.Line],
     process: str,
-) -> dict[tuple[typing.Any, ...], Line]:
+) -> dict[tuple[typing.Any, ...], lines.Line]:
     """Return what others believe."""
     return {
         about: line for about, line in newest.items() if about[0] != process
     }
 
 
-def _dropped_near(line: Line, first: float, last: float) -> bool:
+def _dropped_near(line: lines.Line, first: float, last: float) -> bool:
     if line.message != 'lines dropped':
         return False
     return first - _DROPPED_NEAR <= line.at <= last + _DROPPED_NEAR
 
 
-def _line(process: str, raw: bytes, before: float) -> Line | None:
+def _line(process: str, raw: bytes, before: float) -> lines.Line | None:
     try:
         fields = msgspec.json.decode(raw, type=dict[str, typing.Any])
         told = fields.get('time')
         at = before
         if told is not None:
             at = datetime.datetime.fromisoformat(told).timestamp()
-        return Line(process, at, str(fields['message']), fields)
+        return lines.Line(process, at, str(fields['message']), fields)
     except (KeyError, TypeError, ValueError):
         # A fault of decoding is a ValueError, too.
         return None
 
 
-def _at(line: Line) -> float:
+def _at(line: lines.Line) -> float:
     return line.at
--- a/clementinepass/platform/dialect.py
+++ b/clementinepass/platform/dialect.py
@@ -67,9 +67,17 @@
         name = headers.get(_ID_NAME) or b''
         if not 0 < len(name) <= _LONGEST_ID or headers.count(_ID_NAME) != 1:
             raise calls.BadCallError('a request needs one id')
+        try:
+            return self._named(name.decode('latin-1'), request)
+        except calls.BadCallError as error:
+            error.request_id = name.decode('latin-1')
+            raise
+
+    def _named(self, name: str, request: messages.Request) -> calls.Call:
+        headers = request.headers
         prompt, answer = _usage(headers.get(_USAGE_NAME))
         return calls.Call(
-            id=name.decode('latin-1'),
+            id=name,
             request=request,
             host=headers.get(b'host') or b'',
             key=headers.get(_KEY_NAME) or b'',
--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -56,6 +56,8 @@
     def __init__(self, endpoint_id: str, events: int = 3) -> None:
         self.id = endpoint_id
         self.events = events
+        #: What each event has besides its number.
+        self.filling = b''
         #: What goes wrong with the next requests, in order.
         self.faults: list[Fault] = []
         #: Requests that ran.
@@ -140,7 +142,8 @@
             await self.going.wait()
             if fault is Fault.GAP and number == 1:
                 continue
-            event = b'id: %d\ndata: %d\n\n' % (number, number)
+            text = b'%d%b' % (number, self.filling)
+            event = b'id: %d\ndata: %b\n\n' % (number, text)
             if fault is Fault.CUT and number == 1:
                 reply.write(event[:-4])
                 await asyncio.sleep(0)
--- a/tests/direct/path_world.py
+++ b/tests/direct/path_world.py
@@ -122,6 +122,7 @@
         self,
         version: int,
         routes: typing.Iterable[routing.Route],
+        keys: tuple[bytes, ...] = (b'key',),
     ) -> None:
         """Put a configuration in force."""
         self.beliefs.configured(
@@ -129,7 +130,7 @@
                 version,
                 routes,
                 [routing.Service('pool', 64, ENGINE)],
-                {b'key': routing.Team('team', 0)},
+                {key: routing.Team('team', 0) for key in keys},
                 limits.Bounds(),
             ),
         )
