--- a/clementinepass/observability/causes.py
+++ b/clementinepass/observability/causes.py
@@ -136,7 +136,7 @@
         'what endpoint {endpoint} sent is no whole answer to it: {error}'
     ),
     Cause.ENDPOINT_FAILED: (
-        'endpoint {endpoint} ran it and failed; its own answer was passed on'
+        'endpoint {endpoint} ran it and failed it with status {status}'
     ),
     Cause.WEIGHTS_TOO_OLD: (
         'it had not begun at endpoint {endpoint} when the weights there were '
--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -60,6 +60,10 @@
         self.filling = b''
         #: What goes wrong with the next requests, in order.
         self.faults: list[Fault] = []
+        #: What goes wrong with a request by its id, one attempt after another.
+        self.faults_by_request: dict[str, list[Fault]] = {}
+        #: Ids of requests with what went wrong with them here.
+        self.met: list[tuple[str, Fault]] = []
         #: Requests that ran.
         self.ran: list[messages.Request] = []
         #: Requests that came, those turned away included.
@@ -92,7 +96,7 @@
         reply: replies.Reply,
     ) -> None:
         self.came.append(request)
-        fault = self.faults.pop(0) if self.faults else None
+        fault = self._fault(request)
         expected = request.headers.get(b'x-expect-instance')
         if fault is Fault.ANOTHER or expected != self.id.encode():
             pairs = [(b'X-Instance-Id', b'i-another')]
@@ -109,6 +113,15 @@
             self.left += 1
             raise
 
+    def _fault(self, request: messages.Request) -> Fault | None:
+        name = (request.headers.get(b'x-attempt-id') or b'').decode()
+        faults = self.faults_by_request.get(name) or self.faults
+        if not faults:
+            return None
+        fault = faults.pop(0)
+        self.met.append((name, fault))
+        return fault
+
     async def _answer(
         self,
         request: messages.Request,
