Have the line of an ending say what became of each attempt

Change: the ending, a WARNING with a bound of its own, has the outcome of each attempt and the last decision on sending again; the cause is worked out from these, the attempts' lines only add their sentences. A request of which a line was written has one on its answer, too.

--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -35,9 +35,10 @@
     endings.End.TRANSPORT_FAULT: ('INFO', 'connection lost'),
     endings.End.CUT: ('WARNING', 'cut off, as this entry ends'),
 }
-#: The fault of an attempt that had not begun when the weights there were
-#: about to be too old.
-_TOO_OLD = 'too_old'
+#: What becomes of an attempt that an engine cuts to take up weights.
+_CUT = frozenset(
+    (serving.Outcome.LOST, serving.Outcome.ENDED, serving.Outcome.SPOILT),
+)
 _NOT_KNOWN = ('WARNING', 'cut off, not known why')
 
 
@@ -153,6 +154,8 @@
     ) -> None:
         """Tell of an attempt without an answer."""
         attempt = admitted.attempts[-1]
+        outcome = _outcome(admitted, endpoint, error)
+        admitted.outcomes.append(outcome)
         self._attempts.inc({'outcome': attempt.execution.value})
         logger.bind(
             request=admitted.call.id,
@@ -160,9 +163,8 @@
             endpoint=endpoint.listing.id,
             engine=endpoint.listing.address,
             execution=attempt.execution.value,
-            fault=_fault(admitted, error),
+            fault=outcome.value,
             silent=_rounded(admitted.silent(_now())),
-            loading=endpoint.loading,
             error=str(error),
             after_event=admitted.resume_after,
         ).warning('attempt failed')
@@ -175,6 +177,7 @@
     ) -> None:
         """Tell of an endpoint that did not run a request."""
         self._attempts.inc({'outcome': 'turned_away'})
+        admitted.outcomes.append(serving.Outcome.TURNED_AWAY)
         logger.bind(
             request=admitted.call.id,
             attempt=admitted.attempts[-1].number,
@@ -186,6 +189,7 @@
     def failed_by_endpoint(self, admitted: serving.Serving) -> None:
         """Tell of an endpoint's whole answer that it failed."""
         self._attempts.inc({'outcome': 'failed'})
+        admitted.outcomes.append(serving.Outcome.FAILED)
         attempt = admitted.attempts[-1]
         status = 0 if admitted.failure is None else admitted.failure.status
         logger.bind(
@@ -203,6 +207,7 @@
     ) -> None:
         """Tell of an endpoint, or of weights, that are others than expected."""
         self._attempts.inc({'outcome': 'misdirected'})
+        admitted.outcomes.append(serving.Outcome.MISDIRECTED)
         logger.bind(
             request=admitted.call.id,
             attempt=admitted.attempts[-1].number,
@@ -222,6 +227,7 @@
         if not allowed and reason == 'allowed':
             reason = 'budget_spent'
         self._repeats.inc({'decision': reason})
+        admitted.decision = reason
         logger.bind(
             request=admitted.call.id,
             attempts=len(admitted.attempts),
@@ -237,7 +243,8 @@
         self._whole.observe(labels, seconds)
         first = (admitted.first_event_at or _now()) - received
         self._first.observe(labels, first)
-        if len(admitted.attempts) > 1 or _followed(admitted.call.id):
+        told = admitted.noted or len(admitted.attempts) > 1
+        if told or _followed(admitted.call.id):
             logger.bind(
                 request=admitted.call.id,
                 status=admitted.reply.status,
@@ -261,6 +268,8 @@
             service=admitted.service.name,
             attempts=len(admitted.attempts),
             runs=admitted.runs,
+            outcomes=[one.value for one in admitted.outcomes],
+            decision=admitted.decision,
             **_progress(admitted, _now()),
         ).warning('ended without an answer')
 
@@ -299,6 +308,7 @@
         :param since: seconds since the entry was told to end.
         """
         request = admitted.call.request
+        admitted.noted = True
         logger.bind(
             request=admitted.call.id,
             since=round(since, 3),
@@ -336,18 +346,25 @@
     }
 
 
-def _fault(admitted: serving.Serving, error: Exception) -> str:
-    """Return what was wrong with an attempt.
+def _outcome(
+    admitted: serving.Serving,
+    endpoint: endpoints.Endpoint,
+    error: Exception,
+) -> serving.Outcome:
+    """Return what became of an attempt without an answer.
 
     One that is given up since the weights there grow too old looks like one
     at a silent endpoint: both end as nothing has come by a certain time.
     """
-    if not isinstance(error, channel.ChannelBrokenError):
-        return channel.Fault.SPOILT.value
-    silent = error.fault is channel.Fault.SILENT
+    outcome = serving.Outcome.SPOILT
+    if isinstance(error, channel.ChannelBrokenError):
+        outcome = serving.Outcome(error.fault.value)
+    if outcome in _CUT and endpoint.loading:
+        return serving.Outcome.LOADING
+    silent = outcome is serving.Outcome.SILENT
     if silent and not admitted.reply.begun and _now() >= admitted.begin_by:
-        return _TOO_OLD
-    return error.fault.value
+        return serving.Outcome.TOO_OLD
+    return outcome
 
 
 def _rounded(seconds: float | None) -> float | None:
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -70,6 +70,31 @@
     FAILED = 'failed'
 
 
+class Outcome(enum.Enum):
+    """What became of an attempt that failed."""
+
+    #: The endpoint said that it did not run it.
+    TURNED_AWAY = 'turned_away'
+    #: Another endpoint, or another version, was there; it did not run it.
+    MISDIRECTED = 'misdirected'
+    #: No connection was opened.
+    UNREACHABLE = 'unreachable'
+    #: The connection was reset, or the kernel gave it up.
+    LOST = 'lost'
+    #: The endpoint ended the connection before its answer was whole.
+    ENDED = 'ended'
+    #: Nothing came for too long.
+    SILENT = 'silent'
+    #: What came was no answer, or none to this request.
+    SPOILT = 'spoilt'
+    #: The engine took up weights when it cut its answer.
+    LOADING = 'loading'
+    #: It had not begun when the weights there were about to be too old.
+    TOO_OLD = 'too_old'
+    #: It ran, and failed.
+    FAILED = 'failed'
+
+
 class Failure(typing.NamedTuple):
     """An endpoint's whole answer that it failed."""
 
@@ -89,11 +114,14 @@
         'begin_by',
         'begun_at',
         'channel',
+        'decision',
         'call',
         'failure',
         'final_at',
         'come_back',
         'first_event_at',
+        'noted',
+        'outcomes',
         'reply',
         'route',
         'service',
@@ -121,6 +149,12 @@
         #: When the newest of them began, and its connection once it has one.
         self.begun_at: float = 0
         self.channel: channel.Channel | None = None
+        #: What became of those that failed, in order, and whether it was to
+        #: be sent once more after the last of them.
+        self.outcomes: list[Outcome] = []
+        self.decision = ''
+        #: Whether a line was written of it, so that one has to say its end.
+        self.noted = False
         #: Endpoints that it was sent to.
         self.tried_ids: set[str] = set()
         #: An endpoint's answer to fall back on.
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -81,7 +81,9 @@
     'execution': Field('str', 'not_run or may_have_run'),
     'failures': Field('int', 'in a row'),
     'fault': Field(
-        'str', 'unreachable, lost, ended, silent, spoilt or too_old'
+        'str',
+        'unreachable, lost (reset), ended (by the endpoint), silent, spoilt, '
+        'loading (the engine takes up weights) or too_old (its weights)',
     ),
     'first': Field('float or null', 'seconds to the first piece of the answer'),
     'from_agents': Field('int', 'bytes'),
@@ -102,7 +104,6 @@
     'layers': Field('int', 'held'),
     'left': Field('float', 'seconds until the final answer is due'),
     'lines': Field('int', 'not written'),
-    'loading': Field('bool', 'whether the engine takes up weights'),
     'lost_for': Field('float', 'seconds'),
     'missing': Field('int', 'pieces'),
     'model': Field('str', 'its name'),
@@ -112,6 +113,10 @@
     'offset': Field('int', 'in the topic'),
     'open': Field('int', 'connections with a request in progress'),
     'orders': Field('int', 'that the engine has begun since it started'),
+    'outcomes': Field(
+        'list',
+        'of its attempts: turned_away, misdirected, failed, or the fault',
+    ),
     'partners': Field('list', 'agents asked besides'),
     'patience': Field(
         'float or null',
@@ -249,7 +254,7 @@
         'request', 'it came where this one was expected'
     ),
     'attempt failed': Kind(
-        'request attempt endpoint engine execution fault silent loading error '
+        'request attempt endpoint engine execution fault silent error '
         'after_event',
         'there is no whole answer',
     ),
@@ -265,7 +270,8 @@
         'the caller has the whole answer',
     ),
     'ended without an answer': Kind(
-        f'request reason status service attempts runs {_PROGRESS}',
+        f'request reason status service attempts runs outcomes '
+        f'decision {_PROGRESS}',
         'status 0 for a connection that was broken off',
     ),
     'refused': Kind(
--- a/clementinepass/observability/verdicts.py
+++ b/clementinepass/observability/verdicts.py
@@ -49,12 +49,20 @@
     'silent': Cause.ENDPOINT_SILENT,
     'spoilt': Cause.ENDPOINT_SPOILT,
     'too_old': Cause.WEIGHTS_TOO_OLD,
+    'loading': Cause.TOOK_UP_WEIGHTS,
+    'failed': Cause.ENDPOINT_FAILED,
 }
+#: Endings that are what became of the attempts.
+_OF_ATTEMPTS = frozenset(('broken', 'turned_away', 'endpoint_failed'))
+_ATTEMPT_ENDED = frozenset(('attempt failed', 'failed by the endpoint'))
 #: Faults with which an engine that takes up weights cuts what it runs.
 _CUT_FAULTS = frozenset(('lost', 'ended', 'spoilt'))
+#: What became of an attempt that did not run; the first that one of them met
+#: is the cause.
 _CAUSE_BY_NOT_RUN = {
-    'turned away by the endpoint': Cause.TURNED_AWAY,
-    'another endpoint or version answered': Cause.MISDIRECTED,
+    'turned_away': Cause.TURNED_AWAY,
+    'misdirected': Cause.MISDIRECTED,
+    'unreachable': Cause.UNREACHABLE,
 }
 #: Endings for which the silence of the endpoint is worth telling.
 _WAITED = frozenset(
@@ -123,12 +131,9 @@
 
 
 def _verdict(cause: Cause, line: lines.Line) -> Verdict:
-    """Return a cause with its sentence, unless a field of it is missing."""
+    """Return a cause with its sentence."""
     sentence = causes.SENTENCE_BY_CAUSE[cause]
-    try:
-        return Verdict(cause, sentence.format_map(line.fields))
-    except KeyError as missing:
-        return _not_known(f'{line.message!r} lacks {missing.args[0]}')
+    return Verdict(cause, sentence.format_map(_Fields(line.fields)))
 
 
 def _not_known(why: str) -> Verdict:
@@ -194,9 +199,10 @@
         return _unproved(final, f'reason {reason!r} is none that is known')
     if cause not in _WITHDRAWN_BY_CAUSE:
         return cause, final
-    if final.fields.get('last_in', 0):
-        return _WITHDRAWN_BY_CAUSE[cause], final
-    return cause, final
+    known_in = _number(final, 'last_in')
+    if known_in is None:
+        return _unproved(final, 'its line lacks what was known before')
+    return _WITHDRAWN_BY_CAUSE[cause] if known_in else cause, final
 
 
 def _of_ending(
@@ -204,52 +210,53 @@
     before: Sequence[lines.Line],
     around: Around,
 ) -> _Found:
-    reason = str(final.fields.get('reason'))
-    decision = next(
-        (
-            one.fields.get('decision')
-            for one in reversed(before)
-            if one.message == 'not sending once more'
-        ),
-        None,
-    )
-    if decision == 'budget_spent':
+    """Judge by the ending and by what it says became of the attempts."""
+    if final.fields.get('decision') == 'budget_spent':
         return Cause.BUDGET, final
-    if reason == 'broken':
-        return _of_broken(final, before, around)
+    reason = str(final.fields.get('reason'))
+    if reason not in _OF_ATTEMPTS:
+        return _of_refusal(final, before, around)
+    outcomes = final.fields.get('outcomes')
+    if not isinstance(outcomes, list):
+        return _unproved(final, 'its line lacks what became of its attempts')
     if reason == 'turned_away':
-        return _of_not_run(final, before)
+        return _of_not_run(final, outcomes)
     if reason == 'endpoint_failed':
-        return _of_failure(final, before)
-    return _of_refusal(final, before, around)
+        # Its caller got that answer, whatever was tried after it.
+        while outcomes and outcomes[-1] != 'failed':
+            outcomes = outcomes[:-1]
+    return _of_last_run(final, outcomes, before, around)
 
 
-def _of_broken(
+def _of_last_run(
     final: lines.Line,
+    outcomes: list[typing.Any],
     before: Sequence[lines.Line],
     around: Around,
 ) -> _Found:
     """Judge by the last attempt that ran, or may have."""
-    for line in reversed(before):
-        if line.message == 'failed by the endpoint':
-            return Cause.ENDPOINT_FAILED, line
-        if line.message != 'attempt failed':
-            continue
-        if line.fields.get('execution') == 'not_run':
+    for place in reversed(range(len(outcomes))):
+        outcome = str(outcomes[place])
+        if outcome in _CAUSE_BY_NOT_RUN:
             continue
-        return _of_attempt(line, around)
-    return _unproved(final, 'no line says how the endpoint failed it')
-
-
-def _of_attempt(line: lines.Line, around: Around) -> _Found:
-    fault = line.fields.get('fault')
-    cause = _CAUSE_BY_FAULT.get(str(fault))
-    if cause is None:
-        return _unproved(line, f'fault {fault!r} is none that is known')
-    loading = line.fields.get('loading') or _was_loading(line, around)
-    if loading and fault in _CUT_FAULTS:
-        return Cause.TOOK_UP_WEIGHTS, line
-    return cause, line
+        if outcome not in _CAUSE_BY_FAULT:
+            return _unproved(
+                final, f'outcome {outcome!r} is none that is known'
+            )
+        line = _attempt_line(before, place + 1)
+        if outcome in _CUT_FAULTS and _was_loading(line, around):
+            return Cause.TOOK_UP_WEIGHTS, line
+        return _CAUSE_BY_FAULT[outcome], line
+    return _unproved(final, 'no attempt is said to have run')
+
+
+def _attempt_line(before: Sequence[lines.Line], number: int) -> lines.Line:
+    """Return the line on a failed attempt; one of nothing if it is missing."""
+    for line in before:
+        told = line.message in _ATTEMPT_ENDED
+        if told and line.fields.get('attempt') == number:
+            return line
+    return lines.Line('', 0, '', {})
 
 
 def _was_loading(line: lines.Line, around: Around) -> bool:
@@ -263,30 +270,12 @@
     )
 
 
-def _of_not_run(final: lines.Line, before: Sequence[lines.Line]) -> _Found:
+def _of_not_run(final: lines.Line, outcomes: list[typing.Any]) -> _Found:
     """Judge a request that no endpoint ran, by all that it was sent to."""
-    found = {_not_run_cause(one) for one in before}.difference({None})
-    for cause in (
-        Cause.TURNED_AWAY,
-        Cause.MISDIRECTED,
-        Cause.UNREACHABLE,
-    ):
-        if cause in found:
+    for outcome, cause in _CAUSE_BY_NOT_RUN.items():
+        if outcome in outcomes:
             return cause, final
-    return _unproved(final, 'no line says how an endpoint turned it away')
-
-
-def _not_run_cause(line: lines.Line) -> Cause | None:
-    if line.message == 'attempt failed':
-        return _CAUSE_BY_FAULT.get(str(line.fields.get('fault')))
-    return _CAUSE_BY_NOT_RUN.get(line.message)
-
-
-def _of_failure(final: lines.Line, before: Sequence[lines.Line]) -> _Found:
-    for line in reversed(before):
-        if line.message == 'failed by the endpoint':
-            return Cause.ENDPOINT_FAILED, line
-    return _unproved(final, 'no line says which endpoint failed it')
+    return _unproved(final, 'no attempt is said to have been turned away')
 
 
 def _of_caller(
