Show the beliefs by which a request ended as it did

explain names, below the cause, the beliefs that the ending stood on and for how long they were held when it ended: the configuration for a refused key or route, named versions and held weights where weights decided, the list where endpoints were gone, the moment at which the entry was told to end.

--- a/clementinepass/cli/explain_command.py
+++ b/clementinepass/cli/explain_command.py
@@ -99,6 +99,12 @@
     )
     for sentence in verdict.led:
         output.screen.print(f'led to it: {sentence}', markup=False)
+    for belief in story.deciding:
+        output.screen.print(
+            f'by: {belief.line.message} {belief.line.details}, '
+            f'{belief.age:.1f} s before it ended',
+            markup=False,
+        )
     if story.wrong is not None:
         output.screen.print(
             f'first went wrong: {story.wrong.message} at {story.wrong.process}',
--- a/clementinepass/observability/stories.py
+++ b/clementinepass/observability/stories.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from clementinepass.observability import lines, verdicts
+from clementinepass.observability import causes, lines, verdicts
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterable
@@ -29,6 +29,25 @@
     'store regained': ('topic',),
     'leaving': (),
 }
+_CONFIGURATION = frozenset(('configuration in force',))
+_WEIGHTS = frozenset(('version named', 'engine holds weights'))
+_LISTED = frozenset(('endpoint listed', 'endpoint dropped from the list'))
+_TOLD_TO_END = frozenset(('leaving',))
+#: Lines on the beliefs by which a request ended as it did, by its cause.
+_DECIDING_BY_CAUSE = {
+    causes.Cause.UNKNOWN_KEY: _CONFIGURATION,
+    causes.Cause.KEY_WITHDRAWN: _CONFIGURATION,
+    causes.Cause.UNKNOWN_ROUTE: _CONFIGURATION,
+    causes.Cause.ROUTE_WITHDRAWN: _CONFIGURATION,
+    causes.Cause.NO_SERVICE: _CONFIGURATION,
+    causes.Cause.NO_WEIGHTS: _WEIGHTS,
+    causes.Cause.WEIGHTS_TOO_OLD: _WEIGHTS,
+    causes.Cause.TOOK_UP_WEIGHTS: _WEIGHTS,
+    causes.Cause.MISDIRECTED: _WEIGHTS | _LISTED,
+    causes.Cause.UNREACHABLE: _LISTED,
+    causes.Cause.CUT_AT_END: _TOLD_TO_END,
+    causes.Cause.LEAVING: _TOLD_TO_END,
+}
 #: Lines with which a process begins, believing nothing.
 _STARTS = frozenset(('entry started', 'agent started'))
 #: Lines of a request in which nothing went wrong.
@@ -40,7 +59,7 @@
 
 
 class Belief(typing.NamedTuple):
-    """What a process believed when a request came.
+    """What a process believed at some moment.
 
     :param age: seconds since it had come to believe it.
     """
@@ -56,6 +75,7 @@
     :param verdict: why it ended as it did, by all of them.
     :param wrong: the first of them that went wrong, if one did.
     :param beliefs: of the processes that it met, when it came.
+    :param deciding: beliefs by which it ended as it did, when it ended.
     :param gaps: what may be missing, a sentence each.
     """
 
@@ -63,6 +83,7 @@
     verdict: verdicts.Verdict
     wrong: lines.Line | None
     beliefs: tuple[Belief, ...]
+    deciding: tuple[Belief, ...]
     gaps: tuple[str, ...]
 
 
@@ -108,11 +129,18 @@
             None,
         )
         processes = {each.process for each in own}
+        verdict = verdicts.judge(own, self._around(own))
+        deciding = _DECIDING_BY_CAUSE.get(verdict.cause, frozenset())
         return Story(
             tuple(own),
-            verdicts.judge(own, self._around(own)),
+            verdict,
             wrong,
-            tuple(self._beliefs(own, processes)),
+            tuple(self._beliefs(own, processes, own[0].at)),
+            tuple(
+                one
+                for one in self._beliefs(own, {own[-1].process}, own[-1].at)
+                if one.line.message in deciding
+            ),
             tuple(self._gaps(own, processes)),
         )
 
@@ -140,19 +168,19 @@
         self,
         own: list[lines.Line],
         processes: set[str],
+        when: float,
     ) -> Iterable[Belief]:
-        """Return the newest belief of each kind before a request came."""
+        """Return the newest belief of each kind at some moment."""
         endpoints = {each.fields.get('endpoint') for each in own}
-        came = own[0].at
         newest: dict[tuple[typing.Any, ...], lines.Line] = {}
-        before = [one for one in self._lines if one.at <= came]
+        before = [one for one in self._lines if one.at <= when]
         for each in sorted(before, key=_at):
             if each.message in _STARTS:
                 newest = _without(newest, each.process)
             about = _about(each, endpoints)
             if each.process in processes and about is not None:
                 newest[each.process, *about] = each
-        return [Belief(one, came - one.at) for one in newest.values()]
+        return [Belief(one, when - one.at) for one in newest.values()]
 
     def _gaps(
         self, own: list[lines.Line], processes: set[str]
--- a/tests/cli/test_explain_command.py
+++ b/tests/cli/test_explain_command.py
@@ -43,6 +43,21 @@
         self.assertIn('attempt failed', out)
         json.loads(out)
 
+    def test_cause(self) -> None:
+        """For people the cause stands below the lines."""
+        ended = test_stories.line(
+            11.3,
+            'ended without an answer',
+            request='r',
+            reason='broken',
+            outcomes=['lost'],
+        )
+        self.log.write_bytes(b'\n'.join((*test_stories.ENTRY, ended)))
+        code, out, _ = self.explain('r', str(self.log))
+        self.assertEqual(exits.OK, code)
+        self.assertIn('cause: endpoint_lost: the connection to endpoint', out)
+        self.assertIn('led to it: it was not sent again: enough_runs', out)
+
     def test_unknown(self) -> None:
         """An id that no line has."""
         code, _, err = self.explain('other', str(self.log))
--- a/tests/observability/test_stories.py
+++ b/tests/observability/test_stories.py
@@ -63,6 +63,22 @@
         self.assertEqual(8, known['engine holds weights', 1])
         self.assertEqual(2, len(known))
 
+    def test_deciding(self) -> None:
+        """A refusal for a key stands on the configuration in force then."""
+        refused = line(
+            5,
+            'refused',
+            request='q',
+            reason='unknown_key',
+            configuration=5,
+            last_in=3,
+        )
+        story = self.told(refused, request='q')
+        assert story is not None
+        (belief,) = story.deciding
+        self.assertEqual(5, belief.line.fields['version'])
+        self.assertEqual(1, belief.age)
+
     def test_restart(self) -> None:
         """What a process believed before it was restarted is no belief."""
         story = self.told(line(5, 'entry started', node='entry-1'))
