--- a/tests/observability/test_causes.py
+++ b/tests/observability/test_causes.py
@@ -16,7 +16,15 @@
 from loguru import logger
 
 from clementinepass.direct import attempt, endpoints, routing, serving
-from clementinepass.http import channel, endings, pool
+from clementinepass.http import (
+    channel,
+    endings,
+    front,
+    limits,
+    messages,
+    pool,
+    replies,
+)
 from clementinepass.observability import causes, stories
 from standins import direct_endpoint
 from tests.direct import path_world
@@ -530,6 +538,44 @@
         ):
             self.assertEqual(end, endings.by_error(error))
 
+    def test_own_ends(self) -> None:
+        """An end of ours is known as ours, and why we ended it."""
+        head = b'GET /a HTTP/1.1\r\nHost: h\r\n'
+        bounds = limits.Bounds(header_seconds=0.05, idle_seconds=0.1)
+        table = (
+            (b'', endings.End.IDLE),
+            (head, endings.End.HEAD_LATE),
+            (b'nonsense\r\n\r\n', endings.End.INPUT_REFUSED),
+            (head + b'Connection: close\r\n\r\n', endings.End.LAST_ANSWER),
+            (head + b'A: broken-off\r\n\r\n', endings.End.BROKEN_OFF),
+        )
+
+        async def handle(
+            request: messages.Request,
+            reply: replies.Reply,
+        ) -> None:
+            if request.headers.get(b'a') is None:
+                reply.send(200, [], b'')
+
+        async def play() -> None:
+            listener = front.Front(handle, lambda: bounds)
+            port = await listener.listen(HOST, 0)
+            for payload, end in table:
+                reader, writer = await asyncio.open_connection(HOST, port)
+                while not listener.connections:
+                    await asyncio.sleep(0)
+                (one,) = listener.connections
+                writer.write(payload)
+                async with asyncio.timeout(10):
+                    await reader.read()
+                    while listener.connections:
+                        await asyncio.sleep(0)
+                self.assertEqual(end, one.ending, payload)
+                writer.close()
+            await listener.close()
+
+        asyncio.run(play())
+
     def test_refused_input(self) -> None:
         """Garbage is told of, and not more often than once a second."""
 
