Merge the plan of leaving into the causes of endings

A request that a leaving entry refuses is told as 'leaving'; one that it gives a final answer at its own end as 'cut at end'.

--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -49,12 +49,21 @@
     ROUTE_TIME = 'route_time'
     #: The same while its caller had yet to read what was sent.
     SLOW_READER = 'slow_reader'
+    #: This entry ends before the request would.
+    LEAVING = 'leaving'
     #: A fault of this process.
     OWN_FAULT = 'own_fault'
 
 
-#: Endings of requests whose time is over.
-LATE = frozenset((Ending.DEADLINE, Ending.ROUTE_TIME, Ending.SLOW_READER))
+#: Endings of requests whose time is over, or that of the entry.
+LATE = frozenset(
+    (
+        Ending.DEADLINE,
+        Ending.ROUTE_TIME,
+        Ending.SLOW_READER,
+        Ending.LEAVING,
+    ),
+)
 
 
 class Tried(enum.Enum):
--- a/clementinepass/observability/verdicts.py
+++ b/clementinepass/observability/verdicts.py
@@ -214,6 +214,8 @@
     if final.fields.get('decision') == 'budget_spent':
         return Cause.BUDGET, final
     reason = str(final.fields.get('reason'))
+    if reason == 'leaving':
+        return Cause.CUT_AT_END, final
     if reason not in _OF_ATTEMPTS:
         return _of_refusal(final, before, around)
     outcomes = final.fields.get('outcomes')
--- a/tests/observability/test_causes.py
+++ b/tests/observability/test_causes.py
@@ -142,6 +142,19 @@
     await asyncio.sleep(0.01)
 
 
+async def ended_at_end(world: World) -> None:
+    """The entry gives what it has in progress a final answer in time."""
+    hold(world)
+    await connected(world, '/stream/a')
+    world.path.end_by(asyncio.get_running_loop().time())
+    await asyncio.sleep(0.01)
+
+
+async def leaving(world: World) -> None:
+    world.departure.begin(asyncio.get_running_loop().time())
+    await asked(world, '/stream/a')
+
+
 async def slow_reader(world: World) -> None:
     for one in world.endpoints:
         one.events, one.filling = LONG_EVENTS, LONG_EVENT
@@ -286,6 +299,8 @@
     (reset, Cause.CONNECTION_RESET, 'is not known'),
     (caller_unreachable, Cause.CONNECTION_LOST, 'not be reached'),
     (cut_at_end, Cause.CUT_AT_END, 'told to end'),
+    (ended_at_end, Cause.CUT_AT_END, 'told to end'),
+    (leaving, Cause.LEAVING, 'no time left'),
     (slow_reader, Cause.SLOW_READER, 'yet to read'),
     (
         failing('/plain/a', X_Deadline_Ms='soon'),
@@ -412,8 +427,7 @@
     def test_all_causes(self) -> None:
         """Each cause is brought about by a case, or by lines alone below."""
         covered = {cause for _, cause, _ in CASES}
-        rest = {Cause.LEAVING, Cause.PROCESS_GONE}
-        self.assertEqual(set(Cause), covered | rest)
+        self.assertEqual(set(Cause), covered | {Cause.PROCESS_GONE})
         self.assertEqual(set(Cause), set(causes.SENTENCE_BY_CAUSE))
 
 
@@ -438,11 +452,6 @@
         self.assertEqual(Cause.NOT_KNOWN, self.cause(SENT, dropped, started))
         self.assertEqual(Cause.NOT_KNOWN, self.cause(SENT))
 
-    def test_refused_by_a_leaving_entry(self) -> None:
-        """It was told to end, and had no time left for the request."""
-        refused = line(2, 'refused', request='r', reason='leaving', status=503)
-        self.assertEqual(Cause.LEAVING, self.cause(refused))
-
     def test_lines_of_an_earlier_version(self) -> None:
         """A line that blames the caller without evidence proves nothing."""
         left = line(3, 'caller left', request='r', attempts=1, seconds=1.0)
