--- a/clementinepass/observability/verdicts.py
+++ b/clementinepass/observability/verdicts.py
@@ -183,11 +183,22 @@
     for line in around.after:
         if line.message == 'stopped':
             return _not_known('the entry stopped without a word on it')
-        if line.message == 'entry started':
+        if _begins(line):
             return _verdict(Cause.PROCESS_GONE, line)
     return _not_known('no line says how it ended')
 
 
+def _begins(line: lines.Line) -> bool:
+    """Tell whether a line is written by an entry that has just begun.
+
+    Its first may have been lost together with the last of the one before.
+    """
+    if line.message == 'entry started':
+        return True
+    is_configured = line.message == 'configuration in force'
+    return is_configured and line.fields.get('before') == 0
+
+
 def _of_refusal(
     final: lines.Line,
     before: Sequence[lines.Line],
--- a/tests/observability/test_causes.py
+++ b/tests/observability/test_causes.py
@@ -446,6 +446,10 @@
         """An entry was killed: it began anew without having stopped."""
         started = line(4, 'entry started', node='entry-1')
         self.assertEqual(Cause.PROCESS_GONE, self.cause(SENT, started))
+        first = line(4, 'configuration in force', version=3, before=0)
+        self.assertEqual(Cause.PROCESS_GONE, self.cause(SENT, first))
+        newer = line(4, 'configuration in force', version=4, before=3)
+        self.assertEqual(Cause.NOT_KNOWN, self.cause(SENT, newer))
         stopped = line(3, 'stopped', node='entry-1')
         self.assertEqual(Cause.NOT_KNOWN, self.cause(SENT, stopped, started))
         dropped = line(2.5, 'lines dropped', lines=3)
