--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -18,6 +18,7 @@
     request_log,
     routing,
     serving,
+    withdrawn,
 )
 
 if typing.TYPE_CHECKING:
@@ -64,6 +65,7 @@
         '_rng',
         '_sender',
         '_timeouts',
+        '_withdrawn',
     )
 
     def __init__(
@@ -88,6 +90,7 @@
         self._others_ready = others_ready
         self._timeouts: set[asyncio.Timeout] = set()
         self._rng = rng
+        self._withdrawn = withdrawn.Withdrawn()
         self._budgets_by_service: dict[str, window_budget.WindowBudget] = {}
 
     async def serve(
@@ -99,7 +102,7 @@
         try:
             call = self._dialect.call(request)
         except calls.BadCallError as error:
-            self._log.malformed(error)
+            self._log.malformed(error, _BAD_REQUEST)
             reply.send(_BAD_REQUEST, self._dialect.refusal(None), b'')
             return
         admitted = self._admit(call, reply)
@@ -116,10 +119,10 @@
         except TimeoutError:
             self._conclude(admitted, self._ending_in_time(admitted))
         except asyncio.CancelledError:
-            if reply.was_cut:
-                self._log.cut_at_end(admitted)
-            else:
-                self._log.caller_left(admitted)
+            self._log.interrupted(admitted)
+            raise
+        except Exception as error:
+            self._log.own_fault(admitted, error)
             raise
         finally:
             self._timeouts.discard(timeout)
@@ -147,6 +150,7 @@
         if current is None:
             self._refuse(call, reply, serving.Ending.STARTING, _UNAVAILABLE)
             return None
+        self._withdrawn.note(current)
         route = current.route(call.host, call.request.path)
         if route is None:
             self._refuse(call, reply, serving.Ending.UNKNOWN_ROUTE, _NOT_FOUND)
@@ -196,9 +200,23 @@
         pairs = self._dialect.refusal(call)
         if status == _UNAVAILABLE:
             pairs.append((b'Retry-After', b'%.2f' % come_back))
-        self._log.refused(call, ending, status)
+        self._log.refused(
+            call,
+            ending,
+            status,
+            configuration=self._beliefs.configuration,
+            last_in=self._last_in(call, ending),
+        )
         reply.send(status, pairs, b'')
 
+    def _last_in(self, call: calls.Call, ending: serving.Ending) -> int:
+        """Return the newest configuration with what a call lacks."""
+        if ending is serving.Ending.UNKNOWN_KEY:
+            return self._withdrawn.key_last_in(call)
+        if ending is serving.Ending.UNKNOWN_ROUTE:
+            return self._withdrawn.route_last_in(call)
+        return 0
+
     def _refuse_as_leaving(
         self,
         call: calls.Call,
@@ -223,6 +241,8 @@
             if tried is serving.Tried.ANSWERED:
                 self._log.answered(admitted)
                 return
+            if tried is serving.Tried.FAILED:
+                self._log.failed_by_endpoint(admitted)
             if not self._may_repeat(admitted):
                 self._conclude(admitted, self._ending_of(admitted, tried))
                 return
@@ -343,7 +363,7 @@
         now = asyncio.get_running_loop().time()
         if now < admitted.final_at:
             return serving.Ending.LEAVING
-        return serving.Ending.TIMEOUT
+        return admitted.late
 
     def _ending_unplaced(self, admitted: serving.Serving) -> serving.Ending:
         if admitted.attempts:
@@ -351,6 +371,12 @@
         now = asyncio.get_running_loop().time()
         if self._beliefs.candidates(admitted.service, now):
             return serving.Ending.OVERLOAD
+        current = self._beliefs.routing
+        service = admitted.service.name
+        if current is not None and service not in current.services_by_name:
+            return serving.Ending.NO_SERVICE
+        if self._beliefs.endpoints.of_service(service, now):
+            return serving.Ending.NO_WEIGHTS
         return serving.Ending.NO_ENDPOINT
 
     def _conclude(
@@ -368,6 +394,7 @@
             return
         if admitted.failure is not None:
             failure = admitted.failure
+            ending = serving.Ending.ENDPOINT_FAILED
             self._log.ended(admitted, ending, failure.status)
             reply.send(failure.status, failure.pairs, failure.body)
             return
@@ -386,7 +413,7 @@
         """Return the status; 503 promises that the request never runs."""
         if admitted.not_run:
             return _UNAVAILABLE
-        if ending in {serving.Ending.TIMEOUT, serving.Ending.LEAVING}:
+        if ending in serving.LATE:
             return _GATEWAY_TIMEOUT
         return _BAD_GATEWAY
 
--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -56,8 +56,14 @@
     def __init__(self, endpoint_id: str, events: int = 3) -> None:
         self.id = endpoint_id
         self.events = events
+        #: What each event has besides its number.
+        self.filling = b''
         #: What goes wrong with the next requests, in order.
         self.faults: list[Fault] = []
+        #: What goes wrong with a request by its id, one attempt after another.
+        self.faults_by_request: dict[str, list[Fault]] = {}
+        #: Ids of requests with what went wrong with them here.
+        self.met: list[tuple[str, Fault]] = []
         #: Requests that ran.
         self.ran: list[messages.Request] = []
         #: Requests that came, those turned away included.
@@ -90,7 +96,7 @@
         reply: replies.Reply,
     ) -> None:
         self.came.append(request)
-        fault = self.faults.pop(0) if self.faults else None
+        fault = self._fault(request)
         expected = request.headers.get(b'x-expect-instance')
         if fault is Fault.ANOTHER or expected != self.id.encode():
             pairs = [(b'X-Instance-Id', b'i-another')]
@@ -107,6 +113,15 @@
             self.left += 1
             raise
 
+    def _fault(self, request: messages.Request) -> Fault | None:
+        name = (request.headers.get(b'x-attempt-id') or b'').decode()
+        faults = self.faults_by_request.get(name) or self.faults
+        if not faults:
+            return None
+        fault = faults.pop(0)
+        self.met.append((name, fault))
+        return fault
+
     async def _answer(
         self,
         request: messages.Request,
@@ -140,7 +155,8 @@
             await self.going.wait()
             if fault is Fault.GAP and number == 1:
                 continue
-            event = b'id: %d\ndata: %d\n\n' % (number, number)
+            text = b'%d%b' % (number, self.filling)
+            event = b'id: %d\ndata: %b\n\n' % (number, text)
             if fault is Fault.CUT and number == 1:
                 reply.write(event[:-4])
                 await asyncio.sleep(0)
