Bound the beginning of resumed streams by the version, too

Cause: an attempt's time to begin on old weights was heeded only until the caller had an event. A stream whose engine had crashed and that was sent on has events already, so its second attempt waited in an engine's queue without bound; two such began 8.02 and 8.12 s after a newer version was acknowledged (bound 8.0 s), though what has not begun is given up at 7.75 s. Ruled out: the time of sending, 7.3 s, is before the last allowed, 7.4 s. Change: the time holds for each attempt until its own first event.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -34,9 +34,6 @@
 #: The part of the time left after which a plain request that may run twice is
 #: tried elsewhere. Answers take a ninth of it, the slowest a half.
 _SILENT_PART = 0.5
-#: Seconds after the time from which an older version gets no more requests,
-#: and well before its bound, at which those that have not begun are given up.
-_BEGIN_SLACK = 0.35
 _MOST_URGENCY = 9
 
 
@@ -173,6 +170,7 @@
         status: int,
     ) -> serving.Tried:
         """Take a plain answer whole, then hand it on."""
+        admitted.begin_by = math.inf
         parts = []
         length = 0
         async with _patience(admitted, used):
@@ -233,7 +231,12 @@
         """Send the head before the first event.
 
         Only then: until it went out, another endpoint may still answer.
+
+        The time to begin holds for each attempt until its own first event.
+        Failure: a stream whose engine had crashed was sent on and began on
+        old weights after their bound, since its caller had events already.
         """
+        admitted.begin_by = math.inf
         if not admitted.reply.begun:
             admitted.reply.begin(status, facts.pairs)
             admitted.first_event_at = asyncio.get_running_loop().time()
@@ -252,8 +255,7 @@
         engine = admitted.service.engine
         if engine is None:
             return math.inf
-        by = self._beliefs.begin_by(engine, endpoint.weights.version)
-        return by + _BEGIN_SLACK
+        return self._beliefs.begin_by(engine, endpoint.weights.version)
 
     def _sending(
         self,
@@ -329,9 +331,7 @@
     used: channel.Channel,
 ) -> _Patience:
     """Return how long to wait for what comes next."""
-    until = _silent_until(admitted)
-    if not admitted.reply.begun:
-        until = min(until, admitted.begin_by)
+    until = min(_silent_until(admitted), admitted.begin_by)
     return _Patience(None if until == math.inf else until, used)
 
 
--- a/clementinepass/direct/beliefs.py
+++ b/clementinepass/direct/beliefs.py
@@ -23,6 +23,9 @@
 #: Seconds before the bound on older versions from which only the newest gets
 #: requests: one sent may wait that long at an engine before it begins.
 _VERSION_MARGIN = 0.6
+#: Seconds after the time from which an older version gets no more requests,
+#: and well before its bound, at which those that have not begun are given up.
+_BEGIN_SLACK = 0.35
 #: Seconds for which an agent's word counts that its link is slow. It says so
 #: each second while pieces come slowly.
 _STRAIN_LIFETIME = 2.5
@@ -175,7 +178,9 @@
     def begin_by(self, engine: routing.Engine, version: int) -> float:
         """Return the time by which a request must begin on a version."""
         named = self._named_by_model.get(engine.model)
-        return math.inf if named is None else named.usable_until(version)
+        if named is None:
+            return math.inf
+        return named.usable_until(version) + _BEGIN_SLACK
 
     def heard_loads(
         self,
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -356,3 +356,23 @@
                 await asyncio.sleep(0)
 
         path_world.run(play)
+
+    def test_resumed_is_given_up_before_the_bound(self) -> None:
+        """A stream that was sent on began on old weights after their bound.
+
+        Its first engine crashed shortly before the bound. The second one had
+        old weights, too, and a queue; it began there after the bound, since
+        the time to begin only held for what the caller had no event of yet.
+        """
+
+        async def play(world: path_world.PathWorld) -> None:
+            loop = asyncio.get_running_loop()
+            now = loop.time()
+            world.fail_first(Fault.CUT, Fault.MUTE)
+            world.beliefs.named('m', 2, now - path_world.DUTIES.version + 0.9)
+            with self.assertRaises(channel.ChannelBrokenError):
+                await world.ask('/stream/a')
+            self.assertEqual(2, len(world.ran))
+            self.assertLess(loop.time() - now, 0.9)
+
+        path_world.run(play)
