Leave out engines where a request would begin after its weights' bound

Cause: a request was chosen an engine by whether its weights are allowed when it is sent; what counts is when it begins. Requests of crashed engines were sent on 7.3 s after a newer version was acknowledged, to an engine in whose queue they waited 0.7 s (bound 8.0 s). Ruled out: a larger margin at the sending. It would take engines with free slots away as well, for all seconds that it is larger. What the entry's own counts say of begun requests is taken for those of other entries. Tests: with the choice as it was, both tests of the path fail (the requests are sent, 200 for 503, and a second attempt is sent).

--- a/clementinepass/decisions/first_event.py
+++ b/clementinepass/decisions/first_event.py
@@ -16,7 +16,7 @@
 _SENT_PART = 1.0
 #: Seconds to an endpoint and back, and to the first event of an empty engine
 #: beside reading the prompt.
-_BASE_SECONDS = 0.06
+BASE_SECONDS = 0.06
 #: Requests that may wait at an endpoint of unknown speed, for each slot.
 _UNKNOWN_PART = 0.35
 #: Seconds after which a refused caller may come back: the shortest, in which
@@ -79,7 +79,7 @@
     """Tell whether a request may be sent to the best endpoint."""
     if not endpoint.ended_per_second:
         return wish.waiting <= wish.slots * _UNKNOWN_PART
-    seconds = _BASE_SECONDS + wish.waiting / endpoint.ended_per_second
+    seconds = BASE_SECONDS + wish.waiting / endpoint.ended_per_second
     seconds += wish.prompt_tokens / endpoint.read_per_second
     return wish.waiting <= 1 or seconds + wish.passed <= wish.aim * _SENT_PART
 
--- a/clementinepass/decisions/nearest_place.py
+++ b/clementinepass/decisions/nearest_place.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 if typing.TYPE_CHECKING:
@@ -41,6 +42,8 @@
     :param is_old: whether others have a newer version of the weights, which
         it will take up soon.
     :param is_strained: whether its machine's link is slow at present.
+    :param unbegun: requests there of which no event has come yet.
+    :param usable_for: seconds in which requests may still begin there.
     """
 
     endpoint_id: str
@@ -49,6 +52,8 @@
     is_near: bool
     is_old: bool = False
     is_strained: bool = False
+    unbegun: float = 0
+    usable_for: float = math.inf
 
     @property
     def waiting(self) -> float:
--- a/clementinepass/direct/beliefs.py
+++ b/clementinepass/direct/beliefs.py
@@ -266,6 +266,7 @@
     def options(
         self,
         candidates: Iterable[endpoints.Endpoint],
+        engine: routing.Engine | None,
         now: float,
     ) -> list[nearest_place.Option]:
         """Return what placing compares, without those that fail or stall."""
@@ -275,15 +276,16 @@
             for each in candidates
             if each.listing.id not in ejected and not each.stalled(now)
         ]
-        return self._options(sound, now)
+        return self._options(sound, engine, now)
 
     def options_of_failing(
         self,
         candidates: Iterable[endpoints.Endpoint],
+        engine: routing.Engine | None,
         now: float,
     ) -> list[nearest_place.Option]:
         """Return what placing compares when all endpoints seem to fail."""
-        return self._options(list(candidates), now)
+        return self._options(list(candidates), engine, now)
 
     def forget(self, now: float) -> list[endpoints.Endpoint]:
         """Drop what is long gone; return the endpoints dropped."""
@@ -298,6 +300,7 @@
     def _options(
         self,
         candidates: list[endpoints.Endpoint],
+        engine: routing.Engine | None,
         now: float,
     ) -> list[nearest_place.Option]:
         newest = self.newest_held(candidates)
@@ -309,6 +312,29 @@
                 is_near=each.listing.domain == self._own.domain,
                 is_old=each.weights.version < newest,
                 is_strained=each.strained_until > now,
+                unbegun=self._unbegun(each, now),
+                usable_for=self._usable_for(each, engine, now),
             )
             for each in candidates
         ]
+
+    def _unbegun(self, endpoint: endpoints.Endpoint, now: float) -> float:
+        """Return how many requests there have no event yet.
+
+        Others tell only how many they have there; theirs are taken to have
+        begun as often as this entry's.
+        """
+        if not endpoint.in_flight:
+            return 0
+        waiting = max(endpoint.in_flight - endpoint.streams, 0)
+        return waiting / endpoint.in_flight * self.load(endpoint, now)
+
+    def _usable_for(
+        self,
+        endpoint: endpoints.Endpoint,
+        engine: routing.Engine | None,
+        now: float,
+    ) -> float:
+        if engine is None:
+            return math.inf
+        return self.begin_by(engine, endpoint.weights.version) - now
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -9,6 +9,7 @@
     first_event,
     nearest_place,
     next_try,
+    timely_begin,
     window_budget,
 )
 from clementinepass.direct import (
@@ -220,11 +221,13 @@
             for one in candidates
             if one.listing.id not in admitted.tried_ids
         ]
-        options = self._beliefs.options(untried, now)
+        engine = admitted.service.engine
+        options = self._beliefs.options(untried, engine, now)
         if not options and untried:
             # All fail: each is the wrong one to leave out.
-            options = self._beliefs.options_of_failing(untried, now)
-        choice = nearest_place.choose(options, self._rng)
+            options = self._beliefs.options_of_failing(untried, engine, now)
+        timely = _timely(admitted, options)
+        choice = nearest_place.choose(timely, self._rng)
         if choice is None:
             admitted.come_back = first_event.LONGEST_RETURN
             return None
@@ -344,6 +347,21 @@
         return _BAD_GATEWAY
 
 
+def _timely(
+    admitted: serving.Serving,
+    options: list[nearest_place.Option],
+) -> list[nearest_place.Option]:
+    """Return the endpoints whose weights are allowed when it begins there."""
+    engine = admitted.service.engine
+    if engine is None:
+        return options
+    request = timely_begin.Request(
+        admitted.call.prompt_tokens,
+        engine.usual_prompt,
+    )
+    return timely_begin.timely(request, options, engine.pace)
+
+
 def _seconds_left(admitted: serving.Serving, now: float) -> float:
     """Return the time in which another attempt is of use.
 
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -376,3 +376,34 @@
             self.assertLess(loop.time() - now, 0.9)
 
         path_world.run(play)
+
+    def test_wait_before_the_bound(self) -> None:
+        """Requests were sent to a queue in which the bound passed.
+
+        They were sent to engines with old weights before the bound, where 25
+        others waited, and were given up there, or began after it.
+        """
+
+        async def play(world: path_world.PathWorld) -> None:
+            now = asyncio.get_running_loop().time()
+            world.beliefs.named('m', 2, now - path_world.DUTIES.version + 0.9)
+            world.beliefs.heard_loads('entry-2', {'i-0': 40, 'i-1': 40}, now)
+            fetched = await world.ask('/stream/a')
+            self.assertEqual(503, fetched.status)
+            self.assertEqual([], world.came)
+
+        path_world.run(play)
+
+    def test_wait_of_a_repeat_before_the_bound(self) -> None:
+        """What a crashed engine ran was sent on to such a queue."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            now = asyncio.get_running_loop().time()
+            world.fail_first(Fault.CUT)
+            world.beliefs.named('m', 2, now - path_world.DUTIES.version + 0.9)
+            world.beliefs.heard_loads('entry-2', {'i-1': 40}, now)
+            with self.assertRaises(channel.ChannelBrokenError):
+                await world.ask('/stream/a')
+            self.assertEqual([], world.endpoints[1].came)
+
+        path_world.run(play)
--- a/tests/direct/test_telling.py
+++ b/tests/direct/test_telling.py
@@ -107,7 +107,7 @@
         known.heard_held(beats.Held(ENGINE, 2, 0, 4, strained=True))
 
         def strained() -> bool:
-            (option,) = known.options(known.endpoints, now[0])
+            (option,) = known.options(known.endpoints, None, now[0])
             return option.is_strained
 
         self.assertTrue(strained())
