Send nothing to an endpoint that left while its connection was made

Cause: an endpoint was chosen by whether it leaves when the connection to it is asked for; what counts is when the request reaches it. The connection may take 0.6 s of the 2 s after which a leaving endpoint must get nothing. Change: asked once more when the connection is there; the request has not run and is sent elsewhere or refused. Test (first): 200 from the leaving endpoint before, 503 now, nothing sent.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -101,6 +101,9 @@
             self._log.attempt_failed(admitted, endpoint, error)
             return serving.Tried.NOT_RUN
         try:
+            if self._left_meanwhile(endpoint):
+                attempt.refused()
+                return serving.Tried.NOT_RUN
             return await self._talk(admitted, endpoint, attempt, used)
         except (channel.ChannelBrokenError, events.StreamBrokenError) as error:
             attempt.failed(errors.Execution.MAY_HAVE_RUN)
@@ -115,6 +118,15 @@
         finally:
             peers.give_back(used)
 
+    def _left_meanwhile(self, endpoint: endpoints.Endpoint) -> bool:
+        """Tell whether an endpoint left while its connection was made.
+
+        Failure: the endpoint was chosen, its connection took up to 0.6 s, and
+        it had said meanwhile that it leaves. Two seconds after that it must get
+        nothing more, and what follows the choice used up a third of them.
+        """
+        return not endpoint.usable(asyncio.get_running_loop().time())
+
     async def _talk(
         self,
         admitted: serving.Serving,
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -7,7 +7,7 @@
 import testtools
 
 from clementinepass.direct import endpoints, routing
-from clementinepass.http import channel
+from clementinepass.http import channel, pool
 from standins import direct_endpoint
 from tests.direct import path_world
 
@@ -271,6 +271,41 @@
         path_world.run(play)
 
 
+class LeavingEndpointTest(testtools.TestCase):
+    """An endpoint that leaves gets nothing more."""
+
+    def test_leaves_while_a_connection_is_made(self) -> None:
+        """A request reached an endpoint after it had said that it leaves.
+
+        It was chosen before that, and the connection took half a second,
+        since its first packet was lost.
+        """
+
+        async def play(world: path_world.PathWorld) -> None:
+            first = world.endpoints[0]
+            second = world.endpoints[1]
+            world.listed(second, draining=True)
+            connected = asyncio.Event()
+            take = pool.Pool.take
+
+            async def slow(peers: pool.Pool, **limits: float) -> object:
+                used = await take(peers, **limits)
+                if limits:  # The caller's own connections have none.
+                    await connected.wait()
+                return used
+
+            self.patch(pool.Pool, 'take', slow)
+            asked = asyncio.create_task(world.ask('/once/a'))
+            while not world.beliefs.in_flight_by_endpoint():
+                await asyncio.sleep(0)
+            world.listed(first, draining=True)
+            connected.set()
+            self.assertEqual(503, (await asked).status)
+            self.assertEqual([], world.came)
+
+        path_world.run(play)
+
+
 class LoadingTest(testtools.TestCase):
     """All engines take up a version at once.
 
