--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -235,6 +235,52 @@
         path_world.run(play)
 
 
+class ConfigurationTest(testtools.TestCase):
+    """A request keeps what was in force when it came."""
+
+    def test_changes_under_a_stream(self) -> None:
+        """A stream was cut off when its route was dropped.
+
+        Its route and its key went with new configurations while it was under
+        way; it was allowed when it came, so it ends whole.
+        """
+
+        async def play(world: path_world.PathWorld) -> None:
+            for one in world.endpoints:
+                one.going.clear()
+            asked = asyncio.create_task(world.ask('/stream/a'))
+            while not world.ran:
+                await asyncio.sleep(0)
+            world.configure(2, path_world.ROUTES[2:])
+            world.configure(3, ())
+            for one in world.endpoints:
+                one.going.set()
+            fetched = await asked
+            self.assertEqual(200, fetched.status)
+            self.assertEqual(3, fetched.body.count(b'data:'))
+            self.assertEqual(404, (await world.ask('/stream/a')).status)
+
+        path_world.run(play)
+
+    def test_changes_before_a_repeat(self) -> None:
+        """A resumed stream goes on, too, though its route is gone."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            world.fail_first(Fault.CUT)
+            for one in world.endpoints:
+                one.going.clear()
+            asked = asyncio.create_task(world.ask('/stream/a'))
+            while not world.ran:
+                await asyncio.sleep(0)
+            world.configure(2, ())
+            for one in world.endpoints:
+                one.going.set()
+            self.assertEqual(3, (await asked).body.count(b'data:'))
+            self.assertEqual(2, len(world.ran))
+
+        path_world.run(play)
+
+
 class TimeTest(testtools.TestCase):
     """Deadlines, and callers that leave."""
 
@@ -271,6 +317,30 @@
         path_world.run(play)
 
 
+class RepeatedDeadlineTest(testtools.TestCase):
+    """A repeat is told what is left, not what there was."""
+
+    def test_time_is_used_up(self) -> None:
+        """An endpoint worked on for a caller that had given up.
+
+        The first one said nothing for half of the second that the caller
+        waits for, and the second one was told the same time once more.
+        """
+
+        async def play(world: path_world.PathWorld) -> None:
+            world.fail_first(Fault.MUTE)
+            await world.ask('/plain/a', X_Deadline_Ms='1000')
+            first, second = sorted(
+                int(request.headers.get(b'x-deadline-ms') or 0)
+                for request in world.ran
+            )[::-1]
+            self.assertLessEqual(first, 1000)
+            self.assertLessEqual(second, 500)
+            self.assertGreater(second, 300)
+
+        path_world.run(play)
+
+
 class LeavingEndpointTest(testtools.TestCase):
     """An endpoint that leaves gets nothing more."""
 
