--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -34,9 +34,6 @@
 #: The part of the time left after which a plain request that may run twice is
 #: tried elsewhere. Answers take a ninth of it, the slowest a half.
 _SILENT_PART = 0.5
-#: Seconds after the time from which an older version gets no more requests,
-#: and well before its bound, at which those that have not begun are given up.
-_BEGIN_SLACK = 0.35
 _MOST_URGENCY = 9
 
 
@@ -105,6 +102,9 @@
             return serving.Tried.NOT_RUN
         admitted.channel = used
         try:
+            if self._left_meanwhile(endpoint):
+                attempt.refused()
+                return serving.Tried.NOT_RUN
             return await self._talk(admitted, endpoint, attempt, used)
         except (channel.ChannelBrokenError, events.StreamBrokenError) as error:
             attempt.failed(errors.Execution.MAY_HAVE_RUN)
@@ -119,6 +119,15 @@
         finally:
             peers.give_back(used)
 
+    def _left_meanwhile(self, endpoint: endpoints.Endpoint) -> bool:
+        """Tell whether an endpoint left while its connection was made.
+
+        Failure: the endpoint was chosen, its connection took up to 0.6 s, and
+        it had said meanwhile that it leaves. Two seconds after that it must get
+        nothing more, and what follows the choice used up a third of them.
+        """
+        return not endpoint.usable(asyncio.get_running_loop().time())
+
     async def _talk(
         self,
         admitted: serving.Serving,
@@ -174,6 +183,7 @@
         status: int,
     ) -> serving.Tried:
         """Take a plain answer whole, then hand it on."""
+        admitted.begin_by = math.inf
         parts = []
         length = 0
         async with _patience(admitted, used):
@@ -234,7 +244,12 @@
         """Send the head before the first event.
 
         Only then: until it went out, another endpoint may still answer.
+
+        The time to begin holds for each attempt until its own first event.
+        Failure: a stream whose engine had crashed was sent on and began on
+        old weights after their bound, since its caller had events already.
         """
+        admitted.begin_by = math.inf
         if not admitted.reply.begun:
             admitted.reply.begin(status, facts.pairs)
             admitted.first_event_at = asyncio.get_running_loop().time()
@@ -253,8 +268,7 @@
         engine = admitted.service.engine
         if engine is None:
             return math.inf
-        by = self._beliefs.begin_by(engine, endpoint.weights.version)
-        return by + _BEGIN_SLACK
+        return self._beliefs.begin_by(engine, endpoint.weights.version)
 
     def _sending(
         self,
@@ -330,9 +344,7 @@
     used: channel.Channel,
 ) -> _Patience:
     """Return how long to wait for what comes next."""
-    until = _silent_until(admitted)
-    if not admitted.reply.begun:
-        until = min(until, admitted.begin_by)
+    until = min(_silent_until(admitted), admitted.begin_by)
     return _Patience(None if until == math.inf else until, used)
 
 
