Add a failing test: a leaving entry reckons that nobody names it, and is named

Cause: the plan ends lists half a second and three times their length after SIGTERM (1.55 s). While no entry is ready the others go on naming it for as long as any request is taken (1.26 s), and callers keep those lists (1.05 s more).

--- a/tests/direct/test_machines.py
+++ b/tests/direct/test_machines.py
@@ -14,9 +14,14 @@
 from standins import machines, weights_origin
 
 
+#: Some callers keep a list for so many times as long as they are told.
+_LONGEST_KEPT = 3
+
+
 def run(
     play: typing.Callable[[machines.Machines], typing.Awaitable[None]],
     versions: tuple[int, ...] = (),
+    config: dict[str, typing.Any] | None = None,
 ) -> None:
     """Play with machines whose engines hold some versions."""
 
@@ -29,7 +34,8 @@
             )
             for version in versions
         ]
-        async with asyncio.timeout(60), machines.Machines(engines) as world:
+        there = machines.Machines(engines, config=config)
+        async with asyncio.timeout(60), there as world:
             await machines.until(
                 lambda: all(one.ready for one in world.entries)
             )
@@ -38,6 +44,21 @@
     asyncio.run(played())
 
 
+async def _all_known(world: machines.Machines) -> list[entry.Entry]:
+    """Return the entries once each offers all."""
+    loop = asyncio.get_running_loop()
+    for one in world.entries:
+        await machines.until(lambda one=one: len(one.offered(loop.time())) == 2)
+    return world.entries
+
+
+def _leave(world: machines.Machines) -> None:
+    """Have all entries say that they leave."""
+    for one in world.entries:
+        one.peers.phase = members.Phase.LEAVING
+        one.peers.speak()
+
+
 class EntriesTest(testtools.TestCase):
     """Entries find one another, serve, and follow the store."""
 
@@ -80,6 +101,34 @@
 
         run(play)
 
+    def test_stays_while_it_is_offered(self) -> None:
+        """All entries leave, and one that was idle ended while callers came.
+
+        It reckoned that nobody names it half a second after SIGTERM. The
+        others named it for as long as it takes any request, and callers kept
+        those lists: they found nobody there.
+        """
+        route = {**machines.CONFIG['routes'][0], 'timeoutMs': 6000}
+        config = {**machines.CONFIG, 'routes': [route]}
+
+        async def play(world: machines.Machines) -> None:
+            first, second = await _all_known(world)
+            loop = asyncio.get_running_loop()
+            plan = first._departure.begin(loop.time())
+            _leave(world)
+            await machines.until(
+                lambda: not second.peers.members.ready(loop.time())
+            )
+            offered = [
+                plan.begun + step * 0.01
+                for step in range(1000)
+                if first.callers in second.offered(plan.begun + step * 0.01)
+            ]
+            kept = max(offered) + _LONGEST_KEPT * second.list_seconds
+            self.assertGreaterEqual(plan.lists_end, min(kept, plan.last))
+
+        run(play, config=config)
+
     def test_change_in_force(self) -> None:
         """A route that is taken away is unknown, one that is added serves."""
 
