Add a failing test: beside a route longer than the grace each entry names itself

Cause: whom entries name while all leave hangs on one time for all routes, the grace less the longest route. Ruled out: that the other takes nothing; it answers the test's request with 200.

--- a/tests/direct/test_machines.py
+++ b/tests/direct/test_machines.py
@@ -129,6 +129,31 @@
 
         run(play, config=config)
 
+    def test_offered_beside_a_long_route(self) -> None:
+        """All entries leave, and one route allows more than the grace.
+
+        Each entry named itself alone, as no time was left in which any request
+        is taken, though another, told later, still took those of other routes.
+        """
+        long = {'name': 'long', 'pathPrefix': '/long/', 'timeoutMs': 30000}
+        plain = machines.CONFIG['routes'][0]
+        config = {**machines.CONFIG, 'routes': [plain, {**plain, **long}]}
+
+        async def play(world: machines.Machines) -> None:
+            first, second = await _all_known(world)
+            loop = asyncio.get_running_loop()
+            now = loop.time()
+            first._departure.begin(now - 60)
+            second._departure.begin(now)
+            _leave(world)
+            await machines.until(
+                lambda: not first.peers.members.ready(loop.time())
+            )
+            self.assertEqual(200, await world.ask(1))
+            self.assertEqual([second.callers], first.offered(loop.time()))
+
+        run(play, config=config)
+
     def test_change_in_force(self) -> None:
         """A route that is taken away is unknown, one that is added serves."""
 
