Add a failing test: an agent ends between its word and its order

Cause: the agent tells entries that its engine loads, lets the engine finish for up to 0.7 s, and orders then. SIGTERM in between cancels the order and leaves the word standing: entries send the engine nothing until an agent is back there. Ruled out: that the word lapses; it stands 4 s later in a probe, with no order given and the old weights loaded.

--- a/tests/direct/test_machines.py
+++ b/tests/direct/test_machines.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import signal
 import typing
 
 import msgspec
@@ -14,6 +15,8 @@
 from standins import machines, weights_origin
 
 
+#: Seconds in which a word of an agent that ends is heard.
+_HEARD_SECONDS = 2
 #: Some callers keep a list for so many times as long as they are told.
 _LONGEST_KEPT = 3
 
@@ -346,6 +349,74 @@
         run(play, (1, 1, 1))
 
 
+class AgentEndsTest(testtools.TestCase):
+    """An agent was stopped when it had said that its engine loads.
+
+    It says so before it lets the engine finish what runs, and orders after
+    that. Told to end in between it ordered nothing and said nothing, and
+    entries sent the engine no request until its agent was back.
+    """
+
+    def test_word_of_loading(self) -> None:
+        """An engine that got no order is not taken to load."""
+
+        async def played() -> None:
+            told_by_task = _signals(asyncio.get_running_loop())
+            engines = [
+                _Working(machines.LAYERS, machines.CHUNKS, 1) for _ in range(2)
+            ]
+            there = machines.Machines(engines)
+            async with asyncio.timeout(30), there as world:
+                await machines.until(
+                    lambda: all(one.ready for one in world.entries)
+                )
+                world.store.put(
+                    'keyed.op',
+                    'version/m',
+                    {'model': 'm', 'version': 2},
+                )
+                known = world.entries[0].beliefs.endpoints
+                await machines.until(lambda: any(one.loading for one in known))
+                (loading,) = (one for one in known if one.loading)
+                number = int(loading.listing.id.removeprefix('i-'))
+                agent = world._tasks[len(world.entries) + number]
+                told_by_task[agent]()
+                await agent
+                self.assertEqual([], world.engines[number].orders)
+                async with asyncio.timeout(_HEARD_SECONDS):
+                    await machines.until(lambda: not loading.loading)
+
+        asyncio.run(played())
+
+
+class _Working(weights_origin.LoadingEngine):
+    """An engine that always runs something."""
+
+    def _report(self) -> dict[str, typing.Any]:
+        return {**super()._report(), 'active': 1}
+
+
+def _signals(
+    loop: asyncio.AbstractEventLoop,
+) -> dict[asyncio.Task[typing.Any] | None, typing.Callable[[], object]]:
+    """Return what each process does at SIGTERM, by its task.
+
+    All processes of the test are one to the system, which keeps only the last
+    handler of a signal.
+    """
+    told_by_task: dict[
+        asyncio.Task[typing.Any] | None,
+        typing.Callable[[], object],
+    ] = {}
+
+    def handle(number: int, act: typing.Callable[[], object]) -> None:
+        if number == signal.SIGTERM:
+            told_by_task[asyncio.current_task()] = act
+
+    vars(loop)['add_signal_handler'] = handle
+    return told_by_task
+
+
 def _version(one: entry.Entry) -> int:
     current = one.beliefs.routing
     return 0 if current is None else current.version
