Have the test of whom entries name wait until none is ready

Cause: the test waited until the entry named the other one alone. Change: it waits until no other is ready, then looks once. As strict otherwise.

--- a/tests/direct/test_machines.py
+++ b/tests/direct/test_machines.py
@@ -97,8 +97,9 @@
             for one in world.entries:
                 one.peers.phase = members.Phase.LEAVING
                 one.peers.speak()
+            # Until the other's word has come it is named since it looks ready.
             await machines.until(
-                lambda: first.offered(loop.time()) == [second.callers]
+                lambda: not first.peers.members.ready(loop.time())
             )
             self.assertEqual([second.callers], first.offered(loop.time()))
 
