Reckon the end of an entry by whoever names it, and take back what is not done

Change: one type of how entries are named (decisions/departure.py), by the slowest route that has time at all; lists of 0.25 s at least; told lists are remembered; looks at the end are counted, not timed; the last of those that wait on a connection says that it ends. Ruled out: naming an entry for all of the time in which it takes requests (who keeps a list three times as long comes 0.8 s too late).

--- a/clementinepass/decisions/departure.py
+++ b/clementinepass/decisions/departure.py
@@ -15,9 +15,11 @@
 
 import typing
 
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
+
 #: The part of the time from SIGTERM to SIGKILL that is used. The rest, 0.64 s
-#: of 8 s, is for the end of a process on a machine that runs five times slower
-#: than usual: 0.05 s at the usual speed.
+#: of 8 s, is for the end of the process, also on a machine that is held up.
 _USED_PART = 0.92
 #: Some callers keep a list for so many times as long as they are told.
 _KEPT_TIMES = 3
@@ -25,11 +27,14 @@
 #: heartbeats, as the word that it leaves may be lost once, and an answer that
 #: was on its way.
 _WORD_SECONDS = 0.5
-#: Seconds for which callers are told to keep a list. Below the first each
-#: request would ask for one: callers send two or three a second. Above the
+#: Seconds for which callers are told to keep a list. Below the first nearly
+#: each request would ask for one: callers send two or three a second. Above the
 #: second the list says little about an entry that was lost.
-_SHORTEST_LIST = 0.35
+_SHORTEST_LIST = 0.25
 _LONGEST_LIST = 1.5
+#: Seconds in which an entry that leaves is named at most, where none is ready:
+#: by then one that was told before it is back.
+_LONGEST_NAMED = 2.0
 #: Seconds after the last answers for them to go out.
 _FLUSH_SECONDS = 0.1
 #: Seconds in which an entry that ended is back, for the callers who find no
@@ -41,6 +46,18 @@
 _ELSEWHERE_SECONDS = 0.02
 
 
+class Lists(typing.NamedTuple):
+    """How entries are named to callers.
+
+    :param seconds: for which callers are told to keep a list.
+    :param named_seconds: after SIGTERM in which an entry is named where none
+        is ready.
+    """
+
+    seconds: float
+    named_seconds: float
+
+
 class Plan(typing.NamedTuple):
     """The times of leaving; all in monotonic seconds.
 
@@ -80,35 +97,52 @@
         return now >= self.lists_end and not in_progress
 
 
-def plan(begun: float, grace: float, kept: float) -> Plan:
+def plan(begun: float, grace: float, lists: Lists, told_until: float) -> Plan:
     """Return the times of leaving.
 
     :param grace: seconds from SIGTERM to SIGKILL.
-    :param kept: seconds for which callers were told to keep a list.
+    :param lists: how others name the entry from now on.
+    :param told_until: until which a list is kept that the entry told itself.
     """
     last = begun + _used(grace)
-    lists_end = begun + _KEPT_TIMES * kept + _WORD_SECONDS
+    named_until = begun + max(lists.named_seconds, _WORD_SECONDS)
+    lists_end = max(named_until + kept_seconds(lists.seconds), told_until)
     return Plan(begun, min(lists_end, last), last)
 
 
-def taking_seconds(grace: float, longest_request: float) -> float:
-    """Return for how long after SIGTERM any request is taken.
+def taking_seconds(grace: float, timeouts: Iterable[float]) -> float:
+    """Return for how long after SIGTERM requests are taken.
+
+    By the slowest route that has time at all.  Failure: one route that allows
+    more than the grace had it that no request is ever taken, so that while all
+    left each entry named itself alone, also those that took nothing any more.
 
-    :param longest_request: seconds until the final answer, by the routes.
+    :param timeouts: seconds until the final answer, by route.
     """
-    return max(_used(grace) - longest_request, 0)
+    used = _used(grace)
+    longest = max((one for one in timeouts if one <= used), default=used)
+    return used - longest
 
 
-def list_seconds(taking: float, most: float) -> float:
-    """Return for how long callers are told to keep a list of entries.
+def lists(taking: float, most: float) -> Lists:
+    """Return how entries are named to callers.
 
-    So long that those who keep it longest come while any request is taken.
+    A list is so short that those who keep it longest come while requests are
+    taken.  Where no entry is ready, one that leaves is named for as long as
+    those who keep the list as told still come in time.
 
     :param taking: seconds after SIGTERM for which that is so.
     :param most: seconds that the platform allows.
     """
     wished = min((taking - _WORD_SECONDS) / _KEPT_TIMES, _LONGEST_LIST)
-    return min(max(wished, _SHORTEST_LIST), most)
+    seconds = min(max(wished, _SHORTEST_LIST), most)
+    named = min(max(taking - seconds, 0), _LONGEST_NAMED)
+    return Lists(seconds, named)
+
+
+def kept_seconds(told: float) -> float:
+    """Return for how long some callers keep a list, as told for how long."""
+    return _KEPT_TIMES * told
 
 
 def come_back(others_ready: int) -> float:
--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -133,6 +133,8 @@
             await stop.wait()
             for task in running:
                 task.cancel()
+        if self._report is not None:
+            await self._telling.hold_to(self._report.weights)
         logger.bind(node=self._own.name).info('stopped')
 
     # What handing out asks.
@@ -264,7 +266,8 @@
         if self._turn_has_come(engine, version):
             self._telling.loads(version)
             await self._emptied(engine, version, report.active)
-            await self._loading.load(engine.model, version)
+            if not await self._loading.load(engine.model, version):
+                self._telling.holds(report.weights)
 
     async def _emptied(
         self,
--- a/clementinepass/direct/departure.py
+++ b/clementinepass/direct/departure.py
@@ -27,6 +27,7 @@
         '_beliefs',
         '_offered_at',
         '_own',
+        '_told_until',
         'plan',
         'refused',
         'taken',
@@ -36,6 +37,8 @@
         self._own = own
         self._beliefs = known
         self._offered_at = -math.inf
+        #: Until when a list is kept that this entry told.
+        self._told_until = -math.inf
         #: The times of leaving; ``None`` while the entry is to stay.
         self.plan: decisions.Plan | None = None
         #: Requests taken, and turned away, since it was told to end.
@@ -43,27 +46,39 @@
         self.refused = 0
 
     @property
-    def taking_seconds(self) -> float:
-        """Return for how long an entry that leaves takes whatever comes."""
-        current = self._beliefs.routing
-        longest = 0 if current is None else current.longest_timeout
-        return decisions.taking_seconds(self._own.duties.grace, longest)
+    def lists(self) -> decisions.Lists:
+        """Return how entries are named to callers.
 
-    @property
-    def list_seconds(self) -> float:
-        """Return for how long callers are told to keep a list of entries."""
-        most = self._own.duties.longest_offer
-        return decisions.list_seconds(self.taking_seconds, most)
+        Before a configuration is known any request may be the longest.
+        """
+        current = self._beliefs.routing
+        timeouts = () if current is None else current.timeouts
+        duties = self._own.duties
+        taking = decisions.taking_seconds(duties.grace, timeouts)
+        return decisions.lists(taking, duties.longest_offer)
+
+    def told(self, now: float) -> float:
+        """Return for how long a list is to be kept that is told now."""
+        seconds = self.lists.seconds
+        until = now + decisions.kept_seconds(seconds)
+        self._told_until = max(self._told_until, until)
+        return seconds
 
     def begin(self, now: float) -> decisions.Plan:
         """Begin to leave; return the times of it."""
         self.plan = decisions.plan(
             now,
             self._own.duties.grace,
-            self.list_seconds,
+            self.lists,
+            self._told_until,
         )
         return self.plan
 
+    def is_named(self, now: float) -> bool:
+        """Tell whether callers are sent here where no entry is ready."""
+        since = self.since(now)
+        return since is None or since <= self.lists.named_seconds
+
     def since(self, now: float) -> float | None:
         """Return the seconds since it was told; ``None`` before that."""
         return None if self.plan is None else now - self.plan.begun
--- a/clementinepass/direct/directory.py
+++ b/clementinepass/direct/directory.py
@@ -15,9 +15,8 @@
     def ready(self) -> bool:
         """Tell whether callers may be sent here."""
 
-    @property
-    def list_seconds(self) -> float:
-        """Return for how long callers may keep a list of entries."""
+    def told(self, now: float) -> float:
+        """Return for how long callers may keep a list that is told now."""
 
     def offered(self, now: float) -> list[str]:
         """Return the callers' addresses of entries to use."""
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -105,10 +105,9 @@
         """Tell whether callers may be sent here."""
         return self.peers.phase is members.Phase.READY
 
-    @property
-    def list_seconds(self) -> float:
-        """Return for how long callers may keep a list of entries."""
-        return self._departure.list_seconds
+    def told(self, now: float) -> float:
+        """Return for how long callers may keep a list that is told now."""
+        return self._departure.told(now)
 
     def offered(self, now: float) -> list[str]:
         """Return the callers' addresses of entries to use."""
@@ -122,13 +121,12 @@
 
         Failure: all were stopped within six seconds, and each named itself,
         also those that took nothing any more. The ones told last still take
-        whatever comes.
+        what comes.
         """
-        taking = self._departure.taking_seconds
-        lately = self.peers.members.leaving_lately(now, taking)
+        named = self._departure.lists.named_seconds
+        lately = self.peers.members.leaving_lately(now, named)
         found = [member.callers for member in lately]
-        since = self._departure.since(now)
-        if not found or since is None or since <= taking:
+        if not found or self._departure.is_named(now):
             found.append(self._own.callers)
             self._departure.offered(now)
         return found
--- a/clementinepass/direct/leaving.py
+++ b/clementinepass/direct/leaving.py
@@ -21,6 +21,10 @@
     from clementinepass.http import front
 
 _LOOK_SECONDS = 0.05
+#: Looks at the end in which final answers go out, and connections that a caller
+#: still uses end. Counted and not timed, since a process that is held up for a
+#: moment finds its time over, with its final answers still to be written.
+_LAST_LOOKS = 4
 
 
 class Leaving:
@@ -65,7 +69,9 @@
         while not plan.may_end(loop.time(), self._front.busy()):
             await asyncio.sleep(_LOOK_SECONDS)
         self._front.stop_listening()
-        while self._front.close_idle() and loop.time() < plan.end:
+        for _ in range(_LAST_LOOKS):
+            if not self._front.close_idle():
+                break
             await asyncio.sleep(_LOOK_SECONDS)
         logger.bind(
             seconds=round(loop.time() - plan.begun, 3),
--- a/clementinepass/direct/members.py
+++ b/clementinepass/direct/members.py
@@ -56,8 +56,11 @@
     def __init__(self, member: Member, at: float) -> None:
         self.member = member
         self.at = at
-        #: When it first said that it leaves; ``None`` before that.
-        self.leaving_at = at if member.phase is Phase.LEAVING else None
+        #: When it first said that it leaves; ``None`` before that. One that is
+        #: met as it leaves may have been told long ago.
+        self.leaving_at: float | None = None
+        if member.phase is Phase.LEAVING:
+            self.leaving_at = float('-inf')
 
 
 class Members:
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -89,7 +89,7 @@
         self._entries = entries
         self._departure = leaving
         self._others_ready = others_ready
-        self._timeouts: set[asyncio.Timeout] = set()
+        self._timeouts: dict[serving.Serving, asyncio.Timeout] = {}
         self._rng = rng
         self._withdrawn = withdrawn.Withdrawn()
         self._budgets_by_service: dict[str, window_budget.WindowBudget] = {}
@@ -113,12 +113,12 @@
         if since is not None:
             self._log.taken_while_leaving(admitted, since)
         timeout = asyncio.timeout_at(admitted.final_at)
-        self._timeouts.add(timeout)
+        self._timeouts[admitted] = timeout
         try:
             async with timeout:
                 await self._answer(admitted)
         except TimeoutError:
-            self._conclude(admitted, self._ending_in_time(admitted))
+            self._conclude(admitted, admitted.late)
         except asyncio.CancelledError:
             self._log.interrupted(admitted)
             raise
@@ -126,7 +126,7 @@
             self._log.own_fault(admitted, error)
             raise
         finally:
-            self._timeouts.discard(timeout)
+            del self._timeouts[admitted]
 
     def end_by(self, when: float) -> None:
         """Give whatever is in progress its final answer by some time.
@@ -134,9 +134,8 @@
         Failure: a request without a first event was cut off when the entry
         ended, and its caller could not tell whether it had run.
         """
-        for timeout in self._timeouts:
-            due = timeout.when()
-            if due is not None and due > when:
+        for admitted, timeout in self._timeouts.items():
+            if admitted.end_by(when):
                 timeout.reschedule(when)
 
     # Admission.
@@ -361,13 +360,6 @@
             return serving.Ending.TURNED_AWAY
         return serving.Ending.BROKEN
 
-    def _ending_in_time(self, admitted: serving.Serving) -> serving.Ending:
-        """Tell whether a request's own time is over, or the entry's."""
-        now = asyncio.get_running_loop().time()
-        if now < admitted.final_at:
-            return serving.Ending.LEAVING
-        return admitted.late
-
     def _ending_unplaced(self, admitted: serving.Serving) -> serving.Ending:
         if admitted.attempts:
             return self._ending_of(admitted, serving.Tried.NOT_RUN)
--- a/clementinepass/direct/routing.py
+++ b/clementinepass/direct/routing.py
@@ -134,9 +134,9 @@
     __slots__ = (
         'bounds',
         'has_teams',
-        'longest_timeout',
         'services_by_name',
         'teams_by_key',
+        'timeouts',
         'version',
         '_routes_by_host',
     )
@@ -157,8 +157,8 @@
         self.bounds = bounds
         self._routes_by_host: dict[bytes, list[Route]] = {}
         routes = tuple(routes)
-        #: Seconds that a request may take, on the slowest route.
-        self.longest_timeout = max((one.timeout for one in routes), default=0)
+        #: Seconds that requests may take, each figure once.
+        self.timeouts = frozenset(one.timeout for one in routes)
         for route in sorted(routes, key=_prefix_length, reverse=True):
             self._routes_by_host.setdefault(route.host, []).append(route)
 
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -125,6 +125,7 @@
         'channel',
         'decision',
         'call',
+        'ends_early',
         'failure',
         'final_at',
         'come_back',
@@ -154,6 +155,8 @@
         self.service = service
         self.team = team
         self.final_at = final_at
+        #: Whether that is the time of this entry's own end.
+        self.ends_early = False
         self.attempts: list[outcome.Attempt] = []
         #: When the newest of them began, and its connection once it has one.
         self.begun_at: float = 0
@@ -186,6 +189,8 @@
     @property
     def late(self) -> Ending:
         """Return whose time it is that is over at ``final_at``."""
+        if self.ends_early:
+            return Ending.LEAVING
         if self.reply.blocked:
             return Ending.SLOW_READER
         patience = self.call.patience
@@ -193,6 +198,14 @@
             return Ending.DEADLINE
         return Ending.ROUTE_TIME
 
+    def end_by(self, when: float) -> bool:
+        """Have it end by a time, as this entry does; tell if that is sooner."""
+        if self.final_at <= when:
+            return False
+        self.final_at = when
+        self.ends_early = True
+        return True
+
     def silent(self, now: float) -> float | None:
         """Return the seconds for which the endpoint has sent nothing.
 
--- a/clementinepass/direct/telling.py
+++ b/clementinepass/direct/telling.py
@@ -47,6 +47,18 @@
         """
         self.holds(endpoints.Weights(version, 0, 0))
 
+    async def hold_to(self, held: endpoints.Weights) -> None:
+        """Take back that the engine loads, as this agent ends.
+
+        Failure: an agent was told to end between its word that the engine
+        loads and its order. Entries sent that engine nothing until the agent
+        was back, a second or more, though it had all that it had before.
+        """
+        if self._held is None or self._held == held:
+            return
+        self.holds(held)
+        await asyncio.sleep(_TOLD_TIMES * _TELL_SECONDS)
+
     def strained(self, *, is_slow: bool) -> None:
         """Tell while the link here is slow, and when it no longer is.
 
--- a/clementinepass/http/connection.py
+++ b/clementinepass/http/connection.py
@@ -197,8 +197,14 @@
         return not (self._busy or self._reading)
 
     def write_head(self, status: int, pairs: list[messages.Pair]) -> None:
-        """Write the head of an answer, telling whether the connection ends."""
-        if self._front.leaving or not self._keep:
+        """Write the head of an answer, telling whether the connection ends.
+
+        Failure: a caller had sent two requests at once; the first answer of an
+        entry that leaves was taken for the last, and the second request, read
+        whole, was never answered. The last of those that wait says so.
+        """
+        ends_here = self._front.leaving and not self._waiting
+        if ends_here or not self._keep:
             self._keep = False
             pairs = [*pairs, (b'Connection', b'close')]
         self.write(messages.head_bytes(status, pairs))
--- a/clementinepass/platform/directory.py
+++ b/clementinepass/platform/directory.py
@@ -50,6 +50,7 @@
         return answer
 
     def _resolve(self, offers: directory.Offers, reply: replies.Reply) -> None:
-        found = offers.offered(asyncio.get_running_loop().time())
-        resolved = _Resolved(found[:_MOST_ADDRESSES], offers.list_seconds)
+        now = asyncio.get_running_loop().time()
+        found = offers.offered(now)[:_MOST_ADDRESSES]
+        resolved = _Resolved(found, offers.told(now))
         reply.send(_OK, _JSON, msgspec.json.encode(resolved))
--- a/tests/decisions/test_departure.py
+++ b/tests/decisions/test_departure.py
@@ -9,6 +9,7 @@
 GRACE = 8.0
 LONGEST = 6.0
 MOST = 5.0
+NEVER = float('-inf')
 
 
 class DepartureTest(testtools.TestCase):
@@ -22,9 +23,9 @@
     def setUp(self) -> None:
         """Begin to leave at second 100."""
         super().setUp()
-        taking = departure.taking_seconds(GRACE, LONGEST)
-        self.kept = departure.list_seconds(taking, MOST)
-        self.plan = departure.plan(100, GRACE, self.kept)
+        self.taking = departure.taking_seconds(GRACE, (LONGEST, 1))
+        self.lists = departure.lists(self.taking, MOST)
+        self.plan = departure.plan(100, GRACE, self.lists, NEVER)
 
     def test_takes_what_ends_before_it(self) -> None:
         """A request is taken whose answer is due before the entry's end."""
@@ -34,10 +35,28 @@
         self.assertLess(self.plan.end, 100 + GRACE)
 
     def test_lists_end_while_all_is_taken(self) -> None:
-        """Who keeps a list longest comes while any request is taken."""
-        latest = 100 + 3 * self.kept
+        """Who keeps a list longest comes while any request is taken.
+
+        Also by a list that another told half a second after SIGTERM, as the
+        word of it was late.
+        """
+        latest = 100 + 0.5 + departure.kept_seconds(self.lists.seconds)
         self.assertTrue(self.plan.takes(latest + LONGEST))
-        self.assertGreaterEqual(self.plan.lists_end, latest)
+
+    def test_stays_while_it_is_named(self) -> None:
+        """It stays until the last list that names it is given up."""
+        named = 100 + max(self.lists.named_seconds, 0.5)
+        kept = departure.kept_seconds(self.lists.seconds)
+        self.assertGreaterEqual(self.plan.lists_end, named + kept)
+        told = departure.plan(100, GRACE, self.lists, 104.5)
+        self.assertGreaterEqual(told.lists_end, 104.5)
+        late = departure.plan(100, GRACE, self.lists, 200)
+        self.assertEqual(late.last, late.lists_end)
+
+    def test_named_while_it_takes(self) -> None:
+        """Who keeps a list as told comes while requests are taken."""
+        latest = self.lists.named_seconds + self.lists.seconds
+        self.assertLessEqual(latest, self.taking)
 
     def test_ends_as_soon_as_nothing_is_left(self) -> None:
         """It stays while lists name it, and while requests are in progress."""
@@ -48,23 +67,28 @@
         self.assertTrue(self.plan.may_end(self.plan.end, 1))
 
     def test_requests_longer_than_the_grace(self) -> None:
-        """Routes that allow more than the grace: nothing is taken at all."""
-        taking = departure.taking_seconds(GRACE, 2 * GRACE)
-        self.assertEqual(0, taking)
-        kept = departure.list_seconds(taking, MOST)
-        self.assertGreater(kept, 0)
-        plan = departure.plan(100, GRACE, kept)
-        self.assertFalse(plan.takes(100 + 2 * GRACE))
-        self.assertTrue(plan.takes(100 + 1))
+        """A route that allows more than the grace decides for no other."""
+        long = 2 * GRACE
+        taking = departure.taking_seconds(GRACE, (long, LONGEST))
+        self.assertEqual(self.taking, taking)
+        self.assertEqual(0, departure.taking_seconds(GRACE, (long,)))
+        self.assertFalse(self.plan.takes(100 + long))
 
     def test_bounds_of_lists(self) -> None:
         """A list is kept no longer than the platform allows, nor for ever."""
-        self.assertEqual(0.2, departure.list_seconds(60, 0.2))
-        self.assertLess(departure.list_seconds(60, MOST), 2)
+        self.assertEqual(0.2, departure.lists(60, 0.2).seconds)
+        self.assertLess(departure.lists(60, MOST).seconds, 2)
+        self.assertGreater(departure.lists(0, MOST).seconds, 0)
+
+    def test_long_grace(self) -> None:
+        """Five minutes of grace are no reason to be named for minutes."""
+        taking = departure.taking_seconds(300, (LONGEST,))
+        lists = departure.lists(taking, MOST)
+        self.assertLess(lists.named_seconds, 5)
 
     def test_no_grace(self) -> None:
         """A grace of nothing ends at once, and cuts whatever is there."""
-        plan = departure.plan(100, 0, self.kept)
+        plan = departure.plan(100, 0, self.lists, NEVER)
         self.assertTrue(plan.may_end(100, 1))
         self.assertFalse(plan.takes(100.5))
 
--- a/tests/direct/test_leaving.py
+++ b/tests/direct/test_leaving.py
@@ -4,12 +4,21 @@
 
 import asyncio
 import signal
+import socket
+import time
 import typing
 
 import msgspec
 import testtools
 
-from clementinepass.direct import leaving, members
+from clementinepass.direct import (
+    beliefs,
+    departure,
+    leaving,
+    members,
+    routing,
+)
+from clementinepass.http import limits
 from tests.direct import path_world
 
 #: A node whose entry has two seconds from SIGTERM to SIGKILL; routes of these
@@ -30,17 +39,23 @@
 
     def __init__(self) -> None:
         self.phase = members.Phase.READY
+        #: The phases that were told.
+        self.told: list[members.Phase] = []
 
     def speak(self) -> None:
-        """Tell nobody."""
+        """Note what would be told."""
+        self.told.append(self.phase)
 
 
-async def told_to_end(world: path_world.PathWorld) -> asyncio.Task[None]:
+async def told_to_end(
+    world: path_world.PathWorld,
+    peers: Quiet | None = None,
+) -> asyncio.Task[None]:
     """Send SIGTERM; return what ends the entry."""
     leave = leaving.Leaving(
         world.front,
         world.path,
-        typing.cast('typing.Any', Quiet()),
+        typing.cast('typing.Any', peers or Quiet()),
         world.departure,
     )
 
@@ -135,3 +150,161 @@
             self.assertLess(now, plan.last)
 
         path_world.run(play, own=PATIENT)
+
+    def test_held_up_at_the_end(self) -> None:
+        """The process is held up when the time of all that it has is over.
+
+        It cut its callers off, as the end came before the answers that were
+        due just before it.
+        """
+
+        async def play(world: path_world.PathWorld) -> None:
+            for one in world.endpoints:
+                one.going.clear()
+            asked = asyncio.create_task(world.ask('/plain/a'))
+            while not world.came:
+                await asyncio.sleep(0)
+            ended = await told_to_end(world)
+            plan = world.departure.plan
+            assert plan is not None
+            loop = asyncio.get_running_loop()
+            loop.call_at(plan.last - 0.05, time.sleep, 0.6)
+            self.assertEqual(504, (await asked).status)
+            await ended
+
+        path_world.run(play, own=HURRIED)
+
+    def test_pipelined_behind_a_slow_one(self) -> None:
+        """Two requests came on one connection before SIGTERM.
+
+        The first answer told the caller to use the connection no more, and the
+        connection ended with the second request read and never answered: each
+        answer of an entry that leaves was taken for the last, whatever waited
+        behind it.
+        """
+
+        async def play(world: path_world.PathWorld) -> None:
+            for one in world.endpoints:
+                one.going.clear()
+            reader, writer = await asyncio.open_connection(
+                path_world.HOST,
+                world.port,
+            )
+            writer.write(
+                path_world.request('/plain/brief/a')
+                + path_world.request('/plain/brief/b', X_Attempt_Id='r-2'),
+            )
+            while not world.came:
+                await asyncio.sleep(0)
+            ended = await told_to_end(world)
+            for one in world.endpoints:
+                one.going.set()
+            answers = await reader.read()
+            writer.close()
+            self.assertEqual(2, answers.count(b'HTTP/1.1 '))
+            self.assertEqual(1, answers.count(b'Connection: close'))
+            await ended
+
+        path_world.run(play, own=HURRIED)
+
+
+class TellingTest(testtools.TestCase):
+    """What others and callers are told by an entry that leaves."""
+
+    def test_others_and_callers(self) -> None:
+        """Others hear of it at once, and each answer ends its connection."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            peers = Quiet()
+            ended = await told_to_end(world, peers)
+            self.assertEqual([members.Phase.LEAVING], peers.told)
+            fetched = await world.ask('/plain/brief/a')
+            self.assertEqual(b'close', fetched.headers.get(b'connection'))
+            await ended
+            self.assertRaises(
+                OSError,
+                socket.create_connection,
+                (path_world.HOST, world.port),
+                1,
+            )
+
+        path_world.run(play, own=HURRIED)
+
+    def test_when_to_come_back(self) -> None:
+        """At once where another is ready; later where none is."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            ended = await told_to_end(world)
+            alone = await world.ask('/stream/a')
+            world.others_ready = 1
+            beside = await world.ask('/stream/a')
+            waits = [
+                float(one.headers.get(b'retry-after') or b'-1')
+                for one in (beside, alone)
+            ]
+            self.assertEqual(sorted(waits), waits)
+            self.assertLess(waits[0], waits[1])
+            self.assertEqual((0, 2), self.counts(world))
+            await ended
+
+        path_world.run(play, own=HURRIED)
+
+    def counts(self, world: path_world.PathWorld) -> tuple[int, int]:
+        """Return the requests taken and refused since SIGTERM."""
+        return world.departure.taken, world.departure.refused
+
+    def test_answered_before_it(self) -> None:
+        """A request that was answered before SIGTERM ends nothing again."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            self.assertEqual(200, (await world.ask('/plain/a')).status)
+            await (await told_to_end(world))
+
+        path_world.run(play, own=HURRIED)
+
+
+class ListsTest(testtools.TestCase):
+    """For how long callers keep a list, and what that means for the end."""
+
+    def setUp(self) -> None:
+        """Know nothing yet."""
+        super().setUp()
+        self.known = beliefs.Beliefs(path_world.NODE)
+        self.state = departure.Departure(path_world.NODE, self.known)
+
+    def configure(self, version: int, timeout: float) -> None:
+        """Put a configuration with one route in force."""
+        self.known.configured(
+            routing.Routing(
+                version,
+                [path_world.route('s', timeout=timeout)],
+                [],
+                {},
+                limits.Bounds(),
+            ),
+        )
+
+    def test_by_the_routes(self) -> None:
+        """Long requests make short lists."""
+        self.configure(1, 6)
+        short = self.state.told(0)
+        self.configure(2, 1)
+        self.assertLess(short, self.state.told(0))
+
+    def test_lists_told_before(self) -> None:
+        """An entry told callers long lists, and ended early.
+
+        By its newest routes lists are short, and by these alone it reckoned
+        when nobody names it any more.
+        """
+        self.configure(1, 1)
+        told = self.state.told(100)
+        self.configure(2, 6)
+        plan = self.state.begin(100)
+        self.assertGreaterEqual(plan.lists_end, 100 + 3 * told)
+
+    def test_before_the_first_configuration(self) -> None:
+        """Any request may be long while no route is known."""
+        unknown = self.state.told(0)
+        self.configure(1, 6)
+        self.assertLessEqual(unknown, self.state.told(0))
--- a/tests/direct/test_machines.py
+++ b/tests/direct/test_machines.py
@@ -128,7 +128,7 @@
                 for step in range(1000)
                 if first.callers in second.offered(plan.begun + step * 0.01)
             ]
-            kept = max(offered) + _LONGEST_KEPT * second.list_seconds
+            kept = max(offered) + _LONGEST_KEPT * second.told(plan.begun)
             self.assertGreaterEqual(plan.lists_end, min(kept, plan.last))
 
         run(play, config=config)
--- a/tests/direct/test_members.py
+++ b/tests/direct/test_members.py
@@ -75,9 +75,11 @@
         that is back no longer leaves.
         """
         phase = members.Phase.LEAVING
-        self.members.heard([member('10.0.0.2', 1, phase=phase)], 0)
-        self.members.heard([member('10.0.0.3', 1, phase=phase)], 2)
-        self.members.heard([member('10.0.0.2', 2, phase=phase)], 2)
+        self.members.heard([member('10.0.0.2'), member('10.0.0.3')], 0)
+        self.members.heard([member('10.0.0.2', 2, phase=phase)], 0)
+        self.members.heard([member('10.0.0.3', 2, phase=phase)], 2)
+        self.members.heard([member('10.0.0.2', 3, phase=phase)], 2)
+        self.members.heard([member('10.0.0.4', 9, phase=phase)], 2)
         lately = [one.ip for one in self.members.leaving_lately(2.5, 1)]
         self.assertEqual(['10.0.0.3'], lately)
         self.members.heard([member('10.0.0.3', 1, boot=2)], 2.6)
--- a/tests/platform/test_machines.py
+++ b/tests/platform/test_machines.py
@@ -509,12 +509,15 @@
         """An entry that offers itself."""
 
         ready = False
-        list_seconds = 1.5
 
         def offered(self, now: float) -> list[str]:
             """Return one address."""
             return ['10.0.0.1:80']
 
+        def told(self, now: float) -> float:
+            """Return how long to keep it."""
+            return 1.5
+
     def test_answers(self) -> None:
         """Each question has its answer, anything else none."""
         offers = self.Offers()
