Say which entries were killed where no line is of a request

A request that was in progress when its entry was killed has no line, since nothing is written of most requests before they end. explain now names the entries that began anew without having stopped, and when.

--- a/clementinepass/cli/explain_command.py
+++ b/clementinepass/cli/explain_command.py
@@ -39,6 +39,12 @@
             'those that go well one in sixteen is written of '
             f'(lines that could not be read: {collected.unread})\n',
         )
+        for line in collected.killed():
+            sys.stderr.write(
+                f'may be missing: {line.process} began anew at '
+                f'{line.fields.get("time")} without having stopped; what was '
+                'in progress there has no line\n',
+            )
         sys.exit(exits.REJECTED)
     if json:
         output.print_json(story)
--- a/clementinepass/observability/stories.py
+++ b/clementinepass/observability/stories.py
@@ -144,6 +144,24 @@
             tuple(self._gaps(own, processes)),
         )
 
+    def killed(self) -> list[lines.Line]:
+        """Return the first lines of entries that had not stopped before.
+
+        Requests that were in progress when they were killed or crashed may
+        have no line.
+        """
+        ready: set[str] = set()
+        found = []
+        for one in self._lines:
+            if one.message == 'entry ready':
+                ready.add(one.process)
+            elif one.message == 'stopped':
+                ready.discard(one.process)
+            elif one.process in ready and verdicts.begins(one):
+                ready.discard(one.process)
+                found.append(one)
+        return sorted(found, key=_at)
+
     def _around(self, own: list[lines.Line]) -> verdicts.Around:
         """Return what was written besides, as far as it may bear on it."""
         last = own[-1]
--- a/clementinepass/observability/verdicts.py
+++ b/clementinepass/observability/verdicts.py
@@ -18,7 +18,7 @@
 #: request was read here: the time of a request's way, slow links included.
 _AHEAD_SECONDS = 0.25
 #: Seconds for which an engine that was ordered to load new weights may cut
-#: what it still runs.
+#: what it still runs. Both times are of their own machine's clock.
 _LOAD_SECONDS = 3.0
 
 Cause = causes.Cause
@@ -57,8 +57,9 @@
 _ATTEMPT_ENDED = frozenset(('attempt failed', 'failed by the endpoint'))
 #: Faults with which an engine that takes up weights cuts what it runs.
 _CUT_FAULTS = frozenset(('lost', 'ended', 'spoilt'))
-#: What became of an attempt that did not run; the first that one of them met
-#: is the cause.
+#: What became of attempts that did not run. The first of these that one of a
+#: request's attempts met is the cause: an endpoint's own word goes before what
+#: was concluded here.
 _CAUSE_BY_NOT_RUN = {
     'turned_away': Cause.TURNED_AWAY,
     'misdirected': Cause.MISDIRECTED,
@@ -183,12 +184,12 @@
     for line in around.after:
         if line.message == 'stopped':
             return _not_known('the entry stopped without a word on it')
-        if _begins(line):
+        if begins(line):
             return _verdict(Cause.PROCESS_GONE, line)
     return _not_known('no line says how it ended')
 
 
-def _begins(line: lines.Line) -> bool:
+def begins(line: lines.Line) -> bool:
     """Tell whether a line is written by an entry that has just begun.
 
     Its first may have been lost together with the last of the one before.
--- a/tests/cli/test_explain_command.py
+++ b/tests/cli/test_explain_command.py
@@ -63,6 +63,27 @@
         code, _, err = self.explain('other', str(self.log))
         self.assertEqual(exits.REJECTED, code)
         self.assertIn('no line of 1 files', err)
+        self.assertNotIn('began anew', err)
+
+    def test_unknown_and_killed(self) -> None:
+        """An entry was killed with the request in progress.
+
+        Nothing is written of most requests before they end, so that its id is
+        in no log; where it may have been is said.
+        """
+        lines = [
+            test_stories.line(1, 'entry started', node='entry-1'),
+            test_stories.line(2, 'configuration in force', version=3, before=0),
+            test_stories.line(3, 'entry ready', node='entry-1'),
+            test_stories.line(8, 'entry started', node='entry-1'),
+            test_stories.line(9, 'configuration in force', version=3, before=0),
+        ]
+        self.log.write_bytes(b'\n'.join(lines))
+        _, _, err = self.explain('other', str(self.log))
+        self.assertEqual(1, err.count('entry-1 began anew at'))
+        stopped = test_stories.line(4, 'stopped', node='entry-1')
+        self.log.write_bytes(b'\n'.join((*lines[:3], stopped, *lines[3:])))
+        self.assertNotIn('began anew', self.explain('other', str(self.log))[2])
 
     def test_no_such_file(self) -> None:
         """A file that isn't there, and no file at all."""
