Test that settings signals in series cut no answer

The test of a process sent SIGHUP without a request under way, where nothing can be cut. Now nine signals, with other settings and with unreadable ones, come while requests wait at their endpoint; all are answered by the same process.

--- a/tests/test_machines_daemon.py
+++ b/tests/test_machines_daemon.py
@@ -15,10 +15,12 @@
 
 from clementinepass.direct import exposition
 from clementinepass.http import messages, pool
-from standins import keyed_store, machines
+from standins import direct_endpoint, keyed_store, machines
 
 IP = '127.3.0.1'
 ROOT = pathlib.Path(__file__).parent.parent
+#: Signals that come in series, a request under way at each.
+_SIGNALS = 9
 
 
 class Daemon:
@@ -152,6 +154,76 @@
                 daemon.signal(signal.SIGHUP)
                 return 'settings read'
 
+    def test_signals_under_requests(self) -> None:
+        """A caller's answer was cut when the settings were read anew.
+
+        Signals come in series, with other settings and with none that can be
+        read, while requests are under way on kept connections and new ones
+        come. All are answered, by the same process.
+        """
+
+        async def play() -> None:
+            async with keyed_store.KeyedStore() as store:
+                desk = direct_endpoint.DirectEndpoint('i-desk')
+                async with desk:
+                    store.put('keyed.op', 'config', machines.CONFIG)
+                    listing = {
+                        'service': 'desk',
+                        'address': desk.address,
+                        'zone': 'a',
+                        'slots': 16,
+                    }
+                    store.put('keyed.servers', 'i-desk', listing)
+                    daemon = Daemon(store.address)
+                    try:
+                        await self._signalled(daemon, desk)
+                    finally:
+                        await daemon.end()
+
+        async def bounded() -> None:
+            async with asyncio.timeout(60):
+                await play()
+
+        asyncio.run(bounded())
+
+    async def _signalled(
+        self,
+        daemon: Daemon,
+        desk: direct_endpoint.DirectEndpoint,
+    ) -> None:
+        await daemon.start()
+        await daemon.line('entry ready')
+        request = messages.request_bytes(
+            b'GET',
+            b'/plain/a',
+            [(b'Host', b'h'), (b'X-Attempt-Id', b'r')],
+            b'',
+        )
+        callers = pool.Pool(IP, daemon.ports[0])
+        async with asyncio.TaskGroup() as tasks:
+            asked = []
+            for number in range(_SIGNALS):
+                desk.going.clear()
+                one = pool.fetch(callers, request, 10)
+                asked.append(tasks.create_task(one))
+                while len(desk.ran) <= number:
+                    await asyncio.sleep(0.01)
+                grace = {'graceS': 0.5 + number / 10}
+                changed = {**daemon.settings, 'bounds': grace}
+                is_bad = number % 3 == 2
+                text = '{' if is_bad else json.dumps(changed)
+                daemon.path.write_text(text)
+                daemon.signal(signal.SIGHUP)
+                await asyncio.sleep(0.05)
+                if number % 2:
+                    desk.going.set()
+            desk.going.set()
+        statuses = {task.result().status for task in asked}
+        self.assertEqual({200}, statuses)
+        self.assertEqual(_SIGNALS, len(desk.ran))
+        assert daemon.process is not None
+        self.assertIsNone(daemon.process.returncode)
+
     def test_bad_settings(self) -> None:
         """Settings that can't be read end it with one line that says why."""
 
