--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -262,6 +262,18 @@
 
         path_world.run(play)
 
+    def test_route_added_later(self) -> None:
+        """Callers of a new route were refused, as if there were none."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            self.assertEqual(404, (await world.ask('/new/a')).status)
+            routes = [*path_world.ROUTES, path_world.route('new')]
+            world.configure(2, routes)
+            for _ in range(5):
+                self.assertEqual(200, (await world.ask('/new/a')).status)
+
+        path_world.run(play)
+
     def test_changes_before_a_repeat(self) -> None:
         """A resumed stream goes on, too, though its route is gone."""
 
