--- a/tests/observability/test_causes_mixed.py
+++ b/tests/observability/test_causes_mixed.py
@@ -131,7 +131,7 @@
         if self.whole and self.status == 401:
             known = self.key == 'second'
             return Cause.KEY_WITHDRAWN if known else Cause.UNKNOWN_KEY
-        if self.seconds * 1000 >= self.deadline_ms:
+        if not self.whole and self.seconds * 1000 >= self.deadline_ms:
             return Cause.DEADLINE
         ran = [one for one in met if one in CAUSE_BY_FAULT]
         return CAUSE_BY_FAULT[ran[-1]]
