--- a/tests/direct/test_machines.py
+++ b/tests/direct/test_machines.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import signal
 import typing
 
 import msgspec
@@ -14,9 +15,16 @@
 from standins import machines, weights_origin
 
 
+#: Seconds in which a word of an agent that ends is heard.
+_HEARD_SECONDS = 2
+#: Some callers keep a list for so many times as long as they are told.
+_LONGEST_KEPT = 3
+
+
 def run(
     play: typing.Callable[[machines.Machines], typing.Awaitable[None]],
     versions: tuple[int, ...] = (),
+    config: dict[str, typing.Any] | None = None,
 ) -> None:
     """Play with machines whose engines hold some versions."""
 
@@ -29,7 +37,8 @@
             )
             for version in versions
         ]
-        async with asyncio.timeout(60), machines.Machines(engines) as world:
+        there = machines.Machines(engines, config=config)
+        async with asyncio.timeout(60), there as world:
             await machines.until(
                 lambda: all(one.ready for one in world.entries)
             )
@@ -38,6 +47,21 @@
     asyncio.run(played())
 
 
+async def _all_known(world: machines.Machines) -> list[entry.Entry]:
+    """Return the entries once each offers all."""
+    loop = asyncio.get_running_loop()
+    for one in world.entries:
+        await machines.until(lambda one=one: len(one.offered(loop.time())) == 2)
+    return world.entries
+
+
+def _leave(world: machines.Machines) -> None:
+    """Have all entries say that they leave."""
+    for one in world.entries:
+        one.peers.phase = members.Phase.LEAVING
+        one.peers.speak()
+
+
 class EntriesTest(testtools.TestCase):
     """Entries find one another, serve, and follow the store."""
 
@@ -73,13 +97,67 @@
             for one in world.entries:
                 one.peers.phase = members.Phase.LEAVING
                 one.peers.speak()
+            # Until the other's word has come it is named since it looks ready.
             await machines.until(
-                lambda: first.offered(loop.time()) == [second.callers]
+                lambda: not first.peers.members.ready(loop.time())
             )
             self.assertEqual([second.callers], first.offered(loop.time()))
 
         run(play)
 
+    def test_stays_while_it_is_offered(self) -> None:
+        """All entries leave, and one that was idle ended while callers came.
+
+        It reckoned that nobody names it half a second after SIGTERM. The
+        others named it for as long as it takes any request, and callers kept
+        those lists: they found nobody there.
+        """
+        route = {**machines.CONFIG['routes'][0], 'timeoutMs': 6000}
+        config = {**machines.CONFIG, 'routes': [route]}
+
+        async def play(world: machines.Machines) -> None:
+            first, second = await _all_known(world)
+            loop = asyncio.get_running_loop()
+            plan = first._departure.begin(loop.time())
+            _leave(world)
+            await machines.until(
+                lambda: not second.peers.members.ready(loop.time())
+            )
+            offered = [
+                plan.begun + step * 0.01
+                for step in range(1000)
+                if first.callers in second.offered(plan.begun + step * 0.01)
+            ]
+            kept = max(offered) + _LONGEST_KEPT * second.told(plan.begun)
+            self.assertGreaterEqual(plan.lists_end, min(kept, plan.last))
+
+        run(play, config=config)
+
+    def test_offered_beside_a_long_route(self) -> None:
+        """All entries leave, and one route allows more than the grace.
+
+        Each entry named itself alone, as no time was left in which any request
+        is taken, though another, told later, still took those of other routes.
+        """
+        long = {'name': 'long', 'pathPrefix': '/long/', 'timeoutMs': 30000}
+        plain = machines.CONFIG['routes'][0]
+        config = {**machines.CONFIG, 'routes': [plain, {**plain, **long}]}
+
+        async def play(world: machines.Machines) -> None:
+            first, second = await _all_known(world)
+            loop = asyncio.get_running_loop()
+            now = loop.time()
+            first._departure.begin(now - 60)
+            second._departure.begin(now)
+            _leave(world)
+            await machines.until(
+                lambda: not first.peers.members.ready(loop.time())
+            )
+            self.assertEqual(200, await world.ask(1))
+            self.assertEqual([second.callers], first.offered(loop.time()))
+
+        run(play, config=config)
+
     def test_change_in_force(self) -> None:
         """A route that is taken away is unknown, one that is added serves."""
 
@@ -272,6 +350,74 @@
         run(play, (1, 1, 1))
 
 
+class AgentEndsTest(testtools.TestCase):
+    """An agent was stopped when it had said that its engine loads.
+
+    It says so before it lets the engine finish what runs, and orders after
+    that. Told to end in between it ordered nothing and said nothing, and
+    entries sent the engine no request until its agent was back.
+    """
+
+    def test_word_of_loading(self) -> None:
+        """An engine that got no order is not taken to load."""
+
+        async def played() -> None:
+            told_by_task = _signals(asyncio.get_running_loop())
+            engines = [
+                _Working(machines.LAYERS, machines.CHUNKS, 1) for _ in range(2)
+            ]
+            there = machines.Machines(engines)
+            async with asyncio.timeout(30), there as world:
+                await machines.until(
+                    lambda: all(one.ready for one in world.entries)
+                )
+                world.store.put(
+                    'keyed.op',
+                    'version/m',
+                    {'model': 'm', 'version': 2},
+                )
+                known = world.entries[0].beliefs.endpoints
+                await machines.until(lambda: any(one.loading for one in known))
+                (loading,) = (one for one in known if one.loading)
+                number = int(loading.listing.id.removeprefix('i-'))
+                agent = world._tasks[len(world.entries) + number]
+                told_by_task[agent]()
+                await agent
+                self.assertEqual([], world.engines[number].orders)
+                async with asyncio.timeout(_HEARD_SECONDS):
+                    await machines.until(lambda: not loading.loading)
+
+        asyncio.run(played())
+
+
+class _Working(weights_origin.LoadingEngine):
+    """An engine that always runs something."""
+
+    def _report(self) -> dict[str, typing.Any]:
+        return {**super()._report(), 'active': 1}
+
+
+def _signals(
+    loop: asyncio.AbstractEventLoop,
+) -> dict[asyncio.Task[typing.Any] | None, typing.Callable[[], object]]:
+    """Return what each process does at SIGTERM, by its task.
+
+    All processes of the test are one to the system, which keeps only the last
+    handler of a signal.
+    """
+    told_by_task: dict[
+        asyncio.Task[typing.Any] | None,
+        typing.Callable[[], object],
+    ] = {}
+
+    def handle(number: int, act: typing.Callable[[], object]) -> None:
+        if number == signal.SIGTERM:
+            told_by_task[asyncio.current_task()] = act
+
+    vars(loop)['add_signal_handler'] = handle
+    return told_by_task
+
+
 def _version(one: entry.Entry) -> int:
     current = one.beliefs.routing
     return 0 if current is None else current.version
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -7,7 +7,7 @@
 import testtools
 
 from clementinepass.direct import endpoints, routing
-from clementinepass.http import channel
+from clementinepass.http import channel, pool
 from standins import direct_endpoint
 from tests.direct import path_world
 
@@ -235,6 +235,64 @@
         path_world.run(play)
 
 
+class ConfigurationTest(testtools.TestCase):
+    """A request keeps what was in force when it came."""
+
+    def test_changes_under_a_stream(self) -> None:
+        """A stream was cut off when its route was dropped.
+
+        Its route and its key went with new configurations while it was under
+        way; it was allowed when it came, so it ends whole.
+        """
+
+        async def play(world: path_world.PathWorld) -> None:
+            for one in world.endpoints:
+                one.going.clear()
+            asked = asyncio.create_task(world.ask('/stream/a'))
+            while not world.ran:
+                await asyncio.sleep(0)
+            world.configure(2, path_world.ROUTES[2:])
+            world.configure(3, ())
+            for one in world.endpoints:
+                one.going.set()
+            fetched = await asked
+            self.assertEqual(200, fetched.status)
+            self.assertEqual(3, fetched.body.count(b'data:'))
+            self.assertEqual(404, (await world.ask('/stream/a')).status)
+
+        path_world.run(play)
+
+    def test_route_added_later(self) -> None:
+        """Callers of a new route were refused, as if there were none."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            self.assertEqual(404, (await world.ask('/new/a')).status)
+            routes = [*path_world.ROUTES, path_world.route('new')]
+            world.configure(2, routes)
+            for _ in range(5):
+                self.assertEqual(200, (await world.ask('/new/a')).status)
+
+        path_world.run(play)
+
+    def test_changes_before_a_repeat(self) -> None:
+        """A resumed stream goes on, too, though its route is gone."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            world.fail_first(Fault.CUT)
+            for one in world.endpoints:
+                one.going.clear()
+            asked = asyncio.create_task(world.ask('/stream/a'))
+            while not world.ran:
+                await asyncio.sleep(0)
+            world.configure(2, ())
+            for one in world.endpoints:
+                one.going.set()
+            self.assertEqual(3, (await asked).body.count(b'data:'))
+            self.assertEqual(2, len(world.ran))
+
+        path_world.run(play)
+
+
 class TimeTest(testtools.TestCase):
     """Deadlines, and callers that leave."""
 
@@ -271,6 +329,65 @@
         path_world.run(play)
 
 
+class RepeatedDeadlineTest(testtools.TestCase):
+    """A repeat is told what is left, not what there was."""
+
+    def test_time_is_used_up(self) -> None:
+        """An endpoint worked on for a caller that had given up.
+
+        The first one said nothing for half of the second that the caller
+        waits for, and the second one was told the same time once more.
+        """
+
+        async def play(world: path_world.PathWorld) -> None:
+            world.fail_first(Fault.MUTE)
+            await world.ask('/plain/a', X_Deadline_Ms='1000')
+            first, second = sorted(
+                int(request.headers.get(b'x-deadline-ms') or 0)
+                for request in world.ran
+            )[::-1]
+            self.assertLessEqual(first, 1000)
+            self.assertLessEqual(second, 500)
+            self.assertGreater(second, 300)
+
+        path_world.run(play)
+
+
+class LeavingEndpointTest(testtools.TestCase):
+    """An endpoint that leaves gets nothing more."""
+
+    def test_leaves_while_a_connection_is_made(self) -> None:
+        """A request reached an endpoint after it had said that it leaves.
+
+        It was chosen before that, and the connection took half a second,
+        since its first packet was lost.
+        """
+
+        async def play(world: path_world.PathWorld) -> None:
+            first = world.endpoints[0]
+            second = world.endpoints[1]
+            world.listed(second, draining=True)
+            connected = asyncio.Event()
+            take = pool.Pool.take
+
+            async def slow(peers: pool.Pool, **limits: float) -> object:
+                used = await take(peers, **limits)
+                if limits:  # The caller's own connections have none.
+                    await connected.wait()
+                return used
+
+            self.patch(pool.Pool, 'take', slow)
+            asked = asyncio.create_task(world.ask('/once/a'))
+            while not world.beliefs.in_flight_by_endpoint():
+                await asyncio.sleep(0)
+            world.listed(first, draining=True)
+            connected.set()
+            self.assertEqual(503, (await asked).status)
+            self.assertEqual([], world.came)
+
+        path_world.run(play)
+
+
 class LoadingTest(testtools.TestCase):
     """All engines take up a version at once.
 
@@ -356,3 +473,54 @@
                 await asyncio.sleep(0)
 
         path_world.run(play)
+
+    def test_resumed_is_given_up_before_the_bound(self) -> None:
+        """A stream that was sent on began on old weights after their bound.
+
+        Its first engine crashed shortly before the bound. The second one had
+        old weights, too, and a queue; it began there after the bound, since
+        the time to begin only held for what the caller had no event of yet.
+        """
+
+        async def play(world: path_world.PathWorld) -> None:
+            loop = asyncio.get_running_loop()
+            now = loop.time()
+            world.fail_first(Fault.CUT, Fault.MUTE)
+            world.beliefs.named('m', 2, now - path_world.DUTIES.version + 0.9)
+            with self.assertRaises(channel.ChannelBrokenError):
+                await world.ask('/stream/a')
+            self.assertEqual(2, len(world.ran))
+            self.assertLess(loop.time() - now, 0.9)
+
+        path_world.run(play)
+
+    def test_wait_before_the_bound(self) -> None:
+        """Requests were sent to a queue in which the bound passed.
+
+        They were sent to engines with old weights before the bound, where 25
+        others waited, and were given up there, or began after it.
+        """
+
+        async def play(world: path_world.PathWorld) -> None:
+            now = asyncio.get_running_loop().time()
+            world.beliefs.named('m', 2, now - path_world.DUTIES.version + 0.9)
+            world.beliefs.heard_loads('entry-2', {'i-0': 40, 'i-1': 40}, now)
+            fetched = await world.ask('/stream/a')
+            self.assertEqual(503, fetched.status)
+            self.assertEqual([], world.came)
+
+        path_world.run(play)
+
+    def test_wait_of_a_repeat_before_the_bound(self) -> None:
+        """What a crashed engine ran was sent on to such a queue."""
+
+        async def play(world: path_world.PathWorld) -> None:
+            now = asyncio.get_running_loop().time()
+            world.fail_first(Fault.CUT)
+            world.beliefs.named('m', 2, now - path_world.DUTIES.version + 0.9)
+            world.beliefs.heard_loads('entry-2', {'i-1': 40}, now)
+            with self.assertRaises(channel.ChannelBrokenError):
+                await world.ask('/stream/a')
+            self.assertEqual([], world.endpoints[1].came)
+
+        path_world.run(play)
