--- a/tests/observability/test_causes.py
+++ b/tests/observability/test_causes.py
@@ -456,6 +456,30 @@
         self.assertEqual(Cause.NOT_KNOWN, self.cause(SENT, dropped, started))
         self.assertEqual(Cause.NOT_KNOWN, self.cause(SENT))
 
+    def test_each_reason(self) -> None:
+        """No reason or outcome that an entry writes is unknown to explain."""
+        for ending in serving.Ending:
+            if ending in {serving.Ending.BROKEN, serving.Ending.OWN_FAULT}:
+                continue
+            ended = line(
+                3,
+                'ended without an answer',
+                request='r',
+                reason=ending.value,
+                outcomes=['failed', 'turned_away'],
+                last_in=0,
+            )
+            self.assertNotEqual(Cause.NOT_KNOWN, self.cause(ended), ending)
+        for outcome in serving.Outcome:
+            ended = line(
+                3,
+                'ended without an answer',
+                request='r',
+                reason='broken',
+                outcomes=['spoilt', outcome.value],
+            )
+            self.assertNotEqual(Cause.NOT_KNOWN, self.cause(ended), outcome)
+
     def test_lines_of_an_earlier_version(self) -> None:
         """A line that blames the caller without evidence proves nothing."""
         left = line(3, 'caller left', request='r', attempts=1, seconds=1.0)
