--- a/clementinepass/decisions/ejection.py
+++ b/clementinepass/decisions/ejection.py
@@ -202,6 +202,11 @@
         }
         self._publish()
 
+    def forget(self, endpoint_id: str) -> None:
+        """Drop what is known of an endpoint, which has started anew."""
+        self._records_by_id.pop(endpoint_id, None)
+        self._publish()
+
     def observe(
         self,
         endpoint_id: str,
