Drop all that was known of an endpoint when it starts again under its id

Cause: each start was taken to have an id of its own. So an endpoint that had left, or for which another had answered, was never used again after its return; one that came back empty was believed to hold what it had held; requests went to connections and addresses of its earlier start; failures, loads and words of agents of that start counted against the new one; and an id that came back at another service made tidying fail for good. Ruled out: telling loads by start in beats. It costs 7 bytes an endpoint and beat between regions, and peers' counts are renewed within 0.4 s. Change: a newer start is another object; connections, failures, loads told by peers and agents' words go by it. Agents tell the start of their engine. An order is left when the engine has restarted since it was looked at.

--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -210,7 +210,7 @@
             for topic, own in self._followers.items():
                 own.take(await store.newest(topic))
             page = await store.newest(records.Topic.ENTRIES)
-            self.peers.met(record.key for record in page.records)
+            self.peers.met(page.ips)
         except errors.ClementinepassError as error:
             logger.info('store not read: {}', error)
 
@@ -315,11 +315,21 @@
         before = self._report
         self._report = report
         self._aims.held = report.weights
-        if before is not None and before.weights == report.weights:
+        if before is not None and _same_holding(before, report):
             return
-        self._telling.holds(report.weights)
+        self._telling.holds(report.weights, report.started)
         logger.bind(
             version=report.weights.version,
             layers=report.weights.end - report.weights.first,
             busy=report.busy,
         ).info('engine holds weights')
+
+
+def _same_holding(
+    before: weights.EngineReport,
+    report: weights.EngineReport,
+) -> bool:
+    """Tell whether the same start of the engine holds the same weights."""
+    if before.started != report.started:
+        return False
+    return before.weights == report.weights
--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -40,13 +40,20 @@
 _MOST_URGENCY = 9
 
 
+class _Kept(typing.NamedTuple):
+    """Connections to one start of an endpoint."""
+
+    endpoint: endpoints.Endpoint
+    connections: pool.Pool
+
+
 class Sender:
     """Send requests to endpoints, on connections that are kept.
 
     :param dialect: how endpoints spell requests and answers.
     """
 
-    __slots__ = ('_beliefs', '_dialect', '_log', '_pools_by_id')
+    __slots__ = ('_beliefs', '_dialect', '_kept_by_id', '_log')
 
     def __init__(
         self,
@@ -57,7 +64,7 @@
         self._beliefs = known
         self._dialect = dialect
         self._log = log
-        self._pools_by_id: dict[str, pool.Pool] = {}
+        self._kept_by_id: dict[str, _Kept] = {}
 
     async def send(
         self,
@@ -79,9 +86,9 @@
 
     def forget(self, endpoint_id: str) -> None:
         """Close the connections to an endpoint that is gone."""
-        kept = self._pools_by_id.pop(endpoint_id, None)
+        kept = self._kept_by_id.pop(endpoint_id, None)
         if kept is not None:
-            kept.close()
+            kept.connections.close()
 
     async def _exchange(
         self,
@@ -100,7 +107,7 @@
         except channel.ChannelBrokenError as error:
             attempt.refused()
             now = asyncio.get_running_loop().time()
-            self._beliefs.ejector.failed(endpoint.listing.id, now)
+            self._beliefs.failed(endpoint, now)
             self._log.attempt_failed(admitted, endpoint, error)
             return serving.Tried.NOT_RUN
         try:
@@ -117,6 +124,9 @@
             raise
         finally:
             peers.give_back(used)
+            if not self._is_kept(endpoint):
+                # It has started anew meanwhile: no more requests here.
+                peers.close()
 
     async def _talk(
         self,
@@ -292,13 +302,23 @@
         admitted: serving.Serving,
         endpoint: endpoints.Endpoint,
     ) -> pool.Pool:
+        """Return the connections to one start of an endpoint.
+
+        Failure: a request that must not run twice went out on a connection to
+        the process before, which was gone, and so it may have run for all
+        that this entry could tell.
+        """
         listing = endpoint.listing
-        peers = self._pools_by_id.get(listing.id)
-        if peers is None:
+        if not self._is_kept(endpoint):
+            self.forget(listing.id)
             most = admitted.service.most_connections
             peers = pool.Pool.from_address(listing.address, most)
-            self._pools_by_id[listing.id] = peers
-        return peers
+            self._kept_by_id[listing.id] = _Kept(endpoint, peers)
+        return self._kept_by_id[listing.id].connections
+
+    def _is_kept(self, endpoint: endpoints.Endpoint) -> bool:
+        kept = self._kept_by_id.get(endpoint.listing.id)
+        return kept is not None and kept.endpoint is endpoint
 
     def _note(
         self,
@@ -308,14 +328,13 @@
     ) -> None:
         """Tell the ejector how the endpoint did."""
         now = asyncio.get_running_loop().time()
-        ejector = self._beliefs.ejector
         if tried is serving.Tried.ANSWERED:
             first = admitted.first_event_at or now
             seconds = first - admitted.call.request.received
-            ejector.observe(endpoint.listing.id, seconds, now)
+            self._beliefs.ejector.observe(endpoint.listing.id, seconds, now)
         elif tried is not serving.Tried.NOT_RUN and not endpoint.loading:
             # An engine that takes up new weights cuts what still runs.
-            ejector.failed(endpoint.listing.id, now)
+            self._beliefs.failed(endpoint, now)
 
 
 def _urgency(admitted: serving.Serving) -> int:
--- a/clementinepass/direct/beats.py
+++ b/clementinepass/direct/beats.py
@@ -4,6 +4,8 @@
 
 import typing
 
+from clementinepass.decisions import incarnations
+
 if typing.TYPE_CHECKING:
     from clementinepass.direct import members
 
@@ -25,6 +27,7 @@
     """The layers of one version that the engine at an address holds.
 
     :param strained: whether its machine's link is slow at present.
+    :param started: when the engine started, as its listing says it.
     """
 
     address: str
@@ -32,6 +35,7 @@
     first: int
     end: int
     strained: bool = False
+    started: int = incarnations.UNTOLD
 
 
 class Beat:
--- a/clementinepass/direct/beliefs.py
+++ b/clementinepass/direct/beliefs.py
@@ -10,6 +10,7 @@
 
 from clementinepass.decisions import (
     ejection,
+    incarnations,
     named_versions,
     nearest_place,
 )
@@ -177,6 +178,26 @@
         named = self._named_by_model.get(engine.model)
         return math.inf if named is None else named.usable_until(version)
 
+    def listed(self, listing: endpoints.Listing) -> bool:
+        """Take an endpoint's word; tell whether it changed anything.
+
+        Failure: an endpoint crashed and came back under its id. What had
+        failed at its earlier start kept it out of placing, and requests that
+        others had lost there counted as its load.
+        """
+        before = self.endpoints.get(listing.id)
+        changed = self.endpoints.listed(listing)
+        if before is not None and before is not self.endpoints.get(listing.id):
+            self.ejector.forget(listing.id)
+            for peer in self._loads_by_peer.values():
+                peer.in_flight_by_endpoint.pop(listing.id, None)
+        return changed
+
+    def failed(self, endpoint: endpoints.Endpoint, now: float) -> None:
+        """Note a failure, unless it is of a start that is over."""
+        if self.endpoints.get(endpoint.listing.id) is endpoint:
+            self.ejector.failed(endpoint.listing.id, now)
+
     def heard_loads(
         self,
         peer: str,
@@ -192,14 +213,31 @@
         for endpoint in self.endpoints:
             if endpoint.listing.address == held.address:
                 self._note_strain(endpoint, held, now)
-                weights = endpoints.Weights(held.version, held.first, held.end)
-                if weights != endpoint.weights and endpoint.gone_at is None:
-                    endpoint.weights = weights
-                    logger.bind(
-                        endpoint=endpoint.listing.id,
-                        version=held.version,
-                        layers=held.end - held.first,
-                    ).info('engine holds weights')
+                self._note_weights(endpoint, held)
+
+    def _note_weights(
+        self,
+        endpoint: endpoints.Endpoint,
+        held: beats.Held,
+    ) -> None:
+        """Believe what an engine holds, unless it has started anew since.
+
+        Failure: an engine crashed and came back empty; a word of its agent
+        from before came after that, and requests went to weights that the
+        engine no longer held.
+        """
+        if incarnations.is_over(endpoint.weights_started, held.started):
+            return
+        endpoint.weights_started = held.started or endpoint.weights_started
+        weights = endpoints.Weights(held.version, held.first, held.end)
+        if weights == endpoint.weights or endpoint.gone_at is not None:
+            return
+        endpoint.weights = weights
+        logger.bind(
+            endpoint=endpoint.listing.id,
+            version=held.version,
+            layers=held.end - held.first,
+        ).info('engine holds weights')
 
     def _note_strain(
         self,
@@ -241,7 +279,7 @@
         now: float,
     ) -> list[endpoints.Endpoint]:
         """Return the endpoints that could run a request of a service."""
-        found = self.endpoints.of_service(service.name, now)
+        found = self._of_service(service, now)
         engine = service.engine
         if engine is None:
             return found
@@ -250,9 +288,22 @@
 
     def loading(self, service: routing.Service, now: float) -> bool:
         """Tell whether some engine of a service takes up weights now."""
-        return any(
-            one.loading for one in self.endpoints.of_service(service.name, now)
-        )
+        return any(one.loading for one in self._of_service(service, now))
+
+    def _of_service(
+        self,
+        service: routing.Service,
+        now: float,
+    ) -> list[endpoints.Endpoint]:
+        """Return the endpoints of a service that the configuration names.
+
+        Others may list themselves under any name. They are kept, since a
+        newer configuration may name it.
+        """
+        current = self.routing
+        if current is None or service.name not in current.services_by_name:
+            return []
+        return self.endpoints.of_service(service.name, now)
 
     def newest_held(self, candidates: Iterable[endpoints.Endpoint]) -> int:
         """Return the newest version that some endpoint has."""
--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -1,9 +1,11 @@
 """What an entry believes of endpoints, and from whom.
 
-Endpoints list themselves in the platform's store.  Three things go wrong
+Endpoints list themselves in the platform's store.  Five things go wrong
 there.  An older word of an endpoint may come after a newer one; a heartbeat
-number keeps it from being believed.  Leaving is final, and true whenever the
-word of it comes.  An entry of the list lapses while the store is away, though
+number keeps it from being believed.  Leaving is final for one start of an
+endpoint, and true whenever the word of it comes.  An endpoint starts again
+under its id and holds nothing of before; all that was known of its earlier
+start is dropped.  An entry of the list lapses while the store is away, though
 its endpoint lives; it is kept until the endpoint has had time to write again.
 And an address is given to another endpoint; a request names the one that it is
 meant for, and one that answers otherwise is dropped.
@@ -13,6 +15,8 @@
 
 import typing
 
+from clementinepass.decisions import incarnations
+
 if typing.TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -54,34 +58,59 @@
     #: Requests that it runs at a time.
     slots: int
     draining: bool
-    #: Grows with each word.
+    #: Grows with each word of one start.
     heartbeat: int
     weights: Weights
+    #: When its process started, in milliseconds of Unix time.
+    started: int = incarnations.UNTOLD
+
+    @property
+    def stamp(self) -> incarnations.Stamp:
+        """Return what orders it among the words of its id."""
+        return incarnations.Stamp(self.started, self.heartbeat)
+
+    def is_elsewhere(self, known: Listing) -> bool:
+        """Tell whether it names another place than a word before.
+
+        A process keeps its service and address for as long as it runs, so
+        this too is another start, also where none is told.
+        """
+        return (self.service, self.address) != (known.service, known.address)
 
 
 class Endpoint:
-    """An endpoint and what this entry knows of it."""
+    """One start of an endpoint and what this entry knows of it.
+
+    A newer start under the same id is another object, so that requests that
+    still end at the one before leave no trace on it.
+    """
 
     __slots__ = (
         'gone_at',
         'heard',
         'in_flight',
+        'is_unreadable',
         'listing',
         'misdirected',
         'removed_at',
         'strained_until',
         'streams',
         'weights',
+        'weights_started',
     )
 
     def __init__(self, listing: Listing) -> None:
         self.listing = listing
-        #: The newest word on its weights, of the list or of its agent.
+        #: The newest word on its weights, of the list or of its agent, and
+        #: the start of the engine that it is of.
         self.weights = listing.weights
+        self.weights_started = listing.started
         #: Requests of this entry at the endpoint.
         self.in_flight = 0
         #: Whether another answered at its address.
         self.misdirected = False
+        #: Whether the newest record under its id names no endpoint.
+        self.is_unreadable = False
         #: When the list dropped it; ``None`` while it stands there.
         self.removed_at: float | None = None
         #: When a byte of a stream of it last came; monotonic seconds.
@@ -95,7 +124,7 @@
 
     def usable(self, now: float) -> bool:
         """Tell whether requests may be sent to it."""
-        if self.listing.draining or self.misdirected:
+        if self.listing.draining or self.misdirected or self.is_unreadable:
             return False
         return self.gone_at is None or now < self.gone_at
 
@@ -146,21 +175,38 @@
         if known is None:
             self._add(Endpoint(listing))
             return True
-        returned = known.removed_at is not None
-        is_old = listing.heartbeat < known.listing.heartbeat and not returned
-        if is_old and not listing.draining:
+        order = incarnations.order(known.listing.stamp, listing.stamp)
+        if order is incarnations.Order.OLDER_START:
             return False
-        if known.listing.draining:
-            # Each start has an id of its own, so no endpoint ever returns
-            # from leaving; a word that says so was written before.
-            listing = listing._replace(draining=True)
-        changed = returned or listing != known.listing
-        if listing.weights != known.listing.weights:
-            known.weights = listing.weights
-        known.listing = listing
-        known.removed_at = None
-        known.gone_at = None
-        return changed
+        is_moved = listing.is_elsewhere(known.listing)
+        if order is incarnations.Order.OLDER:
+            leaves_here = listing.draining and not is_moved
+            # Where no start is told, counts that begin anew after the list
+            # dropped it are all that a restart shows.
+            may_have_restarted = (
+                known.removed_at is not None
+                and listing.started == incarnations.UNTOLD
+            )
+            if not (leaves_here or may_have_restarted):
+                return False
+        if order is incarnations.Order.NEW_START or is_moved:
+            self._begin_anew(known, listing)
+            return True
+        return self._renew(known, listing)
+
+    def unreadable(self, endpoint_id: str) -> bool:
+        """Take it that the newest record of an id names no endpoint.
+
+        Failure: an endpoint's state was one that this version doesn't know,
+        and it went on getting requests by the record before. Nothing else
+        known of it is touched: its next record tells it all. It holds in all
+        entries alike, since only the newest record of a key is kept.
+        """
+        known = self._by_id.get(endpoint_id)
+        if known is None or known.is_unreadable:
+            return False
+        known.is_unreadable = True
+        return True
 
     def removed(self, endpoint_id: str, now: float, grace: float) -> bool:
         """Take it that the list dropped an endpoint.
@@ -193,10 +239,49 @@
             and not endpoint.in_flight
         ]
         for endpoint in dropped:
-            del self._by_id[endpoint.listing.id]
-            del self._by_service[endpoint.listing.service][endpoint.listing.id]
+            self._drop(endpoint)
         return dropped
 
+    def _renew(self, known: Endpoint, listing: Listing) -> bool:
+        """Take a later word of the start that is known."""
+        if known.listing.draining:
+            # A process that leaves never stays; a word that says so was
+            # written before.
+            listing = listing._replace(draining=True)
+        if not listing.started:
+            listing = listing._replace(started=known.listing.started)
+        returned = known.removed_at is not None
+        changed = returned or known.is_unreadable or listing != known.listing
+        is_current = not incarnations.is_over(
+            known.weights_started, listing.started
+        )
+        if listing.weights != known.listing.weights and is_current:
+            known.weights = listing.weights
+        known.listing = listing
+        known.is_unreadable = False
+        known.removed_at = None
+        known.gone_at = None
+        return changed
+
+    def _begin_anew(self, known: Endpoint, listing: Listing) -> None:
+        """Put a newer start in the place of the one that is known.
+
+        Failure: an endpoint that had left, or that another had answered for,
+        was never used again after it came back under its id; one that came
+        back empty was sent requests for the weights that it had held.
+        """
+        fresh = Endpoint(listing)
+        if listing.started and known.weights_started == listing.started:
+            # Its agent was faster than the list.
+            fresh.weights = known.weights
+        self._drop(known)
+        self._add(fresh)
+
+    def _drop(self, endpoint: Endpoint) -> None:
+        listing = endpoint.listing
+        del self._by_id[listing.id]
+        del self._by_service[listing.service][listing.id]
+
     def _add(self, endpoint: Endpoint) -> None:
         listing = endpoint.listing
         self._by_id[listing.id] = endpoint
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -171,7 +171,7 @@
         while True:
             try:
                 page = await store.newest(records.Topic.ENTRIES)
-                self.peers.met(record.key for record in page.records)
+                self.peers.met(page.ips)
                 if not any(one.key == self._own.ip for one in page.records):
                     await store.put(records.Topic.ENTRIES, self._own.ip, b'1')
                 break
--- a/clementinepass/direct/loading.py
+++ b/clementinepass/direct/loading.py
@@ -129,6 +129,9 @@
         if _now_with_standstill() - begun > _FRESH_SECONDS:
             logger.bind(version=version).info('staged too long ago')
             return False
+        if await self._has_restarted(report):
+            logger.bind(version=version).info('the engine has restarted')
+            return False
         ordered = await self._engine.load(model, version, report)
         logger.bind(
             version=version,
@@ -141,6 +144,16 @@
             await asyncio.sleep(_UNKNOWN_SECONDS)
         return True
 
+    async def _has_restarted(self, report: weights.EngineReport) -> bool:
+        """Tell whether the engine started anew since it was looked at.
+
+        Failure: an engine that had begun no order lost its power between the
+        pieces read back and the order. The order named none, which the new
+        start had begun as well, and was taken with pieces missing.
+        """
+        fresh = await self._engine.report()
+        return fresh.started != report.started
+
     async def _manifest(self, model: str, version: int) -> pieces.Pieces:
         known = self.pieces_of(model, version)
         if known is not None:
--- a/clementinepass/direct/records.py
+++ b/clementinepass/direct/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import ipaddress
 import typing
 
 
@@ -35,6 +36,15 @@
     records: tuple[Record, ...]
     next_offset: int
 
+    @property
+    def ips(self) -> list[str]:
+        """Return the keys that are IP numbers, as entries' keys are.
+
+        Anybody may write others there, and what is sent to a name that is no
+        number waits for its lookup.
+        """
+        return [one.key for one in self.records if _is_ip(one.key)]
+
 
 class Store(typing.Protocol):
     """The platform's store: the newest record of each key, and changes."""
@@ -59,3 +69,11 @@
         :raises PlatformUnavailableError: the store did not answer; the
             record may have been written.
         """
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
--- a/clementinepass/direct/telling.py
+++ b/clementinepass/direct/telling.py
@@ -5,6 +5,7 @@
 import asyncio
 import typing
 
+from clementinepass.decisions import incarnations
 from clementinepass.direct import beats, endpoints
 
 if typing.TYPE_CHECKING:
@@ -24,19 +25,26 @@
     :param peers: sends it.
     """
 
-    __slots__ = ('_held', '_own', '_peers', '_strained_at')
+    __slots__ = ('_held', '_own', '_peers', '_started', '_strained_at')
 
     def __init__(self, own: node.Node, peers: gossip.Peers) -> None:
         self._own = own
         self._peers = peers
         self._held: endpoints.Weights | None = None
+        #: When the engine started that holds them.
+        self._started = incarnations.UNTOLD
         #: When entries were last told that the link is slow; ``None`` where
         #: they take it for sound.
         self._strained_at: float | None = None
 
-    def holds(self, held: endpoints.Weights) -> None:
-        """Tell what the engine holds."""
+    def holds(
+        self,
+        held: endpoints.Weights,
+        started: int = incarnations.UNTOLD,
+    ) -> None:
+        """Tell what the engine holds, and when it started."""
         self._held = held
+        self._started = started
         self._tell()
 
     def loads(self, version: int) -> None:
@@ -45,7 +53,7 @@
         It finishes what runs and takes nothing new meanwhile; a request sent
         there would wait for all of that.
         """
-        self.holds(endpoints.Weights(version, 0, 0))
+        self.holds(endpoints.Weights(version, 0, 0), self._started)
 
     def strained(self, *, is_slow: bool) -> None:
         """Tell while the link here is slow, and when it no longer is.
@@ -72,6 +80,7 @@
             self._held.first,
             self._held.end,
             self._strained_at is not None,
+            self._started,
         )
         self._peers.held = (word,)
         loop = asyncio.get_running_loop()
--- a/clementinepass/direct/weights.py
+++ b/clementinepass/direct/weights.py
@@ -5,6 +5,7 @@
 import enum
 import typing
 
+from clementinepass.decisions import incarnations
 from clementinepass.direct import endpoints
 
 
@@ -14,6 +15,7 @@
     :param busy: whether an order is in progress.
     :param orders: how many orders it has begun since it started.
     :param active: requests running.
+    :param started: when it started, as its listing says it.
     """
 
     weights: endpoints.Weights
@@ -21,6 +23,7 @@
     orders: int
     active: int
     queued: int
+    started: int = incarnations.UNTOLD
 
 
 class Piece(typing.NamedTuple):
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -109,6 +109,7 @@
     'slots': Field('int', 'requests run at once'),
     'source': Field('str', 'IP number, or origin'),
     'sources': Field('list', 'IP numbers; empty text for the origin'),
+    'started': Field('int', 'its start in Unix milliseconds; 0 if untold'),
     'status': Field('int', 'of the answer'),
     'step': Field('str', 'what the process was at'),
     'strained': Field('bool', 'whether the link is slow'),
@@ -164,7 +165,7 @@
         'model version ago guessed', 'engines are to take up these weights'
     ),
     'endpoint listed': Kind(
-        'endpoint service draining version layers offset',
+        'endpoint service draining version layers offset started',
         'its own word in the list changed',
     ),
     'endpoint dropped from the list': Kind(
@@ -190,7 +191,9 @@
     ),
     'records not fetched': Kind('peer', 'it did not hand them over'),
     'record passed over': Kind(
-        'key offset', 'it can not be decoded; what was in force stays'
+        'key offset',
+        'it can not be decoded; what was in force stays, and an endpoint of '
+        'that id gets nothing more. Once in 30 s for each key',
     ),
     'beat dropped': Kind('peer', 'a message that is none'),
     'entries not read': Kind('', 'the list of entries; it is tried again'),
@@ -264,6 +267,9 @@
     'staged too long ago': Kind(
         'version', 'it is read back once more before the order'
     ),
+    'the engine has restarted': Kind(
+        'version', 'between the last look at it and the order, which is left'
+    ),
     'turn to load': Kind(
         'version wait', 'seconds until the engine takes it up'
     ),
--- a/clementinepass/wire/beats.py
+++ b/clementinepass/wire/beats.py
@@ -119,6 +119,7 @@
         slot.first = held.first
         slot.end = held.end
         slot.strained = held.strained
+        slot.started = held.started
 
 
 def _beat(message: typing.Any) -> beats.Beat:
@@ -148,6 +149,7 @@
                 held.first,
                 held.end,
                 held.strained,
+                held.started,
             )
             for held in message.held
         ),
--- a/clementinepass/wire/direct.capnp
+++ b/clementinepass/wire/direct.capnp
@@ -43,6 +43,8 @@
   end @3 :UInt16;
   # Whether what comes to its machine takes several times as long as usual.
   strained @4 :Bool;
+  # When the engine started, in milliseconds of Unix time; 0 if untold.
+  started @5 :UInt64;
 }
 
 struct Beat {
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -189,6 +189,58 @@
         path_world.run(play)
 
 
+class RestartTest(testtools.TestCase):
+    """An endpoint crashes and starts again under its id and address."""
+
+    def test_connections_of_the_start_before(self) -> None:
+        """A request that runs once at most came after such a return.
+
+        It went out on a connection to the process before, which stood still
+        behind a cut, and its caller was told that it may have run.
+        """
+
+        async def play(world: path_world.PathWorld) -> None:
+            (before,) = world.endpoints
+            world.listed(before, started=1)
+            self.assertEqual(200, (await world.ask('/once/a')).status)
+            before.faults = [Fault.MUTE]
+            async with direct_endpoint.DirectEndpoint(before.id) as after:
+                world.listed(after, started=2, heartbeat=0)
+                found = await world.ask('/once/a', X_Deadline_Ms='900')
+                self.assertEqual(200, found.status)
+                self.assertEqual((1, 1), (len(before.ran), len(after.ran)))
+
+        path_world.run(play, 1)
+
+    def test_requests_that_end_there(self) -> None:
+        """A stream of the start before ends after the new one is known.
+
+        Its connection isn't kept, and it isn't counted at the new start.
+        """
+
+        async def play(world: path_world.PathWorld) -> None:
+            (one,) = world.endpoints
+            world.listed(one, started=1)
+            one.going.clear()
+            asking = asyncio.create_task(world.ask('/stream/a'))
+            while not one.ran:
+                await asyncio.sleep(0.01)
+            before = world.beliefs.endpoints.get(one.id)
+            world.listed(one, started=2, heartbeat=0)
+            after = world.beliefs.endpoints.get(one.id)
+            assert before is not None
+            assert after is not None
+            self.assertEqual((1, 0), (before.in_flight, after.in_flight))
+            one.going.set()
+            found = await asking
+            self.assertEqual((200, EVENTS), (found.status, found.body))
+            self.assertEqual((0, 0), (before.in_flight, after.in_flight))
+            await world.ask('/plain/a')
+            self.assertEqual(1, len(world.kept(one.id)))
+
+        path_world.run(play, 1)
+
+
 class HandedOnTest(testtools.TestCase):
     """What an endpoint gets of a request."""
 
