Pass over records that name no endpoint, whoever wrote them

Cause: a record nested without end, a key that isn't text, or a version beyond 32 bits ended the reading of a topic or all beats of a process; a key with a line end would have gone into request heads; a state that isn't known counted as ready; a report without its fields read as that of an empty engine; each rewriting of a malformed record was a line of the log. A malformed record under a known id takes that endpoint out until its next word: only the newest record of a key is kept, so only so all entries believe the same. One line in 30 s for a key, 100 keys at most.

--- a/clementinepass/direct/intake.py
+++ b/clementinepass/direct/intake.py
@@ -23,6 +23,11 @@
 #: Seconds after an outage in which a listing that is dropped may have lapsed
 #: during it.
 _LAPSE_SEEN = 1.0
+#: Seconds after which a key's malformed records are written of again: their
+#: writer may write them anew with each heartbeat, several times a second.
+_TOLD_SECONDS = 30.0
+#: Keys written of in that time; a writer may use any number of them.
+_MOST_TOLD = 100
 
 
 class NamedVersion(typing.NamedTuple):
@@ -49,16 +54,25 @@
 class Intake:
     """Decode records and take them into beliefs.
 
-    What can't be decoded changes nothing: what was in force stays so.
+    What can't be decoded changes nothing: what was in force stays so, but for
+    the endpoint of that record's own key, which gets nothing more.
     """
 
-    __slots__ = ('_beliefs', '_listings', '_operator', '_readers')
+    __slots__ = (
+        '_beliefs',
+        '_listings',
+        '_operator',
+        '_readers',
+        '_told_by_key',
+    )
 
     def __init__(self, known: beliefs.Beliefs, readers: Readers) -> None:
         self._beliefs = known
         self._readers = readers
         self._listings: follower.Follower | None = None
         self._operator: follower.Follower | None = None
+        #: When a malformed record of a key was last written of.
+        self._told_by_key: dict[str, float] = {}
 
     def followers(
         self,
@@ -84,7 +98,7 @@
         try:
             word = self._readers.operator(record)
         except errors.MalformedMessageError as error:
-            _passed_over(record, error)
+            self._passed_over(record, error)
             return
         if isinstance(word, NamedVersion):
             now = asyncio.get_running_loop().time()
@@ -99,11 +113,12 @@
         try:
             listing = self._readers.endpoint(record)
         except errors.MalformedMessageError as error:
-            _passed_over(record, error)
+            self._passed_over(record, error)
+            self._beliefs.endpoints.unreadable(record.key)
             return
         if listing is None:
             self._dropped(record.key)
-        elif self._beliefs.endpoints.listed(listing):
+        elif self._beliefs.listed(listing):
             logger.bind(
                 endpoint=listing.id,
                 service=listing.service,
@@ -111,6 +126,7 @@
                 version=listing.weights.version,
                 layers=listing.weights.end - listing.weights.first,
                 offset=record.offset,
+                started=listing.started,
             ).info('endpoint listed')
 
     def _dropped(self, endpoint_id: str) -> None:
@@ -127,9 +143,23 @@
             return False
         return not follow.in_touch or now - follow.lost_until < _LAPSE_SEEN
 
+    def _passed_over(self, record: records.Record, error: Exception) -> None:
+        """Write a line of a malformed record, unless there was one lately.
 
-def _passed_over(record: records.Record, error: Exception) -> None:
-    logger.bind(key=record.key, offset=record.offset).error(
-        'record passed over: {}',
-        error,
-    )
+        Failure: another writer's record was written anew with each heartbeat,
+        and its lines pushed out those of others.
+        """
+        now = asyncio.get_running_loop().time()
+        self._told_by_key = {
+            key: at
+            for key, at in self._told_by_key.items()
+            if now - at < _TOLD_SECONDS
+        }
+        is_told = record.key in self._told_by_key
+        if is_told or len(self._told_by_key) >= _MOST_TOLD:
+            return
+        self._told_by_key[record.key] = now
+        logger.bind(key=record.key, offset=record.offset).error(
+            'record passed over: {}',
+            error,
+        )
--- /dev/null
+++ b/clementinepass/platform/decoding.py
@@ -0,0 +1,89 @@
+"""Decode bodies and records that may come from any writer."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+import typing
+
+import msgspec
+
+from clementinepass import errors
+from clementinepass.wire import addresses
+
+#: Characters of an error that are kept: it may quote what was sent.
+_LONGEST_ERROR = 200
+#: Ids and names go into request heads, beats and lines of the log.
+_ID = re.compile('[!-~]{1,128}')
+_IP_VERSION = 4
+_LARGEST_COUNT = 2**31 - 1
+_LARGEST_WHOLE = 2**63 - 1
+
+#: A number that counts things, from nothing on.
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=_LARGEST_COUNT)]
+#: A whole number that is at least one.
+Positive = typing.Annotated[int, msgspec.Meta(ge=1, le=_LARGEST_COUNT)]
+#: A whole number that keeps growing.
+Growing = typing.Annotated[int, msgspec.Meta(ge=0, le=_LARGEST_WHOLE)]
+#: Milliseconds of Unix time.
+Moment = typing.Annotated[int, msgspec.Meta(ge=1, le=_LARGEST_WHOLE)]
+#: Layers of a model; beats carry 16 bits of them.
+LayerNumber = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+_T = typing.TypeVar('_T')
+
+
+def decode(payload: bytes, kind: type[_T], step: str, peer: str) -> _T:
+    """Decode JSON of any origin.
+
+    Failure: a record nested a hundred thousand deep in a field that nobody
+    reads ended the reading of all records that came with it: the library
+    reports that as a recursion error, not as malformed input.
+
+    :raises MalformedMessageError: it is something else.
+    """
+    try:
+        return msgspec.json.decode(payload, type=kind)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise malformed(str(error), step, peer) from error
+
+
+def check_id(text: str, step: str) -> None:
+    """Check an id, which other processes and headers are to carry.
+
+    :raises MalformedMessageError: it isn't short and printable.
+    """
+    if _ID.fullmatch(text) is None:
+        raise malformed(f'{text!r} is no id', step, 'id')
+
+
+def check_address(text: str, step: str) -> None:
+    """Check an address that is to be connected to.
+
+    :raises MalformedMessageError: it isn't ``host:port`` with the IP number,
+        of version 4, of one machine.
+    """
+    try:
+        found = addresses.Address.from_text(text)
+    except errors.MalformedMessageError as error:
+        raise malformed(error.detail, step, 'address') from error
+    number = ipaddress.ip_address(found.host)
+    is_one = not (
+        number.is_unspecified or number.is_multicast or number.is_reserved
+    )
+    if number.version != _IP_VERSION or not is_one:
+        raise malformed(f'{text!r} is no machine', step, 'address')
+
+
+def malformed(
+    detail: str,
+    step: str,
+    peer: str,
+) -> errors.MalformedMessageError:
+    """Return an error of bounded length."""
+    return errors.MalformedMessageError(
+        detail[:_LONGEST_ERROR],
+        step=step,
+        peer=peer[:_LONGEST_ERROR],
+    )
--- a/clementinepass/platform/engine.py
+++ b/clementinepass/platform/engine.py
@@ -9,7 +9,7 @@
 from clementinepass import errors
 from clementinepass.direct import weights
 from clementinepass.http import channel, messages, pool
-from clementinepass.platform import registry
+from clementinepass.platform import decoding, registry
 
 _OK = 200
 _ACCEPTED = 202
@@ -22,6 +22,7 @@
 #: is free, and many times that when its link is narrow.
 _ORIGIN_SECONDS = 2.5
 _MANIFEST_SECONDS = 1.5
+_T = typing.TypeVar('_T')
 
 
 class _Camel(msgspec.Struct, rename='camel'):
@@ -29,25 +30,33 @@
 
 
 class _Report(_Camel):
-    models: list[registry.Model] = []
-    layers: registry.Layers | list[registry.Layers] | None = None
+    """All that is needed must be there.
+
+    Failure: a report without its fields read as that of an engine that holds
+    nothing and has begun no order, and that is what has an engine loaded.
+    """
+
+    models: list[registry.Model]
     #: Whether an order is in progress, not whether requests are.
-    busy: bool = False
+    busy: bool
     #: The number of orders accepted, unlike the field of the same name in
     #: the endpoint's record, which counts heartbeats.
-    sequence: int = 0
-    active: int = 0
-    queued: int = 0
+    sequence: decoding.Count
+    active: decoding.Count
+    queued: decoding.Count
+    layers: registry.Layers | list[registry.Layers] | None = None
+    #: Milliseconds of Unix time at its start; older engines don't tell it.
+    born: decoding.Moment | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Held(_Camel):
     #: Numbers of the pieces that lie staged.
-    held: list[int] = []
+    held: list[decoding.Count]
 
 
 class _Manifest(_Camel):
-    model: str
-    version: int
+    model: decoding.Name
+    version: decoding.Positive
     digests: list[str]
 
 
@@ -117,21 +126,14 @@
     def decode(
         self,
         fetched: pool.Fetched,
-        kind: type[typing.Any],
+        kind: type[_T],
         step: str,
-    ) -> typing.Any:
+    ) -> _T:
         """Decode a body.
 
         :raises MalformedMessageError: it is something else.
         """
-        try:
-            return msgspec.json.decode(fetched.body, type=kind)
-        except msgspec.MsgspecError as error:
-            raise errors.MalformedMessageError(
-                str(error),
-                step=step,
-                peer=self._address,
-            ) from error
+        return decoding.decode(fetched.body, kind, step, self._address)
 
 
 class HttpEngine:
@@ -159,6 +161,7 @@
             report.sequence,
             report.active,
             report.queued,
+            registry.started(report.born),
         )
 
     async def staged(self, model: str) -> frozenset[int]:
--- a/clementinepass/platform/operator.py
+++ b/clementinepass/platform/operator.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from clementinepass import errors
 from clementinepass.direct import intake, routing
 from clementinepass.http import limits
+from clementinepass.platform import decoding
 
 if typing.TYPE_CHECKING:
     from clementinepass.direct import records
@@ -18,6 +18,7 @@
 #: What its keys of named versions begin with; the model's name follows.
 _VERSION_PREFIX = 'version/'
 _MS = 1000
+_STEP = 'decode'
 _KINDS_BY_NAME = {
     'streaming': routing.RouteKind.STREAM,
     'idempotent': routing.RouteKind.IDEMPOTENT,
@@ -65,11 +66,11 @@
 class _Engine(msgspec.Struct):
     """Some names are in snake case, others in camel case, as sent."""
 
-    slots: int
+    slots: decoding.Positive
     models: list[_EngineModel] = []
-    layers: int = 0
-    chunks: int = 0
-    chunkBytes: int = 0  # noqa: N815
+    layers: decoding.LayerNumber = 0
+    chunks: decoding.Count = 0
+    chunkBytes: decoding.Count = 0  # noqa: N815
     #: Milliseconds for a token of each running request.
     step_ms: float = 0
     #: Prompt tokens read in a second.
@@ -79,7 +80,7 @@
 
 class _Service(_Camel):
     name: str
-    max_conns: int = 64
+    max_conns: decoding.Positive = 64
     engine: _Engine | None = None
     origin: str = ''
     zone: str = ''
@@ -99,7 +100,7 @@
 
 
 class _Config(_Camel):
-    version: int
+    version: decoding.Growing
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits | None = None
@@ -107,8 +108,8 @@
 
 
 class _Version(_Camel):
-    model: str
-    version: int
+    model: decoding.Name
+    version: decoding.Positive
 
 
 def read(
@@ -120,18 +121,13 @@
     """
     if record.payload is None:
         return None
-    try:
-        if record.key == _CONFIG_KEY:
-            return _routing(msgspec.json.decode(record.payload, type=_Config))
-        if record.key.startswith(_VERSION_PREFIX):
-            named = msgspec.json.decode(record.payload, type=_Version)
-            return intake.NamedVersion(named.model, named.version)
-    except msgspec.MsgspecError as error:
-        raise errors.MalformedMessageError(
-            str(error),
-            step='decode',
-            peer=f'operator record {record.key}',
-        ) from error
+    peer = f'operator record {record.key}'
+    if record.key == _CONFIG_KEY:
+        config = decoding.decode(record.payload, _Config, _STEP, peer)
+        return _routing(config)
+    if record.key.startswith(_VERSION_PREFIX):
+        named = decoding.decode(record.payload, _Version, _STEP, peer)
+        return intake.NamedVersion(named.model, named.version)
     return None
 
 
@@ -176,6 +172,8 @@
 
 def _service(service: _Service) -> routing.Service:
     engine = service.engine
+    if service.origin:
+        decoding.check_address(service.origin, _STEP)
     return routing.Service(
         service.name,
         service.max_conns,
--- a/clementinepass/platform/registry.py
+++ b/clementinepass/platform/registry.py
@@ -1,4 +1,9 @@
-"""Decode what endpoints write of themselves."""
+"""Decode what endpoints write of themselves.
+
+Records may come from other writers.  One names an endpoint only if all that
+the users' pages say of such a record is there and of its type; any other is
+malformed, whatever else it holds.
+"""
 
 from __future__ import annotations
 
@@ -6,13 +11,17 @@
 
 import msgspec
 
-from clementinepass import errors
+from clementinepass.decisions import incarnations
 from clementinepass.direct import endpoints
+from clementinepass.platform import decoding
 
 if typing.TYPE_CHECKING:
     from clementinepass.direct import records
 
+_STEP = 'decode'
 _DRAINING = 'draining'
+#: An address is an IP number, a colon and a port.
+_LONGEST_ADDRESS = 21
 
 
 class _Camel(msgspec.Struct, rename='camel'):
@@ -20,58 +29,71 @@
 
 
 class Model(_Camel):
-    name: str
-    version: int = 0
+    name: decoding.Name
+    version: decoding.Count = 0
 
 
 class Layers(msgspec.Struct, rename={'first': 'from', 'end': 'target'}):
     """Layers loaded: from the first up to, but without, the end."""
 
-    first: int = 0
-    end: int = 0
-    version: int = 0
+    first: decoding.LayerNumber = 0
+    end: decoding.LayerNumber = 0
+    version: decoding.Count = 0
 
 
 class _Entry(_Camel):
-    service: str
-    address: str
-    zone: str = ''
-    slots: int = 1
-    state: str = 'ready'
-    #: Grows with each heartbeat; says nothing of orders, unlike the field of
-    #: the same name in a report.
-    sequence: int = 0
+    service: decoding.Name
+    address: typing.Annotated[str, msgspec.Meta(max_length=_LONGEST_ADDRESS)]
+    zone: decoding.Name
+    slots: decoding.Positive
+    state: typing.Literal['ready', 'draining']
+    #: Grows with each heartbeat of one start; says nothing of orders, unlike
+    #: the field of the same name in a report.
+    sequence: decoding.Growing
+    #: Milliseconds of Unix time at its start; older writers don't tell it.
+    born: decoding.Moment | msgspec.UnsetType = msgspec.UNSET
     models: list[Model] = []
     layers: Layers | list[Layers] | None = None
+    #: Of no use here; of another type they show another writer.
+    version: str = ''
+    cold_left_ms: float = 0
 
 
 def read(record: records.Record) -> endpoints.Listing | None:
     """Decode an endpoint's own record; ``None`` where it was removed.
 
-    :raises MalformedMessageError: the record can't be decoded.
+    :raises MalformedMessageError: the record names no endpoint.
     """
     if record.payload is None:
         return None
-    try:
-        entry = msgspec.json.decode(record.payload, type=_Entry)
-    except msgspec.MsgspecError as error:
-        raise errors.MalformedMessageError(
-            str(error),
-            step='decode',
-            peer=f'endpoint record {record.key}',
-        ) from error
+    decoding.check_id(record.key, _STEP)
+    entry = decoding.decode(
+        record.payload,
+        _Entry,
+        _STEP,
+        f'endpoint record {record.key}',
+    )
+    decoding.check_address(entry.address, _STEP)
     return endpoints.Listing(
         id=record.key,
         service=entry.service,
         address=entry.address,
         domain=entry.zone,
-        slots=max(entry.slots, 1),
+        slots=entry.slots,
         draining=entry.state == _DRAINING,
         heartbeat=entry.sequence,
         weights=weights(entry.models, entry.layers),
+        started=started(entry.born),
     )
 
 
+def started(born: int | msgspec.UnsetType) -> int:
+    """Return when a process started, as far as it tells."""
+    if isinstance(born, msgspec.UnsetType):
+        return incarnations.UNTOLD
+    return born
+
+
 def weights(
     models: list[Model],
     layers: Layers | list[Layers] | None,
--- a/clementinepass/platform/store.py
+++ b/clementinepass/platform/store.py
@@ -11,6 +11,7 @@
 from clementinepass import errors
 from clementinepass.direct import records
 from clementinepass.http import channel, messages, pool
+from clementinepass.platform import decoding
 
 #: The store's names of what is followed. The first two belong to others and
 #: may only be read.
@@ -159,10 +160,12 @@
             seconds=_CALL_SECONDS,
         )
         self._check(fetched, 'newest')
-        try:
-            return msgspec.json.decode(fetched.body, type=_NewestAnswer)
-        except msgspec.MsgspecError as error:
-            raise self._malformed('newest', error) from error
+        return decoding.decode(
+            fetched.body,
+            _NewestAnswer,
+            'newest',
+            self._address,
+        )
 
     async def _call(
         self,
@@ -214,9 +217,13 @@
 
 
 def _record(entry: _NewestEntry) -> records.Record:
+    try:
+        payload = base64.b64decode(entry.value)
+    except ValueError:
+        # Left to the reader of records, which passes over that one alone.
+        payload = entry.value.encode()
     # A key without a value was dropped.
-    payload = base64.b64decode(entry.value) or None
-    return records.Record(entry.key, entry.offset, payload)
+    return records.Record(entry.key, entry.offset, payload or None)
 
 
 def _page(body: bytes, offset: int) -> records.Page:
@@ -232,14 +239,22 @@
         whole = body[position : position + length]
         if len(whole) != length:
             raise ValueError('a record is cut short')
-        found.append(_keyed(whole, following))
+        keyed = _keyed(whole, following)
+        if keyed is not None:
+            found.append(keyed)
         position += length
         following += 1
     return records.Page(tuple(found), following)
 
 
-def _keyed(whole: bytes, offset: int) -> records.Record:
-    """Read a record's key and value."""
-    end = 1 + whole[0]
-    payload = whole[end:] or None
-    return records.Record(whole[1:end].decode(), offset, payload)
+def _keyed(whole: bytes, offset: int) -> records.Record | None:
+    """Read a record's key and value; ``None`` if there is no whole key.
+
+    Failure: another writer's record had a key that isn't text. It made each
+    read of the topic fail from then on, and no later record was seen.
+    """
+    end = 1 + whole[0] if whole else 1
+    if len(whole) < end:
+        return None
+    key = whole[1:end].decode(errors='backslashreplace')
+    return records.Record(key, offset, whole[end:] or None)
--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -68,6 +68,10 @@
         self.going = asyncio.Event()
         self.going.set()
         self.port = 0
+        #: Milliseconds of Unix time of its start.
+        self.born = 1
+        #: Words of this start so far.
+        self.heartbeat = 0
         self._front = front.Front(self._handle)
 
     @property
@@ -75,6 +79,32 @@
         """Return ``host:port``."""
         return f'{HOST}:{self.port}'
 
+    def entry(self, service: str, domain: str) -> dict[str, typing.Any]:
+        """Return what the endpoint writes of itself into the list."""
+        self.heartbeat += 1
+        return {
+            'service': service,
+            'address': self.address,
+            'zone': domain,
+            'version': 'v1',
+            'slots': 6,
+            'state': 'ready',
+            'coldLeftMs': 0,
+            'sequence': self.heartbeat,
+            'born': self.born,
+        }
+
+    async def restart(self) -> None:
+        """Crash and start again under the same id and address.
+
+        Connections to the start before are cut; its counts begin anew.
+        """
+        await self._front.close()
+        self.born += 1
+        self.heartbeat = 0
+        self._front = front.Front(self._handle)
+        await self._front.listen(HOST, self.port)
+
     async def __aenter__(self) -> typing.Self:
         """Listen on a port of its own."""
         self.port = await self._front.listen(HOST, 0)
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -33,12 +33,12 @@
 
     def __init__(self) -> None:
         #: Key and value of each record; ``None`` for a removal.
-        self.records: list[tuple[str, bytes | None]] = []
+        self.records: list[tuple[bytes, bytes | None]] = []
         #: The first offset that is still kept.
         self.first = 0
         self.changed = asyncio.Event()
 
-    def add(self, key: str, payload: bytes | None) -> int:
+    def add(self, key: bytes, payload: bytes | None) -> int:
         """Add a record and return its offset."""
         self.records.append((key, payload))
         changed = self.changed
@@ -71,7 +71,11 @@
     def put(self, topic: str, key: str, payload: typing.Any) -> None:
         """Write a record; ``None`` removes its key."""
         encoded = None if payload is None else msgspec.json.encode(payload)
-        self._topic(topic).add(key, encoded)
+        self._topic(topic).add(key.encode(), encoded)
+
+    def put_raw(self, topic: str, key: bytes, payload: bytes) -> None:
+        """Write a record as any writer may, of any bytes."""
+        self._topic(topic).add(key, payload)
 
     def forget(self, topic: str) -> None:
         """Drop the history of a topic."""
@@ -109,7 +113,7 @@
     ) -> None:
         whole = body[_LENGTH_BYTES:]
         end = 1 + whole[0]
-        offset = topic.add(whole[1:end].decode(), whole[end:] or None)
+        offset = topic.add(whole[1:end], whole[end:] or None)
         reply.send(_OK, [], msgspec.json.encode({'offset': offset}))
 
     def _newest(self, topic: _Topic, reply: replies.Reply) -> None:
@@ -119,7 +123,7 @@
         }
         entries = [
             {
-                'key': key,
+                'key': key.decode(errors='replace'),
                 'offset': offset,
                 'value': base64.b64encode(payload).decode(),
             }
@@ -149,6 +153,6 @@
             topic.first.to_bytes(_OFFSET_BYTES, 'big'),
         ]
         for key, payload in topic.records[offset:]:
-            whole = bytes((len(key),)) + key.encode() + (payload or b'')
+            whole = bytes((len(key),)) + key + (payload or b'')
             parts.append(len(whole).to_bytes(_LENGTH_BYTES, 'big') + whole)
         reply.send(_OK, [], b''.join(parts))
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -121,11 +121,7 @@
         origin = {'name': 'o', 'origin': self.origin.address, 'zone': 'a'}
         services = [*self._config['services'], origin]
         self.configure({**self._config, 'services': services})
-        self.store.put(
-            'keyed.servers',
-            'i-desk',
-            {'service': 'desk', 'address': self.desk.address, 'zone': 'a'},
-        )
+        self.list_desk()
         for ip in self.entry_ips:
             self._start_entry(ip)
         for ip, one in zip(self.engine_ips, self.engines, strict=True):
@@ -149,6 +145,11 @@
         """Write a configuration."""
         self.store.put('keyed.op', 'config', config)
 
+    def list_desk(self, **changes: typing.Any) -> None:
+        """Have the plain endpoint write of itself."""
+        entry_of_desk = self.desk.entry('desk', 'a')
+        self.store.put('keyed.servers', 'i-desk', {**entry_of_desk, **changes})
+
     def list_engines(self) -> None:
         """Have all engines write what they hold."""
         for number, one in enumerate(self.engines):
--- a/standins/weights_origin.py
+++ b/standins/weights_origin.py
@@ -101,6 +101,10 @@
             }
         #: Versions ordered, in order, and whether what was loaded was whole.
         self.orders: list[tuple[int, bool]] = []
+        #: Of these, how many an earlier start took.
+        self._orders_before = 0
+        #: Milliseconds of Unix time of its start; ``None`` to not tell it.
+        self.born: int | None = 1
         #: Called after each order.
         self.on_loaded: typing.Callable[[], None] | None = None
         self._front = front.Front(self._handle)
@@ -114,15 +118,36 @@
         """Stop listening."""
         await self._front.close()
 
+    def restart(self, *, keep_staged: bool = True) -> None:
+        """Crash and start again under the same id, holding nothing.
+
+        :param keep_staged: whether staged pieces outlast it, as they do
+            unless power was lost.
+        """
+        if self.born is not None:
+            self.born += 1
+        self.version = 0
+        self._orders_before = len(self.orders)
+        if not keep_staged:
+            self.staged.clear()
+
+    @property
+    def begun(self) -> int:
+        """Return how many orders this start has begun."""
+        return len(self.orders) - self._orders_before
+
     def entry(self, service: str, domain: str) -> dict[str, typing.Any]:
         """Return what the engine writes of itself into the list."""
         return {
             'service': service,
             'address': self.address,
             'zone': domain,
+            'version': 'v1',
             'slots': 16,
             'state': 'ready',
-            'sequence': len(self.orders) + 1,
+            'coldLeftMs': 0,
+            'sequence': self.begun + 1,
+            **self._start(),
             **self._weights(),
         }
 
@@ -153,7 +178,7 @@
         order: dict[str, typing.Any],
         reply: replies.Reply,
     ) -> None:
-        if order['expected'] != len(self.orders):
+        if order['expected'] != self.begun:
             reply.send(_CONFLICT, [], b'')
             return
         wanted = {
@@ -169,12 +194,16 @@
     def _report(self) -> dict[str, typing.Any]:
         return {
             'busy': False,
-            'sequence': len(self.orders),
+            'sequence': self.begun,
             'active': 0,
             'queued': 0,
+            **self._start(),
             **self._weights(),
         }
 
+    def _start(self) -> dict[str, typing.Any]:
+        return {} if self.born is None else {'born': self.born}
+
     def _weights(self) -> dict[str, typing.Any]:
         if not self.version:
             return {'models': []}
--- /dev/null
+++ b/tests/direct/test_intake.py
@@ -0,0 +1,119 @@
+"""Tests of what becomes of records that can't be decoded."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import typing
+
+import testtools
+from loguru import logger
+
+from clementinepass.direct import beliefs, intake, records
+from clementinepass.platform import operator, registry
+from tests.direct import test_beliefs
+from tests.platform import test_registry
+
+READERS = intake.Readers(operator=operator.read, endpoint=registry.read)
+
+
+class _NoStore:
+    """A store that is never asked."""
+
+
+class MalformedTest(testtools.TestCase):
+    """Other writers' records change nothing else, and are told of once."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.known = beliefs.Beliefs(test_beliefs.OWN)
+        self.lines: list[str] = []
+        sink = logger.add(
+            lambda line: self.lines.append(line.record['message']),
+            level='ERROR',
+        )
+        self.addCleanup(logger.remove, sink)
+
+    def take(
+        self,
+        topic: records.Topic,
+        *payloads: tuple[str, bytes],
+    ) -> None:
+        """Take records in order."""
+
+        async def play() -> None:
+            taking = intake.Intake(self.known, READERS)
+            follow = taking.followers(
+                typing.cast('typing.Any', _NoStore()),
+                random.Random(1),
+            )[topic]
+            for offset, (key, payload) in enumerate(payloads):
+                record = records.Record(key, offset, payload)
+                follow.take(records.Page((record,), offset + 1))
+
+        asyncio.run(play())
+
+    def usable(self) -> list[str]:
+        """Return the ids of the endpoints that may be used."""
+        found = self.known.endpoints.of_service('pool', 0)
+        return [one.listing.id for one in found]
+
+    def test_no_flood(self) -> None:
+        """A record of another writer is written anew with each heartbeat.
+
+        Each one was a line of the log, several a second in each process, and
+        pushed out lines that told of something.
+        """
+        odd = [('i-odd', b'{"sequence":%d}' % one) for one in range(500)]
+        self.take(records.Topic.ENDPOINTS, *odd)
+        self.assertEqual(1, len(self.lines), self.lines[:3])
+
+    def test_many_keys(self) -> None:
+        """So is what is written and remembered of many such keys."""
+        odd = [(f'i-{one}', b'{') for one in range(2000)]
+        self.take(records.Topic.ENDPOINTS, *odd)
+        self.assertEqual([], list(self.known.endpoints))
+        self.assertEqual(100, len(self.lines))
+
+    def test_long_content(self) -> None:
+        """A record of a quarter of a megabyte leaves a short line."""
+        odd = test_registry.entry(state='x' * 200000)
+        self.take(records.Topic.ENDPOINTS, ('i-odd', odd))
+        self.assertEqual(1, len(self.lines))
+        self.assertLess(len(self.lines[0]), 500)
+
+    def test_known_id(self) -> None:
+        """A malformed record comes under the id of an endpoint that works.
+
+        It names no endpoint, so that one gets nothing until its next word;
+        the others are used on.
+        """
+        good = [(f'i-{one}', test_registry.entry()) for one in (1, 2)]
+        odd = test_registry.entry(state='paused')
+        self.take(records.Topic.ENDPOINTS, *good, ('i-1', odd))
+        self.assertEqual(['i-2'], self.usable())
+
+    def test_known_id_again(self) -> None:
+        """The endpoint's next word has it used again."""
+        good = ('i-1', test_registry.entry())
+        self.take(records.Topic.ENDPOINTS, good, ('i-1', b'{'), good)
+        self.assertEqual(['i-1'], self.usable())
+
+    def test_operator(self) -> None:
+        """A malformed configuration or version leaves what was in force."""
+        config = {'version': 3, 'routes': [], 'services': []}
+        bad = {**config, 'version': 4, 'services': [{'name': 3}]}
+        self.take(
+            records.Topic.OPERATOR,
+            ('config', json.dumps(config).encode()),
+            ('version/m', b'{"model":"m","version":2}'),
+            ('config', json.dumps(bad).encode()),
+            ('config', b'\xff'),
+            ('version/m', b'{"model":"m","version":99999999999999}'),
+            ('version/m', b'{"model":"m","version":-1}'),
+            ('version/m', b'{"model":"m"}'),
+        )
+        self.assertEqual(3, self.known.configuration)
+        self.assertEqual(2, self.known.wanted_version('m'))
+        self.assertEqual(2, len(self.lines))
--- a/tests/direct/test_machines.py
+++ b/tests/direct/test_machines.py
@@ -107,13 +107,7 @@
         """An endpoint that says that it leaves gets nothing more."""
 
         async def play(world: machines.Machines) -> None:
-            gone = {
-                'service': 'desk',
-                'address': world.desk.address,
-                'state': 'draining',
-                'sequence': 9,
-            }
-            world.store.put('keyed.servers', 'i-desk', gone)
+            world.list_desk(state='draining')
             for one in world.entries:
                 known = one.beliefs.endpoints.get('i-desk')
                 assert known is not None
@@ -122,6 +116,59 @@
 
         run(play)
 
+    def test_back_under_its_id(self) -> None:
+        """An endpoint left, and came back under its id; nothing was sent.
+
+        Leaving was taken to be final for an id, so each request was refused
+        for want of an endpoint though one was there.
+        """
+
+        async def play(world: machines.Machines) -> None:
+            world.list_desk(state='draining')
+            for one in world.entries:
+                known = one.beliefs.endpoints.get('i-desk')
+                assert known is not None
+                await machines.until(lambda known=known: known.listing.draining)
+            await world.desk.restart()
+            world.list_desk()
+            for one in world.entries:
+                await machines.until(lambda one=one: _usable(one, 'i-desk'))
+            self.assertEqual(200, await world.ask(0))
+            # A late word of the start before changes nothing.
+            world.list_desk(state='draining', born=1, sequence=99)
+            world.configure({**machines.CONFIG, 'version': 2})
+            for one in world.entries:
+                await machines.until(lambda one=one: _version(one) == 2)
+            self.assertEqual(200, await world.ask(1))
+
+        run(play)
+
+    def test_other_writers(self) -> None:
+        """Another writer's records under ids of its own and a known one.
+
+        One had fields nested so deep that decoding gave up in a way that
+        nobody expected, and one a key that isn't text. Reading the list ended
+        there, and endpoints that came later were never seen.
+        """
+
+        async def play(world: machines.Machines) -> None:
+            nested = b'{"x":' + b'[' * 90000 + b']' * 90000 + b'}'
+            for payload in (b'\xff\xfe', nested, b'{"address": 3}'):
+                world.store.put_raw('keyed.servers', b'i-odd', payload)
+            world.store.put_raw('keyed.servers', b'\xff\xfe', b'{}')
+            world.store.put_raw('keyed.entries', b'no\0number', b'1')
+            world.list_desk(state='paused')
+            for one in world.entries:
+                await machines.until(lambda one=one: not _usable(one, 'i-desk'))
+            self.assertEqual(503, await world.ask(0))
+            world.list_desk()
+            for one in world.entries:
+                await machines.until(lambda one=one: _usable(one, 'i-desk'))
+                self.assertIsNone(one.beliefs.endpoints.get('i-odd'))
+            self.assertEqual(200, await world.ask(0))
+
+        run(play)
+
 
 class _Refusing:
     """A store that turns a process away."""
@@ -228,6 +275,41 @@
 
         run(play, (1, 1))
 
+    def test_engine_back_empty(self) -> None:
+        """An engine crashed and came back under its id, holding nothing.
+
+        Entries went on believing that it held the named version, sent it
+        requests that it turned away, and were never told otherwise: its agent
+        tells only what has changed, and what it told last was right again.
+        """
+
+        async def play(world: machines.Machines) -> None:
+            world.store.put(
+                'keyed.op',
+                'version/m',
+                {'model': 'm', 'version': 2},
+            )
+            await machines.until(
+                lambda: all(one.version == 2 for one in world.engines)
+            )
+            before = _held(world, 'i-0')
+            await machines.until(lambda: _held(world, 'i-0') == [2, 2])
+            loaded = len(world.engines[0].orders)
+            world.engines[0].restart(keep_staged=False)
+            world.list_engines()
+            await machines.until(lambda: world.engines[0].version == 2)
+            self.assertEqual(loaded + 1, len(world.engines[0].orders))
+            self.assertEqual((2, True), world.engines[0].orders[-1])
+            await machines.until(lambda: _held(world, 'i-0') == [2, 2])
+            self.assertEqual(2, len(before))
+            starts = [
+                one.beliefs.endpoints.get('i-0').listing.started
+                for one in world.entries
+            ]
+            self.assertEqual([2, 2], starts)
+
+        run(play, (1, 1))
+
     def test_newer_version_at_once(self) -> None:
         """Two versions right after one another: the newer is loaded."""
 
@@ -250,3 +332,15 @@
 def _version(one: entry.Entry) -> int:
     current = one.beliefs.routing
     return 0 if current is None else current.version
+
+
+def _usable(one: entry.Entry, endpoint_id: str) -> bool:
+    known = one.beliefs.endpoints.get(endpoint_id)
+    now = asyncio.get_running_loop().time()
+    return known is not None and known.usable(now)
+
+
+def _held(world: machines.Machines, endpoint_id: str) -> list[int]:
+    """Return the version that each entry believes an engine to hold."""
+    known = [one.beliefs.endpoints.get(endpoint_id) for one in world.entries]
+    return [0 if one is None else one.weights.version for one in known]
