Keep leaving final for one start, also where its word names another place

Cause: a word of the start that is known, but with another service or address, put a new endpoint in its place, and that one was no longer leaving. Change: leaving goes with it unless the start is newer or untold.

--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -270,6 +270,12 @@
         was never used again after it came back under its id; one that came
         back empty was sent requests for the weights that it had held.
         """
+        is_same_start = listing.started and (
+            listing.started == known.listing.started
+        )
+        if is_same_start and known.listing.draining:
+            # Moved, by its word; leaving is final for one start all the same.
+            listing = listing._replace(draining=True)
         fresh = Endpoint(listing)
         if listing.started and known.weights_started == listing.started:
             # Its agent was faster than the list.
--- a/tests/direct/test_endpoints.py
+++ b/tests/direct/test_endpoints.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import typing
 
 import testtools
@@ -241,6 +242,55 @@
         assert one is not None
         self.assertEqual((1000, 8), (one.listing.started, one.listing.slots))
 
+    def test_any_words_in_any_order(self) -> None:
+        """Whatever comes when: starts don't go back, and leaving is final.
+
+        Words of three starts, some of them from elsewhere, with the list
+        dropping the endpoint and malformed records in between.
+        """
+        for seed in range(300):
+            self.play(random.Random(seed), seed)
+
+    def play(self, rng: random.Random, seed: int) -> None:
+        """Take words and check what is believed after each."""
+        known = endpoints.Endpoints()
+        newest = 0
+        left: set[int] = set()
+        for now in range(60):
+            word = listing(
+                started=rng.randrange(1, 4),
+                heartbeat=rng.randrange(1, 30),
+                draining=rng.random() < 0.1,
+                service=rng.choice(('pool', 'pool', 'pool', 'other')),
+                weights=endpoints.Weights(rng.randrange(3), 0, 16),
+            )
+            event = rng.random()
+            if event < 0.1:
+                known.removed('i-1', now, grace=0)
+            elif event < 0.2:
+                known.unreadable('i-1')
+            elif event < 0.25:
+                known.forget(now)
+                if known.get('i-1') is None:
+                    newest, left = 0, set()
+            elif known.listed(word):
+                self.assertGreaterEqual(word.started, newest, seed)
+                newest = word.started
+            one = known.get('i-1')
+            if one is None:
+                continue
+            if one.listing.draining:
+                left.add(one.listing.started)
+            self.assertEqual(newest, one.listing.started, seed)
+            if newest in left:
+                self.assertFalse(one.usable(now), seed)
+            served = [
+                each.listing.id
+                for service in ('pool', 'other')
+                for each in known.of_service(service, now)
+            ]
+            self.assertEqual(int(one.usable(now)), len(served), seed)
+
     def test_unreadable(self) -> None:
         """A state that this version doesn't know, under a known id.
 
