--- a/benchmarks/day.py
+++ b/benchmarks/day.py
@@ -1,10 +1,11 @@
-"""Play a day on the emulator: ``scripts/bench day [--heavy]``.
+"""Play a day: ``scripts/bench day [--heavy] [--restarts]``.
 
 Entries and agents run here as they do on machines, around engines that work in
 passes, a store, an origin and callers that follow the pages, all in one process
 on loopback.  A calm day is even traffic.  A heavy day has more of it than the
 engines can run, one engine that stands still, a new version of the weights,
-and the origin gone while it spreads.
+and the origin gone while it spreads.  On a day with restarts one engine
+crashes several times and starts again under its id, holding nothing.
 """
 
 from __future__ import annotations
@@ -32,8 +33,15 @@
 #: Mean tokens of prompts and answers.
 _PROMPT = 900
 _ANSWER = 100
+#: The longest answer on a day with restarts. The rarest ones take the six
+#: seconds that callers have, and would fail without any restart.
+_LONGEST_ANSWER = 300
 #: Seconds in which a version must be in use.
 _VERSION_SECONDS = 4.0
+#: How often the engine starts again on a day with restarts.
+RESTARTS = 3
+#: Seconds from an engine's start until the list has its word.
+_UNLISTED_SECONDS = 0.4
 _STREAM = b'/stream/a'
 _CONFIG: dict[str, typing.Any] = {
     'version': 1,
@@ -63,10 +71,18 @@
     :param seconds: for which callers send requests.
     """
 
-    def __init__(self, seconds: float, seed: int, *, heavy: bool) -> None:
+    def __init__(
+        self,
+        seconds: float,
+        seed: int,
+        *,
+        heavy: bool,
+        restarts: bool = False,
+    ) -> None:
         self._seconds = seconds
         self._rng = random.Random(seed)
         self._heavy = heavy
+        self._restarts = restarts
         self.engines = [
             stepping_engine.SteppingEngine(
                 f'i-{number}',
@@ -97,6 +113,8 @@
             async with asyncio.TaskGroup() as tasks:
                 if self._heavy:
                     tasks.create_task(self._trouble(world))
+                if self._restarts:
+                    tasks.create_task(self._restart_engine(world))
                 await self._send(tasks)
 
     async def _send(self, tasks: asyncio.TaskGroup) -> None:
@@ -107,6 +125,8 @@
         while loop.time() < until:
             prompt = int(self._rng.expovariate(1 / _PROMPT)) + 40
             answer = int(self._rng.expovariate(1 / _ANSWER)) + 6
+            if self._restarts:
+                answer = min(answer, _LONGEST_ANSWER)
             tasks.create_task(self.callers.ask(_STREAM, prompt, answer))
             await asyncio.sleep(self._rng.expovariate(rate))
 
@@ -125,6 +145,18 @@
         await asyncio.sleep(part)
         world.origin.left = None
 
+    async def _restart_engine(self, world: machines.Machines) -> None:
+        """One engine starts again and again, and lists itself a while later.
+
+        Always the same one, so that no request is cut off at two of them.
+        """
+        part = self._seconds / (RESTARTS + 1)
+        for _ in range(RESTARTS):
+            await asyncio.sleep(part - _UNLISTED_SECONDS)
+            self.engines[0].restart(keep_staged=self._rng.random() < 1 / 2)
+            await asyncio.sleep(_UNLISTED_SECONDS)
+            world.list_engines()
+
     def broken(self) -> list[str]:
         """Return what was against the rules, a line each."""
         found = list(self.callers.broken)
@@ -175,11 +207,17 @@
     """Play a day and print what came of it; 1 if a rule was broken."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--heavy', action='store_true')
+    parser.add_argument('--restarts', action='store_true')
     parser.add_argument('--seconds', type=float, default=20)
     parser.add_argument('--seed', type=int, default=1)
     options = parser.parse_args()
     logger.remove()
-    day = Day(options.seconds, options.seed, heavy=options.heavy)
+    day = Day(
+        options.seconds,
+        options.seed,
+        heavy=options.heavy,
+        restarts=options.restarts,
+    )
     asyncio.run(day.play())
     report(day, print)
     return 1 if day.broken() else 0
--- a/standins/stepping_engine.py
+++ b/standins/stepping_engine.py
@@ -123,6 +123,14 @@
         if len(self.orders) == before:
             return
         self._loading_until = time.monotonic() + _LOAD_SECONDS
+        self._cut()
+
+    def restart(self, *, keep_staged: bool = True) -> None:
+        """Crash and start again, cutting all that runs or waits."""
+        super().restart(keep_staged=keep_staged)
+        self._cut()
+
+    def _cut(self) -> None:
         for job in (*self._running, *self._waiting):
             job.events.put_nowait(False)
         self._running.clear()
--- a/tests/direct/test_day.py
+++ b/tests/direct/test_day.py
@@ -20,6 +20,22 @@
         kinds = {told.kind for told in calm.callers.told}
         self.assertLessEqual(kinds, {'in aim', 'late'})
 
+    def test_restarts(self) -> None:
+        """An engine crashes and starts again under its id, several times.
+
+        Entries believe for a while that it holds what it held. It is loaded
+        anew each time, whole, and serves again; what the crash cut off is
+        resumed elsewhere, so that each caller gets its whole answer.
+        """
+        restarts = day.Day(6, 1, heavy=False, restarts=True)
+        asyncio.run(restarts.play())
+        self.assertEqual([], restarts.broken())
+        one = restarts.engines[0]
+        self.assertEqual([(1, True)] * day.RESTARTS, one.orders)
+        self.assertEqual(1, one.version)
+        kinds = {told.kind for told in restarts.callers.told}
+        self.assertLessEqual(kinds, {'in aim', 'late'})
+
     def test_heavy(self) -> None:
         """A heavy day breaks no rule, and all engines get the new version.
 
--- a/tests/platform/test_machines.py
+++ b/tests/platform/test_machines.py
@@ -378,6 +378,43 @@
 
         asyncio.run(play())
 
+    def test_odd_records(self) -> None:
+        """Another writer's records have no key, or one that isn't text.
+
+        Each read of the topic failed from then on. The records after them are
+        read, with their offsets.
+        """
+        odd = [b'', b'\5ab', b'\2\xff\xfe1', b'\1a1']
+        body = framed() + b''.join(
+            len(whole).to_bytes(4, 'big') + whole for whole in odd
+        )
+        newest = {
+            'entries': [
+                {'key': 'a', 'offset': 3, 'value': 'no base64!'},
+                {'key': 'b', 'offset': 4, 'value': 'MQ=='},
+            ],
+            'endOffset': 5,
+        }
+        encoded = json.dumps(newest).encode()
+
+        async def play() -> None:
+            topic = records.Topic.ENDPOINTS
+            script = ((200, body), (200, encoded), (200, encoded))
+            async with Answers(*script) as one:
+                own = store.HttpStore(one.address)
+                page = await own.changes(topic, 4, 0)
+                self.assertEqual(8, page.next_offset)
+                self.assertEqual(
+                    [(6, b'1'), (7, b'1')],
+                    [(each.offset, each.payload) for each in page.records],
+                )
+                self.assertEqual('a', page.records[-1].key)
+                found = (await own.newest(topic)).records
+                self.assertEqual([3, 4], [each.offset for each in found])
+                self.assertEqual(b'1', found[-1].payload)
+
+        asyncio.run(play())
+
     def test_pages_of_the_newest(self) -> None:
         """Changes are followed from an end that was there before all pages.
 
