Believe no agent's start of an endpoint that the list has dropped

Cause: while the list had dropped an endpoint its agent's word was not believed, but the start that it told was; when the list had that start, the weights of before were taken for those of the new one. Change: neither is believed then. A test that each word of an agent tells the start, also through the wire. Measured: the new test fails without it.

--- a/clementinepass/direct/beliefs.py
+++ b/clementinepass/direct/beliefs.py
@@ -226,11 +226,12 @@
         from before came after that, and requests went to weights that the
         engine no longer held.
         """
-        if incarnations.is_over(endpoint.weights_started, held.started):
+        is_over = incarnations.is_over(endpoint.weights_started, held.started)
+        if is_over or endpoint.gone_at is not None:
             return
         endpoint.weights_started = held.started or endpoint.weights_started
         weights = endpoints.Weights(held.version, held.first, held.end)
-        if weights == endpoint.weights or endpoint.gone_at is not None:
+        if weights == endpoint.weights:
             return
         endpoint.weights = weights
         logger.bind(
--- a/tests/direct/test_beliefs.py
+++ b/tests/direct/test_beliefs.py
@@ -83,6 +83,17 @@
         self.known.listed(listing(2000, 1))
         self.assertEqual(OLD, self.endpoint.weights)
 
+    def test_agent_faster_than_the_list_of_one_that_was_dropped(self) -> None:
+        """An agent's word came while the list had dropped its engine.
+
+        It wasn't believed, as of one that is gone; but the weights of before
+        were taken for those of the new start, which it had told of.
+        """
+        self.known.endpoints.removed('i-1', now=90, grace=0)
+        self.told(2000, EMPTY)
+        self.known.listed(listing(2000, 1))
+        self.assertEqual(EMPTY, self.endpoint.weights)
+
     def test_agent_that_tells_no_start(self) -> None:
         """An agent or engine of before is believed as it was."""
         self.told(0, EMPTY)
--- a/tests/direct/test_telling.py
+++ b/tests/direct/test_telling.py
@@ -15,6 +15,7 @@
     node,
     telling,
 )
+from clementinepass.wire import beats as wire_beats
 
 ENGINE = '10.0.0.1:80'
 OWN = node.Node(
@@ -80,6 +81,24 @@
         told = self.play(story)
         self.assertEqual(beats.Held(ENGINE, 3, 0, 0, strained=True), told[-1])
 
+    def test_start_goes_along(self) -> None:
+        """Each word says of which start of the engine it is.
+
+        An engine crashed while its agent had it load. What was told of the
+        start before must not be taken for a word of the new one.
+        """
+
+        def story(own: telling.Telling) -> None:
+            own.holds(HELD, 1000)
+            own.loads(3)
+            own.strained(is_slow=True)
+
+        told = self.play(story)
+        self.assertEqual({1000}, {word.started for word in told})
+        sent = wire_beats.write_beat(beats.Beat(held=tuple(told[-1:])))
+        read = wire_beats.read_beat(sent, 'p')
+        self.assertEqual(tuple(told[-1:]), read.held)
+
     def test_strain_over(self) -> None:
         """It is told once that the link is sound again."""
 
