--- a/tests/test_machines_daemon.py
+++ b/tests/test_machines_daemon.py
@@ -172,6 +172,8 @@
                         'address': desk.address,
                         'zone': 'a',
                         'slots': 16,
+                        'state': 'ready',
+                        'sequence': 1,
                     }
                     store.put('keyed.servers', 'i-desk', listing)
                     daemon = Daemon(store.address)
