--- a/tests/direct/test_loading.py
+++ b/tests/direct/test_loading.py
@@ -21,7 +21,7 @@
     return b'%d of %d' % (number, version)
 
 
-class _Engine:
+class Engine:
     """An engine whose staged pieces are a dictionary."""
 
     def __init__(self) -> None:
@@ -76,7 +76,7 @@
         return weights.Ordered.ACCEPTED
 
 
-class _Origin:
+class Origin:
     """Hands out all versions, but no piece from some number on."""
 
     heard: float = 0
@@ -116,7 +116,7 @@
 class _View:
     """A machine alone with the origin."""
 
-    def __init__(self, origin: _Origin) -> None:
+    def __init__(self, origin: Origin) -> None:
         self._origin = origin
         self.version = 2
 
@@ -154,8 +154,8 @@
         same number. Between the last look at version 2 and the order, one of
         them would have been loaded with the rest of version 2.
         """
-        engine = _Engine()
-        origin = _Origin()
+        engine = Engine()
+        origin = Origin()
         view = _View(origin)
         own = loading.Loading(engine, view)
 
@@ -182,8 +182,8 @@
         The engine took that piece a moment later, when version 2 had been read
         back there and the order to load it was on its way.
         """
-        engine = _Engine()
-        origin = _Origin()
+        engine = Engine()
+        origin = Origin()
         view = _View(origin)
         own = loading.Loading(engine, view)
 
@@ -212,8 +212,8 @@
         It began anew, and its engine, which nobody might use any more, served
         nothing for six seconds. What had come lies staged at the engine.
         """
-        engine = _Engine()
-        first = _Origin(end=CHUNKS // 2)
+        engine = Engine()
+        first = Origin(end=CHUNKS // 2)
 
         async def story() -> None:
             killed = asyncio.create_task(
@@ -222,7 +222,7 @@
             while len(engine.lying) < CHUNKS // 2:
                 await asyncio.sleep(STEP)
             killed.cancel()
-            second = _Origin()
+            second = Origin()
             await loading.Loading(engine, _View(second)).fetch(MODEL, 2)
             self.assertEqual(
                 list(range(CHUNKS // 2, CHUNKS)),
