Ask for manifests in rounds, so that the origin's return is seen at once

All machines lost power while the origin was away; when it was back, agents were still asking one another in turn for a manifest that nobody had, a second each, and service stayed away for more than 12 s.

An agent now asks the agents before it in the chain, two others by turns and the origin at the same time, a round at a time; what is asked in a round doesn't grow with the agents. In the first round the origin is left out where another agent is just getting the manifest.

Ruled out: asking the origin alone (with 300 agents the manifests take 2.3 s of its link, in which no piece comes), and a shorter wait at agents (a chain of agents then asks the origin at each new version).

--- /dev/null
+++ b/clementinepass/decisions/manifest_round.py
@@ -0,0 +1,49 @@
+"""Choose whom an agent asks for the manifest of a version, round by round.
+
+Load: all agents want the manifest of a version at once, and each lets others
+wait for it for a second.  Harm: while the origin was away nobody had it.  Each
+agent asked all others in turn, a second each, before it asked the origin again,
+and missed its return for as many seconds as there were agents.
+
+So a round asks a few at the same time: the agents before in the chain, the
+origin, and two others by turns, so that the number of questions doesn't grow
+with the agents.  The first round leaves out the origin where another agent
+gets the manifest from it just now.
+"""
+
+from __future__ import annotations
+
+from clementinepass.decisions import piece_chains
+
+#: Other agents asked in a round. Worked out for agents that all begin a round
+#: at once: what the origin hands out to some, 40 agents have after three rounds
+#: and 300 after five.
+_OTHERS_ASKED = 2
+#: Agents of a chain that ask the origin in each round. Those behind ask it in
+#: every second, third and so on: a manifest of 96 pieces is some 7 KB, which
+#: takes the origin's link 8 ms, and 150 agents that ask at once would hold up
+#: the first pieces by a second. So 22 of 300 ask it in one round.
+_ASK_EACH_ROUND = 4
+
+
+def choose(plan: piece_chains.Plan, number: int) -> tuple[str, ...]:
+    """Return whom to ask at the same time: IP numbers, and the origin.
+
+    :param plan: from whom the agent is to get pieces.
+    :param number: how many rounds brought nothing.
+    """
+    if not number:
+        return plan.sources
+    asked = [*plan.sources, *_others(plan, number)]
+    turns = 1 + plan.place // _ASK_EACH_ROUND
+    if not (number + plan.place) % turns:
+        asked.append(piece_chains.ORIGIN)
+    return tuple(dict.fromkeys(asked))
+
+
+def _others(plan: piece_chains.Plan, number: int) -> list[str]:
+    """Return the other agents whose turn it is; each agent begins elsewhere."""
+    others = list(dict.fromkeys(plan.anyone))
+    start = plan.place + number * _OTHERS_ASKED
+    count = min(_OTHERS_ASKED, len(others))
+    return [others[(start + turn) % len(others)] for turn in range(count)]
--- a/clementinepass/direct/loading.py
+++ b/clementinepass/direct/loading.py
@@ -15,8 +15,7 @@
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.decisions import piece_chains
-from clementinepass.direct import fetching, pieces, weights
+from clementinepass.direct import fetching, manifests, pieces, weights
 
 #: Versions whose pieces are kept, for the engine and for other agents.
 _MOST_VERSIONS = 3
@@ -37,11 +36,18 @@
     :param view: who else there is, and what is wanted.
     """
 
-    __slots__ = ('_engine', '_pieces_by_version', '_staging', '_view')
+    __slots__ = (
+        '_engine',
+        '_manifests',
+        '_pieces_by_version',
+        '_staging',
+        '_view',
+    )
 
     def __init__(self, engine: weights.Engine, view: fetching.View) -> None:
         self._engine = engine
         self._view = view
+        self._manifests = manifests.Manifests(view)
         self._pieces_by_version: dict[int, pieces.Pieces] = {}
         #: Held while a piece is staged, and from the first piece read back to
         #: the order: an engine loads whatever lies there when it accepts, and
@@ -145,41 +151,16 @@
         known = self.pieces_of(model, version)
         if known is not None:
             return known
-        question = self._view.question(model, version)
-        first = piece_chains.plan(question).sources
-        others = piece_chains.anyone(question)
-        for ip in (*first, piece_chains.ORIGIN, *others):
-            manifest = await self._ask_manifest(ip, model, version)
-            if manifest is not None:
-                held = pieces.Pieces(manifest)
-                self._pieces_by_version[version] = held
-                self._forget()
-                return held
-        raise errors.ContentMissingError(
-            f'nobody has the manifest of version {version}',
-            step='manifest',
-            peer=model,
-        )
+        manifest = await self._manifests.find(model, version)
+        held = pieces.Pieces(manifest)
+        self._pieces_by_version[version] = held
+        self._forget()
+        return held
 
     def _forget(self) -> None:
         while len(self._pieces_by_version) > _MOST_VERSIONS:
             del self._pieces_by_version[min(self._pieces_by_version)]
 
-    async def _ask_manifest(
-        self,
-        ip: str,
-        model: str,
-        version: int,
-    ) -> weights.Manifest | None:
-        source = self._view.source(ip)
-        if source is None:
-            return None
-        try:
-            return await source.manifest(model, version)
-        except errors.ClementinepassError as error:
-            logger.bind(version=version).info('no manifest: {}', error)
-            return None
-
     async def _keep_staged(self, held: pieces.Pieces) -> None:
         """Keep staged pieces that this version has too, and stage the others.
 
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -102,6 +102,7 @@
     ),
     'request': Field('str', 'the id that its caller gave it'),
     'resume_after': Field('int or null', 'the last event that the caller has'),
+    'rounds': Field('int', 'of questions that brought nothing before'),
     'runs': Field('int', 'attempts that ran or may have'),
     'seconds': Field('float', 'in all'),
     'service': Field('str', 'its name'),
@@ -248,6 +249,7 @@
     ),
     'no answer': Kind('source', 'of a source, for the first time in a row'),
     'source answers again': Kind('source failures', 'after so many failures'),
+    'manifest found': Kind('version rounds', 'an agent got it'),
     'no manifest': Kind('version', 'a source did not hand it over'),
     'piece is spoilt': Kind('piece source', 'it is not what its digest says'),
     'not handed out': Kind(
