Tell a start in phases: topics known, entry ready, first request answered

After a loss of all machines the logs told when a process listened and when a version was named, but not whence its first records came, nor how long after its start it was ready and had answered its first request of each service. Seconds are counted from the start of the process, so that lines of many processes can be compared.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.direct import calls, events, routing, serving
+from clementinepass.direct import calls, events, routing, serving, uptime
 from clementinepass.http import channel, pool
 
 if typing.TYPE_CHECKING:
@@ -46,7 +46,13 @@
     :param dialect: how endpoints spell requests and answers.
     """
 
-    __slots__ = ('_beliefs', '_dialect', '_log', '_pools_by_id')
+    __slots__ = (
+        '_answered_services',
+        '_beliefs',
+        '_dialect',
+        '_log',
+        '_pools_by_id',
+    )
 
     def __init__(
         self,
@@ -58,6 +64,8 @@
         self._dialect = dialect
         self._log = log
         self._pools_by_id: dict[str, pool.Pool] = {}
+        #: Services of which a request was answered since the start.
+        self._answered_services: set[str] = set()
 
     async def send(
         self,
@@ -75,6 +83,8 @@
             if not attempt.finished:
                 attempt.given_up()
         self._note(admitted, endpoint, tried)
+        if tried is serving.Tried.ANSWERED:
+            self._note_first(admitted.service.name)
         return tried
 
     def forget(self, endpoint_id: str) -> None:
@@ -83,6 +93,14 @@
         if kept is not None:
             kept.close()
 
+    def _note_first(self, service: str) -> None:
+        if service in self._answered_services:
+            return
+        self._answered_services.add(service)
+        logger.bind(service=service, seconds=uptime.seconds()).info(
+            'first request answered',
+        )
+
     async def _exchange(
         self,
         admitted: serving.Serving,
--- a/clementinepass/direct/catching_up.py
+++ b/clementinepass/direct/catching_up.py
@@ -170,7 +170,7 @@
         finally:
             peers.close()
             self._fetching_by_topic.pop(own.topic, None)
-        news = own.take_anew(page) if whole else own.take(page)
+        news = own.take_anew(page) if whole else own.take(page, ip)
         logger.bind(
             peer=ip,
             topic=own.topic.value,
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -23,6 +23,7 @@
     path,
     records,
     request_log,
+    uptime,
 )
 from clementinepass.http import front, limits
 
@@ -162,7 +163,10 @@
         if self.peers.phase is members.Phase.STARTING:
             self.peers.phase = members.Phase.READY
             self.peers.speak()
-            logger.bind(node=self._own.name).info('entry ready')
+            logger.bind(
+                node=self._own.name,
+                seconds=uptime.seconds(),
+            ).info('entry ready')
         await self._meet()
 
     async def _meet(self) -> None:
--- a/clementinepass/direct/follower.py
+++ b/clementinepass/direct/follower.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.direct import records
+from clementinepass.direct import records, uptime
 
 if typing.TYPE_CHECKING:
     import random
@@ -30,6 +30,8 @@
 #: for all of them together, so the pause is drawn at random.
 _FIRST_PAUSE = 0.1
 _LONGEST_PAUSE = 0.6
+#: Stands for the store where it is told whence records came.
+STORE = 'store'
 #: Removals remembered, to tell peers of them.
 _MOST_REMOVALS = 256
 
@@ -139,15 +141,25 @@
                 pause = min(max(2 * pause, _FIRST_PAUSE), _LONGEST_PAUSE)
                 await asyncio.sleep(pause * self._rng.uniform(0.5, 1.5))
 
-    def take(self, page: records.Page) -> int:
-        """Take records, of the store or a peer; return how many are news."""
+    def take(self, page: records.Page, source: str = STORE) -> int:
+        """Take records; return how many are news.
+
+        :param source: the peer that they came from, or the store.
+        """
         news = 0
         for record in page.records:
             if self.known.take(record):
                 news += 1
                 self._listener(record)
         self.known.next_offset = max(self.known.next_offset, page.next_offset)
-        self.started = True
+        if not self.started:
+            self.started = True
+            logger.bind(
+                topic=self.topic.value,
+                source=source,
+                news=news,
+                seconds=uptime.seconds(),
+            ).info('topic known')
         return news
 
     def take_anew(self, page: records.Page) -> int:
--- /dev/null
+++ b/clementinepass/direct/uptime.py
@@ -0,0 +1,13 @@
+"""How long this process has been there."""
+
+from __future__ import annotations
+
+import time
+
+#: Monotonic seconds at which the process read its program.
+_BEGUN = time.monotonic()
+
+
+def seconds() -> float:
+    """Return the seconds since the process began, to the millisecond."""
+    return round(time.monotonic() - _BEGUN, 3)
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -107,7 +107,7 @@
     'service': Field('str', 'its name'),
     'since': Field('float', 'seconds since SIGTERM'),
     'slots': Field('int', 'requests run at once'),
-    'source': Field('str', 'IP number, or origin'),
+    'source': Field('str', 'IP number, origin or store'),
     'sources': Field('list', 'IP numbers; empty text for the origin'),
     'status': Field('int', 'of the answer'),
     'step': Field('str', 'what the process was at'),
@@ -125,9 +125,16 @@
     'agent started': Kind('node engine', 'an agent listens'),
     'entry started': Kind('node callers', 'an entry listens'),
     'entry ready': Kind(
-        'node',
+        'node seconds',
         'configuration and endpoints are known; callers may be sent here',
     ),
+    'topic known': Kind(
+        'topic source news seconds',
+        'the first records of a topic came, so long after the start',
+    ),
+    'first request answered': Kind(
+        'service seconds', 'the first of each service, since the start'
+    ),
     'leaving': Kind(
         'connections open', 'an entry was told to end; what it has in progress'
     ),
