Pass on members heard just now, drawn at random, where there are many

Each entry of 150 took 45 in 100 of the others for gone, though all spoke. The members that a beat tells of were the first sixteen of a table, the same each time, so that hearing of somebody through others helped for sixteen only.

Fewer peers a beat were ruled out: loads at engines are heard from their sender only.

--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from clementinepass import errors
+from clementinepass.decisions import passing_on
 from clementinepass.direct import beats, catching_up, members, records
 from clementinepass.http import connection, front, replies
 from clementinepass.wire import beats as wire_beats
@@ -27,6 +28,9 @@
 #: Of so many beats one carries all members and versions. New members are heard
 #: of within two seconds, and most beats stay short.
 _WHOLE_EACH = 5
+#: Seconds since a member was heard of in which its word is passed on. An older
+#: one would keep nobody from being taken for gone.
+_FRESH_SECONDS = 1.0
 #: Peers that a beat goes to. More are told in turn, so that the traffic of
 #: one process doesn't grow with the system.
 _MOST_PEERS = 16
@@ -167,10 +171,15 @@
 
     def _beat(self, *, whole: bool) -> beats.Beat:
         now = asyncio.get_running_loop().time()
-        alive = tuple(self.members.alive(now)) if whole else ()
+        told = passing_on.choose(
+            self.members.alive(now),
+            self.members.heard_within(now, _FRESH_SECONDS),
+            self._rng,
+            whole=whole,
+        )
         return beats.Beat(
             sender=self.own_member(),
-            members=alive[:_MOST_PEERS],
+            members=tuple(told),
             in_flight_by_endpoint=self._beliefs.in_flight_by_endpoint(),
             operator_offset=self._offset(records.Topic.OPERATOR),
             endpoints_offset=self._offset(records.Topic.ENDPOINTS),
--- a/clementinepass/direct/members.py
+++ b/clementinepass/direct/members.py
@@ -76,10 +76,14 @@
 
     def alive(self, now: float) -> list[Member]:
         """Return the members that are there."""
+        return self.heard_within(now, SILENCE_SECONDS)
+
+    def heard_within(self, now: float, seconds: float) -> list[Member]:
+        """Return the members that were heard of within some seconds."""
         return [
             seen.member
             for seen in self._seen_by_ip.values()
-            if now - seen.at <= SILENCE_SECONDS
+            if now - seen.at <= seconds
         ]
 
     def ready(self, now: float) -> list[Member]:
