--- a/clementinepass/decisions/passing_on.py
+++ b/clementinepass/decisions/passing_on.py
@@ -18,11 +18,11 @@
     import random
     from collections.abc import Sequence
 
-#: Members that a whole message tells of while there are no more; some 85 bytes
-#: each.
+#: Members that a whole message tells of while there are no more, of some 85
+#: bytes each.
 _MOST_MEMBERS = 16
 #: Members told of in a whole message, and in every other one, where there are
-#: more than that. Worked out for 150 members and messages to sixteen each 0.4 s,
+#: more than that. Worked out for 150 members, messages to sixteen each 0.4 s,
 #: of which one in five is whole: taken for there are 93 in 100, for 14.8 KB a
 #: second. With the same sixteen in whole messages alone it was 55 for 13.0 KB,
 #: with sixteen and four drawn at random 98 for 21.8 KB.
--- a/tests/direct/test_catching_up.py
+++ b/tests/direct/test_catching_up.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import typing
 
@@ -50,9 +51,12 @@
 
 
 class _World:
-    """An entry that knows version 1 of the configuration, at offset 4."""
+    """An entry that knows version 1 of the configuration, at offset 4.
 
-    def __init__(self, port: int) -> None:
+    :param new: whether it has just started and knows nothing instead.
+    """
+
+    def __init__(self, port: int, *, new: bool = False) -> None:
         own = node.Node(
             name='entry-1',
             ip=HOST,
@@ -71,8 +75,9 @@
             self._wrote,
             random.Random(1),
         )
-        first = records.Record('config', 4, b'1')
-        self.follower.take(records.Page((first,), 5))
+        if not new:
+            first = records.Record('config', 4, b'1')
+            self.follower.take(records.Page((first,), 5))
         self.catching_up = catching_up.CatchingUp(
             own,
             {OPERATOR: self.follower},
@@ -93,12 +98,14 @@
 def run(
     page: records.Page,
     play: typing.Callable[[_World, _Peer], typing.Awaitable[None]],
+    *,
+    new: bool = False,
 ) -> None:
     """Play with a peer that hands out a page."""
 
     async def played() -> None:
         peer = _Peer(page)
-        world = _World(await peer.listen())
+        world = _World(await peer.listen(), new=new)
         try:
             async with asyncio.timeout(20):
                 await play(world, peer)
@@ -173,3 +180,38 @@
             self.assertEqual([], peer.asked)
 
         run(records.Page((), 5), play)
+
+
+class StartTest(testtools.TestCase):
+    """All entries start at the same moment, and none knows anything."""
+
+    def test_peer_knows_nothing(self) -> None:
+        """An entry learned from another that there was nothing to know.
+
+        After a loss of power it asked one that had just started, too, took
+        the empty answer for all that there was, and the version of weights
+        that the store told it a moment later for one that was named just
+        then. It told all others so, and older weights could be used for
+        eight seconds more.
+        """
+
+        async def play(world: _World, peer: _Peer) -> None:
+            world.heard(0, 0, 0)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.3):
+                    await peer.served.wait()
+            await asyncio.sleep(0.05)
+            self.assertFalse(world.follower.started)
+
+        run(records.Page((), 0), play, new=True)
+
+    def test_peer_forgot(self) -> None:
+        """One that was ahead has started anew when it is asked."""
+
+        async def play(world: _World, peer: _Peer) -> None:
+            world.heard(0, 6)
+            await peer.served.wait()
+            await asyncio.sleep(0.05)
+            self.assertFalse(world.follower.started)
+
+        run(records.Page((), 0), play, new=True)
