Take nothing from a peer that has read nothing

Cause: an entry that has just started asks the first peer that it hears, also one that began in the same moment and has nothing, and took its empty records for the first reading of the topic. What the store told next was news: a version found at the start counted as named just then, for sure.

An offset of zero is passed over, and so is an empty answer of a peer that has started anew since. Ruled out as the cause: the store (its first answer holds the version) and the guess itself (tests/direct/test_machines.py, RestartTest).

--- a/clementinepass/direct/catching_up.py
+++ b/clementinepass/direct/catching_up.py
@@ -97,9 +97,13 @@
 
         Failure: peers that had read less far, too, each began the wait anew,
         and where they were many the one that knew was never asked.
+
+        A peer that has read nothing has nothing to hand over. Failure: of two
+        that started together one took the other's empty records for all that
+        there was, and what the store told it next for news.
         """
         own = self._followers.get(topic)
-        if own is None:
+        if own is None or not offset:
             return
         read = own.known.next_offset
         ahead = max(offset, self._ahead_by_topic.get(topic, 0))
@@ -170,6 +174,10 @@
         finally:
             peers.close()
             self._fetching_by_topic.pop(own.topic, None)
+        if not page.next_offset:
+            # It has started anew since it said how far it had read.
+            logger.bind(peer=ip).info('records not fetched: it has none')
+            return
         news = own.take_anew(page) if whole else own.take(page, ip)
         logger.bind(
             peer=ip,
