--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import collections
 import contextlib
 import typing
 import urllib.parse
@@ -56,8 +57,9 @@
         self.address = ''
         #: Whether each call is refused.
         self.down = False
-        #: Calls that came.
+        #: Calls that came, and those for the newest records by topic.
         self.calls = 0
+        self.newest_by_topic: collections.Counter[str] = collections.Counter()
 
     async def __aenter__(self) -> typing.Self:
         """Listen on a port of its own."""
@@ -97,6 +99,7 @@
         if path.endswith('log-append'):
             self._append(topic, request.body, reply)
         elif path.endswith('log-newest'):
+            self.newest_by_topic[query['topic']] += 1
             self._newest(topic, reply)
         else:
             await self._read(topic, query, reply)
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -91,6 +91,7 @@
     :param engines: the engines, which hold what they hold.
     :param duties: bounds for all processes.
     :param config: the operator's first configuration, without the origin.
+    :param entries: how many; the first is the others' seed.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         engines: typing.Sequence[weights_origin.LoadingEngine],
         duties: node.Duties | None = None,
         config: dict[str, typing.Any] | None = None,
+        entries: int = 2,
     ) -> None:
         self.store = keyed_store.KeyedStore()
         self.origin = weights_origin.WeightsOrigin(CHUNKS)
@@ -108,7 +110,7 @@
         self.entries: list[entry.Entry] = []
         self._tasks: list[asyncio.Task[None]] = []
         #: Entries at 127.1.0.x, engines at 127.2.0.x.
-        self.entry_ips = ['127.1.0.1', '127.1.0.2']
+        self.entry_ips = [f'127.1.0.{one + 1}' for one in range(entries)]
         self.engine_ips = [
             f'127.2.0.{one + 1}' for one in range(len(self.engines))
         ]
