Have the seeds read the store at a start, and tell the others

Cause: each process read all records from the store when all started at once, those of a region over one narrow link. Now the seeds of the settings read at once; others speak to them each 0.1 s until they know something, and whoever knows tells one that knows nothing at once, whole. First records come from a peer of the own region for 0.4 s, then from any. Where no seed answers each reads the store 0.6 to 2 s after its start.

Weighed and not tried: a time drawn at random for all, which needs a span that grows with a number of processes that nobody knows at the start.

--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -9,7 +9,11 @@
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.decisions import load_turns, piece_chains
+from clementinepass.decisions import (
+    load_turns,
+    piece_chains,
+    start_reading,
+)
 from clementinepass.direct import (
     aims,
     background,
@@ -193,7 +197,8 @@
     async def _keep_up(self) -> None:
         """Speak to entries; read the store where none answers."""
         loop = asyncio.get_running_loop()
-        alone_since = loop.time() - _ALONE_SECONDS
+        patience = start_reading.delay(self._own.ip, self._own.seeds, self._rng)
+        alone_since = loop.time() + patience - _ALONE_SECONDS
         while True:
             if self.peers.members.alive(loop.time()):
                 alone_since = loop.time()
@@ -202,7 +207,11 @@
                 alone_since = loop.time()
             self.beliefs.forget(loop.time())
             self._telling.strained(is_slow=self._loading.is_slow)
-            await asyncio.sleep(_IDLE_SECONDS)
+            if self.peers.is_new:
+                self.peers.tell(list(self._own.seeds))
+            await asyncio.sleep(
+                gossip.NEW_SECONDS if self.peers.is_new else _IDLE_SECONDS,
+            )
 
     async def _read_store(self) -> None:
         store = self._boundary.store
--- a/clementinepass/direct/catching_up.py
+++ b/clementinepass/direct/catching_up.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from clementinepass import errors
+from clementinepass.decisions import start_reading
 from clementinepass.direct import records
 from clementinepass.http import messages, pool
 from clementinepass.wire import beats as wire_beats
@@ -44,6 +45,7 @@
     __slots__ = (
         '_ahead_by_topic',
         '_behind_since',
+        '_begun',
         '_beliefs',
         '_fetch_seconds',
         '_fetching_by_topic',
@@ -76,16 +78,32 @@
         #: this process hasn't.
         self._ahead_by_topic: dict[records.Topic, int] = {}
         self._behind_since: dict[records.Topic, float] = {}
+        #: When this process first heard of a peer; ``None`` before.
+        self._begun: float | None = None
         #: Since when a peer has had a newer configuration in force.
         self._revision_behind_since: float | None = None
         self._fetching_by_topic: dict[records.Topic, asyncio.Task[None]] = {}
 
     def heard(self, beat: beats.Beat, ip: str, now: float) -> None:
         """Compare what a peer knows with what this process does."""
+        if not self._may_ask(beat, now):
+            return
         self._compare(records.Topic.OPERATOR, beat.operator_offset, ip, now)
         self._compare(records.Topic.ENDPOINTS, beat.endpoints_offset, ip, now)
         self._compare_configuration(beat.configuration, ip, now)
 
+    def _may_ask(self, beat: beats.Beat, now: float) -> bool:
+        """Tell whether to take first records from a peer as far as that."""
+        if all(one.started for one in self._followers.values()):
+            return True
+        if self._begun is None:
+            self._begun = now
+        sender = beat.sender
+        return start_reading.may_ask(
+            is_near=sender is None or sender.region == self._own.region,
+            since_start=now - self._begun,
+        )
+
     def _compare(
         self,
         topic: records.Topic,
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from clementinepass import errors
+from clementinepass.decisions import start_reading
 from clementinepass.direct import (
     attempt,
     background,
@@ -64,6 +65,9 @@
         self.beliefs = beliefs.Beliefs(own)
         taking = intake.Intake(self.beliefs, boundary.readers)
         self._followers = taking.followers(boundary.store, rng)
+        patience = start_reading.delay(own.ip, own.seeds, rng)
+        for follow in self._followers.values():
+            follow.patience = patience
         self.peers = gossip.Peers(own, self._followers, self.beliefs, rng)
         # Agents have eight seconds for five seconds' work.
         self.beliefs.on_named = self._tell_of_version
--- a/clementinepass/direct/follower.py
+++ b/clementinepass/direct/follower.py
@@ -30,6 +30,8 @@
 #: for all of them together, so the pause is drawn at random.
 _FIRST_PAUSE = 0.1
 _LONGEST_PAUSE = 0.6
+#: Seconds between looks whether a peer has told what there is.
+_LOOK_SECONDS = 0.02
 #: Stands for the store where it is told whence records came.
 STORE = 'store'
 #: Removals remembered, to tell peers of them.
@@ -96,6 +98,7 @@
         'contact',
         'known',
         'lost_until',
+        'patience',
         'started',
         'topic',
     )
@@ -119,6 +122,9 @@
         self.lost_until = float('-inf')
         #: Whether the topic was read once, from the store or from a peer.
         self.started = False
+        #: Seconds from its start in which a peer may tell what there is,
+        #: before the store is asked.
+        self.patience: float = 0
 
     @property
     def in_touch(self) -> bool:
@@ -127,8 +133,9 @@
 
     async def run(self) -> None:
         """Follow the topic for ever."""
+        await self._wait_for_peers()
         pause: float = 0
-        read = self._read_newest
+        read = self._read_changes if self.started else self._read_newest
         while True:
             try:
                 read = await read()
@@ -173,6 +180,12 @@
         self.known.next_offset = max(self.known.next_offset, page.next_offset)
         return len(page.records)
 
+    async def _wait_for_peers(self) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self.patience
+        while not self.started and loop.time() < until:
+            await asyncio.sleep(_LOOK_SECONDS)
+
     async def _read_newest(self) -> typing.Any:
         page = await self._store.newest(self.topic)
         self._regained()
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -25,6 +25,8 @@
 #: Seconds between beats. Counts of requests at endpoints are as old as this
 #: when others place by them; each beat costs some 150 bytes a peer.
 _BEAT_SECONDS = 0.4
+#: The same while this process knows nothing, and asks by it to be told.
+NEW_SECONDS = 0.1
 #: Of so many beats one carries all members and versions. New members are heard
 #: of within two seconds, and most beats stay short.
 _WHOLE_EACH = 5
@@ -81,11 +83,17 @@
         self._transport = opened[0]
         await self._front.listen(self._own.ip, self._own.first_port)
 
+    @property
+    def is_new(self) -> bool:
+        """Tell whether this process doesn't know yet what is in the store."""
+        return not all(one.started for one in self._followers.values())
+
     async def run(self) -> None:
         """Speak for ever."""
         while True:
             self.speak()
-            await asyncio.sleep(_BEAT_SECONDS * self._rng.uniform(0.9, 1.1))
+            seconds = NEW_SECONDS if self.is_new else _BEAT_SECONDS
+            await asyncio.sleep(seconds * self._rng.uniform(0.9, 1.1))
 
     def speak(self, *, whole: bool = False) -> None:
         """Send one beat to some of the others.
@@ -151,6 +159,8 @@
         for held in beat.held:
             self._beliefs.heard_held(held)
         self._catching_up.heard(beat, ip, now)
+        if self._can_teach(beat):
+            self._send(wire_beats.write_beat(self._beat(whole=True)), ip)
 
     async def _serve(
         self,
@@ -188,6 +198,18 @@
             held=self.held,
         )
 
+    def _can_teach(self, beat: beats.Beat) -> bool:
+        """Tell whether the sender knows nothing of what is known here.
+
+        It is told at once: a beat would come its way by turns, and where all
+        start together it is the seeds that know first.
+        """
+        pairs = (
+            (beat.operator_offset, records.Topic.OPERATOR),
+            (beat.endpoints_offset, records.Topic.ENDPOINTS),
+        )
+        return any(not there and self._offset(topic) for there, topic in pairs)
+
     def _offset(self, topic: records.Topic) -> int:
         own = self._followers.get(topic)
         return 0 if own is None else own.known.next_offset
@@ -195,7 +217,7 @@
     def _targets(self, *, whole: bool) -> list[str]:
         """Return whom this beat goes to."""
         ips = self.members.addresses()
-        if whole or not ips:
+        if whole or not ips or self.is_new:
             others = (*self._own.seeds, *self._near_agents())
             ips.extend(ip for ip in set(others) if ip not in ips)
         if len(ips) > _MOST_PEERS:
