--- a/clementinepass/direct/pieces.py
+++ b/clementinepass/direct/pieces.py
@@ -14,13 +14,22 @@
 class Pieces:
     """Pieces in memory, for this agent's engine and for other agents."""
 
-    __slots__ = ('_arrival', '_by_number', 'manifest', 'slow')
+    __slots__ = (
+        '_arrival',
+        '_by_number',
+        'manifest',
+        'reads_staged',
+        'slow',
+    )
 
     def __init__(self, manifest: weights.Manifest) -> None:
         self.manifest = manifest
         self._by_number: dict[int, bytes] = {}
         #: Whether they come here more slowly than their source has them.
         self.slow = False
+        #: Whether what lies staged is still being read, so that there are more
+        #: pieces than are here.
+        self.reads_staged = False
         self._arrival = asyncio.Event()
 
     @property
--- a/tests/direct/test_exchange.py
+++ b/tests/direct/test_exchange.py
@@ -91,12 +91,12 @@
         digests = tuple(
             hashlib.sha256(b'%d' % number).hexdigest() for number in range(9)
         )
-        self._held = pieces.Pieces(weights.Manifest('m', 1, digests))
-        self._held.take(3, b'3')
+        self.held = pieces.Pieces(weights.Manifest('m', 1, digests))
+        self.held.take(3, b'3')
 
     def pieces_of(self, model: str, version: int) -> pieces.Pieces:
         """Return what is in memory."""
-        return self._held
+        return self.held
 
     def has_loaded(self, version: int) -> bool:
         """Tell whether the engine serves a version."""
@@ -136,3 +136,27 @@
             return holding
 
         self.assertEqual(frozenset(range(9)), asyncio.run(played()).numbers)
+
+    def test_staged_not_read_yet(self) -> None:
+        """After a loss of power an engine was ready three seconds late.
+
+        Its agent's source in the chain had started a moment later and hadn't
+        read yet what lay staged at its engine. It said that it had no pieces,
+        was passed over as far behind, and both got theirs from the same
+        agent at half the rate.
+        """
+
+        async def played() -> int | None:
+            holder = _Holder()
+            holder.held.reads_staged = True
+            link = uplink.Uplink(LINK, lambda: 0)
+            handout = exchange.Handout(holder, link)
+            listener = front.Front(handout.serve)
+            port = await listener.listen('127.0.0.1', 0)
+            source = peer_source.PeerSource('127.0.0.1', port)
+            piece = await source.piece('m', 2, 3)
+            await listener.close()
+            self.assertEqual(b'3', piece.payload)
+            return piece.others
+
+        self.assertIsNone(asyncio.run(played()))
