Say no count of pieces while what lies staged is being read

The count of an agent that had just started was taken for far behind by one that had read its staged pieces a moment earlier; it was passed over for 8 s, and both got pieces from the same agent. The count is left out until the staged pieces are read; who has said none isn't judged by it.

--- a/clementinepass/direct/exchange.py
+++ b/clementinepass/direct/exchange.py
@@ -96,10 +96,14 @@
         held = self._holder.pieces_of(wish.model, wish.version)
         if held is None:
             return []
-        return [
-            (piece_words.OTHERS, b'%d' % len(self._numbers(wish, held))),
-            (piece_words.SLOW, b'%d' % held.slow),
-        ]
+        slow = (piece_words.SLOW, b'%d' % held.slow)
+        if held.reads_staged:
+            # A count now says nothing. Failure: after a loss of power whoever
+            # had read what lay staged passed over one that was about to, and
+            # both got pieces from the same agent: 6 s in place of 3.
+            return [slow]
+        count = len(self._numbers(wish, held))
+        return [(piece_words.OTHERS, b'%d' % count), slow]
 
     def _numbers(self, wish: _Wish, held: pieces.Pieces) -> list[int]:
         """Return the numbers of the pieces that can be handed out.
--- a/clementinepass/direct/loading.py
+++ b/clementinepass/direct/loading.py
@@ -93,7 +93,11 @@
         )
         if is_first:
             # An agent that was killed finds here what it had got.
-            await self._read_staged(held)
+            held.reads_staged = True
+            try:
+                await self._read_staged(held)
+            finally:
+                held.reads_staged = False
         fetch = fetching.Fetching(held, self._view)
         staging = asyncio.create_task(self._keep_staged(held))
         try:
