--- a/clementinepass/decisions/start_reading.py
+++ b/clementinepass/decisions/start_reading.py
@@ -23,7 +23,7 @@
 #: region, of which the first two or three are to be done before the next.
 _EARLIEST = 0.6
 _LATEST = 2.0
-#: Seconds in which only peers of the own region are asked.
+#: Seconds in which only entries of the own region are asked.
 _NEAR_ONLY = 0.4
 
 
@@ -42,6 +42,6 @@
 def may_ask(*, is_near: bool, since_start: float) -> bool:
     """Tell whether to take the first records from a peer.
 
-    :param is_near: whether it is in the own region.
+    :param is_near: whether it is an entry of the own region.
     """
     return is_near or since_start >= _NEAR_ONLY
--- a/clementinepass/direct/catching_up.py
+++ b/clementinepass/direct/catching_up.py
@@ -100,7 +100,8 @@
             self._begun = now
         sender = beat.sender
         return start_reading.may_ask(
-            is_near=sender is None or sender.region == self._own.region,
+            # An agent's link is narrow, and its beats have no sender.
+            is_near=sender is not None and sender.region == self._own.region,
             since_start=now - self._begun,
         )
 
--- a/tests/direct/test_catching_up.py
+++ b/tests/direct/test_catching_up.py
@@ -210,8 +210,29 @@
 
         async def play(world: _World, peer: _Peer) -> None:
             world.heard(0, 6)
+            world.heard(1, 6)
             await peer.served.wait()
             await asyncio.sleep(0.05)
             self.assertFalse(world.follower.started)
 
         run(records.Page((), 0), play, new=True)
+
+    def test_agent_last(self) -> None:
+        """An entry that started got the records over an agent's narrow link.
+
+        The agent spoke first, as entries of the region had just been
+        replaced. Its link carries a hundredth of an entry's, and the events
+        of its engine besides.
+        """
+
+        async def play(world: _World, peer: _Peer) -> None:
+            # An agent names no entry as its sender.
+            world.heard(0, 6)
+            world.heard(0.2, 6)
+            await asyncio.sleep(0.05)
+            self.assertEqual([], peer.asked)
+            world.heard(0.5, 6)
+            await until_version(world, 2)
+
+        newer = records.Record('config', 5, b'2')
+        run(records.Page((newer,), 6), play, new=True)
