--- a/clementinepass/direct/catching_up.py
+++ b/clementinepass/direct/catching_up.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from clementinepass import errors
+from clementinepass.decisions import start_reading
 from clementinepass.direct import records
 from clementinepass.http import messages, pool
 from clementinepass.wire import beats as wire_beats
@@ -44,6 +45,7 @@
     __slots__ = (
         '_ahead_by_topic',
         '_behind_since',
+        '_begun',
         '_beliefs',
         '_fetch_seconds',
         '_fetching_by_topic',
@@ -76,16 +78,33 @@
         #: this process hasn't.
         self._ahead_by_topic: dict[records.Topic, int] = {}
         self._behind_since: dict[records.Topic, float] = {}
+        #: When this process first heard of a peer; ``None`` before.
+        self._begun: float | None = None
         #: Since when a peer has had a newer configuration in force.
         self._revision_behind_since: float | None = None
         self._fetching_by_topic: dict[records.Topic, asyncio.Task[None]] = {}
 
     def heard(self, beat: beats.Beat, ip: str, now: float) -> None:
         """Compare what a peer knows with what this process does."""
+        if not self._may_ask(beat, now):
+            return
         self._compare(records.Topic.OPERATOR, beat.operator_offset, ip, now)
         self._compare(records.Topic.ENDPOINTS, beat.endpoints_offset, ip, now)
         self._compare_configuration(beat.configuration, ip, now)
 
+    def _may_ask(self, beat: beats.Beat, now: float) -> bool:
+        """Tell whether to take first records from a peer as far as that."""
+        if all(one.started for one in self._followers.values()):
+            return True
+        if self._begun is None:
+            self._begun = now
+        sender = beat.sender
+        return start_reading.may_ask(
+            # An agent's link is narrow, and its beats have no sender.
+            is_near=sender is not None and sender.region == self._own.region,
+            since_start=now - self._begun,
+        )
+
     def _compare(
         self,
         topic: records.Topic,
@@ -97,9 +116,13 @@
 
         Failure: peers that had read less far, too, each began the wait anew,
         and where they were many the one that knew was never asked.
+
+        A peer that has read nothing has nothing to hand over. Failure: of two
+        that started together one took the other's empty records for all that
+        there was, and what the store told it next for news.
         """
         own = self._followers.get(topic)
-        if own is None:
+        if own is None or not offset:
             return
         read = own.known.next_offset
         ahead = max(offset, self._ahead_by_topic.get(topic, 0))
@@ -170,7 +193,11 @@
         finally:
             peers.close()
             self._fetching_by_topic.pop(own.topic, None)
-        news = own.take_anew(page) if whole else own.take(page)
+        if not page.next_offset:
+            # It has started anew since it said how far it had read.
+            logger.bind(peer=ip).info('records not fetched: it has none')
+            return
+        news = own.take_anew(page) if whole else own.take(page, ip)
         logger.bind(
             peer=ip,
             topic=own.topic.value,
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from clementinepass import errors
+from clementinepass.decisions import start_reading
 from clementinepass.direct import (
     attempt,
     background,
@@ -23,6 +24,7 @@
     path,
     records,
     request_log,
+    uptime,
 )
 from clementinepass.http import front, limits
 
@@ -63,6 +65,9 @@
         self.beliefs = beliefs.Beliefs(own)
         taking = intake.Intake(self.beliefs, boundary.readers)
         self._followers = taking.followers(boundary.store, rng)
+        patience = start_reading.delay(own.ip, own.seeds, rng)
+        for follow in self._followers.values():
+            follow.patience = patience
         self.peers = gossip.Peers(own, self._followers, self.beliefs, rng)
         # Agents have eight seconds for five seconds' work.
         self.beliefs.on_named = self._tell_of_version
@@ -181,7 +186,10 @@
         if self.peers.phase is members.Phase.STARTING:
             self.peers.phase = members.Phase.READY
             self.peers.speak()
-            logger.bind(node=self._own.name).info('entry ready')
+            logger.bind(
+                node=self._own.name,
+                seconds=uptime.seconds(),
+            ).info('entry ready')
         await self._meet()
 
     async def _meet(self) -> None:
--- a/clementinepass/direct/follower.py
+++ b/clementinepass/direct/follower.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.direct import records
+from clementinepass.direct import records, uptime
 
 if typing.TYPE_CHECKING:
     import random
@@ -30,6 +30,10 @@
 #: for all of them together, so the pause is drawn at random.
 _FIRST_PAUSE = 0.1
 _LONGEST_PAUSE = 0.6
+#: Seconds between looks whether a peer has told what there is.
+_LOOK_SECONDS = 0.02
+#: Stands for the store where it is told whence records came.
+STORE = 'store'
 #: Removals remembered, to tell peers of them.
 _MOST_REMOVALS = 256
 
@@ -94,6 +98,7 @@
         'contact',
         'known',
         'lost_until',
+        'patience',
         'started',
         'topic',
     )
@@ -117,6 +122,9 @@
         self.lost_until = float('-inf')
         #: Whether the topic was read once, from the store or from a peer.
         self.started = False
+        #: Seconds from its start in which a peer may tell what there is,
+        #: before the store is asked.
+        self.patience: float = 0
 
     @property
     def in_touch(self) -> bool:
@@ -125,8 +133,9 @@
 
     async def run(self) -> None:
         """Follow the topic for ever."""
+        await self._wait_for_peers()
         pause: float = 0
-        read = self._read_newest
+        read = self._read_changes if self.started else self._read_newest
         while True:
             try:
                 read = await read()
@@ -139,15 +148,25 @@
                 pause = min(max(2 * pause, _FIRST_PAUSE), _LONGEST_PAUSE)
                 await asyncio.sleep(pause * self._rng.uniform(0.5, 1.5))
 
-    def take(self, page: records.Page) -> int:
-        """Take records, of the store or a peer; return how many are news."""
+    def take(self, page: records.Page, source: str = STORE) -> int:
+        """Take records; return how many are news.
+
+        :param source: the peer that they came from, or the store.
+        """
         news = 0
         for record in page.records:
             if self.known.take(record):
                 news += 1
                 self._listener(record)
         self.known.next_offset = max(self.known.next_offset, page.next_offset)
-        self.started = True
+        if not self.started:
+            self.started = True
+            logger.bind(
+                topic=self.topic.value,
+                source=source,
+                news=news,
+                seconds=uptime.seconds(),
+            ).info('topic known')
         return news
 
     def take_anew(self, page: records.Page) -> int:
@@ -161,6 +180,12 @@
         self.known.next_offset = max(self.known.next_offset, page.next_offset)
         return len(page.records)
 
+    async def _wait_for_peers(self) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self.patience
+        while not self.started and loop.time() < until:
+            await asyncio.sleep(_LOOK_SECONDS)
+
     async def _read_newest(self) -> typing.Any:
         page = await self._store.newest(self.topic)
         self._regained()
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from clementinepass import errors
+from clementinepass.decisions import passing_on
 from clementinepass.direct import beats, catching_up, members, records
 from clementinepass.http import connection, front, replies
 from clementinepass.wire import beats as wire_beats
@@ -24,9 +25,14 @@
 #: Seconds between beats. Counts of requests at endpoints are as old as this
 #: when others place by them; each beat costs some 150 bytes a peer.
 _BEAT_SECONDS = 0.4
+#: The same while this process knows nothing, and asks by it to be told.
+NEW_SECONDS = 0.1
 #: Of so many beats one carries all members and versions. New members are heard
 #: of within two seconds, and most beats stay short.
 _WHOLE_EACH = 5
+#: Seconds since a member was heard of in which its word is passed on. An older
+#: one would keep nobody from being taken for gone.
+_FRESH_SECONDS = 1.0
 #: Peers that a beat goes to. More are told in turn, so that the traffic of
 #: one process doesn't grow with the system.
 _MOST_PEERS = 16
@@ -77,11 +83,17 @@
         self._transport = opened[0]
         await self._front.listen(self._own.ip, self._own.first_port)
 
+    @property
+    def is_new(self) -> bool:
+        """Tell whether this process doesn't know yet what is in the store."""
+        return not all(one.started for one in self._followers.values())
+
     async def run(self) -> None:
         """Speak for ever."""
         while True:
             self.speak()
-            await asyncio.sleep(_BEAT_SECONDS * self._rng.uniform(0.9, 1.1))
+            seconds = NEW_SECONDS if self.is_new else _BEAT_SECONDS
+            await asyncio.sleep(seconds * self._rng.uniform(0.9, 1.1))
 
     def speak(self, *, whole: bool = False) -> None:
         """Send one beat to some of the others.
@@ -147,6 +159,8 @@
         for held in beat.held:
             self._beliefs.heard_held(held)
         self._catching_up.heard(beat, ip, now)
+        if self._can_teach(beat):
+            self._send(wire_beats.write_beat(self._beat(whole=True)), ip)
 
     async def _serve(
         self,
@@ -167,10 +181,15 @@
 
     def _beat(self, *, whole: bool) -> beats.Beat:
         now = asyncio.get_running_loop().time()
-        alive = tuple(self.members.alive(now)) if whole else ()
+        told = passing_on.choose(
+            self.members.alive(now),
+            self.members.heard_within(now, _FRESH_SECONDS),
+            self._rng,
+            whole=whole,
+        )
         return beats.Beat(
             sender=self.own_member(),
-            members=alive[:_MOST_PEERS],
+            members=tuple(told),
             in_flight_by_endpoint=self._beliefs.in_flight_by_endpoint(),
             operator_offset=self._offset(records.Topic.OPERATOR),
             endpoints_offset=self._offset(records.Topic.ENDPOINTS),
@@ -179,6 +198,18 @@
             held=self.held,
         )
 
+    def _can_teach(self, beat: beats.Beat) -> bool:
+        """Tell whether the sender knows nothing of what is known here.
+
+        It is told at once: a beat would come its way by turns, and where all
+        start together it is the seeds that know first.
+        """
+        pairs = (
+            (beat.operator_offset, records.Topic.OPERATOR),
+            (beat.endpoints_offset, records.Topic.ENDPOINTS),
+        )
+        return any(not there and self._offset(topic) for there, topic in pairs)
+
     def _offset(self, topic: records.Topic) -> int:
         own = self._followers.get(topic)
         return 0 if own is None else own.known.next_offset
@@ -186,7 +217,7 @@
     def _targets(self, *, whole: bool) -> list[str]:
         """Return whom this beat goes to."""
         ips = self.members.addresses()
-        if whole or not ips:
+        if whole or not ips or self.is_new:
             others = (*self._own.seeds, *self._near_agents())
             ips.extend(ip for ip in set(others) if ip not in ips)
         if len(ips) > _MOST_PEERS:
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -141,6 +141,7 @@
     ),
     'request': Field('str', 'the id that its caller gave it'),
     'resume_after': Field('int or null', 'the last event that the caller has'),
+    'rounds': Field('int', 'of questions that brought nothing before'),
     'runs': Field('int', 'attempts that ran or may have'),
     'seconds': Field('float', 'in all'),
     'service': Field('str', 'its name'),
@@ -149,7 +150,7 @@
     ),
     'since': Field('float', 'seconds since SIGTERM'),
     'slots': Field('int', 'requests run at once'),
-    'source': Field('str', 'IP number, or origin'),
+    'source': Field('str', 'IP number, origin or store'),
     'sources': Field('list', 'IP numbers; empty text for the origin'),
     'started': Field('int', 'its start in Unix milliseconds; 0 if untold'),
     'status': Field('int', 'of the answer'),
@@ -170,9 +171,16 @@
     'agent started': Kind('node engine', 'an agent listens'),
     'entry started': Kind('node callers', 'an entry listens'),
     'entry ready': Kind(
-        'node',
+        'node seconds',
         'configuration and endpoints are known; callers may be sent here',
     ),
+    'topic known': Kind(
+        'topic source news seconds',
+        'the first records of a topic came, so long after the start',
+    ),
+    'first request answered': Kind(
+        'service seconds', 'the first of each service, since the start'
+    ),
     'leaving': Kind(
         'connections open lists_end last',
         'an entry was told to end; what it has in progress, and its times',
@@ -327,6 +335,7 @@
     ),
     'no answer': Kind('source', 'of a source, for the first time in a row'),
     'source answers again': Kind('source failures', 'after so many failures'),
+    'manifest found': Kind('version rounds', 'an agent got it'),
     'no manifest': Kind('version', 'a source did not hand it over'),
     'piece is spoilt': Kind('piece source', 'it is not what its digest says'),
     'not handed out': Kind(
