--- a/tests/direct/test_loading.py
+++ b/tests/direct/test_loading.py
@@ -222,8 +222,8 @@
         Its new start had begun as many orders as the one before, none, and
         took the order, with nothing staged.
         """
-        engine = _Engine()
-        own = loading.Loading(engine, _View(_Origin()))
+        engine = Engine()
+        own = loading.Loading(engine, _View(Origin()))
 
         async def story() -> None:
             await own.fetch(MODEL, 2)
