Tell the start with each word on an engine, also with one that is taken back

Cause: two callers of Telling.holds left the start out, which it allowed, as one was written beside the other. Entries take such a word as of the newest start: an engine that had started anew meanwhile, empty, was taken for a holder. The start can no longer be left out. Ruled out: a rule at entries (they must go on taking words without a start, of older records). The new test failed (started 0 among 1000) and passes.

--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -276,7 +276,7 @@
             self._telling.loads(version)
             await self._emptied(engine, version, report.active)
             if not await self._loading.load(engine.model, version):
-                self._telling.holds(report.weights)
+                self._telling.holds(report.weights, report.started)
 
     async def _emptied(
         self,
--- a/clementinepass/direct/telling.py
+++ b/clementinepass/direct/telling.py
@@ -37,12 +37,12 @@
         #: they take it for sound.
         self._strained_at: float | None = None
 
-    def holds(
-        self,
-        held: endpoints.Weights,
-        started: int = incarnations.UNTOLD,
-    ) -> None:
-        """Tell what the engine holds, and when it started."""
+    def holds(self, held: endpoints.Weights, started: int) -> None:
+        """Tell what the engine holds, and when it started.
+
+        The start is never left out: entries take a word without one as of the
+        newest start that they know.
+        """
         self._held = held
         self._started = started
         self._tell()
@@ -64,7 +64,7 @@
         """
         if self._held is None or self._held == held:
             return
-        self.holds(held)
+        self.holds(held, self._started)
         await asyncio.sleep(_TOLD_TIMES * _TELL_SECONDS)
 
     def strained(self, *, is_slow: bool) -> None:
--- a/tests/direct/test_telling.py
+++ b/tests/direct/test_telling.py
@@ -7,6 +7,7 @@
 
 import testtools
 
+from clementinepass.decisions import incarnations
 from clementinepass.direct import (
     beats,
     beliefs,
@@ -74,7 +75,7 @@
         """
 
         def story(own: telling.Telling) -> None:
-            own.holds(HELD)
+            own.holds(HELD, incarnations.UNTOLD)
             own.loads(3)
             own.strained(is_slow=True)
 
@@ -103,7 +104,7 @@
         """It is told once that the link is sound again."""
 
         def story(own: telling.Telling) -> None:
-            own.holds(HELD)
+            own.holds(HELD, incarnations.UNTOLD)
             own.strained(is_slow=True)
             own.strained(is_slow=False)
             own.strained(is_slow=False)
@@ -132,3 +133,22 @@
         self.assertTrue(strained())
         now[0] += 3
         self.assertFalse(strained())
+
+    def test_taken_back_with_its_start(self) -> None:
+        """An agent took back that its engine loads, and named no start.
+
+        Entries take a word without a start as of the newest one they know. An
+        engine that had started anew meanwhile, empty, was taken to hold what
+        the start before it had held.
+        """
+        peers = _Peers()
+
+        async def played() -> None:
+            own = telling.Telling(OWN, typing.cast('typing.Any', peers))
+            own.holds(HELD, 1000)
+            own.loads(3)
+            await own.hold_to(HELD)
+
+        asyncio.run(played())
+        self.assertEqual({1000}, {one.started for one in peers.told})
+        self.assertEqual(HELD, endpoints.Weights(*peers.held[0][1:4]))
