Spread new weights in stripes, each piece read from the origin once

Change: decisions/piece_stripes.py. As many stripes as links that the origin's fills, one head a region for each, rings inside a region. Ruled out: the origin's own pace (1.9 s), borders (each crossed once before, too).

--- a/clementinepass/decisions/manifest_round.py
+++ b/clementinepass/decisions/manifest_round.py
@@ -7,8 +7,9 @@
 
 So a round asks a few at the same time: the agents before in the chain, the
 origin, and two others by turns, so that the number of questions doesn't grow
-with the agents.  The first round leaves out the origin where another agent
-gets the manifest from it just now.
+with the agents.  The first round leaves out the others.  It doesn't leave out
+the origin: after a loss of power the list still said which engines had had the
+version, all asked those, and waited a second for nothing.
 """
 
 from __future__ import annotations
@@ -32,9 +33,7 @@
     :param plan: from whom the agent is to get pieces.
     :param number: how many rounds brought nothing.
     """
-    if not number:
-        return plan.sources
-    asked = [*plan.sources, *_others(plan, number)]
+    asked = [*plan.sources, *(_others(plan, number) if number else ())]
     turns = 1 + plan.place // _ASK_EACH_ROUND
     if not (number + plan.place) % turns:
         asked.append(piece_chains.ORIGIN)
--- a/clementinepass/decisions/piece_chains.py
+++ b/clementinepass/decisions/piece_chains.py
@@ -7,14 +7,10 @@
 third of a second with six on their way; one that sends to several is done
 after several times as long, and the origin after many.
 
-So the agents form two chains.  Each gets pieces from the one before it and
-sends to the one after it, so that every link carries one copy each way and a
-piece at a time.  The heads get them from the origin, whose link feeds two, from
-opposite ends: should the origin fail, the two chains have different pieces.
-Chains begin and end where regions do, so that a region's border is crossed
-once by each piece.
-
-Where engines have the version already, they head the chains, one each.
+While no engine has the version its pieces are spread in stripes
+(:mod:`clementinepass.decisions.piece_stripes`).  Where engines have it already,
+they head chains, one each, in which each agent gets pieces from the one before
+it and sends to the one after it.
 All agents work this out by themselves; where their views differ a piece
 doesn't come as it is meant to, and is asked for elsewhere after a while.
 """
@@ -24,6 +20,8 @@
 import typing
 import zlib
 
+from clementinepass.decisions import piece_stripes
+
 if typing.TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -49,29 +47,74 @@
     """Who asks, and who else there is.
 
     :param origin_region: the region in which the origin stands.
+    :param stripes: how many agents' links the origin's link can fill.
+    :param avoided: IP numbers of peers that bring nothing.
     """
 
     own: Peer
     peers: Sequence[Peer]
     origin_region: str
+    stripes: int = piece_stripes.LEAST_STRIPES
+    avoided: frozenset[str] = frozenset()
+
+    @property
+    def sound(self) -> list[Peer]:
+        """Return the peers that bring something."""
+        return [peer for peer in self.peers if peer.ip not in self.avoided]
+
+
+class Lane(typing.NamedTuple):
+    """Some pieces of a version, and whom to ask for them.
+
+    :param rests: the pieces whose numbers leave one of these rests,
+    :param stripes: when they are divided by this.
+    :param enters: whether nobody else in the region is to have them before.
+    """
+
+    sources: tuple[str, ...]
+    rests: frozenset[int] = frozenset((0,))
+    stripes: int = 1
+    enters: bool = False
+
+    def has(self, number: int) -> bool:
+        """Tell whether a piece is one of these."""
+        return number % self.stripes in self.rests
 
 
 class Plan(typing.NamedTuple):
-    """From whom to get pieces, and from which end on.
+    """From whom to get pieces, in the order in which to ask.
 
-    :param place: how many agents of the chain are before the asking one.
+    :param place: how many agents come before the asking one, about.
     :param partners: whom to ask besides, the first that answers, while the
-        sources bring nothing: only for agents that bring pieces into their
-        region, so that each border is crossed once.
+        sources bring nothing: only for agents at which pieces enter a region.
     :param anyone: all other agents, those of the own region first.
     """
 
-    sources: tuple[str, ...]
-    ascending: bool
+    lanes: tuple[Lane, ...]
     place: int = 0
     partners: tuple[str, ...] = ()
     anyone: tuple[str, ...] = ()
 
+    @property
+    def sources(self) -> tuple[str, ...]:
+        """Return all that are asked, each once."""
+        every = [source for lane in self.lanes for source in lane.sources]
+        return tuple(dict.fromkeys(every))
+
+    @property
+    def is_striped(self) -> bool:
+        """Tell whether different pieces come from different sources."""
+        return any(lane.stripes > 1 for lane in self.lanes)
+
+    def in_order(self, numbers: Sequence[int]) -> list[int]:
+        """Return pieces in the order in which they are to come."""
+        return [
+            number
+            for lane in self.lanes
+            for number in numbers
+            if lane.has(number)
+        ]
+
 
 def plan(question: Question) -> Plan:
     """Return from whom the asking agent gets its pieces."""
@@ -80,16 +123,15 @@
 
 
 def _sources(question: Question) -> Plan:
-    near = [
-        peer for peer in question.peers if peer.region == question.own.region
-    ]
+    sound = question.sound
+    near = [peer for peer in sound if peer.region == question.own.region]
     holders = _turned(question.own, near)
     if holders:
         return _behind(question.own, near, holders, holders)
-    holders = _turned(question.own, question.peers)
+    holders = _turned(question.own, sound)
     if holders:
         return _behind(question.own, near, holders[:1], holders)
-    return _chained(question)
+    return _striped(question)
 
 
 def anyone(question: Question) -> list[str]:
@@ -124,61 +166,59 @@
     place = askers.index(own)
     if place >= len(holders):
         before = askers[place - len(holders)]
-        return Plan((before.ip,), ascending=True, place=place // len(holders))
+        return Plan((Lane((before.ip,)),), place=place // len(holders))
     turned = holders[place:] + holders[:place]
     sources = tuple(turned[:_HOLDERS_ASKED])
     others = tuple(ip for ip in partners if ip not in sources)
-    return Plan(sources, ascending=True, partners=others)
-
-
-def _chained(question: Question) -> Plan:
-    ordered = _in_order(question)
-    split = _split(ordered)
-    first, second = ordered[:split], ordered[split:]
-    if question.own in first:
-        return _place_in(first, second, question.own, ascending=True)
-    return _place_in(second, first, question.own, ascending=False)
-
-
-def _place_in(
-    chain: Sequence[Peer],
-    other: Sequence[Peer],
-    own: Peer,
-    *,
-    ascending: bool,
-) -> Plan:
-    """Return an agent's place in its chain.
-
-    The first of each region has partners in the other chain, which begins at
-    the other end: when the origin fails, each chain has what the other lacks.
+    return Plan((Lane(sources),), partners=others)
+
+
+def _striped(question: Question) -> Plan:
+    own = question.own
+    found = piece_stripes.layout(
+        piece_stripes.Agent(own.region, own.ip),
+        piece_stripes.Fleet(
+            [
+                piece_stripes.Agent(peer.region, peer.ip)
+                for peer in (own, *question.peers)
+            ],
+            question.origin_region,
+            question.stripes,
+            question.avoided,
+        ),
+    )
+    lanes = _lanes(found, question.stripes)
+    # Whoever isn't a head waits for those before it. Where all looked
+    # elsewhere, they met at the same few.
+    is_head = any(lane.enters for lane in lanes)
+    partners = _partners(question) if is_head else ()
+    return Plan(lanes, found.place, partners)
+
+
+def _lanes(found: piece_stripes.Layout, stripes: int) -> tuple[Lane, ...]:
+    """Return one lane for all that enters from a source, others apart.
+
+    Others come in an order, stripe after stripe.
     """
-    place = chain.index(own)
-    before = chain[place - 1] if place else None
-    source = ORIGIN if before is None else before.ip
-    partners: tuple[str, ...] = ()
-    if other and (before is None or before.region != own.region):
-        turn = place % len(other)
-        partners = tuple(peer.ip for peer in (*other[turn:], *other[:turn]))
-    return Plan((source,), ascending, place, partners)
-
-
-def _in_order(question: Question) -> list[Peer]:
-    """Return all agents region by region, the origin's first."""
-    agents = {question.own, *question.peers}
-    home = [one for one in agents if one.region == question.origin_region]
-    away = [one for one in agents if one.region != question.origin_region]
-    return sorted(home) + sorted(away)
-
-
-def _split(ordered: list[Peer]) -> int:
-    """Return where the second chain begins: at the border nearest the middle.
-
-    With one region, and no border, in the middle itself.
-    """
-    borders = [
-        place
-        for place in range(1, len(ordered))
-        if ordered[place].region != ordered[place - 1].region
-    ]
-    middle = (len(ordered) + 1) // 2
-    return min(borders, key=lambda place: abs(place - middle), default=middle)
+    entering: dict[str, frozenset[int]] = {}
+    relayed: list[Lane] = []
+    for source in found.sources:
+        ip = ORIGIN if source.ip is None else source.ip
+        rests = frozenset((source.stripe,))
+        if source.enters:
+            entering[ip] = entering.get(ip, frozenset()) | rests
+        else:
+            relayed.append(Lane((ip,), rests, stripes))
+    return (
+        *(Lane((ip,), own, stripes, True) for ip, own in entering.items()),
+        *relayed,
+    )
+
+
+def _partners(question: Question) -> tuple[str, ...]:
+    """Return the others of the region; each agent begins with another."""
+    near = sorted(
+        peer.ip for peer in question.sound if peer.region == question.own.region
+    )
+    turn = zlib.crc32(question.own.ip.encode()) % max(len(near), 1)
+    return tuple(near[turn:] + near[:turn])
--- /dev/null
+++ b/clementinepass/decisions/piece_stripes.py
@@ -0,0 +1,227 @@
+"""Spread a new version in stripes: each piece is read from the origin once.
+
+Load: all agents want all pieces of a version that nobody has yet, and the
+origin may be gone at any moment.  Harm: where two agents read all of it from
+both ends, each piece is out only when either link has carried half of them,
+and a second copy is paid for; once the origin is gone nobody can have the
+version, however many have most of it.
+
+So the pieces are dealt into stripes, as many as there are links that the
+origin's link can fill.  Each stripe enters each region at one agent, its head
+there, which gets it before anything else.  The origin has sent all of a version
+after the time that its own link needs: 1.9 s in place of 2.8 s for 2.1 MB at
+9.9 Mbit/s into links of 3.8 Mbit/s.
+
+Within a region agents stand in a ring.  Each gets from the one before it
+whatever it isn't the head of, beginning with the stripe of the nearest head
+before it.  Heads stand evenly apart, and the agent just before the next head
+hands a stripe on to the next region: it sends to nobody else while that
+stripe comes.  So each link carries about one copy each way, and a border is
+crossed once by each piece.
+
+All agents work this out by themselves; where their views differ a piece
+doesn't come as it is meant to, and is asked for elsewhere after a while.
+"""
+
+from __future__ import annotations
+
+import math
+import typing
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Container, Sequence
+
+#: Stripes at least: with one the origin's link would wait for a single agent's.
+LEAST_STRIPES = 2
+#: Stripes at most. Each is another source that an agent may get pieces from.
+MOST_STRIPES = 8
+
+
+class Agent(typing.NamedTuple):
+    """An agent, by the region and the IP number that it has."""
+
+    region: str
+    ip: str
+
+
+class Fleet(typing.NamedTuple):
+    """All agents of a service.
+
+    :param home: the region in which the origin stands.
+    :param stripes: how many agents' links the origin's can fill.
+    :param avoided: IP numbers of agents that bring nothing.
+    """
+
+    agents: Sequence[Agent]
+    home: str
+    stripes: int
+    avoided: Container[str] = frozenset()
+
+
+class Source(typing.NamedTuple):
+    """Where an agent gets one stripe.
+
+    :param ip: an agent's IP number; ``None`` for the origin.
+    :param enters: whether the stripe enters the region here.
+    """
+
+    stripe: int
+    ip: str | None
+    enters: bool
+
+
+class Layout(typing.NamedTuple):
+    """From whom an agent gets each stripe, in the order in which to ask.
+
+    :param place: how many agents come before it, region by region, for each
+        stripe.
+    """
+
+    sources: tuple[Source, ...]
+    place: int
+
+
+def stripes(origin_mbps: float, link_mbps: float) -> int:
+    """Return how many agents' links the origin's link can fill.
+
+    :param origin_mbps: megabits a second; 0 where it isn't told.
+    :param link_mbps: the same of an agent's link.
+    """
+    if not origin_mbps or not link_mbps:
+        return LEAST_STRIPES
+    filled = -int(-origin_mbps // link_mbps)
+    return min(max(filled, LEAST_STRIPES), MOST_STRIPES)
+
+
+def layout(own: Agent, fleet: Fleet) -> Layout:
+    """Return from whom an agent gets each stripe."""
+    rings = _rings(fleet)
+    ring = next(one for one in rings if one.region == own.region)
+    place = ring.place(own)
+    sources = [
+        _source(stripe, place, ring, rings) for stripe in range(fleet.stripes)
+    ]
+    sources.sort(key=lambda source: ring.distance(source.stripe, place))
+    before = sum(len(one.agents) for one in rings[: rings.index(ring)])
+    return Layout(tuple(sources), math.ceil((before + place) / fleet.stripes))
+
+
+class _Ring:
+    """The agents of one region."""
+
+    __slots__ = ('_avoided', '_stripes', 'agents', 'region')
+
+    def __init__(
+        self,
+        region: str,
+        agents: Sequence[Agent],
+        fleet: Fleet,
+    ) -> None:
+        self.region = region
+        self.agents = agents
+        self._stripes = fleet.stripes
+        self._avoided = fleet.avoided
+
+    def place(self, own: Agent) -> int:
+        """Return where in the ring an agent stands."""
+        return self.agents.index(own)
+
+    def head(self, stripe: int) -> int | None:
+        """Return the place of the agent at which a stripe enters.
+
+        Where that one brings nothing, of the next one after it.
+        """
+        return self._sound(self._planned_head(stripe), 1)
+
+    def feeder(self, stripe: int) -> int | None:
+        """Return the place of the agent that hands a stripe on."""
+        head = self._planned_head(stripe)
+        next_head = (stripe + 1) * len(self.agents) // self._stripes
+        for place in reversed(range(head, next_head)):
+            if self.agents[place].ip not in self._avoided:
+                return place
+        return self.head(stripe)
+
+    def before(self, place: int) -> int | None:
+        """Return the place of whoever sends to an agent in the ring."""
+        return self._sound(place - 1, -1)
+
+    def distance(self, stripe: int, place: int) -> int:
+        """Return how many agents pass a stripe on before it comes to one."""
+        head = self.head(stripe)
+        if head is None:
+            return 0
+        return (place - head) % len(self.agents)
+
+    def _planned_head(self, stripe: int) -> int:
+        if len(self.agents) < self._stripes:
+            return stripe % len(self.agents)
+        return stripe * len(self.agents) // self._stripes
+
+    def _sound(self, start: int, step: int) -> int | None:
+        """Return the first place from one on whose agent isn't avoided."""
+        count = len(self.agents)
+        for turn in range(count):
+            place = (start + turn * step) % count
+            if self.agents[place].ip not in self._avoided:
+                return place
+        return None
+
+
+def _rings(fleet: Fleet) -> list[_Ring]:
+    """Return the agents by region: the origin's first, then large ones."""
+    by_region: dict[str, list[Agent]] = {}
+    for agent in sorted(set(fleet.agents)):
+        by_region.setdefault(agent.region, []).append(agent)
+    rings = [_Ring(region, own, fleet) for region, own in by_region.items()]
+    return sorted(
+        rings,
+        key=lambda ring: (
+            ring.region != fleet.home,
+            -len(ring.agents),
+            ring.region,
+        ),
+    )
+
+
+def _source(
+    stripe: int,
+    place: int,
+    ring: _Ring,
+    rings: list[_Ring],
+) -> Source:
+    """Return where the agent at a place of a ring gets a stripe."""
+    if ring.head(stripe) != place:
+        before = ring.before(place)
+        if before is not None and before != place:
+            return Source(stripe, ring.agents[before].ip, enters=False)
+    return Source(stripe, _handed_on_by(stripe, ring, rings), enters=True)
+
+
+def _handed_on_by(
+    stripe: int,
+    ring: _Ring,
+    rings: list[_Ring],
+) -> str | None:
+    """Return who hands a stripe on to a region; ``None`` for the origin."""
+    first = _first_ring(stripe, rings)
+    turned = rings[first:] + rings[:first]
+    for earlier in reversed(turned[: turned.index(ring)]):
+        feeder = earlier.feeder(stripe)
+        if feeder is not None:
+            return earlier.agents[feeder].ip
+    return None
+
+
+def _first_ring(stripe: int, rings: list[_Ring]) -> int:
+    """Return the number of the ring that gets a stripe from the origin.
+
+    The origin's region; where that has fewer agents than there are stripes,
+    the others go to the next regions, so that they too are out at once.
+    """
+    before = 0
+    for number, ring in enumerate(rings):
+        before += len(ring.agents)
+        if stripe < before:
+            return number
+    return 0
--- a/clementinepass/direct/chain_order.py
+++ b/clementinepass/direct/chain_order.py
@@ -8,8 +8,10 @@
     from collections.abc import Sequence
 
 #: Seconds without a piece after which to go by what the source has. Pieces
-#: come each 60 ms, and each 170 ms where links are slowed to a third.
-_STALLED = 0.35
+#: come each 70 ms, and a source sends five to another agent first, 0.35 s.
+#: With 0.35 s most agents gave the order up when they turned from one source
+#: to the other, and had all after 6.2 to 8.1 s in place of 5.3 s.
+_STALLED = 0.7
 #: Pieces in a row that came in the order of the chain, after which to go by
 #: that again. At the start of a version the last of a chain wait longer than
 #: that; to ask for what is known to be there costs a quarter of the pace.
--- a/clementinepass/direct/fetching.py
+++ b/clementinepass/direct/fetching.py
@@ -1,10 +1,11 @@
 """Get the missing pieces of a version, from whoever has them.
 
-Each agent asks the one before it in its chain, in the order in which pieces
-come there, and before they are there.  Where nothing comes for a moment it
-goes by what its source says that it has, and those who bring pieces into their
-region ask the other chain, too.  The link is the engine's as well, so few
-pieces are on it at once; more would hold up the prompts and events behind them.
+Each agent asks its sources in the order in which pieces come there, and before
+they are there.  Pieces that enter the region at this agent go first, since
+others wait for them, and their source may be gone at any moment.  Where nothing
+comes for a moment it goes by what its sources say that they have, and asks
+another of its region, too.  The link is the engine's as well, so few pieces
+are on it at once; more would hold up the prompts and events behind them.
 """
 
 from __future__ import annotations
@@ -75,6 +76,8 @@
         self._view = view
         self._suppliers = suppliers.Suppliers(view.source)
         self._plan: piece_chains.Plan | None = None
+        #: Whether to get pieces from those whose engines have the version.
+        self._by_holders = False
         self._changed = asyncio.Event()
         self._order = chain_order.ChainOrder(
             asyncio.get_running_loop().time(),
@@ -100,11 +103,12 @@
 
     def _start(self, now: float) -> None:
         """Ask for pieces until enough are on their way."""
-        self._suppliers.judge(now, len(self._held.numbers))
+        self._suppliers.judge(now, self._count_to_keep_up())
         question = self._question(now)
         plan = piece_chains.plan(question)
         self._follow_plan(plan, now)
         if self._order.gives_up(now):
+            self._by_holders = True
             logger.bind(
                 sources=plan.sources,
                 partners=plan.partners[:1],
@@ -133,16 +137,26 @@
         to ask for what is there takes a question and an answer more, each
         behind a piece on the link.
         """
-        able = self._suppliers.usable(plan.sources, now)
-        most = self._most_asked(
-            _ASKED_OF_SEVERAL
-            if piece_chains.ORIGIN in plan.sources
-            else _ASKED_OF_AGENT,
-        )
-        for number in self._in_order():
-            if not able or len(self._suppliers.on_way()) >= most:
+        for lane in plan.lanes:
+            able = self._suppliers.usable(lane.sources, now)
+            most = self._most_asked(_most_asked_in(lane))
+            for number in filter(lane.has, self._in_order()):
+                if not able or len(self._suppliers.on_way()) >= most:
+                    break
+                self._ask(min(able, key=_next_after), number, now)
+            if lane.enters and self._flows(lane, able, now):
                 return
-            self._ask(min(able, key=_next_after), number, now)
+
+    def _flows(
+        self,
+        lane: piece_chains.Lane,
+        able: list[suppliers.Supplier],
+        now: float,
+    ) -> bool:
+        """Tell whether pieces of a lane are still coming."""
+        if not any(map(lane.has, self._held.missing)):
+            return False
+        return any(one.flows(now) for one in able)
 
     def _ask_for_held(
         self,
@@ -158,8 +172,8 @@
         for one in sources:
             if one.ip == piece_chains.ORIGIN:
                 self._ask_origin(one, ordered, sources, now)
-        if plan.sources != (piece_chains.ORIGIN,):
-            self._ask_ahead(sources[:1], now)
+        agents = [each for each in sources if each.ip != piece_chains.ORIGIN]
+        self._ask_ahead(agents[:1], now)
 
     def _ask_known(
         self,
@@ -227,26 +241,36 @@
         return found
 
     def _in_order(self) -> list[int]:
-        """Return the numbers to ask for, in the order of the chain."""
+        """Return the numbers to ask for, in the order in which they come."""
         on_way = self._suppliers.on_way()
         return [one for one in self._missing() if one not in on_way]
 
     def _missing(self) -> list[int]:
-        """Return the missing numbers in the order of the chain."""
-        numbers = self._held.missing
-        if self._plan is not None and not self._plan.ascending:
-            numbers.reverse()
-        return numbers
+        """Return the missing numbers in the order in which they come."""
+        missing = self._held.missing
+        return missing if self._plan is None else self._plan.in_order(missing)
 
     def _question(self, now: float) -> piece_chains.Question:
-        """Return who there is, without those that are passed over."""
+        """Return who there is, and who is passed over."""
         manifest = self._held.manifest
         question = self._view.question(manifest.model, manifest.version)
-        without = self._suppliers.passed_over(now)
+        if self._plan is None:
+            self._by_holders = any(peer.holds for peer in question.peers)
+        avoided = self._suppliers.passed_over(now)
         return question._replace(
-            peers=[peer for peer in question.peers if peer.ip not in without],
+            peers=question.peers if self._by_holders else _newcomers(question),
+            avoided=avoided,
         )
 
+    def _count_to_keep_up(self) -> int:
+        """Return how many pieces sources should have, more or less.
+
+        Where pieces come in stripes, those before wait for other pieces than
+        this agent has, and say so themselves when their link is slow.
+        """
+        is_striped = self._plan is not None and self._plan.is_striped
+        return 0 if is_striped else len(self._held.numbers)
+
     def _most_asked(self, most: int) -> int:
         """Return how many pieces to ask for at once.
 
@@ -315,7 +339,7 @@
                 await asyncio.sleep(_PAUSE_SECONDS)
         finally:
             if one.on_way.get(number) is asyncio.current_task():
-                del one.on_way[number]
+                one.done(number)
             self._changed.set()
 
     async def _get_from(
@@ -354,7 +378,7 @@
         slow, and this agent is no source for others. Time in which a source
         sends to others isn't counted: it ends before the answer begins.
         """
-        one.took(piece.seconds)
+        one.took(piece.seconds, asyncio.get_running_loop().time())
         ahead = (piece.others or 0) - len(self._held.numbers)
         self._held.slow = (
             self._suppliers.piece_seconds > _SLOW_PIECE
@@ -377,5 +401,24 @@
         return self._view.wanted() != (manifest.model, manifest.version)
 
 
+def _newcomers(
+    question: piece_chains.Question,
+) -> list[piece_chains.Peer]:
+    """Return all peers as if no engine had the version yet.
+
+    Failure: as soon as one engine had loaded a version, all agents of other
+    regions that lacked some pieces turned to the one beside it.
+    """
+    return [peer._replace(holds=False) for peer in question.peers]
+
+
+def _most_asked_in(lane: piece_chains.Lane) -> int:
+    """Return how many pieces of a lane to ask for at once."""
+    is_single = len(lane.sources) == 1
+    if is_single and piece_chains.ORIGIN not in lane.sources:
+        return _ASKED_OF_AGENT
+    return _ASKED_OF_SEVERAL
+
+
 def _next_after(one: suppliers.Supplier) -> float:
     return one.next_after
--- a/clementinepass/direct/neighbours.py
+++ b/clementinepass/direct/neighbours.py
@@ -5,7 +5,7 @@
 import asyncio
 import typing
 
-from clementinepass.decisions import piece_chains
+from clementinepass.decisions import piece_chains, piece_stripes
 from clementinepass.direct import peer_source
 
 if typing.TYPE_CHECKING:
@@ -77,6 +77,10 @@
             ),
             peers,
             '' if origin is None else self._own.region_of(origin.domain),
+            piece_stripes.stripes(
+                0 if origin is None else origin.link_mbps,
+                self._own.link_mbps,
+            ),
         )
 
     def source(self, ip: str) -> weights.Source | None:
--- a/clementinepass/direct/routing.py
+++ b/clementinepass/direct/routing.py
@@ -115,6 +115,8 @@
     origin: str = ''
     #: The failure domain of such a service.
     domain: str = ''
+    #: Megabits a second that its link carries; 0 where it isn't told.
+    link_mbps: float = 0
 
 
 class Team(msgspec.Struct, frozen=True):
--- a/clementinepass/direct/suppliers.py
+++ b/clementinepass/direct/suppliers.py
@@ -23,6 +23,9 @@
 _SILENT_BESIDE = 2.5
 #: Seconds since a byte of it came in which a source counts as sending.
 _SENDING = 0.3
+#: Seconds since its last piece, or since it was first asked, after which a
+#: source brings nothing at present. Pieces come each 60 to 80 ms.
+_FLOWING = 0.35
 #: Failures in a row that say the same: refused connections, mostly.
 _MOST_FAILURES = 3
 #: Seconds for which a source is passed over: its machine wakes meanwhile or is
@@ -50,6 +53,7 @@
         'asked_since',
         'count',
         'failures',
+        'flowed_at',
         'has',
         'ip',
         'is_slow',
@@ -75,6 +79,8 @@
         #: there was none; ``None`` while there is none.
         self.asked_since: float | None = None
         self.passed_over_until = float('-inf')
+        #: When its last piece came, or it was first asked; ``None`` before.
+        self.flowed_at: float | None = None
         #: Seconds that a piece of it takes on the links between.
         self.piece_seconds = _USUAL_PIECE
         #: The pieces on their way from it.
@@ -95,10 +101,10 @@
             return 'slow'
         if self.failures >= _MOST_FAILURES:
             return 'failing'
-        if self.count is not None and self.count < held - _FAR_BEHIND:
-            return 'behind'
         if self.asked_since is None:
             return ''
+        if self.count is not None and self.count < held - _FAR_BEHIND:
+            return 'behind'
         heard = max(self.asked_since, self.source.heard)
         return 'silent' if now - heard > patience else ''
 
@@ -107,11 +113,16 @@
         """Return the seconds until a further piece of it would be here."""
         return (len(self.on_way) + 1) * self.piece_seconds
 
-    def took(self, seconds: float) -> None:
-        """Note how long a piece took."""
+    def took(self, seconds: float, now: float) -> None:
+        """Note a piece, and how long it took."""
+        self.flowed_at = now
         bounded = min(seconds, _LONGEST_PIECE)
         self.piece_seconds += _GAIN * (bounded - self.piece_seconds)
 
+    def flows(self, now: float) -> bool:
+        """Tell whether pieces of it come, or it was asked just now."""
+        return self.flowed_at is None or now - self.flowed_at < _FLOWING
+
     def sends(self, now: float) -> bool:
         """Tell whether a piece is coming from it."""
         return bool(self.on_way) and now - self.source.heard < _SENDING
@@ -120,6 +131,8 @@
         """Note that a question goes out."""
         if self.asked_since is None:
             self.asked_since = now
+        if self.flowed_at is None:
+            self.flowed_at = now
 
     def answered(
         self,
@@ -139,6 +152,20 @@
         self.count = count
         self.asked_since = now if self.on_way else None
 
+    def done(self, number: int) -> None:
+        """Note that a piece is no longer on its way.
+
+        Failure: a source that had sent all that it was asked for said nothing
+        more, so that it looked silent and ever further behind, and was passed
+        over.
+        """
+        del self.on_way[number]
+        if self.on_way:
+            return
+        self.count = None
+        if self.watcher is None:
+            self.asked_since = None
+
     def pass_over(self, now: float) -> None:
         """Stop using it for a while."""
         self.passed_over_until = now + _PASSED_OVER
--- a/clementinepass/platform/operator.py
+++ b/clementinepass/platform/operator.py
@@ -84,6 +84,7 @@
     engine: _Engine | None = None
     origin: str = ''
     zone: str = ''
+    link_mbps: float = 0
 
 
 class _Limits(_Camel):
@@ -180,6 +181,7 @@
         engine=None if engine is None else _engine(engine),
         origin=service.origin,
         domain=service.zone,
+        link_mbps=service.link_mbps,
     )
 
 
--- a/tests/direct/test_fetching.py
+++ b/tests/direct/test_fetching.py
@@ -10,7 +10,7 @@
 
 from clementinepass import errors
 from clementinepass.decisions import piece_chains
-from clementinepass.direct import fetching, pieces, weights
+from clementinepass.direct import fetching, pieces, suppliers, weights
 
 CHUNKS = 40
 MODEL = 'm'
@@ -293,3 +293,49 @@
         play(world, story)
         self.assertLess(slow.sent, CHUNKS // 4)
         self.assertGreater(fast.sent, CHUNKS // 2)
+
+
+class HolderAppearsTest(testtools.TestCase):
+    """An engine has loaded a version of which others still lack pieces.
+
+    All agents of the other regions turned to the one beside it for the last
+    pieces, and its link carried a copy for each of them.
+    """
+
+    def test_stripes_go_on(self) -> None:
+        """Nobody asks it who didn't before."""
+        world = _World(3, 4)
+
+        async def story() -> None:
+            await world.all_have(CHUNKS // 4)
+            asked_by = set(world.hold(0).asked_by)
+            await world.all_have(CHUNKS)
+            self.assertLessEqual(len(asked_by), 2)
+            self.assertEqual(asked_by, world.agents[0].asked_by)
+
+        play(world, story)
+
+
+class UnaskedSourceTest(testtools.TestCase):
+    """A source has sent all that it was asked for.
+
+    It said nothing more, since nobody asked, was taken for silent and far
+    behind, and those behind it turned to others.
+    """
+
+    def test_not_passed_over(self) -> None:
+        """It is judged only while something is asked of it."""
+
+        async def story() -> None:
+            world = _World(2, 0)
+            link = world.link(world.agents[0], world.agents[1].peer.ip)
+            one = suppliers.Supplier('10.0.0.1', link)
+            one.asked(0)
+            one.on_way[3] = asyncio.create_task(asyncio.sleep(0))
+            one.answered(1, slow=False, count=2)
+            self.assertEqual('behind', one.trouble(1, CHUNKS, 1))
+            self.assertEqual('silent', one.trouble(3, 0, 1))
+            one.done(3)
+            self.assertEqual('', one.trouble(3, CHUNKS, 1))
+
+        asyncio.run(story())
