--- /dev/null
+++ b/clementinepass/direct/placing.py
@@ -0,0 +1,123 @@
+"""Choose the endpoint of a request: step *place* of its path."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from clementinepass.decisions import first_event, nearest_place, timely_begin
+
+if typing.TYPE_CHECKING:
+    import random
+
+    from clementinepass.direct import (
+        beliefs,
+        endpoints,
+        request_log,
+        serving,
+    )
+
+#: Seconds that a request waits for an engine that loads: the time for it to
+#: finish what it runs, and to load.
+_LOADING_SECONDS = 1.2
+_LOOK_SECONDS = 0.03
+_UNKNOWN_PACE = first_event.Pace(0, 0)
+
+
+class Placing:
+    """Choose endpoints by what this entry believes.
+
+    :param known: configuration, versions, endpoints and loads.
+    """
+
+    __slots__ = ('_beliefs', '_log', '_rng')
+
+    def __init__(
+        self,
+        known: beliefs.Beliefs,
+        log: request_log.RequestLog,
+        rng: random.Random,
+    ) -> None:
+        self._beliefs = known
+        self._log = log
+        self._rng = rng
+
+    async def first_place(
+        self,
+        admitted: serving.Serving,
+    ) -> endpoints.Endpoint | None:
+        """Choose an endpoint, waiting a moment for engines that load.
+
+        Load: a new version while all engines take it up within the same
+        second. Harm: whoever comes then is told to come back after two
+        seconds, though an engine is there after half a second.
+        """
+        loop = asyncio.get_running_loop()
+        until = admitted.call.request.received + _LOADING_SECONDS
+        endpoint = self.place(admitted)
+        while endpoint is None and loop.time() < until:
+            if self._beliefs.candidates(admitted.service, loop.time()):
+                break
+            if not self._beliefs.loading(admitted.service, loop.time()):
+                break
+            await asyncio.sleep(_LOOK_SECONDS)
+            endpoint = self.place(admitted)
+        return endpoint
+
+    def place(self, admitted: serving.Serving) -> endpoints.Endpoint | None:
+        """Choose an endpoint; ``None`` if there is none with room."""
+        now = asyncio.get_running_loop().time()
+        candidates = self._beliefs.candidates(admitted.service, now)
+        untried = [
+            one
+            for one in candidates
+            if one.listing.id not in admitted.tried_ids
+        ]
+        engine = admitted.service.engine
+        options = self._beliefs.options(untried, engine, now)
+        if not options and untried:
+            # All fail: each is the wrong one to leave out.
+            options = self._beliefs.options_of_failing(untried, engine, now)
+        timely = _timely(admitted, options)
+        choice = nearest_place.choose(timely, self._rng)
+        if choice is None:
+            admitted.come_back = first_event.LONGEST_RETURN
+            return None
+        if not admitted.attempts and not self._fits(admitted, choice, now):
+            self._log.overloaded(admitted, choice)
+            return None
+        return self._beliefs.endpoints.get(choice.endpoint_id)
+
+    def _fits(
+        self,
+        admitted: serving.Serving,
+        choice: nearest_place.Choice,
+        now: float,
+    ) -> bool:
+        """Tell whether the best endpoint answers in time."""
+        engine = admitted.service.engine
+        pace = _UNKNOWN_PACE if engine is None else engine.pace
+        admitted.come_back = first_event.come_back(choice.waiting, pace)
+        wish = first_event.Wish(
+            waiting=choice.waiting,
+            slots=choice.slots,
+            prompt_tokens=admitted.call.prompt_tokens,
+            aim=admitted.route.aim,
+            passed=now - admitted.call.request.received,
+        )
+        return first_event.fits(wish, pace)
+
+
+def _timely(
+    admitted: serving.Serving,
+    options: list[nearest_place.Option],
+) -> list[nearest_place.Option]:
+    """Return the endpoints whose weights are allowed when it begins there."""
+    engine = admitted.service.engine
+    if engine is None:
+        return options
+    request = timely_begin.Request(
+        admitted.call.prompt_tokens,
+        engine.usual_prompt,
+    )
+    return timely_begin.timely(request, options, engine.pace)
