Know an agent on a narrow link that reads a stripe from the origin

Cause: the origin's pieces were counted as taking no time, and an origin doesn't say how many it has, so that a head on a narrowed link never said that it is slow; others waited for its stripe. Its word waits behind its own pieces, too. Change: pieces of the origin are timed; a head to which pieces come slowly asks others as well, and says that it is slow where theirs are slow, too; a source whose pieces take 2.5 times as long as another's is passed over.

--- a/clementinepass/direct/fetching.py
+++ b/clementinepass/direct/fetching.py
@@ -39,9 +39,7 @@
 #: two; where all agents turn to it none is done in time.
 _LOST = 8.0
 _LOST_EACH = 1.0
-#: Seconds that a piece takes on this agent's link, four times the usual, and
-#: pieces by which its source is ahead, that show the link to be slow.
-_SLOW_PIECE = 0.22
+#: Pieces by which a source is ahead that show the link here to be slow.
 _FAR_AHEAD = 4
 #: Seconds that pieces on their way may keep the link busy.
 _QUEUE_SECONDS = 0.3
@@ -153,10 +151,17 @@
         able: list[suppliers.Supplier],
         now: float,
     ) -> bool:
-        """Tell whether pieces of a lane are still coming."""
+        """Tell whether pieces of a lane are still coming, and fast.
+
+        Where they come slowly the others are asked, too: if theirs are slow
+        as well, it is the link here, and another is to head the stripe.
+        """
         if not any(map(lane.has, self._held.missing)):
             return False
-        return any(one.flows(now) for one in able)
+        return any(
+            one.flows(now) and one.piece_seconds <= suppliers.SLOW_PIECE
+            for one in able
+        )
 
     def _ask_for_held(
         self,
@@ -374,15 +379,21 @@
     ) -> None:
         """Note how long pieces take on the link.
 
-        Where they take long though the source has more, the link here is
-        slow, and this agent is no source for others. Time in which a source
-        sends to others isn't counted: it ends before the answer begins.
+        Where they take long though the source has more, or from several
+        sources, the link here is slow, and this agent is no source for others.
+        Time in which a source sends to others isn't counted: it ends before
+        the answer begins.
+
+        Failure: the link of an agent that read a stripe from the origin was
+        narrowed to an eighth. Nothing told it from an origin that is slow, and
+        all others waited for that stripe until the version's bound.
         """
         one.took(piece.seconds, asyncio.get_running_loop().time())
         ahead = (piece.others or 0) - len(self._held.numbers)
+        has_evidence = ahead > _FAR_AHEAD or self._suppliers.several_bring()
         self._held.slow = (
-            self._suppliers.piece_seconds > _SLOW_PIECE
-            and ahead > _FAR_AHEAD
+            self._suppliers.piece_seconds > suppliers.SLOW_PIECE
+            and has_evidence
             and not piece.slow
         )
         if one.ip == piece_chains.ORIGIN:
--- a/clementinepass/direct/suppliers.py
+++ b/clementinepass/direct/suppliers.py
@@ -31,6 +31,10 @@
 #: Seconds for which a source is passed over: its machine wakes meanwhile or is
 #: dropped from the list, and all that want the version have it, mostly.
 _PASSED_OVER = 8.0
+#: Seconds that a piece takes on a slow link, three times the usual, and how
+#: many times as long as on another's.
+SLOW_PIECE = 0.22
+_SLOWER = 2.5
 #: Pieces by which a source may have fewer and still be one: they come in
 #: another order where both have had some before.
 _FAR_BEHIND = 12
@@ -55,6 +59,7 @@
         'failures',
         'flowed_at',
         'has',
+        'has_brought',
         'ip',
         'is_slow',
         'on_way',
@@ -81,6 +86,8 @@
         self.passed_over_until = float('-inf')
         #: When its last piece came, or it was first asked; ``None`` before.
         self.flowed_at: float | None = None
+        #: Whether a piece of it came.
+        self.has_brought = False
         #: Seconds that a piece of it takes on the links between.
         self.piece_seconds = _USUAL_PIECE
         #: The pieces on their way from it.
@@ -108,6 +115,16 @@
         heard = max(self.asked_since, self.source.heard)
         return 'silent' if now - heard > patience else ''
 
+    def is_slower(self, fastest: float) -> bool:
+        """Tell whether its link is slow, as pieces of others show.
+
+        Failure: on a link narrowed to an eighth an agent's word that it is
+        slow waited behind its pieces, for two seconds.
+        """
+        if self.ip == piece_chains.ORIGIN or not self.on_way:
+            return False
+        return self.piece_seconds > max(SLOW_PIECE, fastest * _SLOWER)
+
     @property
     def next_after(self) -> float:
         """Return the seconds until a further piece of it would be here."""
@@ -116,6 +133,7 @@
     def took(self, seconds: float, now: float) -> None:
         """Note a piece, and how long it took."""
         self.flowed_at = now
+        self.has_brought = True
         bounded = min(seconds, _LONGEST_PIECE)
         self.piece_seconds += _GAIN * (bounded - self.piece_seconds)
 
@@ -239,6 +257,18 @@
             default=_USUAL_PIECE,
         )
 
+    @property
+    def fastest_piece(self) -> float:
+        """Return what a piece takes from the fastest that brought one."""
+        return min(
+            (one.piece_seconds for one in self if one.has_brought),
+            default=_USUAL_PIECE,
+        )
+
+    def several_bring(self) -> bool:
+        """Tell whether pieces came from more than one."""
+        return sum(one.has_brought for one in self) > 1
+
     def on_way(self) -> frozenset[int]:
         """Return the numbers of the pieces on their way."""
         return frozenset(number for one in self for number in one.on_way)
@@ -254,10 +284,13 @@
 
         :param held: how many pieces the asking agent has.
         """
+        fastest = self.fastest_piece
         for one in self:
             beside = any(each.sends(now) for each in self if each is not one)
             patience = _SILENT_BESIDE if beside else _SILENT_AFTER
             trouble = one.trouble(now, held, patience)
+            if not trouble and one.is_slower(fastest):
+                trouble = 'slower'
             if trouble:
                 logger.bind(source=one.ip, trouble=trouble).info(
                     'source passed over',
--- a/clementinepass/platform/engine.py
+++ b/clementinepass/platform/engine.py
@@ -297,4 +297,4 @@
         if fetched.status in {_GONE, _NOT_FOUND}:
             return weights.Piece(None)
         self._caller.check(fetched, 'piece')
-        return weights.Piece(fetched.body)
+        return weights.Piece(fetched.body, seconds=fetched.seconds)
