--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -6,16 +6,11 @@
 import typing
 
 from clementinepass.decisions import departure as leave_plan
-from clementinepass.decisions import (
-    first_event,
-    nearest_place,
-    next_try,
-    timely_begin,
-    window_budget,
-)
+from clementinepass.decisions import next_try, window_budget
 from clementinepass.direct import (
     attempt,
     calls,
+    placing,
     request_log,
     routing,
     serving,
@@ -25,7 +20,7 @@
 if typing.TYPE_CHECKING:
     import random
 
-    from clementinepass.direct import beliefs, departure, endpoints, node
+    from clementinepass.direct import beliefs, departure, node
     from clementinepass.http import messages, replies
 
 _BAD_REQUEST = 400
@@ -39,11 +34,6 @@
 _RETRY_AFTER = 0.4
 #: Seconds from sending to the first event of a stream; twice the usual.
 _FIRST_EVENT_SECONDS = 0.35
-#: Seconds that a request waits for an engine that loads: the time for it to
-#: finish what it runs, and to load.
-_LOADING_SECONDS = 1.2
-_LOOK_SECONDS = 0.03
-_UNKNOWN_PACE = first_event.Pace(0, 0)
 
 
 class Path:
@@ -63,6 +53,7 @@
         '_log',
         '_others_ready',
         '_own',
+        '_placing',
         '_rng',
         '_sender',
         '_timeouts',
@@ -91,6 +82,7 @@
         self._others_ready = others_ready
         self._timeouts: dict[serving.Serving, asyncio.Timeout] = {}
         self._rng = rng
+        self._placing = placing.Placing(known, log, rng)
         self._withdrawn = withdrawn.Withdrawn()
         self._budgets_by_service: dict[str, window_budget.WindowBudget] = {}
 
@@ -234,7 +226,7 @@
 
     async def _answer(self, admitted: serving.Serving) -> None:
         """Send the request until it is answered or nothing is left to try."""
-        endpoint = await self._first_place(admitted)
+        endpoint = await self._placing.first_place(admitted)
         while endpoint is not None:
             self._note_sending(admitted)
             tried = await self._sender.send(admitted, endpoint)
@@ -246,74 +238,9 @@
             if not self._may_repeat(admitted):
                 self._conclude(admitted, self._ending_of(admitted, tried))
                 return
-            endpoint = self._place(admitted)
+            endpoint = self._placing.place(admitted)
         self._conclude(admitted, self._ending_unplaced(admitted))
 
-    async def _first_place(
-        self,
-        admitted: serving.Serving,
-    ) -> endpoints.Endpoint | None:
-        """Choose an endpoint, waiting a moment for engines that load.
-
-        Load: a new version while all engines take it up within the same
-        second. Harm: whoever comes then is told to come back after two
-        seconds, though an engine is there after half a second.
-        """
-        loop = asyncio.get_running_loop()
-        until = admitted.call.request.received + _LOADING_SECONDS
-        endpoint = self._place(admitted)
-        while endpoint is None and loop.time() < until:
-            if self._beliefs.candidates(admitted.service, loop.time()):
-                break
-            if not self._beliefs.loading(admitted.service, loop.time()):
-                break
-            await asyncio.sleep(_LOOK_SECONDS)
-            endpoint = self._place(admitted)
-        return endpoint
-
-    def _place(self, admitted: serving.Serving) -> endpoints.Endpoint | None:
-        """Choose an endpoint; ``None`` if there is none with room."""
-        now = asyncio.get_running_loop().time()
-        candidates = self._beliefs.candidates(admitted.service, now)
-        untried = [
-            one
-            for one in candidates
-            if one.listing.id not in admitted.tried_ids
-        ]
-        engine = admitted.service.engine
-        options = self._beliefs.options(untried, engine, now)
-        if not options and untried:
-            # All fail: each is the wrong one to leave out.
-            options = self._beliefs.options_of_failing(untried, engine, now)
-        timely = _timely(admitted, options)
-        choice = nearest_place.choose(timely, self._rng)
-        if choice is None:
-            admitted.come_back = first_event.LONGEST_RETURN
-            return None
-        if not admitted.attempts and not self._fits(admitted, choice, now):
-            self._log.overloaded(admitted, choice)
-            return None
-        return self._beliefs.endpoints.get(choice.endpoint_id)
-
-    def _fits(
-        self,
-        admitted: serving.Serving,
-        choice: nearest_place.Choice,
-        now: float,
-    ) -> bool:
-        """Tell whether the best endpoint answers in time."""
-        engine = admitted.service.engine
-        pace = _UNKNOWN_PACE if engine is None else engine.pace
-        admitted.come_back = first_event.come_back(choice.waiting, pace)
-        wish = first_event.Wish(
-            waiting=choice.waiting,
-            slots=choice.slots,
-            prompt_tokens=admitted.call.prompt_tokens,
-            aim=admitted.route.aim,
-            passed=now - admitted.call.request.received,
-        )
-        return first_event.fits(wish, pace)
-
     def _note_sending(self, admitted: serving.Serving) -> None:
         if not admitted.attempts:
             now = asyncio.get_running_loop().time()
@@ -413,21 +340,6 @@
         return _BAD_GATEWAY
 
 
-def _timely(
-    admitted: serving.Serving,
-    options: list[nearest_place.Option],
-) -> list[nearest_place.Option]:
-    """Return the endpoints whose weights are allowed when it begins there."""
-    engine = admitted.service.engine
-    if engine is None:
-        return options
-    request = timely_begin.Request(
-        admitted.call.prompt_tokens,
-        engine.usual_prompt,
-    )
-    return timely_begin.timely(request, options, engine.pace)
-
-
 def _seconds_left(admitted: serving.Serving, now: float) -> float:
     """Return the time in which another attempt is of use.
 
