--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -161,6 +161,8 @@
         self._sent: list[_Transfer] = []
         self._out_at = math.inf
         self._whole_at: dict[str, float] = {}
+        #: Those that may ask for more.
+        self._wanting = set(plans)
         #: Until when each sends, and gets, what is on its links.
         self._sends_until: dict[str, float] = {}
         self._gets_until: dict[str, float] = {}
@@ -169,8 +171,9 @@
         """Play until all have all, or nothing comes any more."""
         now: float = 0
         while now < _LONGEST and len(self._whole_at) < len(self._plans):
-            for ip in self._plans:
+            for ip in sorted(self._wanting):
                 self._ask(ip)
+            self._wanting.clear()
             for asked in self._asked:
                 self._send(asked, now)
             now += _STEP
@@ -239,6 +242,7 @@
         self._asked.remove(one)
         self._sent.append(one)
         self._held[one.asker].add(one.number)
+        self._wanting.add(one.asker)
         if len(self._held[one.asker]) == self._setting.pieces:
             self._whole_at[one.asker] = one.at
         if len(set().union(*self._held.values())) == self._setting.pieces:
