--- a/clementinepass/direct/fetching.py
+++ b/clementinepass/direct/fetching.py
@@ -158,10 +158,13 @@
         :param most: how many may be on their way from its sources.
         """
         able = self._suppliers.usable(lane.sources, now)
+        most_in_all = self._most_asked(_ASKED_OF_AGENT)
         for number in filter(lane.has, self._in_order()):
             asked = sum(len(one.on_way) for one in able)
             if not able or asked >= most:
                 return
+            if len(self._suppliers.on_way()) >= most_in_all:
+                return
             self._ask(min(able, key=_next_after), number, now)
 
     def _flows(self, lane: piece_chains.Lane, now: float) -> bool:
--- a/clementinepass/direct/suppliers.py
+++ b/clementinepass/direct/suppliers.py
@@ -250,10 +250,17 @@
     def piece_seconds(self) -> float:
         """Return what a piece takes from the fastest in use.
 
-        The link of this machine is no slower than that.
+        The link of this machine is no slower than that. A source that has
+        brought nothing yet says nothing. Failure: an agent on a narrow link
+        turned to a second source as if its link were sound, and prompts stood
+        behind seven pieces until their callers had left.
         """
         return min(
-            (one.piece_seconds for one in self if one.on_way or one.has),
+            (
+                one.piece_seconds
+                for one in self
+                if one.has_brought and (one.on_way or one.has)
+            ),
             default=_USUAL_PIECE,
         )
 
