Say how old the store's word is by which a request was refused

Sight for a change that wasn't in force in time: a refusal named the configuration in force, but not whether the store had said anything since. 'refused' has store_age and the path, explain says it.

--- a/clementinepass/direct/beliefs.py
+++ b/clementinepass/direct/beliefs.py
@@ -65,6 +65,7 @@
         'on_named',
         'endpoints',
         'routing',
+        'store_contact',
     )
 
     def __init__(
@@ -76,6 +77,9 @@
         self._clock = clock
         #: Called when a version was named, to tell others at once.
         self.on_named: Callable[[], None] | None = None
+        #: Returns the monotonic seconds at which the store last answered a
+        #: read of what the operator wrote; 0 before the first.
+        self.store_contact: Callable[[], float] = float
         #: The configuration in force; ``None`` until one is known.
         self.routing: routing.Routing | None = None
         self.endpoints = endpoints.Endpoints()
@@ -100,6 +104,12 @@
         """Return the version of the configuration in force; 0 for none."""
         return 0 if self.routing is None else self.routing.version
 
+    @property
+    def store_age(self) -> float | None:
+        """Return how old the store's last word on the operator is, in s."""
+        contact = self.store_contact()
+        return round(self._clock() - contact, 3) if contact else None
+
     def named(
         self,
         model: str,
--- a/clementinepass/direct/intake.py
+++ b/clementinepass/direct/intake.py
@@ -92,8 +92,12 @@
             self._endpoint_wrote,
             rng,
         )
+        self._beliefs.store_contact = self._operator_contact
         return {one.topic: one for one in (self._operator, self._listings)}
 
+    def _operator_contact(self) -> float:
+        return 0 if self._operator is None else self._operator.contact
+
     def _operator_wrote(self, record: records.Record) -> None:
         try:
             word = self._readers.operator(record)
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -196,8 +196,11 @@
             call,
             ending,
             status,
-            configuration=self._beliefs.configuration,
-            last_in=self._last_in(call, ending),
+            request_log.Basis(
+                configuration=self._beliefs.configuration,
+                last_in=self._last_in(call, ending),
+                store_age=self._beliefs.store_age,
+            ),
         )
         reply.send(status, pairs, b'')
 
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -21,6 +21,8 @@
     from clementinepass.decisions import nearest_place, next_try
     from clementinepass.direct import endpoints
 
+#: Bytes of a path that are written; callers may send any length.
+_MOST_PATH = 80
 #: Of so many requests that go well one is followed in the log.
 _FOLLOWED_EACH = 16
 _BUCKETS = (
@@ -42,6 +44,21 @@
 _NOT_KNOWN = ('WARNING', 'cut off, not known why')
 
 
+class Basis(typing.NamedTuple):
+    """What a request was refused by.
+
+    :param configuration: the version in force; 0 for none.
+    :param last_in: the newest configuration with the key or the route that
+        it lacks; 0 if this process knew none.
+    :param store_age: seconds since the store last answered a read of what the
+        operator wrote; ``None`` if it never has.
+    """
+
+    configuration: int
+    last_in: int
+    store_age: float | None
+
+
 class RequestLog:
     """Write and count what happens to requests.
 
@@ -95,23 +112,19 @@
         call: calls.Call,
         ending: serving.Ending,
         status: int,
-        *,
-        configuration: int,
-        last_in: int,
+        basis: Basis,
     ) -> None:
-        """Tell of a request that was refused before it was admitted.
-
-        :param last_in: the newest configuration with the key or the route that
-            it lacks; 0 if this process knew none.
-        """
+        """Tell of a request that was refused before it was admitted."""
         self._endings.inc({'ending': ending.value})
         logger.bind(
             request=call.id,
             reason=ending.value,
             status=status,
             host=call.host.decode('latin-1'),
-            configuration=configuration,
-            last_in=last_in,
+            path=call.request.path[:_MOST_PATH].decode('latin-1'),
+            configuration=basis.configuration,
+            last_in=basis.last_in,
+            store_age=basis.store_age,
         ).info('refused')
 
     def overloaded(
--- a/clementinepass/observability/causes.py
+++ b/clementinepass/observability/causes.py
@@ -80,11 +80,11 @@
     Cause.MALFORMED: 'it lacks what each request must say, or says it wrongly',
     Cause.UNKNOWN_KEY: (
         'no configuration that this entry knew had its key ({configuration} '
-        'was in force)'
+        'was in force), by a word of the store that was {store_age} s old'
     ),
     Cause.UNKNOWN_ROUTE: (
         'no configuration that this entry knew had its route ({configuration} '
-        'was in force)'
+        'was in force), by a word of the store that was {store_age} s old'
     ),
     Cause.KEY_WITHDRAWN: (
         'its key was taken away: configuration {last_in} had it, '
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -122,6 +122,7 @@
         'of its attempts: turned_away, misdirected, failed, or the fault',
     ),
     'partners': Field('list', 'agents asked besides'),
+    'path': Field('str', 'that the caller named, its first 80 bytes'),
     'patience': Field(
         'float or null',
         'seconds without an event after which callers leave; null if no stream',
@@ -155,6 +156,11 @@
     'started': Field('int', 'its start in Unix milliseconds; 0 if untold'),
     'status': Field('int', 'of the answer'),
     'step': Field('str', 'what the process was at'),
+    'store_age': Field(
+        'float or null',
+        'seconds since the store last answered a read of what the operator '
+        'wrote; null if it never did',
+    ),
     'strained': Field('bool', 'whether the link is slow'),
     'taken': Field('int', 'requests since SIGTERM'),
     'there': Field('int', 'version in force at the peer'),
@@ -296,7 +302,7 @@
         'status 0 for a connection that was broken off',
     ),
     'refused': Kind(
-        'request reason status host configuration last_in error',
+        'request reason status host path configuration last_in store_age error',
         'before it was admitted',
     ),
     'input refused': Kind(
