--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -57,6 +57,7 @@
         self.address = ''
         #: Whether each call is refused.
         self.down = False
+        self._silenced = asyncio.Event()
         #: Calls that came, and those for the newest records by topic.
         self.calls = 0
         self.newest_by_topic: collections.Counter[str] = collections.Counter()
@@ -85,6 +86,15 @@
         known.first = len(known.records)
         known.changed.set()
 
+    def silence(self) -> None:
+        """Leave the reads that are open without an answer, for good.
+
+        Their connections stay, and new reads are answered.
+        """
+        silenced = self._silenced
+        self._silenced = asyncio.Event()
+        silenced.set()
+
     def _topic(self, name: str) -> _Topic:
         return self._topics.setdefault(name, _Topic())
 
@@ -145,9 +155,12 @@
         offset = int(query['from'])
         if len(topic.records) <= offset:
             wait = int(query.get('waitMs', '0')) / _MS
+            silenced = self._silenced
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait):
                     await topic.changed.wait()
+            if silenced.is_set():
+                await asyncio.Event().wait()
         if offset < topic.first:
             reply.send(_GONE, [], b'{}')
             return
