--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -60,6 +60,10 @@
         self._silenced = asyncio.Event()
         #: Calls that came, and those for the newest records by topic.
         self.calls = 0
+        #: Records that reads were answered with, by topic.
+        self.handed_out_by_topic: collections.Counter[str] = (
+            collections.Counter()
+        )
         self.newest_by_topic: collections.Counter[str] = collections.Counter()
 
     async def __aenter__(self) -> typing.Self:
@@ -168,7 +172,9 @@
             len(topic.records).to_bytes(_OFFSET_BYTES, 'big'),
             topic.first.to_bytes(_OFFSET_BYTES, 'big'),
         ]
-        for key, payload in topic.records[offset:]:
+        handed_out = topic.records[offset:]
+        self.handed_out_by_topic[query['topic']] += len(handed_out)
+        for key, payload in handed_out:
             whole = bytes((len(key),)) + key + (payload or b'')
             parts.append(len(whole).to_bytes(_LENGTH_BYTES, 'big') + whole)
         reply.send(_OK, [], b''.join(parts))
