Have two entries of a region read the store for all of it

Callers got 404 on routes added three seconds before, and requests reached engines up to five seconds after they were sent: each of thirteen entries of a region read each change, 50.5 KB 4.5 times a second over a link of 12 Mbit/s. Two read now and tell the others.

Ten changes to thirteen entries: 130 reads -> at most 30. With both readers killed a change is in force 0.89 s later at most (skipped time). Regions of up to three entries are as before.

Ruled out: silent reads (none was overdue), busy entries (0.04 of a core).

--- a/clementinepass/direct/catching_up.py
+++ b/clementinepass/direct/catching_up.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import typing
+import zlib
 
 from loguru import logger
 
@@ -18,11 +19,15 @@
 from clementinepass.wire import beats as wire_beats
 
 if typing.TYPE_CHECKING:
-    from clementinepass.direct import beats, beliefs, follower, node
+    from clementinepass.direct import beats, beliefs, follower, members, node
 
 #: Seconds for which a peer may be ahead in reading the store before its
 #: records are fetched from it: the store itself tells within milliseconds.
 _BEHIND_SECONDS = 0.25
+#: The same for an entry that others of its region tell of the store, until a
+#: peer of another region is asked. Those others have it within milliseconds and
+#: say so at once; what crosses to a region is to cross once.
+_RELYING_SECONDS = 1.0
 #: The same for an agent, whose link is narrow: a configuration takes as long
 #: as two pieces of weights, and an agent needs little of it.
 _AGENT_BEHIND_SECONDS = 4.0
@@ -30,6 +35,8 @@
 #: being asked. An agent's narrow link takes longer.
 _FETCH_SECONDS = 0.8
 _AGENT_FETCH_SECONDS = 3.0
+#: Bytes of records that are taken from a peer at a time.
+_LONGEST_RECORDS = 64 * 1024 * 1024
 #: Where peers ask for records, followed by the topic.
 PATH = b'/records/'
 
@@ -88,8 +95,12 @@
         """Compare what a peer knows with what this process does."""
         if not self._may_ask(beat, now):
             return
-        self._compare(records.Topic.OPERATOR, beat.operator_offset, ip, now)
-        self._compare(records.Topic.ENDPOINTS, beat.endpoints_offset, ip, now)
+        is_near = beat.sender is not None and self._is_near(beat.sender)
+        for topic, offset in (
+            (records.Topic.OPERATOR, beat.operator_offset),
+            (records.Topic.ENDPOINTS, beat.endpoints_offset),
+        ):
+            self._compare(topic, offset, ip, now, is_near=is_near)
         self._compare_configuration(beat.configuration, ip, now)
 
     def _may_ask(self, beat: beats.Beat, now: float) -> bool:
@@ -101,16 +112,27 @@
         sender = beat.sender
         return start_reading.may_ask(
             # An agent's link is narrow, and its beats have no sender.
-            is_near=sender is not None and sender.region == self._own.region,
+            is_near=sender is not None and self._is_near(sender),
             since_start=now - self._begun,
         )
 
+    def _is_near(self, member: members.Member) -> bool:
+        return member.region == self._own.region
+
+    def _patience(self, own: follower.Follower, *, is_near: bool) -> float:
+        """Return for how long a peer is ahead before it is asked."""
+        if own.is_reading:
+            return self._patience_by_topic[own.topic]
+        return 0 if is_near else _RELYING_SECONDS
+
     def _compare(
         self,
         topic: records.Topic,
         offset: int,
         ip: str,
         now: float,
+        *,
+        is_near: bool,
     ) -> None:
         """Fetch records from a peer that has read further for a while.
 
@@ -132,7 +154,8 @@
         if own.started and offset <= read:
             return
         since = self._behind_since.setdefault(topic, now)
-        if own.started and now - since < self._patience_by_topic[topic]:
+        patience = self._patience(own, is_near=is_near)
+        if own.started and now - since < patience:
             return
         if topic not in self._fetching_by_topic:
             self._behind_since[topic] = now
@@ -154,7 +177,7 @@
         if self._revision_behind_since is None:
             self._revision_behind_since = now
         behind = now - self._revision_behind_since
-        patience = 2 * self._patience_by_topic[own.topic]
+        patience = 2 * self._patience(own, is_near=False)
         if behind >= patience and own.topic not in self._fetching_by_topic:
             self._revision_behind_since = now
             logger.bind(
@@ -180,13 +203,13 @@
         request = messages.request_bytes(
             b'GET',
             b'%b?%d' % (PATH + own.topic.value.encode(), offset),
-            [(b'Host', ip.encode())],
+            [(b'Host', ip.encode()), (b'Accept-Encoding', b'deflate')],
             b'',
         )
         peers = pool.Pool(ip, self._own.first_port)
         try:
             fetched = await pool.fetch(peers, request, self._fetch_seconds)
-            page = wire_beats.read_records(fetched.body, ip)
+            page = wire_beats.read_records(_decompressed(fetched, ip), ip)
         except errors.ClementinepassError as error:
             logger.bind(peer=ip).info('records not fetched: {}', error)
             return
@@ -204,3 +227,28 @@
             news=news,
             offset=page.next_offset,
         ).info('records taken from a peer')
+
+
+def _decompressed(fetched: pool.Fetched, peer: str) -> bytes:
+    """Return the body of an answer as it was before it was compressed.
+
+    :raises MalformedMessageError: it can't be.
+    """
+    if b'deflate' not in fetched.headers.tokens(b'content-encoding'):
+        return fetched.body
+    reader = zlib.decompressobj()
+    try:
+        body = reader.decompress(fetched.body, _LONGEST_RECORDS)
+    except zlib.error as error:
+        raise errors.MalformedMessageError(
+            str(error),
+            step='read records',
+            peer=peer,
+        ) from error
+    if not reader.eof:
+        raise errors.MalformedMessageError(
+            'cut short or too long',
+            step='read records',
+            peer=peer,
+        )
+    return body
--- a/clementinepass/direct/follower.py
+++ b/clementinepass/direct/follower.py
@@ -24,7 +24,10 @@
 
 
 class Turns(typing.Protocol):
-    """Choose how long reads wait for a change."""
+    """Choose whether this process reads, and how long reads wait."""
+
+    def reads(self, now: float) -> bool:
+        """Tell whether this process reads; else it is told by peers."""
 
     def wait(self, now: float, *, has_news: bool) -> float:
         """Return the seconds that a read which begins now waits.
@@ -34,7 +37,11 @@
 
 
 class Alone:
-    """Wait as long as a read may; for a process that reads by itself."""
+    """Read as if there were nobody else."""
+
+    def reads(self, now: float) -> bool:
+        """Tell whether this process reads."""
+        return True
 
     def wait(self, now: float, *, has_news: bool) -> float:
         """Return the seconds that a read which begins now waits."""
@@ -50,6 +57,10 @@
 _LOOK_SECONDS = 0.02
 #: Stands for the store where it is told whence records came.
 STORE = 'store'
+#: Seconds after an outage's end in which its consequences are still read.
+_LAPSE_SEEN = 1.0
+#: Seconds between looks whether this process is to read the store itself.
+_REST_SECONDS = 0.1
 #: Removals remembered, to tell peers of them.
 _MOST_REMOVALS = 256
 
@@ -110,6 +121,7 @@
         '_ends_at',
         '_failing_since',
         '_has_news',
+        '_is_reading',
         '_listener',
         '_rng',
         '_store',
@@ -136,7 +148,8 @@
         self._rng = rng
         self._failing_since: float | None = None
         self.known = Known()
-        #: Monotonic seconds of the store's last answer.
+        #: Monotonic seconds of the store's last answer, or of the last word
+        #: of an entry that reads it for this one.
         self.contact: float = 0
         #: Monotonic seconds at which the last outage seen ended.
         self.lost_until = float('-inf')
@@ -146,9 +159,11 @@
         #: before the store is asked.
         self.patience: float = 0
         self.turns: Turns = Alone()
-        #: Called when a read that follows an outage brings records: others
-        #: may be as deaf as this process was.
+        #: Called when records are news here, to tell those who don't read,
+        #: and those whose reads may be as deaf as this one was.
         self.tell_others: Callable[[], None] | None = None
+        #: Whether this process reads the store itself at present.
+        self._is_reading = True
         #: Monotonic seconds at which the read in progress ends by itself.
         self._ends_at: float = 0
         #: Whether the last read brought records.
@@ -163,6 +178,24 @@
         """Tell whether the last call to the store was answered."""
         return self._failing_since is None
 
+    @property
+    def is_reading(self) -> bool:
+        """Tell whether this process reads the store itself."""
+        return self._is_reading
+
+    def reader_heard(self, now: float) -> None:
+        """Take it that an entry was heard of that reads for the region."""
+        if not self._is_reading:
+            self.contact = now
+
+    def lost_lately(self, now: float) -> bool:
+        """Tell whether an outage is being seen, or ended just now.
+
+        What the store tells then may be the end of leases that ran out while
+        their holders could not reach it.
+        """
+        return not self.in_touch or now - self.lost_until < _LAPSE_SEEN
+
     async def run(self) -> None:
         """Follow the topic for ever."""
         await self._wait_for_peers()
@@ -170,7 +203,7 @@
         read = self._read_changes if self.started else self._read_newest
         while True:
             try:
-                read = await read()
+                read = await self._read_or_rest(read)
                 pause = 0
             except errors.RecordsExpiredError:
                 logger.bind(topic=self.topic.value).info('history was dropped')
@@ -185,6 +218,8 @@
 
         :param source: the peer that they came from, or the store.
         """
+        if page.after_outage:
+            self.lost_until = asyncio.get_running_loop().time()
         news = 0
         for record in page.records:
             if self.known.take(record):
@@ -199,6 +234,8 @@
                 news=news,
                 seconds=uptime.seconds(),
             ).info('topic known')
+        if news and self.tell_others is not None:
+            self.tell_others()
         return news
 
     def take_anew(self, page: records.Page) -> int:
@@ -236,11 +273,32 @@
         )
         self._regained()
         self._has_news = bool(page.records)
-        news = self.take(page)
-        if was_lost and news and self.tell_others is not None:
-            self.tell_others()
+        self.take(page)
         return self._read_changes
 
+    async def _read_or_rest(self, read: typing.Any) -> typing.Any:
+        """Read, or leave it to others of the region for a moment."""
+        now = asyncio.get_running_loop().time()
+        is_reading = not self.started or self.turns.reads(now)
+        if is_reading is not self._is_reading:
+            self._is_reading = is_reading
+            logger.bind(topic=self.topic.value, reads=is_reading).info(
+                'reading of the store',
+            )
+        if is_reading:
+            return await read()
+        self._rest(now)
+        await asyncio.sleep(_REST_SECONDS)
+        return read
+
+    def _rest(self, now: float) -> None:
+        """Take no part in the reading; what failed before is no outage."""
+        self._ends_at = 0
+        self._has_news = False
+        if self._failing_since is not None:
+            self._failing_since = None
+            self.lost_until = now
+
     def _wait(self) -> float:
         now = asyncio.get_running_loop().time()
         seconds = self.turns.wait(now, has_news=self._has_news)
--- a/clementinepass/direct/gauges.py
+++ b/clementinepass/direct/gauges.py
@@ -54,7 +54,7 @@
         )
         self._age = aioprometheus.Gauge(
             'clementinepass_store_answer_age_seconds',
-            "Time since the store's last answer, by topic.",
+            "Time since the store's last answer, here or to who reads for it.",
             registry=registry,
         )
 
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -6,6 +6,7 @@
 import contextlib
 import time
 import typing
+import zlib
 
 from loguru import logger
 
@@ -36,6 +37,8 @@
 #: Peers that a beat goes to. More are told in turn, so that the traffic of
 #: one process doesn't grow with the system.
 _MOST_PEERS = 16
+#: Level of compression that costs least time.
+_FASTEST = 1
 _OK = 200
 _NOT_FOUND = 404
 
@@ -68,9 +71,9 @@
         self._catching_up = catching_up.CatchingUp(own, followers, known)
         #: The entries.
         self.members = members.Members(own.ip)
-        #: When others' reads of the store end, by topic.
+        #: Who reads the store, and when reads end, by topic.
         self.turns_by_topic = {
-            topic: turns.Turns(own.ip, self.members)
+            topic: turns.Turns(own, self.members)
             for topic in (records.Topic.OPERATOR, records.Topic.ENDPOINTS)
         }
         #: What this process says of itself.
@@ -173,8 +176,12 @@
             (records.Topic.OPERATOR, beat.operator_ends),
             (records.Topic.ENDPOINTS, beat.endpoints_ends),
         )
+        sender = beat.sender
+        is_near = sender is not None and sender.region == self._own.region
         for topic, seconds in pairs:
             self.turns_by_topic[topic].heard(ip, seconds, now)
+            if is_near and seconds and topic in self._followers:
+                self._followers[topic].reader_heard(now)
 
     async def _serve(
         self,
@@ -184,15 +191,36 @@
         """Hand records of the store to a peer that knows less."""
         for topic, own in self._followers.items():
             if request.path == catching_up.PATH + topic.value.encode():
-                offset = int(request.target.partition(b'?')[2] or b'0')
-                page = own.known.since(offset)
-                reply.send(_OK, [], wire_beats.write_records(page))
+                self._hand_over(own, request, reply)
                 return
         if self._others is None:
             reply.send(_NOT_FOUND, [], b'')
         else:
             await self._others(request, reply)
 
+    def _hand_over(
+        self,
+        own: follower.Follower,
+        request: messages.Request,
+        reply: replies.Reply,
+    ) -> None:
+        """Hand over what a topic has from an offset on.
+
+        Load: a configuration of 50 KB that a few hand to all of a region. They
+        are compressed, or the links of those few would be full.
+        """
+        now = asyncio.get_running_loop().time()
+        offset = int(request.target.partition(b'?')[2] or b'0')
+        page = own.known.since(offset)._replace(
+            after_outage=own.lost_lately(now),
+        )
+        body = wire_beats.write_records(page)
+        if b'deflate' not in request.headers.tokens(b'accept-encoding'):
+            reply.send(_OK, [], body)
+            return
+        compressed = zlib.compress(body, _FASTEST)
+        reply.send(_OK, [(b'Content-Encoding', b'deflate')], compressed)
+
     def _beat(self, *, whole: bool) -> beats.Beat:
         now = asyncio.get_running_loop().time()
         told = passing_on.choose(
@@ -241,9 +269,29 @@
             others = (*self._own.seeds, *self._near_agents())
             ips.extend(ip for ip in set(others) if ip not in ips)
         if len(ips) > _MOST_PEERS:
-            return self._rng.sample(ips, _MOST_PEERS)
+            drawn = self._rng.sample(ips, _MOST_PEERS)
+            return [*drawn, *self._relying().difference(drawn)]
         return ips
 
+    def tell_relying(self) -> None:
+        """Speak at once to those that are told of the store from here."""
+        self.tell(list(self._relying()))
+
+    def _relying(self) -> set[str]:
+        """Return the entries that rely on this one for what the store has.
+
+        They are told with each beat, however many there are: one that hears of
+        no reader reads the store itself.
+        """
+        if not any(one.is_reading for one in self._followers.values()):
+            return set()
+        now = asyncio.get_running_loop().time()
+        return {
+            one.ip
+            for one in self.members.alive(now)
+            if one.region == self._own.region
+        }
+
     def _near_agents(self) -> list[str]:
         """Return agents of the own failure domain.
 
--- a/clementinepass/direct/intake.py
+++ b/clementinepass/direct/intake.py
@@ -20,9 +20,6 @@
 #: away: nearly the two seconds in which endpoints list themselves again, and
 #: less than those after which one that is gone must get nothing.
 _LAPSE_GRACE = 1.9
-#: Seconds after an outage in which a listing that is dropped may have lapsed
-#: during it.
-_LAPSE_SEEN = 1.0
 #: Seconds after which a key's malformed records are written of again: their
 #: writer may write them anew with each heartbeat, several times a second.
 _TOLD_SECONDS = 30.0
@@ -135,18 +132,14 @@
 
     def _dropped(self, endpoint_id: str) -> None:
         now = asyncio.get_running_loop().time()
-        grace = _LAPSE_GRACE if self._may_have_lapsed(now) else 0
+        follow = self._listings
+        may_have_lapsed = follow is not None and follow.lost_lately(now)
+        grace = _LAPSE_GRACE if may_have_lapsed else 0
         if self._beliefs.endpoints.removed(endpoint_id, now, grace):
             logger.bind(endpoint=endpoint_id, used_for=grace).info(
                 'endpoint dropped from the list',
             )
 
-    def _may_have_lapsed(self, now: float) -> bool:
-        follow = self._listings
-        if follow is None:
-            return False
-        return not follow.in_touch or now - follow.lost_until < _LAPSE_SEEN
-
     def _passed_over(self, record: records.Record, error: Exception) -> None:
         """Write a line of a malformed record, unless there was one lately.
 
--- a/clementinepass/direct/records.py
+++ b/clementinepass/direct/records.py
@@ -31,10 +31,15 @@
 
 
 class Page(typing.NamedTuple):
-    """Records read in order, up to the offset of the next one."""
+    """Records read in order, up to the offset of the next one.
+
+    :param after_outage: whether whoever hands them on reads them during or
+        just after an outage of the store.
+    """
 
     records: tuple[Record, ...]
     next_offset: int
+    after_outage: bool = False
 
     @property
     def ips(self) -> list[str]:
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -51,7 +51,8 @@
     :param last_in: the newest configuration with the key or the route that
         it lacks; 0 if this process knew none.
     :param store_age: seconds since the store last answered a read of what the
-        operator wrote; ``None`` if it never has.
+        operator wrote, or an entry was heard that reads it for this one;
+        ``None`` for never.
     """
 
     configuration: int
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -130,6 +130,7 @@
     'peer': Field('str', 'IP number'),
     'phase': Field('str', 'starting, ready or leaving'),
     'piece': Field('int', 'its number'),
+    'reads': Field('bool', 'whether this process reads it itself'),
     'reason': Field(
         'str',
         'why a request ended: starting, malformed, unknown_route, '
@@ -159,7 +160,8 @@
     'store_age': Field(
         'float or null',
         'seconds since the store last answered a read of what the operator '
-        'wrote; null if it never did',
+        'wrote, or an entry was heard that reads it for this one; null for '
+        'never',
     ),
     'strained': Field('bool', 'whether the link is slow'),
     'taken': Field('int', 'requests since SIGTERM'),
@@ -246,6 +248,9 @@
         'topic error last_answer_ago', 'a call to the store failed'
     ),
     'store regained': Kind('topic lost_for', 'the store answers again'),
+    'reading of the store': Kind(
+        'topic reads', 'this process begins to read, or leaves it to others'
+    ),
     'history was dropped': Kind('topic', 'the newest records are read instead'),
     'records taken from a peer': Kind(
         'peer topic news offset', 'it had read further'
--- a/clementinepass/wire/beats.py
+++ b/clementinepass/wire/beats.py
@@ -67,6 +67,7 @@
         slot.removed = record.payload is None
         slot.payload = record.payload or b''
     message.nextOffset = page.next_offset
+    message.afterOutage = page.after_outage
     return bytes(message.to_bytes_packed())
 
 
@@ -85,7 +86,7 @@
             )
             for record in message.records
         )
-        return records.Page(found, message.nextOffset)
+        return records.Page(found, message.nextOffset, message.afterOutage)
     except (capnp.KjException, UnicodeDecodeError) as error:
         raise errors.MalformedMessageError(
             str(error),
--- a/clementinepass/wire/direct.capnp
+++ b/clementinepass/wire/direct.capnp
@@ -69,4 +69,6 @@
 struct Records {
   records @0 :List(Record);
   nextOffset @1 :UInt64;
+  # Whether the sender met an outage of the store just now.
+  afterOutage @2 :Bool;
 }
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -109,6 +109,7 @@
         self.desk = direct_endpoint.DirectEndpoint('i-desk')
         self.entries: list[entry.Entry] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self._entry_task_by_ip: dict[str, asyncio.Task[None]] = {}
         #: Entries at 127.1.0.x, engines at 127.2.0.x.
         self.entry_ips = [f'127.1.0.{one + 1}' for one in range(entries)]
         self.engine_ips = [
@@ -147,6 +148,10 @@
         """Write a configuration."""
         self.store.put('keyed.op', 'config', config)
 
+    def kill_entry(self, ip: str) -> None:
+        """End an entry without a word to anybody."""
+        self._entry_task_by_ip[ip].cancel()
+
     def list_desk(self, **changes: typing.Any) -> None:
         """Have the plain endpoint write of itself."""
         entry_of_desk = self.desk.entry('desk', 'a')
@@ -196,7 +201,9 @@
             random.Random(ip),
         )
         self.entries.append(one)
-        self._tasks.append(asyncio.create_task(one.run()))
+        task = asyncio.create_task(one.run())
+        self._entry_task_by_ip[ip] = task
+        self._tasks.append(task)
 
     def _start_agent(
         self,
