--- a/standins/machines.py
+++ b/standins/machines.py
@@ -151,6 +151,16 @@
         """Write a configuration."""
         self.store.put('keyed.op', 'config', config)
 
+    async def all_known(self) -> list[entry.Entry]:
+        """Return the entries once each offers all."""
+        await until(self._all_offer_all)
+        return self.entries
+
+    def _all_offer_all(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        whole = len(self.entries)
+        return all(len(one.offered(now)) == whole for one in self.entries)
+
     def kill_entry(self, ip: str) -> None:
         """End an entry without a word to anybody."""
         self._entry_task_by_ip[ip].cancel()
--- a/tests/direct/test_machines.py
+++ b/tests/direct/test_machines.py
@@ -47,14 +47,6 @@
     asyncio.run(played())
 
 
-async def _all_known(world: machines.Machines) -> list[entry.Entry]:
-    """Return the entries once each offers all."""
-    loop = asyncio.get_running_loop()
-    for one in world.entries:
-        await machines.until(lambda one=one: len(one.offered(loop.time())) == 2)
-    return world.entries
-
-
 def _leave(world: machines.Machines) -> None:
     """Have all entries say that they leave."""
     for one in world.entries:
@@ -71,11 +63,7 @@
         async def play(world: machines.Machines) -> None:
             self.assertEqual(200, await world.ask(0))
             self.assertEqual(200, await world.ask(1))
-            loop = asyncio.get_running_loop()
-            for one in world.entries:
-                await machines.until(
-                    lambda one=one: len(one.offered(loop.time())) == 2
-                )
+            await world.all_known()
 
         run(play)
 
@@ -87,12 +75,8 @@
         """
 
         async def play(world: machines.Machines) -> None:
-            first, second = world.entries
+            first, second = await world.all_known()
             loop = asyncio.get_running_loop()
-            for one in world.entries:
-                await machines.until(
-                    lambda one=one: len(one.offered(loop.time())) == 2
-                )
             first._departure.begin(loop.time() - 60)
             for one in world.entries:
                 one.peers.phase = members.Phase.LEAVING
@@ -116,7 +100,7 @@
         config = {**machines.CONFIG, 'routes': [route]}
 
         async def play(world: machines.Machines) -> None:
-            first, second = await _all_known(world)
+            first, second = await world.all_known()
             loop = asyncio.get_running_loop()
             plan = first._departure.begin(loop.time())
             _leave(world)
@@ -144,7 +128,7 @@
         config = {**machines.CONFIG, 'routes': [plain, {**plain, **long}]}
 
         async def play(world: machines.Machines) -> None:
-            first, second = await _all_known(world)
+            first, second = await world.all_known()
             loop = asyncio.get_running_loop()
             now = loop.time()
             first._departure.begin(now - 60)
--- a/tests/direct/test_many_readers.py
+++ b/tests/direct/test_many_readers.py
@@ -27,16 +27,6 @@
 IN_FORCE_SECONDS = 2.0
 
 
-async def _settled(world: machines.Machines) -> None:
-    """Wait until all entries know one another and have read what there is."""
-    loop = asyncio.get_running_loop()
-    for one in world.entries:
-        await machines.until(
-            lambda one=one: len(one.offered(loop.time())) == ENTRIES,
-        )
-    await asyncio.sleep(5)
-
-
 async def _change(
     world: machines.Machines,
     version: int,
@@ -65,7 +55,8 @@
 
     async def whole() -> None:
         async with machines.Machines((), entries=ENTRIES) as world:
-            await _settled(world)
+            await world.all_known()
+            await asyncio.sleep(5)
             await play(world)
 
     skipped_time.run(whole())
--- a/tests/direct/test_silent_reads.py
+++ b/tests/direct/test_silent_reads.py
@@ -28,16 +28,6 @@
 SETTLED_SECONDS = node.Duties().settling
 
 
-async def _known_to_all(world: machines.Machines) -> None:
-    """Wait until all entries know one another and all that is written."""
-    loop = asyncio.get_running_loop()
-    for one in world.entries:
-        await machines.until(
-            lambda one=one: len(one.offered(loop.time())) == len(world.entries),
-        )
-    await asyncio.sleep(1)
-
-
 def _configure(world: machines.Machines, version: int) -> None:
     world.configure({**machines.CONFIG, 'version': version})
 
@@ -70,7 +60,8 @@
     async def played() -> float:
         world = machines.Machines((), entries=entries, regions=regions)
         async with world:
-            await _known_to_all(world)
+            await world.all_known()
+            await asyncio.sleep(1)
             _configure(world, 2)
             await _in_force(world, 2)
             await asyncio.sleep(silent_after)
