--- a/standins/quickstart.py
+++ b/standins/quickstart.py
@@ -20,6 +20,11 @@
 _TOKENS = 120
 _PROMPT = 'Barrier 12 in Musanze stays open after the train has passed.'
 _EXIT_FAILED = 1
+_OK = 200
+#: Seconds in which an entry takes requests after agents serve; it reads the log
+#: by long reads of a second.
+_READY_SECONDS = 10.0
+_LOOK_SECONDS = 0.05
 
 
 class Steps:
@@ -119,12 +124,28 @@
     return f'{copies:.2f} copies read from the origin for 3 replicas'
 
 
+def _listed_entries(system: systems.System) -> list[dict[str, str]]:
+    """Return the entries that one names, once it takes requests.
+
+    Failure: on a busy machine all agents served before the entry had read the
+    log. It answered that it was starting, and the run ended there.
+
+    :raises TimeoutError: it never took any.
+    """
+    deadline = time.monotonic() + _READY_SECONDS
+    while True:
+        answer = system.call('entry-0', 'GET', '/v1/entries')
+        if answer.status == _OK:
+            return list(msgspec.json.decode(answer.body)['entries'])
+        if time.monotonic() > deadline:
+            raise TimeoutError(f'entry-0 still answers {answer.status}')
+        time.sleep(_LOOK_SECONDS)
+
+
 def _serve_requests(system: systems.System, steps: Steps) -> None:
     steps.begin('ask an entry which addresses to use')
-    listed = msgspec.json.decode(
-        system.call('entry-0', 'GET', '/v1/entries').body,
-    )
-    steps.done(', '.join(one['address'] for one in listed['entries']))
+    listed = _listed_entries(system)
+    steps.done(', '.join(one['address'] for one in listed))
     steps.begin('a whole completion')
     whole = system.call('entry-0', 'POST', '/v1/completions', _body(6))
     _expect(whole, 200)
