--- a/clementinepass/cli/explain_command.py
+++ b/clementinepass/cli/explain_command.py
@@ -85,12 +85,12 @@
         ('process', 'what', 'for seconds', 'of'),
         [
             (
-                belief.line.process,
-                belief.line.message,
-                f'{belief.age:.1f}',
-                belief.line.details,
+                observation.line.process,
+                observation.line.message,
+                f'{observation.age:.1f}',
+                observation.line.details,
             )
-            for belief in story.beliefs
+            for observation in story.observations
         ],
     )
     for gap in story.gaps:
@@ -105,10 +105,10 @@
     )
     for sentence in verdict.led:
         output.screen.print(f'led to it: {sentence}', markup=False)
-    for belief in story.deciding:
+    for observation in story.deciding:
         output.screen.print(
-            f'by: {belief.line.message} {belief.line.details}, '
-            f'{belief.age:.1f} s before it ended',
+            f'by: {observation.line.message} {observation.line.details}, '
+            f'{observation.age:.1f} s before it ended',
             markup=False,
         )
     if story.wrong is not None:
--- a/clementinepass/decisions/load_turns.py
+++ b/clementinepass/decisions/load_turns.py
@@ -19,36 +19,36 @@
 _LAST_BEFORE = 1.0
 
 
-class Fellow(typing.NamedTuple):
+class Peer(typing.NamedTuple):
     """An engine that takes up the version."""
 
     address: str
     domain: str
 
 
-def delay(own: Fellow, fellows: Iterable[Fellow], left: float) -> float:
+def delay(own: Peer, endpoints: Iterable[Peer], left: float) -> float:
     """Return the seconds until the own engine's turn.
 
     :param left: seconds until older versions may not be used.
     """
-    ordered = _round_domains({own, *fellows})
+    ordered = _round_domains({own, *endpoints})
     if len(ordered) == 1:
         return 0
     window = max(left - _LAST_BEFORE, 0)
     return window * ordered.index(own) / (len(ordered) - 1)
 
 
-def _round_domains(fellows: Iterable[Fellow]) -> list[Fellow]:
+def _round_domains(endpoints: Iterable[Peer]) -> list[Peer]:
     """Return engines so that neighbours are of different domains."""
-    by_domain: dict[str, list[Fellow]] = {}
-    for fellow in sorted(fellows):
-        by_domain.setdefault(fellow.domain, []).append(fellow)
-    ranked: list[tuple[int, Fellow]] = []
+    by_domain: dict[str, list[Peer]] = {}
+    for endpoint in sorted(endpoints):
+        by_domain.setdefault(endpoint.domain, []).append(endpoint)
+    ranked: list[tuple[int, Peer]] = []
     for members in by_domain.values():
         ranked.extend(enumerate(members))
     return [member for _, member in sorted(ranked, key=_place_and_domain)]
 
 
-def _place_and_domain(ranked: tuple[int, Fellow]) -> tuple[int, str]:
+def _place_and_domain(ranked: tuple[int, Peer]) -> tuple[int, str]:
     place, member = ranked
     return place, member.domain
--- a/clementinepass/decisions/nearest_place.py
+++ b/clementinepass/decisions/nearest_place.py
@@ -27,7 +27,7 @@
 #: prompt waits a second behind pieces of weights, and reaches the engine after
 #: its caller has left; its events come late, too. Short of nothing else being
 #: there but a long queue, any other does better.
-_UNSTRAINED = 12.0
+_UNCONGESTED = 12.0
 #: Requests by which the counts of other entries are uncertain. Without it all
 #: entries send to the endpoint that was emptiest in the same last message.
 _BLUR = 1.0
@@ -41,7 +41,7 @@
     :param is_near: whether it is in the own failure domain.
     :param is_old: whether others have a newer version of the weights, which
         it will take up soon.
-    :param is_strained: whether its machine's link is slow at present.
+    :param is_congested: whether its machine's link is slow at present.
     :param unbegun: requests there of which no event has come yet.
     :param usable_for: seconds in which requests may still begin there.
     """
@@ -51,7 +51,7 @@
     slots: int
     is_near: bool
     is_old: bool = False
-    is_strained: bool = False
+    is_congested: bool = False
     unbegun: float = 0
     usable_for: float = math.inf
 
@@ -81,8 +81,8 @@
     handicap = 0 if option.is_near else _NEARNESS
     if option.is_old:
         handicap += _NEWNESS
-    if option.is_strained:
-        handicap += _UNSTRAINED
+    if option.is_congested:
+        handicap += _UNCONGESTED
     blurred = option.load + handicap + rng.random() * _BLUR
     waiting = max(blurred + 1 - option.slots, 0)
     # A slot that is free is worth more than any nearness.
--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -17,7 +17,7 @@
 from clementinepass.direct import (
     aims,
     background,
-    beliefs,
+    cluster_state,
     exchange,
     gauges,
     gossip,
@@ -80,12 +80,12 @@
         self._own = own
         self._boundary = boundary
         self._rng = rng
-        self.beliefs = beliefs.Beliefs(own)
-        taking = intake.Intake(self.beliefs, boundary.readers)
+        self.cluster = cluster_state.ClusterState(own)
+        taking = intake.Intake(self.cluster, boundary.readers)
         self._followers = taking.followers(boundary.store, rng)
         self._neighbours = neighbours.Neighbours(
             own,
-            self.beliefs,
+            self.cluster,
             boundary.origin,
         )
         self._handout = exchange.Handout(
@@ -95,17 +95,17 @@
         self.peers = gossip.Peers(
             own,
             self._followers,
-            self.beliefs,
+            self.cluster,
             rng,
             self._handout.serve,
         )
         self._telling = telling.Telling(own, self.peers)
-        self._aims = aims.Aims(own, self.beliefs, self._neighbours)
+        self._aims = aims.Aims(own, self.cluster, self._neighbours)
         self._loading = loading.Loading(boundary.engine, self)
-        #: What is believed, as metrics.
+        #: The cluster state, as metrics.
         self.gauges = gauges.Gauges(
             registry,
-            self.beliefs,
+            self.cluster,
             self._followers,
             self.peers,
         )
@@ -146,7 +146,7 @@
     def pieces_of(self, model: str, version: int) -> pieces.Pieces | None:
         """Return the pieces of a version that are here or on their way."""
         now = asyncio.get_running_loop().time()
-        self.beliefs.named(model, version, now)
+        self.cluster.named(model, version, now)
         return self._loading.pieces_of(model, version)
 
     def has_loaded(self, version: int) -> bool:
@@ -207,8 +207,8 @@
             elif loop.time() - alone_since >= _ALONE_SECONDS:
                 await self._read_store()
                 alone_since = loop.time()
-            self.beliefs.forget(loop.time())
-            self._telling.strained(is_slow=self._loading.is_slow)
+            self.cluster.forget(loop.time())
+            self._telling.congested(is_slow=self._loading.is_slow)
             if self.peers.is_new:
                 self.peers.tell(list(self._own.seeds))
             await asyncio.sleep(
@@ -292,7 +292,7 @@
         old weights any more, and callers wait for the first engine.
         """
         loop = asyncio.get_running_loop()
-        left = self.beliefs.seconds_left(engine.model, version) or 0
+        left = self.cluster.seconds_left(engine.model, version) or 0
         seconds = _EMPTY_SECONDS if left > _EMPTY_SECONDS else _HURRY_SECONDS
         until = loop.time() + seconds
         while active and loop.time() < until:
@@ -307,12 +307,12 @@
             return True
         turn = self._turn_by_version.get(version)
         if turn is None:
-            left = self.beliefs.seconds_left(engine.model, version) or 0
+            left = self.cluster.seconds_left(engine.model, version) or 0
             turn = now + load_turns.delay(
-                load_turns.Fellow(self._own.endpoint, self._own.domain),
+                load_turns.Peer(self._own.endpoint, self._own.domain),
                 [
-                    load_turns.Fellow(one.listing.address, one.listing.domain)
-                    for one in self._neighbours.fellows()
+                    load_turns.Peer(one.listing.address, one.listing.domain)
+                    for one in self._neighbours.of_service()
                 ],
                 left,
             )
--- a/clementinepass/direct/aims.py
+++ b/clementinepass/direct/aims.py
@@ -8,7 +8,7 @@
 
 if typing.TYPE_CHECKING:
     from clementinepass.direct import (
-        beliefs,
+        cluster_state,
         endpoints,
         loading,
         neighbours,
@@ -28,12 +28,12 @@
     """What the engine on this machine should have next.
 
     :param own: who the agent is.
-    :param known: what it believes.
+    :param known: the state of the cluster.
     :param near: the other agents.
     """
 
     __slots__ = (
-        '_beliefs',
+        '_cluster',
         '_fetching',
         '_neighbours',
         '_own',
@@ -43,11 +43,11 @@
     def __init__(
         self,
         own: node.Node,
-        known: beliefs.Beliefs,
+        known: cluster_state.ClusterState,
         near: neighbours.Neighbours,
     ) -> None:
         self._own = own
-        self._beliefs = known
+        self._cluster = known
         self._neighbours = near
         #: The version whose pieces are being got.
         self._fetching = 0
@@ -82,9 +82,9 @@
         engine = self._neighbours.engine()
         if engine is None:
             return False
-        fellows = self._neighbours.fellows()
-        held = max((one.weights.version for one in fellows), default=0)
-        named = self._beliefs.wanted_version(engine.model)
+        endpoints = self._neighbours.of_service()
+        held = max((one.weights.version for one in endpoints), default=0)
+        named = self._cluster.wanted_version(engine.model)
         return 0 < version <= max(held, named)
 
     def _aimed_at(
@@ -96,10 +96,10 @@
 
         Where none was named, whatever other engines have.
         """
-        named = self._beliefs.wanted_version(engine.model)
+        named = self._cluster.wanted_version(engine.model)
         if not named:
-            fellows = self._neighbours.fellows()
-            held = [peer.weights.version for peer in fellows]
+            endpoints = self._neighbours.of_service()
+            held = [peer.weights.version for peer in endpoints]
             named = max(held, default=0) or 1
         elif self._finishes_first(engine, ready, named):
             return self._fetching
@@ -117,7 +117,7 @@
         begun = ready.pieces_of(engine.model, current)
         if begun is None or not begun.missing or current >= newest:
             return False
-        left = self._beliefs.seconds_left(engine.model, current)
+        left = self._cluster.seconds_left(engine.model, current)
         if left is None:
             return False
         return superseding.finish_first(
@@ -127,7 +127,7 @@
             ),
             superseding.Transfer(
                 self._seconds(engine, engine.chunks),
-                self._beliefs.seconds_left(engine.model, newest) or 0,
+                self._cluster.seconds_left(engine.model, newest) or 0,
             ),
         )
 
--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -13,7 +13,7 @@
 from clementinepass.http import channel, pool
 
 if typing.TYPE_CHECKING:
-    from clementinepass.direct import beliefs, endpoints, request_log
+    from clementinepass.direct import cluster_state, endpoints, request_log
     from clementinepass.requests import outcome
 
 #: Seconds for which a connection may have been idle and still carry a request
@@ -52,7 +52,7 @@
 
     __slots__ = (
         '_answered_services',
-        '_beliefs',
+        '_cluster',
         '_dialect',
         '_kept_by_id',
         '_log',
@@ -60,11 +60,11 @@
 
     def __init__(
         self,
-        known: beliefs.Beliefs,
+        known: cluster_state.ClusterState,
         dialect: calls.Dialect,
         log: request_log.RequestLog,
     ) -> None:
-        self._beliefs = known
+        self._cluster = known
         self._dialect = dialect
         self._log = log
         self._kept_by_id: dict[str, _Kept] = {}
@@ -122,7 +122,7 @@
         except channel.ChannelBrokenError as error:
             attempt.refused()
             now = asyncio.get_running_loop().time()
-            self._beliefs.failed(endpoint, now)
+            self._cluster.failed(endpoint, now)
             self._log.attempt_failed(admitted, endpoint, error)
             return serving.Tried.NOT_RUN
         admitted.channel = used
@@ -296,7 +296,7 @@
         engine = admitted.service.engine
         if engine is None:
             return math.inf
-        return self._beliefs.begin_by(engine, endpoint.weights.version)
+        return self._cluster.begin_by(engine, endpoint.weights.version)
 
     def _sending(
         self,
@@ -306,7 +306,7 @@
         now = asyncio.get_running_loop().time()
         engine = admitted.service.engine
         version = 0
-        if engine is not None and self._beliefs.required_version(engine, now):
+        if engine is not None and self._cluster.required_version(engine, now):
             # The engine may have restarted with older weights unseen.
             version = endpoint.weights.version
         team = admitted.team
@@ -364,10 +364,10 @@
         if tried is serving.Tried.ANSWERED:
             first = admitted.first_event_at or now
             seconds = first - admitted.call.request.received
-            self._beliefs.ejector.observe(endpoint.listing.id, seconds, now)
+            self._cluster.ejector.observe(endpoint.listing.id, seconds, now)
         elif tried is not serving.Tried.NOT_RUN and not endpoint.loading:
             # An engine that takes up new weights cuts what still runs.
-            self._beliefs.failed(endpoint, now)
+            self._cluster.failed(endpoint, now)
 
 
 def _urgency(admitted: serving.Serving) -> int:
--- a/clementinepass/direct/catching_up.py
+++ b/clementinepass/direct/catching_up.py
@@ -16,10 +16,16 @@
 from clementinepass.decisions import start_reading
 from clementinepass.direct import records
 from clementinepass.http import messages, pool
-from clementinepass.wire import beats as wire_beats
+from clementinepass.wire import heartbeats as wire_heartbeats
 
 if typing.TYPE_CHECKING:
-    from clementinepass.direct import beats, beliefs, follower, members, node
+    from clementinepass.direct import (
+        cluster_state,
+        follower,
+        heartbeats,
+        members,
+        node,
+    )
 
 #: Seconds for which a peer may be ahead in reading the store before its
 #: records are fetched from it: the store itself tells within milliseconds.
@@ -46,14 +52,14 @@
 
     :param own: who this process is.
     :param followers: what is followed, by topic.
-    :param known: what this process believes.
+    :param known: the state of the cluster.
     """
 
     __slots__ = (
         '_ahead_by_topic',
         '_behind_since',
         '_begun',
-        '_beliefs',
+        '_cluster',
         '_fetch_seconds',
         '_fetching_by_topic',
         '_followers',
@@ -66,11 +72,11 @@
         self,
         own: node.Node,
         followers: dict[records.Topic, follower.Follower],
-        known: beliefs.Beliefs,
+        known: cluster_state.ClusterState,
     ) -> None:
         self._own = own
         self._followers = followers
-        self._beliefs = known
+        self._cluster = known
         is_entry = bool(own.callers)
         self._fetch_seconds = (
             _FETCH_SECONDS if is_entry else _AGENT_FETCH_SECONDS
@@ -91,27 +97,31 @@
         self._revision_behind_since: float | None = None
         self._fetching_by_topic: dict[records.Topic, asyncio.Task[None]] = {}
 
-    def heard(self, beat: beats.Beat, ip: str, now: float) -> None:
+    def heard(
+        self, heartbeat: heartbeats.Heartbeat, ip: str, now: float
+    ) -> None:
         """Compare what a peer knows with what this process does."""
-        if not self._may_ask(beat, now):
+        if not self._may_ask(heartbeat, now):
             return
-        is_near = beat.sender is not None and self._is_near(beat.sender)
+        is_near = heartbeat.sender is not None and self._is_near(
+            heartbeat.sender
+        )
         for topic, offset in (
-            (records.Topic.OPERATOR, beat.operator_offset),
-            (records.Topic.ENDPOINTS, beat.endpoints_offset),
+            (records.Topic.OPERATOR, heartbeat.operator_offset),
+            (records.Topic.ENDPOINTS, heartbeat.endpoints_offset),
         ):
             self._compare(topic, offset, ip, now, is_near=is_near)
-        self._compare_configuration(beat.configuration, ip, now)
+        self._compare_configuration(heartbeat.configuration, ip, now)
 
-    def _may_ask(self, beat: beats.Beat, now: float) -> bool:
+    def _may_ask(self, heartbeat: heartbeats.Heartbeat, now: float) -> bool:
         """Tell whether to take first records from a peer as far as that."""
         if all(one.started for one in self._followers.values()):
             return True
         if self._begun is None:
             self._begun = now
-        sender = beat.sender
+        sender = heartbeat.sender
         return start_reading.may_ask(
-            # An agent's link is narrow, and its beats have no sender.
+            # An agent's link is narrow, and its heartbeats have no sender.
             is_near=sender is not None and self._is_near(sender),
             since_start=now - self._begun,
         )
@@ -168,7 +178,7 @@
         last, though it had read as far as its peers by the offsets. Whatever
         lost the record, what is in force there and here says that it's lost.
         """
-        current = self._beliefs.routing
+        current = self._cluster.routing
         if current is None or version <= current.version:
             if current is not None and version == current.version:
                 self._revision_behind_since = None
@@ -209,7 +219,7 @@
         peers = pool.Pool(ip, self._own.first_port)
         try:
             fetched = await pool.fetch(peers, request, self._fetch_seconds)
-            page = wire_beats.read_records(_decompressed(fetched, ip), ip)
+            page = wire_heartbeats.read_records(_decompressed(fetched, ip), ip)
         except errors.ClementinepassError as error:
             logger.bind(peer=ip).info('records not fetched: {}', error)
             return
--- a/clementinepass/direct/beliefs.py
+++ b/clementinepass/direct/cluster_state.py
@@ -1,4 +1,4 @@
-"""What an entry believes: configuration, versions, endpoints and loads."""
+"""The cluster as a process knows it: configuration, versions and loads."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
     named_versions,
     nearest_place,
 )
-from clementinepass.direct import beats, endpoints
+from clementinepass.direct import endpoints, heartbeats
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -29,7 +29,7 @@
 _BEGIN_SLACK = 0.35
 #: Seconds for which an agent's word counts that its link is slow. It says so
 #: each second while pieces come slowly.
-_STRAIN_LIFETIME = 2.5
+_CONGESTION_LIFETIME = 2.5
 #: Seconds of the time for which a process counts as just started that are not
 #: used: its own start, and a request that waits at an engine.
 _START_MARGIN = 1.0
@@ -49,8 +49,8 @@
         self.at = at
 
 
-class Beliefs:
-    """What an entry believes now.
+class ClusterState:
+    """The cluster as a process knows it now.
 
     :param own: who the entry is.
     :param clock: monotonic seconds, the same as the event loop's.
@@ -152,10 +152,10 @@
         since = now + grace + _VERSION_MARGIN - duties.version
         self.named(model, version, since, guessed=True)
 
-    def versions(self, now: float) -> tuple[beats.NamedVersion, ...]:
+    def versions(self, now: float) -> tuple[heartbeats.NamedVersion, ...]:
         """Return the named versions, to tell others."""
         return tuple(
-            beats.NamedVersion(
+            heartbeats.NamedVersion(
                 model,
                 version,
                 max(now - since, 0),
@@ -222,18 +222,18 @@
         """Take another entry's counts of its requests at endpoints."""
         self._loads_by_peer[peer] = _PeerLoads(in_flight_by_endpoint, now)
 
-    def heard_held(self, held: beats.Held) -> None:
+    def heard_held(self, held: heartbeats.Held) -> None:
         """Take an agent's word on its engine and its link."""
         now = self._clock()
         for endpoint in self.endpoints:
             if endpoint.listing.address == held.address:
-                self._note_strain(endpoint, held, now)
+                self._note_congestion(endpoint, held, now)
                 self._note_weights(endpoint, held)
 
     def _note_weights(
         self,
         endpoint: endpoints.Endpoint,
-        held: beats.Held,
+        held: heartbeats.Held,
     ) -> None:
         """Believe what an engine holds, unless it has started anew since.
 
@@ -255,20 +255,20 @@
             layers=held.end - held.first,
         ).info('engine holds weights')
 
-    def _note_strain(
+    def _note_congestion(
         self,
         endpoint: endpoints.Endpoint,
-        held: beats.Held,
+        held: heartbeats.Held,
         now: float,
     ) -> None:
-        was_strained = endpoint.strained_until > now
-        endpoint.strained_until = (
-            now + _STRAIN_LIFETIME if held.strained else now
+        was_congested = endpoint.congested_until > now
+        endpoint.congested_until = (
+            now + _CONGESTION_LIFETIME if held.congested else now
         )
-        if held.strained != was_strained:
+        if held.congested != was_congested:
             logger.bind(
                 endpoint=endpoint.listing.id,
-                strained=held.strained,
+                congested=held.congested,
             ).info('link of an endpoint')
 
     def in_flight_by_endpoint(self) -> dict[str, int]:
@@ -373,7 +373,7 @@
                 each.listing.slots,
                 is_near=each.listing.domain == self._own.domain,
                 is_old=each.weights.version < newest,
-                is_strained=each.strained_until > now,
+                is_congested=each.congested_until > now,
                 unbegun=self._unbegun(each, now),
                 usable_for=self._usable_for(each, engine, now),
             )
--- a/clementinepass/direct/departure.py
+++ b/clementinepass/direct/departure.py
@@ -10,7 +10,7 @@
 from clementinepass.decisions import departure as decisions
 
 if typing.TYPE_CHECKING:
-    from clementinepass.direct import beliefs, node
+    from clementinepass.direct import cluster_state, node
 
 #: Seconds between lines that the directory names an entry that leaves.
 _OFFERED_EACH = 1.0
@@ -20,11 +20,11 @@
     """Whether an entry is to end, and what follows from that.
 
     :param own: who the entry is.
-    :param known: what it believes.
+    :param known: the state of the cluster.
     """
 
     __slots__ = (
-        '_beliefs',
+        '_cluster',
         '_offered_at',
         '_own',
         '_told_until',
@@ -33,9 +33,11 @@
         'taken',
     )
 
-    def __init__(self, own: node.Node, known: beliefs.Beliefs) -> None:
+    def __init__(
+        self, own: node.Node, known: cluster_state.ClusterState
+    ) -> None:
         self._own = own
-        self._beliefs = known
+        self._cluster = known
         self._offered_at = -math.inf
         #: Until when a list is kept that this entry told.
         self._told_until = -math.inf
@@ -51,7 +53,7 @@
 
         Before a configuration is known any request may be the longest.
         """
-        current = self._beliefs.routing
+        current = self._cluster.routing
         timeouts = () if current is None else current.timeouts
         duties = self._own.duties
         taking = decisions.taking_seconds(duties.grace, timeouts)
--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -1,4 +1,4 @@
-"""What an entry believes of endpoints, and from whom.
+"""What is known of endpoints, and from whom.
 
 Endpoints list themselves in the platform's store.  Five things go wrong
 there.  An older word of an endpoint may come after a newer one; a heartbeat
@@ -93,7 +93,7 @@
         'listing',
         'misdirected',
         'removed_at',
-        'strained_until',
+        'congested_until',
         'streams',
         'weights',
         'weights_started',
@@ -118,7 +118,7 @@
         #: Streams of it that have begun and go on.
         self.streams = 0
         #: Until when its machine's link is taken for slow.
-        self.strained_until = float('-inf')
+        self.congested_until = float('-inf')
         #: When it stops to be used after the list dropped it.
         self.gone_at: float | None = None
 
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -14,7 +14,7 @@
 from clementinepass.direct import (
     attempt,
     background,
-    beliefs,
+    cluster_state,
     departure,
     gauges,
     gossip,
@@ -62,32 +62,32 @@
     ) -> None:
         self._own = own
         self._boundary = boundary
-        self.beliefs = beliefs.Beliefs(own)
-        taking = intake.Intake(self.beliefs, boundary.readers)
+        self.cluster = cluster_state.ClusterState(own)
+        taking = intake.Intake(self.cluster, boundary.readers)
         self._followers = taking.followers(boundary.store, rng)
         patience = start_reading.delay(own.ip, own.seeds, rng)
         for follow in self._followers.values():
             follow.patience = patience
-        self.peers = gossip.Peers(own, self._followers, self.beliefs, rng)
+        self.peers = gossip.Peers(own, self._followers, self.cluster, rng)
         for topic, follow in self._followers.items():
             follow.turns = self.peers.turns_by_topic[topic]
             follow.tell_relying = self.peers.tell_relying
             follow.tell_all = self.peers.speak
         # Agents have eight seconds for five seconds' work.
-        self.beliefs.on_named = self._tell_of_version
+        self.cluster.on_named = self._tell_of_version
         log = request_log.RequestLog(registry)
-        #: What is believed, as metrics.
+        #: The cluster state, as metrics.
         self.gauges = gauges.Gauges(
             registry,
-            self.beliefs,
+            self.cluster,
             self._followers,
             self.peers,
         )
-        self._departure = departure.Departure(own, self.beliefs)
-        self._sender = attempt.Sender(self.beliefs, boundary.dialect, log)
+        self._departure = departure.Departure(own, self.cluster)
+        self._sender = attempt.Sender(self.cluster, boundary.dialect, log)
         self._path = path.Path(
             own,
-            self.beliefs,
+            self.cluster,
             boundary.dialect,
             self._sender,
             log,
@@ -184,7 +184,7 @@
     async def _become_ready(self) -> None:
         """Be ready once configuration and endpoints are known."""
         while not all(one.started for one in self._followers.values()) or (
-            self.beliefs.routing is None
+            self.cluster.routing is None
         ):
             await asyncio.sleep(0.02)
         if self.peers.phase is members.Phase.STARTING:
@@ -216,7 +216,7 @@
         while True:
             await asyncio.sleep(_TIDY_SECONDS)
             now = loop.time()
-            for endpoint in self.beliefs.forget(now):
+            for endpoint in self.cluster.forget(now):
                 self._sender.forget(endpoint.listing.id)
             self.peers.members.forget(now)
 
@@ -232,5 +232,5 @@
         return len(self.peers.members.ready(now))
 
     def _bounds(self) -> limits.Bounds:
-        current: routing.Routing | None = self.beliefs.routing
+        current: routing.Routing | None = self.cluster.routing
         return limits.Bounds() if current is None else current.bounds
--- a/clementinepass/direct/gauges.py
+++ b/clementinepass/direct/gauges.py
@@ -1,4 +1,4 @@
-"""What a process believes, as metrics that are worked out when read."""
+"""The cluster state as metrics that are worked out when read."""
 
 from __future__ import annotations
 
@@ -8,18 +8,18 @@
 import aioprometheus
 
 if typing.TYPE_CHECKING:
-    from clementinepass.direct import beliefs, follower, gossip, records
+    from clementinepass.direct import cluster_state, follower, gossip, records
 
 
 class Gauges:
-    """Keep gauges of beliefs and their age.
+    """Keep gauges of the cluster state and its age.
 
     :param registry: where they are registered.
     """
 
     __slots__ = (
         '_age',
-        '_beliefs',
+        '_cluster',
         '_endpoints',
         '_followers',
         '_members',
@@ -30,11 +30,11 @@
     def __init__(
         self,
         registry: aioprometheus.Registry,
-        known: beliefs.Beliefs,
+        known: cluster_state.ClusterState,
         followers: dict[records.Topic, follower.Follower],
         peers: gossip.Peers,
     ) -> None:
-        self._beliefs = known
+        self._cluster = known
         self._followers = followers
         self._peers = peers
         self._version = aioprometheus.Gauge(
@@ -59,11 +59,11 @@
         )
 
     def update(self) -> None:
-        """Set the gauges to what is believed now."""
+        """Set the gauges to what is known now."""
         now = asyncio.get_running_loop().time()
-        current = self._beliefs.routing
+        current = self._cluster.routing
         self._version.set({}, 0 if current is None else current.version)
-        usable = sum(one.usable(now) for one in self._beliefs.endpoints)
+        usable = sum(one.usable(now) for one in self._cluster.endpoints)
         self._endpoints.set({}, usable)
         self._members.set({}, len(self._peers.members.alive(now)))
         for topic, own in self._followers.items():
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -1,4 +1,4 @@
-"""Send and take beats, and hand records to peers that know less."""
+"""Send and take heartbeats, and hand records to peers that know less."""
 
 from __future__ import annotations
 
@@ -12,29 +12,35 @@
 
 from clementinepass import errors
 from clementinepass.decisions import passing_on
-from clementinepass.direct import beats, catching_up, members, records, turns
+from clementinepass.direct import (
+    catching_up,
+    heartbeats,
+    members,
+    records,
+    turns,
+)
 from clementinepass.http import connection, front, replies
-from clementinepass.wire import beats as wire_beats
+from clementinepass.wire import heartbeats as wire_heartbeats
 
 if typing.TYPE_CHECKING:
     import random
     from collections.abc import Iterable
 
-    from clementinepass.direct import beliefs, follower, node
+    from clementinepass.direct import cluster_state, follower, node
     from clementinepass.http import messages
 
-#: Seconds between beats. Counts of requests at endpoints are as old as this
-#: when others place by them; each beat costs some 150 bytes a peer.
-_BEAT_SECONDS = 0.4
+#: Seconds between heartbeats. Counts of requests at endpoints are as old as
+#: this when others place by them; each costs some 150 bytes a peer.
+_HEARTBEAT_SECONDS = 0.4
 #: The same while this process knows nothing, and asks by it to be told.
 NEW_SECONDS = 0.1
-#: Of so many beats one carries all members and versions. New members are heard
-#: of within two seconds, and most beats stay short.
+#: Of so many heartbeats one carries all members and versions. New members are
+#: heard of within two seconds, and most heartbeats stay short.
 _WHOLE_EACH = 5
 #: Seconds since a member was heard of in which its word is passed on. An older
 #: one would keep nobody from being taken for gone.
 _FRESH_SECONDS = 1.0
-#: Peers that a beat goes to. More are told in turn, so that the traffic of
+#: Peers that a heartbeat goes to. More are told in turn, so that the traffic of
 #: one process doesn't grow with the system.
 _MOST_PEERS = 16
 #: Level of compression that costs least time.
@@ -47,7 +53,7 @@
     """The other processes: who they are, and what they say.
 
     :param own: who this process is.
-    :param known: what this process believes.
+    :param known: the state of the cluster.
     :param others: answers peers' requests that aren't for records.
     """
 
@@ -55,17 +61,17 @@
         self,
         own: node.Node,
         followers: dict[records.Topic, follower.Follower],
-        known: beliefs.Beliefs,
+        known: cluster_state.ClusterState,
         rng: random.Random,
         others: connection.Handler | None = None,
     ) -> None:
         self._own = own
         self._followers = followers
-        self._beliefs = known
+        self._cluster = known
         self._rng = rng
         self._others = others
         self._boot = time.time_ns()
-        self._heartbeat = 0
+        self._sequence = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._front = front.Front(self._serve)
         self._catching_up = catching_up.CatchingUp(own, followers, known)
@@ -79,7 +85,7 @@
         #: What this process says of itself.
         self.phase = members.Phase.STARTING
         #: What an agent read of its engine.
-        self.held: tuple[beats.Held, ...] = ()
+        self.held: tuple[heartbeats.Held, ...] = ()
 
     async def listen(self) -> None:
         """Listen on the system's own ports."""
@@ -100,24 +106,28 @@
         """Speak for ever."""
         while True:
             self.speak()
-            seconds = NEW_SECONDS if self.is_new else _BEAT_SECONDS
+            seconds = NEW_SECONDS if self.is_new else _HEARTBEAT_SECONDS
             await asyncio.sleep(seconds * self._rng.uniform(0.9, 1.1))
 
     def speak(self, *, whole: bool = False) -> None:
-        """Send one beat to some of the others.
+        """Send one heartbeat to some of the others.
 
         :param whole: whether to send all that there is to tell, also to the
             agents near.
         """
-        self._heartbeat += 1
-        whole = whole or self._heartbeat % _WHOLE_EACH == 1
-        payload = wire_beats.write_beat(self._beat(whole=whole))
+        self._sequence += 1
+        whole = whole or self._sequence % _WHOLE_EACH == 1
+        payload = wire_heartbeats.write_heartbeat(
+            self._own_heartbeat(whole=whole)
+        )
         for ip in self._targets(whole=whole):
             self._send(payload, ip)
 
     def tell(self, ips: list[str]) -> None:
-        """Send one beat to given processes."""
-        payload = wire_beats.write_beat(self._beat(whole=False))
+        """Send one heartbeat to given processes."""
+        payload = wire_heartbeats.write_heartbeat(
+            self._own_heartbeat(whole=False)
+        )
         for ip in ips:
             self._send(payload, ip)
 
@@ -132,7 +142,7 @@
         return members.Member(
             self._own.ip,
             self._boot,
-            self._heartbeat,
+            self._sequence,
             self.phase,
             self._own.callers,
             self._own.domain,
@@ -140,43 +150,52 @@
         )
 
     def heard(self, payload: bytes, ip: str) -> None:
-        """Take a beat."""
+        """Take a heartbeat."""
         try:
-            beat = wire_beats.read_beat(payload, ip)
+            heartbeat = wire_heartbeats.read_heartbeat(payload, ip)
         except errors.MalformedMessageError as error:
-            logger.bind(peer=ip).warning('beat dropped: {}', error)
+            logger.bind(peer=ip).warning('heartbeat dropped: {}', error)
             return
         now = asyncio.get_running_loop().time()
-        senders = () if beat.sender is None else (beat.sender,)
-        for member in self.members.heard((*senders, *beat.members), now):
+        senders = () if heartbeat.sender is None else (heartbeat.sender,)
+        for member in self.members.heard((*senders, *heartbeat.members), now):
             logger.bind(peer=member.ip, phase=member.phase.value).info(
                 'member changed',
             )
-        self._learn(beat, ip, now)
-
-    def _learn(self, beat: beats.Beat, ip: str, now: float) -> None:
-        if beat.sender is not None:
-            self._beliefs.heard_loads(ip, beat.in_flight_by_endpoint, now)
-            self._learn_turns(beat, ip, now)
-        for named in beat.versions:
-            self._beliefs.named(
+        self._learn(heartbeat, ip, now)
+
+    def _learn(
+        self, heartbeat: heartbeats.Heartbeat, ip: str, now: float
+    ) -> None:
+        if heartbeat.sender is not None:
+            self._cluster.heard_loads(ip, heartbeat.in_flight_by_endpoint, now)
+            self._learn_turns(heartbeat, ip, now)
+        for named in heartbeat.versions:
+            self._cluster.named(
                 named.model,
                 named.version,
                 now - named.age,
                 guessed=named.guessed,
             )
-        for held in beat.held:
-            self._beliefs.heard_held(held)
-        self._catching_up.heard(beat, ip, now)
-        if self._can_teach(beat):
-            self._send(wire_beats.write_beat(self._beat(whole=True)), ip)
+        for held in heartbeat.held:
+            self._cluster.heard_held(held)
+        self._catching_up.heard(heartbeat, ip, now)
+        if self._can_teach(heartbeat):
+            self._send(
+                wire_heartbeats.write_heartbeat(
+                    self._own_heartbeat(whole=True)
+                ),
+                ip,
+            )
 
-    def _learn_turns(self, beat: beats.Beat, ip: str, now: float) -> None:
+    def _learn_turns(
+        self, heartbeat: heartbeats.Heartbeat, ip: str, now: float
+    ) -> None:
         pairs = (
-            (records.Topic.OPERATOR, beat.operator_ends),
-            (records.Topic.ENDPOINTS, beat.endpoints_ends),
+            (records.Topic.OPERATOR, heartbeat.operator_ends),
+            (records.Topic.ENDPOINTS, heartbeat.endpoints_ends),
         )
-        sender = beat.sender
+        sender = heartbeat.sender
         is_near = sender is not None and sender.region == self._own.region
         for topic, seconds in pairs:
             self.turns_by_topic[topic].heard(ip, seconds, now)
@@ -214,14 +233,14 @@
         page = own.known.since(offset)._replace(
             after_outage=own.lost_lately(now),
         )
-        body = wire_beats.write_records(page)
+        body = wire_heartbeats.write_records(page)
         if b'deflate' not in request.headers.tokens(b'accept-encoding'):
             reply.send(_OK, [], body)
             return
         compressed = zlib.compress(body, _FASTEST)
         reply.send(_OK, [(b'Content-Encoding', b'deflate')], compressed)
 
-    def _beat(self, *, whole: bool) -> beats.Beat:
+    def _own_heartbeat(self, *, whole: bool) -> heartbeats.Heartbeat:
         now = asyncio.get_running_loop().time()
         told = passing_on.choose(
             self.members.alive(now),
@@ -229,28 +248,28 @@
             self._rng,
             whole=whole,
         )
-        return beats.Beat(
+        return heartbeats.Heartbeat(
             sender=self.own_member(),
             members=tuple(told),
-            in_flight_by_endpoint=self._beliefs.in_flight_by_endpoint(),
+            in_flight_by_endpoint=self._cluster.in_flight_by_endpoint(),
             operator_offset=self._offset(records.Topic.OPERATOR),
             endpoints_offset=self._offset(records.Topic.ENDPOINTS),
-            configuration=self._beliefs.configuration,
+            configuration=self._cluster.configuration,
             operator_ends=self._ends_in(records.Topic.OPERATOR, now),
             endpoints_ends=self._ends_in(records.Topic.ENDPOINTS, now),
-            versions=self._beliefs.versions(now) if whole else (),
+            versions=self._cluster.versions(now) if whole else (),
             held=self.held,
         )
 
-    def _can_teach(self, beat: beats.Beat) -> bool:
+    def _can_teach(self, heartbeat: heartbeats.Heartbeat) -> bool:
         """Tell whether the sender knows nothing of what is known here.
 
-        It is told at once: a beat would come its way by turns, and where all
-        start together it is the seeds that know first.
+        It is told at once: a heartbeat would come its way by turns, and where
+        all start together it is the seeds that know first.
         """
         pairs = (
-            (beat.operator_offset, records.Topic.OPERATOR),
-            (beat.endpoints_offset, records.Topic.ENDPOINTS),
+            (heartbeat.operator_offset, records.Topic.OPERATOR),
+            (heartbeat.endpoints_offset, records.Topic.ENDPOINTS),
         )
         return any(not there and self._offset(topic) for there, topic in pairs)
 
@@ -263,7 +282,7 @@
         return 0 if own is None else own.ends_in(now)
 
     def _targets(self, *, whole: bool) -> list[str]:
-        """Return whom this beat goes to."""
+        """Return whom this heartbeat goes to."""
         ips = self.members.addresses()
         if whole or not ips or self.is_new:
             others = (*self._own.seeds, *self._near_agents())
@@ -280,8 +299,8 @@
     def _relying(self) -> set[str]:
         """Return the entries that rely on this one for what the store has.
 
-        They are told with each beat, however many there are: one that hears of
-        no reader reads the store itself.
+        They are told with each heartbeat, however many there are: one that
+        hears of no reader reads the store itself.
         """
         if not any(one.is_reading for one in self._followers.values()):
             return set()
@@ -302,7 +321,7 @@
             return []
         return [
             endpoint.listing.address.rpartition(':')[0]
-            for endpoint in self._beliefs.endpoints
+            for endpoint in self._cluster.endpoints
             if endpoint.listing.domain == self._own.domain
             and endpoint.gone_at is None
         ]
--- a/clementinepass/direct/beats.py
+++ b/clementinepass/direct/heartbeats.py
@@ -26,7 +26,7 @@
 class Held(typing.NamedTuple):
     """The layers of one version that the engine at an address holds.
 
-    :param strained: whether its machine's link is slow at present.
+    :param congested: whether its machine's link is slow at present.
     :param started: when the engine started, as its listing says it.
     """
 
@@ -34,11 +34,11 @@
     version: int
     first: int
     end: int
-    strained: bool = False
+    congested: bool = False
     started: int = incarnations.UNTOLD
 
 
-class Beat:
+class Heartbeat:
     """One message.
 
     :param sender: ``None`` from an agent, which is no entry.
--- a/clementinepass/direct/intake.py
+++ b/clementinepass/direct/intake.py
@@ -1,4 +1,4 @@
-"""Take the store's records into what a process believes."""
+"""Take the store's records into what a process knows."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
     import random
     from collections.abc import Callable
 
-    from clementinepass.direct import beliefs, endpoints
+    from clementinepass.direct import cluster_state, endpoints
 
 #: Seconds that an endpoint is used whose listing lapsed while the store was
 #: away: nearly the two seconds in which endpoints list themselves again, and
@@ -49,22 +49,24 @@
 
 
 class Intake:
-    """Decode records and take them into beliefs.
+    """Decode records and take them into the cluster state.
 
     What can't be decoded changes nothing: what was in force stays so, but for
     the endpoint of that record's own key, which gets nothing more.
     """
 
     __slots__ = (
-        '_beliefs',
+        '_cluster',
         '_listings',
         '_operator',
         '_readers',
         '_told_by_key',
     )
 
-    def __init__(self, known: beliefs.Beliefs, readers: Readers) -> None:
-        self._beliefs = known
+    def __init__(
+        self, known: cluster_state.ClusterState, readers: Readers
+    ) -> None:
+        self._cluster = known
         self._readers = readers
         self._listings: follower.Follower | None = None
         self._operator: follower.Follower | None = None
@@ -89,7 +91,7 @@
             self._endpoint_wrote,
             rng,
         )
-        self._beliefs.store_contact = self._operator_contact
+        self._cluster.store_contact = self._operator_contact
         return {one.topic: one for one in (self._operator, self._listings)}
 
     def _operator_contact(self) -> float:
@@ -104,22 +106,22 @@
         if isinstance(word, NamedVersion):
             now = asyncio.get_running_loop().time()
             if self._operator is not None and not self._operator.started:
-                self._beliefs.found_named(word.model, word.version, now)
+                self._cluster.found_named(word.model, word.version, now)
             else:
-                self._beliefs.named(word.model, word.version, now)
+                self._cluster.named(word.model, word.version, now)
         elif word is not None:
-            self._beliefs.configured(word)
+            self._cluster.configured(word)
 
     def _endpoint_wrote(self, record: records.Record) -> None:
         try:
             listing = self._readers.endpoint(record)
         except errors.MalformedMessageError as error:
             self._passed_over(record, error)
-            self._beliefs.endpoints.unreadable(record.key)
+            self._cluster.endpoints.unreadable(record.key)
             return
         if listing is None:
             self._dropped(record.key)
-        elif self._beliefs.listed(listing):
+        elif self._cluster.listed(listing):
             logger.bind(
                 endpoint=listing.id,
                 service=listing.service,
@@ -135,7 +137,7 @@
         follow = self._listings
         may_have_lapsed = follow is not None and follow.lost_lately(now)
         grace = _LAPSE_GRACE if may_have_lapsed else 0
-        if self._beliefs.endpoints.removed(endpoint_id, now, grace):
+        if self._cluster.endpoints.removed(endpoint_id, now, grace):
             logger.bind(endpoint=endpoint_id, used_for=grace).info(
                 'endpoint dropped from the list',
             )
--- a/clementinepass/direct/neighbours.py
+++ b/clementinepass/direct/neighbours.py
@@ -12,7 +12,7 @@
     from collections.abc import Callable
 
     from clementinepass.direct import (
-        beliefs,
+        cluster_state,
         endpoints,
         node,
         routing,
@@ -27,47 +27,47 @@
     :param origin: makes a source of the origin's address.
     """
 
-    __slots__ = ('_beliefs', '_make_origin', '_own', '_sources_by_name')
+    __slots__ = ('_cluster', '_make_origin', '_own', '_sources_by_name')
 
     def __init__(
         self,
         own: node.Node,
-        known: beliefs.Beliefs,
+        known: cluster_state.ClusterState,
         origin: Callable[[str], weights.Source],
     ) -> None:
         self._own = own
-        self._beliefs = known
+        self._cluster = known
         self._make_origin = origin
         #: By IP number, the origin by its address.
         self._sources_by_name: dict[str, weights.Source] = {}
 
     def engine(self) -> routing.Engine | None:
         """Return what the operator says of the service's engines."""
-        current = self._beliefs.routing
+        current = self._cluster.routing
         if current is None:
             return None
         service = current.services_by_name.get(self._own.service)
         return None if service is None else service.engine
 
-    def fellows(self) -> list[endpoints.Endpoint]:
+    def of_service(self) -> list[endpoints.Endpoint]:
         """Return the endpoints of the service, the own one included."""
         now = asyncio.get_running_loop().time()
-        return self._beliefs.endpoints.of_service(self._own.service, now)
+        return self._cluster.endpoints.of_service(self._own.service, now)
 
     def question(self, version: int) -> piece_chains.Question:
         """Return what choosing a source for pieces needs."""
         engine = self.engine()
-        current = self._beliefs.routing
+        current = self._cluster.routing
         origin = None if current is None else current.origin
         peers = [
             piece_chains.Peer(
-                self._own.region_of(fellow.listing.domain),
-                fellow.listing.domain,
-                fellow.listing.address.rpartition(':')[0],
-                engine is not None and fellow.holds(engine, version),
+                self._own.region_of(endpoint.listing.domain),
+                endpoint.listing.domain,
+                endpoint.listing.address.rpartition(':')[0],
+                engine is not None and endpoint.holds(engine, version),
             )
-            for fellow in self.fellows()
-            if fellow.listing.address != self._own.endpoint
+            for endpoint in self.of_service()
+            if endpoint.listing.address != self._own.endpoint
         ]
         return piece_chains.Question(
             piece_chains.Peer(
@@ -103,7 +103,7 @@
         return peer_source.PeerSource(ip, self._own.first_port)
 
     def _origin(self) -> weights.Source | None:
-        current = self._beliefs.routing
+        current = self._cluster.routing
         service = None if current is None else current.origin
         if service is None:
             return None
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -20,7 +20,7 @@
 if typing.TYPE_CHECKING:
     import random
 
-    from clementinepass.direct import beliefs, departure, node
+    from clementinepass.direct import cluster_state, departure, node
     from clementinepass.http import messages, replies
 
 _BAD_REQUEST = 400
@@ -45,7 +45,7 @@
     """
 
     __slots__ = (
-        '_beliefs',
+        '_cluster',
         '_budgets_by_service',
         '_departure',
         '_dialect',
@@ -63,7 +63,7 @@
     def __init__(
         self,
         own: node.Node,
-        known: beliefs.Beliefs,
+        known: cluster_state.ClusterState,
         dialect: calls.Dialect,
         sender: attempt.Sender,
         log: request_log.RequestLog,
@@ -73,7 +73,7 @@
         rng: random.Random,
     ) -> None:
         self._own = own
-        self._beliefs = known
+        self._cluster = known
         self._dialect = dialect
         self._sender = sender
         self._log = log
@@ -138,7 +138,7 @@
         reply: replies.Reply,
     ) -> serving.Serving | None:
         """Find out what a request is; refuse it if it is nothing."""
-        current = self._beliefs.routing
+        current = self._cluster.routing
         if current is None:
             self._refuse(call, reply, serving.Ending.STARTING, _UNAVAILABLE)
             return None
@@ -197,9 +197,9 @@
             ending,
             status,
             request_log.Basis(
-                configuration=self._beliefs.configuration,
+                configuration=self._cluster.configuration,
                 last_in=self._last_in(call, ending),
-                store_age=self._beliefs.store_age,
+                store_age=self._cluster.store_age,
             ),
         )
         reply.send(status, pairs, b'')
@@ -294,13 +294,13 @@
         if admitted.attempts:
             return self._ending_of(admitted, serving.Tried.NOT_RUN)
         now = asyncio.get_running_loop().time()
-        if self._beliefs.candidates(admitted.service, now):
+        if self._cluster.candidates(admitted.service, now):
             return serving.Ending.OVERLOAD
-        current = self._beliefs.routing
+        current = self._cluster.routing
         service = admitted.service.name
         if current is not None and service not in current.services_by_name:
             return serving.Ending.NO_SERVICE
-        if self._beliefs.endpoints.of_service(service, now):
+        if self._cluster.endpoints.of_service(service, now):
             return serving.Ending.NO_WEIGHTS
         return serving.Ending.NO_ENDPOINT
 
--- a/clementinepass/direct/placing.py
+++ b/clementinepass/direct/placing.py
@@ -11,7 +11,7 @@
     import random
 
     from clementinepass.direct import (
-        beliefs,
+        cluster_state,
         endpoints,
         request_log,
         serving,
@@ -25,20 +25,20 @@
 
 
 class Placing:
-    """Choose endpoints by what this entry believes.
+    """Choose endpoints by the state of the cluster.
 
     :param known: configuration, versions, endpoints and loads.
     """
 
-    __slots__ = ('_beliefs', '_log', '_rng')
+    __slots__ = ('_cluster', '_log', '_rng')
 
     def __init__(
         self,
-        known: beliefs.Beliefs,
+        known: cluster_state.ClusterState,
         log: request_log.RequestLog,
         rng: random.Random,
     ) -> None:
-        self._beliefs = known
+        self._cluster = known
         self._log = log
         self._rng = rng
 
@@ -56,9 +56,9 @@
         until = admitted.call.request.received + _LOADING_SECONDS
         endpoint = self.place(admitted)
         while endpoint is None and loop.time() < until:
-            if self._beliefs.candidates(admitted.service, loop.time()):
+            if self._cluster.candidates(admitted.service, loop.time()):
                 break
-            if not self._beliefs.loading(admitted.service, loop.time()):
+            if not self._cluster.loading(admitted.service, loop.time()):
                 break
             await asyncio.sleep(_LOOK_SECONDS)
             endpoint = self.place(admitted)
@@ -67,17 +67,17 @@
     def place(self, admitted: serving.Serving) -> endpoints.Endpoint | None:
         """Choose an endpoint; ``None`` if there is none with room."""
         now = asyncio.get_running_loop().time()
-        candidates = self._beliefs.candidates(admitted.service, now)
+        candidates = self._cluster.candidates(admitted.service, now)
         untried = [
             one
             for one in candidates
             if one.listing.id not in admitted.tried_ids
         ]
         engine = admitted.service.engine
-        options = self._beliefs.options(untried, engine, now)
+        options = self._cluster.options(untried, engine, now)
         if not options and untried:
             # All fail: each is the wrong one to leave out.
-            options = self._beliefs.options_of_failing(untried, engine, now)
+            options = self._cluster.options_of_failing(untried, engine, now)
         timely = _timely(admitted, options)
         choice = nearest_place.choose(timely, self._rng)
         if choice is None:
@@ -86,7 +86,7 @@
         if not admitted.attempts and not self._fits(admitted, choice, now):
             self._log.overloaded(admitted, choice)
             return None
-        return self._beliefs.endpoints.get(choice.endpoint_id)
+        return self._cluster.endpoints.get(choice.endpoint_id)
 
     def _fits(
         self,
--- a/clementinepass/direct/telling.py
+++ b/clementinepass/direct/telling.py
@@ -6,7 +6,7 @@
 import typing
 
 from clementinepass.decisions import incarnations
-from clementinepass.direct import beats, endpoints
+from clementinepass.direct import endpoints, heartbeats
 
 if typing.TYPE_CHECKING:
     from clementinepass.direct import gossip, node
@@ -15,7 +15,7 @@
 _TOLD_TIMES = 3
 _TELL_SECONDS = 0.15
 #: Seconds between words that the link is slow.
-_STRAIN_SECONDS = 1.0
+_CONGESTION_SECONDS = 1.0
 
 
 class Telling:
@@ -25,7 +25,7 @@
     :param peers: sends it.
     """
 
-    __slots__ = ('_held', '_own', '_peers', '_started', '_strained_at')
+    __slots__ = ('_held', '_own', '_peers', '_started', '_congested_at')
 
     def __init__(self, own: node.Node, peers: gossip.Peers) -> None:
         self._own = own
@@ -35,7 +35,7 @@
         self._started = incarnations.UNTOLD
         #: When entries were last told that the link is slow; ``None`` where
         #: they take it for sound.
-        self._strained_at: float | None = None
+        self._congested_at: float | None = None
 
     def holds(self, held: endpoints.Weights, started: int) -> None:
         """Tell what the engine holds, and when it started.
@@ -67,31 +67,31 @@
         self.holds(held, self._started)
         await asyncio.sleep(_TOLD_TIMES * _TELL_SECONDS)
 
-    def strained(self, *, is_slow: bool) -> None:
+    def congested(self, *, is_slow: bool) -> None:
         """Tell while the link here is slow, and when it no longer is.
 
         Failure: on a link narrowed to a tenth requests waited behind pieces,
         and reached the engine when their callers had left.
         """
         now = asyncio.get_running_loop().time()
-        told = self._strained_at
+        told = self._congested_at
         if not is_slow:
-            self._strained_at = None
+            self._congested_at = None
             if told is not None:
                 self._tell()
-        elif told is None or now - told >= _STRAIN_SECONDS:
-            self._strained_at = now
+        elif told is None or now - told >= _CONGESTION_SECONDS:
+            self._congested_at = now
             self._tell()
 
     def _tell(self) -> None:
         if self._held is None:
             return
-        word = beats.Held(
+        word = heartbeats.Held(
             self._own.endpoint,
             self._held.version,
             self._held.first,
             self._held.end,
-            self._strained_at is not None,
+            self._congested_at is not None,
             self._started,
         )
         self._peers.held = (word,)
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -163,7 +163,7 @@
         'wrote, or an entry was heard that reads it for this one; null for '
         'never',
     ),
-    'strained': Field('bool', 'whether the link is slow'),
+    'congested': Field('bool', 'whether the link is slow'),
     'taken': Field('int', 'requests since SIGTERM'),
     'there': Field('int', 'version in force at the peer'),
     'topic': Field('str', 'operator or endpoints'),
@@ -238,7 +238,7 @@
         'endpoint version layers busy', 'no layers while it loads'
     ),
     'link of an endpoint': Kind(
-        'endpoint strained',
+        'endpoint congested',
         'requests go elsewhere where they can, or no longer',
     ),
     'member changed': Kind(
@@ -261,7 +261,7 @@
         'it can not be decoded; what was in force stays, and an endpoint of '
         'that id gets nothing more. Once in 30 s for each key',
     ),
-    'beat dropped': Kind('peer', 'a message that is none'),
+    'heartbeat dropped': Kind('peer', 'a message that is none'),
     'entries not read': Kind('', 'the list of entries; it is tried again'),
     'store not read': Kind(
         '', 'an agent that hears of no entry; it is tried again'
--- a/clementinepass/observability/stories.py
+++ b/clementinepass/observability/stories.py
@@ -16,9 +16,9 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Iterable
 
-#: Lines on what a process believes, and the fields that tell one belief of a
+#: Lines on what a process knows, and the fields that tell one observation of a
 #: kind from another.
-_BELIEF_KEYS_BY_MESSAGE: dict[str, tuple[str, ...]] = {
+_OBSERVED_KEYS_BY_MESSAGE: dict[str, tuple[str, ...]] = {
     'configuration in force': (),
     'version named': ('model',),
     'engine holds weights': ('endpoint',),
@@ -33,7 +33,7 @@
 _WEIGHTS = frozenset(('version named', 'engine holds weights'))
 _LISTED = frozenset(('endpoint listed', 'endpoint dropped from the list'))
 _TOLD_TO_END = frozenset(('leaving',))
-#: Lines on the beliefs by which a request ended as it did, by its cause.
+#: Lines on the observations by which a request ended as it did, by its cause.
 _DECIDING_BY_CAUSE = {
     causes.Cause.UNKNOWN_KEY: _CONFIGURATION,
     causes.Cause.KEY_WITHDRAWN: _CONFIGURATION,
@@ -58,7 +58,7 @@
 _DROPPED_NEAR = 2.0
 
 
-class Belief(typing.NamedTuple):
+class Observation(typing.NamedTuple):
     """What a process believed at some moment.
 
     :param age: seconds since it had come to believe it.
@@ -74,16 +74,16 @@
     :param lines: what was written of it, in order of time.
     :param verdict: why it ended as it did, by all of them.
     :param wrong: the first of them that went wrong, if one did.
-    :param beliefs: of the processes that it met, when it came.
-    :param deciding: beliefs by which it ended as it did, when it ended.
+    :param observations: of the processes that it met, when it came.
+    :param deciding: observations by which it ended as it did, when it ended.
     :param gaps: what may be missing, a sentence each.
     """
 
     lines: tuple[lines.Line, ...]
     verdict: verdicts.Verdict
     wrong: lines.Line | None
-    beliefs: tuple[Belief, ...]
-    deciding: tuple[Belief, ...]
+    observations: tuple[Observation, ...]
+    deciding: tuple[Observation, ...]
     gaps: tuple[str, ...]
 
 
@@ -135,10 +135,12 @@
             tuple(own),
             verdict,
             wrong,
-            tuple(self._beliefs(own, processes, own[0].at)),
+            tuple(self._observations(own, processes, own[0].at)),
             tuple(
                 one
-                for one in self._beliefs(own, {own[-1].process}, own[-1].at)
+                for one in self._observations(
+                    own, {own[-1].process}, own[-1].at
+                )
                 if one.line.message in deciding
             ),
             tuple(self._gaps(own, processes)),
@@ -182,13 +184,13 @@
             elif one.message == 'ordered to load' and one.process in engines:
                 yield engines[one.process], one
 
-    def _beliefs(
+    def _observations(
         self,
         own: list[lines.Line],
         processes: set[str],
         when: float,
-    ) -> Iterable[Belief]:
-        """Return the newest belief of each kind at some moment."""
+    ) -> Iterable[Observation]:
+        """Return the newest observation of each kind at some moment."""
         endpoints = {each.fields.get('endpoint') for each in own}
         newest: dict[tuple[typing.Any, ...], lines.Line] = {}
         before = [one for one in self._lines if one.at <= when]
@@ -198,7 +200,7 @@
             about = _about(each, endpoints)
             if each.process in processes and about is not None:
                 newest[each.process, *about] = each
-        return [Belief(one, when - one.at) for one in newest.values()]
+        return [Observation(one, when - one.at) for one in newest.values()]
 
     def _gaps(
         self, own: list[lines.Line], processes: set[str]
@@ -222,8 +224,8 @@
     line: lines.Line,
     endpoints: set[typing.Any],
 ) -> tuple[typing.Any, ...] | None:
-    """Return what a belief is about; ``None`` for a line of no concern."""
-    keys = _BELIEF_KEYS_BY_MESSAGE.get(line.message)
+    """Return what an observation is about; ``None`` if of no concern."""
+    keys = _OBSERVED_KEYS_BY_MESSAGE.get(line.message)
     if keys is None:
         return None
     about = tuple(line.fields.get(key) for key in keys)
--- a/clementinepass/platform/decoding.py
+++ b/clementinepass/platform/decoding.py
@@ -13,7 +13,7 @@
 
 #: Characters of an error that are kept: it may quote what was sent.
 _LONGEST_ERROR = 200
-#: Ids and names go into request heads, beats and lines of the log.
+#: Ids and names go into request heads, heartbeats and lines of the log.
 _ID = re.compile('[!-~]{1,128}')
 _IP_VERSION = 4
 _LARGEST_COUNT = 2**31 - 1
@@ -27,7 +27,7 @@
 Growing = typing.Annotated[int, msgspec.Meta(ge=0, le=_LARGEST_WHOLE)]
 #: Milliseconds of Unix time.
 Moment = typing.Annotated[int, msgspec.Meta(ge=1, le=_LARGEST_WHOLE)]
-#: Layers of a model; beats carry 16 bits of them.
+#: Layers of a model; heartbeats carry 16 bits of them.
 LayerNumber = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
--- a/clementinepass/wire/direct.capnp
+++ b/clementinepass/wire/direct.capnp
@@ -45,12 +45,12 @@
   first @2 :UInt16;
   end @3 :UInt16;
   # Whether what comes to its machine takes several times as long as usual.
-  strained @4 :Bool;
+  congested @4 :Bool;
   # When the engine started, in milliseconds of Unix time; 0 if untold.
   started @5 :UInt64;
 }
 
-struct Beat {
+struct Heartbeat {
   sender @0 :Member;
   members @1 :List(Member);
   loads @2 :List(Load);
--- a/clementinepass/wire/beats.py
+++ b/clementinepass/wire/heartbeats.py
@@ -8,51 +8,51 @@
 import capnp
 
 from clementinepass import errors
-from clementinepass.direct import beats, members, records
+from clementinepass.direct import heartbeats, members, records
 
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('direct.capnp')))
 _PHASES = tuple(members.Phase)
 _MS = 1000
 
 
-def write_beat(beat: beats.Beat) -> bytes:
-    """Return a beat as the bytes of a datagram."""
-    message = _SCHEMA.Beat.new_message()
-    if beat.sender is not None:
-        _write_member(message.sender, beat.sender)
+def write_heartbeat(heartbeat: heartbeats.Heartbeat) -> bytes:
+    """Return a heartbeat as the bytes of a datagram."""
+    message = _SCHEMA.Heartbeat.new_message()
+    if heartbeat.sender is not None:
+        _write_member(message.sender, heartbeat.sender)
     for slot, member in zip(
-        message.init('members', len(beat.members)),
-        beat.members,
+        message.init('members', len(heartbeat.members)),
+        heartbeat.members,
         strict=True,
     ):
         _write_member(slot, member)
-    loads = message.init('loads', len(beat.in_flight_by_endpoint))
-    pairs = beat.in_flight_by_endpoint.items()
+    loads = message.init('loads', len(heartbeat.in_flight_by_endpoint))
+    pairs = heartbeat.in_flight_by_endpoint.items()
     for slot, (endpoint, in_flight) in zip(loads, pairs, strict=True):
         slot.endpoint = endpoint
         slot.inFlight = min(in_flight, 65535)
-    message.follow.operatorOffset = beat.operator_offset
-    message.follow.endpointsOffset = beat.endpoints_offset
-    message.follow.configuration = beat.configuration
-    message.follow.operatorEndsMs = int(beat.operator_ends * _MS)
-    message.follow.endpointsEndsMs = int(beat.endpoints_ends * _MS)
-    _write_versions(message, beat)
-    _write_held(message, beat)
+    message.follow.operatorOffset = heartbeat.operator_offset
+    message.follow.endpointsOffset = heartbeat.endpoints_offset
+    message.follow.configuration = heartbeat.configuration
+    message.follow.operatorEndsMs = int(heartbeat.operator_ends * _MS)
+    message.follow.endpointsEndsMs = int(heartbeat.endpoints_ends * _MS)
+    _write_versions(message, heartbeat)
+    _write_held(message, heartbeat)
     return bytes(message.to_bytes_packed())
 
 
-def read_beat(payload: bytes, peer: str) -> beats.Beat:
-    """Read a beat.
+def read_heartbeat(payload: bytes, peer: str) -> heartbeats.Heartbeat:
+    """Read a heartbeat.
 
     :raises MalformedMessageError: the bytes are something else.
     """
     try:
-        message = _SCHEMA.Beat.from_bytes_packed(payload)
-        return _beat(message)
+        message = _SCHEMA.Heartbeat.from_bytes_packed(payload)
+        return _own_heartbeat(message)
     except (capnp.KjException, IndexError, UnicodeDecodeError) as error:
         raise errors.MalformedMessageError(
             str(error),
-            step='read a beat',
+            step='read a heartbeat',
             peer=peer,
         ) from error
 
@@ -105,29 +105,31 @@
     slot.region = member.region
 
 
-def _write_versions(message: typing.Any, beat: beats.Beat) -> None:
-    slots = message.init('versions', len(beat.versions))
-    for slot, named in zip(slots, beat.versions, strict=True):
+def _write_versions(
+    message: typing.Any, heartbeat: heartbeats.Heartbeat
+) -> None:
+    slots = message.init('versions', len(heartbeat.versions))
+    for slot, named in zip(slots, heartbeat.versions, strict=True):
         slot.model = named.model
         slot.version = named.version
         slot.ageMs = min(int(named.age * _MS), 2**32 - 1)
         slot.guessed = named.guessed
 
 
-def _write_held(message: typing.Any, beat: beats.Beat) -> None:
-    slots = message.init('held', len(beat.held))
-    for slot, held in zip(slots, beat.held, strict=True):
+def _write_held(message: typing.Any, heartbeat: heartbeats.Heartbeat) -> None:
+    slots = message.init('held', len(heartbeat.held))
+    for slot, held in zip(slots, heartbeat.held, strict=True):
         slot.address = held.address
         slot.version = held.version
         slot.first = held.first
         slot.end = held.end
-        slot.strained = held.strained
+        slot.congested = held.congested
         slot.started = held.started
 
 
-def _beat(message: typing.Any) -> beats.Beat:
+def _own_heartbeat(message: typing.Any) -> heartbeats.Heartbeat:
     sender = _member(message.sender)
-    return beats.Beat(
+    return heartbeats.Heartbeat(
         sender=sender if sender.ip else None,
         members=tuple(map(_member, message.members)),
         in_flight_by_endpoint={
@@ -139,7 +141,7 @@
         operator_ends=message.follow.operatorEndsMs / _MS,
         endpoints_ends=message.follow.endpointsEndsMs / _MS,
         versions=tuple(
-            beats.NamedVersion(
+            heartbeats.NamedVersion(
                 named.model,
                 named.version,
                 named.ageMs / _MS,
@@ -148,12 +150,12 @@
             for named in message.versions
         ),
         held=tuple(
-            beats.Held(
+            heartbeats.Held(
                 held.address,
                 held.version,
                 held.first,
                 held.end,
-                held.strained,
+                held.congested,
                 held.started,
             )
             for held in message.held
--- a/tests/decisions/test_direct_decisions.py
+++ b/tests/decisions/test_direct_decisions.py
@@ -110,7 +110,7 @@
             2,
             16,
             is_near=True,
-            is_strained=True,
+            is_congested=True,
         )
         busy = nearest_place.Option('busy', 11, 16, is_near=False)
         self.assertEqual('busy', self.choose(slow, busy))
@@ -259,8 +259,8 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.fellows = [
-            load_turns.Fellow(f'10.{domain}.0.{number}:80', str(domain))
+        self.endpoints = [
+            load_turns.Peer(f'10.{domain}.0.{number}:80', str(domain))
             for domain in (1, 2, 3)
             for number in (1, 2, 3)
         ]
@@ -268,7 +268,7 @@
     def test_spread(self) -> None:
         """Turns are spread over the time left, the last in good time."""
         delays = [
-            load_turns.delay(one, self.fellows, 3) for one in self.fellows
+            load_turns.delay(one, self.endpoints, 3) for one in self.endpoints
         ]
         self.assertEqual(0, min(delays))
         self.assertAlmostEqual(2, max(delays))
@@ -277,8 +277,8 @@
     def test_domains_alternate(self) -> None:
         """No domain is out as a whole."""
         ordered = sorted(
-            self.fellows,
-            key=lambda one: load_turns.delay(one, self.fellows, 3),
+            self.endpoints,
+            key=lambda one: load_turns.delay(one, self.endpoints, 3),
         )
         self.assertEqual(
             ['1', '2', '3'] * 3,
@@ -287,9 +287,9 @@
 
     def test_no_time_left(self) -> None:
         """Then all load at once: nobody may serve the old version."""
-        for one in self.fellows:
-            self.assertEqual(0, load_turns.delay(one, self.fellows, 0.5))
+        for one in self.endpoints:
+            self.assertEqual(0, load_turns.delay(one, self.endpoints, 0.5))
 
     def test_alone(self) -> None:
         """An engine alone has nobody to wait for."""
-        self.assertEqual(0, load_turns.delay(self.fellows[0], [], 5))
+        self.assertEqual(0, load_turns.delay(self.endpoints[0], [], 5))
--- a/tests/decisions/test_incarnations.py
+++ b/tests/decisions/test_incarnations.py
@@ -43,8 +43,8 @@
         """Words that are believed never go back, however they arrive."""
         rng = random.Random(7)
         words = [
-            incarnations.Stamp(start, beat)
-            for start, beat in itertools.product(range(1, 5), range(1, 6))
+            incarnations.Stamp(start, heartbeat)
+            for start, heartbeat in itertools.product(range(1, 5), range(1, 6))
         ]
         for _ in range(200):
             rng.shuffle(words)
--- a/tests/direct/path_world.py
+++ b/tests/direct/path_world.py
@@ -10,7 +10,7 @@
 
 from clementinepass.direct import (
     attempt,
-    beliefs,
+    cluster_state,
     departure,
     endpoints,
     node,
@@ -84,16 +84,16 @@
             direct_endpoint.DirectEndpoint(f'i-{number}')
             for number in range(count)
         ]
-        self.beliefs = beliefs.Beliefs(own)
-        self.departure = departure.Departure(own, self.beliefs)
+        self.cluster = cluster_state.ClusterState(own)
+        self.departure = departure.Departure(own, self.cluster)
         #: Other entries that callers may be sent to.
         self.others_ready = 0
         log = request_log.RequestLog(aioprometheus.Registry())
         spelling = dialect.HeaderDialect()
-        self.sender = attempt.Sender(self.beliefs, spelling, log)
+        self.sender = attempt.Sender(self.cluster, spelling, log)
         self.path = path.Path(
             own,
-            self.beliefs,
+            self.cluster,
             spelling,
             self.sender,
             log,
@@ -129,7 +129,7 @@
         keys: tuple[bytes, ...] = (b'key',),
     ) -> None:
         """Put a configuration in force."""
-        self.beliefs.configured(
+        self.cluster.configured(
             routing.Routing(
                 version,
                 routes,
@@ -155,7 +155,7 @@
             heartbeat=len(one.came),
             weights=endpoints.Weights(1, 0, 2),
         )
-        self.beliefs.listed(usual._replace(**changes))
+        self.cluster.listed(usual._replace(**changes))
 
     def kept(self, endpoint_id: str) -> list[channel.Channel]:
         """Return the idle connections that are kept to an endpoint."""
--- a/tests/direct/test_catching_up.py
+++ b/tests/direct/test_catching_up.py
@@ -10,16 +10,16 @@
 import testtools
 
 from clementinepass.direct import (
-    beats,
-    beliefs,
     catching_up,
+    cluster_state,
     follower,
+    heartbeats,
     node,
     records,
     routing,
 )
 from clementinepass.http import front, limits, replies
-from clementinepass.wire import beats as wire_beats
+from clementinepass.wire import heartbeats as wire_heartbeats
 
 HOST = '127.0.0.1'
 OPERATOR = records.Topic.OPERATOR
@@ -46,7 +46,7 @@
 
     async def _serve(self, request: typing.Any, reply: replies.Reply) -> None:
         self.asked.append(request.target)
-        reply.send(200, [], wire_beats.write_records(self.page))
+        reply.send(200, [], wire_heartbeats.write_records(self.page))
         self.served.set()
 
 
@@ -68,7 +68,7 @@
             duties=node.Duties(),
             callers=f'{HOST}:1',
         )
-        self.beliefs = beliefs.Beliefs(own)
+        self.cluster = cluster_state.ClusterState(own)
         self.follower = follower.Follower(
             typing.cast('records.Store', None),
             OPERATOR,
@@ -81,18 +81,20 @@
         self.catching_up = catching_up.CatchingUp(
             own,
             {OPERATOR: self.follower},
-            self.beliefs,
+            self.cluster,
         )
 
     def _wrote(self, record: records.Record) -> None:
         bounds = limits.Bounds()
         version = int(record.payload or b'0')
-        self.beliefs.configured(routing.Routing(version, (), (), None, bounds))
+        self.cluster.configured(routing.Routing(version, (), (), None, bounds))
 
     def heard(self, now: float, offset: int, configuration: int = 1) -> None:
-        """Hear a beat."""
-        beat = beats.Beat(operator_offset=offset, configuration=configuration)
-        self.catching_up.heard(beat, HOST, now)
+        """Hear a heartbeat."""
+        heartbeat = heartbeats.Heartbeat(
+            operator_offset=offset, configuration=configuration
+        )
+        self.catching_up.heard(heartbeat, HOST, now)
 
 
 def run(
@@ -117,7 +119,7 @@
 
 async def until_version(world: _World, version: int) -> None:
     """Wait until a configuration is in force."""
-    while world.beliefs.configuration != version:
+    while world.cluster.configuration != version:
         await asyncio.sleep(0)
 
 
@@ -127,15 +129,15 @@
     def test_others_are_behind_too(self) -> None:
         """A change hung on a silent read, here and at half of the peers.
 
-        One peer had it and said so in each beat. Between its beats came those
+        One peer had it and said so in each heartbeat. Between its heartbeats came those
         of peers that lacked it too, and each made this entry wait anew, so
         that it never asked.
         """
 
         async def play(world: _World, peer: _Peer) -> None:
-            for beat in range(LONG):
-                world.heard(beat * 0.2, 6)
-                world.heard(beat * 0.2 + 0.1, 5)
+            for heartbeat in range(LONG):
+                world.heard(heartbeat * 0.2, 6)
+                world.heard(heartbeat * 0.2 + 0.1, 5)
             await until_version(world, 2)
             self.assertEqual(b'/records/operator?5', peer.asked[0])
 
@@ -161,8 +163,8 @@
         """
 
         async def play(world: _World, peer: _Peer) -> None:
-            for beat in range(LONG):
-                world.heard(beat * 0.2, 5, 2)
+            for heartbeat in range(LONG):
+                world.heard(heartbeat * 0.2, 5, 2)
             await until_version(world, 2)
             self.assertEqual(b'/records/operator?0', peer.asked[0])
 
@@ -174,8 +176,8 @@
         """Where the same is in force nothing is asked for."""
 
         async def play(world: _World, peer: _Peer) -> None:
-            for beat in range(LONG):
-                world.heard(beat * 0.2, 5, 1)
+            for heartbeat in range(LONG):
+                world.heard(heartbeat * 0.2, 5, 1)
             await asyncio.sleep(0)
             self.assertEqual([], peer.asked)
 
--- a/tests/direct/test_beliefs.py
+++ b/tests/direct/test_cluster_state.py
@@ -4,7 +4,13 @@
 
 import testtools
 
-from clementinepass.direct import beats, beliefs, endpoints, node, routing
+from clementinepass.direct import (
+    cluster_state,
+    endpoints,
+    heartbeats,
+    node,
+    routing,
+)
 from clementinepass.http import limits
 
 ADDRESS = '10.0.0.1:80'
@@ -46,7 +52,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.known = beliefs.Beliefs(OWN, clock=lambda: 100)
+        self.known = cluster_state.ClusterState(OWN, clock=lambda: 100)
         self.known.listed(listing(1000, 50, OLD))
 
     @property
@@ -58,7 +64,9 @@
 
     def told(self, started: int, weights: endpoints.Weights) -> None:
         """Hear an agent."""
-        self.known.heard_held(beats.Held(ADDRESS, *weights, started=started))
+        self.known.heard_held(
+            heartbeats.Held(ADDRESS, *weights, started=started)
+        )
 
     def test_late_word_of_an_agent(self) -> None:
         """An engine came back empty, and its agent's word of before came late.
--- a/tests/direct/test_endpoints.py
+++ b/tests/direct/test_endpoints.py
@@ -206,7 +206,7 @@
         before.misdirected = True
         before.in_flight = 7
         before.streams = 7
-        before.strained_until = 99
+        before.congested_until = 99
         self.known.listed(listing(started=2000, heartbeat=1))
         after = self.known.get('i-1')
         assert after is not None
--- a/tests/direct/test_gossip.py
+++ b/tests/direct/test_gossip.py
@@ -7,7 +7,7 @@
 
 import testtools
 
-from clementinepass.direct import beliefs, gossip, members, node
+from clementinepass.direct import cluster_state, gossip, members, node
 
 #: Entries, and heartbeats of each.
 ENTRIES = 120
@@ -49,7 +49,7 @@
             duties=node.Duties(),
             callers=f'{ip}:80',
         )
-        super().__init__(own, {}, beliefs.Beliefs(own), rng)
+        super().__init__(own, {}, cluster_state.ClusterState(own), rng)
         self.phase = members.Phase.READY
         self._peers_by_ip = peers_by_ip
         #: Bytes sent.
@@ -61,13 +61,13 @@
 
 
 class ManyEntriesTest(testtools.TestCase):
-    """More entries than each beat goes to.
+    """More entries than each heartbeat goes to.
 
     All of 150 entries were there, and each took nearly half of the others for
     gone at any time: callers were sent to those that were left, and their
-    requests at engines weren't counted.  A beat went to sixteen drawn at
+    requests at engines weren't counted.  A heartbeat went to sixteen drawn at
     random, so that one was heard directly each four seconds; and the members
-    that each fifth beat told of were always the same sixteen.
+    that each fifth heartbeat told of were always the same sixteen.
     """
 
     def test_all_there(self) -> None:
--- a/tests/direct/test_intake.py
+++ b/tests/direct/test_intake.py
@@ -10,9 +10,9 @@
 import testtools
 from loguru import logger
 
-from clementinepass.direct import beliefs, intake, records
+from clementinepass.direct import cluster_state, intake, records
 from clementinepass.platform import operator, registry
-from tests.direct import test_beliefs
+from tests.direct import test_cluster_state
 from tests.platform import test_registry
 
 READERS = intake.Readers(operator=operator.read, endpoint=registry.read)
@@ -27,7 +27,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.known = beliefs.Beliefs(test_beliefs.OWN)
+        self.known = cluster_state.ClusterState(test_cluster_state.OWN)
         self.lines: list[str] = []
         sink = logger.add(
             lambda line: self.lines.append(line.record['message']),
--- a/tests/direct/test_leaving.py
+++ b/tests/direct/test_leaving.py
@@ -12,7 +12,7 @@
 import testtools
 
 from clementinepass.direct import (
-    beliefs,
+    cluster_state,
     departure,
     leaving,
     members,
@@ -269,7 +269,7 @@
     def setUp(self) -> None:
         """Know nothing yet."""
         super().setUp()
-        self.known = beliefs.Beliefs(path_world.NODE)
+        self.known = cluster_state.ClusterState(path_world.NODE)
         self.state = departure.Departure(path_world.NODE, self.known)
 
     def configure(self, version: int, timeout: float) -> None:
--- a/tests/direct/test_machines.py
+++ b/tests/direct/test_machines.py
@@ -10,11 +10,17 @@
 import msgspec
 import testtools
 
-from clementinepass.direct import beliefs, entry, intake, members, node, records
+from clementinepass.direct import (
+    cluster_state,
+    entry,
+    intake,
+    members,
+    node,
+    records,
+)
 from clementinepass.platform import store
 from standins import machines, weights_origin
 
-
 #: Seconds in which a word of an agent that ends is heard.
 _HEARD_SECONDS = 2
 #: Some callers keep a list for so many times as long as they are told.
@@ -196,7 +202,7 @@
         async def play(world: machines.Machines) -> None:
             world.list_desk(state='draining')
             for one in world.entries:
-                known = one.beliefs.endpoints.get('i-desk')
+                known = one.cluster.endpoints.get('i-desk')
                 assert known is not None
                 await machines.until(lambda known=known: known.listing.draining)
             self.assertEqual(503, await world.ask(0))
@@ -213,7 +219,7 @@
         async def play(world: machines.Machines) -> None:
             world.list_desk(state='draining')
             for one in world.entries:
-                known = one.beliefs.endpoints.get('i-desk')
+                known = one.cluster.endpoints.get('i-desk')
                 assert known is not None
                 await machines.until(lambda known=known: known.listing.draining)
             await world.desk.restart()
@@ -251,7 +257,7 @@
             world.list_desk()
             for one in world.entries:
                 await machines.until(lambda one=one: _usable(one, 'i-desk'))
-                self.assertIsNone(one.beliefs.endpoints.get('i-odd'))
+                self.assertIsNone(one.cluster.endpoints.get('i-odd'))
             self.assertEqual(200, await world.ask(0))
 
         run(play)
@@ -295,7 +301,7 @@
                 world.entries[0]._own,
                 duties=node.Duties(version=8, settling=3),
             )
-            known = beliefs.Beliefs(own)
+            known = cluster_state.ClusterState(own)
             follow = intake.Intake(known, machines.READERS).followers(
                 store.HttpStore(own.store),
                 random.Random(1),
@@ -390,7 +396,7 @@
             await machines.until(lambda: _held(world, 'i-0') == [2, 2])
             self.assertEqual(2, len(before))
             starts = [
-                one.beliefs.endpoints.get('i-0').listing.started
+                one.cluster.endpoints.get('i-0').listing.started
                 for one in world.entries
             ]
             self.assertEqual([2, 2], starts)
@@ -442,7 +448,7 @@
                     'version/m',
                     {'model': 'm', 'version': 2},
                 )
-                known = world.entries[0].beliefs.endpoints
+                known = world.entries[0].cluster.endpoints
                 await machines.until(lambda: any(one.loading for one in known))
                 (loading,) = (one for one in known if one.loading)
                 number = int(loading.listing.id.removeprefix('i-'))
@@ -485,17 +491,17 @@
 
 
 def _version(one: entry.Entry) -> int:
-    current = one.beliefs.routing
+    current = one.cluster.routing
     return 0 if current is None else current.version
 
 
 def _usable(one: entry.Entry, endpoint_id: str) -> bool:
-    known = one.beliefs.endpoints.get(endpoint_id)
+    known = one.cluster.endpoints.get(endpoint_id)
     now = asyncio.get_running_loop().time()
     return known is not None and known.usable(now)
 
 
 def _held(world: machines.Machines, endpoint_id: str) -> list[int]:
     """Return the version that each entry believes an engine to hold."""
-    known = [one.beliefs.endpoints.get(endpoint_id) for one in world.entries]
+    known = [one.cluster.endpoints.get(endpoint_id) for one in world.entries]
     return [0 if one is None else one.weights.version for one in known]
--- a/tests/direct/test_many_readers.py
+++ b/tests/direct/test_many_readers.py
@@ -43,7 +43,7 @@
         if ip in gone:
             continue
         await machines.until(
-            lambda one=one: one.beliefs.configuration == version,
+            lambda one=one: one.cluster.configuration == version,
         )
     return loop.time() - begun
 
@@ -115,7 +115,7 @@
                 await machines.until(
                     lambda follow=follow: follow.known.next_offset == 2,
                 )
-                (desk,) = one.beliefs.endpoints
+                (desk,) = one.cluster.endpoints
                 self.assertTrue(desk.usable(loop.time()))
 
         played(play)
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -154,7 +154,7 @@
         """An entry that knows no configuration says so, not 404."""
 
         async def play(world: path_world.PathWorld) -> None:
-            world.beliefs.routing = None
+            world.cluster.routing = None
             self.assertEqual(503, (await world.ask('/plain/a')).status)
 
         path_world.run(play)
@@ -225,9 +225,9 @@
             asking = asyncio.create_task(world.ask('/stream/a'))
             while not one.ran:
                 await asyncio.sleep(0.01)
-            before = world.beliefs.endpoints.get(one.id)
+            before = world.cluster.endpoints.get(one.id)
             world.listed(one, started=2, heartbeat=0)
-            after = world.beliefs.endpoints.get(one.id)
+            after = world.cluster.endpoints.get(one.id)
             assert before is not None
             assert after is not None
             self.assertEqual((1, 0), (before.in_flight, after.in_flight))
@@ -430,7 +430,7 @@
 
             self.patch(pool.Pool, 'take', slow)
             asked = asyncio.create_task(world.ask('/once/a'))
-            while not world.beliefs.in_flight_by_endpoint():
+            while not world.cluster.in_flight_by_endpoint():
                 await asyncio.sleep(0)
             world.listed(first, draining=True)
             connected.set()
@@ -499,7 +499,7 @@
                 heartbeat=99,
                 weights=endpoints.Weights(2, 0, 2),
             )
-            world.beliefs.named('m', 2, now - 60)
+            world.cluster.named('m', 2, now - 60)
             for _ in range(8):
                 await world.ask('/plain/a')
             self.assertEqual([], world.endpoints[0].came)
@@ -518,7 +518,7 @@
         async def play(world: path_world.PathWorld) -> None:
             now = asyncio.get_running_loop().time()
             world.fail_first(Fault.MUTE, Fault.MUTE)
-            world.beliefs.named('m', 2, now - path_world.DUTIES.version + 0.9)
+            world.cluster.named('m', 2, now - path_world.DUTIES.version + 0.9)
             fetched = await world.ask('/stream/a')
             self.assertEqual(502, fetched.status)
             while not any(one.left for one in world.endpoints):
@@ -538,7 +538,7 @@
             loop = asyncio.get_running_loop()
             now = loop.time()
             world.fail_first(Fault.CUT, Fault.MUTE)
-            world.beliefs.named('m', 2, now - path_world.DUTIES.version + 0.9)
+            world.cluster.named('m', 2, now - path_world.DUTIES.version + 0.9)
             with self.assertRaises(channel.ChannelBrokenError):
                 await world.ask('/stream/a')
             self.assertEqual(2, len(world.ran))
@@ -555,8 +555,8 @@
 
         async def play(world: path_world.PathWorld) -> None:
             now = asyncio.get_running_loop().time()
-            world.beliefs.named('m', 2, now - path_world.DUTIES.version + 0.9)
-            world.beliefs.heard_loads('entry-2', {'i-0': 40, 'i-1': 40}, now)
+            world.cluster.named('m', 2, now - path_world.DUTIES.version + 0.9)
+            world.cluster.heard_loads('entry-2', {'i-0': 40, 'i-1': 40}, now)
             fetched = await world.ask('/stream/a')
             self.assertEqual(503, fetched.status)
             self.assertEqual([], world.came)
@@ -569,8 +569,8 @@
         async def play(world: path_world.PathWorld) -> None:
             now = asyncio.get_running_loop().time()
             world.fail_first(Fault.CUT)
-            world.beliefs.named('m', 2, now - path_world.DUTIES.version + 0.9)
-            world.beliefs.heard_loads('entry-2', {'i-1': 40}, now)
+            world.cluster.named('m', 2, now - path_world.DUTIES.version + 0.9)
+            world.cluster.heard_loads('entry-2', {'i-1': 40}, now)
             with self.assertRaises(channel.ChannelBrokenError):
                 await world.ask('/stream/a')
             self.assertEqual([], world.endpoints[1].came)
--- a/tests/direct/test_telling.py
+++ b/tests/direct/test_telling.py
@@ -9,14 +9,14 @@
 
 from clementinepass.decisions import incarnations
 from clementinepass.direct import (
-    beats,
-    beliefs,
+    cluster_state,
     endpoints,
+    heartbeats,
     members,
     node,
     telling,
 )
-from clementinepass.wire import beats as wire_beats
+from clementinepass.wire import heartbeats as wire_heartbeats
 
 ENGINE = '10.0.0.1:80'
 OWN = node.Node(
@@ -37,12 +37,12 @@
     """Keeps what would be sent."""
 
     def __init__(self) -> None:
-        self.held: tuple[beats.Held, ...] = ()
-        self.told: list[beats.Held] = []
+        self.held: tuple[heartbeats.Held, ...] = ()
+        self.told: list[heartbeats.Held] = []
         self.members = members.Members('10.0.0.1')
 
     def tell(self, ips: list[str]) -> None:
-        """Send a beat."""
+        """Send a heartbeat."""
         self.told.extend(self.held)
 
 
@@ -52,7 +52,7 @@
     def play(
         self,
         story: typing.Callable[[telling.Telling], None],
-    ) -> list[beats.Held]:
+    ) -> list[heartbeats.Held]:
         """Tell a story and return what was sent first after each word."""
         peers = _Peers()
 
@@ -68,7 +68,7 @@
         told = self.play(lambda own: own.loads(3))
         self.assertEqual((3, 0, 0), told[-1][1:4])
 
-    def test_strain_keeps_the_rest(self) -> None:
+    def test_congestion_keeps_the_rest(self) -> None:
         """A slow link while the engine loads.
 
         The word of the link must not bring back what the engine held before.
@@ -77,10 +77,12 @@
         def story(own: telling.Telling) -> None:
             own.holds(HELD, incarnations.UNTOLD)
             own.loads(3)
-            own.strained(is_slow=True)
+            own.congested(is_slow=True)
 
         told = self.play(story)
-        self.assertEqual(beats.Held(ENGINE, 3, 0, 0, strained=True), told[-1])
+        self.assertEqual(
+            heartbeats.Held(ENGINE, 3, 0, 0, congested=True), told[-1]
+        )
 
     def test_start_goes_along(self) -> None:
         """Each word says of which start of the engine it is.
@@ -92,47 +94,49 @@
         def story(own: telling.Telling) -> None:
             own.holds(HELD, 1000)
             own.loads(3)
-            own.strained(is_slow=True)
+            own.congested(is_slow=True)
 
         told = self.play(story)
         self.assertEqual({1000}, {word.started for word in told})
-        sent = wire_beats.write_beat(beats.Beat(held=tuple(told[-1:])))
-        read = wire_beats.read_beat(sent, 'p')
+        sent = wire_heartbeats.write_heartbeat(
+            heartbeats.Heartbeat(held=tuple(told[-1:]))
+        )
+        read = wire_heartbeats.read_heartbeat(sent, 'p')
         self.assertEqual(tuple(told[-1:]), read.held)
 
-    def test_strain_over(self) -> None:
+    def test_congestion_over(self) -> None:
         """It is told once that the link is sound again."""
 
         def story(own: telling.Telling) -> None:
             own.holds(HELD, incarnations.UNTOLD)
-            own.strained(is_slow=True)
-            own.strained(is_slow=False)
-            own.strained(is_slow=False)
+            own.congested(is_slow=True)
+            own.congested(is_slow=False)
+            own.congested(is_slow=False)
 
         told = self.play(story)
-        self.assertFalse(told[-1].strained)
+        self.assertFalse(told[-1].congested)
         self.assertEqual(3, len(told))
 
 
-class StrainTest(testtools.TestCase):
+class CongestionTest(testtools.TestCase):
     """An entry believes an agent's word on its link for a while."""
 
     def test_believed_for_a_while(self) -> None:
         """An agent that falls silent isn't passed by for ever."""
         now = [100.0]
-        known = beliefs.Beliefs(OWN, clock=lambda: now[0])
+        known = cluster_state.ClusterState(OWN, clock=lambda: now[0])
         known.endpoints.listed(
             endpoints.Listing('i', 's', ENGINE, 'a', 16, False, 1, HELD),
         )
-        known.heard_held(beats.Held(ENGINE, 2, 0, 4, strained=True))
+        known.heard_held(heartbeats.Held(ENGINE, 2, 0, 4, congested=True))
 
-        def strained() -> bool:
+        def congested() -> bool:
             (option,) = known.options(known.endpoints, None, now[0])
-            return option.is_strained
+            return option.is_congested
 
-        self.assertTrue(strained())
+        self.assertTrue(congested())
         now[0] += 3
-        self.assertFalse(strained())
+        self.assertFalse(congested())
 
     def test_taken_back_with_its_start(self) -> None:
         """An agent took back that its engine loads, and named no start.
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -72,7 +72,7 @@
     def _names(self) -> list[str]:
         return [each.agent for each in self.view.candidates('m')]
 
-    def test_draining_beats_the_list(self) -> None:
+    def test_draining_goes_before_the_list(self) -> None:
         """An agent announces its drain 30 s before the list shows it.
 
         The list goes on saying live, and a report that was sent before the
--- a/tests/observability/test_causes.py
+++ b/tests/observability/test_causes.py
@@ -181,7 +181,7 @@
 
 
 async def starting(world: World) -> None:
-    world.beliefs.routing = None
+    world.cluster.routing = None
     await asked(world, '/plain/a')
 
 
@@ -205,7 +205,7 @@
 
 
 async def overload(world: World) -> None:
-    for one in world.beliefs.endpoints:
+    for one in world.cluster.endpoints:
         one.in_flight = 500
     await asked(world, '/stream/a', X_Token_Usage='900,100')
 
@@ -247,7 +247,7 @@
 
 async def weights_too_old(world: World) -> None:
     now = asyncio.get_running_loop().time()
-    world.beliefs.named('m', 2, now - path_world.DUTIES.version + 0.9)
+    world.cluster.named('m', 2, now - path_world.DUTIES.version + 0.9)
     await failing('/stream/a', Fault.MUTE, Fault.MUTE)(world)
 
 
--- a/tests/observability/test_stories.py
+++ b/tests/observability/test_stories.py
@@ -51,13 +51,13 @@
         self.assertIn('error=reset', story.wrong.details)
         self.assertEqual((), story.gaps)
 
-    def test_beliefs(self) -> None:
+    def test_observations(self) -> None:
         """What was believed is the newest before it, of those that it met."""
         story = self.told()
         assert story is not None
         known = {
             (one.line.message, one.line.fields['version']): one.age
-            for one in story.beliefs
+            for one in story.observations
         }
         self.assertEqual(6, known['configuration in force', 5])
         self.assertEqual(8, known['engine holds weights', 1])
@@ -75,15 +75,15 @@
         )
         story = self.told(refused, request='q')
         assert story is not None
-        (belief,) = story.deciding
-        self.assertEqual(5, belief.line.fields['version'])
-        self.assertEqual(1, belief.age)
+        (observation,) = story.deciding
+        self.assertEqual(5, observation.line.fields['version'])
+        self.assertEqual(1, observation.age)
 
     def test_restart(self) -> None:
-        """What a process believed before it was restarted is no belief."""
+        """What a process believed before it was restarted is no observation."""
         story = self.told(line(5, 'entry started', node='entry-1'))
         assert story is not None
-        self.assertEqual((), story.beliefs)
+        self.assertEqual((), story.observations)
 
     def test_unknown(self) -> None:
         """A request that nobody wrote of has no story."""
--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -12,7 +12,7 @@
 from clementinepass import errors
 from clementinepass.direct import endpoints, records
 from clementinepass.platform import engine, operator, registry
-from clementinepass.wire import beats as wire_beats
+from clementinepass.wire import heartbeats as wire_heartbeats
 
 ENTRY: dict[str, typing.Any] = {
     'service': 'pool',
@@ -95,12 +95,15 @@
     ('a version in text', entry(models=[{'name': 'm', 'version': '1'}])),
     ('layers in text', entry(layers={'from': '0', 'target': 16})),
     ('layers below nothing', entry(layers={'from': -1, 'target': 16})),
-    ('layers beyond a beat', entry(layers={'from': 0, 'target': 10**6})),
-    ('weights beyond a beat', entry(layers={'target': 1, 'version': 2**40})),
+    ('layers beyond a heartbeat', entry(layers={'from': 0, 'target': 10**6})),
+    (
+        'weights beyond a heartbeat',
+        entry(layers={'target': 1, 'version': 2**40}),
+    ),
     ('a software version that is a number', entry(version=1)),
     ('a coldness in text', entry(coldLeftMs='0')),
 )
-#: Keys that are no id: they would go into request heads, beats and the log.
+#: Keys that are no id: they would go into request heads, heartbeats and the log.
 ODD_KEYS = ('', 'i 1', 'i-1\r\nX-Tenant: t', 'i-\0', 'i-é', 'i' * 200)
 
 
@@ -225,8 +228,8 @@
             ),
             9,
         )
-        sent = wire_beats.write_records(page)
-        self.assertEqual(page, wire_beats.read_records(sent, 'p'))
+        sent = wire_heartbeats.write_records(page)
+        self.assertEqual(page, wire_heartbeats.read_records(sent, 'p'))
 
 
 class OperatorFuzzTest(testtools.TestCase):
