Have agents report their engines' load, and choose among a few engines

Load: 100 entries in front of 45 to 77 engines. Each entry placed by what 99 others had told it of their requests: a heartbeat goes to sixteen, so counts were up to 2.5 s old, and all entries saw the same engine as empty.

A choice compares two near and one far. Counts stay for plain services, and where an agent is silent for a second.

--- a/clementinepass/decisions/nearest_place.py
+++ b/clementinepass/decisions/nearest_place.py
@@ -28,6 +28,12 @@
 #: its caller has left; its events come late, too. Short of nothing else being
 #: there but a long queue, any other does better.
 _UNCONGESTED = 12.0
+#: Engines drawn of those in the own failure domain, and of the others. What is
+#: known of their load is some hundred milliseconds old, and alike at all
+#: entries: with a choice of all engines each entry takes the one that was
+#: emptiest, and with a choice of two they spread.
+_DRAWN_NEAR = 2
+_DRAWN_FAR = 1
 #: Requests by which the counts of other entries are uncertain. Without it all
 #: entries send to the endpoint that was emptiest in the same last message.
 _BLUR = 1.0
@@ -61,6 +67,23 @@
         return max(self.load + 1 - self.slots, 0)
 
 
+_Candidate = typing.TypeVar('_Candidate')
+
+
+def sample(
+    near: Sequence[_Candidate],
+    far: Sequence[_Candidate],
+    rng: random.Random,
+) -> list[_Candidate]:
+    """Return the engines to choose from, of those whose load is known.
+
+    :param near: those in the own failure domain.
+    """
+    drawn_near = rng.sample(near, min(_DRAWN_NEAR, len(near)))
+    wanted = _DRAWN_NEAR + _DRAWN_FAR - len(drawn_near)
+    return drawn_near + rng.sample(far, min(wanted, len(far)))
+
+
 class Choice(typing.NamedTuple):
     """The endpoint chosen, and how many wait there for a slot."""
 
--- a/clementinepass/direct/cluster_state.py
+++ b/clementinepass/direct/cluster_state.py
@@ -8,16 +8,11 @@
 
 from loguru import logger
 
-from clementinepass.decisions import (
-    ejection,
-    incarnations,
-    named_versions,
-    nearest_place,
-)
-from clementinepass.direct import endpoints, heartbeats
+from clementinepass.decisions import ejection, incarnations, named_versions
+from clementinepass.direct import endpoint_loads, endpoints, heartbeats
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from clementinepass.direct import node, routing
 
@@ -33,20 +28,6 @@
 #: Seconds of the time for which a process counts as just started that are not
 #: used: its own start, and a request that waits at an engine.
 _START_MARGIN = 1.0
-#: Seconds after which another entry's count of its requests says nothing.
-_LOAD_LIFETIME = 2.5
-
-
-class _PeerLoads:
-    """Another entry's requests at endpoints, as it last told."""
-
-    __slots__ = ('at', 'in_flight_by_endpoint')
-
-    def __init__(
-        self, in_flight_by_endpoint: dict[str, int], at: float
-    ) -> None:
-        self.in_flight_by_endpoint = in_flight_by_endpoint
-        self.at = at
 
 
 class ClusterState:
@@ -58,12 +39,12 @@
 
     __slots__ = (
         '_clock',
-        '_loads_by_peer',
         '_named_by_model',
         '_own',
         'ejector',
         'on_named',
         'endpoints',
+        'loads',
         'routing',
         'store_contact',
     )
@@ -83,9 +64,9 @@
         #: The configuration in force; ``None`` until one is known.
         self.routing: routing.Routing | None = None
         self.endpoints = endpoints.Endpoints()
+        self.loads = endpoint_loads.EndpointLoads()
         self.ejector = ejection.Ejector()
         self._named_by_model: dict[str, named_versions.NamedVersions] = {}
-        self._loads_by_peer: dict[str, _PeerLoads] = {}
 
     def configured(self, newer: routing.Routing) -> bool:
         """Take a configuration, unless a newer one is in force."""
@@ -204,8 +185,7 @@
         changed = self.endpoints.listed(listing)
         if before is not None and before is not self.endpoints.get(listing.id):
             self.ejector.forget(listing.id)
-            for peer in self._loads_by_peer.values():
-                peer.in_flight_by_endpoint.pop(listing.id, None)
+            self.loads.forget_endpoint(listing.id)
         return changed
 
     def failed(self, endpoint: endpoints.Endpoint, now: float) -> None:
@@ -213,37 +193,34 @@
         if self.endpoints.get(endpoint.listing.id) is endpoint:
             self.ejector.failed(endpoint.listing.id, now)
 
-    def heard_loads(
-        self,
-        peer: str,
-        in_flight_by_endpoint: dict[str, int],
-        now: float,
-    ) -> None:
-        """Take another entry's counts of its requests at endpoints."""
-        self._loads_by_peer[peer] = _PeerLoads(in_flight_by_endpoint, now)
-
-    def heard_held(self, held: heartbeats.Held) -> None:
+    def heard_held(self, held: heartbeats.Held, now: float) -> None:
         """Take an agent's word on its engine and its link."""
-        now = self._clock()
-        for endpoint in self.endpoints:
-            if endpoint.listing.address == held.address:
-                self._note_congestion(endpoint, held, now)
+        for endpoint in self.endpoints.at_address(held.address):
+            self._note_congestion(endpoint, held, now)
+            if self._is_current(endpoint, held):
                 self._note_weights(endpoint, held)
+                self._note_load(endpoint, held, now)
 
-    def _note_weights(
+    def _is_current(
         self,
         endpoint: endpoints.Endpoint,
         held: heartbeats.Held,
-    ) -> None:
-        """Believe what an engine holds, unless it has started anew since.
+    ) -> bool:
+        """Tell whether an agent's word is of the start that is known.
 
         Failure: an engine crashed and came back empty; a word of its agent
         from before came after that, and requests went to weights that the
         engine no longer held.
         """
         is_over = incarnations.is_over(endpoint.weights_started, held.started)
-        if is_over or endpoint.gone_at is not None:
-            return
+        return not is_over and endpoint.gone_at is None
+
+    def _note_weights(
+        self,
+        endpoint: endpoints.Endpoint,
+        held: heartbeats.Held,
+    ) -> None:
+        """Take what an engine holds."""
         endpoint.weights_started = held.started or endpoint.weights_started
         weights = endpoints.Weights(held.version, held.first, held.end)
         if weights == endpoint.weights:
@@ -255,6 +232,15 @@
             layers=held.end - held.first,
         ).info('engine holds weights')
 
+    def _note_load(
+        self,
+        endpoint: endpoints.Endpoint,
+        held: heartbeats.Held,
+        now: float,
+    ) -> None:
+        if held.load is not None:
+            endpoint.reported.tell(held.load.active, held.load.queued, now)
+
     def _note_congestion(
         self,
         endpoint: endpoints.Endpoint,
@@ -271,24 +257,17 @@
                 congested=held.congested,
             ).info('link of an endpoint')
 
-    def in_flight_by_endpoint(self) -> dict[str, int]:
-        """Return this entry's requests at endpoints, to tell others."""
+    def in_flight_by_endpoint(self, now: float) -> dict[str, int]:
+        """Return this entry's requests at endpoints, to tell others.
+
+        Without those whose agents tell the load of all.
+        """
         return {
             endpoint.listing.id: endpoint.in_flight
             for endpoint in self.endpoints
-            if endpoint.in_flight
+            if endpoint.in_flight and not endpoint.reported.is_fresh(now)
         }
 
-    def load(self, endpoint: endpoints.Endpoint, now: float) -> int:
-        """Return the requests at an endpoint, of this entry and others."""
-        name = endpoint.listing.id
-        others = sum(
-            peer.in_flight_by_endpoint.get(name, 0)
-            for peer in self._loads_by_peer.values()
-            if now - peer.at < _LOAD_LIFETIME
-        )
-        return endpoint.in_flight + others
-
     def candidates(
         self,
         service: routing.Service,
@@ -321,82 +300,10 @@
             return []
         return self.endpoints.of_service(service.name, now)
 
-    def newest_held(self, candidates: Iterable[endpoints.Endpoint]) -> int:
-        """Return the newest version that some endpoint has."""
-        return max((each.weights.version for each in candidates), default=0)
-
-    def options(
-        self,
-        candidates: Iterable[endpoints.Endpoint],
-        engine: routing.Engine | None,
-        now: float,
-    ) -> list[nearest_place.Option]:
-        """Return what placing compares, without those that fail or stall."""
-        ejected = self.ejector.ejected(now)
-        sound = [
-            each
-            for each in candidates
-            if each.listing.id not in ejected and not each.stalled(now)
-        ]
-        return self._options(sound, engine, now)
-
-    def options_of_failing(
-        self,
-        candidates: Iterable[endpoints.Endpoint],
-        engine: routing.Engine | None,
-        now: float,
-    ) -> list[nearest_place.Option]:
-        """Return what placing compares when all endpoints seem to fail."""
-        return self._options(list(candidates), engine, now)
-
     def forget(self, now: float) -> list[endpoints.Endpoint]:
         """Drop what is long gone; return the endpoints dropped."""
-        for peer in list(self._loads_by_peer):
-            if now - self._loads_by_peer[peer].at > _LOAD_LIFETIME:
-                del self._loads_by_peer[peer]
+        self.loads.forget(now)
         dropped = self.endpoints.forget(now)
         if dropped:
             self.ejector.retain([one.listing.id for one in self.endpoints])
         return dropped
-
-    def _options(
-        self,
-        candidates: list[endpoints.Endpoint],
-        engine: routing.Engine | None,
-        now: float,
-    ) -> list[nearest_place.Option]:
-        newest = self.newest_held(candidates)
-        return [
-            nearest_place.Option(
-                each.listing.id,
-                self.load(each, now),
-                each.listing.slots,
-                is_near=each.listing.domain == self._own.domain,
-                is_old=each.weights.version < newest,
-                is_congested=each.congested_until > now,
-                unbegun=self._unbegun(each, now),
-                usable_for=self._usable_for(each, engine, now),
-            )
-            for each in candidates
-        ]
-
-    def _unbegun(self, endpoint: endpoints.Endpoint, now: float) -> float:
-        """Return how many requests there have no event yet.
-
-        Others tell only how many they have there; theirs are taken to have
-        begun as often as this entry's.
-        """
-        if not endpoint.in_flight:
-            return 0
-        waiting = max(endpoint.in_flight - endpoint.streams, 0)
-        return waiting / endpoint.in_flight * self.load(endpoint, now)
-
-    def _usable_for(
-        self,
-        endpoint: endpoints.Endpoint,
-        engine: routing.Engine | None,
-        now: float,
-    ) -> float:
-        if engine is None:
-            return math.inf
-        return self.begin_by(engine, endpoint.weights.version) - now
--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -35,6 +35,11 @@
 _LEAST_STREAMS = 2
 
 
+#: Seconds for which an agent's report of its engine's load is gone by: two of
+#: the longest intervals between reports.
+_REPORT_SECONDS = 1.0
+
+
 class Weights(typing.NamedTuple):
     """The layers of one version that an engine has loaded.
 
@@ -78,6 +83,41 @@
         return (self.service, self.address) != (known.service, known.address)
 
 
+class Reported:
+    """The load of an engine as its agent told it, and what was sent since."""
+
+    __slots__ = ('active', 'at', 'queued', 'sent_since')
+
+    def __init__(self) -> None:
+        #: When it was told; monotonic seconds.
+        self.at = float('-inf')
+        self.active = 0
+        self.queued = 0
+        #: Requests that this entry has sent there since.
+        self.sent_since = 0
+
+    def tell(self, active: int, queued: int, now: float) -> None:
+        """Take a newer report."""
+        self.at = now
+        self.active = active
+        self.queued = queued
+        self.sent_since = 0
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether it still says something."""
+        return now - self.at < _REPORT_SECONDS
+
+    @property
+    def unbegun(self) -> int:
+        """Return how many requests there have no event yet, about."""
+        return self.queued + self.sent_since
+
+    @property
+    def total(self) -> int:
+        """Return how many requests are there."""
+        return self.active + self.unbegun
+
+
 class Endpoint:
     """One start of an endpoint and what this entry knows of it.
 
@@ -93,6 +133,7 @@
         'listing',
         'misdirected',
         'removed_at',
+        'reported',
         'congested_until',
         'streams',
         'weights',
@@ -117,6 +158,8 @@
         self.heard: float = 0
         #: Streams of it that have begun and go on.
         self.streams = 0
+        #: What its agent last told of its load.
+        self.reported = Reported()
         #: Until when its machine's link is taken for slow.
         self.congested_until = float('-inf')
         #: When it stops to be used after the list dropped it.
@@ -155,10 +198,12 @@
 class Endpoints:
     """All endpoints that an entry knows, by id and by service."""
 
-    __slots__ = ('_by_id', '_by_service')
+    __slots__ = ('_by_address', '_by_id', '_by_service')
 
     def __init__(self) -> None:
         self._by_id: dict[str, Endpoint] = {}
+        #: Those at an address by id: it may be used again.
+        self._by_address: dict[str, dict[str, Endpoint]] = {}
         self._by_service: dict[str, dict[str, Endpoint]] = {}
 
     def __iter__(self) -> Iterator[Endpoint]:
@@ -169,6 +214,10 @@
         """Return an endpoint by its id."""
         return self._by_id.get(endpoint_id)
 
+    def at_address(self, address: str) -> list[Endpoint]:
+        """Return the endpoints that list themselves at an address."""
+        return list(self._by_address.get(address, {}).values())
+
     def listed(self, listing: Listing) -> bool:
         """Take an endpoint's word; tell whether it changed anything."""
         known = self._by_id.get(listing.id)
@@ -287,8 +336,13 @@
         listing = endpoint.listing
         del self._by_id[listing.id]
         del self._by_service[listing.service][listing.id]
+        at_address = self._by_address[listing.address]
+        del at_address[listing.id]
+        if not at_address:
+            del self._by_address[listing.address]
 
     def _add(self, endpoint: Endpoint) -> None:
         listing = endpoint.listing
         self._by_id[listing.id] = endpoint
         self._by_service.setdefault(listing.service, {})[listing.id] = endpoint
+        self._by_address.setdefault(listing.address, {})[listing.id] = endpoint
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -17,6 +17,7 @@
     heartbeats,
     members,
     records,
+    subscribers,
     turns,
 )
 from clementinepass.http import connection, front, replies
@@ -82,6 +83,8 @@
             topic: turns.Turns(own, self.members)
             for topic in (records.Topic.OPERATOR, records.Topic.ENDPOINTS)
         }
+        #: Who uses the engine beside this process.
+        self.subscribers = subscribers.Subscribers()
         #: What this process says of itself.
         self.phase = members.Phase.STARTING
         #: What an agent read of its engine.
@@ -131,6 +134,29 @@
         for ip in ips:
             self._send(payload, ip)
 
+    def subscribe(self, ips: Iterable[str]) -> None:
+        """Ask agents to be told of their engines' load for a while."""
+        payload = wire_heartbeats.write_heartbeat(
+            self._own_heartbeat(whole=False, wants_load=True),
+        )
+        for ip in ips:
+            self._send(payload, ip)
+
+    def report(self, ips: list[str]) -> None:
+        """Tell entries what this agent has read of its engine, and no more."""
+        if not ips:
+            return
+        payload = wire_heartbeats.write_heartbeat(
+            heartbeats.Heartbeat(
+                operator_offset=self._offset(records.Topic.OPERATOR),
+                endpoints_offset=self._offset(records.Topic.ENDPOINTS),
+                configuration=self._cluster.configuration,
+                held=self.held,
+            ),
+        )
+        for ip in ips:
+            self._send(payload, ip)
+
     def met(self, ips: Iterable[str]) -> None:
         """Speak to processes that were found in the store."""
         self.tell([ip for ip in ips if ip != self._own.ip])
@@ -167,8 +193,14 @@
     def _learn(
         self, heartbeat: heartbeats.Heartbeat, ip: str, now: float
     ) -> None:
+        if heartbeat.wants_load:
+            self.subscribers.renewed(ip, now)
         if heartbeat.sender is not None:
-            self._cluster.heard_loads(ip, heartbeat.in_flight_by_endpoint, now)
+            self._cluster.loads.heard(
+                ip,
+                heartbeat.in_flight_by_endpoint,
+                now,
+            )
             self._learn_turns(heartbeat, ip, now)
         for named in heartbeat.versions:
             self._cluster.named(
@@ -178,7 +210,7 @@
                 guessed=named.guessed,
             )
         for held in heartbeat.held:
-            self._cluster.heard_held(held)
+            self._cluster.heard_held(held, now)
         self._catching_up.heard(heartbeat, ip, now)
         if self._can_teach(heartbeat):
             self._send(
@@ -240,7 +272,12 @@
         compressed = zlib.compress(body, _FASTEST)
         reply.send(_OK, [(b'Content-Encoding', b'deflate')], compressed)
 
-    def _own_heartbeat(self, *, whole: bool) -> heartbeats.Heartbeat:
+    def _own_heartbeat(
+        self,
+        *,
+        whole: bool,
+        wants_load: bool = False,
+    ) -> heartbeats.Heartbeat:
         now = asyncio.get_running_loop().time()
         told = passing_on.choose(
             self.members.alive(now),
@@ -251,14 +288,17 @@
         return heartbeats.Heartbeat(
             sender=self.own_member(),
             members=tuple(told),
-            in_flight_by_endpoint=self._cluster.in_flight_by_endpoint(),
+            in_flight_by_endpoint=self._cluster.in_flight_by_endpoint(now),
             operator_offset=self._offset(records.Topic.OPERATOR),
             endpoints_offset=self._offset(records.Topic.ENDPOINTS),
             configuration=self._cluster.configuration,
             operator_ends=self._ends_in(records.Topic.OPERATOR, now),
             endpoints_ends=self._ends_in(records.Topic.ENDPOINTS, now),
-            versions=self._cluster.versions(now) if whole else (),
+            versions=(
+                self._cluster.versions(now) if whole or wants_load else ()
+            ),
             held=self.held,
+            wants_load=wants_load,
         )
 
     def _can_teach(self, heartbeat: heartbeats.Heartbeat) -> bool:
--- a/clementinepass/direct/heartbeats.py
+++ b/clementinepass/direct/heartbeats.py
@@ -23,11 +23,23 @@
     guessed: bool = False
 
 
+class Load(typing.NamedTuple):
+    """The requests at an engine, whoever sent them.
+
+    :param active: those that it runs.
+    :param queued: those that wait there.
+    """
+
+    active: int
+    queued: int
+
+
 class Held(typing.NamedTuple):
     """The layers of one version that the engine at an address holds.
 
     :param congested: whether its machine's link is slow at present.
     :param started: when the engine started, as its listing says it.
+    :param load: ``None`` where it isn't told.
     """
 
     address: str
@@ -36,6 +48,7 @@
     end: int
     congested: bool = False
     started: int = incarnations.UNTOLD
+    load: Load | None = None
 
 
 class Heartbeat:
@@ -51,6 +64,8 @@
         records ends that waits for changes; 0 where none does.
     :param endpoints_ends: the same of the endpoints' records.
     :param held: what agents read of their engines.
+    :param wants_load: whether the sender, an entry, uses the engine of the
+        agent that gets this, and is to be told of its load for a while.
     """
 
     __slots__ = (
@@ -64,6 +79,7 @@
         'operator_offset',
         'sender',
         'versions',
+        'wants_load',
     )
 
     def __init__(
@@ -79,6 +95,7 @@
         endpoints_ends: float = 0,
         versions: tuple[NamedVersion, ...] = (),
         held: tuple[Held, ...] = (),
+        wants_load: bool = False,
     ) -> None:
         self.sender = sender
         self.members = members
@@ -90,3 +107,4 @@
         self.endpoints_ends = endpoints_ends
         self.versions = versions
         self.held = held
+        self.wants_load = wants_load
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -82,7 +82,7 @@
         self._others_ready = others_ready
         self._timeouts: dict[serving.Serving, asyncio.Timeout] = {}
         self._rng = rng
-        self._placing = placing.Placing(known, log, rng)
+        self._placing = placing.Placing(own, known, log, rng)
         self._withdrawn = withdrawn.Withdrawn()
         self._budgets_by_service: dict[str, window_budget.WindowBudget] = {}
 
--- a/clementinepass/direct/placing.py
+++ b/clementinepass/direct/placing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing
 
 from clementinepass.decisions import first_event, nearest_place, timely_begin
@@ -10,10 +11,14 @@
 if typing.TYPE_CHECKING:
     import random
 
+    from collections.abc import Sequence
+
     from clementinepass.direct import (
         cluster_state,
         endpoints,
+        node,
         request_log,
+        routing,
         serving,
     )
 
@@ -22,22 +27,27 @@
 _LOADING_SECONDS = 1.2
 _LOOK_SECONDS = 0.03
 _UNKNOWN_PACE = first_event.Pace(0, 0)
+#: Engines with a report of their load from which to choose by reports alone.
+_LEAST_REPORTED = 2
 
 
 class Placing:
     """Choose endpoints by the state of the cluster.
 
+    :param own: who this entry is.
     :param known: configuration, versions, endpoints and loads.
     """
 
-    __slots__ = ('_cluster', '_log', '_rng')
+    __slots__ = ('_cluster', '_log', '_own', '_rng')
 
     def __init__(
         self,
+        own: node.Node,
         known: cluster_state.ClusterState,
         log: request_log.RequestLog,
         rng: random.Random,
     ) -> None:
+        self._own = own
         self._cluster = known
         self._log = log
         self._rng = rng
@@ -74,10 +84,7 @@
             if one.listing.id not in admitted.tried_ids
         ]
         engine = admitted.service.engine
-        options = self._cluster.options(untried, engine, now)
-        if not options and untried:
-            # All fail: each is the wrong one to leave out.
-            options = self._cluster.options_of_failing(untried, engine, now)
+        options = self._options(self._sound(untried, now), engine, now)
         timely = _timely(admitted, options)
         choice = nearest_place.choose(timely, self._rng)
         if choice is None:
@@ -88,6 +95,78 @@
             return None
         return self._cluster.endpoints.get(choice.endpoint_id)
 
+    def _sound(
+        self,
+        untried: list[endpoints.Endpoint],
+        now: float,
+    ) -> list[endpoints.Endpoint]:
+        """Return the endpoints without those that fail or stall.
+
+        Where all do, each would be the wrong one to leave out.
+        """
+        ejected = self._cluster.ejector.ejected(now)
+        sound = [
+            one
+            for one in untried
+            if one.listing.id not in ejected and not one.stalled(now)
+        ]
+        return sound or untried
+
+    def _options(
+        self,
+        sound: list[endpoints.Endpoint],
+        engine: routing.Engine | None,
+        now: float,
+    ) -> list[nearest_place.Option]:
+        """Return what is compared: a sample where loads are reported."""
+        newest = max((one.weights.version for one in sound), default=0)
+        return [
+            nearest_place.Option(
+                one.listing.id,
+                self._cluster.loads.total(one, now),
+                one.listing.slots,
+                is_near=self._is_near(one),
+                is_old=one.weights.version < newest,
+                is_congested=one.congested_until > now,
+                unbegun=self._cluster.loads.unbegun(one, now),
+                usable_for=self._usable_for(one, engine, now),
+            )
+            for one in self._sampled(sound, now)
+        ]
+
+    def _sampled(
+        self,
+        sound: list[endpoints.Endpoint],
+        now: float,
+    ) -> Sequence[endpoints.Endpoint]:
+        """Return a few of the endpoints whose load is reported.
+
+        All of them where it isn't, as with plain services.
+        """
+        reported = [one for one in sound if one.reported.is_fresh(now)]
+        swift = [one for one in reported if one.congested_until <= now]
+        if len(swift) < _LEAST_REPORTED:
+            return sound
+        return nearest_place.sample(
+            [one for one in swift if self._is_near(one)],
+            [one for one in swift if not self._is_near(one)],
+            self._rng,
+        )
+
+    def _is_near(self, endpoint: endpoints.Endpoint) -> bool:
+        return endpoint.listing.domain == self._own.domain
+
+    def _usable_for(
+        self,
+        endpoint: endpoints.Endpoint,
+        engine: routing.Engine | None,
+        now: float,
+    ) -> float:
+        if engine is None:
+            return math.inf
+        begin_by = self._cluster.begin_by(engine, endpoint.weights.version)
+        return begin_by - now
+
     def _fits(
         self,
         admitted: serving.Serving,
--- a/clementinepass/direct/telling.py
+++ b/clementinepass/direct/telling.py
@@ -25,12 +25,20 @@
     :param peers: sends it.
     """
 
-    __slots__ = ('_held', '_own', '_peers', '_started', '_congested_at')
+    __slots__ = (
+        '_congested_at',
+        '_held',
+        '_load',
+        '_own',
+        '_peers',
+        '_started',
+    )
 
     def __init__(self, own: node.Node, peers: gossip.Peers) -> None:
         self._own = own
         self._peers = peers
         self._held: endpoints.Weights | None = None
+        self._load: heartbeats.Load | None = None
         #: When the engine started that holds them.
         self._started = incarnations.UNTOLD
         #: When entries were last told that the link is slow; ``None`` where
@@ -83,7 +91,17 @@
             self._congested_at = now
             self._tell()
 
-    def _tell(self) -> None:
+    def load(self, load: heartbeats.Load) -> None:
+        """Tell the requests at the engine to the entries that use it."""
+        self._load = load
+        if self._held is None:
+            return
+        self._note()
+        now = asyncio.get_running_loop().time()
+        self._peers.report(self._peers.subscribers.due(now))
+
+    def _note(self) -> None:
+        """Have further messages say what there is to tell now."""
         if self._held is None:
             return
         word = heartbeats.Held(
@@ -93,8 +111,14 @@
             self._held.end,
             self._congested_at is not None,
             self._started,
+            self._load,
         )
         self._peers.held = (word,)
+
+    def _tell(self) -> None:
+        if self._held is None:
+            return
+        self._note()
         loop = asyncio.get_running_loop()
         for time in range(_TOLD_TIMES):
             loop.call_later(time * _TELL_SECONDS, self._tell_all)
--- a/clementinepass/wire/direct.capnp
+++ b/clementinepass/wire/direct.capnp
@@ -48,6 +48,10 @@
   congested @4 :Bool;
   # When the engine started, in milliseconds of Unix time; 0 if untold.
   started @5 :UInt64;
+  # Requests that the engine runs, and that wait there, where it is told.
+  hasLoad @6 :Bool;
+  active @7 :UInt16;
+  queued @8 :UInt16;
 }
 
 struct Heartbeat {
@@ -57,6 +61,9 @@
   follow @3 :Follow;
   versions @4 :List(NamedVersion);
   held @5 :List(Held);
+  # Whether the sender uses the engine of the agent that gets this, and is to
+  # be told of its load.
+  wantsLoad @6 :Bool;
 }
 
 struct Record {
--- a/clementinepass/wire/heartbeats.py
+++ b/clementinepass/wire/heartbeats.py
@@ -13,6 +13,8 @@
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('direct.capnp')))
 _PHASES = tuple(members.Phase)
 _MS = 1000
+#: Requests that a message can tell of.
+_MOST_COUNTED = 65535
 
 
 def write_heartbeat(heartbeat: heartbeats.Heartbeat) -> bytes:
@@ -30,12 +32,13 @@
     pairs = heartbeat.in_flight_by_endpoint.items()
     for slot, (endpoint, in_flight) in zip(loads, pairs, strict=True):
         slot.endpoint = endpoint
-        slot.inFlight = min(in_flight, 65535)
+        slot.inFlight = min(in_flight, _MOST_COUNTED)
     message.follow.operatorOffset = heartbeat.operator_offset
     message.follow.endpointsOffset = heartbeat.endpoints_offset
     message.follow.configuration = heartbeat.configuration
     message.follow.operatorEndsMs = int(heartbeat.operator_ends * _MS)
     message.follow.endpointsEndsMs = int(heartbeat.endpoints_ends * _MS)
+    message.wantsLoad = heartbeat.wants_load
     _write_versions(message, heartbeat)
     _write_held(message, heartbeat)
     return bytes(message.to_bytes_packed())
@@ -125,6 +128,10 @@
         slot.end = held.end
         slot.congested = held.congested
         slot.started = held.started
+        if held.load is not None:
+            slot.hasLoad = True
+            slot.active = min(held.load.active, _MOST_COUNTED)
+            slot.queued = min(held.load.queued, _MOST_COUNTED)
 
 
 def _own_heartbeat(message: typing.Any) -> heartbeats.Heartbeat:
@@ -149,17 +156,23 @@
             )
             for named in message.versions
         ),
-        held=tuple(
-            heartbeats.Held(
-                held.address,
-                held.version,
-                held.first,
-                held.end,
-                held.congested,
-                held.started,
-            )
-            for held in message.held
-        ),
+        held=tuple(map(_held, message.held)),
+        wants_load=message.wantsLoad,
+    )
+
+
+def _held(slot: typing.Any) -> heartbeats.Held:
+    load = None
+    if slot.hasLoad:
+        load = heartbeats.Load(slot.active, slot.queued)
+    return heartbeats.Held(
+        slot.address,
+        slot.version,
+        slot.first,
+        slot.end,
+        slot.congested,
+        slot.started,
+        load,
     )
 
 
--- a/tests/decisions/test_direct_decisions.py
+++ b/tests/decisions/test_direct_decisions.py
@@ -293,3 +293,22 @@
     def test_alone(self) -> None:
         """An engine alone has nobody to wait for."""
         self.assertEqual(0, load_turns.delay(self.endpoints[0], [], 5))
+
+
+class SampleTest(testtools.TestCase):
+    """Which engines are compared where loads are reported."""
+
+    def test_drawn(self) -> None:
+        """All entries sent to the engine that was emptiest when last told."""
+        rng = random.Random(1)
+        cases = (
+            (list('abcdef'), list('xyz'), 2, 1),
+            (['a'], list('xyz'), 1, 2),
+            ([], list('xyz'), 0, 3),
+            ([], ['x'], 0, 1),
+            (list('abc'), [], 2, 0),
+        )
+        for near, far, near_drawn, far_drawn in cases:
+            drawn = nearest_place.sample(near, far, rng)
+            self.assertEqual(near_drawn, len(set(drawn) & set(near)))
+            self.assertEqual(far_drawn, len(set(drawn) & set(far)))
--- a/tests/direct/test_cluster_state.py
+++ b/tests/direct/test_cluster_state.py
@@ -65,7 +65,8 @@
     def told(self, started: int, weights: endpoints.Weights) -> None:
         """Hear an agent."""
         self.known.heard_held(
-            heartbeats.Held(ADDRESS, *weights, started=started)
+            heartbeats.Held(ADDRESS, *weights, started=started),
+            100,
         )
 
     def test_late_word_of_an_agent(self) -> None:
@@ -127,11 +128,11 @@
 
     def test_load_told_by_peers(self) -> None:
         """Others' requests at the start before are no load of the new one."""
-        self.known.heard_loads('10.0.0.8', {'i-1': 9, 'i-2': 1}, 100)
+        self.known.loads.heard('10.0.0.8', {'i-1': 9, 'i-2': 1}, 100)
         self.endpoint.in_flight = 3
-        self.assertEqual(12, self.known.load(self.endpoint, 100))
+        self.assertEqual(12, self.known.loads.total(self.endpoint, 100))
         self.known.listed(listing(2000, 1))
-        self.assertEqual(0, self.known.load(self.endpoint, 100))
+        self.assertEqual(0, self.known.loads.total(self.endpoint, 100))
 
     def test_service_that_is_not_named(self) -> None:
         """Another writer lists an endpoint of a service of its own.
--- /dev/null
+++ b/tests/direct/test_endpoint_loads.py
@@ -0,0 +1,116 @@
+"""Tests of what is known of the requests at endpoints."""
+
+from __future__ import annotations
+
+import testtools
+
+from clementinepass.direct import (
+    cluster_state,
+    endpoints,
+    heartbeats,
+    subscribers,
+)
+from tests.direct import test_cluster_state
+
+ADDRESS = '10.0.0.2:80'
+NOW = 100.0
+
+
+def listing(started: int = 0) -> endpoints.Listing:
+    """Return an engine's own word."""
+    weights = endpoints.Weights(1, 0, 4)
+    return endpoints.Listing(
+        'i-1', 's', ADDRESS, 'a', 8, False, 1, weights, started
+    )
+
+
+def held(active: int, queued: int, started: int = 0) -> heartbeats.Held:
+    """Return an agent's word on it."""
+    load = heartbeats.Load(active, queued)
+    return heartbeats.Held(ADDRESS, 1, 0, 4, started=started, load=load)
+
+
+class ReportedTest(testtools.TestCase):
+    """An engine's load as its agent tells it."""
+
+    def setUp(self) -> None:
+        """Know an engine, and another entry's count of its requests there."""
+        super().setUp()
+        self.known = cluster_state.ClusterState(test_cluster_state.OWN)
+        self.known.listed(listing())
+        self.known.loads.heard('10.0.0.8', {'i-1': 9}, NOW)
+        (self.engine,) = self.known.endpoints
+
+    def total(self, after: float = 0) -> int:
+        """Return the requests at the engine."""
+        return self.known.loads.total(self.engine, NOW + after)
+
+    def test_goes_before_counts(self) -> None:
+        """Counts of others are old where there are many entries."""
+        self.assertEqual(9, self.total())
+        self.known.heard_held(held(3, 2), NOW)
+
+        self.assertEqual(5, self.total())
+        self.assertEqual(2, self.known.loads.unbegun(self.engine, NOW))
+
+    def test_sent_since(self) -> None:
+        """What was sent since the last report is added until the next."""
+        self.known.heard_held(held(3, 0), NOW)
+        self.engine.reported.sent_since += 2
+        self.assertEqual(5, self.total())
+
+        self.known.heard_held(held(4, 0), NOW)
+        self.assertEqual(4, self.total())
+
+    def test_agent_silent(self) -> None:
+        """Placing went on by the last report of an agent that was killed."""
+        self.known.heard_held(held(0, 0), NOW)
+        self.assertEqual(0, self.total(after=0.9))
+        self.assertEqual(9, self.total(after=1.1))
+
+    def test_start_before(self) -> None:
+        """A report of the engine's start before came after its crash."""
+        self.known.listed(listing(started=5)._replace(heartbeat=2))
+        (self.engine,) = self.known.endpoints
+        self.known.heard_held(held(8, 8, started=4), NOW)
+
+        self.assertEqual(0, self.engine.reported.total)
+
+    def test_told_to_others(self) -> None:
+        """Entries count to one another only what no agent reports."""
+        self.engine.in_flight = 2
+        self.assertEqual({'i-1': 2}, self.known.in_flight_by_endpoint(NOW))
+
+        self.known.heard_held(held(2, 0), NOW)
+        self.assertEqual({}, self.known.in_flight_by_endpoint(NOW))
+        self.assertEqual(
+            {'i-1': 2}, self.known.in_flight_by_endpoint(NOW + 1.1)
+        )
+
+    def test_gone_from_the_list(self) -> None:
+        """An address that another endpoint has taken over."""
+        other = listing()._replace(id='i-2', service='t')
+        self.known.endpoints.listed(other)
+        self.assertEqual(2, len(self.known.endpoints.at_address(ADDRESS)))
+        self.known.endpoints.removed('i-1', NOW, 0)
+        self.known.endpoints.forget(NOW + 10)
+
+        (left,) = self.known.endpoints.at_address(ADDRESS)
+        self.assertEqual('i-2', left.listing.id)
+
+
+class SubscribersTest(testtools.TestCase):
+    """Whom an agent tells."""
+
+    def test_lease(self) -> None:
+        """An entry that was killed is told no longer than its lease."""
+        known = subscribers.Subscribers()
+        known.renewed('10.0.0.1', NOW)
+        known.renewed('10.0.0.2', NOW)
+        known.renewed('10.0.0.2', NOW + 2)
+
+        self.assertEqual(['10.0.0.1', '10.0.0.2'], known.due(NOW + 3))
+        self.assertEqual([], known.due(NOW + 3.02))
+        self.assertEqual(['10.0.0.2'], known.due(NOW + 4))
+        self.assertEqual([], known.due(NOW + 9))
+        self.assertEqual(0, len(known))
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -430,7 +430,8 @@
 
             self.patch(pool.Pool, 'take', slow)
             asked = asyncio.create_task(world.ask('/once/a'))
-            while not world.cluster.in_flight_by_endpoint():
+            now = asyncio.get_running_loop().time
+            while not world.cluster.in_flight_by_endpoint(now()):
                 await asyncio.sleep(0)
             world.listed(first, draining=True)
             connected.set()
@@ -556,7 +557,7 @@
         async def play(world: path_world.PathWorld) -> None:
             now = asyncio.get_running_loop().time()
             world.cluster.named('m', 2, now - path_world.DUTIES.version + 0.9)
-            world.cluster.heard_loads('entry-2', {'i-0': 40, 'i-1': 40}, now)
+            world.cluster.loads.heard('entry-2', {'i-0': 40, 'i-1': 40}, now)
             fetched = await world.ask('/stream/a')
             self.assertEqual(503, fetched.status)
             self.assertEqual([], world.came)
@@ -570,7 +571,7 @@
             now = asyncio.get_running_loop().time()
             world.fail_first(Fault.CUT)
             world.cluster.named('m', 2, now - path_world.DUTIES.version + 0.9)
-            world.cluster.heard_loads('entry-2', {'i-1': 40}, now)
+            world.cluster.loads.heard('entry-2', {'i-1': 40}, now)
             with self.assertRaises(channel.ChannelBrokenError):
                 await world.ask('/stream/a')
             self.assertEqual([], world.endpoints[1].came)
--- a/tests/direct/test_telling.py
+++ b/tests/direct/test_telling.py
@@ -128,11 +128,14 @@
         known.endpoints.listed(
             endpoints.Listing('i', 's', ENGINE, 'a', 16, False, 1, HELD),
         )
-        known.heard_held(heartbeats.Held(ENGINE, 2, 0, 4, congested=True))
+        known.heard_held(
+            heartbeats.Held(ENGINE, 2, 0, 4, congested=True),
+            now[0],
+        )
 
         def congested() -> bool:
-            (option,) = known.options(known.endpoints, None, now[0])
-            return option.is_congested
+            (endpoint,) = known.endpoints
+            return endpoint.congested_until > now[0]
 
         self.assertTrue(congested())
         now[0] += 3
