--- a/clementinepass/decisions/subsetting.py
+++ b/clementinepass/decisions/subsetting.py
@@ -23,9 +23,9 @@
 _MOST_NEAR = 16
 #: Engines elsewhere that it uses.
 _MOST_FAR = 4
-#: Engines that it uses at least, if there are so many: an entry alone in its
-#: domain has to have a choice.
-_LEAST = 6
+#: Engines that it uses at least, if there are so many: in a small fleet all, as
+#: a domain may have a single engine that works.
+_LEAST = 12
 #: Seconds between two reports of an engine's load: at least. Requests that an
 #: entry sends meanwhile are added by itself, and those of others are not known.
 _SHORTEST_INTERVAL = 0.1
--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -80,7 +80,7 @@
         attempt = admitted.begin_attempt(endpoint.listing.id)
         self._log.sending(admitted, endpoint)
         endpoint.in_flight += 1
-        endpoint.reported.sent_since += 1
+        endpoint.reported.sent(asyncio.get_running_loop().time())
         try:
             tried = await self._exchange(admitted, endpoint, attempt)
         finally:
--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -35,6 +35,9 @@
 _LEAST_STREAMS = 2
 
 
+#: Seconds that a report is on its way: what was sent there since then may have
+#: come after it was made.
+_ON_WAY = 0.03
 #: Seconds for which an agent's report of its engine's load is gone by: two of
 #: the longest intervals between reports.
 _REPORT_SECONDS = 1.0
@@ -86,27 +89,36 @@
 class Reported:
     """The load of an engine as its agent told it, and what was sent since."""
 
-    __slots__ = ('active', 'at', 'queued', 'sent_since')
+    __slots__ = ('_sent_at', 'active', 'at', 'queued')
 
     def __init__(self) -> None:
         #: When it was told; monotonic seconds.
         self.at = float('-inf')
         self.active = 0
         self.queued = 0
-        #: Requests that this entry has sent there since.
-        self.sent_since = 0
+        #: When this entry sent what it doesn't know of; monotonic seconds.
+        self._sent_at: list[float] = []
 
     def tell(self, active: int, queued: int, now: float) -> None:
         """Take a newer report."""
         self.at = now
         self.active = active
         self.queued = queued
-        self.sent_since = 0
+        self._sent_at = [at for at in self._sent_at if now - at < _ON_WAY]
 
     def is_fresh(self, now: float) -> bool:
         """Tell whether it still says something."""
         return now - self.at < _REPORT_SECONDS
 
+    def sent(self, now: float) -> None:
+        """Note that this entry sends a request there."""
+        self._sent_at.append(now)
+
+    @property
+    def sent_since(self) -> int:
+        """Return how many requests the report can't know of."""
+        return len(self._sent_at)
+
     @property
     def unbegun(self) -> int:
         """Return how many requests there have no event yet, about."""
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.decisions import start_reading, subsetting
+from clementinepass.decisions import start_reading
 from clementinepass.direct import (
     attempt,
     background,
@@ -24,6 +24,7 @@
     path,
     records,
     request_log,
+    subscribing,
     uptime,
 )
 from clementinepass.http import front, limits
@@ -33,8 +34,6 @@
 
 #: Seconds between looks for endpoints and members that are gone.
 _TIDY_SECONDS = 1.0
-#: Seconds between requests to be told of engines' load.
-_SUBSCRIBE_SECONDS = 1.0
 #: Seconds for which an entry that fell silent still counts for the budget.
 _COUNTED_SECONDS = 12.0
 
@@ -64,7 +63,6 @@
     ) -> None:
         self._own = own
         self._boundary = boundary
-        self._rng = rng
         self.cluster = cluster_state.ClusterState(own)
         taking = intake.Intake(self.cluster, boundary.readers)
         self._followers = taking.followers(boundary.store, rng)
@@ -76,6 +74,11 @@
             follow.turns = self.peers.turns_by_topic[topic]
             follow.tell_relying = self.peers.tell_relying
             follow.tell_all = self.peers.speak
+        self._subscribing = subscribing.Subscribing(
+            own,
+            self.cluster,
+            self.peers.subscribe,
+        )
         # Agents have eight seconds for five seconds' work.
         self.cluster.on_named = self._tell_of_version
         log = request_log.RequestLog(registry)
@@ -158,7 +161,7 @@
                 self.peers.run,
                 self._tidy,
                 self._become_ready,
-                self._keep_subscribed,
+                self._subscribing.run,
             )
             running = [
                 tasks.create_task(background.keep_running(work))
@@ -224,43 +227,6 @@
                 self._sender.forget(endpoint.listing.id)
             self.peers.members.forget(now)
 
-    async def _keep_subscribed(self) -> None:
-        """Be told of the load of some engines."""
-        while True:
-            self.peers.subscribe(self._used_agents())
-            await asyncio.sleep(
-                _SUBSCRIBE_SECONDS * self._rng.uniform(0.9, 1.1)
-            )
-
-    def _used_agents(self) -> list[str]:
-        """Return the IP numbers of the agents of the engines used here."""
-        current = self.cluster.routing
-        services = () if current is None else current.services_by_name.values()
-        now = asyncio.get_running_loop().time()
-        found: list[str] = []
-        for service in services:
-            if service.engine is None:
-                continue
-            listings = [
-                one.listing
-                for one in self.cluster.endpoints.of_service(service.name, now)
-            ]
-            chosen = subsetting.subset(
-                self._own.ip,
-                [
-                    one.address
-                    for one in listings
-                    if one.domain == self._own.domain
-                ],
-                [
-                    one.address
-                    for one in listings
-                    if one.domain != self._own.domain
-                ],
-            )
-            found.extend(address.rpartition(':')[0] for address in chosen)
-        return found
-
     def _tell_of_version(self) -> None:
         self.peers.speak(whole=True)
 
--- a/clementinepass/direct/follower.py
+++ b/clementinepass/direct/follower.py
@@ -72,15 +72,22 @@
 class Known:
     """The newest record of each key, with the removals that came last."""
 
-    __slots__ = ('_removals', '_by_key', 'next_offset')
+    __slots__ = ('_by_key', '_complete_from', '_removals', 'next_offset')
 
     def __init__(self) -> None:
         self._by_key: dict[str, records.Record] = {}
         self._removals: collections.OrderedDict[str, records.Record]
         self._removals = collections.OrderedDict()
+        #: The offset from which each removal is known.
+        self._complete_from = 0
         #: The offset from which changes are unknown.
         self.next_offset = 0
 
+    @property
+    def present(self) -> list[records.Record]:
+        """Return the newest records of keys that weren't removed."""
+        return list(self._by_key.values())
+
     def take(self, record: records.Record) -> bool:
         """Take a record; tell whether it is news."""
         known = self._by_key.get(record.key) or self._removals.get(record.key)
@@ -90,16 +97,21 @@
             self._by_key.pop(record.key, None)
             self._removals[record.key] = record
             if len(self._removals) > _MOST_REMOVALS:
-                self._removals.popitem(last=False)
+                dropped = self._removals.popitem(last=False)[1]
+                self._complete_from = max(
+                    self._complete_from,
+                    dropped.offset + 1,
+                )
         else:
             self._removals.pop(record.key, None)
             self._by_key[record.key] = record
         return True
 
-    def missing(self, snapshot: records.Page) -> list[records.Record]:
+    def removed_by(self, snapshot: records.Page) -> list[records.Record]:
         """Return removals for the keys that a snapshot no longer has."""
         if snapshot.next_offset < self.next_offset:
             return []
+        self._complete_from = snapshot.next_offset
         present = {record.key for record in snapshot.records}
         return [
             records.Record(key, snapshot.next_offset - 1, None)
@@ -108,7 +120,16 @@
         ]
 
     def since(self, offset: int) -> records.Page:
-        """Return what is known from an offset on, in order."""
+        """Return what is known from an offset on, in order.
+
+        All that there is where some removal since then may be unknown here.
+        """
+        if offset < self._complete_from:
+            return records.Page(
+                tuple(sorted(self._by_key.values(), key=_offset)),
+                self.next_offset,
+                is_snapshot=True,
+            )
         every = (*self._by_key.values(), *self._removals.values())
         newer = [record for record in every if record.offset >= offset]
         newer.sort(key=_offset)
@@ -198,13 +219,18 @@
         if not self._is_reading:
             self.contact = now
 
-    def lost_lately(self, now: float) -> bool:
-        """Tell whether an outage is being seen, or ended just now.
+    def outage_age(self, now: float) -> float | None:
+        """Return the seconds since an outage of the store that ended just now.
 
         What the store tells then may be the end of leases that ran out while
-        their holders could not reach it.
+        their holders could not reach it. ``None`` where there was none.
+
+        Whoever hands records on says how old the outage is. Failure: it said
+        only that there had been one, and for as long as records went round all
+        took each removal for a lapse, and sent requests on for two seconds.
         """
-        return not self.in_touch or now - self.lost_until < _LAPSE_SEEN
+        age = now - self.lost_until
+        return age if age < _LAPSE_SEEN else None
 
     async def run(self) -> None:
         """Follow the topic for ever."""
@@ -228,10 +254,12 @@
 
         :param source: the peer that they came from, or the store.
         """
-        if page.after_outage:
-            self.lost_until = asyncio.get_running_loop().time()
+        if page.outage_age is not None:
+            ended = asyncio.get_running_loop().time() - page.outage_age
+            self.lost_until = max(self.lost_until, ended)
         news = 0
-        for record in page.records:
+        removed = self.known.removed_by(page) if page.is_snapshot else ()
+        for record in (*removed, *page.records):
             if self.known.take(record):
                 news += 1
                 self._listener(record)
@@ -268,10 +296,7 @@
     async def _read_newest(self) -> typing.Any:
         page = await self._store.newest(self.topic)
         self._regained()
-        for record in self.known.missing(page):
-            if self.known.take(record):
-                self._listener(record)
-        self.take(page)
+        self.take(page._replace(is_snapshot=True))
         return self._read_changes
 
     async def _read_changes(self) -> typing.Any:
@@ -318,9 +343,7 @@
         """Take no part in the reading; what failed before is no outage."""
         self._ends_at = 0
         self._has_news = False
-        if self._failing_since is not None:
-            self._failing_since = None
-            self.lost_until = now
+        self._failing_since = None
 
     def _wait(self) -> float:
         now = asyncio.get_running_loop().time()
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -293,7 +293,7 @@
         now = asyncio.get_running_loop().time()
         offset = int(request.target.partition(b'?')[2] or b'0')
         page = own.known.since(offset)._replace(
-            after_outage=own.lost_lately(now),
+            outage_age=own.outage_age(now),
         )
         body = wire_heartbeats.write_records(page)
         if b'deflate' not in request.headers.tokens(b'accept-encoding'):
--- a/clementinepass/direct/intake.py
+++ b/clementinepass/direct/intake.py
@@ -20,6 +20,9 @@
 #: away: nearly the two seconds in which endpoints list themselves again, and
 #: less than those after which one that is gone must get nothing.
 _LAPSE_GRACE = 1.9
+#: Seconds after the end of an outage by which an endpoint that lives has listed
+#: itself again, and this entry has heard of it.
+_RELISTED = 2.4
 #: Seconds after which a key's malformed records are written of again: their
 #: writer may write them anew with each heartbeat, several times a second.
 _TOLD_SECONDS = 30.0
@@ -135,8 +138,8 @@
     def _dropped(self, endpoint_id: str) -> None:
         now = asyncio.get_running_loop().time()
         follow = self._listings
-        may_have_lapsed = follow is not None and follow.lost_lately(now)
-        grace = _LAPSE_GRACE if may_have_lapsed else 0
+        age = None if follow is None else follow.outage_age(now)
+        grace = 0 if age is None else min(_LAPSE_GRACE, _RELISTED - age)
         if self._cluster.endpoints.removed(endpoint_id, now, grace):
             logger.bind(endpoint=endpoint_id, used_for=grace).info(
                 'endpoint dropped from the list',
--- a/clementinepass/direct/records.py
+++ b/clementinepass/direct/records.py
@@ -33,13 +33,16 @@
 class Page(typing.NamedTuple):
     """Records read in order, up to the offset of the next one.
 
-    :param after_outage: whether whoever hands them on reads them during or
-        just after an outage of the store.
+    :param outage_age: seconds since the end of an outage of the store after
+        which they were read; ``None`` where none ended just before.
+    :param is_snapshot: whether these are the records of all keys that there
+        were, so that a key that isn't among them was removed.
     """
 
     records: tuple[Record, ...]
     next_offset: int
-    after_outage: bool = False
+    outage_age: float | None = None
+    is_snapshot: bool = False
 
     @property
     def ips(self) -> list[str]:
--- a/clementinepass/platform/store.py
+++ b/clementinepass/platform/store.py
@@ -86,7 +86,7 @@
             answer = await self._newest_page(topic, after)
             found.extend(map(_record, answer.entries))
             if not (answer.has_more and answer.entries):
-                return records.Page(tuple(found), end)
+                return records.Page(tuple(found), end, is_snapshot=True)
             after = answer.entries[-1].key
 
     async def changes(
--- a/clementinepass/wire/direct.capnp
+++ b/clementinepass/wire/direct.capnp
@@ -87,6 +87,10 @@
 struct Records {
   records @0 :List(Record);
   nextOffset @1 :UInt64;
-  # Whether the sender met an outage of the store just now.
+  # Whether an outage of the store ended just before they were read, and how
+  # long ago.
   afterOutage @2 :Bool;
+  # Whether these are the records of all keys that there were.
+  snapshot @3 :Bool;
+  outageAgeMs @4 :UInt32;
 }
--- a/clementinepass/wire/heartbeats.py
+++ b/clementinepass/wire/heartbeats.py
@@ -74,7 +74,10 @@
         slot.removed = record.payload is None
         slot.payload = record.payload or b''
     message.nextOffset = page.next_offset
-    message.afterOutage = page.after_outage
+    if page.outage_age is not None:
+        message.afterOutage = True
+        message.outageAgeMs = int(page.outage_age * _MS)
+    message.snapshot = page.is_snapshot
     return bytes(message.to_bytes_packed())
 
 
@@ -93,7 +96,12 @@
             )
             for record in message.records
         )
-        return records.Page(found, message.nextOffset, message.afterOutage)
+        return records.Page(
+            found,
+            message.nextOffset,
+            message.outageAgeMs / _MS if message.afterOutage else None,
+            message.snapshot,
+        )
     except (capnp.KjException, UnicodeDecodeError) as error:
         raise errors.MalformedMessageError(
             str(error),
--- a/tests/direct/test_follower.py
+++ b/tests/direct/test_follower.py
@@ -208,3 +208,83 @@
     def test_operator_at_once(self) -> None:
         """What the operator writes isn't held up."""
         self.assertGreater(self.asked(records.Topic.OPERATOR, 2), 100)
+
+
+class SnapshotTest(testtools.TestCase):
+    """What a peer hands on that began from a snapshot.
+
+    Requests reached an endpoint 4.6 s after it had been dropped from the list: a
+    process that starts reads only what there is, so that it can't tell others of
+    removals before that.
+    """
+
+    def followed(self, *pages: records.Page) -> follower.Follower:
+        """Return a follower that has taken pages."""
+        own = follower.Follower(
+            typing.cast('records.Store', None),
+            TOPIC,
+            lambda one: None,
+            random.Random(1),
+        )
+
+        async def play() -> None:
+            for page in pages:
+                own.take(page)
+
+        asyncio.run(play())
+        return own
+
+    def test_removed_before(self) -> None:
+        """A key was removed before the peer began; who asks it hears of it."""
+        started = self.followed(
+            records.Page((record('b', 5),), 9, is_snapshot=True),
+        )
+        behind = self.followed(
+            records.Page((record('a', 3), record('b', 5)), 6),
+            started.known.since(6),
+        )
+
+        self.assertEqual(9, behind.known.next_offset)
+        self.assertEqual(['b'], [one.key for one in behind.known.present])
+
+    def test_handed_on(self) -> None:
+        """Whoever took a snapshot from a peer knows no removals before it."""
+        started = self.followed(records.Page((), 9, is_snapshot=True))
+        second = self.followed(started.known.since(0))
+
+        self.assertTrue(second.known.since(6).is_snapshot)
+        self.assertFalse(second.known.since(9).is_snapshot)
+
+    def test_changes_alone(self) -> None:
+        """Changes since an offset are enough for who has all before it."""
+        known = self.followed(
+            records.Page((record('a', 3),), 4, is_snapshot=True),
+            records.Page((record('b', 4), record('a', 5, None)), 6),
+        ).known
+
+        self.assertFalse(known.since(4).is_snapshot)
+        self.assertEqual(
+            [('b', 4), ('a', 5)],
+            [(one.key, one.offset) for one in known.since(4).records],
+        )
+
+    def test_many_removals(self) -> None:
+        """More removals than are kept: what is known is handed over whole."""
+        many = 300
+        removed = [record(f'i-{one}', one, None) for one in range(many)]
+        known = self.followed(
+            records.Page((record('a', 0),), 1, is_snapshot=True),
+            records.Page(tuple(removed), many),
+        ).known
+
+        self.assertTrue(known.since(10).is_snapshot)
+        self.assertFalse(known.since(many - 5).is_snapshot)
+
+    def test_older_snapshot(self) -> None:
+        """A snapshot from before what is known removes nothing."""
+        known = self.followed(
+            records.Page((record('a', 7),), 8),
+            records.Page((), 5, is_snapshot=True),
+        ).known
+
+        self.assertEqual(['a'], [one.key for one in known.present])
--- a/tests/direct/test_intake.py
+++ b/tests/direct/test_intake.py
@@ -10,8 +10,9 @@
 import testtools
 from loguru import logger
 
-from clementinepass.direct import cluster_state, intake, records
+from clementinepass.direct import cluster_state, follower, intake, records
 from clementinepass.platform import operator, registry
+from standins import skipped_time
 from tests.direct import test_cluster_state
 from tests.platform import test_registry
 
@@ -117,3 +118,65 @@
         self.assertEqual(3, self.known.configuration)
         self.assertEqual(2, self.known.wanted_version('m'))
         self.assertEqual(2, len(self.lines))
+
+
+class LapseTest(testtools.TestCase):
+    """Endpoints that the list drops after an outage of the store.
+
+    All entries took each removal for a lapse, for as long as they told one
+    another that there had been an outage: requests were sent on for two seconds
+    to endpoints that had left.
+    """
+
+    def grace(self, outage_age: float | None, after: float = 0) -> float | None:
+        """Return for how long an endpoint is used that a peer says is gone.
+
+        :param outage_age: seconds since the end of an outage, at the peer.
+        :param after: seconds between that and the removal.
+        """
+
+        async def play() -> float | None:
+            now = asyncio.get_running_loop().time
+            known = cluster_state.ClusterState(test_cluster_state.OWN)
+            known.listed(test_cluster_state.listing(0, 1))
+            follow = intake.Intake(known, READERS).followers(
+                typing.cast('typing.Any', _NoStore()),
+                random.Random(1),
+            )[records.Topic.ENDPOINTS]
+            follow.take(records.Page((), 1, outage_age=outage_age), 'peer')
+            await asyncio.sleep(after)
+            removal = records.Record('i-1', 1, None)
+            follow.take(records.Page((removal,), 2), 'peer')
+            (one,) = known.endpoints
+            gone_at = one.gone_at
+            return None if gone_at is None else round(gone_at - now(), 2)
+
+        return skipped_time.run(play())
+
+    def test_ages(self) -> None:
+        """Used until it would have listed itself again, and not at all else."""
+        cases = ((None, 0, 0), (0, 0, 1.9), (0.9, 0, 1.5), (0, 0.8, 1.6))
+        for age, after, expected in cases:
+            self.assertEqual(expected, self.grace(age, after), (age, after))
+
+    def test_not_contagious(self) -> None:
+        """What is handed on says how old the outage is, and ends with it."""
+
+        async def play() -> list[float | None]:
+            now = asyncio.get_running_loop().time
+            own = follower.Follower(
+                typing.cast('records.Store', None),
+                records.Topic.ENDPOINTS,
+                lambda one: None,
+                random.Random(1),
+            )
+            own.take(records.Page((), 1, outage_age=0.5), 'peer')
+            ages = [own.outage_age(now())]
+            await asyncio.sleep(0.4)
+            own.take(records.Page((), 1, outage_age=own.outage_age(now())))
+            ages.append(own.outage_age(now()))
+            await asyncio.sleep(0.2)
+            ages.append(own.outage_age(now()))
+            return [None if age is None else round(age, 2) for age in ages]
+
+        self.assertEqual([0.5, 0.9, None], skipped_time.run(play()))
