Shorten reports of load, and leave room for them on agents' links

And a choice took only engines with a fresh report, so that all met at those few whose agents sent none.

Change: a report is a message of its own (18 bytes); the pace of pieces leaves 60 kbit/s; near engines are sampled also without a report, by counts.

--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -21,7 +21,6 @@
     exchange,
     gauges,
     gossip,
-    heartbeats,
     intake,
     loading,
     neighbours,
@@ -300,7 +299,7 @@
             await asyncio.sleep(_BUSY_SECONDS)
             report = await self._boundary.engine.report()
             active = report.active
-            self._telling.load(heartbeats.Load(active, report.queued))
+            self._telling.load(active, report.queued)
 
     def _turn_has_come(self, engine: routing.Engine, version: int) -> bool:
         """Tell whether the engine takes up a version now."""
@@ -329,7 +328,7 @@
         before = self._report
         self._report = report
         self._aims.held = report.weights
-        self._telling.load(heartbeats.Load(report.active, report.queued))
+        self._telling.load(report.active, report.queued)
         if before is not None and _same_holding(before, report):
             return
         self._telling.holds(report.weights, report.started)
--- a/clementinepass/direct/cluster_state.py
+++ b/clementinepass/direct/cluster_state.py
@@ -195,25 +195,19 @@
 
     def heard_held(self, held: heartbeats.Held, now: float) -> None:
         """Take an agent's word on its engine and its link."""
-        for endpoint in self.endpoints.at_address(held.address):
+        host = held.address.rpartition(':')[0]
+        for endpoint in self.endpoints.at_host(host):
+            if endpoint.listing.address != held.address:
+                continue
             self._note_congestion(endpoint, held, now)
-            if self._is_current(endpoint, held):
+            if _is_current(endpoint, held.started):
                 self._note_weights(endpoint, held)
-                self._note_load(endpoint, held, now)
 
-    def _is_current(
-        self,
-        endpoint: endpoints.Endpoint,
-        held: heartbeats.Held,
-    ) -> bool:
-        """Tell whether an agent's word is of the start that is known.
-
-        Failure: an engine crashed and came back empty; a word of its agent
-        from before came after that, and requests went to weights that the
-        engine no longer held.
-        """
-        is_over = incarnations.is_over(endpoint.weights_started, held.started)
-        return not is_over and endpoint.gone_at is None
+    def heard_load(self, ip: str, load: heartbeats.Load, now: float) -> None:
+        """Take an agent's word on the load of the engine beside it."""
+        for endpoint in self.endpoints.at_host(ip):
+            if endpoint.weights.version and _is_current(endpoint, load.started):
+                endpoint.reported.tell(load.active, load.queued, now)
 
     def _note_weights(
         self,
@@ -232,15 +226,6 @@
             layers=held.end - held.first,
         ).info('engine holds weights')
 
-    def _note_load(
-        self,
-        endpoint: endpoints.Endpoint,
-        held: heartbeats.Held,
-        now: float,
-    ) -> None:
-        if held.load is not None:
-            endpoint.reported.tell(held.load.active, held.load.queued, now)
-
     def _note_congestion(
         self,
         endpoint: endpoints.Endpoint,
@@ -307,3 +292,14 @@
         if dropped:
             self.ejector.retain([one.listing.id for one in self.endpoints])
         return dropped
+
+
+def _is_current(endpoint: endpoints.Endpoint, started: int) -> bool:
+    """Tell whether an agent's word is of the start that is known.
+
+    Failure: an engine crashed and came back empty; a word of its agent from
+    before came after that, and requests went to weights that the engine no
+    longer held.
+    """
+    is_over = incarnations.is_over(endpoint.weights_started, started)
+    return not is_over and endpoint.gone_at is None
--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -72,6 +72,11 @@
     #: When its process started, in milliseconds of Unix time.
     started: int = incarnations.UNTOLD
 
+    @property
+    def host(self) -> str:
+        """Return the IP number of its address."""
+        return self.address.rpartition(':')[0]
+
     @property
     def stamp(self) -> incarnations.Stamp:
         """Return what orders it among the words of its id."""
@@ -210,12 +215,12 @@
 class Endpoints:
     """All endpoints that an entry knows, by id and by service."""
 
-    __slots__ = ('_by_address', '_by_id', '_by_service')
+    __slots__ = ('_by_host', '_by_id', '_by_service')
 
     def __init__(self) -> None:
         self._by_id: dict[str, Endpoint] = {}
-        #: Those at an address by id: it may be used again.
-        self._by_address: dict[str, dict[str, Endpoint]] = {}
+        #: Those at an IP number by id: it may be used again.
+        self._by_host: dict[str, dict[str, Endpoint]] = {}
         self._by_service: dict[str, dict[str, Endpoint]] = {}
 
     def __iter__(self) -> Iterator[Endpoint]:
@@ -226,9 +231,9 @@
         """Return an endpoint by its id."""
         return self._by_id.get(endpoint_id)
 
-    def at_address(self, address: str) -> list[Endpoint]:
-        """Return the endpoints that list themselves at an address."""
-        return list(self._by_address.get(address, {}).values())
+    def at_host(self, ip: str) -> list[Endpoint]:
+        """Return the endpoints that list themselves at an IP number."""
+        return list(self._by_host.get(ip, {}).values())
 
     def listed(self, listing: Listing) -> bool:
         """Take an endpoint's word; tell whether it changed anything."""
@@ -348,13 +353,13 @@
         listing = endpoint.listing
         del self._by_id[listing.id]
         del self._by_service[listing.service][listing.id]
-        at_address = self._by_address[listing.address]
-        del at_address[listing.id]
-        if not at_address:
-            del self._by_address[listing.address]
+        at_host = self._by_host[listing.host]
+        del at_host[listing.id]
+        if not at_host:
+            del self._by_host[listing.host]
 
     def _add(self, endpoint: Endpoint) -> None:
         listing = endpoint.listing
         self._by_id[listing.id] = endpoint
         self._by_service.setdefault(listing.service, {})[listing.id] = endpoint
-        self._by_address.setdefault(listing.address, {})[listing.id] = endpoint
+        self._by_host.setdefault(listing.host, {})[listing.id] = endpoint
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -144,17 +144,10 @@
         for ip in ips:
             self._send(payload, ip)
 
-    def report(self, ips: list[str]) -> None:
-        """Tell entries what this agent has read of its engine, and no more."""
-        if not ips:
-            return
+    def report(self, ips: list[str], load: heartbeats.Load) -> None:
+        """Tell entries the load of the engine beside this agent."""
         payload = wire_heartbeats.write_heartbeat(
-            heartbeats.Heartbeat(
-                operator_offset=self._offset(records.Topic.OPERATOR),
-                endpoints_offset=self._offset(records.Topic.ENDPOINTS),
-                configuration=self._cluster.configuration,
-                held=self.held,
-            ),
+            heartbeats.Heartbeat(load=load),
         )
         for ip in ips:
             self._send(payload, ip)
@@ -185,6 +178,9 @@
             logger.bind(peer=ip).warning('heartbeat dropped: {}', error)
             return
         now = asyncio.get_running_loop().time()
+        if heartbeat.load is not None:
+            self._cluster.heard_load(ip, heartbeat.load, now)
+            return
         senders = () if heartbeat.sender is None else (heartbeat.sender,)
         changed = self.members.heard((*senders, *heartbeat.members), now)
         by_digest, unknown = self.members.heard_digests(heartbeat.digests, now)
--- a/clementinepass/direct/heartbeats.py
+++ b/clementinepass/direct/heartbeats.py
@@ -24,14 +24,16 @@
 
 
 class Load(typing.NamedTuple):
-    """The requests at an engine, whoever sent them.
+    """The requests at the engine beside an agent, whoever sent them.
 
     :param active: those that it runs.
     :param queued: those that wait there.
+    :param started: when the engine started, as its listing says it.
     """
 
     active: int
     queued: int
+    started: int = incarnations.UNTOLD
 
 
 class Held(typing.NamedTuple):
@@ -39,7 +41,6 @@
 
     :param congested: whether its machine's link is slow at present.
     :param started: when the engine started, as its listing says it.
-    :param load: ``None`` where it isn't told.
     """
 
     address: str
@@ -48,7 +49,6 @@
     end: int
     congested: bool = False
     started: int = incarnations.UNTOLD
-    load: Load | None = None
 
 
 class Heartbeat(msgspec.Struct, kw_only=True):
@@ -66,6 +66,7 @@
         records ends that waits for changes; 0 where none does.
     :param endpoints_ends: the same of the endpoints' records.
     :param held: what agents read of their engines.
+    :param load: of the sender's engine; such a message says nothing else.
     :param wants_load: whether the sender, an entry, uses the engine of the
         agent that gets this, and is to be told of its load for a while.
     """
@@ -82,4 +83,5 @@
     endpoints_ends: float = 0
     versions: tuple[NamedVersion, ...] = ()
     held: tuple[Held, ...] = ()
+    load: Load | None = None
     wants_load: bool = False
--- a/clementinepass/direct/placing.py
+++ b/clementinepass/direct/placing.py
@@ -27,8 +27,8 @@
 _LOADING_SECONDS = 1.2
 _LOOK_SECONDS = 0.03
 _UNKNOWN_PACE = first_event.Pace(0, 0)
-#: Engines with a report of their load from which to choose by reports alone.
-_LEAST_REPORTED = 2
+#: Engines with links that aren't congested that are enough to choose from.
+_LEAST_SWIFT = 2
 
 
 class Placing:
@@ -118,8 +118,9 @@
         engine: routing.Engine | None,
         now: float,
     ) -> list[nearest_place.Option]:
-        """Return what is compared: a sample where loads are reported."""
+        """Return what is compared: of engines a sample."""
         newest = max((one.weights.version for one in sound), default=0)
+        compared = sound if engine is None else self._sampled(sound, now)
         return [
             nearest_place.Option(
                 one.listing.id,
@@ -131,7 +132,7 @@
                 unbegun=self._cluster.loads.unbegun(one, now),
                 usable_for=self._usable_for(one, engine, now),
             )
-            for one in self._sampled(sound, now)
+            for one in compared
         ]
 
     def _sampled(
@@ -139,17 +140,20 @@
         sound: list[endpoints.Endpoint],
         now: float,
     ) -> Sequence[endpoints.Endpoint]:
-        """Return a few of the endpoints whose load is reported.
+        """Return a few of a service's engines.
 
-        All of them where it isn't, as with plain services.
+        Those elsewhere by their agents' reports, as their loads are hardly
+        known without. Near ones also where reports don't come: on a link that
+        is full of weights they are late or lost, and requests met at the few
+        engines whose agents were heard.
         """
-        reported = [one for one in sound if one.reported.is_fresh(now)]
-        swift = [one for one in reported if one.congested_until <= now]
-        if len(swift) < _LEAST_REPORTED:
-            return sound
+        swift = [one for one in sound if one.congested_until <= now]
+        if len(swift) < _LEAST_SWIFT:
+            swift = sound
+        far = [one for one in swift if not self._is_near(one)]
         return nearest_place.sample(
             [one for one in swift if self._is_near(one)],
-            [one for one in swift if not self._is_near(one)],
+            [one for one in far if one.reported.is_fresh(now)] or far,
             self._rng,
         )
 
--- a/clementinepass/direct/telling.py
+++ b/clementinepass/direct/telling.py
@@ -28,7 +28,6 @@
     __slots__ = (
         '_congested_at',
         '_held',
-        '_load',
         '_own',
         '_peers',
         '_started',
@@ -38,7 +37,6 @@
         self._own = own
         self._peers = peers
         self._held: endpoints.Weights | None = None
-        self._load: heartbeats.Load | None = None
         #: When the engine started that holds them.
         self._started = incarnations.UNTOLD
         #: When entries were last told that the link is slow; ``None`` where
@@ -91,17 +89,15 @@
             self._congested_at = now
             self._tell()
 
-    def load(self, load: heartbeats.Load) -> None:
+    def load(self, active: int, queued: int) -> None:
         """Tell the requests at the engine to the entries that use it."""
-        self._load = load
-        if self._held is None:
-            return
-        self._note()
         now = asyncio.get_running_loop().time()
-        self._peers.report(self._peers.subscribers.due(now))
+        due = self._peers.subscribers.due(now)
+        if due:
+            load = heartbeats.Load(active, queued, self._started)
+            self._peers.report(due, load)
 
-    def _note(self) -> None:
-        """Have further messages say what there is to tell now."""
+    def _tell(self) -> None:
         if self._held is None:
             return
         word = heartbeats.Held(
@@ -111,14 +107,8 @@
             self._held.end,
             self._congested_at is not None,
             self._started,
-            self._load,
         )
         self._peers.held = (word,)
-
-    def _tell(self) -> None:
-        if self._held is None:
-            return
-        self._note()
         loop = asyncio.get_running_loop()
         for time in range(_TOLD_TIMES):
             loop.call_later(time * _TELL_SECONDS, self._tell_all)
--- a/clementinepass/direct/uplink.py
+++ b/clementinepass/direct/uplink.py
@@ -17,6 +17,8 @@
 #: Bits a second of one stream: an event of 70 bytes with 120 of framing, each
 #: 42 milliseconds, which is the time that an engine takes for six tokens.
 _STREAM_BITS = 36_000
+#: Bits a second of reports of the engine's load and of heartbeats.
+_CONTROL_BITS = 60_000
 #: The part of the link that pieces take however many streams there are.
 _LEAST_PART = 0.5
 #: Seconds that a part may take on a link, whatever its settings say.
@@ -82,5 +84,6 @@
 
     def _left_for_pieces(self) -> float:
         """Return the bits a second that the engine's streams leave."""
-        left = self._link * _LINK_PART - self._streams() * _STREAM_BITS
+        left = self._link * _LINK_PART - _CONTROL_BITS
+        left -= self._streams() * _STREAM_BITS
         return max(left, self._link * _LEAST_PART)
--- a/clementinepass/wire/direct.capnp
+++ b/clementinepass/wire/direct.capnp
@@ -56,10 +56,13 @@
   congested @4 :Bool;
   # When the engine started, in milliseconds of Unix time; 0 if untold.
   started @5 :UInt64;
-  # Requests that the engine runs, and that wait there, where it is told.
-  hasLoad @6 :Bool;
-  active @7 :UInt16;
-  queued @8 :UInt16;
+}
+
+struct EngineLoad {
+  # Requests that the engine beside the sender runs, and that wait there.
+  active @0 :UInt16;
+  queued @1 :UInt16;
+  started @2 :UInt64;
 }
 
 struct Heartbeat {
@@ -75,6 +78,8 @@
   digests @7 :List(Digest);
   # Whether the sender is to be told at once who gets this.
   asks @8 :Bool;
+  # Alone in its message.
+  load @9 :EngineLoad;
 }
 
 struct Record {
--- a/clementinepass/wire/heartbeats.py
+++ b/clementinepass/wire/heartbeats.py
@@ -22,6 +22,9 @@
 def write_heartbeat(heartbeat: heartbeats.Heartbeat) -> bytes:
     """Return a heartbeat as the bytes of a datagram."""
     message = _SCHEMA.Heartbeat.new_message()
+    if heartbeat.load is not None:
+        _write_load(message.init('load'), heartbeat.load)
+        return bytes(message.to_bytes_packed())
     if heartbeat.sender is not None:
         _write_member(message.sender, heartbeat.sender)
     for slot, member in zip(
@@ -55,6 +58,8 @@
     """
     try:
         message = _SCHEMA.Heartbeat.from_bytes_packed(payload)
+        if message._has('load'):
+            return heartbeats.Heartbeat(load=_load(message.load))
         return _own_heartbeat(message)
     except (capnp.KjException, IndexError, UnicodeDecodeError) as error:
         raise errors.MalformedMessageError(
@@ -152,10 +157,6 @@
         slot.end = held.end
         slot.congested = held.congested
         slot.started = held.started
-        if held.load is not None:
-            slot.hasLoad = True
-            slot.active = min(held.load.active, _MOST_COUNTED)
-            slot.queued = min(held.load.queued, _MOST_COUNTED)
 
 
 def _own_heartbeat(message: typing.Any) -> heartbeats.Heartbeat:
@@ -187,6 +188,16 @@
     )
 
 
+def _write_load(slot: typing.Any, load: heartbeats.Load) -> None:
+    slot.active = min(load.active, _MOST_COUNTED)
+    slot.queued = min(load.queued, _MOST_COUNTED)
+    slot.started = load.started
+
+
+def _load(slot: typing.Any) -> heartbeats.Load:
+    return heartbeats.Load(slot.active, slot.queued, slot.started)
+
+
 def _digest(slot: typing.Any) -> members.Digest:
     return members.Digest(
         socket.inet_ntoa(slot.ip.to_bytes(_IP_BYTES, 'big')),
@@ -197,9 +208,6 @@
 
 
 def _held(slot: typing.Any) -> heartbeats.Held:
-    load = None
-    if slot.hasLoad:
-        load = heartbeats.Load(slot.active, slot.queued)
     return heartbeats.Held(
         slot.address,
         slot.version,
@@ -207,7 +215,6 @@
         slot.end,
         slot.congested,
         slot.started,
-        load,
     )
 
 
--- a/tests/direct/test_endpoint_loads.py
+++ b/tests/direct/test_endpoint_loads.py
@@ -15,7 +15,8 @@
 from clementinepass.http import limits
 from tests.direct import test_cluster_state
 
-ADDRESS = '10.0.0.2:80'
+HOST = '10.0.0.2'
+ADDRESS = f'{HOST}:80'
 NOW = 100.0
 
 
@@ -44,10 +45,9 @@
     return routing.Routing(1, (), (service,), None, limits.Bounds())
 
 
-def held(active: int, queued: int, started: int = 0) -> heartbeats.Held:
+def load(active: int, queued: int, started: int = 0) -> heartbeats.Load:
     """Return an agent's word on it."""
-    load = heartbeats.Load(active, queued)
-    return heartbeats.Held(ADDRESS, 1, 0, 4, started=started, load=load)
+    return heartbeats.Load(active, queued, started)
 
 
 class ReportedTest(testtools.TestCase):
@@ -68,31 +68,31 @@
     def test_goes_before_counts(self) -> None:
         """Counts of others are old where there are many entries."""
         self.assertEqual(9, self.total())
-        self.known.heard_held(held(3, 2), NOW)
+        self.known.heard_load(HOST, load(3, 2), NOW)
 
         self.assertEqual(5, self.total())
         self.assertEqual(2, self.known.loads.unbegun(self.engine, NOW))
 
     def test_sent_since(self) -> None:
         """What was sent since the last report is added until the next."""
-        self.known.heard_held(held(3, 0), NOW)
+        self.known.heard_load(HOST, load(3, 0), NOW)
         for after in (0.05, 0.09):
             self.engine.reported.sent(NOW + after)
         self.assertEqual(5, self.total())
 
-        self.known.heard_held(held(4, 0), NOW + 0.2)
+        self.known.heard_load(HOST, load(4, 0), NOW + 0.2)
         self.assertEqual(4, self.total())
 
     def test_sent_meanwhile(self) -> None:
         """A report left before a request came that was sent before it came."""
         self.engine.reported.sent(NOW)
-        self.known.heard_held(held(3, 0), NOW + 0.01)
+        self.known.heard_load(HOST, load(3, 0), NOW + 0.01)
 
         self.assertEqual(4, self.total())
 
     def test_agent_silent(self) -> None:
         """Placing went on by the last report of an agent that was killed."""
-        self.known.heard_held(held(0, 0), NOW)
+        self.known.heard_load(HOST, load(0, 0), NOW)
         self.assertEqual(0, self.total(after=0.9))
         self.assertEqual(9, self.total(after=1.1))
 
@@ -100,7 +100,7 @@
         """A report of the engine's start before came after its crash."""
         self.known.listed(listing(started=5)._replace(heartbeat=2))
         (self.engine,) = self.known.endpoints
-        self.known.heard_held(held(8, 8, started=4), NOW)
+        self.known.heard_load(HOST, load(8, 8, started=4), NOW)
 
         self.assertEqual(0, self.engine.reported.total)
 
@@ -109,7 +109,7 @@
         self.engine.in_flight = 2
         self.assertEqual({'i-1': 2}, self.known.in_flight_by_endpoint(NOW))
 
-        self.known.heard_held(held(2, 0), NOW)
+        self.known.heard_load(HOST, load(2, 0), NOW)
         self.assertEqual({}, self.known.in_flight_by_endpoint(NOW))
         self.assertEqual(
             {'i-1': 2}, self.known.in_flight_by_endpoint(NOW + 1.1)
@@ -119,11 +119,11 @@
         """An address that another endpoint has taken over."""
         other = listing()._replace(id='i-2', service='t')
         self.known.endpoints.listed(other)
-        self.assertEqual(2, len(self.known.endpoints.at_address(ADDRESS)))
+        self.assertEqual(2, len(self.known.endpoints.at_host(HOST)))
         self.known.endpoints.removed('i-1', NOW, 0)
         self.known.endpoints.forget(NOW + 10)
 
-        (left,) = self.known.endpoints.at_address(ADDRESS)
+        (left,) = self.known.endpoints.at_host(HOST)
         self.assertEqual('i-2', left.listing.id)
 
 
