Have engines take up a version before the bound of what they hold

Failure: versions 2 and 3 were named four seconds apart; 2 was dropped for 3. Engines took turns to load until the bound of 3 (13.4 s after its naming), though requests might begin on version 1 only until that of 2, four seconds earlier.

Change: turns, and the time for an engine to empty, go by the bound of what the engine holds, if that is sooner.

--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -292,7 +292,7 @@
         old weights any more, and callers wait for the first engine.
         """
         loop = asyncio.get_running_loop()
-        left = self.cluster.seconds_left(engine.model, version) or 0
+        left = self._seconds_usable(engine, version)
         seconds = _EMPTY_SECONDS if left > _EMPTY_SECONDS else _HURRY_SECONDS
         until = loop.time() + seconds
         while active and loop.time() < until:
@@ -301,6 +301,21 @@
             active = report.active
             self._telling.load(active, report.queued)
 
+    def _seconds_usable(self, engine: routing.Engine, version: int) -> float:
+        """Return the seconds until the engine has to have taken up a version.
+
+        Failure: a version was dropped for a newer one four seconds after its
+        naming. Engines took turns until the newer one's bound, but what they
+        held might be used only until that of the dropped one.
+        """
+        now = asyncio.get_running_loop().time()
+        held = self._aims.held
+        left = self.cluster.seconds_left(engine.model, version) or 0
+        if held is None:
+            return left
+        bound = self.cluster.begin_bound(engine, held.version)
+        return max(min(left, bound - now), 0)
+
     def _turn_has_come(self, engine: routing.Engine, version: int) -> bool:
         """Tell whether the engine takes up a version now."""
         now = asyncio.get_running_loop().time()
@@ -308,7 +323,7 @@
             return True
         turn = self._turn_by_version.get(version)
         if turn is None:
-            left = self.cluster.seconds_left(engine.model, version) or 0
+            left = self._seconds_usable(engine, version)
             turn = now + load_turns.delay(
                 load_turns.Peer(self._own.endpoint, self._own.domain),
                 [
--- a/clementinepass/direct/cluster_state.py
+++ b/clementinepass/direct/cluster_state.py
@@ -169,10 +169,16 @@
 
     def begin_by(self, engine: routing.Engine, version: int) -> float:
         """Return the time by which a request must begin on a version."""
+        return self._usable_until(engine, version) + _BEGIN_SLACK
+
+    def begin_bound(self, engine: routing.Engine, version: int) -> float:
+        """Return the time of the bound from which none begins on a version."""
+        return self._usable_until(engine, version) + _VERSION_MARGIN
+
+    def _usable_until(self, engine: routing.Engine, version: int) -> float:
+        """Return the time until which a version gets requests."""
         named = self._named_by_model.get(engine.model)
-        if named is None:
-            return math.inf
-        return named.usable_until(version) + _BEGIN_SLACK
+        return math.inf if named is None else named.usable_until(version)
 
     def listed(self, listing: endpoints.Listing) -> bool:
         """Take an endpoint's word; tell whether it changed anything.
--- a/clementinepass/direct/endpoint_loads.py
+++ b/clementinepass/direct/endpoint_loads.py
@@ -11,6 +11,10 @@
 if typing.TYPE_CHECKING:
     from clementinepass.direct import endpoints
 
+#: Seconds for which the last report of an agent that fell silent is the least
+#: that is assumed. Some entries may still hear it; these count to others no
+#: requests there.
+_LAST_REPORT_SECONDS = 5.0
 #: Seconds after which another entry's count of its requests says nothing.
 _COUNT_SECONDS = 2.5
 
@@ -48,15 +52,19 @@
 
     def total(self, endpoint: endpoints.Endpoint, now: float) -> int:
         """Return the requests at an endpoint."""
-        if endpoint.reported.is_fresh(now):
-            return max(endpoint.reported.total, endpoint.in_flight)
+        reported = endpoint.reported
+        if reported.is_fresh(now):
+            return max(reported.total, endpoint.in_flight)
         name = endpoint.listing.id
         others = sum(
             peer.in_flight_by_endpoint.get(name, 0)
             for peer in self._counts_by_peer.values()
             if now - peer.at < _COUNT_SECONDS
         )
-        return endpoint.in_flight + others
+        counted = endpoint.in_flight + others
+        if now - reported.at < _LAST_REPORT_SECONDS:
+            return max(counted, reported.active + reported.queued)
+        return counted
 
     def unbegun(self, endpoint: endpoints.Endpoint, now: float) -> float:
         """Return how many requests there have no event yet.
--- a/tests/direct/test_cluster_state.py
+++ b/tests/direct/test_cluster_state.py
@@ -1,7 +1,10 @@
-"""Tests of what an entry believes of endpoints that start again."""
+"""Tests of what is known of endpoints that start again, and of versions."""
 
 from __future__ import annotations
 
+import math
+import typing
+
 import testtools
 
 from clementinepass.direct import (
@@ -147,3 +150,25 @@
             )
             found = self.known.candidates(service, 100)
             self.assertEqual(len(services), len(found))
+
+
+class BoundTest(testtools.TestCase):
+    """Until when an engine has to have taken up a version."""
+
+    def test_dropped_version(self) -> None:
+        """Engines took turns beyond the bound of a version that was dropped."""
+        known = cluster_state.ClusterState(OWN, clock=lambda: 100)
+        for version, since in ((2, 100), (3, 104)):
+            known.named('m', version, since)
+        engine = typing.cast('routing.Engine', _Model())
+        bound = OWN.duties.version
+
+        self.assertAlmostEqual(100 + bound, known.begin_bound(engine, 1))
+        self.assertAlmostEqual(104 + bound, known.begin_bound(engine, 2))
+        self.assertEqual(math.inf, known.begin_bound(engine, 3))
+
+
+class _Model:
+    """All that is asked of an engine's description here."""
+
+    model = 'm'
--- a/tests/direct/test_endpoint_loads.py
+++ b/tests/direct/test_endpoint_loads.py
@@ -96,6 +96,16 @@
         self.assertEqual(0, self.total(after=0.9))
         self.assertEqual(9, self.total(after=1.1))
 
+    def test_some_hear_it(self) -> None:
+        """On a full link reports came to some, who counted nothing to others.
+
+        To those others the engine looked empty, and drew their requests.
+        """
+        self.known.loads.heard('10.0.0.8', {}, NOW)
+        self.known.heard_load(HOST, load(8, 5), NOW)
+        self.assertEqual(13, self.total(after=1.1))
+        self.assertEqual(0, self.total(after=5.1))
+
     def test_start_before(self) -> None:
         """A report of the engine's start before came after its crash."""
         self.known.listed(listing(started=5)._replace(heartbeat=2))
--- a/tests/direct/test_machines.py
+++ b/tests/direct/test_machines.py
@@ -395,11 +395,14 @@
             self.assertEqual((2, True), world.engines[0].orders[-1])
             await machines.until(lambda: _held(world, 'i-0') == [2, 2])
             self.assertEqual(2, len(before))
-            starts = [
-                one.cluster.endpoints.get('i-0').listing.started
-                for one in world.entries
-            ]
-            self.assertEqual([2, 2], starts)
+            # The list may be later than the agent.
+            await machines.until(
+                lambda: all(
+                    one.cluster.endpoints.get('i-0').listing.started == 2
+                    for one in world.entries
+                )
+            )
+            self.assertEqual([2, 2], _held(world, 'i-0'))
 
         run(play, (1, 1))
 
