Ask the agents of near engines without weights, too

Failure: since entries ask only the agents of engines that may be used, an engine that was added took up its weights, and its agent knew few entries to tell: the others learned it from the store's list.

Change: entries ask the agents of near engines that wait for weights, besides.

--- a/clementinepass/direct/subscribing.py
+++ b/clementinepass/direct/subscribing.py
@@ -10,7 +10,7 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from clementinepass.direct import cluster_state, endpoints, node
+    from clementinepass.direct import cluster_state, endpoints, node, routing
 
 #: Seconds between looks for engines that have come to be usable.
 _LOOK_SECONDS = 0.2
@@ -69,14 +69,34 @@
             address.rpartition(':')[0]
             for service in services
             if service.engine is not None
-            for address in self._subset(self._cluster.candidates(service, now))
+            for address in self._addresses(service, now)
         ]
 
-    def _subset(self, engines: list[endpoints.Endpoint]) -> list[str]:
-        listings = [one.listing for one in engines]
+    def _addresses(self, service: routing.Service, now: float) -> list[str]:
+        """Return the engines used, and near ones that can't be used yet.
+
+        Failure: an engine that had been added took up its weights, and its
+        agent knew few entries to tell of it: the others learned it from the
+        store's list, two seconds later.
+        """
+        usable = self._cluster.candidates(service, now)
+        every = self._cluster.endpoints.of_service(service.name, now)
+        waiting = [one for one in every if one not in usable]
         domain = self._own.domain
-        return subsetting.subset(
-            self._own.ip,
-            [one.address for one in listings if one.domain == domain],
-            [one.address for one in listings if one.domain != domain],
-        )
+        near, far = _split(usable, domain)
+        chosen = subsetting.subset(self._own.ip, near, far)
+        near_waiting, _ = _split(waiting, domain)
+        return chosen + subsetting.subset(self._own.ip, near_waiting, ())
+
+
+def _split(
+    engines: list[endpoints.Endpoint],
+    domain: str,
+) -> tuple[list[str], list[str]]:
+    """Return the addresses of engines in a failure domain, and of others."""
+    near: list[str] = []
+    far: list[str] = []
+    for one in engines:
+        is_near = one.listing.domain == domain
+        (near if is_near else far).append(one.listing.address)
+    return near, far
