--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,4 +1,4 @@
-"""Turn measured slopes into the tables of docs/CAPACITY.md."""
+"""Turn measured slopes into the tables of docs/measurements/gates.md."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 _DOCS = pathlib.Path(__file__).parent.parent / 'docs'
 _SLOPES = _DOCS / 'measurements' / 'slopes.json'
 _PATH = _DOCS / 'measurements' / 'path.json'
-_PAGE = _DOCS / 'CAPACITY.md'
+_PAGE = _DOCS / 'measurements' / 'gates.md'
 _BEGIN = '<!-- tables: made by scripts/bench capacity -->'
 _END = '<!-- end of tables -->'
 
@@ -55,7 +55,7 @@
 
 
 def main(*, write: bool = False) -> None:
-    """Print the tables, or write them into docs/CAPACITY.md.
+    """Print the tables, or write them into the page.
 
     :param write: replace the tables in the page.
     """
