Publishing waits for the end of a short outage before its check

Cause: 'config publish' gave up at its first read of the state when the log answered 503, though its time limit had just begun; only the look for the own record was tried again. The race's first outage begins 0.4 s after the operators are started, so a machine on which a start takes 0.4 to 0.8 s has all of them turned away.

Ruled out: a fault of the fold; each check of the race that compares what was told with the log held.

Change: the read before the check is tried until the time limit, as it changes nothing. The race's checks are as they were.

--- a/clementinepass/cli/config_commands.py
+++ b/clementinepass/cli/config_commands.py
@@ -161,7 +161,8 @@
     :param operator: who asks for it; the name logged in under by default.
     :param base: the revision that the folder was made from; sections that
         others have changed since are not overwritten.
-    :param timeout: seconds for which to look for the own record.
+    :param timeout: seconds for which to try to read, to append, and to
+        look for the own record; each.
     :param json: print one JSON document.
     """
     with exits.reported():
--- a/clementinepass/configuration/publisher.py
+++ b/clementinepass/configuration/publisher.py
@@ -30,6 +30,12 @@
 #: Longest wait in one read, so that the time limit is kept.
 _LONGEST_WAIT = 1
 _STEP = 'publish'
+#: Why a read that is tried again may fail.
+_UNREADABLE = (
+    errors.PlatformUnavailableError,
+    errors.MalformedMessageError,
+    errors.ThrottledError,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,7 +71,8 @@
     ) -> None:
         """Follow the log from its newest snapshot.
 
-        :param timeout: seconds for which to look for an own record.
+        :param timeout: seconds for which to try to read the current state,
+            to append, and to look for an own record; each.
         """
         self._log = log
         self._timeout = timeout
@@ -114,7 +121,7 @@
         :raises PlatformUnavailableError: nothing was appended.
         """
         _check_removed(sections, removed)
-        current = self.current()
+        current = self._checked_against()
         wanted = changes.Changes.between(current, sections, removed)
         if not wanted:
             return Accepted(current.revision)
@@ -130,6 +137,21 @@
         self._append(publication)
         return self._outcome(publication)
 
+    def _checked_against(self) -> state.State:
+        """Return the current state, waiting for the end of a short outage.
+
+        A read changes nothing, so it may be tried until the time limit.
+        """
+        deadline = self._clock.now() + self._timeout
+        while True:
+            try:
+                return self.current()
+            except _UNREADABLE as failure:
+                if self._clock.now() + _RETRY > deadline:
+                    raise
+                logger.debug('log unavailable: {}', failure)
+                self._sleep(_RETRY)
+
     def _append(self, publication: records.Publication) -> None:
         deadline = self._clock.now() + self._timeout
         while True:
@@ -181,11 +203,7 @@
     def _poll(self, wait: float) -> None:
         try:
             self._follower.poll(wait)
-        except (
-            errors.PlatformUnavailableError,
-            errors.MalformedMessageError,
-            errors.ThrottledError,
-        ) as failure:
+        except _UNREADABLE as failure:
             logger.debug('log unavailable: {}', failure)
             self._sleep(min(wait, _RETRY))
 
--- a/tests/configuration/test_publisher.py
+++ b/tests/configuration/test_publisher.py
@@ -112,6 +112,33 @@
         )
         self.assertFalse(failure.sent)
 
+    def test_outage_before_the_check(self) -> None:
+        """An outage that ends in time doesn't turn the operator away."""
+        self.log.down = True
+
+        def end_outage(_: float) -> None:
+            self.log.down = False
+
+        made = publisher.Publisher(self.log, timeout=4, sleep=end_outage)
+        accepted = made.publish(
+            samples.sections(_TEAM),
+            (),
+            operator='olga',
+            message='a change',
+        )
+        self.assertEqual(2, accepted.revision)
+
+    def test_outage_beyond_the_timeout(self) -> None:
+        """An outage that lasts is told, and nothing is appended."""
+        self.log.down = True
+        failure = self.assertRaises(
+            errors.PlatformUnavailableError,
+            self._publish,
+            _TEAM,
+        )
+        self.assertEqual('read', failure.step)
+        self.assertEqual([], self.log.attempted[1:])
+
     def test_loser_is_told(self) -> None:
         """The loser of a race learns section, revision, operator, message."""
         rival = publisher.Publisher(self.log)
