--- a/clementinepass/decisions/start_reading.py
+++ b/clementinepass/decisions/start_reading.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import itertools
 import typing
 
 if typing.TYPE_CHECKING:
@@ -23,6 +24,11 @@
 #: region, of which the first two or three are to be done before the next.
 _EARLIEST = 0.6
 _LATEST = 2.0
+#: Seconds until a process that knows nothing asks for the second time, and by
+#: how much longer it waits each time after that.
+_FIRST_PAUSE = 0.1
+_LONGER = 1.5
+_LONGEST_PAUSE = 0.4
 #: Seconds in which only entries of the own region are asked.
 _NEAR_ONLY = 0.4
 
@@ -45,3 +51,44 @@
     :param is_near: whether it is an entry of the own region.
     """
     return is_near or since_start >= _NEAR_ONLY
+
+
+class Asking:
+    """Whom a process that knows nothing asks, and how often.
+
+    Load: 300 processes that start together and three seeds.  Harm: with each
+    asking all seeds ten times a second, these were busy with nothing else, and
+    answered nobody for half a minute.
+
+    All seeds are asked once, so that the first to know can tell; after that
+    one at a time, in case the first question or its answer was lost.
+
+    :param seeds: IP numbers; the own one is passed over.
+    """
+
+    __slots__ = ('_asked', '_pause', '_turns')
+
+    def __init__(
+        self,
+        own_ip: str,
+        seeds: typing.Collection[str],
+        rng: random.Random,
+    ) -> None:
+        others = [ip for ip in seeds if ip != own_ip]
+        rng.shuffle(others)
+        self._turns = itertools.cycle(others)
+        #: How many are asked next.
+        self._asked = len(others)
+        self._pause = _FIRST_PAUSE
+
+    def due(self) -> list[str]:
+        """Return the seeds to ask now."""
+        found = list(itertools.islice(self._turns, self._asked))
+        self._asked = 1
+        return found
+
+    def pause(self) -> float:
+        """Return the seconds until the next question."""
+        seconds = self._pause
+        self._pause = min(seconds * _LONGER, _LONGEST_PAUSE)
+        return seconds
--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -209,11 +209,10 @@
                 await self._read_store()
                 alone_since = loop.time()
             self.cluster.forget(loop.time())
+            pause = _IDLE_SECONDS
             if self.peers.is_new:
-                self.peers.tell(list(self._own.seeds))
-            await asyncio.sleep(
-                gossip.NEW_SECONDS if self.peers.is_new else _IDLE_SECONDS,
-            )
+                pause = min(self.peers.ask(), pause)
+            await asyncio.sleep(pause)
 
     async def _tell_of_link(self) -> None:
         """Tell entries while what comes to this machine comes late."""
--- a/clementinepass/direct/follower.py
+++ b/clementinepass/direct/follower.py
@@ -72,7 +72,13 @@
 class Known:
     """The newest record of each key, with the removals that came last."""
 
-    __slots__ = ('_by_key', '_complete_from', '_removals', 'next_offset')
+    __slots__ = (
+        '_by_key',
+        '_complete_from',
+        '_removals',
+        'next_offset',
+        'revision',
+    )
 
     def __init__(self) -> None:
         self._by_key: dict[str, records.Record] = {}
@@ -82,6 +88,8 @@
         self._complete_from = 0
         #: The offset from which changes are unknown.
         self.next_offset = 0
+        #: Grows with each record taken.
+        self.revision = 0
 
     @property
     def present(self) -> list[records.Record]:
@@ -93,6 +101,7 @@
         known = self._by_key.get(record.key) or self._removals.get(record.key)
         if known is not None and record.offset <= known.offset:
             return False
+        self.revision += 1
         if record.payload is None:
             self._by_key.pop(record.key, None)
             self._removals[record.key] = record
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -6,18 +6,19 @@
 import contextlib
 import time
 import typing
-import zlib
 
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.decisions import dissemination
+from clementinepass.decisions import dissemination, start_reading
 from clementinepass.direct import (
     catching_up,
+    handing_over,
     heartbeats,
     members,
     records,
     subscribers,
+    teaching,
     turns,
 )
 from clementinepass.http import connection, front, replies
@@ -33,8 +34,6 @@
 #: Seconds between heartbeats. Counts of requests at endpoints are as old as
 #: this when others place by them; each costs some 150 bytes a peer.
 _HEARTBEAT_SECONDS = 0.4
-#: The same while this process knows nothing, and asks by it to be told.
-NEW_SECONDS = 0.1
 #: Of so many heartbeats one carries all members and versions. New members are
 #: heard of within two seconds, and most heartbeats stay short.
 _WHOLE_EACH = 5
@@ -43,9 +42,6 @@
 _FRESH_SECONDS = 1.0
 #: Members that are asked, for each heartbeat that tells of them, who they are.
 _MOST_ASKED = 2
-#: Level of compression that costs least time.
-_FASTEST = 1
-_OK = 200
 _NOT_FOUND = 404
 
 
@@ -74,6 +70,9 @@
         self._sequence = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._front = front.Front(self._serve)
+        self._handing_over = handing_over.HandingOver(followers)
+        self._teaching = teaching.Teaching(self._whole_message, self._send)
+        self._asking = start_reading.Asking(own.ip, own.seeds, rng)
         self._catching_up = catching_up.CatchingUp(own, followers, known)
         #: The entries.
         self.members = members.Members(own.ip)
@@ -108,9 +107,15 @@
         """Speak for ever."""
         while True:
             self.speak()
-            seconds = NEW_SECONDS if self.is_new else _HEARTBEAT_SECONDS
+            is_new = self.is_new
+            seconds = self._asking.pause() if is_new else _HEARTBEAT_SECONDS
             await asyncio.sleep(seconds * self._rng.uniform(0.9, 1.1))
 
+    def ask(self) -> float:
+        """Ask seeds what there is; return the seconds until the next time."""
+        self.tell(self._asking.due())
+        return self._asking.pause()
+
     def speak(self, *, whole: bool = False) -> None:
         """Send one heartbeat to some of the others.
 
@@ -238,13 +243,7 @@
         for held in heartbeat.held:
             self._cluster.heard_held(held, now)
         self._catching_up.heard(heartbeat, ip, now)
-        if self._can_teach(heartbeat):
-            self._send(
-                wire_heartbeats.write_heartbeat(
-                    self._own_heartbeat(whole=True)
-                ),
-                ip,
-            )
+        self._teaching.heard(heartbeat, ip, now, offsets=self._offsets)
 
     def _learn_turns(
         self, heartbeat: heartbeats.Heartbeat, ip: str, now: float
@@ -265,39 +264,14 @@
         request: messages.Request,
         reply: replies.Reply,
     ) -> None:
-        """Hand records of the store to a peer that knows less."""
-        for topic, own in self._followers.items():
-            if request.path == catching_up.PATH + topic.value.encode():
-                self._hand_over(own, request, reply)
-                return
-        if self._others is None:
+        """Answer a peer's request."""
+        if self._handing_over.serves(request):
+            self._handing_over.serve(request, reply)
+        elif self._others is None:
             reply.send(_NOT_FOUND, [], b'')
         else:
             await self._others(request, reply)
 
-    def _hand_over(
-        self,
-        own: follower.Follower,
-        request: messages.Request,
-        reply: replies.Reply,
-    ) -> None:
-        """Hand over what a topic has from an offset on.
-
-        Load: a configuration of 50 KB that a few hand to all of a region. They
-        are compressed, or the links of those few would be full.
-        """
-        now = asyncio.get_running_loop().time()
-        offset = int(request.target.partition(b'?')[2] or b'0')
-        page = own.known.since(offset)._replace(
-            outage_age=own.outage_age(now),
-        )
-        body = wire_heartbeats.write_records(page)
-        if b'deflate' not in request.headers.tokens(b'accept-encoding'):
-            reply.send(_OK, [], body)
-            return
-        compressed = zlib.compress(body, _FASTEST)
-        reply.send(_OK, [(b'Content-Encoding', b'deflate')], compressed)
-
     def _own_heartbeat(
         self,
         *,
@@ -332,17 +306,15 @@
             wants_load=wants_load,
         )
 
-    def _can_teach(self, heartbeat: heartbeats.Heartbeat) -> bool:
-        """Tell whether the sender knows nothing of what is known here.
-
-        It is told at once: a heartbeat would come its way by turns, and where
-        all start together it is the seeds that know first.
-        """
-        pairs = (
-            (heartbeat.operator_offset, records.Topic.OPERATOR),
-            (heartbeat.endpoints_offset, records.Topic.ENDPOINTS),
+    @property
+    def _offsets(self) -> tuple[int, int]:
+        return (
+            self._offset(records.Topic.OPERATOR),
+            self._offset(records.Topic.ENDPOINTS),
         )
-        return any(not there and self._offset(topic) for there, topic in pairs)
+
+    def _whole_message(self) -> bytes:
+        return wire_heartbeats.write_heartbeat(self._own_heartbeat(whole=True))
 
     def _offset(self, topic: records.Topic) -> int:
         own = self._followers.get(topic)
@@ -355,15 +327,21 @@
     def _targets(self, *, whole: bool) -> list[str]:
         """Return whom this heartbeat goes to."""
         near, far = self.members.addresses(self._own.domain)
-        if whole or not (near or far) or self.is_new:
-            others = {*self._own.seeds, *self._near_agents()}
-            far.extend(others.difference(near, far))
+        others: set[str] = set()
+        if self.is_new:
+            others.update(self._asking.due())
+        elif whole or not (near or far):
+            others.update(self._own.seeds, self._near_agents())
+        far.extend(others.difference(near, far))
         drawn = dissemination.targets(near, far, self._rng)
         return [*drawn, *self._relying().difference(drawn)]
 
     def tell_relying(self) -> None:
         """Speak at once to those that are told of the store from here."""
         self.tell(list(self._relying()))
+        if not self.is_new:
+            now = asyncio.get_running_loop().time()
+            self._teaching.tell_waiting(now)
 
     def _relying(self) -> set[str]:
         """Return the entries that rely on this one for what the store has.
--- a/clementinepass/direct/intake.py
+++ b/clementinepass/direct/intake.py
@@ -124,7 +124,7 @@
             return
         if listing is None:
             self._dropped(record.key)
-        elif self._cluster.listed(listing):
+        elif self._cluster.listed(listing) and self._has_listings:
             logger.bind(
                 endpoint=listing.id,
                 service=listing.service,
@@ -135,6 +135,14 @@
                 started=listing.started,
             ).info('endpoint listed')
 
+    @property
+    def _has_listings(self) -> bool:
+        """Tell whether the endpoints that there were at first are known.
+
+        A line for each of thousands took longer than to take them.
+        """
+        return self._listings is not None and self._listings.started
+
     def _dropped(self, endpoint_id: str) -> None:
         now = asyncio.get_running_loop().time()
         follow = self._listings
--- a/tests/decisions/test_start_reading.py
+++ b/tests/decisions/test_start_reading.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 
 import testtools
@@ -46,3 +47,41 @@
         self.assertTrue(start_reading.may_ask(is_near=True, since_start=0))
         self.assertFalse(start_reading.may_ask(is_near=False, since_start=0.2))
         self.assertTrue(start_reading.may_ask(is_near=False, since_start=0.5))
+
+
+class AskingTest(testtools.TestCase):
+    """All processes start together and ask the seeds.
+
+    300 of them asked three seeds each, ten times a second, until they were
+    told, and the seeds were busy with nothing else for half a minute.
+    """
+
+    def asked(self, seconds: float) -> list[tuple[float, str]]:
+        """Return when which seed is asked by one process."""
+        asking = start_reading.Asking(SEEDS[0], SEEDS, random.Random(3))
+        found = []
+        now: float = 0
+        while now < seconds:
+            found.extend((now, seed) for seed in asking.due())
+            now += asking.pause()
+        return found
+
+    def test_all_at_first(self) -> None:
+        """The first to know can tell at once."""
+        first = [seed for at, seed in self.asked(0.01)]
+        self.assertEqual(sorted(SEEDS[1:]), sorted(first))
+
+    def test_few_after_that(self) -> None:
+        """A seed hears from each process about once a second."""
+        asked = self.asked(10)
+        for seed in SEEDS[1:]:
+            times = [at for at, each in asked if each == seed]
+            self.assertLess(len(times), 16)
+            gaps = [later - at for at, later in itertools.pairwise(times)]
+            self.assertLessEqual(max(gaps), 0.9)
+
+    def test_no_seeds(self) -> None:
+        """There is nobody to ask where there are no others."""
+        asking = start_reading.Asking('10.0.0.9', (), random.Random(3))
+        self.assertEqual([], asking.due())
+        self.assertEqual([], asking.due())
