--- /dev/null
+++ b/tests/decisions/test_load_reports.py
@@ -0,0 +1,64 @@
+"""Plays of placing by what entries know of the load of engines."""
+
+from __future__ import annotations
+
+import statistics
+
+import testtools
+
+from benchmarks import load_reports
+
+#: A load that twelve engines can just carry, and one with room to spare.
+FULL = load_reports.Setting(
+    entries=20,
+    engines=12,
+    domains=3,
+    rate=77,
+    seconds=12,
+)
+SPARE = FULL._replace(rate=62)
+
+
+SEEDS = (1, 2, 3)
+
+
+def in_mean(
+    setting: load_reports.Setting,
+    make: load_reports.Make,
+) -> load_reports.Outcome:
+    """Play a load with several seeds."""
+    found = [
+        load_reports.play(setting._replace(seed=seed), make) for seed in SEEDS
+    ]
+    return load_reports.Outcome(
+        *map(statistics.fmean, zip(*found, strict=True))
+    )
+
+
+class LoadReportsTest(testtools.TestCase):
+    """Engines that are nearly full, and entries that must not queue on one.
+
+    Entries went by counts of one another that were a second old and more: all
+    sent to the engine that had been emptiest, four in five requests came late
+    there, and hardly any was refused.
+    """
+
+    def test_full(self) -> None:
+        """Four in five are in time, and the rest is refused rather than late."""
+        told = in_mean(FULL, load_reports.ToldCounts)
+        reported = in_mean(FULL, load_reports.Reports)
+        self.assertLess(told.in_time, 0.4)
+        self.assertGreater(reported.in_time, 0.8)
+        self.assertLess(reported.late, 0.1)
+
+    def test_room_to_spare(self) -> None:
+        """Hardly any request is late or refused where there is room."""
+        found = in_mean(SPARE, load_reports.Reports)
+        self.assertGreater(found.in_time, 0.95)
+
+    def test_level_at_size(self) -> None:
+        """Five times as many entries and engines do about as well."""
+        larger = FULL._replace(entries=100, engines=60, domains=5, rate=385)
+        small = in_mean(FULL, load_reports.Reports)
+        found = in_mean(larger, load_reports.Reports)
+        self.assertGreater(found.in_time, small.in_time - 0.05)
