Call by the field's terms what answers processes that have just started

bootstrap.Bootstrap, record_server.RecordServer and start_reading.SeedPolling in place of teaching, handing over and asking; a docstring no longer says what wasn't shown.

--- a/clementinepass/decisions/start_reading.py
+++ b/clementinepass/decisions/start_reading.py
@@ -53,15 +53,15 @@
     return is_near or since_start >= _NEAR_ONLY
 
 
-class Asking:
-    """Whom a process that knows nothing asks, and how often.
+class SeedPolling:
+    """Which seeds a process that knows nothing asks, and how often.
 
     Load: 300 processes that start together and three seeds.  Harm: with each
-    asking all seeds ten times a second, these were busy with nothing else, and
-    answered nobody for half a minute.
+    asking all seeds ten times a second, to hear and to answer them takes more
+    than the processor time that a seed has.
 
     All seeds are asked once, so that the first to know can tell; after that
-    one at a time, in case the first question or its answer was lost.
+    one at a time, with a backoff, in case a question or its answer was lost.
 
     :param seeds: IP numbers; the own one is passed over.
     """
@@ -88,7 +88,7 @@
         return found
 
     def pause(self) -> float:
-        """Return the seconds until the next question."""
+        """Return the seconds until the next question, longer each time."""
         seconds = self._pause
         self._pause = min(seconds * _LONGER, _LONGEST_PAUSE)
         return seconds
--- a/clementinepass/direct/teaching.py
+++ b/clementinepass/direct/bootstrap.py
@@ -1,4 +1,4 @@
-"""Tell processes that know nothing what there is to know."""
+"""Bootstrap processes that have just started from what is known here."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 _MOST_WAITING = 4096
 
 
-class Teaching:
+class Bootstrap:
     """Answers processes that have just started.
 
     Load: all of 300 processes start together and ask the same three seeds.
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -13,12 +13,12 @@
 from clementinepass.decisions import dissemination, start_reading
 from clementinepass.direct import (
     catching_up,
-    handing_over,
+    record_server,
     heartbeats,
     members,
     records,
     subscribers,
-    teaching,
+    bootstrap,
     turns,
 )
 from clementinepass.http import connection, front, replies
@@ -70,9 +70,9 @@
         self._sequence = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._front = front.Front(self._serve)
-        self._handing_over = handing_over.HandingOver(followers)
-        self._teaching = teaching.Teaching(self._whole_message, self._send)
-        self._asking = start_reading.Asking(own.ip, own.seeds, rng)
+        self._record_server = record_server.RecordServer(followers)
+        self._bootstrap = bootstrap.Bootstrap(self._whole_message, self._send)
+        self._polling = start_reading.SeedPolling(own.ip, own.seeds, rng)
         self._catching_up = catching_up.CatchingUp(own, followers, known)
         #: The entries.
         self.members = members.Members(own.ip)
@@ -108,13 +108,13 @@
         while True:
             self.speak()
             is_new = self.is_new
-            seconds = self._asking.pause() if is_new else _HEARTBEAT_SECONDS
+            seconds = self._polling.pause() if is_new else _HEARTBEAT_SECONDS
             await asyncio.sleep(seconds * self._rng.uniform(0.9, 1.1))
 
     def ask(self) -> float:
         """Ask seeds what there is; return the seconds until the next time."""
-        self.tell(self._asking.due())
-        return self._asking.pause()
+        self.tell(self._polling.due())
+        return self._polling.pause()
 
     def speak(self, *, whole: bool = False) -> None:
         """Send one heartbeat to some of the others.
@@ -243,7 +243,7 @@
         for held in heartbeat.held:
             self._cluster.heard_held(held, now)
         self._catching_up.heard(heartbeat, ip, now)
-        self._teaching.heard(heartbeat, ip, now, offsets=self._offsets)
+        self._bootstrap.heard(heartbeat, ip, now, offsets=self._offsets)
 
     def _learn_turns(
         self, heartbeat: heartbeats.Heartbeat, ip: str, now: float
@@ -265,8 +265,8 @@
         reply: replies.Reply,
     ) -> None:
         """Answer a peer's request."""
-        if self._handing_over.serves(request):
-            self._handing_over.serve(request, reply)
+        if self._record_server.serves(request):
+            self._record_server.serve(request, reply)
         elif self._others is None:
             reply.send(_NOT_FOUND, [], b'')
         else:
@@ -329,7 +329,7 @@
         near, far = self.members.addresses(self._own.domain)
         others: set[str] = set()
         if self.is_new:
-            others.update(self._asking.due())
+            others.update(self._polling.due())
         elif whole or not (near or far):
             others.update(self._own.seeds, self._near_agents())
         far.extend(others.difference(near, far))
@@ -341,7 +341,7 @@
         self.tell(list(self._relying()))
         if not self.is_new:
             now = asyncio.get_running_loop().time()
-            self._teaching.tell_waiting(now)
+            self._bootstrap.tell_waiting(now)
 
     def _relying(self) -> set[str]:
         """Return the entries that rely on this one for what the store has.
--- a/clementinepass/direct/handing_over.py
+++ b/clementinepass/direct/record_server.py
@@ -1,4 +1,4 @@
-"""Hand records of the store to peers that know less of them."""
+"""Serve records of the store to peers that know less of them."""
 
 from __future__ import annotations
 
@@ -42,8 +42,8 @@
     compressed: bytes
 
 
-class HandingOver:
-    """Answers with what the followers have from an offset on.
+class RecordServer:
+    """Serves what the followers have from an offset on.
 
     Load: a snapshot of 3,000 endpoints, asked for by 300 processes that start
     together.  To write and compress it takes longer than to send it; done for
--- a/tests/decisions/test_start_reading.py
+++ b/tests/decisions/test_start_reading.py
@@ -49,21 +49,21 @@
         self.assertTrue(start_reading.may_ask(is_near=False, since_start=0.5))
 
 
-class AskingTest(testtools.TestCase):
+class SeedPollingTest(testtools.TestCase):
     """All processes start together and ask the seeds.
 
     300 of them asked three seeds each, ten times a second, until they were
-    told, and the seeds were busy with nothing else for half a minute.
+    told, and to answer took more processor time than the seeds had.
     """
 
     def asked(self, seconds: float) -> list[tuple[float, str]]:
         """Return when which seed is asked by one process."""
-        asking = start_reading.Asking(SEEDS[0], SEEDS, random.Random(3))
+        polling = start_reading.SeedPolling(SEEDS[0], SEEDS, random.Random(3))
         found = []
         now: float = 0
         while now < seconds:
-            found.extend((now, seed) for seed in asking.due())
-            now += asking.pause()
+            found.extend((now, seed) for seed in polling.due())
+            now += polling.pause()
         return found
 
     def test_all_at_first(self) -> None:
@@ -82,6 +82,6 @@
 
     def test_no_seeds(self) -> None:
         """There is nobody to ask where there are no others."""
-        asking = start_reading.Asking('10.0.0.9', (), random.Random(3))
-        self.assertEqual([], asking.due())
-        self.assertEqual([], asking.due())
+        polling = start_reading.SeedPolling('10.0.0.9', (), random.Random(3))
+        self.assertEqual([], polling.due())
+        self.assertEqual([], polling.due())
--- a/tests/direct/test_teaching.py
+++ b/tests/direct/test_bootstrap.py
@@ -4,19 +4,19 @@
 
 import testtools
 
-from clementinepass.direct import heartbeats, teaching
+from clementinepass.direct import bootstrap, heartbeats
 
 ASKERS = [f'10.0.{number // 100}.{number % 100}' for number in range(300)]
 
 
-class TeachingTest(testtools.TestCase):
+class BootstrapTest(testtools.TestCase):
     """Many processes that have just started ask one that knows something."""
 
     def setUp(self) -> None:
         super().setUp()
         self.composed = 0
         self.told: list[str] = []
-        self.teaching = teaching.Teaching(
+        self.bootstrap = bootstrap.Bootstrap(
             self._compose,
             lambda _, ip: self.told.append(ip),
         )
@@ -31,7 +31,7 @@
             operator_offset=read,
             endpoints_offset=read,
         )
-        self.teaching.heard(heartbeat, ip, 1, offsets=(known, known))
+        self.bootstrap.heard(heartbeat, ip, 1, offsets=(known, known))
 
     def test_composed_once(self) -> None:
         """A seed composed the same message for each of 300 that asked."""
@@ -45,22 +45,22 @@
         for ip in ASKERS:
             self.ask(ip)
         self.assertEqual([], self.told)
-        self.teaching.tell_waiting(1)
+        self.bootstrap.tell_waiting(1)
         self.assertEqual(ASKERS, self.told)
-        self.teaching.tell_waiting(2)
+        self.bootstrap.tell_waiting(2)
         self.assertEqual(len(ASKERS), len(self.told))
 
     def test_told_by_another(self) -> None:
         """One that knows all by then isn't told."""
         self.ask(ASKERS[0])
         self.ask(ASKERS[0], read=3)
-        self.teaching.tell_waiting(1)
+        self.bootstrap.tell_waiting(1)
         self.assertEqual([], self.told)
 
     def test_one_topic_known(self) -> None:
         """What is known is told at once, and the rest when it is known."""
         heartbeat = heartbeats.Heartbeat()
-        self.teaching.heard(heartbeat, ASKERS[0], 1, offsets=(4, 0))
+        self.bootstrap.heard(heartbeat, ASKERS[0], 1, offsets=(4, 0))
         self.assertEqual(1, len(self.told))
-        self.teaching.tell_waiting(1)
+        self.bootstrap.tell_waiting(1)
         self.assertEqual(2, len(self.told))
--- a/tests/direct/test_handing_over.py
+++ b/tests/direct/test_record_server.py
@@ -10,7 +10,7 @@
 
 import testtools
 
-from clementinepass.direct import catching_up, follower, handing_over, records
+from clementinepass.direct import catching_up, follower, record_server, records
 from clementinepass.http import messages
 from clementinepass.wire import heartbeats as wire_heartbeats
 from tests.direct import test_follower
@@ -35,7 +35,7 @@
         self.body = body
 
 
-class HandingOverTest(testtools.TestCase):
+class RecordServerTest(testtools.TestCase):
     """Peers ask for the records of a topic."""
 
     def setUp(self) -> None:
@@ -46,7 +46,7 @@
             lambda _: None,
             random.Random(1),
         )
-        self.handing = handing_over.HandingOver({TOPIC: self.follower})
+        self.server = record_server.RecordServer({TOPIC: self.follower})
 
     def take(self, *offsets: int, outage_age: float | None = None) -> None:
         """Take records."""
@@ -67,9 +67,9 @@
             b'',
             0,
         )
-        self.assertTrue(self.handing.serves(request))
+        self.assertTrue(self.server.serves(request))
         reply = _Reply()
-        self.handing.serve(request, typing.cast('typing.Any', reply))
+        self.server.serve(request, typing.cast('typing.Any', reply))
         body = zlib.decompress(reply.body) if deflate else reply.body
         return wire_heartbeats.read_records(body, 'peer')
 
@@ -135,6 +135,6 @@
             self.take(*range(1, 60))
             for offset in range(60):
                 self.handed(offset)
-            self.assertLess(len(self.handing._answers_by_key), 6)
+            self.assertLess(len(self.server._answers_by_key), 6)
 
         asyncio.run(story())
