--- a/clementinepass/decisions/superseding.py
+++ b/clementinepass/decisions/superseding.py
@@ -22,14 +22,27 @@
     left: float
 
 
-def finish_first(current: Transfer, newer: Transfer) -> bool:
+def finish_first(
+    current: Transfer,
+    newer: Transfer,
+    *,
+    is_decided: bool = False,
+) -> bool:
     """Tell whether to finish the current version before the newer one.
 
-    Whichever leaves the shorter time in which no version may be used; where
-    both leave none the first is dropped, since each load takes the engine
-    out for a second.
+    Whichever leaves the shorter time in which no version may be used. Where
+    that is the same the first is finished: its pieces are at other agents
+    already, while the origin, which the newer one needs, may be gone.
+
+    A decision to finish stands until the current version could no longer be
+    used. Failure: agents that pieces reached late dropped what they had for a
+    version whose origin had been gone for two seconds.
+
+    :param is_decided: whether that was decided before.
     """
+    if is_decided:
+        return current.seconds < newer.left
     late_first = max(current.seconds - current.left, 0)
     late_second = max(current.seconds + newer.seconds - newer.left, 0)
     dropped = max(newer.seconds - current.left, 0)
-    return late_first + late_second < dropped
+    return late_first + late_second <= dropped
--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -128,6 +128,7 @@
             works = (
                 self._keep_up,
                 self._keep_fetched,
+                self._keep_prepared,
                 self._keep_loaded,
                 self._tell_of_link,
             )
@@ -250,6 +251,17 @@
                     self._note_trouble(f'not fetched: {error}')
             await asyncio.sleep(_BUSY_SECONDS)
 
+    async def _keep_prepared(self) -> None:
+        """Get the manifest of a version that is to be got next."""
+        while True:
+            model, version = self._aims.following(self._loading)
+            if version:
+                try:
+                    await self._loading.prepare(model, version)
+                except errors.ClementinepassError as error:
+                    logger.info('not prepared: {}', error)
+            await asyncio.sleep(_BUSY_SECONDS)
+
     async def _keep_loaded(self) -> None:
         """Have the engine load the newest version that is here whole."""
         while True:
--- a/clementinepass/direct/aims.py
+++ b/clementinepass/direct/aims.py
@@ -35,6 +35,7 @@
     __slots__ = (
         '_cluster',
         '_fetching',
+        '_finished_before',
         '_neighbours',
         '_own',
         'held',
@@ -51,6 +52,8 @@
         self._neighbours = near
         #: The version whose pieces are being got.
         self._fetching = 0
+        #: The newer version that waits until that one is whole.
+        self._finished_before = 0
         #: What the engine said last that it holds; ``None`` until it did.
         self.held: endpoints.Weights | None = None
 
@@ -77,6 +80,19 @@
             return engine.model, 0
         return engine.model, version
 
+    def following(self, ready: loading.Loading) -> tuple[str, int]:
+        """Return the model and the version to get after the one on its way.
+
+        Version 0 where there is none.
+        """
+        engine = self._neighbours.engine()
+        if engine is None:
+            return '', 0
+        named = self._cluster.wanted_version(engine.model)
+        is_next = bool(self._fetching) and named > self._fetching
+        known = ready.pieces_of(engine.model, named)
+        return engine.model, named if is_next and known is None else 0
+
     def is_in_use(self, version: int) -> bool:
         """Tell whether the operator named a version or some engine has it."""
         engine = self._neighbours.engine()
@@ -120,7 +136,7 @@
         left = self._cluster.seconds_left(engine.model, current)
         if left is None:
             return False
-        return superseding.finish_first(
+        finishes = superseding.finish_first(
             superseding.Transfer(
                 self._seconds(engine, len(begun.missing)),
                 left,
@@ -129,7 +145,10 @@
                 self._seconds(engine, engine.chunks),
                 self._cluster.seconds_left(engine.model, newest) or 0,
             ),
+            is_decided=self._finished_before == newest,
         )
+        self._finished_before = newest if finishes else 0
+        return finishes
 
     def _seconds(self, engine: routing.Engine, chunks: int) -> float:
         """Return how long pieces take over this machine's link."""
--- a/clementinepass/direct/loading.py
+++ b/clementinepass/direct/loading.py
@@ -80,6 +80,17 @@
             for held in self._pieces_by_version.values()
         )
 
+    async def prepare(self, model: str, version: int) -> None:
+        """Get the manifest of a version whose pieces are got later.
+
+        Failure: a version was named while the one before was on its way, and
+        its origin was gone before that was whole. Agents asked for the manifest
+        only then, and began with its pieces a second after the origin was back.
+
+        :raises ClementinepassError: nobody has the manifest.
+        """
+        await self._manifest(model, version)
+
     async def fetch(self, model: str, version: int) -> None:
         """Get the pieces of a version that are missing.
 
@@ -172,6 +183,10 @@
         if known is not None:
             return known
         manifest = await self._manifests.find(model, version)
+        known = self.pieces_of(model, version)
+        if known is not None:
+            # It was prepared meanwhile.
+            return known
         held = pieces.Pieces(manifest)
         self._pieces_by_version[version] = held
         self._forget()
--- a/clementinepass/direct/manifests.py
+++ b/clementinepass/direct/manifests.py
@@ -42,13 +42,13 @@
         asked = manifest_round.choose(plan, number)
         found = await self._first(asked, model, version)
         if found is None:
-            self._rounds_by_version = {version: number + 1}
+            self._rounds_by_version[version] = number + 1
             raise errors.ContentMissingError(
                 f'nobody has the manifest of version {version}',
                 step='manifest',
                 peer=model,
             )
-        self._rounds_by_version.clear()
+        self._rounds_by_version.pop(version, None)
         logger.bind(version=version, rounds=number).info('manifest found')
         return found
 
