--- a/clementinepass/decisions/piece_chains.py
+++ b/clementinepass/decisions/piece_chains.py
@@ -171,12 +171,26 @@
     if place >= len(holders):
         before = askers[place - len(holders)]
         return Plan((Lane((before.ip,)),), place=place // len(holders))
-    turned = holders[place:] + holders[:place]
-    sources = tuple(turned[:_HOLDERS_ASKED])
+    sources = _dealt(own, holders)
     others = tuple(ip for ip in partners if ip not in sources)
     return Plan((Lane(sources),), partners=others)
 
 
+def _dealt(own: Peer, holders: list[str]) -> tuple[str, ...]:
+    """Return the holders that an agent asks, by its own address alone.
+
+    Failure: engines were added at once, and their agents didn't know of one
+    another for two seconds. All of a region turned to the same two holders,
+    and had an eighth of the version by then.
+
+    Machines that are added together have addresses in a row, mostly, and so
+    holders in a row.
+    """
+    start = _HOLDERS_ASKED * int.from_bytes(own.ip.encode()) % len(holders)
+    turned = holders[start:] + holders[:start]
+    return tuple(turned[:_HOLDERS_ASKED])
+
+
 def _striped(question: Question) -> Plan:
     own = question.own
     found = piece_stripes.layout(
--- a/tests/decisions/test_piece_chains.py
+++ b/tests/decisions/test_piece_chains.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 import testtools
 
 from clementinepass.decisions import piece_chains
@@ -111,6 +113,21 @@
         self.assertEqual(2, len(plan.sources))
         self.assertLessEqual(set(plan.sources), near)
 
+    def test_shared_out(self) -> None:
+        """Five that were added at once don't know of one another yet.
+
+        All turned to the same two holders, and had an eighth of the version
+        after two seconds, when the list told them of the others.
+        """
+        holders = [peer._replace(holds=True) for peer in agents(north=8)]
+        asked: collections.Counter[str] = collections.Counter()
+        for number in range(57, 62):
+            own = piece_chains.Peer('north', 'north-1', f'10.0.0.{number}')
+            question = piece_chains.Question(own, holders, 'south')
+            asked.update(piece_chains.plan(question).sources)
+        self.assertEqual(10, asked.total())
+        self.assertLessEqual(max(asked.values()), 2)
+
     def test_far_holders(self) -> None:
         """Without one in the region, those of others are asked."""
         holders = [peer._replace(holds=True) for peer in agents(south=2)]
