--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -71,6 +71,8 @@
     weights: Weights
     #: When its process started, in milliseconds of Unix time.
     started: int = incarnations.UNTOLD
+    #: Grows with each word in the list, whosever it is.
+    written: int = 0
 
     @property
     def host(self) -> str:
@@ -150,6 +152,7 @@
         'listing',
         'misdirected',
         'removed_at',
+        'replaced_by',
         'reported',
         'congested_until',
         'streams',
@@ -169,6 +172,8 @@
         self.misdirected = False
         #: Whether the newest record under its id names no endpoint.
         self.is_unreadable = False
+        #: The endpoint that last listed itself at its address, if another.
+        self.replaced_by: Endpoint | None = None
         #: When the list dropped it; ``None`` while it stands there.
         self.removed_at: float | None = None
         #: When a byte of a stream of it last came; monotonic seconds.
@@ -186,8 +191,16 @@
         """Tell whether requests may be sent to it."""
         if self.listing.draining or self.misdirected or self.is_unreadable:
             return False
+        if self.replaced_by is not None and self.replaced_by.is_listed:
+            return False
         return self.gone_at is None or now < self.gone_at
 
+    @property
+    def is_listed(self) -> bool:
+        """Tell whether nothing speaks against its word in the list."""
+        is_refuted = self.misdirected or self.is_unreadable
+        return self.removed_at is None and not is_refuted
+
     def stalled(self, now: float) -> bool:
         """Tell whether it says nothing though streams of it have begun.
 
@@ -317,7 +330,8 @@
         if not listing.started:
             listing = listing._replace(started=known.listing.started)
         returned = known.removed_at is not None
-        changed = returned or known.is_unreadable or listing != known.listing
+        is_same = listing == known.listing._replace(written=listing.written)
+        changed = returned or known.is_unreadable or not is_same
         is_current = not incarnations.is_over(
             known.weights_started, listing.started
         )
@@ -327,6 +341,7 @@
         known.is_unreadable = False
         known.removed_at = None
         known.gone_at = None
+        self._note_address(known)
         return changed
 
     def _begin_anew(self, known: Endpoint, listing: Listing) -> None:
@@ -363,3 +378,21 @@
         self._by_id[listing.id] = endpoint
         self._by_service.setdefault(listing.service, {})[listing.id] = endpoint
         self._by_host.setdefault(listing.host, {})[listing.id] = endpoint
+        self._note_address(endpoint)
+
+    def _note_address(self, endpoint: Endpoint) -> None:
+        """Have the newest word at an address replace the others there.
+
+        Failure: all machines lost their power and came back. The list still
+        named the endpoints of before beside those that had just started; each
+        entry sent to each of them once, and had no attempts left for others.
+        """
+        listing = endpoint.listing
+        endpoint.replaced_by = None
+        for other in self._by_host[listing.host].values():
+            if other.listing.address != listing.address or other is endpoint:
+                continue
+            if other.listing.written < listing.written:
+                other.replaced_by = endpoint
+            elif other.listing.written > listing.written:
+                endpoint.replaced_by = other
--- a/clementinepass/platform/registry.py
+++ b/clementinepass/platform/registry.py
@@ -84,6 +84,7 @@
         heartbeat=entry.sequence,
         weights=weights(entry.models, entry.layers),
         started=started(entry.born),
+        written=record.offset,
     )
 
 
--- a/tests/direct/test_endpoints.py
+++ b/tests/direct/test_endpoints.py
@@ -49,6 +49,37 @@
         """Return the ids of those that may be used."""
         return [one.listing.id for one in self.known.of_service('pool', now)]
 
+    def test_replaced_at_its_address(self) -> None:
+        """All lost their power; the list named who had been there, too.
+
+        Each entry sent to each of those once, and was told that another is
+        there now, until it might send nothing more.
+        """
+        self.known.listed(listing(id='i-2', written=9))
+        self.assertEqual(['i-2'], self.usable())
+        self.known.listed(listing(id='i-0', written=3))
+        self.assertEqual(['i-2'], self.usable())
+
+    def test_newer_word_at_an_address(self) -> None:
+        """Whoever writes last is there; a word of its start isn't needed."""
+        self.known.listed(listing(id='i-2', written=9))
+        self.known.listed(listing(heartbeat=6, written=12))
+        self.assertEqual(['i-1'], self.usable())
+
+    def test_replacement_refuted(self) -> None:
+        """A record named an address that isn't its endpoint's."""
+        self.known.listed(listing(id='i-2', written=9))
+        replacement = self.known.get('i-2')
+        assert replacement is not None
+        replacement.misdirected = True
+        self.assertEqual(['i-1'], self.usable())
+
+    def test_replacement_gone(self) -> None:
+        """The record of who replaced an endpoint is dropped."""
+        self.known.listed(listing(id='i-2', written=9))
+        self.known.removed('i-2', 5, 0)
+        self.assertEqual(['i-1'], self.usable(6))
+
     def test_stalled(self) -> None:
         """A machine stood still for four seconds and drew a third of the load.
 
