--- a/clementinepass/direct/suppliers.py
+++ b/clementinepass/direct/suppliers.py
@@ -31,6 +31,9 @@
 #: Seconds for which a source is passed over: its machine wakes meanwhile or is
 #: dropped from the list, and all that want the version have it, mostly.
 _PASSED_OVER = 8.0
+#: The same at first of one that refuses or breaks connections: its process may
+#: start again within the second. Twice as long each time after that.
+_FAILING_PASSED_OVER = 1.0
 #: Seconds that a piece takes on a slow link, three times the usual, and how
 #: many times as long as on another's.
 SLOW_PIECE = 0.22
@@ -63,6 +66,7 @@
         'ip',
         'is_slow',
         'on_way',
+        'passed_over_for',
         'passed_over_until',
         'piece_seconds',
         'source',
@@ -84,6 +88,8 @@
         #: there was none; ``None`` while there is none.
         self.asked_since: float | None = None
         self.passed_over_until = float('-inf')
+        #: Seconds for which it is passed over when it fails the next time.
+        self.passed_over_for = _FAILING_PASSED_OVER
         #: When its last piece came, or it was first asked; ``None`` before.
         self.flowed_at: float | None = None
         #: Whether a piece of it came.
@@ -185,8 +191,17 @@
             self.asked_since = None
 
     def pass_over(self, now: float) -> None:
-        """Stop using it for a while."""
-        self.passed_over_until = now + _PASSED_OVER
+        """Stop using it for a while.
+
+        Failure: agents were killed and back within a second. Each was passed
+        over for eight by the one after it, which shared a source with it: both
+        got pieces at half the rate, and all after them, too.
+        """
+        seconds = _PASSED_OVER
+        if self.failures >= _MOST_FAILURES:
+            seconds = min(self.passed_over_for, _PASSED_OVER)
+            self.passed_over_for = seconds * 2
+        self.passed_over_until = now + seconds
         self.failures = 0
         self.is_slow = False
         self.count = None
