--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -383,6 +383,9 @@
     def _note_address(self, endpoint: Endpoint) -> None:
         """Have the newest word at an address replace the others there.
 
+        Only of the same service: a word that is wrong is refuted as soon as a
+        request is sent by it, and to another service none may ever be.
+
         Failure: all machines lost their power and came back. The list still
         named the endpoints of before beside those that had just started; each
         entry sent to each of them once, and had no attempts left for others.
@@ -390,7 +393,7 @@
         listing = endpoint.listing
         endpoint.replaced_by = None
         for other in self._by_host[listing.host].values():
-            if other.listing.address != listing.address or other is endpoint:
+            if other is endpoint or listing.is_elsewhere(other.listing):
                 continue
             if other.listing.written < listing.written:
                 other.replaced_by = endpoint
--- a/tests/direct/test_endpoints.py
+++ b/tests/direct/test_endpoints.py
@@ -60,6 +60,11 @@
         self.known.listed(listing(id='i-0', written=3))
         self.assertEqual(['i-2'], self.usable())
 
+    def test_address_named_by_another_service(self) -> None:
+        """A wrong record takes no endpoint away from another service."""
+        self.known.listed(listing(id='i-2', service='other', written=9))
+        self.assertEqual(['i-1'], self.usable())
+
     def test_newer_word_at_an_address(self) -> None:
         """Whoever writes last is there; a word of its start isn't needed."""
         self.known.listed(listing(id='i-2', written=9))
