--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -370,6 +370,9 @@
         del self._by_service[listing.service][listing.id]
         at_host = self._by_host[listing.host]
         del at_host[listing.id]
+        for other in at_host.values():
+            if other.replaced_by is endpoint:
+                other.replaced_by = None
         if not at_host:
             del self._by_host[listing.host]
 
--- a/tests/direct/test_endpoints.py
+++ b/tests/direct/test_endpoints.py
@@ -79,6 +79,12 @@
         replacement.misdirected = True
         self.assertEqual(['i-1'], self.usable())
 
+    def test_replacement_moved(self) -> None:
+        """The one that replaced an endpoint started anew elsewhere."""
+        self.known.listed(listing(id='i-2', written=9))
+        self.known.listed(listing(id='i-2', address='10.0.0.7:80', written=10))
+        self.assertEqual({'i-1', 'i-2'}, set(self.usable()))
+
     def test_replacement_gone(self) -> None:
         """The record of who replaced an endpoint is dropped."""
         self.known.listed(listing(id='i-2', written=9))
