--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -259,7 +259,7 @@
                 try:
                     await self._loading.prepare(model, version)
                 except errors.ClementinepassError as error:
-                    logger.info('not prepared: {}', error)
+                    logger.bind(version=version).info('not prepared: {}', error)
             await asyncio.sleep(_BUSY_SECONDS)
 
     async def _keep_loaded(self) -> None:
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -376,6 +376,9 @@
     'not fetched': Kind(
         'node', 'nobody had the manifest, or the engine did not answer'
     ),
+    'not prepared': Kind(
+        'version', 'nobody had the manifest of the version to get next'
+    ),
 }
 
 
