--- a/clementinepass/decisions/piece_chains.py
+++ b/clementinepass/decisions/piece_chains.py
@@ -171,12 +171,12 @@
     if place >= len(holders):
         before = askers[place - len(holders)]
         return Plan((Lane((before.ip,)),), place=place // len(holders))
-    sources = _dealt(own, holders)
+    sources = _holders_of(own, holders)
     others = tuple(ip for ip in partners if ip not in sources)
     return Plan((Lane(sources),), partners=others)
 
 
-def _dealt(own: Peer, holders: list[str]) -> tuple[str, ...]:
+def _holders_of(own: Peer, holders: list[str]) -> tuple[str, ...]:
     """Return the holders that an agent asks, by its own address alone.
 
     Failure: engines were added at once, and their agents didn't know of one
--- a/clementinepass/direct/aims.py
+++ b/clementinepass/direct/aims.py
@@ -35,9 +35,9 @@
     __slots__ = (
         '_cluster',
         '_fetching',
-        '_finished_before',
         '_neighbours',
         '_own',
+        '_postponed',
         'held',
     )
 
@@ -52,8 +52,8 @@
         self._neighbours = near
         #: The version whose pieces are being got.
         self._fetching = 0
-        #: The newer version that waits until that one is whole.
-        self._finished_before = 0
+        #: The newer version that waits until that one is whole; 0 for none.
+        self._postponed = 0
         #: What the engine said last that it holds; ``None`` until it did.
         self.held: endpoints.Weights | None = None
 
@@ -145,9 +145,9 @@
                 self._seconds(engine, engine.chunks),
                 self._cluster.seconds_left(engine.model, newest) or 0,
             ),
-            is_decided=self._finished_before == newest,
+            is_decided=self._postponed == newest,
         )
-        self._finished_before = newest if finishes else 0
+        self._postponed = newest if finishes else 0
         return finishes
 
     def _seconds(self, engine: routing.Engine, chunks: int) -> float:
--- a/clementinepass/direct/loading.py
+++ b/clementinepass/direct/loading.py
@@ -85,7 +85,7 @@
 
         Failure: a version was named while the one before was on its way, and
         its origin was gone before that was whole. Agents asked for the manifest
-        only then, and began with its pieces a second after the origin was back.
+        only then, and nobody had it.
 
         :raises ClementinepassError: nobody has the manifest.
         """
--- a/clementinepass/direct/suppliers.py
+++ b/clementinepass/direct/suppliers.py
@@ -58,6 +58,7 @@
 
     __slots__ = (
         'asked_since',
+        'backoff',
         'count',
         'failures',
         'flowed_at',
@@ -66,7 +67,6 @@
         'ip',
         'is_slow',
         'on_way',
-        'passed_over_for',
         'passed_over_until',
         'piece_seconds',
         'source',
@@ -89,7 +89,7 @@
         self.asked_since: float | None = None
         self.passed_over_until = float('-inf')
         #: Seconds for which it is passed over when it fails the next time.
-        self.passed_over_for = _FAILING_PASSED_OVER
+        self.backoff = _FAILING_PASSED_OVER
         #: When its last piece came, or it was first asked; ``None`` before.
         self.flowed_at: float | None = None
         #: Whether a piece of it came.
@@ -199,8 +199,8 @@
         """
         seconds = _PASSED_OVER
         if self.failures >= _MOST_FAILURES:
-            seconds = min(self.passed_over_for, _PASSED_OVER)
-            self.passed_over_for = seconds * 2
+            seconds = min(self.backoff, _PASSED_OVER)
+            self.backoff = seconds * 2
         self.passed_over_until = now + seconds
         self.failures = 0
         self.is_slow = False
