--- a/clementinepass/decisions/manifest_round.py
+++ b/clementinepass/decisions/manifest_round.py
@@ -16,9 +16,8 @@
 
 from clementinepass.decisions import piece_chains
 
-#: Other agents asked in a round. Worked out for agents that all begin a round
-#: at once: what the origin hands out to some, 40 agents have after three rounds
-#: and 300 after five.
+#: Other agents asked in a round: what some have from the origin, all have after
+#: a few rounds, whose number grows with the logarithm of the agents.
 _OTHERS_ASKED = 2
 #: Agents of a chain that ask the origin in each round. Those behind ask it in
 #: every second, third and so on: a manifest of 96 pieces is some 7 KB, which
--- a/clementinepass/direct/chain_order.py
+++ b/clementinepass/direct/chain_order.py
@@ -7,10 +7,8 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Sequence
 
-#: Seconds without a piece after which to go by what the source has. Pieces
-#: come each 70 ms, and a source sends five to another agent first, 0.35 s.
-#: With 0.35 s most agents gave the order up when they turned from one source
-#: to the other, and had all after 6.2 to 8.1 s in place of 5.3 s.
+#: Seconds without a piece after which to go by what the source has. A source
+#: may send five to another agent first; that is no reason to give the order up.
 _STALLED = 0.7
 #: Pieces in a row that came in the order of the chain, after which to go by
 #: that again. At the start of a version the last of a chain wait longer than
--- a/clementinepass/direct/fetching.py
+++ b/clementinepass/direct/fetching.py
@@ -26,14 +26,12 @@
 #: Pieces asked for at once of one agent. It sends one at a time, so that only
 #: one is on the link; the others wait there so that it goes on without a
 #: pause, though questions and answers queue behind the pieces on both links.
-#: Measured with ten agents: with two a piece took 76 ms, with five 60 ms.
 _ASKED_OF_AGENT = 5
-#: The same of several sources, which send at the same time: with six on their
-#: way half of the answers were late behind them, with two a tenth.
+#: The same of several sources, which send at the same time: more of them hold
+#: up the engine's prompts and events.
 _ASKED_OF_SEVERAL = 2
 #: The same of an agent, beside pieces that enter the region here and don't fill
-#: the link. Harm without: of an origin that fills half of a link, heads had the
-#: other half of the pieces after a second time of the link.
+#: the link, so that the rest of it isn't idle.
 _ASKED_BESIDE = 1
 #: Pieces asked for that the source doesn't have yet, where what it has is
 #: followed: the next one and one behind it.
