--- a/clementinepass/decisions/superseding.py
+++ b/clementinepass/decisions/superseding.py
@@ -11,6 +11,11 @@
 import typing
 
 
+#: Seconds until an agent has all of a version that it begins with, for each
+#: second that its own link needs: pieces come through those before it.
+_SPREAD_PART = 1.25
+
+
 class Transfer(typing.NamedTuple):
     """A version on its way.
 
@@ -43,6 +48,7 @@
     if is_decided:
         return current.seconds < newer.left
     late_first = max(current.seconds - current.left, 0)
-    late_second = max(current.seconds + newer.seconds - newer.left, 0)
-    dropped = max(newer.seconds - current.left, 0)
+    spread = newer.seconds * _SPREAD_PART
+    late_second = max(current.seconds + spread - newer.left, 0)
+    dropped = max(spread - current.left, 0)
     return late_first + late_second <= dropped
--- a/tests/decisions/test_direct_decisions.py
+++ b/tests/decisions/test_direct_decisions.py
@@ -257,6 +257,17 @@
         newer = superseding.Transfer(5.6, 8)
         self.assertTrue(superseding.finish_first(current, newer))
 
+    def test_all_agree(self) -> None:
+        """Two seconds apart, with links that just carry two versions in time.
+
+        Agents with many pieces finished the first and those with few dropped
+        it, so that pieces of neither came through.
+        """
+        newer = superseding.Transfer(4.8, 8)
+        for seconds in (2.6, 3.2, 4.4):
+            current = superseding.Transfer(seconds, 6)
+            self.assertFalse(superseding.finish_first(current, newer))
+
     def test_decision_stands(self) -> None:
         """Pieces that came late don't have the first dropped half way."""
         current = superseding.Transfer(2.8, 5)
