--- a/clementinepass/decisions/piece_chains.py
+++ b/clementinepass/decisions/piece_chains.py
@@ -150,8 +150,7 @@
 def _turned(own: Peer, peers: Sequence[Peer]) -> list[str]:
     """Return agents that have the version; each region begins with another."""
     holders = sorted(peer.ip for peer in peers if peer.holds)
-    turn = zlib.crc32(own.region.encode()) % max(len(holders), 1)
-    return holders[turn:] + holders[:turn]
+    return _rotated(holders, zlib.crc32(own.region.encode()))
 
 
 def _behind(
@@ -186,9 +185,8 @@
     Machines that are added together have addresses in a row, mostly, and so
     holders in a row.
     """
-    start = _HOLDERS_ASKED * int.from_bytes(own.ip.encode()) % len(holders)
-    turned = holders[start:] + holders[:start]
-    return tuple(turned[:_HOLDERS_ASKED])
+    start = _HOLDERS_ASKED * int.from_bytes(own.ip.encode())
+    return tuple(_rotated(holders, start)[:_HOLDERS_ASKED])
 
 
 def _striped(question: Question) -> Plan:
@@ -247,5 +245,10 @@
     near = sorted(
         peer.ip for peer in question.sound if peer.region == question.own.region
     )
-    turn = zlib.crc32(question.own.ip.encode()) % max(len(near), 1)
-    return tuple(near[turn:] + near[:turn])
+    return tuple(_rotated(near, zlib.crc32(question.own.ip.encode())))
+
+
+def _rotated(ips: list[str], turn: int) -> list[str]:
+    """Return addresses in their order, beginning with another."""
+    start = turn % max(len(ips), 1)
+    return ips[start:] + ips[:start]
