Don't take a neighbour's narrow link for the local one

Callers saw a new version later: the origin sent it nearly twice to a region. When the link of an agent that reads a stripe from the origin was narrow, agents with fast links reported themselves as slow too, were skipped, and their stripes were read from the origin again.

Cause: a piece that crosses a narrow link takes as long at either end. An agent judged its own link by the sources in use, and counted any other source that had ever delivered as evidence. With its own stripe complete, only the narrow agent was in use.

NarrowNeighbourTest::test_fast_before failed in 3 of 3 runs on the old code; it needs no load and no clock. Ruled out: load; the event loop was never late.

--- a/clementinepass/direct/fetching.py
+++ b/clementinepass/direct/fetching.py
@@ -503,12 +503,17 @@
     ) -> None:
         """Record a piece's transfer time, and whether the local link is slow.
 
-        The local link counts as slow if pieces take long although the source
-        has several more than this agent, or although more than one source has
-        delivered pieces. Other agents then skip this one as a source. The time
+        The local link counts as slow if pieces from more than one source take
+        long, or if those from the only source do although it has several more
+        than this agent. Other agents then skip this one as a source. The time
         in which a source sends to other agents isn't counted: it ends before
         the response begins.
 
+        A narrow link is as slow from either end. Long transfers from one source
+        only, while pieces of another came fast, are no evidence: its
+        neighbours, whose own links were fast, were skipped instead of the agent
+        on the narrow link, and their stripes were read from the origin again.
+
         Unless a slow link is reported, no other agent takes over. When the link
         of an agent that read a stripe from the origin was narrowed to an
         eighth, it couldn't be told apart from a slow origin, and all other
@@ -518,9 +523,9 @@
         pieces_ahead = (piece.source_piece_count or 0) - len(
             self._version_pieces.numbers
         )
-        has_evidence = (
+        has_evidence = self._suppliers.are_several_slow() or (
             pieces_ahead > _MAX_PIECES_AHEAD
-            or self._suppliers.have_several_delivered()
+            and not self._suppliers.is_any_fast()
         )
         self._version_pieces.is_slow = (
             self._suppliers.piece_seconds > suppliers.SLOW_PIECE_SECONDS
--- a/clementinepass/direct/suppliers.py
+++ b/clementinepass/direct/suppliers.py
@@ -145,6 +145,11 @@
             SLOW_PIECE_SECONDS, fastest * _SLOWER_FACTOR
         )
 
+    @property
+    def delivers_slowly(self) -> bool:
+        """Return whether pieces have come from the source, and take long."""
+        return self.has_delivered and self.piece_seconds > SLOW_PIECE_SECONDS
+
     @property
     def next_piece_seconds(self) -> float:
         """Return the seconds until one more requested piece would arrive."""
@@ -315,9 +320,16 @@
             default=_DEFAULT_PIECE_SECONDS,
         )
 
-    def have_several_delivered(self) -> bool:
-        """Return whether pieces have come from more than one source."""
-        return sum(supplier.has_delivered for supplier in self) > 1
+    def are_several_slow(self) -> bool:
+        """Return whether pieces of more than one source take long."""
+        return sum(supplier.delivers_slowly for supplier in self) > 1
+
+    def is_any_fast(self) -> bool:
+        """Return whether the last pieces of any source came fast."""
+        return any(
+            supplier.has_delivered and not supplier.delivers_slowly
+            for supplier in self
+        )
 
     def in_flight(self) -> frozenset[int]:
         """Return the numbers of all pieces in flight."""
--- a/tests/direct/test_fetching.py
+++ b/tests/direct/test_fetching.py
@@ -514,3 +514,60 @@
             self.assertFalse(supplier.is_slower_than(0.4))
 
         asyncio.run(scenario())
+
+
+class NarrowNeighbourTest(testtools.TestCase):
+    """A neighbour's link is narrow, and the local link is fast.
+
+    Agents with fast links reported themselves as slow, were skipped, and their
+    stripes were read from the origin a second time.
+    """
+
+    def receive_pieces(
+        self, *received: tuple[str, float], ahead: int = 0
+    ) -> bool:
+        """Receive pieces; return whether the local link counts as slow.
+
+        :param received: the sources and the transfer times, in order.
+        :param ahead: how many more pieces each source has.
+        """
+        version_pieces = pieces.Pieces(MANIFEST)
+
+        async def main() -> None:
+            network = _Network(4, 0)
+            fetcher = fetching.Fetcher(version_pieces, network.agents[0])
+            for ip, seconds in received:
+                supplier = fetcher._suppliers.get(ip)
+                supplier.in_flight[3] = asyncio.create_task(asyncio.sleep(0))
+                fetcher._record_piece(
+                    supplier, weights.Piece(b'', ahead, seconds)
+                )
+                supplier.finish_request(3)
+                supplier.available = frozenset([3])
+                for other_supplier in fetcher._suppliers:
+                    if other_supplier is not supplier:
+                        other_supplier.available = frozenset()
+
+        asyncio.run(main())
+        return version_pieces.is_slow
+
+    def test_fast_before(self) -> None:
+        """Slow pieces of one source don't count after another's fast ones."""
+        received = [('', 0.07), *[('10.0.0.1', 0.5)] * 4]
+        self.assertFalse(self.receive_pieces(*received))
+        self.assertFalse(self.receive_pieces(*received, ahead=20))
+
+    def test_second_source(self) -> None:
+        """Slow pieces of a second source show that the local link is slow."""
+        received = [
+            ('', 0.07),
+            *[('10.0.0.1', 0.5)] * 4,
+            *[('10.0.0.2', 0.5)] * 2,
+        ]
+        self.assertTrue(self.receive_pieces(*received))
+
+    def test_only_source(self) -> None:
+        """The only source counts if it has several more pieces."""
+        received = [('10.0.0.1', 0.5)] * 4
+        self.assertFalse(self.receive_pieces(*received))
+        self.assertTrue(self.receive_pieces(*received, ahead=20))
