Let entries and agents end within their bound, whatever others do

Operators saw an entry that never ended after SIGTERM: callers that read no response held it for 63.9 s of a bound of 33 s, and the platform kills a process at its own bound, with all that it still carries.

Cause: the entry closed the callers' server on its event loop, which waited there for the server's threads. A thread that still had a request waited for the loop until the deadline of the request and 5 s. That took a caller that doesn't read, or a request that was accepted in the last moment of the offer: requests counted only once they held a slot, so the drain ended while a thread was still reading or claiming.

Evidence: stacks 8 s after 'drained': the event loop's thread in ThreadPool.stop, join; eight threads in Outbox.get under _next_event. The 33 s are the rest of the deadline and the margin. That the threads were blocked in a write, as was suspected, is ruled out.

Now requests count from their acceptance, the server closes in a thread beside the loop, what is left after the grace is cut off and its callers are told, and connections that are still open half a second later are shut down.

The four tests of BoundedStopProof failed on the old code.

--- a/clementinepass/agent/assembly.py
+++ b/clementinepass/agent/assembly.py
@@ -119,8 +119,9 @@
                 metrics=f'{daemon.metrics_listen.host}:{exposed.port}',
             ).info('listening')
             await life.run(self._work(), self._drain)
-        exposed.close()
+        await asyncio.to_thread(exposed.close)
         self._bridge.close()
+        logger.bind(step='close').info('closed')
 
     async def _work(self) -> None:
         async with asyncio.TaskGroup() as group:
--- a/clementinepass/daemon.py
+++ b/clementinepass/daemon.py
@@ -12,7 +12,7 @@
 import cyclopts
 from loguru import logger
 
-from clementinepass import errors
+from clementinepass import errors, lifecycle
 from clementinepass.agent import assembly as agent_assembly
 from clementinepass.entry import assembly as entry_assembly
 from clementinepass.observability import logs
@@ -71,6 +71,7 @@
     incarnation = time.time_ns()
     async with capnp.kj_loop(), garbage.collect_on_loop():
         await assemble(settings, incarnation, path)
+        lifecycle.exit_without_threads(EXIT_OK)
 
 
 def _read(path: pathlib.Path) -> daemon_settings.Settings:
--- a/clementinepass/entry/assembly.py
+++ b/clementinepass/entry/assembly.py
@@ -31,6 +31,8 @@
 #: Seconds beyond the time for which the log holds a read.
 _LOG_MARGIN = 2.0
 _POLL = 0.05
+#: Seconds in which callers are told that their requests were cut off.
+_CUT_OFF_SECONDS = 0.5
 
 
 async def run(
@@ -98,6 +100,20 @@
             f'{identity.id}#{incarnation}',
             self._clock,
         )
+        self._limits = http.Limits(
+            self._callers.threads,
+            self._callers.streams,
+            self._callers.body_limit,
+            self._callers.max_age,
+        )
+        self._app = http.App(
+            self._entry,
+            self._bridge,
+            self._claimer,
+            self._limits,
+            self._clock,
+            self._metrics,
+        )
 
     async def run(self, path: pathlib.Path) -> None:
         """Serve until told to leave."""
@@ -127,10 +143,13 @@
                 metrics=f'{daemon.metrics_listen.host}:{health.port}',
             ).info('listening')
             await life.run(self._entry.run(), self._drain)
-        callers.close()
+        # The threads of callers wait for the event loop, so it has to run
+        # until they have ended.
+        await asyncio.to_thread(callers.close)
         self._claimer.stop()
-        health.close()
+        await asyncio.to_thread(health.close)
         self._bridge.close()
+        logger.bind(step='close').info('closed')
 
     async def _drain(self) -> None:
         """Announce the leaving, wait for callers to go, finish what runs.
@@ -143,31 +162,28 @@
         leaving = self._entry.leaving
         while leaving.accepts_requests(self._clock.now()):
             await asyncio.sleep(_POLL)
-        deadline = self._clock.now() + self._settings.daemon.drain_grace
-        while self._entry.in_progress and self._clock.now() < deadline:
-            await asyncio.sleep(_POLL)
         logger.bind(step='drain').info(
-            'drained, {} cut off',
-            self._entry.in_progress,
+            'no longer accepting, {} in progress', self._app.in_progress
+        )
+        await self._until_idle(self._settings.daemon.drain_grace)
+        logger.bind(step='drain').info(
+            'drained, {} cut off', self._app.in_progress
         )
+        if self._app.in_progress:
+            self._app.cut_off()
+            await self._until_idle(_CUT_OFF_SECONDS)
+
+    async def _until_idle(self, seconds: float) -> None:
+        """Wait until nothing is in progress, or for a time."""
+        deadline = self._clock.now() + seconds
+        while self._app.in_progress and self._clock.now() < deadline:
+            await asyncio.sleep(_POLL)
 
     def _callers_server(self) -> http.CallersServer:
-        limits = http.Limits(
-            self._callers.threads,
-            self._callers.streams,
-            self._callers.body_limit,
-            self._callers.max_age,
-        )
-        app = http.App(
-            self._entry,
-            self._bridge,
-            self._claimer,
-            limits,
-            self._clock,
-            self._metrics,
-        )
         listen = self._callers.listen
-        return http.CallersServer(listen.host, listen.port, app, limits)
+        return http.CallersServer(
+            listen.host, listen.port, self._app, self._limits
+        )
 
     def _transport_limits(self) -> transport.Limits:
         timeout = self._settings.platform.timeout
--- a/clementinepass/entry/dispatcher.py
+++ b/clementinepass/entry/dispatcher.py
@@ -34,6 +34,8 @@
 #: Seconds after which asking again makes sense when no endpoint serves the
 #: target: about the time in which a replaced instance comes up.
 _NO_ENDPOINT_RETRY = 2.0
+#: Seconds after which a caller may ask another entry.
+_LEAVING_RETRY = 1.0
 #: The share of fresh traffic that may be retried.
 _RETRY_SHARE = 0.1
 #: Seconds between tries of a suspect to find an endpoint without another
@@ -113,8 +115,15 @@
 
     async def serve(self, work: Work, outbox: outboxes.Outbox) -> Served:
         """Serve one request and put its whole answer into the outbox."""
+        trial = Trial()
         try:
-            served = await self._serve(work, outbox)
+            served = await self._serve(work, outbox, trial)
+        except asyncio.CancelledError:
+            # The thread of the caller waits for an end when the entry leaves
+            # while the request is in progress.
+            cut_off = self._cut_off(work.request, trial)
+            outbox.put(outboxes.End(cut_off.problem))
+            raise
         except Exception as error:
             # A fault of ours must not leave the caller waiting for an end
             # that never comes.
@@ -143,7 +152,12 @@
             ),
         )
 
-    async def _serve(self, work: Work, outbox: outboxes.Outbox) -> Served:
+    async def _serve(
+        self,
+        work: Work,
+        outbox: outboxes.Outbox,
+        trial: Trial,
+    ) -> Served:
         request = work.request
         refusal = self._judge(request)
         if refusal is not None:
@@ -160,7 +174,7 @@
         self._metrics.waited(request, self._clock.now() - began)
         if decision.kind is tickets.DecisionKind.REFUSE:
             return _refused(self._refusal(request, decision))
-        return await self._serve_admitted(work, outbox, desk, ticket)
+        return await self._serve_admitted(work, outbox, desk, ticket, trial)
 
     async def _serve_admitted(
         self,
@@ -168,8 +182,8 @@
         outbox: outboxes.Outbox,
         desk: desks.Desk,
         ticket: tickets.Ticket,
+        trial: Trial,
     ) -> Served:
-        trial = Trial()
         self._budget.record_first_attempt(self._clock.now())
         admitted = True
         served: Served | None = None
@@ -480,6 +494,19 @@
             ),
         )
 
+    def _cut_off(self, request: identity.Request, trial: Trial) -> Served:
+        if trial.last is not None:
+            trial.last.detail = trial.last.detail or 'the request was cut off'
+            return self._failed(trial.last)
+        return _refused(
+            self._not_run(
+                request,
+                problem.Reason.LEAVING,
+                step='drain',
+                retry_after=_LEAVING_RETRY,
+            ),
+        )
+
     def _nowhere(self, request: identity.Request, trial: Trial) -> Served:
         if trial.last is not None:
             return self._failed(trial.last)
--- a/clementinepass/entry/http.py
+++ b/clementinepass/entry/http.py
@@ -8,7 +8,6 @@
 import urllib.parse
 
 import msgspec
-from cheroot import wsgi
 
 from clementinepass import errors
 from clementinepass.entry import (
@@ -19,6 +18,7 @@
     responses,
 )
 from clementinepass.entry import outbox as outboxes
+from clementinepass.http import threaded
 from clementinepass.requests import (
     claim_records,
     claims,
@@ -34,7 +34,6 @@
     from clementinepass.requests import claim_service
     from clementinepass.wire import bridge as bridges
 
-_PORT = 1
 #: Connections that the operating system holds until accepted.
 _BACKLOG = 512
 #: Seconds that a caller may take for its headers or between its requests.
@@ -82,33 +81,28 @@
         app: App,
         limits: Limits,
     ) -> None:
-        self._server = wsgi.Server(
+        self._server = threaded.Server(
+            'callers',
             (host, port),
             app,
             numthreads=limits.threads,
             request_queue_size=_BACKLOG,
             timeout=_CALLER_TIMEOUT,
         )
-        self._server.gateway = direct.Gateway
-        self._server.prepare()
-        self._thread = threading.Thread(
-            target=self._server.serve,
-            name='callers',
-            daemon=True,
-        )
+        self._server.set_gateway(direct.Gateway)
 
     @property
     def port(self) -> int:
         """Return the port that was bound."""
-        return int(self._server.bind_addr[_PORT])
+        return self._server.port
 
     def start(self) -> None:
         """Begin to serve."""
-        self._thread.start()
+        self._server.start()
 
     def close(self) -> None:
-        """Stop serving."""
-        self._server.stop()
+        """Stop serving; blocks, so not to be called on the event loop."""
+        self._server.close()
 
 
 class App:
@@ -131,6 +125,24 @@
         self._metrics = metrics
         self._reader = callers.Reader(entry.id, clock)
         self._places = threading.BoundedSemaphore(limits.streams)
+        self._lock = threading.Lock()
+        self._in_progress = 0
+        self._is_cut_off = False
+        self._served_by_request: dict[
+            str, concurrent.futures.Future[dispatcher.Served]
+        ] = {}
+
+    @property
+    def in_progress(self) -> int:
+        """Return the number of requests that were taken and not answered."""
+        return self._in_progress
+
+    def cut_off(self) -> None:
+        """End all requests in progress; their callers are told."""
+        with self._lock:
+            self._is_cut_off = True
+            for served in self._served_by_request.values():
+                served.cancel()
 
     def __call__(
         self,
@@ -221,15 +233,27 @@
         caller = msgspec.structs.replace(caller, body=body)
         request = self._reader.read(caller, catalogue, team)
         responder.sender = instruments.Sender.of(request)
-        if not self._entry.leaving.accepts_requests(self._clock.now()):
-            raise self._overloaded(request, problem.Reason.LEAVING)
         if not self._places.acquire(blocking=False):
             # Load: more requests than places. Harm: a refusal that waits for
             # a thread behind streams of half a minute. Threads beyond the
             # places exist only to say this at once.
             raise self._overloaded(request, problem.Reason.OVERLOADED)
+        self._count(1)
+        # Counted before the check: a drain that ended between the two would
+        # not wait for the request.
+        if not self._entry.leaving.accepts_requests(self._clock.now()):
+            self._release()
+            raise self._overloaded(request, problem.Reason.LEAVING)
         return self._serve_admitted(request, responder)
 
+    def _count(self, change: int) -> None:
+        with self._lock:
+            self._in_progress += change
+
+    def _release(self) -> None:
+        self._count(-1)
+        self._places.release()
+
     def _serve_admitted(
         self,
         request: identity.Request,
@@ -241,14 +265,14 @@
             answer = self._answer(request, responder)
             first = next(answer, b'')
         except BaseException:
-            self._places.release()
+            self._release()
             raise
         return responses.Body(
             first, answer, lambda: self._ended(request, began)
         )
 
     def _ended(self, request: identity.Request, began: float) -> None:
-        self._places.release()
+        self._release()
         self._bridge.post(
             self._metrics.ended,
             request,
@@ -310,9 +334,7 @@
     ) -> Iterator[bytes]:
         outbox = outboxes.Outbox()
         work = dispatcher.Work(request, self._permit(request, held))
-        served = self._bridge.submit(
-            self._entry.dispatcher.serve(work, outbox),
-        )
+        served = self._submit(work, outbox)
         ended = False
         try:
             yield from self._relay(request, outbox, responder)
@@ -322,8 +344,32 @@
                 # The caller went away in the middle of its answer; nobody
                 # else waits for it.
                 served.cancel()
-            if held is not None:
-                self._settle(held, served)
+            self._conclude(request, held, served)
+
+    def _conclude(
+        self,
+        request: identity.Request,
+        held: claim_service.Held | None,
+        served: concurrent.futures.Future[dispatcher.Served],
+    ) -> None:
+        with self._lock:
+            del self._served_by_request[request.id]
+        if held is not None:
+            self._settle(held, served)
+
+    def _submit(
+        self,
+        work: dispatcher.Work,
+        outbox: outboxes.Outbox,
+    ) -> concurrent.futures.Future[dispatcher.Served]:
+        served = self._bridge.submit(
+            self._entry.dispatcher.serve(work, outbox),
+        )
+        with self._lock:
+            self._served_by_request[work.request.id] = served
+            if self._is_cut_off:
+                served.cancel()
+        return served
 
     def _permit(
         self,
--- a/clementinepass/lifecycle.py
+++ b/clementinepass/lifecycle.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import signal
+import sys
 import typing
 
 from loguru import logger
@@ -21,6 +22,19 @@
 _EXIT_CODE_SIGTERM = 128 + signal.SIGTERM
 
 
+def exit_without_threads(code: int) -> typing.NoReturn:
+    """End the process without waiting for its threads.
+
+    The interpreter would wait for each thread of an executor. One that reads
+    from an endpoint or a platform service that has stopped to answer ends only
+    with its timeout.
+    """
+    logger.complete()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
+
+
 class Lifecycle:
     """Run a daemon's work until a stop is requested, then drain it.
 
--- a/clementinepass/observability/exposition.py
+++ b/clementinepass/observability/exposition.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import threading
 import typing
 
 import aioprometheus
-from cheroot import wsgi
+
+from clementinepass.http import threaded
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -36,27 +36,22 @@
         self._registry = registry
         self._is_ready = is_ready
         self._bridge = bridge
-        self._server = wsgi.Server(
+        self._server = threaded.Server(
+            'exposition',
             (host, port),
             self._respond,
             numthreads=_THREADS,
         )
-        self._server.prepare()
-        self._thread = threading.Thread(
-            target=self._server.serve,
-            name='exposition',
-            daemon=True,
-        )
-        self._thread.start()
+        self._server.start()
 
     @property
     def port(self) -> int:
         """Return the port to which the server is bound."""
-        return int(self._server.bind_addr[1])
+        return self._server.port
 
     def close(self) -> None:
-        """Stop the server."""
-        self._server.stop()
+        """Stop the server; blocks, so not to be called on the event loop."""
+        self._server.close()
 
     def _render(
         self,
--- a/tests/proofs/test_leaving.py
+++ b/tests/proofs/test_leaving.py
@@ -2,13 +2,25 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
+import time
+
 import testtools
 
+from clementinepass.membership import entries
+from standins import system as systems
 from tests.proofs import bench as benches
 from tests.proofs import history
 from tests.proofs import seeds
 
 WHOLE = history.Saying.WHOLE
+_MAX_AGE = 1.0
+_GRACE = 1.0
+#: Seconds beyond the offer and the grace within which a process ends.
+_CLOSE = 2.0
+#: Seconds for which a leaving entry still accepts requests.
+_OFFER = _MAX_AGE + entries.DEFAULT_MARGIN
 
 
 class LeavingProof(testtools.TestCase):
@@ -111,6 +123,91 @@
             self.assertEqual([], bench.violations())
 
 
+class BoundedStopProof(testtools.TestCase):
+    """A process ends within its bound, whatever others do meanwhile.
+
+    The platform kills a process that has not ended in time, with all that it
+    still carries.
+    """
+
+    def open_bench(self) -> benches.Bench:
+        """Return a system whose processes have to end soon."""
+        return benches.Bench(
+            engines=1,
+            services=1,
+            max_age=f'{_MAX_AGE:.0f}s',
+            drain_grace=f'{_GRACE:.0f}s',
+        )
+
+    def assert_ends(
+        self, bench: benches.Bench, name: str, began: float, seconds: float
+    ) -> None:
+        """Check that a process ends within some seconds."""
+        self.assertEqual(0, bench.process(name).wait())
+        self.assertLess(time.monotonic() - began, seconds)
+
+    def test_callers_that_do_not_read(self) -> None:
+        """Callers read no response, send half a request or keep idle."""
+        unread = benches.completion('unread', 20000, stream=True)
+        head = (
+            'POST /v1/completions HTTP/1.1\r\nHost: entry\r\n'
+            f'Authorization: Bearer {systems.KEY}\r\n'
+            'Content-Type: application/json\r\n'
+            f'Content-Length: {len(unread)}\r\n\r\n'
+        ).encode()
+        with self.open_bench() as bench, contextlib.ExitStack() as stack:
+            host, _, port = bench.system.callers['entry-1'].rpartition(':')
+            for sent in (b'', head[:60], head, head + unread) * 4:
+                client = socket.create_connection((host, int(port)))
+                stack.enter_context(client)
+                client.sendall(sent)
+            bench.await_running(4)
+            began = time.monotonic()
+            bench.process('entry-1').terminate()
+            self.assert_ends(bench, 'entry-1', began, _OFFER + _GRACE + _CLOSE)
+
+    def test_request_of_the_last_moment(self) -> None:
+        """A request waits for its claim when the entry stops to accept.
+
+        The entry stopped its event loop to wait for the request's thread,
+        which waited for the loop until the deadline of the request.
+        """
+        with self.open_bench() as bench:
+            bench.await_listed('entry-1', at='entry-0')
+            began = time.monotonic()
+            bench.process('entry-1').terminate()
+            time.sleep(_OFFER - 0.4)
+            bench.process('log').freeze()
+            late = bench.file('entry-1', '/crews/late', key='late')
+            time.sleep(0.7)
+            bench.process('log').thaw()
+            self.assert_ends(bench, 'entry-1', began, _OFFER + _GRACE + _CLOSE)
+            self.assertEqual(WHOLE, late.result().saying, late.result())
+            self.assertEqual([], bench.violations())
+
+    def test_platform_that_does_not_answer(self) -> None:
+        """The log service and the instance list hang while an entry leaves."""
+        with self.open_bench() as bench:
+            bench.await_listed('entry-1', at='entry-0')
+            bench.process('log').freeze()
+            bench.process('list').freeze()
+            began = time.monotonic()
+            bench.process('entry-1').terminate()
+            self.assert_ends(bench, 'entry-1', began, _OFFER + _GRACE + _CLOSE)
+            bench.process('log').thaw()
+            bench.process('list').thaw()
+
+    def test_engine_that_does_not_answer(self) -> None:
+        """An engine hangs in the middle of a stream while its agent leaves."""
+        with self.open_bench() as bench:
+            bench.streams(['hangs'], 3000)
+            bench.process('engine-0').freeze()
+            began = time.monotonic()
+            bench.process('agent-0').terminate()
+            self.assert_ends(bench, 'agent-0', began, _GRACE + _CLOSE)
+            bench.process('engine-0').thaw()
+
+
 class CrashProof(testtools.TestCase):
     """A request that kills endpoints takes two, and only itself along."""
 
