Don't count the time in which a process was paused as silence of its peers

Callers got 503 no_endpoint with no_capacity while endpoints were there, as in RollingProof.test_all_agents_replaced beside 50 busy processes.

Cause: an entry that got no processor for longer than its peers may be silent found the timeouts of all its calls expired at once, with the answers unread in its sockets. All agents counted as silent, and each request that arrived until the next connection was refused as in an outage.

A timeout is counted in four parts now, and a part that ends a tenth of a second late doesn't count. For a process that runs it is as long as before.

--- a/clementinepass/wire/connections.py
+++ b/clementinepass/wire/connections.py
@@ -20,6 +20,10 @@
     from collections.abc import AsyncIterator, Awaitable, Callable
 
 _Result = typing.TypeVar('_Result')
+#: Number of equal parts in which a timeout is counted.
+_TIMEOUT_PARTS = 4
+#: Seconds by which a part ends late if this process got no processor.
+_PAUSE_SECONDS = 0.1
 
 
 class Bootstrap(typing.Protocol):
@@ -86,7 +90,7 @@
         :raises PeerUnavailableError: the peer is unreachable.
         """
         try:
-            stream = await asyncio.wait_for(
+            stream = await wait_for(
                 capnp.AsyncIoStream.create_connection(
                     address.host,
                     address.port,
@@ -135,7 +139,7 @@
         in time.
     """
     try:
-        return await asyncio.wait_for(_await_promise(promise), timeout)
+        return await wait_for(_await_promise(promise), timeout)
     except TimeoutError as error:
         raise errors.PeerUnavailableError(
             f'no answer in {timeout:.3f} s',
@@ -150,6 +154,44 @@
         ) from error
 
 
+async def wait_for(
+    awaitable: Awaitable[_Result],
+    timeout: float,
+) -> _Result:
+    """Wait for a result, without the time in which this process was paused.
+
+    A process that was suspended or got no processor finds all its timeouts
+    expired at once, with the answers unread in its sockets. Every peer would
+    seem silent, and requests would be refused as if there were no endpoint.
+
+    :param timeout: maximum number of seconds to wait.
+    :raises TimeoutError: there was no result in time.
+    """
+    loop = asyncio.get_running_loop()
+    task = asyncio.ensure_future(awaitable)
+    remaining = _TIMEOUT_PARTS
+    try:
+        while remaining and not task.done():
+            due = loop.time() + timeout / _TIMEOUT_PARTS
+            await asyncio.wait((task,), timeout=timeout / _TIMEOUT_PARTS)
+            if loop.time() - due < _PAUSE_SECONDS:
+                remaining -= 1
+        if task.done():
+            return task.result()
+        raise TimeoutError
+    finally:
+        _abandon(task)
+
+
+def _abandon(task: asyncio.Future[typing.Any]) -> None:
+    """Cancel a task whose result nobody reads any more."""
+    if not task.cancel():
+        return
+    task.add_done_callback(
+        lambda done: done.cancelled() or done.exception(),
+    )
+
+
 async def _await_promise(promise: Awaitable[_Result]) -> _Result:
     return await promise
 
