Don't take endpoints that are busy or being reconnected to for an outage

Callers that asked the wrong entry were turned away at once with 503 no_endpoint, although the only engine was just busy with another entry's requests, or although the entry had lost its connections a moment ago.

Cause: an entry refuses at once while it may fill no slot, a rule for outages. It took off what other entries had running, and left out agents between two connections.

Requests are queued while slots are expected: those of endpoints that serve, whoever occupies them, and of agents whose connection was lost and not tried anew. If entries want more slots than there are, each fills its part, promised requests first. Otherwise the one that had filled the slots filled them again whenever one became free, and the queue of the other waited until its deadlines.

A refusal by admission has a log line with what the entry knew of each endpoint: liveness, phase, slots, those of others, own, age of the report.

--- a/clementinepass/decisions/admission.py
+++ b/clementinepass/decisions/admission.py
@@ -164,6 +164,7 @@
         '_capacity',
         '_in_flight_limit',
         '_displaced_tickets',
+        '_expected_slots',
         '_expiry_heap',
         '_limits',
         '_queue',
@@ -186,6 +187,8 @@
         self._limits = limits
         self._rng = rng
         self._capacity = 0
+        #: Slots through which the queue is expected to drain.
+        self._expected_slots = 0
         #: Maximum number of requests in flight after an endpoint was found
         #: full; infinite otherwise.
         self._in_flight_limit = math.inf
@@ -244,10 +247,18 @@
         self._shares_by_team = dict(promises_by_team)
         self._rescale_shares()
 
-    def set_capacity(self, capacity: int) -> None:
-        """Set the number of slots; running requests are not affected."""
-        if capacity != self._capacity:
+    def set_capacity(self, capacity: int, fair_slots: int = 0) -> None:
+        """Set the number of slots; running requests are not affected.
+
+        :param capacity: slots that this controller may fill now.
+        :param fair_slots: slots that it will be able to fill once requests of
+            other entries have ended, while there are none now; 0 if no endpoint
+            serves.
+        """
+        expected_slots = capacity or fair_slots
+        if (capacity, expected_slots) != (self._capacity, self._expected_slots):
             self._capacity = capacity
+            self._expected_slots = expected_slots
             self._rescale_shares()
 
     def offer(
@@ -352,7 +363,7 @@
         # reduced by the same factor.
         total_shares = sum(self._shares_by_team.values())
         self._share_scale = (
-            min(1, self._capacity / total_shares) if total_shares else 1
+            min(1, self._expected_slots / total_shares) if total_shares else 1
         )
         self._queue.set_shares(
             {
@@ -368,9 +379,10 @@
     ) -> reasons.Refusal | None:
         if ticket.team not in self._shares_by_team:
             return reasons.Refusal.UNKNOWN_TEAM
-        if not self._capacity:
+        if not self._expected_slots:
             # Requests queued during a full outage would all start together
-            # when it ends, most of them too late to be of use.
+            # when it ends, most of them too late to be of use. Endpoints that
+            # are busy with the requests of other entries are no outage.
             return reasons.Refusal.NO_CAPACITY
         if not self._can_meet_deadline(
             ticket, now + self._expected_wait(ticket)
@@ -400,7 +412,9 @@
 
     def _waiting_limit(self, team: str) -> int:
         share = self._shares_by_team[team] * self._share_scale
-        slots = max(share, self._capacity * self._queue.weight_fraction(team))
+        slots = max(
+            share, self._expected_slots * self._queue.weight_fraction(team)
+        )
         return max(
             int(slots * self._limits.waiting_per_slot),
             self._limits.min_waiting,
@@ -416,7 +430,7 @@
         )
         slots = max(
             self._shares_by_team.get(ticket.team, 0) * self._share_scale,
-            self._capacity * self._queue.weight_fraction(ticket.team),
+            self._expected_slots * self._queue.weight_fraction(ticket.team),
         )
         return cost_ahead * self._service_time.mean / slots if slots else 0
 
@@ -495,7 +509,7 @@
     ) -> float:
         if reason is reasons.Refusal.UNKNOWN_TEAM:
             return 0
-        if self._capacity:
+        if self._expected_slots:
             wait = self._expected_wait(ticket)
         else:
             wait = self._limits.max_retry_after
--- a/clementinepass/decisions/shares.py
+++ b/clementinepass/decisions/shares.py
@@ -164,6 +164,10 @@
         known_received = self._received_by_entry.get(report.entry, 0)
         self._received_by_entry[report.entry] = max(given, known_received)
 
+    def peer_reports(self) -> typing.Collection[Report]:
+        """Return the newest report of each peer."""
+        return self._reports_by_entry.values()
+
     def report(self, demand: float) -> Report:
         """Transfer unneeded slots to peers and return the report to send."""
         self._demand = demand
--- a/clementinepass/entry/agent_peers.py
+++ b/clementinepass/entry/agent_peers.py
@@ -41,8 +41,11 @@
     def reported(self, agent: str, state: messages.AgentState) -> None:
         """Note a state that the agent has sent."""
 
+    def disconnected(self, agent: str) -> None:
+        """Note that the connection was lost; a new one is tried at once."""
+
     def silent(self, agent: str) -> None:
-        """Note that heartbeats have stopped."""
+        """Note that no connection can be made."""
 
     def gone(self, agent: str) -> None:
         """Note that the agent's process is no longer there."""
@@ -96,6 +99,8 @@
         self._clock = clock
         self._chance = chance
         self._session: typing.Any = None
+        #: Whether a connection was lost and no new one has been tried yet.
+        self._is_reconnecting = False
         self._exchanges_by_key: dict[
             identities.AttemptKey,
             exchanges.Exchange,
@@ -213,11 +218,13 @@
             self._disconnect(connection)
 
     def _disconnect(self, connection: connections.Connection) -> None:
+        self._is_reconnecting = self._session is not None
         self._session = None
         connection.close()
-        # Without a session a dispatch fails at once: no new work comes here
-        # until the next connection has brought a state.
-        self._events.silent(self.agent)
+        if self._is_reconnecting:
+            # Without a session a dispatch fails at once: no new work comes
+            # here until the next connection has brought a state.
+            self._events.disconnected(self.agent)
 
     async def _attach(self, connection: connections.Connection) -> None:
         request = connection.bootstrap(schema.peers.Agent).attach_request()
@@ -343,8 +350,9 @@
         if refused or away > _GONE_AFTER:
             self._end_all()
             self._events.gone(self.agent)
-        else:
+        elif not self._is_reconnecting:
             self._events.silent(self.agent)
+        self._is_reconnecting = False
 
     def _end_all(self) -> None:
         for exchange in tuple(self._exchanges_by_key.values()):
--- a/clementinepass/entry/desk.py
+++ b/clementinepass/entry/desk.py
@@ -43,9 +43,12 @@
         self._controller.set_promises(shares_by_team)
         self._advance()
 
-    def set_capacity(self, capacity: int) -> None:
-        """Set the slots that this entry may fill."""
-        self._controller.set_capacity(capacity)
+    def set_capacity(self, capacity: int, fair_slots: int) -> None:
+        """Set the slots that this entry may fill.
+
+        :param fair_slots: those that it may expect while others fill all.
+        """
+        self._controller.set_capacity(capacity, fair_slots)
         self._advance()
 
     def demand(self, team: str) -> int:
--- a/clementinepass/entry/dispatcher.py
+++ b/clementinepass/entry/dispatcher.py
@@ -475,6 +475,14 @@
         elif decision.reason is reasons.Refusal.DEADLINE:
             reason = problem.Reason.DEADLINE
         detail = decision.reason.value if decision.reason else ''
+        logger.bind(
+            request_id=request.id,
+            team=request.team,
+            step='admission',
+            peer=self._entry,
+            target=request.target,
+            endpoints=self._fleet.describe(request.target),
+        ).info('not admitted: {}', detail)
         return self._not_run(
             request,
             reason,
--- a/clementinepass/entry/entry.py
+++ b/clementinepass/entry/entry.py
@@ -15,6 +15,7 @@
 from clementinepass import errors
 from clementinepass.configuration import catalogue as catalogues
 from clementinepass.configuration import excerpt, snapshots
+from clementinepass.decisions import entitlement
 from clementinepass.entry import (
     agent_peers,
     desk,
@@ -258,8 +259,13 @@
         if state.revision < self._follower.current.revision:
             self._push(agent)
 
+    def disconnected(self, agent: str) -> None:
+        """Note that the connection to an agent was lost."""
+        self.view.mark_reconnecting(agent)
+        self._refresh_all()
+
     def silent(self, agent: str) -> None:
-        """Note that an agent's heartbeats have stopped."""
+        """Note that no connection to an agent can be made."""
         self.view.mark_silent(agent)
         self._refresh_all()
 
@@ -375,7 +381,13 @@
         if found is not None:
             held = self._shares.held_by_team().get(target, {})
             found.set_shares(held)
-            found.set_capacity(self.fleet.capacity(target))
+            usable_slots = self.fleet.usable_slots(target)
+            fair_slots = entitlement.fair_slots(
+                usable_slots, *self._shares.demands(target)
+            )
+            found.set_capacity(
+                min(self.fleet.capacity(target), fair_slots), fair_slots
+            )
 
     async def _follow_log(self) -> None:
         wait: float = 0
--- a/clementinepass/entry/fleet.py
+++ b/clementinepass/entry/fleet.py
@@ -132,6 +132,43 @@
             for candidate in self._view.candidates(target)
         )
 
+    def usable_slots(self, target: str) -> int:
+        """Return the slots of a target's endpoints, whoever occupies them.
+
+        Endpoints whose connection was lost a moment ago are included. They are
+        back within a tenth of a second, unless their process has ended.
+        """
+        now = self._clock.now()
+        ejector = self._ejectors_by_target[target]
+        return sum(
+            ejector.usable_slots(
+                candidate.agent, candidate.report.capacity, now
+            )
+            for candidate in self._view.expected(target)
+        )
+
+    def describe(self, target: str) -> list[dict[str, typing.Any]]:
+        """Return what is known of each endpoint of a target, for the log."""
+        now = self._clock.now()
+        ejector = self._ejectors_by_target[target]
+        return [
+            {
+                'agent': endpoint.agent,
+                'liveness': self._view.liveness(endpoint.agent).value,
+                'phase': endpoint.report.phase.value,
+                'usable_slots': ejector.usable_slots(
+                    endpoint.agent, endpoint.report.capacity, now
+                ),
+                'capacity': endpoint.report.capacity,
+                'others': self._others_by_agent.get(endpoint.agent, 0),
+                'own': self.in_flight.count(endpoint.agent),
+                'report_age': round(
+                    now - self._reported_at_by_agent.get(endpoint.agent, now), 3
+                ),
+            }
+            for endpoint in self._view.reported(target)
+        ]
+
     def place(
         self,
         target: str,
--- a/clementinepass/entry/share_book.py
+++ b/clementinepass/entry/share_book.py
@@ -6,7 +6,7 @@
 import dataclasses
 import typing
 
-from clementinepass.decisions import shares
+from clementinepass.decisions import entitlement, shares
 from clementinepass.wire import entry_messages
 
 if typing.TYPE_CHECKING:
@@ -101,6 +101,20 @@
             by_target[key.target][key.team] = share.held_slots()
         return by_target
 
+    def demands(
+        self, target: str
+    ) -> tuple[entitlement.Demand, entitlement.Demand]:
+        """Return the demand for a target here and at the other entries."""
+        own = entitlement.Demand(0, 0)
+        others = own
+        for key, share in self._shares_by_key.items():
+            if key.target == target:
+                demand = self._demand(key.team, key.target)
+                own = _added(own, demand, share.held_slots())
+                for report in share.peer_reports():
+                    others = _added(others, report.demand, report.held)
+        return own, others
+
     def _renew(self) -> None:
         if self._catalogue is None:
             return
@@ -124,3 +138,12 @@
             for key, told in self._told_by_key.items()
             if key in renewed
         }
+
+
+def _added(
+    sum_of_teams: entitlement.Demand, demand: float, held: float
+) -> entitlement.Demand:
+    return entitlement.Demand(
+        sum_of_teams.total + demand,
+        sum_of_teams.promised + min(demand, held),
+    )
--- a/clementinepass/membership/view.py
+++ b/clementinepass/membership/view.py
@@ -32,7 +32,9 @@
 
     #: Connected, and heartbeats arrive.
     ATTACHED = 'attached'
-    #: Heartbeats have stopped; a new connection is being tried.
+    #: The connection was lost, and a new one has not been tried yet.
+    RECONNECTING = 'reconnecting'
+    #: Heartbeats have stopped, and a new connection could not be made.
     SILENT = 'silent'
     #: Connections are refused, or nothing was received for long.
     GONE = 'gone'
@@ -92,12 +94,23 @@
     @property
     def is_available(self) -> bool:
         """Return whether the endpoint may be sent new requests."""
-        if self.report is None or self.liveness is not Liveness.ATTACHED:
+        return self.liveness is Liveness.ATTACHED and self.is_serving
+
+    @property
+    def is_expected(self) -> bool:
+        """Return whether the endpoint is available now or in a moment."""
+        reachable = {Liveness.ATTACHED, Liveness.RECONNECTING}
+        return self.liveness in reachable and self.is_serving
+
+    @property
+    def is_serving(self) -> bool:
+        """Return whether the endpoint takes requests by the last report."""
+        if self.report is None:
             return False
         if self.instance.state is protocols.InstanceState.LEAVING:
             return False
-        is_serving = self.report.phase is AgentPhase.SERVING
-        return is_serving and not self.is_draining
+        has_opened = self.report.phase is AgentPhase.SERVING
+        return has_opened and not self.is_draining
 
 
 class MembershipView:
@@ -151,10 +164,16 @@
         if report.phase is AgentPhase.DRAINING:
             member.drained_incarnation = report.incarnation
 
-    def mark_silent(self, agent: str) -> None:
-        """Record that an agent's heartbeats have stopped."""
+    def mark_reconnecting(self, agent: str) -> None:
+        """Record that the connection to an agent was lost."""
         member = self._agents_by_id.get(agent)
         if member is not None and member.liveness is Liveness.ATTACHED:
+            member.liveness = Liveness.RECONNECTING
+
+    def mark_silent(self, agent: str) -> None:
+        """Record that no new connection to an agent could be made."""
+        member = self._agents_by_id.get(agent)
+        if member is not None and member.liveness is not Liveness.GONE:
             member.liveness = Liveness.SILENT
 
     def mark_gone(self, agent: str) -> None:
@@ -188,19 +207,31 @@
     def candidates(self, target: str) -> tuple[Candidate, ...]:
         """Return the endpoints of a target that may be sent new requests."""
         return tuple(
-            Candidate(
-                agent=agent.instance.id,
-                address=agent.instance.address,
-                failure_domain=agent.instance.failure_domain,
-                region=agent.instance.region,
-                report=agent.report,
-            )
+            _candidate(agent.instance, agent.report)
             for agent in self._agents_by_id.values()
             if agent.is_available
             and agent.report is not None
             and agent.report.serves == target
         )
 
+    def expected(self, target: str) -> tuple[Candidate, ...]:
+        """Return the candidates, and those that may be back in a moment."""
+        return tuple(
+            _candidate(agent.instance, agent.report)
+            for agent in self._agents_by_id.values()
+            if agent.is_expected
+            and agent.report is not None
+            and agent.report.serves == target
+        )
+
+    def reported(self, target: str) -> tuple[Candidate, ...]:
+        """Return all endpoints that reported to serve a target."""
+        return tuple(
+            _candidate(agent.instance, agent.report)
+            for agent in self._agents_by_id.values()
+            if agent.report is not None and agent.report.serves == target
+        )
+
     def liveness(self, agent: str) -> Liveness:
         """Return an agent's liveness; ``GONE`` for unknown agents."""
         member = self._agents_by_id.get(agent)
@@ -251,5 +282,15 @@
                 del self._agents_by_id[agent_id]
 
 
+def _candidate(instance: protocols.Instance, report: AgentReport) -> Candidate:
+    return Candidate(
+        agent=instance.id,
+        address=instance.address,
+        failure_domain=instance.failure_domain,
+        region=instance.region,
+        report=report,
+    )
+
+
 def _order(report: AgentReport) -> tuple[int, int]:
     return report.incarnation, report.sequence
--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -105,6 +105,23 @@
         self.assertEqual(reasons.Refusal.NO_CAPACITY, decision.reason)
         self.assertLessEqual(decision.retry_after, 4)
 
+    def test_slots_of_other_entries_are_no_outage(self) -> None:
+        """Requests are queued while other entries occupy all slots."""
+        self.controller.set_capacity(0, fair_slots=1)
+        decision = self.controller.offer(_make_ticket('later'), 0)
+        self.assertEqual(tickets.DecisionKind.QUEUE, decision.kind)
+        for ticket in self.running:
+            self.controller.release(ticket, 1)
+        self.assertEqual([], self.controller.poll(1))
+        self.controller.set_capacity(1, fair_slots=1)
+        self.assertEqual(
+            ['later'],
+            [
+                admitted.ticket.request_id
+                for admitted in self.controller.poll(1)
+            ],
+        )
+
     def test_unknown_team(self) -> None:
         """Requests of a team without a promise are refused."""
         decision = self.controller.offer(_make_ticket('x', team='nobody'), 0)
