--- a/clementinepass/entry/dispatcher.py
+++ b/clementinepass/entry/dispatcher.py
@@ -239,6 +239,10 @@
         finally:
             self._fleet.finished(agent, exchange)
             placed.peer.finish(exchange)
+        if exchange.refusal == _FULL:
+            # Only now: the refused attempt must not count as one that occupies
+            # a slot.
+            self._fleet.full(agent)
         return self._conclude(request, exchange, trial)
 
     async def _exchange(
@@ -352,8 +356,6 @@
         exchange.refusal = verdict.reason
         exchange.attempt.refused()
         self._metrics.gate_refused(verdict.reason)
-        if verdict.reason == _FULL:
-            self._fleet.full(exchange.attempt.peer)
 
     def _note_crash(
         self,
@@ -533,7 +535,7 @@
         if attempt.execution is errors.Execution.NOT_RUN:
             retry_after = _NO_ENDPOINT_RETRY
         problem_of_attempt = problem.Problem.of_attempt(
-            _reason_of(attempt),
+            _reason_of(exchange),
             attempt,
             step='answer' if attempt.relayed else 'dispatch',
             detail=exchange.detail,
@@ -581,13 +583,17 @@
     return Served(errors.Execution.NOT_RUN, None, refusal)
 
 
-def _reason_of(attempt: outcome.Attempt) -> problem.Reason:
+def _reason_of(exchange: exchanges.Exchange) -> problem.Reason:
+    attempt = exchange.attempt
     if attempt.relayed:
         return problem.Reason.TRUNCATED
     if attempt.crashed:
         return problem.Reason.ENDPOINT_DIED
     if attempt.phase is outcome.Phase.REFUSED:
-        return problem.Reason.NO_ENDPOINT
+        is_full = exchange.refusal == _FULL
+        return (
+            problem.Reason.OVERLOADED if is_full else problem.Reason.NO_ENDPOINT
+        )
     if not attempt.connected:
         return problem.Reason.CONNECTION_LOST
     return problem.Reason.ENDPOINT_FAILED
--- a/clementinepass/entry/entry.py
+++ b/clementinepass/entry/entry.py
@@ -113,6 +113,9 @@
             clock=clock,
             chance=chance,
         )
+        # Otherwise waiting requests would go on to be offered to full gates
+        # until the next report.
+        self.fleet.on_full = self._refresh
         #: The configuration in force.
         self.catalogue = catalogues.Catalogue.from_state(follower.current)
         #: Whether and how long new requests are taken.
--- a/clementinepass/entry/fleet.py
+++ b/clementinepass/entry/fleet.py
@@ -12,6 +12,7 @@
 
 if typing.TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from clementinepass import clock as clocks
     from clementinepass.entry import agent_peers, exchange
@@ -41,6 +42,9 @@
     ) -> None:
         #: Agents by name, each with its connection.
         self.peers_by_agent: dict[str, agent_peers.AgentPeer] = {}
+        #: Called with a target when the slots of one of its endpoints turn out
+        #: to be occupied.
+        self.on_full: Callable[[str], None] = _ignore
         #: What is in flight where, for crash reports.
         self.in_flight = quarantines.InFlight()
         # One for each target: a model is slower than a plain service by
@@ -116,6 +120,7 @@
         if report is not None:
             own = self.in_flight.count(agent)
             self._others_by_agent[agent] = max(report.capacity - own, 0)
+            self.on_full(report.serves)
 
     def capacity(self, target: str) -> int:
         """Return the slots that this entry may fill at a target."""
@@ -296,6 +301,10 @@
         )
 
 
+def _ignore(target: str) -> None:
+    """Do nothing: nobody depends on the capacity yet."""
+
+
 def to_report(state: messages.AgentState) -> views.AgentReport:
     """Return what membership needs of an agent's state."""
     return views.AgentReport(
