Stay as long as an entry that heard of the drain late names this one

Callers could hold a list that names an entry of the direct path that has ended.

Cause: while no entry is ready, the others list a draining entry for some time from the arrival of its announcement, and the entry counted the same time from its own SIGTERM.

The time for an announcement, half a second, is added now; before, it only counted while other entries were ready. An announcement that comes later than that is not covered.

--- a/clementinepass/decisions/departure.py
+++ b/clementinepass/decisions/departure.py
@@ -115,7 +115,9 @@
     :param list_expires_at: when the last list expires that this entry gave out.
     """
     last_answer_at = started_at + _usable_seconds(grace_seconds)
-    listed_until = started_at + max(policy.listed_seconds, _ANNOUNCE_SECONDS)
+    # The other entries count the time for which they list this one from the
+    # arrival of its announcement.
+    listed_until = started_at + policy.listed_seconds + _ANNOUNCE_SECONDS
     lists_expire_at = max(
         listed_until + max_kept_seconds(policy.ttl_seconds), list_expires_at
     )
--- a/tests/direct/test_machines.py
+++ b/tests/direct/test_machines.py
@@ -106,12 +106,32 @@
         any more. The others listed it for as long as it would accept any
         request, and callers that kept those lists found that it was gone.
         """
+        self.check_stays_while_offered(0)
+
+    def test_stays_while_announcement_is_late(self) -> None:
+        """A draining entry does not end while lists that name it are in use.
+
+        The others list it for some time from the arrival of its announcement,
+        and it counted that time from its SIGTERM.
+        """
+        self.check_stays_while_offered(0.4)
+
+    def check_stays_while_offered(self, delay_seconds: float) -> None:
+        """Check that lists expire before a draining entry ends.
+
+        :param delay_seconds: how late messages reach the other entry.
+        """
         route = {**machines.CONFIG['routes'][0], 'timeoutMs': 6000}
         config = {**machines.CONFIG, 'routes': [route]}
 
         async def scenario(world: machines.Machines) -> None:
             first, second = await world.all_known()
             loop = asyncio.get_running_loop()
+            if delay_seconds:
+                receive = second.peers.receive
+                second.peers.receive = lambda payload, ip: loop.call_later(
+                    delay_seconds, receive, payload, ip
+                )
             plan = first._drain_state.start(loop.time())
             _announce_draining(world)
             await machines.until(
