Leave delays of the process out of the clock of the path's test world

On-call engineers were suspected to get another cause than what happened: MixedTest.test_causes failed with an IndexError, or with causes that its model of the truth didn't expect. The product was right, and the model wrong.

Cause: callers, entry and endpoints of the test share one event loop, and the model reckons with timers that end on time. If the process is delayed, timers that ended meanwhile run before the answers that were due first. A request then ends by its deadline that no endpoint ever read (IndexError), or a caller sees an end after its deadline that came before it.

The harness runs on a loop whose clock advances by a hundredth of a second at most while it waits once, and again while it runs one iteration.

--- a/tests/direct/path_harness.py
+++ b/tests/direct/path_harness.py
@@ -21,6 +21,7 @@
 from clementinepass.http import channel, front, limits, messages, pool
 from clementinepass.platform import dialect
 from standins import direct_endpoint
+from tests.direct import steady_loop
 
 HOST = direct_endpoint.HOST
 DUTIES = node.SystemLimits(budget_surplus=1000)
@@ -84,7 +85,9 @@
             direct_endpoint.DirectEndpoint(f'i-{number}')
             for number in range(count)
         ]
-        self.cluster = cluster_state.ClusterState(local_node)
+        self.cluster = cluster_state.ClusterState(
+            local_node, clock=asyncio.get_running_loop().time
+        )
         self.drain_state = departure.DrainState(local_node, self.cluster)
         #: Number of other entries that callers may be sent to.
         self.ready_peers = 0
@@ -218,7 +221,10 @@
     count: int = 2,
     local_node: node.Node = NODE,
 ) -> None:
-    """Run a scenario in a harness with some endpoints."""
+    """Run a scenario in a harness with some endpoints.
+
+    Its timers don't depend on how busy the machine is.
+    """
 
     async def run_scenario() -> None:
         async with (
@@ -227,4 +233,5 @@
         ):
             await scenario(harness)
 
-    asyncio.run(run_scenario())
+    with asyncio.Runner(loop_factory=steady_loop.SteadyLoop) as runner:
+        runner.run(run_scenario())
