Have each test process hold its block of ports

Cause, as far as a run can show it: test processes whose ids are equal modulo 56 shared a block, drew the same ports in the same order, and one of them could not listen, or two worlds met at the same address.

Each process holds the first port of its block now, and passes over blocks that are held.

--- a/standins/machines.py
+++ b/standins/machines.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 import os
 import random
@@ -74,10 +75,12 @@
 
 
 #: Ports for tests: below those that outgoing connections get, a block for each
-#: process, so that no other takes one between its draw and its use.
+#: process, so that no other takes one between its draw and its use. The process
+#: holds the first port of its block for as long as it lives.
 _FIRST_PORT = 10_000
 _BLOCK = 400
 _BLOCKS = 56
+_GUARD_IP = '127.0.0.1'
 _drawn = itertools.count()
 
 
@@ -88,14 +91,32 @@
 
     :raises OSError: none is free.
     """
-    start = _FIRST_PORT + os.getpid() % _BLOCKS * _BLOCK
-    for _ in range(_BLOCK):
-        port = start + next(_drawn) % _BLOCK
+    start = _claim_block().getsockname()[1] + 1
+    for _ in range(_BLOCK - 1):
+        port = start + next(_drawn) % (_BLOCK - 1)
         if _is_free(ips, port):
             return port
     raise OSError('no port is free')
 
 
+@functools.cache
+def _claim_block() -> socket.socket:
+    """Return the socket that holds the first port of this process's block.
+
+    :raises OSError: other processes hold all blocks.
+    """
+    for offset in range(_BLOCKS):
+        block = (os.getpid() + offset) % _BLOCKS
+        guard = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            guard.bind((_GUARD_IP, _FIRST_PORT + block * _BLOCK))
+        except OSError:
+            guard.close()
+        else:
+            return guard
+    raise OSError(f'all {_BLOCKS} blocks of ports are held')
+
+
 def _is_free(ips: list[str], port: int) -> bool:
     for ip in ips:
         for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
--- a/tests/standins/test_machines.py
+++ b/tests/standins/test_machines.py
@@ -29,6 +29,16 @@
 
             self.assertNotEqual(first + 1, machines.free_port(['127.1.0.1']))
 
+    def test_block_of_another_process(self) -> None:
+        """Two processes drew the same ports, since they shared a block."""
+        claim = machines._claim_block.__wrapped__
+        first, second = claim(), claim()
+        with first, second:
+            self.assertNotEqual(first.getsockname(), second.getsockname())
+            for guard in (first, second):
+                offset = guard.getsockname()[1] - machines._FIRST_PORT
+                self.assertEqual(0, offset % machines._BLOCK)
+
 
 class StartTest(testtools.TestCase):
     """The start of all processes."""
