Prove that entries of the direct path end while callers don't read

The twin of the entry that never ended: four callers that read no stream, four with half a request and four idle connections. No change was needed: its front is on the event loop, and closes all connections at the planned end.

--- a/tests/test_machines_daemon.py
+++ b/tests/test_machines_daemon.py
@@ -19,9 +19,17 @@
 
 IP = '127.3.0.1'
 ROOT = pathlib.Path(__file__).parent.parent
+#: Seconds from SIGTERM to SIGKILL while callers don't read.
+_GRACE_SECONDS = 2.0
 #: Number of signals sent in series, each with a request in progress.
 _SIGNAL_COUNT = 9
 
+#: A configuration with a stream of the plain endpoint.
+STREAM_CONFIG = {
+    **machines.CONFIG,
+    'routes': [{**machines.STREAM_ROUTE, 'service': 'desk'}],
+}
+
 
 class Daemon:
     """An entry run as a process."""
@@ -115,6 +123,64 @@
 
         asyncio.run(run_with_timeout())
 
+    def test_callers_that_do_not_read(self) -> None:
+        """An entry ends in time while callers read nothing or send half.
+
+        The platform kills an entry that hasn't ended at the end of the grace
+        period, with all that it still carries.
+        """
+
+        async def run_daemon() -> None:
+            desk = direct_endpoint.DirectEndpoint('i-desk', events=100_000)
+            desk.filling = b'x' * 1000
+            async with (
+                asyncio.timeout(60),
+                keyed_store.KeyedStore() as store,
+                desk,
+            ):
+                store.put('keyed.op', 'config', STREAM_CONFIG)
+                listed = desk.entry('desk', 'a')
+                store.put('keyed.servers', 'i-desk', listed)
+                daemon = Daemon(store.address)
+                daemon.settings['bounds'] = {'graceS': _GRACE_SECONDS}
+                daemon.path.write_text(json.dumps(daemon.settings))
+                try:
+                    await self._stop_while_unread(daemon, desk)
+                finally:
+                    await daemon.ensure_killed()
+
+        asyncio.run(run_daemon())
+
+    async def _stop_while_unread(
+        self, daemon: Daemon, desk: direct_endpoint.DirectEndpoint
+    ) -> None:
+        await daemon.start()
+        await daemon.wait_for_line('entry ready')
+        request = messages.encode_request(
+            b'GET',
+            b'/stream/a',
+            [(b'Host', b'h'), (b'X-Attempt-Id', b'r')],
+            b'',
+        )
+        writers = []
+        for sent in (request, request[:20], b'') * 4:
+            _, writer = await asyncio.open_connection(
+                IP, daemon.ports[0], limit=1024
+            )
+            writer.write(sent)
+            writers.append(writer)
+        while len(desk.ran) < 4:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.5)
+        began = asyncio.get_running_loop().time()
+        daemon.signal(signal.SIGTERM)
+        assert daemon.process is not None
+        self.assertEqual(0, await daemon.process.wait())
+        seconds = asyncio.get_running_loop().time() - began
+        self.assertLess(seconds, _GRACE_SECONDS)
+        for writer in writers:
+            writer.close()
+
     async def _run_lifecycle(self, daemon: Daemon) -> None:
         await daemon.start()
         await daemon.wait_for_line('entry ready')
