Refuse requests whose claim comes after the entry has cut off all others

A request that waited for its claim when the grace ended was submitted and cancelled at once. A task that is cancelled before its first step doesn't run, so that nothing ended the answer: its caller only saw the connection close. Found by reading. It is refused as not run now, and its claim is given back.

The log line of a closed server has its figures as fields.

--- a/clementinepass/entry/entry.py
+++ b/clementinepass/entry/entry.py
@@ -72,7 +72,7 @@
     address: str
     region: str
     failure_domain: str
-    #: ``attached``, ``silent`` or ``gone``.
+    #: ``attached``, ``reconnecting``, ``silent`` or ``gone``.
     liveness: str
     #: What it said of itself last.
     state: messages.AgentState | None
--- a/clementinepass/entry/http.py
+++ b/clementinepass/entry/http.py
@@ -335,6 +335,10 @@
         outbox = outboxes.Outbox()
         work = dispatcher.Work(request, self._permit(request, held))
         served = self._submit(work, outbox)
+        if served is None:
+            if held is not None:
+                self._claimer.settle(held, errors.Execution.NOT_RUN)
+            raise self._overloaded(request, problem.Reason.LEAVING)
         ended = False
         try:
             yield from self._relay(request, outbox, responder)
@@ -361,15 +365,19 @@
         self,
         work: dispatcher.Work,
         outbox: outboxes.Outbox,
-    ) -> concurrent.futures.Future[dispatcher.Served]:
-        served = self._bridge.submit(
-            self._entry.dispatcher.serve(work, outbox),
-        )
+    ) -> concurrent.futures.Future[dispatcher.Served] | None:
+        """Have a request served; ``None`` once requests were cut off.
+
+        A task that is cancelled before its first step could not end the answer.
+        """
         with self._lock:
-            self._served_by_request[work.request.id] = served
             if self._is_cut_off:
-                served.cancel()
-        return served
+                return None
+            served = self._bridge.submit(
+                self._entry.dispatcher.serve(work, outbox),
+            )
+            self._served_by_request[work.request.id] = served
+            return served
 
     def _permit(
         self,
--- a/clementinepass/http/threaded.py
+++ b/clementinepass/http/threaded.py
@@ -75,14 +75,16 @@
         while stopping.is_alive() and time.monotonic() < deadline:
             aborted += self._connections.shut_down()
             stopping.join(_POLL_SECONDS)
-        logger.bind(step='close').log(
-            'ERROR' if stopping.is_alive() else 'INFO',
-            '{} closed after {:.2f} s, {} connections shut down{}',
-            self._name,
-            time.monotonic() - began,
-            aborted,
-            '; threads still run' if stopping.is_alive() else '',
+        event = logger.bind(
+            step='close',
+            server=self._name,
+            seconds=round(time.monotonic() - began, 3),
+            connections=aborted,
         )
+        if stopping.is_alive():
+            event.error('server closed, but some of its threads still run')
+        else:
+            event.info('server closed')
 
 
 class _Connections:
