Let a call end that is cancelled while the state it waits for changes

Callers of an entry got a connection closed without an answer, and all others of that entry were cut off with them: its process had crashed with a segmentation fault.

Cause: an entry, or an agent, answers a peer's watch once its state changes. It waited with asyncio.wait_for(), which returns normally if it is cancelled in the moment in which the change arrives. The Cap'n Proto library cancels the method when the connection is lost and frees the results of the call; the method went on and wrote to them.

The core's stack ends in _CallContext.results, read by a coroutine that had just been thrown an exception.

--- a/clementinepass/agent/agent.py
+++ b/clementinepass/agent/agent.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import time
 import typing
 
@@ -12,7 +11,7 @@
 from clementinepass.agent import execution, links
 from clementinepass.agent import gate as gates
 from clementinepass.configuration import catalogue, state
-from clementinepass.wire import messages
+from clementinepass.wire import changes, messages
 
 if typing.TYPE_CHECKING:
     from clementinepass import clock as clocks
@@ -66,8 +65,7 @@
         self._clock = clock
         self._links_by_process: dict[tuple[str, int], links.EntryLink] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._sequence = 1
-        self._changed = asyncio.Event()
+        self._sequence = changes.Sequence()
         self._configuration = state.State()
         gate.on_change = self.changed
 
@@ -77,9 +75,7 @@
 
     def changed(self) -> None:
         """Tell all watching entries that the state has changed."""
-        self._sequence += 1
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._sequence.advance()
 
     def link(self, peer: messages.Peer) -> links.EntryLink:
         """Return what is kept for one process of an entry."""
@@ -131,20 +127,14 @@
 
     async def next_state(self, known: int) -> messages.AgentState:
         """Return the state once it is newer, or after a heartbeat."""
-        if known == self._sequence:
-            changed = self._changed
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(
-                    changed.wait(),
-                    self._limits.heartbeat,
-                )
+        await self._sequence.wait_for_newer(known, self._limits.heartbeat)
         return self.state()
 
     def state(self) -> messages.AgentState:
         """Return what entries should know."""
         progress = self._workload.progress()
         return messages.AgentState(
-            sequence=self._sequence,
+            sequence=self._sequence.number,
             phase=self._gate.phase,
             kind=self._workload.kind,
             serves=self._gate.target,
--- a/clementinepass/entry/entry.py
+++ b/clementinepass/entry/entry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import hashlib
 import random
 import time
@@ -27,7 +26,7 @@
 from clementinepass.membership import entries as entry_ranking
 from clementinepass.membership import view as views
 from clementinepass.requests import quarantine
-from clementinepass.wire import addresses, entry_messages, messages
+from clementinepass.wire import addresses, changes, entry_messages, messages
 
 if typing.TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -146,8 +145,7 @@
             lambda team, target: self.desk_for(target).demand(team),
         )
         self._processes_by_entry: dict[str, str] = {}
-        self._sequence = 1
-        self._changed = asyncio.Event()
+        self._sequence = changes.Sequence()
         self._listed = False
         self._group: asyncio.TaskGroup | None = None
         self._tasks_by_peer: dict[str, asyncio.Task[None]] = {}
@@ -209,13 +207,7 @@
 
     async def next_state(self, known: int) -> entry_messages.EntryState:
         """Return the state once it differs, or after a heartbeat."""
-        if known == self._sequence:
-            changed = self._changed
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(
-                    changed.wait(),
-                    self._limits.heartbeat,
-                )
+        await self._sequence.wait_for_newer(known, self._limits.heartbeat)
         return self._state(known)
 
     def configuration_since(self, known: int) -> states.State | None:
@@ -320,7 +312,7 @@
 
     def _state(self, known: int) -> entry_messages.EntryState:
         return entry_messages.EntryState(
-            sequence=self._sequence,
+            sequence=self._sequence.number,
             incarnation=self._identity.incarnation,
             leaving=self.leaving.is_announced,
             revision=self.revision(),
@@ -328,9 +320,7 @@
         )
 
     def _tell(self) -> None:
-        self._sequence += 1
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._sequence.advance()
 
     def _configured(self) -> None:
         current = self._follower.current
@@ -501,7 +491,7 @@
         while True:
             await asyncio.sleep(_SHARES_INTERVAL)
             self._refresh_all()
-            if self._shares.update(self._sequence + 1):
+            if self._shares.update(self._sequence.number + 1):
                 self._tell()
 
     async def _publish_evidence(self) -> None:
