Leave half a second for the end of an entry with a short grace period

An entry of the direct path that had callers who didn't read ended after 2.08 s of a grace period of 2 s; the platform kills it at 2 s with all that it still carries.

Cause: a share of the grace period, 0.16 s of 2 s, was left for the end. Closing the last connections takes four polls of 0.05 s after one that notes the time, whatever the period is.

At least half a second is left, or half of the grace period if that is less. A grace period of 8 s is divided as before. test_short_grace failed on the old division.

--- a/clementinepass/decisions/departure.py
+++ b/clementinepass/decisions/departure.py
@@ -21,6 +21,11 @@
 #: Fraction of the time from SIGTERM to SIGKILL that is used. The rest, 0.64 s
 #: of 8 s, is left for the process to end, also on an instance that stalls.
 _USABLE_GRACE_FRACTION = 0.92
+#: Minimum of that rest in seconds. Closing the last connections takes up to a
+#: quarter of a second, however short the grace period is.
+_MIN_END_SECONDS = 0.5
+#: Fraction of a short grace period that is used in spite of that minimum.
+_MIN_USABLE_FRACTION = 0.5
 #: Some callers keep a list for up to this multiple of its time to live.
 _MAX_KEPT_FACTOR = 3
 #: Seconds after SIGTERM in which other entries may still list this one: the
@@ -183,4 +188,11 @@
 
 
 def _usable_seconds(grace_seconds: float) -> float:
-    return grace_seconds * _USABLE_GRACE_FRACTION - _FLUSH_SECONDS
+    usable_seconds = max(
+        min(
+            grace_seconds * _USABLE_GRACE_FRACTION,
+            grace_seconds - _MIN_END_SECONDS,
+        ),
+        grace_seconds * _MIN_USABLE_FRACTION,
+    )
+    return usable_seconds - _FLUSH_SECONDS
--- a/tests/decisions/test_departure.py
+++ b/tests/decisions/test_departure.py
@@ -105,6 +105,15 @@
         self.assertTrue(plan.may_end(100, 1))
         self.assertFalse(plan.accepts(100.5))
 
+    def test_short_grace(self) -> None:
+        """A short grace period leaves time to close unread connections.
+
+        An entry with a grace period of 2 s ended after 2.1 s.
+        """
+        for grace in (1, 2, GRACE):
+            plan = departure.plan_drain(100, grace, self.policy, NO_LIST)
+            self.assertLessEqual(plan.end_at, 100 + grace - 0.5)
+
     def test_retry_after(self) -> None:
         """A caller retries sooner if another entry is ready."""
         self.assertLess(departure.retry_after(1), departure.retry_after(0))
