Stop an agent that is told to stop when the list first shows it

The twin of the crash of entries: Neighbours.settle() waited with asyncio.wait_for(), which drops a cancellation that meets the event. test_cancelled_when_listed failed on the old code.

--- a/clementinepass/agent/neighbours.py
+++ b/clementinepass/agent/neighbours.py
@@ -64,7 +64,8 @@
         hundreds would read a whole copy from the origin.
         """
         try:
-            await asyncio.wait_for(self._shown.wait(), _PATIENCE)
+            async with asyncio.timeout(_PATIENCE):
+                await self._shown.wait()
         except TimeoutError:
             logger.bind(step='instance list', peer=self._own_id).warning(
                 'not listed after {} s; going on',
--- a/tests/agent/test_neighbours.py
+++ b/tests/agent/test_neighbours.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import typing
 
 import testtools
 
@@ -53,3 +54,40 @@
             return {one.id for one in known.peers_for('faults')}
 
         self.assertEqual({'agent-1', 'agent-4'}, asyncio.run(members()))
+
+    def test_cancelled_when_listed(self) -> None:
+        """An agent that is stopped when the list first shows it stops waiting.
+
+        The cancellation was dropped, and the agent went on to load weights.
+        """
+        listed = memory.MemoryInstanceList()
+        listed.put(_agent('agent-0', 'faults'))
+
+        async def is_cancelled(steps: int) -> bool:
+            known = neighbours.Neighbours('agent-0', listed, _DirectBridge())
+            settling = asyncio.create_task(known.settle())
+            await asyncio.sleep(0)
+            following = asyncio.create_task(known.run())
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            was_done = settling.done()
+            settling.cancel()
+            await asyncio.wait((settling,))
+            following.cancel()
+            return was_done or settling.cancelled()
+
+        for steps in range(6):
+            self.assertTrue(asyncio.run(is_cancelled(steps)), steps)
+
+
+class _DirectBridge(bridges.Bridge):
+    """Calls at once, without a thread."""
+
+    def __init__(self) -> None:
+        """Start no thread."""
+
+    async def block(
+        self, call: typing.Callable[..., typing.Any], *arguments: typing.Any
+    ) -> typing.Any:
+        """Return what the call returns."""
+        return call(*arguments)
