Wait until a restarted entry of the proofs knows its configuration

Cause: restart_entry(), which waits until the entry serves, looked at the agents alone. An entry whose log answers late sees them before it knows its configuration, and says so with 503, not run, and a Retry-After, as it should. Evidence: with the log frozen for 6 s from the entry's start the test's scenario fails so in the play in which the entry was up before the log; the only source of 'starting' is an entry without a configuration.

restart_entry() waits for a revision, too. No check and no patience is changed.

--- a/tests/proofs/bench.py
+++ b/tests/proofs/bench.py
@@ -317,7 +317,7 @@
         count = self.system.shape.engines + self.system.shape.services
         self.system.await_status(
             lambda status: (
-                _phases(status)
+                status['revision'] > 0
                 and list(_phases(status).values()).count('serving') == count
             ),
             f'{name} serves',
