Find a silent peer, too, while this process is late all the time

A call of an entry or agent had no timeout any more on a machine on which each quarter of the timeout ended a tenth of a second late: such parts weren't counted since the time in which a process is paused doesn't count as silence. Found by reading; test_always_late, in which the loop is blocked again and again, had not ended after 40 blocks of 0.12 s.

Eight late parts are left out at most, then each counts. A pause is one late part.

--- a/clementinepass/wire/connections.py
+++ b/clementinepass/wire/connections.py
@@ -24,6 +24,9 @@
 _TIMEOUT_PARTS = 4
 #: Seconds by which a part ends late if this process got no processor.
 _PAUSE_SECONDS = 0.1
+#: Number of late parts that are not counted. A process that is always late
+#: would never find a peer silent otherwise.
+_MAX_LATE_PARTS = 8
 
 
 class Bootstrap(typing.Protocol):
@@ -170,11 +173,15 @@
     loop = asyncio.get_running_loop()
     task = asyncio.ensure_future(awaitable)
     remaining = _TIMEOUT_PARTS
+    late_parts = 0
     try:
         while remaining and not task.done():
             due = loop.time() + timeout / _TIMEOUT_PARTS
             await asyncio.wait((task,), timeout=timeout / _TIMEOUT_PARTS)
-            if loop.time() - due < _PAUSE_SECONDS:
+            is_late = loop.time() - due >= _PAUSE_SECONDS
+            if is_late and late_parts < _MAX_LATE_PARTS:
+                late_parts += 1
+            else:
                 remaining -= 1
         if task.done():
             return task.result()
