--- a/clementinepass/daemon.py
+++ b/clementinepass/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import faulthandler
 import pathlib
 import sys
 import time
@@ -44,6 +45,9 @@
     """
     checked = _read(settings)
     logs.configure(checked.logging.level, checked.logging.format)
+    # A crash inside a library leaves no other trace. The stacks of all threads
+    # of an entry would be cut off before that of the crash.
+    faulthandler.enable(all_threads=False)
     assemble: typing.Callable[..., typing.Any]
     if checked.daemon.role is protocols.Role.ENTRY:
         assemble = entry_assembly.run
--- a/tests/proofs/bench.py
+++ b/tests/proofs/bench.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import concurrent.futures
-import contextlib
 import threading
 import time
 import typing
@@ -363,18 +362,21 @@
             time.sleep(_POLL)
 
     def traces(self, request_ids: typing.Container[str]) -> str:
-        """Return the daemons' log lines about some requests, and who ended."""
+        """Return log lines about some requests, and how daemons ended.
+
+        Lines that are no log lines, such as the stack of a crash, are included.
+        """
         lines = []
         for name, process in self.system.by_name.items():
             if not name.startswith(('agent-', 'entry-')):
                 continue
             if process.exit_code is not None:
                 lines.append(f'{name}: ended with code {process.exit_code}')
-            for line in process.log.read_text().splitlines():
-                with contextlib.suppress(msgspec.MsgspecError):
-                    entry = msgspec.json.decode(line)
-                    if entry.get('request_id', '') in request_ids:
-                        lines.append(f'{name}: {line}')
+            lines.extend(
+                f'{name}: {line}'
+                for line in process.log.read_text().splitlines()
+                if _is_about(line, request_ids)
+            )
         return '\n'.join(lines)
 
     def violations(self) -> list[str]:
@@ -504,6 +506,14 @@
         told.saying = history.Saying.WHOLE
 
 
+def _is_about(line: str, request_ids: typing.Container[str]) -> bool:
+    try:
+        entry = msgspec.json.decode(line)
+    except msgspec.MsgspecError:
+        return True
+    return entry.get('request_id', '') in request_ids
+
+
 def _host_and_port(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(':')
     return host, int(port)
