--- a/tests/wire/test_changes.py
+++ b/tests/wire/test_changes.py
@@ -64,6 +64,9 @@
         async def is_cancelled() -> bool:
             sequence = changes.Sequence()
             waiting = asyncio.create_task(sequence.wait_for_newer(1, 0))
+            # The wait has begun, and its timeout expires in the next step.
+            await asyncio.sleep(0)
+            self.assertFalse(waiting.done())
             waiting.cancel()
             await asyncio.wait((waiting,))
             return waiting.cancelled()
