Start the entries of test_few_entries_read_the_store on a steady loop

Cause, by runs: all entries share the test's event loop. With the loop blocked for up to 0.15 to 0.35 s at a time, 13 of 40 plays took 2.0 to 4.1 s; in twelve of them answers of the entry that has the records came after the timeout of 0.8 s, and the others read the store instead, with 13 to 24 calls in place of 2. In the product each is a process. The lines of the one failure were not kept, so that it came this way is suspected.

The loop's clock leaves delays of the process out, as for the tests of the request path: 30 of 30 plays with blocks of up to 0.35 s are ready by 0.4 s with 2 calls. The checks and bounds are the same. With entries that are ready 2 s later, or never ask their peers, the test fails on the steady loop.

--- a/tests/direct/test_start.py
+++ b/tests/direct/test_start.py
@@ -7,6 +7,7 @@
 import testtools
 
 from standins import machines, weights_origin
+from tests.direct import steady_loop
 
 #: Number of entries that start together; one of them is the others' seed.
 ENTRY_COUNT = 12
@@ -50,4 +51,5 @@
                     MAX_READERS * CALLS_PER_READER,
                 )
 
-        asyncio.run(scenario())
+        with asyncio.Runner(loop_factory=steady_loop.SteadyLoop) as runner:
+            runner.run(scenario())
