--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -44,6 +44,19 @@
     ENCODED = 'encoded'
     #: Skips an event.
     GAP = 'gap'
+    #: Runs, and is silent before its answer until it is let go.
+    SILENT = 'silent'
+    #: Runs, and is silent before its first event until it is let go.
+    SILENT_AFTER_HEAD = 'silent_after_head'
+    #: Runs, and is silent after its first event until it is let go.
+    SILENT_MIDWAY = 'silent_midway'
+
+
+#: Number of the event before which an endpoint is silent.
+_SILENT_BEFORE_EVENT: dict[Fault | None, int] = {
+    Fault.SILENT_AFTER_HEAD: 0,
+    Fault.SILENT_MIDWAY: 1,
+}
 
 
 class DirectEndpoint:
@@ -73,6 +86,8 @@
         #: Streams wait here before each event while it isn't set.
         self.going = asyncio.Event()
         self.going.set()
+        #: What silent requests wait for.
+        self.let_go = asyncio.Event()
         self.port = 0
         #: Milliseconds of Unix time of its start.
         self.born = 1
@@ -164,7 +179,18 @@
             await asyncio.Event().wait()
         elif fault is Fault.ERROR:
             reply.send(_ERROR, self._marked(request), b'failed')
-        elif b'/stream/' in request.target:
+        else:
+            await self._succeed(request, reply, fault)
+
+    async def _succeed(
+        self,
+        request: messages.Request,
+        reply: replies.Reply,
+        fault: Fault | None,
+    ) -> None:
+        if fault is Fault.SILENT:
+            await self.let_go.wait()
+        if b'/stream/' in request.target:
             await self._stream(request, reply, fault)
         else:
             await self.going.wait()
@@ -183,6 +209,8 @@
         first = 0 if last is None else int(last) + 1
         for number in range(first, self.events):
             await self.going.wait()
+            if _SILENT_BEFORE_EVENT.get(fault) == number:
+                await self.let_go.wait()
             if fault is Fault.GAP and number == 1:
                 continue
             text = b'%d%b' % (number, self.filling)
