--- a/clementinepass/decisions/next_try.py
+++ b/clementinepass/decisions/next_try.py
@@ -28,6 +28,16 @@
     TOO_MANY_RUNS = 'enough_runs'
     TOO_MANY_ATTEMPTS = 'enough_attempts'
     NO_TIME = 'no_time'
+    #: The retry budget of the service is spent.
+    BUDGET_SPENT = 'budget_spent'
+    #: No other endpoint can take the request.
+    NO_ENDPOINT = 'no_endpoint'
+
+
+#: Decisions that hold for as long as the open attempts do.
+_RUN_LIMITS = frozenset(
+    (RetryDecision.MAY_HAVE_RUN, RetryDecision.TOO_MANY_RUNS)
+)
 
 
 class AttemptHistory(typing.NamedTuple):
@@ -48,7 +58,11 @@
 
 
 def decide(history: AttemptHistory) -> RetryDecision:
-    """Decide by the limits of a request; the retry budget is separate."""
+    """Decide by the limits of a request.
+
+    The retry budget and the choice of an endpoint are separate. Open attempts
+    count as well, as they may have run.
+    """
     if history.runs and not history.is_repeatable:
         return RetryDecision.MAY_HAVE_RUN
     if history.runs >= history.max_runs:
@@ -58,3 +72,8 @@
     if history.seconds_left < _MIN_SECONDS_LEFT:
         return RetryDecision.NO_TIME
     return RetryDecision.ALLOWED
+
+
+def may_run_again(history: AttemptHistory) -> bool:
+    """Tell whether the route allows the request to run once more."""
+    return decide(history) not in _RUN_LIMITS
--- a/clementinepass/decisions/window_budget.py
+++ b/clementinepass/decisions/window_budget.py
@@ -50,15 +50,22 @@
     def try_acquire(self, now: float, entry_count: int) -> bool:
         """Take one retry from the budget; return whether there was one.
 
+        :param entry_count: number of entries that share the surplus.
+        """
+        is_available = self.has_retry(now, entry_count)
+        if is_available:
+            self._retries.append(now)
+        return is_available
+
+    def has_retry(self, now: float, entry_count: int) -> bool:
+        """Tell whether a retry can be taken from the budget.
+
         :param entry_count: number of entries that share the surplus.
         """
         self._drop_expired(now)
         allowed_retries = self._share * len(self._first_attempts)
         allowed_retries += self._surplus / max(entry_count, 1)
-        if len(self._retries) + 1 > allowed_retries * _USABLE_FRACTION:
-            return False
-        self._retries.append(now)
-        return True
+        return len(self._retries) + 1 <= allowed_retries * _USABLE_FRACTION
 
     def _drop_expired(self, now: float) -> None:
         oldest = now - self._window_seconds
--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import functools
 import math
 import typing
 
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.direct import calls, events, routing, serving, uptime
+from clementinepass.direct import calls, events, serving, uptime
 from clementinepass.http import channel, pool
 
 if typing.TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from clementinepass.direct import cluster_state, endpoints, request_log
-    from clementinepass.requests import outcome
 
 #: Longest time that a connection may have been idle to be reused for a request
 #: that must not run twice. If the endpoint closes the connection meanwhile, it
@@ -26,18 +29,6 @@
 _CONNECT_TIMEOUT_SECONDS = 0.6
 #: Largest plain answer that is buffered.
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
-#: Seconds beyond the latency target without a first event after which a
-#: repeatable request is sent to another endpoint. Callers abandon a stream
-#: after two seconds without an event.
-_FIRST_EVENT_GRACE_SECONDS = 0.9
-#: Seconds without an event, beyond the longest allowed gap, after which a
-#: stream is resumed at another endpoint. Callers wait two seconds for an event;
-#: the rest of them is left for the other endpoint.
-_EVENT_GAP_GRACE_SECONDS = 0.7
-#: Share of the remaining time after which a repeatable plain request is sent to
-#: another endpoint. Answers usually take a ninth of that time, and the slowest
-#: ones a half.
-_PLAIN_ANSWER_TIME_SHARE = 0.5
 #: The urgency of the requests that an engine runs last.
 _MAX_URGENCY = 9
 
@@ -78,26 +69,40 @@
         #: Services that have answered a request since the process started.
         self._answered_services: set[str] = set()
 
-    async def send(
+    def start(
         self,
         admitted: serving.AdmittedRequest,
         endpoint: endpoints.Endpoint,
-    ) -> serving.AttemptResult:
-        """Send a request to an endpoint and forward the answer."""
-        attempt = admitted.start_attempt(endpoint.listing.id)
+    ) -> None:
+        """Start to send a request to an endpoint and to forward the answer.
+
+        The endpoint's load is counted at once, so that the next request sees
+        it.
+        """
+        attempt = admitted.add_attempt(endpoint)
         self._log.log_sending(admitted, endpoint)
         endpoint.in_flight += 1
         endpoint.reported_load.record_sent(asyncio.get_running_loop().time())
-        try:
-            result = await self._exchange(admitted, endpoint, attempt)
-        finally:
-            endpoint.in_flight -= 1
-            if not attempt.finished:
-                attempt.given_up()
-        self._record_result(admitted, endpoint, result)
-        if result is serving.AttemptResult.ANSWERED:
-            self._log_first_answer(admitted.service.name)
-        return result
+        attempt.task = asyncio.create_task(self._send(admitted, attempt))
+        attempt.task.add_done_callback(
+            functools.partial(self._finish, admitted, attempt)
+        )
+
+    def mark_silent(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+    ) -> None:
+        """Record that the endpoint of an open attempt is silent.
+
+        The ejector learns of it at once, as a frozen endpoint would otherwise
+        be found only when its requests end.
+        """
+        now = asyncio.get_running_loop().time()
+        attempt.silent_since = now - attempt.silent_seconds(now)
+        if not attempt.endpoint.is_loading:
+            self._cluster.record_failure(attempt.endpoint, now)
+        self._log.log_silent(admitted, attempt)
 
     def close_connections(self, endpoint_id: str) -> None:
         """Close the connections to an endpoint that was removed."""
@@ -105,6 +110,37 @@
         if endpoint_pool is not None:
             endpoint_pool.connections.close()
 
+    async def _send(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+    ) -> serving.AttemptResult:
+        result = await self._exchange(admitted, attempt.endpoint, attempt)
+        self._record_result(admitted, attempt, result)
+        if result is serving.AttemptResult.ANSWERED:
+            self._log.log_answered(admitted, attempt)
+            self._log_first_answer(admitted.service.name)
+        return result
+
+    def _finish(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+        task: asyncio.Task[serving.AttemptResult],
+    ) -> None:
+        """Release the endpoint, also if the attempt was aborted."""
+        attempt.endpoint.in_flight -= 1
+        attempt.waiting_since = None
+        if attempt.finished:
+            return
+        attempt.given_up()
+        if attempt.is_silent:
+            attempt.failure = serving.AttemptFailure.SILENT
+        elif attempt.superseded_by is not None:
+            attempt.failure = serving.AttemptFailure.SUPERSEDED
+        if attempt.superseded_by is not None:
+            self._log.log_superseded(admitted, attempt)
+
     def _log_first_answer(self, service: str) -> None:
         if service in self._answered_services:
             return
@@ -117,10 +153,10 @@
         self,
         admitted: serving.AdmittedRequest,
         endpoint: endpoints.Endpoint,
-        attempt: outcome.Attempt,
+        attempt: serving.Attempt,
     ) -> serving.AttemptResult:
         connections = self._get_pool(admitted, endpoint)
-        admitted.start_deadline = self._start_deadline(admitted, endpoint)
+        attempt.start_deadline = self._start_deadline(admitted, endpoint)
         is_repeatable = admitted.route.is_repeatable
         try:
             connection = await connections.acquire(
@@ -133,24 +169,26 @@
             attempt.refused()
             now = asyncio.get_running_loop().time()
             self._cluster.record_failure(endpoint, now)
-            self._log.log_attempt_failed(admitted, endpoint, error)
+            self._log.log_attempt_failed(admitted, attempt, error)
             return serving.AttemptResult.NOT_RUN
-        admitted.channel = connection
+        attempt.connection = connection
         try:
             if self._became_unusable(endpoint):
                 attempt.refused()
                 return serving.AttemptResult.NOT_RUN
-            return await self._request_answer(
-                admitted, endpoint, attempt, connection
-            )
+            async with _start_timeout(attempt, connection):
+                return await self._request_answer(
+                    admitted, endpoint, attempt, connection
+                )
         except (channel.ChannelBrokenError, events.StreamBrokenError) as error:
             attempt.failed(errors.Execution.MAY_HAVE_RUN)
-            self._log.log_attempt_failed(admitted, endpoint, error)
+            self._log.log_attempt_failed(admitted, attempt, error)
             connection.abort()
             return serving.AttemptResult.BROKEN
         except BaseException:
-            # The caller has disconnected or the deadline has passed. Without
-            # the abort the endpoint would continue to work on the request.
+            # The caller has disconnected, the deadline has passed or another
+            # attempt delivers. Without the abort the endpoint would continue to
+            # work on the request.
             connection.abort()
             raise
         finally:
@@ -172,7 +210,7 @@
         self,
         admitted: serving.AdmittedRequest,
         endpoint: endpoints.Endpoint,
-        attempt: outcome.Attempt,
+        attempt: serving.Attempt,
         connection: channel.Channel,
     ) -> serving.AttemptResult:
         payload = self._dialect.encode_attempt(
@@ -181,22 +219,22 @@
         )
         attempt.sent()
         connection.send(payload)
-        async with _silence_timeout(admitted, connection):
-            head = await connection.read_head()
+        attempt.waiting_since = asyncio.get_running_loop().time()
+        head = await connection.read_head()
+        decoded_head = self._dialect.decode_head(admitted.call, head)
+        if decoded_head.verdict is calls.Verdict.OTHER_REQUEST:
+            logger.bind(request=admitted.call.id).warning(
+                'passed over the answer to another request',
+            )
+            head = await connection.skip_to_next_answer()
             decoded_head = self._dialect.decode_head(admitted.call, head)
-            if decoded_head.verdict is calls.Verdict.OTHER_REQUEST:
-                logger.bind(request=admitted.call.id).warning(
-                    'passed over the answer to another request',
-                )
-                head = await connection.skip_to_next_answer()
-                decoded_head = self._dialect.decode_head(admitted.call, head)
         if decoded_head.verdict is calls.Verdict.MISDIRECTED:
             attempt.refused()
-            self._handle_misdirected(admitted, endpoint, decoded_head)
+            self._handle_misdirected(admitted, attempt, decoded_head)
             return serving.AttemptResult.NOT_RUN
         if decoded_head.verdict is calls.Verdict.NOT_RUN:
             attempt.refused()
-            self._log.log_rejected(admitted, endpoint, head.status)
+            self._log.log_rejected(admitted, attempt, head.status)
             return serving.AttemptResult.NOT_RUN
         attempt.head_seen()
         if decoded_head.verdict in {
@@ -230,35 +268,38 @@
     async def _forward_plain_answer(
         self,
         admitted: serving.AdmittedRequest,
-        attempt: outcome.Attempt,
+        attempt: serving.Attempt,
         connection: channel.Channel,
         decoded_head: calls.DecodedHead,
         status: int,
     ) -> serving.AttemptResult:
         """Buffer a plain answer until it is complete, then forward it."""
-        admitted.start_deadline = math.inf
+        attempt.mark_started()
+        attempt.waiting_since = asyncio.get_running_loop().time()
         parts = []
         length = 0
-        async with _silence_timeout(admitted, connection):
-            while part := await connection.read():
-                parts.append(part)
-                length += len(part)
-                if length > _MAX_ANSWER_BYTES:
-                    raise channel.ChannelBrokenError(
-                        'the answer is longer than the limit',
-                        peer=connection.peer,
-                    )
+        while part := await connection.read():
+            parts.append(part)
+            length += len(part)
+            if length > _MAX_ANSWER_BYTES:
+                raise channel.ChannelBrokenError(
+                    'the answer is longer than the limit',
+                    peer=connection.peer,
+                )
+        attempt.waiting_since = None
         attempt.ended()
         body = b''.join(parts)
         if decoded_head.verdict is calls.Verdict.FAILURE:
             admitted.failed_answer = serving.FailedAnswer(
                 status, decoded_head.pairs, body
             )
+            self._log.log_failed_by_endpoint(admitted, attempt, status)
             return serving.AttemptResult.FAILED
         if admitted.reply.is_started:
             raise channel.ChannelBrokenError(
                 'a plain answer came instead of a stream', peer=connection.peer
             )
+        self._take_over(admitted, attempt)
         admitted.first_event_at = asyncio.get_running_loop().time()
         admitted.reply.send(status, decoded_head.pairs, body)
         return serving.AttemptResult.ANSWERED
@@ -267,33 +308,61 @@
         self,
         admitted: serving.AdmittedRequest,
         endpoint: endpoints.Endpoint,
-        attempt: outcome.Attempt,
+        attempt: serving.Attempt,
         connection: channel.Channel,
         decoded_head: calls.DecodedHead,
         status: int,
     ) -> serving.AttemptResult:
         """Forward complete events as they arrive."""
+        loop = asyncio.get_running_loop()
         reply = admitted.reply
         endpoint.last_received_at = connection.last_received_at
         while True:
-            async with _silence_timeout(admitted, connection):
-                part = await connection.read()
+            attempt.waiting_since = loop.time()
+            part = await connection.read()
+            attempt.waiting_since = None
             endpoint.last_received_at = connection.last_received_at
             if not part:
                 break
-            for event in admitted.splitter.feed(part):
+            for event in attempt.splitter.feed(part):
+                self._take_over(admitted, attempt)
                 self._start_reply(admitted, decoded_head, status)
                 reply.write(event.payload)
+                admitted.resume_after = attempt.splitter.last_id
             await reply.wait_writable()
-        if admitted.splitter.has_partial_event:
+        if attempt.splitter.has_partial_event:
             raise events.StreamBrokenError(
                 'the stream ended in the middle of an event'
             )
+        self._take_over(admitted, attempt)
         self._start_reply(admitted, decoded_head, status)
         attempt.ended()
         reply.end()
         return serving.AttemptResult.ANSWERED
 
+    def _take_over(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+    ) -> None:
+        """Let an attempt that delivers supersede all others.
+
+        From its first whole event, or its whole plain answer, on, nothing of
+        another attempt reaches the caller.
+
+        The start deadline applies to each attempt until its own first event,
+        even if the caller has events of an earlier attempt. Otherwise a stream
+        that is resumed after a crash of its engine may start on old weights
+        after their bound (see ``_start_deadline``).
+        """
+        attempt.mark_started()
+        if attempt.is_silent:
+            self._log.log_going_on(admitted, attempt)
+            attempt.silent_since = None
+            admitted.retry_decision = ''
+        if len(admitted.attempts) > 1:
+            admitted.supersede_others(attempt)
+
     def _start_reply(
         self,
         admitted: serving.AdmittedRequest,
@@ -304,13 +373,7 @@
 
         The head is not sent earlier, as another endpoint may still answer until
         then.
-
-        The start deadline applies to each attempt until its own first event,
-        even if the caller has events of an earlier attempt. Otherwise a stream
-        that is resumed after a crash of its engine may start on old weights
-        after their bound (see ``_start_deadline``).
         """
-        admitted.start_deadline = math.inf
         if not admitted.reply.is_started:
             admitted.reply.start(status, decoded_head.pairs)
             admitted.first_event_at = asyncio.get_running_loop().time()
@@ -356,16 +419,17 @@
     def _handle_misdirected(
         self,
         admitted: serving.AdmittedRequest,
-        endpoint: endpoints.Endpoint,
+        attempt: serving.Attempt,
         decoded_head: calls.DecodedHead,
     ) -> None:
+        endpoint = attempt.endpoint
         is_other_instance = decoded_head.instance not in {
             '',
             endpoint.listing.id,
         }
         if is_other_instance:
             endpoint.is_misdirected = True
-        self._log.log_misdirected(admitted, endpoint, decoded_head.instance)
+        self._log.log_misdirected(admitted, attempt, decoded_head.instance)
 
     def _get_pool(
         self,
@@ -393,10 +457,11 @@
     def _record_result(
         self,
         admitted: serving.AdmittedRequest,
-        endpoint: endpoints.Endpoint,
+        attempt: serving.Attempt,
         result: serving.AttemptResult,
     ) -> None:
         """Report the result of an attempt to the ejector."""
+        endpoint = attempt.endpoint
         now = asyncio.get_running_loop().time()
         if result is serving.AttemptResult.ANSWERED:
             answered_at = admitted.first_event_at or now
@@ -405,8 +470,10 @@
         elif (
             result is not serving.AttemptResult.NOT_RUN
             and not endpoint.is_loading
+            and not attempt.is_silent
         ):
-            # An engine that loads new weights cuts off running requests.
+            # An engine that loads new weights cuts off running requests. A
+            # silent endpoint was reported when it was found silent.
             self._cluster.record_failure(endpoint, now)
 
 
@@ -418,54 +485,22 @@
     )
 
 
-def _silence_timeout(
-    admitted: serving.AdmittedRequest,
+@contextlib.asynccontextmanager
+async def _start_timeout(
+    attempt: serving.Attempt,
     connection: channel.Channel,
-) -> _SilenceTimeout:
-    """Return the timeout for the next bytes of an answer."""
-    deadline = min(_silence_deadline(admitted), admitted.start_deadline)
-    return _SilenceTimeout(
-        None if deadline == math.inf else deadline, connection
-    )
-
-
-def _silence_deadline(admitted: serving.AdmittedRequest) -> float:
-    """Return the time at which an attempt at a silent endpoint is abandoned."""
-    now = asyncio.get_running_loop().time()
-    route = admitted.route
-    if not route.is_repeatable or admitted.run_count >= route.max_runs:
-        return math.inf
-    if admitted.reply.is_started:
-        return now + route.max_event_gap + _EVENT_GAP_GRACE_SECONDS
-    if route.kind is routing.RouteKind.STREAM:
-        return now + route.latency_target + _FIRST_EVENT_GRACE_SECONDS
-    return now + _PLAIN_ANSWER_TIME_SHARE * (admitted.deadline - now)
-
-
-class _SilenceTimeout:
-    """Abandon an endpoint that sends nothing for too long.
-
-    This applies to requests that may run once more only. Any other request can
-    have no answer but the late one.
-    """
-
-    __slots__ = ('_timeout', '_connection')
-
-    def __init__(
-        self, deadline: float | None, connection: channel.Channel
-    ) -> None:
-        self._timeout = asyncio.timeout_at(deadline)
-        self._connection = connection
-
-    async def __aenter__(self) -> None:
-        await self._timeout.__aenter__()
-
-    async def __aexit__(self, *exc_info: typing.Any) -> None:
-        try:
-            await self._timeout.__aexit__(*exc_info)
-        except TimeoutError as error:
-            raise channel.ChannelBrokenError(
-                'the endpoint sent nothing until the timeout',
-                peer=self._connection.peer,
-                fault=channel.Fault.SILENT,
-            ) from error
+) -> AsyncIterator[None]:
+    """Abort an attempt that has not started by its start deadline."""
+    if attempt.start_deadline == math.inf:
+        yield
+        return
+    try:
+        async with asyncio.timeout_at(attempt.start_deadline) as timeout:
+            attempt.start_timeout = timeout
+            yield
+    except TimeoutError as error:
+        raise channel.ChannelBrokenError(
+            'the request has not started before its weights are too old',
+            peer=connection.peer,
+            fault=channel.Fault.SILENT,
+        ) from error
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -6,7 +6,7 @@
 import typing
 
 from clementinepass.decisions import departure as drain_decisions
-from clementinepass.decisions import next_try, window_budget
+from clementinepass.decisions import next_try, silence, window_budget
 from clementinepass.direct import (
     attempt,
     calls,
@@ -20,7 +20,12 @@
 if typing.TYPE_CHECKING:
     import random
 
-    from clementinepass.direct import cluster_state, departure, node
+    from clementinepass.direct import (
+        cluster_state,
+        departure,
+        endpoints,
+        node,
+    )
     from clementinepass.http import messages, replies
 
 _BAD_REQUEST = 400
@@ -35,6 +40,8 @@
 #: Seconds that a retry needs from sending a stream's request to its first
 #: event: twice the usual time.
 _FIRST_EVENT_MARGIN_SECONDS = 0.35
+#: Seconds between two searches for an endpoint in the place of a silent one.
+_SEARCH_INTERVAL_SECONDS = 0.2
 
 
 class RequestHandler:
@@ -128,7 +135,8 @@
         except TimeoutError:
             self._send_final_answer(admitted, admitted.ending_at_deadline)
         except asyncio.CancelledError:
-            self._log.log_interrupted(admitted)
+            if not admitted.reply.is_done:
+                self._log.log_interrupted(admitted)
             raise
         except Exception as error:
             self._log.log_internal_error(admitted, error)
@@ -249,46 +257,93 @@
     async def _run_attempts(self, admitted: serving.AdmittedRequest) -> None:
         """Send the request until it is answered or must not be retried."""
         endpoint = await self._selector.select_first(admitted)
-        while endpoint is not None:
-            self._count_in_budget(admitted)
-            result = await self._sender.send(admitted, endpoint)
+        if endpoint is None:
+            self._send_final_answer(
+                admitted, self._ending_without_endpoint(admitted)
+            )
+            return
+        now = asyncio.get_running_loop().time()
+        self._retry_budget(admitted.service.name).record_first_attempt(now)
+        self._sender.start(admitted, endpoint)
+        try:
+            is_answered = await self._wait_for_answer(admitted)
+        finally:
+            await admitted.abort_attempts()
+        if not is_answered:
+            self._send_final_answer(admitted, _ending_after_attempts(admitted))
+
+    async def _wait_for_answer(self, admitted: serving.AdmittedRequest) -> bool:
+        """Wait for an answer, and start more attempts where they are needed.
+
+        An attempt at a silent endpoint stays open, as the endpoint may go on.
+
+        :returns: whether the request was answered.
+        """
+        loop = asyncio.get_running_loop()
+        search_at = loop.time()
+        while admitted.open_attempts:
+            seconds = self._seconds_until_search(admitted, loop.time())
+            seconds = max(seconds, search_at - loop.time())
+            result = await admitted.next_result(seconds)
             if result is serving.AttemptResult.ANSWERED:
-                self._log.log_answered(admitted)
-                return
-            if result is serving.AttemptResult.FAILED:
-                self._log.log_failed_by_endpoint(admitted)
-            if not self._may_retry(admitted):
-                self._send_final_answer(
-                    admitted, self._ending_after_attempt(admitted, result)
+                return True
+            if result is not None:
+                # Endpoints that were not free may be free now.
+                search_at = loop.time()
+            seconds = self._seconds_until_search(admitted, loop.time())
+            if seconds <= 0 and search_at <= loop.time():
+                self._search(admitted)
+                search_at = loop.time() + _SEARCH_INTERVAL_SECONDS
+        return False
+
+    def _seconds_until_search(
+        self, admitted: serving.AdmittedRequest, now: float
+    ) -> float:
+        """Return the seconds until another attempt is needed."""
+        route = admitted.route
+        return silence.seconds_until_search(
+            silence.Expectation(
+                is_stream=route.kind is routing.RouteKind.STREAM,
+                is_started=admitted.reply.is_started,
+                latency_target=route.latency_target,
+                max_event_gap=route.max_event_gap,
+            ),
+            [
+                silence.Wait(
+                    waiting.waited_seconds(now), admitted.deadline - now
                 )
-                return
-            endpoint = self._selector.select(admitted)
-        self._send_final_answer(
-            admitted, self._ending_without_endpoint(admitted)
+                for waiting in admitted.open_attempts
+            ],
+            may_run_again=next_try.may_run_again(_history(admitted, now)),
         )
 
-    def _count_in_budget(self, admitted: serving.AdmittedRequest) -> None:
-        if not admitted.attempts:
-            now = asyncio.get_running_loop().time()
-            self._retry_budget(admitted.service.name).record_first_attempt(now)
-
-    def _may_retry(self, admitted: serving.AdmittedRequest) -> bool:
+    def _search(self, admitted: serving.AdmittedRequest) -> None:
+        """Start another attempt if the request may have one."""
+        for silent_attempt in admitted.open_attempts:
+            if not silent_attempt.is_silent:
+                self._sender.mark_silent(admitted, silent_attempt)
         now = asyncio.get_running_loop().time()
-        decision = next_try.decide(
-            next_try.AttemptHistory(
-                attempts=len(admitted.attempts),
-                runs=admitted.run_count,
-                max_runs=admitted.route.max_runs,
-                is_repeatable=admitted.route.is_repeatable,
-                seconds_left=_seconds_left(admitted, now),
-            ),
-        )
-        is_allowed = decision is next_try.RetryDecision.ALLOWED
-        if is_allowed:
+        decision, endpoint = self._choose_next(admitted, now)
+        self._log.log_retry_decision(admitted, decision)
+        if endpoint is not None:
             budget = self._retry_budget(admitted.service.name)
-            is_allowed = budget.try_acquire(now, self._count_entries())
-        self._log.log_retry_decision(admitted, decision, is_allowed)
-        return is_allowed
+            budget.try_acquire(now, self._count_entries())
+            self._sender.start(admitted, endpoint)
+
+    def _choose_next(
+        self, admitted: serving.AdmittedRequest, now: float
+    ) -> tuple[next_try.RetryDecision, endpoints.Endpoint | None]:
+        """Decide on another attempt; return its endpoint if there is one."""
+        decision = next_try.decide(_history(admitted, now))
+        if decision is not next_try.RetryDecision.ALLOWED:
+            return decision, None
+        budget = self._retry_budget(admitted.service.name)
+        if not budget.has_retry(now, self._count_entries()):
+            return next_try.RetryDecision.BUDGET_SPENT, None
+        endpoint = self._selector.select(admitted)
+        if endpoint is None:
+            return next_try.RetryDecision.NO_ENDPOINT, None
+        return decision, endpoint
 
     def _retry_budget(self, service: str) -> window_budget.WindowBudget:
         budget = self._retry_budgets_by_service.get(service)
@@ -304,22 +359,9 @@
 
     # Final answers.
 
-    def _ending_after_attempt(
-        self,
-        admitted: serving.AdmittedRequest,
-        result: serving.AttemptResult,
-    ) -> serving.Ending:
-        if result is serving.AttemptResult.NOT_RUN and admitted.has_not_run:
-            return serving.Ending.REJECTED
-        return serving.Ending.BROKEN
-
     def _ending_without_endpoint(
         self, admitted: serving.AdmittedRequest
     ) -> serving.Ending:
-        if admitted.attempts:
-            return self._ending_after_attempt(
-                admitted, serving.AttemptResult.NOT_RUN
-            )
         now = asyncio.get_running_loop().time()
         if self._cluster.candidates(admitted.service, now):
             return serving.Ending.OVERLOAD
@@ -375,6 +417,26 @@
         return _BAD_GATEWAY
 
 
+def _ending_after_attempts(
+    admitted: serving.AdmittedRequest,
+) -> serving.Ending:
+    if admitted.has_not_run:
+        return serving.Ending.REJECTED
+    return serving.Ending.BROKEN
+
+
+def _history(
+    admitted: serving.AdmittedRequest, now: float
+) -> next_try.AttemptHistory:
+    return next_try.AttemptHistory(
+        attempts=len(admitted.attempts),
+        runs=admitted.run_count,
+        max_runs=admitted.route.max_runs,
+        is_repeatable=admitted.route.is_repeatable,
+        seconds_left=_seconds_left(admitted, now),
+    )
+
+
 def _seconds_left(admitted: serving.AdmittedRequest, now: float) -> float:
     """Return the seconds left in which a retry is useful.
 
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -174,13 +174,13 @@
     def log_attempt_failed(
         self,
         admitted: serving.AdmittedRequest,
-        endpoint: endpoints.Endpoint,
+        attempt: serving.Attempt,
         error: Exception,
     ) -> None:
         """Log an attempt without a complete answer."""
-        attempt = admitted.attempts[-1]
-        failure = _classify_failure(admitted, endpoint, error)
-        admitted.attempt_failures.append(failure)
+        endpoint = attempt.endpoint
+        failure = _classify_failure(attempt, error)
+        attempt.failure = failure
         self._attempts.inc({'outcome': attempt.execution.value})
         logger.bind(
             request=admitted.call.id,
@@ -189,7 +189,7 @@
             engine=endpoint.listing.address,
             execution=attempt.execution.value,
             fault=failure.value,
-            silent=_round_or_none(admitted.silent_seconds(_now())),
+            silent=round(attempt.silent_seconds(_now()), 3),
             error=str(error),
             after_event=admitted.resume_after,
         ).warning('attempt failed')
@@ -197,30 +197,29 @@
     def log_rejected(
         self,
         admitted: serving.AdmittedRequest,
-        endpoint: endpoints.Endpoint,
+        attempt: serving.Attempt,
         status: int,
     ) -> None:
         """Log that an endpoint rejected a request without running it."""
         self._attempts.inc({'outcome': 'turned_away'})
-        admitted.attempt_failures.append(serving.AttemptFailure.REJECTED)
+        attempt.failure = serving.AttemptFailure.REJECTED
         logger.bind(
             request=admitted.call.id,
-            attempt=admitted.attempts[-1].number,
-            endpoint=endpoint.listing.id,
+            attempt=attempt.number,
+            endpoint=attempt.peer,
             status=status,
-            in_flight=endpoint.in_flight,
+            in_flight=attempt.endpoint.in_flight,
         ).info('turned away by the endpoint')
 
-    def log_failed_by_endpoint(self, admitted: serving.AdmittedRequest) -> None:
+    def log_failed_by_endpoint(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+        status: int,
+    ) -> None:
         """Log the complete error answer of an endpoint."""
         self._attempts.inc({'outcome': 'failed'})
-        admitted.attempt_failures.append(serving.AttemptFailure.FAILED)
-        attempt = admitted.attempts[-1]
-        status = (
-            0
-            if admitted.failed_answer is None
-            else admitted.failed_answer.status
-        )
+        attempt.failure = serving.AttemptFailure.FAILED
         logger.bind(
             request=admitted.call.id,
             attempt=attempt.number,
@@ -231,30 +230,82 @@
     def log_misdirected(
         self,
         admitted: serving.AdmittedRequest,
-        endpoint: endpoints.Endpoint,
+        attempt: serving.Attempt,
         instance: str,
     ) -> None:
         """Log that another endpoint or version than expected answered."""
         self._attempts.inc({'outcome': 'misdirected'})
-        admitted.attempt_failures.append(serving.AttemptFailure.MISDIRECTED)
+        attempt.failure = serving.AttemptFailure.MISDIRECTED
         logger.bind(
             request=admitted.call.id,
-            attempt=admitted.attempts[-1].number,
-            endpoint=endpoint.listing.id,
+            attempt=attempt.number,
+            endpoint=attempt.peer,
             answered_by=instance,
-            version=endpoint.weights.version,
+            version=attempt.endpoint.weights.version,
         ).info('another endpoint or version answered')
 
+    def log_silent(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+    ) -> None:
+        """Log that an endpoint is silent; its attempt stays open."""
+        admitted.is_logged = True
+        logger.bind(
+            request=admitted.call.id,
+            attempt=attempt.number,
+            endpoint=attempt.peer,
+            silent=round(attempt.silent_seconds(_now()), 3),
+            after_event=admitted.resume_after,
+        ).info('endpoint silent')
+
+    def log_going_on(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+    ) -> None:
+        """Log that a silent endpoint delivers again."""
+        silent_since = attempt.silent_since or _now()
+        logger.bind(
+            request=admitted.call.id,
+            attempt=attempt.number,
+            endpoint=attempt.peer,
+            seconds=round(_now() - silent_since, 3),
+            after_event=admitted.resume_after,
+        ).info('endpoint goes on')
+
+    def log_superseded(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+    ) -> None:
+        """Log an attempt that was aborted as another one delivers."""
+        winner = attempt.superseded_by
+        self._attempts.inc({'outcome': 'superseded'})
+        logger.bind(
+            request=admitted.call.id,
+            attempt=attempt.number,
+            endpoint=attempt.peer,
+            execution=attempt.execution.value,
+            silent=round(attempt.silent_seconds(_now()), 3),
+            answered_by='' if winner is None else winner.peer,
+        ).info('attempt superseded')
+
     def log_retry_decision(
         self,
         admitted: serving.AdmittedRequest,
         decision: next_try.RetryDecision,
-        is_allowed: bool,  # noqa: FBT001
     ) -> None:
-        """Log the decision whether a request is retried."""
+        """Log the decision whether a request is retried.
+
+        While attempts at silent endpoints are open, the decision is made again
+        and again. It is logged if it differs from the last one.
+        """
         reason = decision.value
-        if not is_allowed and reason == 'allowed':
-            reason = 'budget_spent'
+        is_allowed = reason == 'allowed'
+        is_repeated = reason == admitted.retry_decision
+        if is_repeated and not is_allowed and admitted.open_attempts:
+            return
         self._retries.inc({'decision': reason})
         admitted.retry_decision = reason
         logger.bind(
@@ -263,8 +314,15 @@
             decision=reason,
         ).info('sending once more' if is_allowed else 'not sending once more')
 
-    def log_answered(self, admitted: serving.AdmittedRequest) -> None:
-        """Log a request that was answered completely."""
+    def log_answered(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+    ) -> None:
+        """Log a request that was answered completely.
+
+        :param attempt: the attempt with the last part of the answer.
+        """
         self._endings.inc({'ending': 'answered'})
         received = admitted.call.request.received_at
         seconds = _now() - received
@@ -278,6 +336,7 @@
                 request=admitted.call.id,
                 status=admitted.reply.status,
                 attempts=len(admitted.attempts),
+                attempt=attempt.number,
                 first=round(first_piece_seconds, 3),
                 seconds=round(seconds, 3),
             ).info('answered')
@@ -297,7 +356,7 @@
             service=admitted.service.name,
             attempts=len(admitted.attempts),
             runs=admitted.run_count,
-            outcomes=[failure.value for failure in admitted.attempt_failures],
+            outcomes=[_outcome(attempt) for attempt in admitted.attempts],
             decision=admitted.retry_decision,
             **_progress(admitted, _now()),
         ).warning('ended without an answer')
@@ -365,6 +424,7 @@
     received = admitted.call.request.received_at
     first_at = admitted.first_event_at
     last_sent_at = admitted.reply.last_written_at
+    last_run = admitted.last_run
     event_wait = None
     if admitted.route.kind is routing.RouteKind.STREAM:
         event_wait = calls.max_event_wait(admitted.route)
@@ -375,39 +435,34 @@
         'first': None if first_at is None else round(first_at - received, 3),
         'waited': round(now - (last_sent_at or received), 3),
         'patience': event_wait,
-        'endpoint': admitted.attempts[-1].peer if admitted.attempts else None,
-        'silent': _round_or_none(admitted.silent_seconds(now)),
+        'endpoint': None if last_run is None else last_run.peer,
+        'silent': (
+            None if last_run is None else round(last_run.silent_seconds(now), 3)
+        ),
     }
 
 
 def _classify_failure(
-    admitted: serving.AdmittedRequest,
-    endpoint: endpoints.Endpoint,
-    error: Exception,
+    attempt: serving.Attempt, error: Exception
 ) -> serving.AttemptFailure:
     """Return why an attempt had no complete answer.
 
-    An attempt that is abandoned because the weights of the endpoint become too
-    old looks like one at a silent endpoint, as both end in a timeout. They are
-    told apart by the start deadline.
+    Only an attempt that has not started in time on weights that become too old
+    ends by a timeout.
     """
     failure = serving.AttemptFailure.MALFORMED
     if isinstance(error, channel.ChannelBrokenError):
         failure = serving.AttemptFailure(error.fault.value)
-    if failure in _CUT_BY_ENGINE and endpoint.is_loading:
+    if failure in _CUT_BY_ENGINE and attempt.endpoint.is_loading:
         return serving.AttemptFailure.ENGINE_LOADING
-    is_silent = failure is serving.AttemptFailure.SILENT
-    if (
-        is_silent
-        and not admitted.reply.is_started
-        and _now() >= admitted.start_deadline
-    ):
+    if failure is serving.AttemptFailure.SILENT:
         return serving.AttemptFailure.WEIGHTS_TOO_OLD
     return failure
 
 
-def _round_or_none(seconds: float | None) -> float | None:
-    return None if seconds is None else round(seconds, 3)
+def _outcome(attempt: serving.Attempt) -> str:
+    """Return what came of an attempt of a request without an answer."""
+    return (attempt.failure or serving.AttemptFailure.UNFINISHED).value
 
 
 def _is_sampled(request_id: str) -> bool:
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import enum
 import math
 import typing
@@ -12,7 +13,7 @@
 from clementinepass.requests import outcome
 
 if typing.TYPE_CHECKING:
-    from clementinepass.direct import calls, routing
+    from clementinepass.direct import calls, endpoints, routing
     from clementinepass.http import channel, messages, replies
 
 
@@ -101,7 +102,7 @@
     CONNECTION_LOST = 'lost'
     #: The endpoint closed the connection before its answer was complete.
     CONNECTION_CLOSED = 'ended'
-    #: The endpoint sent nothing for too long.
+    #: The endpoint sent nothing for too long, until the attempt was aborted.
     SILENT = 'silent'
     #: The answer was malformed or belonged to another request.
     MALFORMED = 'spoilt'
@@ -112,6 +113,11 @@
     WEIGHTS_TOO_OLD = 'too_old'
     #: The request ran and failed.
     FAILED = 'failed'
+    #: The attempt replaced one at a silent endpoint, which then went on.
+    SUPERSEDED = 'superseded'
+    #: The attempt was aborted or not sent, and nothing is known against its
+    #: endpoint.
+    UNFINISHED = 'unfinished'
 
 
 class FailedAnswer(typing.NamedTuple):
@@ -122,6 +128,76 @@
     body: bytes
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Attempt(outcome.Attempt):
+    """One attempt to have a request answered by an endpoint.
+
+    A request may have several open attempts: one is started in the place of
+    those at silent endpoints, which may go on nevertheless. The first one that
+    delivers a part of the answer supersedes the others.
+    """
+
+    endpoint: endpoints.Endpoint
+    #: Tracks the events that this attempt has sent. A partial event belongs to
+    #: its attempt, as the next endpoint sends the whole event.
+    splitter: events.EventSplitter
+    #: Monotonic time at which the attempt started.
+    started_at: float
+    #: Runs the attempt; ``None`` once its result was taken.
+    task: asyncio.Task[AttemptResult] | None = None
+    #: The connection, once it is open.
+    connection: channel.Channel | None = None
+    #: Monotonic time since which the attempt waits for the endpoint; ``None``
+    #: while it does not.
+    waiting_since: float | None = None
+    #: Monotonic time by which the first event of the attempt must have
+    #: arrived, as the weights of the endpoint become too old; infinite if they
+    #: do not, and once that event has arrived.
+    start_deadline: float = math.inf
+    #: Aborts the attempt at that time; ``None`` if it is infinite.
+    start_timeout: asyncio.Timeout | None = None
+    #: Monotonic time at which the endpoint last sent something before it was
+    #: found silent; ``None`` if it was not, or has gone on since.
+    silent_since: float | None = None
+    #: The attempt that delivered a part of the answer in place of this one.
+    superseded_by: Attempt | None = None
+    #: Why the attempt failed, if it did.
+    failure: AttemptFailure | None = None
+
+    def take_result(self) -> AttemptResult | None:
+        """Return the result once the task is done; ``None`` if aborted."""
+        task = self.task
+        self.task = None
+        if task is None or task.cancelled():
+            return None
+        return task.result()
+
+    def mark_started(self) -> None:
+        """Record that the endpoint answers, so that it may take its time."""
+        if self.start_timeout is not None:
+            self.start_deadline = math.inf
+            self.start_timeout.reschedule(None)
+            self.start_timeout = None
+
+    def silent_seconds(self, now: float) -> float:
+        """Return the seconds for which the endpoint has sent nothing."""
+        last_activity_at = self.started_at
+        if self.connection is not None:
+            last_activity_at = max(
+                last_activity_at, self.connection.last_received_at
+            )
+        return now - last_activity_at
+
+    @property
+    def is_silent(self) -> bool:
+        """Tell whether the endpoint was found silent and has not gone on."""
+        return self.silent_since is not None
+
+    def waited_seconds(self, now: float) -> float:
+        """Return the seconds for which the attempt waits for the endpoint."""
+        return 0 if self.waiting_since is None else now - self.waiting_since
+
+
 class AdmittedRequest:
     """A request that was admitted, with its attempts.
 
@@ -130,10 +206,8 @@
 
     __slots__ = (
         'attempts',
-        'start_deadline',
-        'attempt_started_at',
-        'channel',
         'retry_decision',
+        'resume_after',
         'call',
         'is_cut_short_by_drain',
         'failed_answer',
@@ -141,11 +215,9 @@
         'retry_after',
         'first_event_at',
         'is_logged',
-        'attempt_failures',
         'reply',
         'route',
         'service',
-        'splitter',
         'team',
         'tried_endpoint_ids',
     )
@@ -167,14 +239,8 @@
         self.deadline = deadline
         #: Whether the deadline is that of the entry's own shutdown.
         self.is_cut_short_by_drain = False
-        self.attempts: list[outcome.Attempt] = []
-        #: Monotonic time at which the newest attempt started, and its
-        #: connection once it is open.
-        self.attempt_started_at: float = 0
-        self.channel: channel.Channel | None = None
-        #: Why attempts failed, in order, and the decision whether to retry
-        #: after the last of them.
-        self.attempt_failures: list[AttemptFailure] = []
+        self.attempts: list[Attempt] = []
+        #: The last decision whether to start another attempt.
         self.retry_decision = ''
         #: Whether a line about the request was logged, so that its end must be
         #: logged as well.
@@ -186,19 +252,10 @@
         #: Monotonic time at which the first piece of the answer was sent to
         #: the caller.
         self.first_event_at: float | None = None
-        #: Monotonic time by which the first event of the attempt must have
-        #: arrived, as the weights of the endpoint become too old; infinite
-        #: if they do not, and once that event has arrived.
-        self.start_deadline = math.inf
         #: Seconds after which the caller may find a free slot.
         self.retry_after = _RETRY_AFTER_SECONDS
-        #: Tracks the events of the stream across attempts.
-        self.splitter = events.EventSplitter(call.resume_after)
-
-    @property
-    def resume_after(self) -> int | None:
-        """Return the id of the last event that the caller has received."""
-        return self.splitter.last_id
+        #: Id of the last event that the caller has received.
+        self.resume_after = call.resume_after
 
     @property
     def ending_at_deadline(self) -> Ending:
@@ -224,19 +281,22 @@
         self.is_cut_short_by_drain = True
         return True
 
-    def silent_seconds(self, now: float) -> float | None:
-        """Return the seconds for which the endpoint has sent nothing.
+    @property
+    def open_attempts(self) -> list[Attempt]:
+        """Return the attempts whose results were not taken yet."""
+        return [attempt for attempt in self.attempts if attempt.task]
 
-        :returns: ``None`` if the request was not sent to any endpoint.
-        """
+    @property
+    def last_run(self) -> Attempt | None:
+        """Return the newest attempt, preferably one that may have run."""
         if not self.attempts:
             return None
-        last_activity_at = self.attempt_started_at
-        if self.channel is not None:
-            last_activity_at = max(
-                last_activity_at, self.channel.last_received_at
-            )
-        return now - last_activity_at
+        newest_run = [
+            attempt
+            for attempt in self.attempts
+            if attempt.execution is not errors.Execution.NOT_RUN
+        ]
+        return (newest_run or self.attempts)[-1]
 
     @property
     def run_count(self) -> int:
@@ -251,18 +311,50 @@
         """Tell whether certainly no endpoint has run the request."""
         return not self.run_count
 
-    def start_attempt(self, endpoint_id: str) -> outcome.Attempt:
-        """Start another attempt."""
-        attempt = outcome.Attempt(
+    def add_attempt(self, endpoint: endpoints.Endpoint) -> Attempt:
+        """Add an attempt at an endpoint."""
+        endpoint_id = endpoint.listing.id
+        attempt = Attempt(
             self.call.id,
             len(self.attempts) + 1,
             endpoint_id,
+            endpoint=endpoint,
+            splitter=events.EventSplitter(self.resume_after),
+            started_at=asyncio.get_running_loop().time(),
         )
         self.attempts.append(attempt)
-        self.attempt_started_at = asyncio.get_running_loop().time()
-        self.channel = None
         self.tried_endpoint_ids.add(endpoint_id)
-        # Discard the partial event of the previous endpoint: the next one
-        # sends the whole event.
-        self.splitter = events.EventSplitter(self.splitter.last_id)
         return attempt
+
+    def supersede_others(self, attempt: Attempt) -> None:
+        """Abort the other open attempts, as this one delivers."""
+        for other in self.attempts:
+            if other is not attempt and other.task is not None:
+                other.superseded_by = attempt
+                other.task.cancel()
+
+    async def next_result(self, seconds: float) -> AttemptResult | None:
+        """Wait until the next of the open attempts ends.
+
+        :param seconds: timeout.
+        :returns: the result; ``None`` for an attempt that was superseded, and
+            after the timeout.
+        """
+        tasks = [attempt.task for attempt in self.attempts if attempt.task]
+        done, _ = await asyncio.wait(
+            tasks,
+            timeout=None if seconds == math.inf else seconds,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for attempt in self.attempts:
+            if attempt.task in done:
+                return attempt.take_result()
+        return None
+
+    async def abort_attempts(self) -> None:
+        """Abort all open attempts, so that no endpoint works on them."""
+        tasks = [attempt.task for attempt in self.attempts if attempt.task]
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
--- a/clementinepass/observability/causes.py
+++ b/clementinepass/observability/causes.py
@@ -178,6 +178,9 @@
     MISDIRECTED = 'another endpoint or version answered'
     ATTEMPT_FAILED = 'attempt failed'
     FAILED_BY_ENDPOINT = 'failed by the endpoint'
+    ENDPOINT_SILENT = 'endpoint silent'
+    ENDPOINT_GOES_ON = 'endpoint goes on'
+    SUPERSEDED = 'attempt superseded'
     NOT_RETRIED = 'not sending once more'
 
 
@@ -199,5 +202,14 @@
     ),
     Finding.ATTEMPT_FAILED: 'endpoint {endpoint} gave no whole answer: {error}',
     Finding.FAILED_BY_ENDPOINT: 'endpoint {endpoint} failed it with {status}',
+    Finding.ENDPOINT_SILENT: (
+        'endpoint {endpoint} had sent nothing for {silent} s and was waited for'
+    ),
+    Finding.ENDPOINT_GOES_ON: (
+        'endpoint {endpoint} went on after {seconds} s without data'
+    ),
+    Finding.SUPERSEDED: (
+        'endpoint {answered_by} answered in the place of {endpoint}'
+    ),
     Finding.NOT_RETRIED: 'it was not sent again: {decision}',
 }
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -61,7 +61,7 @@
         'str', 'of the engine: accepted, done, rejected or unknown'
     ),
     'answered_by': Field(
-        'str', 'the endpoint id in the answer; empty if there is none'
+        'str', 'id of the endpoint that answered; empty if it is not given'
     ),
     'attempt': Field('int', 'number of the attempt, from 1'),
     'attempts': Field('int', 'number of attempts so far'),
@@ -79,7 +79,7 @@
     'decision': Field(
         'str',
         'allowed, or why a retry is not: may_have_run, enough_runs, '
-        'enough_attempts, no_time, budget_spent',
+        'enough_attempts, no_time, budget_spent, no_endpoint',
     ),
     'draining': Field('bool', 'whether the endpoint is draining'),
     'end': Field(
@@ -102,8 +102,8 @@
     'fault': Field(
         'str',
         'unreachable, lost (connection reset), ended (connection closed by the '
-        'endpoint), silent, spoilt (malformed answer), loading (the engine '
-        'loads weights) or too_old (its weights)',
+        'endpoint), spoilt (malformed answer), loading (the engine loads '
+        'weights) or too_old (its weights)',
     ),
     'first': Field('float or null', 'seconds to the first part of the answer'),
     'from_agents': Field('int', 'bytes fetched from agents'),
@@ -149,8 +149,9 @@
     ),
     'outcomes': Field(
         'list',
-        'the outcome of each attempt: turned_away, misdirected, failed, or the '
-        'fault',
+        'the outcome of each attempt: turned_away, misdirected, failed, '
+        'silent, superseded (a silent endpoint went on), unfinished (aborted '
+        'or not sent), or the fault',
     ),
     'partners': Field('list', 'fallback agents besides the sources'),
     'path': Field('str', 'the first 80 bytes of the requested path'),
@@ -367,14 +368,28 @@
         'request attempt endpoint status',
         'the endpoint ran the request and answered with an error',
     ),
+    'endpoint silent': Kind(
+        'request attempt endpoint silent after_event',
+        'the attempt stays open, and another endpoint is sought',
+    ),
+    'endpoint goes on': Kind(
+        'request attempt endpoint seconds after_event',
+        'a silent endpoint delivers again, with the length of its silence',
+    ),
+    'attempt superseded': Kind(
+        'request attempt endpoint execution silent answered_by',
+        'the attempt was aborted, as another one delivers',
+    ),
     'sending once more': Kind(
         'request attempts decision', 'a retry is allowed'
     ),
     'not sending once more': Kind(
-        'request attempts decision', 'a retry is not allowed, with the reason'
+        'request attempts decision',
+        'no other attempt is started, with the reason; attempts at silent '
+        'endpoints go on',
     ),
     'answered': Kind(
-        'request status attempts first seconds',
+        'request status attempts attempt first seconds',
         'the complete answer was sent to the caller',
     ),
     'ended without an answer': Kind(
--- a/clementinepass/observability/request_history.py
+++ b/clementinepass/observability/request_history.py
@@ -56,7 +56,14 @@
 _START_MESSAGES = frozenset(('entry started', 'agent started'))
 #: Messages of a request that are no failure.
 _NORMAL_MESSAGES = frozenset(
-    ('sent', 'answered', 'sending once more', 'taken while leaving'),
+    (
+        'sent',
+        'answered',
+        'sending once more',
+        'taken while leaving',
+        'endpoint goes on',
+        'attempt superseded',
+    ),
 )
 #: Seconds before and after a request in which dropped lines may include lines
 #: of this request.
--- a/clementinepass/observability/verdicts.py
+++ b/clementinepass/observability/verdicts.py
@@ -55,7 +55,9 @@
 }
 #: Reasons for which the outcomes of the attempts give the cause.
 _ATTEMPT_REASONS = frozenset(('broken', 'turned_away', 'endpoint_failed'))
-_ATTEMPT_END_MESSAGES = frozenset(('attempt failed', 'failed by the endpoint'))
+_ATTEMPT_END_MESSAGES = frozenset(
+    ('attempt failed', 'failed by the endpoint', 'endpoint silent')
+)
 #: Faults that occur when an engine that loads weights aborts running requests.
 _CUT_FAULTS = frozenset(('lost', 'ended', 'spoilt'))
 #: Causes by the outcome of attempts that did not run. The first of these that
@@ -66,6 +68,10 @@
     'misdirected': Cause.MISDIRECTED,
     'unreachable': Cause.UNREACHABLE,
 }
+#: Outcomes of attempts that prove nothing against their endpoints.
+_HARMLESS_OUTCOMES = frozenset(('superseded', 'unfinished'))
+#: Reasons that state that the time of a request was over.
+_TIME_REASONS = frozenset(('deadline', 'route_time'))
 #: Causes to whose explanation the time without data from the endpoint is added.
 _CAUSES_WITH_SILENCE = frozenset(
     (
@@ -76,6 +82,7 @@
         Cause.DEADLINE,
         Cause.ROUTE_TIMEOUT,
         Cause.CUT_AT_SHUTDOWN,
+        Cause.ENDPOINT_SILENT,
     ),
 )
 _SENTENCE_BY_MESSAGE = {
@@ -252,7 +259,7 @@
     if reason == 'leaving':
         return Cause.CUT_AT_SHUTDOWN, final
     if reason not in _ATTEMPT_REASONS:
-        return _classify_refusal(final, before, context)
+        return _classify_without_result(final, before, context)
     outcomes = final.fields.get('outcomes')
     if not isinstance(outcomes, list):
         return _unknown_cause(final, "its line lacks the field 'outcomes'")
@@ -266,6 +273,32 @@
     return _classify_last_run(final, outcomes, before, context)
 
 
+def _classify_without_result(
+    final: lines.Line,
+    before: Sequence[lines.Line],
+    context: Context,
+) -> _Classification:
+    """Classify by the reason, and by an endpoint that was silent to the end."""
+    silent_attempt = _silent_attempt(final.fields.get('outcomes'))
+    if str(final.fields.get('reason')) in _TIME_REASONS and silent_attempt:
+        return Cause.ENDPOINT_SILENT, _attempt_line(before, silent_attempt)
+    return _classify_refusal(final, before, context)
+
+
+def _silent_attempt(outcomes: typing.Any) -> int:
+    """Return the number of the last attempt that ran if it was silent.
+
+    :returns: 0 if another attempt was the last that ran, or none ran.
+    """
+    if not isinstance(outcomes, list):
+        return 0
+    for number in range(len(outcomes), 0, -1):
+        outcome = str(outcomes[number - 1])
+        if outcome not in _CAUSE_BY_NOT_RUN and outcome != 'superseded':
+            return number if outcome == 'silent' else 0
+    return 0
+
+
 def _classify_last_run(
     final: lines.Line,
     outcomes: list[typing.Any],
@@ -275,7 +308,7 @@
     """Classify by the last attempt that ran or may have run."""
     for index in reversed(range(len(outcomes))):
         outcome = str(outcomes[index])
-        if outcome in _CAUSE_BY_NOT_RUN:
+        if outcome in _CAUSE_BY_NOT_RUN or outcome in _HARMLESS_OUTCOMES:
             continue
         if outcome not in _CAUSE_BY_FAULT:
             return _unknown_cause(final, f'outcome {outcome!r} is unknown')
@@ -287,8 +320,8 @@
 
 
 def _attempt_line(before: Sequence[lines.Line], number: int) -> lines.Line:
-    """Return the line on a failed attempt; an empty one if it is missing."""
-    for line in before:
+    """Return the last line on a failed attempt; an empty one if missing."""
+    for line in reversed(before):
         has_ended = line.message in _ATTEMPT_END_MESSAGES
         if has_ended and line.fields.get('attempt') == number:
             return line
--- a/tests/decisions/test_direct_decisions.py
+++ b/tests/decisions/test_direct_decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import testtools
@@ -14,6 +15,7 @@
     first_event,
     load_turns,
     next_try,
+    silence,
     superseding,
     window_budget,
 )
@@ -42,6 +44,14 @@
         self.assertTrue(budget.try_acquire(11, 1))
         self.assertEqual(6, acquired)
 
+    def test_looking_takes_nothing(self) -> None:
+        """A retry is available until it is taken, however often one looks."""
+        budget = window_budget.WindowBudget(0, 2, 10)
+        self.assertTrue(all(budget.has_retry(0, 1) for _ in range(9)))
+        self.assertTrue(budget.try_acquire(0, 1))
+        self.assertFalse(budget.has_retry(0, 1))
+        self.assertFalse(budget.try_acquire(0, 1))
+
 
 class NextTryTest(testtools.TestCase):
     """A request that must not run twice is not sent twice."""
@@ -74,6 +84,64 @@
         for history, expected in table:
             self.assertIs(expected, next_try.decide(history), history)
 
+    def test_runs_beside_open_attempts(self) -> None:
+        """Only the limits on runs rule out another run for good."""
+        allowed = next_try.AttemptHistory(
+            1, 1, 2, is_repeatable=True, seconds_left=1
+        )
+        table = (
+            (allowed, True),
+            (allowed._replace(attempts=9, seconds_left=0), True),
+            (allowed._replace(runs=2), False),
+            (allowed._replace(is_repeatable=False), False),
+            (allowed._replace(is_repeatable=False, runs=0), True),
+        )
+        for history, expected in table:
+            self.assertEqual(expected, next_try.may_run_again(history), history)
+
+
+class SilenceTest(testtools.TestCase):
+    """Another endpoint is sought once all open attempts are silent."""
+
+    FIRST_EVENT = silence.Expectation(
+        is_stream=True, is_started=False, latency_target=1, max_event_gap=0.3
+    )
+
+    def test_tolerance(self) -> None:
+        """The time without a byte depends on what is expected next."""
+        plain = self.FIRST_EVENT._replace(is_stream=False)
+        next_event = self.FIRST_EVENT._replace(is_started=True)
+        table = (
+            (self.FIRST_EVENT, silence.Wait(0, 10), 1.9),
+            (next_event, silence.Wait(0.5, 10), 1.0),
+            (plain, silence.Wait(0, 4), 2),
+            (plain, silence.Wait(1, 3), 2),
+        )
+        for expectation, wait, expected in table:
+            self.assertAlmostEqual(
+                expected, silence.tolerance(expectation, wait)
+            )
+
+    def test_time_of_search(self) -> None:
+        """The attempt that was heard last counts; without one, it is now."""
+        table: tuple[tuple[tuple[float, ...], bool, float], ...] = (
+            ((0,), True, 1.9),
+            ((1.9,), True, 0),
+            ((5, 1), True, 0.9),
+            ((1, 5), True, 0.9),
+            ((5, 3), True, 0),
+            ((5,), False, math.inf),
+            ((), True, 0),
+            ((), False, 0),
+        )
+        for waited, may_run_again, expected in table:
+            seconds = silence.seconds_until_search(
+                self.FIRST_EVENT,
+                [silence.Wait(waited_seconds, 4) for waited_seconds in waited],
+                may_run_again=may_run_again,
+            )
+            self.assertAlmostEqual(expected, seconds, msg=str(waited))
+
 
 class EndpointChoiceTest(testtools.TestCase):
     """Requests go to the endpoint where they start soonest."""
--- a/tests/direct/test_silent_endpoints.py
+++ b/tests/direct/test_silent_endpoints.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import random
 import typing
 
 import msgspec
 import testtools
+from loguru import logger
 
 from clementinepass.direct import endpoints, routing
+from clementinepass.http import channel
 from standins import direct_endpoint
 from tests.direct import path_harness, steady_loop
 
@@ -29,6 +33,9 @@
         ('plain/single', routing.RouteKind.IDEMPOTENT, 1),
     )
 )
+ONCE_ROUTE = path_harness.route(
+    'once', kind=routing.RouteKind.AT_MOST_ONCE, latency_target=0.2
+)
 #: Milliseconds for which callers wait.
 TIMEOUT_MS = '2600'
 #: Seconds after which silent endpoints are let go.
@@ -143,6 +150,19 @@
         return answer.status, answer.body, len(harness.executed_requests)
 
 
+def run_together(
+    plays: typing.Iterable[typing.Awaitable[typing.Any]],
+) -> list[typing.Any]:
+    """Run plays side by side; return their results and exceptions."""
+
+    async def gather() -> list[typing.Any]:
+        async with asyncio.timeout(30):
+            return await asyncio.gather(*plays, return_exceptions=True)
+
+    with asyncio.Runner(loop_factory=steady_loop.SteadyLoop) as runner:
+        return runner.run(gather())
+
+
 class KeptAnswerTest(testtools.TestCase):
     """A silent endpoint goes on, and nothing else can answer in its place."""
 
@@ -159,13 +179,7 @@
             for target, silence in obstacle.silences
         ]
 
-        async def play_all() -> list[typing.Any]:
-            return await asyncio.gather(
-                *(play(*case) for case in cases), return_exceptions=True
-            )
-
-        with asyncio.Runner(loop_factory=steady_loop.SteadyLoop) as runner:
-            outcomes = runner.run(play_all())
+        outcomes = run_together(play(*case) for case in cases)
         failures = [
             (obstacle.name, target, silence.name, outcome)
             for (obstacle, target, silence), outcome in zip(
@@ -186,3 +200,327 @@
     if target.startswith('/stream'):
         return bool(body == EVENTS)
     return bool(body.startswith(b'by '))
+
+
+def run(
+    scenario: typing.Callable[
+        [path_harness.PathHarness], typing.Awaitable[None]
+    ],
+    count: int = 2,
+    local_node: typing.Any = path_harness.NODE,
+) -> None:
+    """Run a scenario with the routes of this module."""
+
+    async def configure_and_run(harness: path_harness.PathHarness) -> None:
+        harness.configure(2, ROUTES)
+        await scenario(harness)
+
+    path_harness.run(configure_and_run, count, local_node)
+
+
+def run_each(
+    scenario: typing.Callable[..., typing.Awaitable[None]],
+    cases: typing.Iterable[tuple[typing.Any, ...]],
+    count: int = 2,
+) -> None:
+    """Run a scenario with each of several cases, side by side."""
+
+    async def play_case(*case: typing.Any) -> None:
+        async with path_harness.PathHarness(count) as harness:
+            harness.configure(2, ROUTES)
+            await scenario(harness, *case)
+
+    cases = list(cases)
+    outcomes = run_together(play_case(*case) for case in cases)
+    for case, outcome in zip(cases, outcomes, strict=True):
+        if outcome is not None:
+            raise AssertionError(case) from outcome
+
+
+async def wait_for_runs(harness: path_harness.PathHarness, count: int) -> None:
+    """Wait until a number of attempts run."""
+    while len(harness.executed_requests) < count:
+        await asyncio.sleep(0.005)
+
+
+async def wait_until_idle(harness: path_harness.PathHarness) -> None:
+    """Wait until no request is in progress at any endpoint."""
+    now = asyncio.get_running_loop().time
+    while any(harness.cluster.in_flight_by_endpoint(now()).values()):
+        await asyncio.sleep(0)
+
+
+def capture_lines(test: testtools.TestCase) -> list[dict[str, typing.Any]]:
+    """Return a list that gets the message and fields of each log line."""
+    lines: list[dict[str, typing.Any]] = []
+
+    def take(message: typing.Any) -> None:
+        record = message.record
+        lines.append({'message': record['message'], **record['extra']})
+
+    test.addCleanup(logger.remove, logger.add(take, level='INFO'))
+    return lines
+
+
+class ReplacementTest(testtools.TestCase):
+    """Another endpoint is sought in the place of a silent one."""
+
+    def test_other_delivers_first(self) -> None:
+        """The silent attempt is aborted as the other one delivers."""
+
+        async def scenario(
+            harness: path_harness.PathHarness, target: str, silence: Fault
+        ) -> None:
+            harness.set_shared_faults(silence)
+            answer = await harness.send(target, X_Deadline_Ms=TIMEOUT_MS)
+            self.assertEqual(200, answer.status)
+            if target.startswith('/stream'):
+                self.assertEqual(EVENTS, answer.body)
+            self.assertEqual(2, len(harness.executed_requests))
+            await wait_until_idle(harness)
+            while not any(endpoint.left for endpoint in harness.endpoints):
+                await asyncio.sleep(0)
+
+        run_each(scenario, SILENCES)
+
+    def test_silent_one_goes_on_first(self) -> None:
+        """The other attempt is aborted as the silent one goes on."""
+
+        async def scenario(
+            harness: path_harness.PathHarness, target: str, silence: Fault
+        ) -> None:
+            harness.set_shared_faults(silence, Fault.MUTE)
+            pending_answer = asyncio.create_task(
+                harness.send(target, X_Deadline_Ms=TIMEOUT_MS)
+            )
+            await wait_for_runs(harness, 2)
+            let_go(harness)
+            answer = await pending_answer
+            self.assertEqual(200, answer.status)
+            if target.startswith('/stream'):
+                self.assertEqual(EVENTS, answer.body)
+            await wait_until_idle(harness)
+            while not any(endpoint.left for endpoint in harness.endpoints):
+                await asyncio.sleep(0)
+
+        run_each(scenario, SILENCES)
+
+    def test_both_deliver_at_once(self) -> None:
+        """Each event reaches the caller once, whichever endpoint is first."""
+
+        async def scenario(
+            harness: path_harness.PathHarness,
+            target: str,
+            silence: Fault,
+            seed: int,
+        ) -> None:
+            rng = random.Random(seed)
+            harness.set_shared_faults(silence, silence)
+            pending_answer = asyncio.create_task(
+                harness.send(target, X_Deadline_Ms=TIMEOUT_MS)
+            )
+            await wait_for_runs(harness, 2)
+            for endpoint in rng.sample(harness.endpoints, 2):
+                endpoint.let_go.set()
+                for _ in range(rng.randrange(4)):
+                    await asyncio.sleep(0)
+            answer = await pending_answer
+            self.assertEqual(200, answer.status)
+            if target.startswith('/stream'):
+                self.assertEqual(EVENTS, answer.body)
+            await wait_until_idle(harness)
+
+        cases = [(*case, seed) for case in SILENCES for seed in range(4)]
+        run_each(scenario, cases)
+
+    def test_never_more_runs_than_allowed(self) -> None:
+        """Open attempts count as runs, and no request runs too often."""
+
+        async def scenario(
+            harness: path_harness.PathHarness,
+            target: str,
+            fault: Fault,
+            runs: int,
+        ) -> None:
+            harness.configure(3, [*ROUTES, ONCE_ROUTE])
+            harness.set_shared_faults(*[fault] * 5)
+            with contextlib.suppress(channel.ChannelBrokenError):
+                answer = await harness.send(target, X_Deadline_Ms='3000')
+                self.assertEqual(504, answer.status)
+            self.assertEqual(runs, len(harness.received_requests))
+
+        cases = (
+            ('/stream/single/a', Fault.MUTE, 1),
+            ('/stream/a', Fault.MUTE, 2),
+            ('/stream/a', Fault.SILENT_MIDWAY, 2),
+            ('/stream/thrice/a', Fault.SILENT_MIDWAY, 3),
+            ('/plain/a', Fault.MUTE, 2),
+            ('/plain/single/a', Fault.MUTE, 1),
+            ('/once/a', Fault.MUTE, 1),
+        )
+        run_each(scenario, cases, 5)
+
+    def test_caller_disconnects(self) -> None:
+        """All open attempts are aborted when the caller disconnects."""
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            harness.set_shared_faults(Fault.SILENT_MIDWAY, Fault.MUTE)
+            connection = await channel.Channel.connect(
+                path_harness.HOST, harness.port, 5
+            )
+            connection.send(path_harness.request('/stream/a'))
+            await wait_for_runs(harness, 2)
+            connection.abort()
+            while not all(endpoint.left for endpoint in harness.endpoints):
+                await asyncio.sleep(0)
+            await wait_until_idle(harness)
+
+        run(scenario)
+
+    def test_deadline(self) -> None:
+        """All open attempts are aborted at the deadline."""
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            harness.set_shared_faults(Fault.SILENT, Fault.SILENT)
+            answer = await harness.send('/plain/a', X_Deadline_Ms='800')
+            self.assertEqual(504, answer.status)
+            self.assertEqual(2, len(harness.executed_requests))
+            while not all(endpoint.left for endpoint in harness.endpoints):
+                await asyncio.sleep(0)
+            await wait_until_idle(harness)
+
+        run(scenario)
+
+    def test_abandoned_before_bound(self) -> None:
+        """Silent attempts are aborted before their weights are too old."""
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            loop = asyncio.get_running_loop()
+            bound = loop.time() + 2.2
+            harness.cluster.add_desired_version(
+                'm', 2, bound - path_harness.DUTIES.version
+            )
+            harness.set_shared_faults(Fault.SILENT, Fault.SILENT)
+            answer = await harness.send('/stream/a')
+            self.assertEqual(502, answer.status)
+            self.assertEqual(2, len(harness.executed_requests))
+            while not all(endpoint.left for endpoint in harness.endpoints):
+                await asyncio.sleep(0)
+            self.assertLess(loop.time(), bound)
+
+        run(scenario)
+
+    def test_budget_returns(self) -> None:
+        """Another endpoint answers once the retry budget has a retry again."""
+        duties = msgspec.structs.replace(
+            path_harness.DUTIES,
+            budget_share=0,
+            budget_surplus=2,
+            budget_window=1.2,
+        )
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            harness.set_shared_faults(Fault.FULL)
+            await harness.send('/plain/a')
+            harness.set_shared_faults(Fault.SILENT_MIDWAY)
+            answer = await harness.send('/stream/a')
+            self.assertEqual(EVENTS, answer.body)
+            self.assertEqual(3, len(harness.executed_requests))
+
+        run(
+            scenario,
+            2,
+            msgspec.structs.replace(path_harness.NODE, duties=duties),
+        )
+
+    def test_endpoint_appears(self) -> None:
+        """Another endpoint answers once there is one."""
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            unload(harness)
+            harness.set_shared_faults(Fault.SILENT_MIDWAY)
+            pending_answer = asyncio.create_task(harness.send('/stream/a'))
+            await wait_for_runs(harness, 1)
+            await asyncio.sleep(SILENCE_SECONDS)
+            harness.list_endpoint(harness.endpoints[1], heartbeat=100)
+            self.assertEqual(EVENTS, (await pending_answer).body)
+            resumed_headers = harness.endpoints[1].ran[0].headers
+            self.assertEqual(b'0', resumed_headers.get(b'last-event-id'))
+
+        run(scenario)
+
+    def test_frozen_endpoint_is_ejected(self) -> None:
+        """An endpoint is ejected that is silent on several requests.
+
+        Its attempts stay open for as long as their requests, and the ejector
+        would learn of it too late if it learnt of it only at their end.
+        """
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            loop = asyncio.get_running_loop()
+            (endpoint,) = harness.endpoints
+            harness.set_shared_faults(*[Fault.SILENT_MIDWAY] * 3)
+            pending_answers = [
+                asyncio.create_task(
+                    harness.send('/stream/a', X_Attempt_Id=f'r-{number}')
+                )
+                for number in range(3)
+            ]
+            ejector = harness.cluster.ejector
+            while not ejector.ejected_endpoints(loop.time()):
+                await asyncio.sleep(0.01)
+            self.assertEqual(0, endpoint.left)
+            let_go(harness)
+            for answer in await asyncio.gather(*pending_answers):
+                self.assertEqual(EVENTS, answer.body)
+
+        run(scenario, 1)
+
+
+class SilenceLogTest(testtools.TestCase):
+    """Log lines tell what became of the attempts at silent endpoints."""
+
+    def test_kept(self) -> None:
+        """The lines tell of the silence, of the decision and of its end."""
+        lines = capture_lines(self)
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            harness.set_shared_faults(Fault.SILENT_MIDWAY)
+            pending_answer = asyncio.create_task(harness.send('/stream/a'))
+            await wait_for_runs(harness, 1)
+            await asyncio.sleep(SILENCE_SECONDS)
+            let_go(harness)
+            await pending_answer
+
+        run(scenario, local_node=NO_BUDGET_NODE)
+        expected = (
+            ('endpoint silent', 'attempt', 1),
+            ('not sending once more', 'decision', 'budget_spent'),
+            ('endpoint goes on', 'attempt', 1),
+            ('answered', 'attempt', 1),
+        )
+        self.assertEqual(
+            [(message, field) for message, _, field in expected],
+            [
+                (line['message'], line[name])
+                for line in lines
+                for message, name, _ in expected
+                if line['message'] == message
+            ],
+        )
+
+    def test_superseded(self) -> None:
+        """The lines tell which attempt answered instead."""
+        lines = capture_lines(self)
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            harness.set_shared_faults(Fault.SILENT_MIDWAY)
+            await harness.send('/stream/a')
+
+        run(scenario)
+        lines_by_message = {line['message']: line for line in lines}
+        superseded = lines_by_message['attempt superseded']
+        answered = lines_by_message['answered']
+        self.assertEqual((1, 2), (superseded['attempt'], answered['attempt']))
+        self.assertIn('sending once more', lines_by_message)
+        self.assertNotEqual(superseded['endpoint'], superseded['answered_by'])
--- a/tests/observability/test_causes.py
+++ b/tests/observability/test_causes.py
@@ -278,16 +278,16 @@
 class FaultySender(attempt.Sender):
     """A sender that raises an unexpected error."""
 
-    def __init__(self) -> None:
-        """Skip the initialization of the base class."""
-
-    async def send(self, *_: object) -> serving.AttemptResult:
+    async def _exchange(self, *_: object) -> serving.AttemptResult:
         """Raise an error that no caller handles."""
         raise RuntimeError('nobody foresaw it')
 
 
 async def internal_error(world: World) -> None:
-    world.request_handler._sender = FaultySender()
+    sender = world.sender
+    world.request_handler._sender = FaultySender(
+        sender._cluster, sender._dialect, sender._log
+    )
     await send_ignoring_failure(world, '/plain/a')
 
 
