Test that each request that an entry has read gets a final answer

At a draining entry, 52 requests at a time of four kinds meet thirteen behaviours of endpoints: rejecting, failing, breaking off, silent before or within their answer, silent for good. SIGTERM comes at once, 0.3 s and 1 s later; silent endpoints go on or do not. Others arrive after SIGTERM, or no endpoint can be reached. Each gets a complete answer, streams of silent endpoints that go on in time are complete, and a started stream whose endpoint stays silent is not cut off before the last moment for answers.

--- a/tests/direct/test_leaving.py
+++ b/tests/direct/test_leaving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import signal
 import socket
 import time
@@ -16,11 +17,14 @@
     departure,
     leaving,
     members,
+    node,
     routing,
 )
-from clementinepass.http import limits
+from clementinepass.http import channel, limits
+from standins import direct_endpoint
 from tests.direct import path_harness
 
+Fault = direct_endpoint.Fault
 #: An entry with two seconds from SIGTERM to SIGKILL; routes of these tests allow
 #: ten seconds.
 SHORT_GRACE_NODE = msgspec.structs.replace(
@@ -311,3 +315,224 @@
         unknown = self.drain_state.list_ttl_seconds(0)
         self.configure(1, 6)
         self.assertLessEqual(unknown, self.drain_state.list_ttl_seconds(0))
+
+
+#: What endpoints do with each attempt of a request, and whether a stream that
+#: has started can end in no other way than by a cut.
+BEHAVIOURS = (
+    (None, False),
+    (Fault.FULL, False),
+    (Fault.ANOTHER, False),
+    (Fault.ERROR, False),
+    (Fault.LOST, False),
+    (Fault.UNSTAMPED, False),
+    (Fault.ENCODED, False),
+    (Fault.CUT, True),
+    (Fault.GAP, True),
+    (Fault.MUTE, False),
+    (Fault.SILENT, False),
+    (Fault.SILENT_AFTER_HEAD, False),
+    (Fault.SILENT_MIDWAY, True),
+)
+SILENCES = frozenset(
+    (Fault.SILENT, Fault.SILENT_AFTER_HEAD, Fault.SILENT_MIDWAY)
+)
+#: Routes at which an endpoint counts as silent before the entry ends.
+HASTY_ROUTES = tuple(
+    msgspec.structs.replace(route, latency_target=0.2, max_event_gap=0.1)
+    for route in path_harness.ROUTES
+)
+#: An entry with two seconds from SIGTERM to SIGKILL that may not send any
+#: request again.
+NO_BUDGET_NODE = msgspec.structs.replace(
+    SHORT_GRACE_NODE,
+    duties=msgspec.structs.replace(
+        SHORT_GRACE_NODE.duties, budget_share=0, budget_surplus=0
+    ),
+)
+TARGETS = ('/stream/a', '/stream/once/a', '/plain/a', '/once/a')
+
+
+class FinalAnswer(typing.NamedTuple):
+    """How the answer to a request ended for its caller.
+
+    :param status: 0 if the connection ended before any answer.
+    :param is_whole: whether the answer is complete.
+    :param ended_at: time at which the answer or the connection ended.
+    """
+
+    status: int
+    is_whole: bool
+    ended_at: float
+
+
+async def read_answer(
+    harness: path_harness.PathHarness, target: str, request_id: str
+) -> FinalAnswer:
+    """Send a request on a connection of its own and read its answer."""
+    connection = await channel.Channel.connect(
+        path_harness.HOST, harness.port, 5
+    )
+    connection.send(path_harness.request(target, X_Attempt_Id=request_id))
+    is_whole = False
+    status = 0
+    with contextlib.suppress(channel.ChannelBrokenError):
+        status = (await connection.read_head()).status
+        while await connection.read():
+            """Read to the end."""
+        is_whole = True
+    connection.abort()
+    now = asyncio.get_running_loop().time()
+    return FinalAnswer(status, is_whole, now)
+
+
+class FinalAnswerTest(testtools.TestCase):
+    """Each request that was read gets a final answer before the process ends."""
+
+    def check_answers(
+        self,
+        seconds_to_sigterm: float,
+        *,
+        goes_on: bool,
+        local_node: node.Node = SHORT_GRACE_NODE,
+    ) -> None:
+        """Let requests meet each behaviour of endpoints around a SIGTERM.
+
+        :param goes_on: whether silent endpoints go on before the shutdown.
+        """
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            harness.configure(2, HASTY_ROUTES)
+            cases = [
+                (target, fault, has_cut)
+                for target in TARGETS
+                for fault, has_cut in BEHAVIOURS
+            ]
+            pending = []
+            for number, (target, fault, _) in enumerate(cases):
+                request_id = f'r-{number}'
+                faults = [] if fault is None else [fault] * 9
+                for endpoint in harness.endpoints:
+                    endpoint.faults_by_request[request_id] = faults
+                pending.append(
+                    asyncio.create_task(
+                        read_answer(harness, target, request_id)
+                    )
+                )
+            while len(harness.received_requests) < len(cases):
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(seconds_to_sigterm)
+            drain_task = await send_sigterm(harness)
+            plan = harness.drain_state.plan
+            assert plan is not None
+            if goes_on:
+                await asyncio.sleep((plan.last_answer_at - plan.started_at) / 2)
+                for endpoint in harness.endpoints:
+                    endpoint.let_go.set()
+            await drain_task
+            answers = await asyncio.gather(*pending)
+            failures = [
+                (target, fault, answer, plan.last_answer_at)
+                for (target, fault, has_cut), answer in zip(
+                    cases, answers, strict=True
+                )
+                if not self.is_final(
+                    answer,
+                    has_cut=has_cut and target.startswith('/stream'),
+                    is_whole=fault is None or (fault in SILENCES and goes_on),
+                    silent_until=plan.last_answer_at
+                    if fault in SILENCES
+                    else 0,
+                )
+            ]
+            self.assertEqual([], failures, '\n'.join(map(str, failures)))
+
+        path_harness.run(scenario, 4, local_node=local_node)
+
+    def is_final(
+        self,
+        answer: FinalAnswer,
+        *,
+        has_cut: bool,
+        is_whole: bool,
+        silent_until: float,
+    ) -> bool:
+        """Tell whether an answer is the best that the endpoint allows."""
+        if is_whole:
+            return answer.is_whole and answer.status == 200
+        if answer.is_whole:
+            return True
+        return (
+            has_cut and answer.status == 200 and answer.ended_at >= silent_until
+        )
+
+    def test_silent_to_the_end(self) -> None:
+        """Silent endpoints are waited for until the last moment."""
+        for seconds in (0, 0.3, 1):
+            self.check_answers(seconds, goes_on=False)
+
+    def test_silent_for_a_while(self) -> None:
+        """Silent endpoints that go on in time answer completely."""
+        for seconds in (0, 0.3, 1):
+            self.check_answers(seconds, goes_on=True)
+
+    def test_silent_without_retries(self) -> None:
+        """That holds as well if no request may be sent again."""
+        for seconds in (0, 1):
+            for goes_on in (False, True):
+                self.check_answers(
+                    seconds, goes_on=goes_on, local_node=NO_BUDGET_NODE
+                )
+
+    def test_late_requests(self) -> None:
+        """Requests that are read after SIGTERM get a final answer, too."""
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            drain_task = await send_sigterm(harness)
+            pending = []
+            for number, (fault, _) in enumerate(BEHAVIOURS):
+                for target in (*TARGETS, '/plain/brief/a', '/short/a'):
+                    request_id = f'{target[1:]}-{number}'
+                    faults = [] if fault is None else [fault] * 9
+                    for endpoint in harness.endpoints:
+                        endpoint.faults_by_request[request_id] = faults
+                    pending.append(
+                        asyncio.create_task(
+                            read_answer(harness, target, request_id)
+                        )
+                    )
+            answers = await asyncio.gather(*pending)
+            self.assertEqual(
+                [], [answer for answer in answers if not answer.is_whole]
+            )
+            self.assertNotEqual(0, harness.drain_state.accepted_count)
+            await drain_task
+
+        path_harness.run(scenario, 4, local_node=SHORT_GRACE_NODE)
+
+    def test_unreachable_endpoints(self) -> None:
+        """Requests get a final answer if no endpoint can be reached."""
+        for seconds in (0, 0.02, 0.3):
+
+            async def scenario(
+                harness: path_harness.PathHarness, seconds: float = seconds
+            ) -> None:
+                for number, endpoint in enumerate(harness.endpoints):
+                    address = f'{path_harness.HOST}:{number + 1}'
+                    harness.list_endpoint(
+                        endpoint, heartbeat=99, address=address
+                    )
+                pending = [
+                    asyncio.create_task(read_answer(harness, target, target))
+                    for target in TARGETS
+                ]
+                await asyncio.sleep(seconds)
+                drain_task = await send_sigterm(harness)
+                answers = await asyncio.gather(*pending)
+                self.assertEqual(
+                    [(503, True)] * len(TARGETS),
+                    [(answer.status, answer.is_whole) for answer in answers],
+                )
+                await drain_task
+
+            path_harness.run(scenario, local_node=SHORT_GRACE_NODE)
