Tell callers after an error of the entry whether their request has run

What callers saw: after an unexpected error in the entry the connection was closed without an answer. A request that must run once only could not be repeated, though often no endpoint had got it.

Cause: RequestHandler.serve logged the error and raised it again; nobody sent a final answer. The entry knows each attempt, so it can say more than the connection can.

Now the answer is 503 with Retry-After if the request has certainly not run, also before its admission, and 502 otherwise, with the headers of any refusal. A stream that was sent in part is still cut off. The log line has the status; as most of these callers are no longer cut off, it is "failed by a fault of this entry", with traceback.

--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -106,20 +106,21 @@
         reply: replies.Reply,
     ) -> None:
         """Serve one request and send its final answer."""
+        call: calls.Call | None = None
         try:
             call = self._dialect.decode_request(request)
+            admitted = self._admit(call, reply)
         except calls.InvalidRequestError as error:
             self._log.log_malformed(error, _BAD_REQUEST)
             reply.send(_BAD_REQUEST, self._dialect.refusal_headers(None), b'')
             return
-        admitted = self._admit(call, reply)
-        if admitted is None:
+        except Exception as error:
+            self._refuse_after_fault(call, reply, error)
             return
-        seconds_draining = self._drain_state.seconds_draining(
-            request.received_at
-        )
-        if seconds_draining is not None:
-            self._log.log_accepted_while_draining(admitted, seconds_draining)
+        if admitted is not None:
+            await self._serve_admitted(admitted)
+
+    async def _serve_admitted(self, admitted: serving.AdmittedRequest) -> None:
         timeout = asyncio.timeout_at(admitted.deadline)
         self._timeouts_by_request[admitted] = timeout
         try:
@@ -131,8 +132,7 @@
             self._log.log_interrupted(admitted)
             raise
         except Exception as error:
-            self._log.log_internal_error(admitted, error)
-            raise
+            self._answer_after_fault(admitted, error)
         finally:
             del self._timeouts_by_request[admitted]
 
@@ -174,7 +174,7 @@
         if not self._drain_state.accepts(deadline):
             self._refuse_while_draining(call, reply)
             return None
-        return serving.AdmittedRequest(
+        admitted = serving.AdmittedRequest(
             call,
             reply,
             route,
@@ -182,6 +182,12 @@
             team,
             deadline,
         )
+        seconds_draining = self._drain_state.seconds_draining(
+            call.request.received_at
+        )
+        if seconds_draining is not None:
+            self._log.log_accepted_while_draining(admitted, seconds_draining)
+        return admitted
 
     def _choose_service(
         self,
@@ -355,12 +361,46 @@
                 failed_answer.status, failed_answer.pairs, failed_answer.body
             )
             return
-        pairs = self._dialect.refusal_headers(admitted.call)
         status = self._final_status(admitted, ending)
+        self._log.log_ended(admitted, ending, status)
+        self._send_error(admitted, status)
+
+    def _send_error(
+        self, admitted: serving.AdmittedRequest, status: int
+    ) -> None:
+        pairs = self._dialect.refusal_headers(admitted.call)
         if status == _UNAVAILABLE:
             pairs.append((b'Retry-After', b'%.2f' % admitted.retry_after))
-        self._log.log_ended(admitted, ending, status)
-        reply.send(status, pairs, b'')
+        admitted.reply.send(status, pairs, b'')
+
+    def _answer_after_fault(
+        self, admitted: serving.AdmittedRequest, error: Exception
+    ) -> None:
+        """Send the final answer of a request after an unexpected error.
+
+        An answer that was sent in part is cut off: the error may have left
+        the stream in any state.
+        """
+        reply = admitted.reply
+        ending = serving.Ending.INTERNAL_ERROR
+        if not reply.is_started:
+            self._send_error(admitted, self._final_status(admitted, ending))
+        elif not reply.is_done:
+            reply.abort()
+        self._log.log_internal_error(admitted.call, reply.status, error)
+
+    def _refuse_after_fault(
+        self,
+        call: calls.Call | None,
+        reply: replies.Reply,
+        error: Exception,
+    ) -> None:
+        """Refuse a request after an unexpected error before its admission."""
+        if not reply.is_started:
+            pairs = self._dialect.refusal_headers(call)
+            pairs.append((b'Retry-After', b'%.2f' % _RETRY_AFTER_SECONDS))
+            reply.send(_UNAVAILABLE, pairs, b'')
+        self._log.log_internal_error(call, reply.status, error)
 
     def _final_status(
         self,
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -316,15 +316,20 @@
         ).log(level, message)
 
     def log_internal_error(
-        self, admitted: serving.AdmittedRequest, error: Exception
+        self, call: calls.Call | None, status: int, error: Exception
     ) -> None:
-        """Log a request that raised an unexpected exception."""
+        """Log a request that raised an unexpected exception.
+
+        :param call: ``None`` if the request could not be decoded.
+        :param status: the status of the answer, which is incomplete if only a
+            part of it had been sent before.
+        """
         self._endings.inc({'ending': serving.Ending.INTERNAL_ERROR.value})
-        logger.bind(
-            request=admitted.call.id,
-            attempts=len(admitted.attempts),
+        logger.opt(exception=error).bind(
+            request='' if call is None else call.id,
+            status=status,
             error=repr(error),
-        ).error('cut off by a fault of this entry')
+        ).error('failed by a fault of this entry')
 
     def log_accepted_while_draining(
         self,
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -408,9 +408,10 @@
         f'request end attempts after_event {_PROGRESS_FIELDS}',
         'the request was aborted although its connection was open',
     ),
-    'cut off by a fault of this entry': Kind(
-        'request attempts error',
-        'an unexpected error; the caller is cut off',
+    'failed by a fault of this entry': Kind(
+        'request status error',
+        'an unexpected error; the caller gets 502, or 503 if the request has '
+        'not run, or is cut off if a part of the answer was sent',
     ),
     'getting pieces': Kind(
         'version missing', 'an agent starts to fetch a version'
--- a/clementinepass/observability/verdicts.py
+++ b/clementinepass/observability/verdicts.py
@@ -380,7 +380,7 @@
     'connection reset': _classify_caller,
     'connection lost': _constant_classifier(Cause.CONNECTION_LOST),
     'cut off, as this entry ends': _constant_classifier(Cause.CUT_AT_SHUTDOWN),
-    'cut off by a fault of this entry': _constant_classifier(
+    'failed by a fault of this entry': _constant_classifier(
         Cause.INTERNAL_ERROR
     ),
     'cut off, not known why': _classify_unknown,
