Count a request until its answer is sent when an entry ends early

What callers saw: an answer cut off before its end, without any timeout, by an entry that had got SIGTERM and seemed idle. Their endpoint had sent all of it.

Cause: a draining entry ends as soon as no list names it and no request is in progress. A request no longer counted once its answer was complete, while up to 64 KiB of it could still wait in the process for a caller that reads slowly. A fifth of a second later the entry closed the connection and discarded them.

Evidence, on the code before: test_unread_answer, whose caller reads half a second after the entry could have ended, gets a part of 60,000 bytes.

Now a connection counts as long as the process holds unsent bytes for it. What the kernel holds is sent even after the process has ended. The end of the grace period is the same, whatever is unsent then.

--- a/clementinepass/http/connection.py
+++ b/clementinepass/http/connection.py
@@ -210,6 +210,11 @@
         """Return whether no request is in progress or being received."""
         return not (self._is_busy or self._is_reading)
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether a part of an answer waits for a slow caller."""
+        return bool(self._transport.get_write_buffer_size())
+
     def write_head(self, status: int, pairs: list[messages.Pair]) -> None:
         """Write the head of an answer; announce the end of the connection.
 
--- a/clementinepass/http/front.py
+++ b/clementinepass/http/front.py
@@ -81,9 +81,14 @@
         return len(self.connections)
 
     def busy_count(self) -> int:
-        """Return the number of connections with a request in progress."""
+        """Return the number of connections with a request in progress.
+
+        A request is in progress until its answer has been handed to the kernel,
+        which sends it even if the process ends.
+        """
         return sum(
-            not open_connection.is_idle for open_connection in self.connections
+            not open_connection.is_idle or open_connection.has_unsent_bytes
+            for open_connection in self.connections
         )
 
     def report_refused_input(self, status: int) -> None:
--- a/tests/direct/test_leaving.py
+++ b/tests/direct/test_leaving.py
@@ -27,6 +27,12 @@
     path_harness.NODE,
     duties=msgspec.structs.replace(path_harness.DUTIES, grace=2),
 )
+#: An entry with so long a grace period that it accepts the requests of these
+#: tests, and ends after two seconds if it is idle.
+EARLY_END_NODE = msgspec.structs.replace(
+    path_harness.NODE,
+    duties=msgspec.structs.replace(path_harness.DUTIES, grace=12),
+)
 #: An entry with five minutes from SIGTERM to SIGKILL.
 LONG_GRACE_NODE = msgspec.structs.replace(
     path_harness.NODE,
@@ -71,6 +77,12 @@
     return task
 
 
+def shrink_buffers(side: socket.socket) -> None:
+    """Have the kernel buffer little of what one side of a connection sends."""
+    side.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    side.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+
+
 class LateRequestTest(testtools.TestCase):
     """Requests that arrive at a draining entry.
 
@@ -206,6 +218,48 @@
         path_harness.run(scenario, local_node=SHORT_GRACE_NODE)
 
 
+class EarlyEndTest(testtools.TestCase):
+    """An entry that ends early, as no list names it and it seems idle."""
+
+    def test_unread_answer(self) -> None:
+        """An answer is written to a slow caller before the entry ends.
+
+        A request no longer counted once its answer was complete. What its caller
+        had not read was cut off when the entry ended early.
+        """
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            for endpoint in harness.endpoints:
+                endpoint.events = 1
+                endpoint.filling = b'~' * 60_000
+            callers_side = socket.socket()
+            shrink_buffers(callers_side)
+            callers_side.connect((path_harness.HOST, harness.port))
+            reader, writer = await asyncio.open_connection(
+                sock=callers_side, limit=1024
+            )
+            while not harness.front.connections:
+                await asyncio.sleep(0)
+            (connection,) = harness.front.connections
+            shrink_buffers(connection._transport.get_extra_info('socket'))
+            writer.write(path_harness.request('/stream/a'))
+            while not harness.executed_requests:
+                await asyncio.sleep(0)
+            drain_task = await send_sigterm(harness)
+            plan = harness.drain_state.plan
+            assert plan is not None
+            loop = asyncio.get_running_loop()
+            while loop.time() < plan.lists_expire_at + 0.5:
+                await asyncio.sleep(0.01)
+            answer = await reader.read(-1)
+            self.assertEqual(60_000, answer.count(b'~'))
+            self.assertTrue(answer.endswith(b'0\r\n\r\n'))
+            writer.close()
+            await drain_task
+
+        path_harness.run(scenario, local_node=EARLY_END_NODE)
+
+
 class DrainAnnouncementTest(testtools.TestCase):
     """What a draining entry announces to other entries and to callers."""
 
