Serve a connection that was accepted as an entry stops to listen

What callers saw: an answer cut off a fifth of a second after its request, by an entry that had got SIGTERM and was idle until then.

Cause: an entry that ends early stopped to listen, closed its idle connections, and ended after four polls of 0.05 s whatever had come meanwhile. A connection that the event loop had accepted in the same iteration was set up afterwards: its request was read, accepted under the plan, passed on to an endpoint, and cut off. If no other connection was open, the process did not even poll. The busier the loop is, the more connections are accepted at once.

Evidence, on the code before: test_accepted_at_the_last_moment fails, as the drain has ended while its request is in progress.

Now an entry polls once before it looks at its connections, and counts the final polls only while nothing is in progress, or once the end of its plan has come. The plan accepts only requests that are due before that end, so that it is no later than before.

--- a/clementinepass/direct/leaving.py
+++ b/clementinepass/direct/leaving.py
@@ -18,6 +18,7 @@
 from clementinepass.direct import members
 
 if typing.TYPE_CHECKING:
+    from clementinepass.decisions import departure as drain_decisions
     from clementinepass.direct import departure, gossip, path
     from clementinepass.http import front
 
@@ -77,14 +78,27 @@
         ).info('leaving')
         while not plan.may_end(loop.time(), self._front.busy_count()):
             await asyncio.sleep(_POLL_SECONDS)
-        self._front.stop_listening()
-        for _ in range(_FINAL_POLLS):
-            if not self._front.close_idle():
-                break
-            await asyncio.sleep(_POLL_SECONDS)
+        await self._close(plan)
         logger.bind(
             seconds=round(loop.time() - plan.started_at, 3),
             open=self._front.busy_count(),
             taken=self._drain_state.accepted_count,
             refused=self._drain_state.refused_count,
         ).info('stopped')
+
+    async def _close(self, plan: drain_decisions.DrainPlan) -> None:
+        """Stop listening and close the connections once they are idle.
+
+        A connection may have been accepted just before, and its request may
+        arrive afterwards. It is served like any other until the end of the
+        plan.
+        """
+        loop = asyncio.get_running_loop()
+        self._front.stop_listening()
+        final_polls = 0
+        while final_polls < _FINAL_POLLS:
+            await asyncio.sleep(_POLL_SECONDS)
+            if not self._front.close_idle():
+                break
+            if plan.may_end(loop.time(), self._front.busy_count()):
+                final_polls += 1
--- a/tests/direct/test_leaving.py
+++ b/tests/direct/test_leaving.py
@@ -18,7 +18,8 @@
     members,
     routing,
 )
-from clementinepass.http import limits
+from clementinepass.http import connection as server_connection
+from clementinepass.http import front, limits
 from tests.direct import path_harness
 
 #: An entry with two seconds from SIGTERM to SIGKILL; routes of these tests allow
@@ -77,6 +78,16 @@
     return task
 
 
+def connected_pair() -> tuple[socket.socket, socket.socket]:
+    """Return both ends of a connection on loopback, the caller's first."""
+    with socket.create_server((path_harness.HOST, 0)) as listener:
+        callers_side = socket.create_connection(listener.getsockname())
+        entry_side, _ = listener.accept()
+    for side in (callers_side, entry_side):
+        side.setblocking(False)
+    return callers_side, entry_side
+
+
 def shrink_buffers(side: socket.socket) -> None:
     """Have the kernel buffer little of what one side of a connection sends."""
     side.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
@@ -259,6 +270,48 @@
 
         path_harness.run(scenario, local_node=EARLY_END_NODE)
 
+    def test_accepted_at_the_last_moment(self) -> None:
+        """A request on a connection that was just accepted is answered.
+
+        The entry stopped to listen while the event loop was about to set up
+        a connection that it had accepted. Its request was read and passed on,
+        and cut off when the entry ended a fifth of a second later.
+        """
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            for endpoint in harness.endpoints:
+                endpoint.going.clear()
+            loop = asyncio.get_running_loop()
+            callers_side, entry_side = connected_pair()
+            callers_side.sendall(path_harness.request('/plain/brief/a'))
+            stop_listening = front.Front.stop_listening
+            setups = []
+
+            def stop_while_accepting(stopped: front.Front) -> None:
+                if not setups:
+                    setup = loop.connect_accepted_socket(
+                        lambda: server_connection.Connection(stopped),
+                        entry_side,
+                    )
+                    setups.append(asyncio.ensure_future(setup))
+                stop_listening(stopped)
+
+            self.patch(front.Front, 'stop_listening', stop_while_accepting)
+            drain_task = await send_sigterm(harness)
+            while not harness.received_requests:
+                await asyncio.sleep(0)
+            await asyncio.sleep(0.4)
+            self.assertFalse(drain_task.done(), 'the process is gone')
+            for endpoint in harness.endpoints:
+                endpoint.going.set()
+            reader, writer = await asyncio.open_connection(sock=callers_side)
+            answer = await reader.read()
+            self.assertEqual(b'HTTP/1.1 200 ', answer[:13])
+            writer.close()
+            await drain_task
+
+        path_harness.run(scenario, local_node=EARLY_END_NODE)
+
 
 class DrainAnnouncementTest(testtools.TestCase):
     """What a draining entry announces to other entries and to callers."""
