Count the grace period of an entry from SIGTERM, not from its handling

What callers would see: an answer cut off by SIGKILL on a machine that runs slowly. The entry plans its last answers for 92 per cent of the grace period, but took for its begin the moment in which the event loop handled the signal.

Cause: asyncio runs the function for a signal after the callbacks that are due. The interpreter runs a plain handler between two instructions, also while a callback holds the loop up.

It is not shown that an entry was ever held up for so long.

Now a plain handler records the time of the first signal, and the plan begins there. The loop still learns of the signal by its file descriptor.

--- a/clementinepass/direct/leaving.py
+++ b/clementinepass/direct/leaving.py
@@ -43,6 +43,7 @@
         '_front',
         '_request_handler',
         '_peers',
+        '_signalled_at',
         '_stop_requested',
     )
 
@@ -58,14 +59,19 @@
         self._peers = peers
         self._drain_state = drain_state
         self._stop_requested = asyncio.Event()
+        #: Monotonic time in seconds of the first signal to stop.
+        self._signalled_at: float | None = None
 
     async def wait_until_drained(self) -> None:
         """Return once the process has drained and may end."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
+        for stop_signal in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(stop_signal, self._stop_requested.set)
+            # The loop is notified through its file descriptor, whichever
+            # function handles the signal.
+            signal.signal(stop_signal, self._record_signal)
         await self._stop_requested.wait()
-        plan = self._drain_state.start(loop.time())
+        plan = self._drain_state.start(self._signalled_at or loop.time())
         self._peers.phase = members.Phase.DRAINING
         self._peers.send_heartbeat()
         self._front.is_draining = True
@@ -86,6 +92,15 @@
             refused=self._drain_state.refused_count,
         ).info('stopped')
 
+    def _record_signal(self, *signal_details: object) -> None:
+        """Record the time of the first signal.
+
+        The event loop handles a signal when it has run the callbacks that are
+        due, which may take long. The grace period has begun by then.
+        """
+        if self._signalled_at is None:
+            self._signalled_at = asyncio.get_running_loop().time()
+
     async def _close(self, plan: drain_decisions.DrainPlan) -> None:
         """Stop listening and close the connections once they are idle.
 
--- a/tests/direct/test_leaving.py
+++ b/tests/direct/test_leaving.py
@@ -313,6 +313,60 @@
         path_harness.run(scenario, local_node=EARLY_END_NODE)
 
 
+class SignalTest(testtools.TestCase):
+    """Signals that arrive more than once, or while the process is busy."""
+
+    def test_handled_late(self) -> None:
+        """The grace period counts from SIGTERM, not from its handling.
+
+        An entry whose event loop was held up counted from the moment in which
+        the loop went on, and planned its last answers after its SIGKILL.
+        """
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            drainer = leaving.Drainer(
+                harness.front,
+                harness.request_handler,
+                typing.cast('typing.Any', NoPeers()),
+                harness.drain_state,
+            )
+            drain_task = asyncio.create_task(drainer.wait_until_drained())
+            await asyncio.sleep(0)
+            signal.raise_signal(signal.SIGTERM)
+            signalled_at = asyncio.get_running_loop().time()
+            time.sleep(0.1)
+            while harness.drain_state.plan is None:
+                await asyncio.sleep(0)
+            self.assertLessEqual(
+                harness.drain_state.plan.started_at, signalled_at
+            )
+            await drain_task
+
+        path_harness.run(scenario, local_node=SHORT_GRACE_NODE)
+
+    def test_sigterm_twice(self) -> None:
+        """A second SIGTERM neither ends the entry nor restarts its schedule."""
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            for endpoint in harness.endpoints:
+                endpoint.going.clear()
+            pending_answer = asyncio.create_task(harness.send('/plain/brief/a'))
+            while not harness.received_requests:
+                await asyncio.sleep(0)
+            drain_task = await send_sigterm(harness)
+            plan = harness.drain_state.plan
+            for _ in range(3):
+                signal.raise_signal(signal.SIGTERM)
+                await asyncio.sleep(0.05)
+            self.assertIs(plan, harness.drain_state.plan)
+            for endpoint in harness.endpoints:
+                endpoint.going.set()
+            self.assertEqual(200, (await pending_answer).status)
+            await drain_task
+
+        path_harness.run(scenario, local_node=SHORT_GRACE_NODE)
+
+
 class DrainAnnouncementTest(testtools.TestCase):
     """What a draining entry announces to other entries and to callers."""
 
