Keep an idle connection for a limit that was raised while it was idle

What callers saw: beside a change of the configuration, a request on an open connection that got neither an answer nor a refusal, as the connection was being closed. Callers reuse connections that were idle for up to four fifths of the limit in force.

Cause: the idle timer was started with the limit of the moment at which the connection became idle. A configuration that raised the limit changed nothing for connections that were idle already; at first, before any configuration, that is the default of 30 s. A connection was closed at the older limit while its callers counted on the newer one.

Such a request was not read, so it is a retry for callers and no lost answer.

Now the limit is looked at again when the timer ends.

--- a/clementinepass/http/connection.py
+++ b/clementinepass/http/connection.py
@@ -77,6 +77,7 @@
         self._keep_alive = True
         self._is_refused = False
         self._opened_at = self._loop.time()
+        self._idle_since = self._opened_at
         self._request_count = 0
         #: Why the connection ended. The first reason is kept; later ones are
         #: its consequences.
@@ -90,9 +91,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=_WRITE_HIGH_WATER_BYTES)
         self._front.connections.add(self)
-        self._start_timer(
-            self._front.bounds().idle_seconds, self._on_idle_timeout
-        )
+        self._start_idle_timer()
 
     def data_received(self, payload: bytes) -> None:
         """Parse bytes received from the caller."""
@@ -158,9 +157,7 @@
         """Check a complete head."""
         self._is_in_head = False
         self._head_received_at = self._loop.time()
-        self._start_timer(
-            self._front.bounds().idle_seconds, self._on_idle_timeout
-        )
+        self._start_idle_timer()
         headers = messages.Headers(self._pairs)
         self._headers = headers
         self._check_head_size(
@@ -351,9 +348,7 @@
         self._throttle_reading()
         self._serve_next()
         if self.is_idle:
-            self._start_timer(
-                self._front.bounds().idle_seconds, self._on_idle_timeout
-            )
+            self._start_idle_timer()
 
     def _send_final_error(self, status: int) -> None:
         self._keep_alive = False
@@ -385,10 +380,23 @@
             self._timer.cancel()
             self._timer = None
 
+    def _start_idle_timer(self) -> None:
+        self._idle_since = self._loop.time()
+        self._start_timer(
+            self._front.bounds().idle_seconds, self._on_idle_timeout
+        )
+
     def _on_idle_timeout(self) -> None:
-        if self._serve_task is None:
-            self._set_ending(endings.End.IDLE)
-            self._transport.close()
+        """Close the connection, unless the limit was raised meanwhile."""
+        if self._serve_task is not None:
+            return
+        idle_until = self._idle_since + self._front.bounds().idle_seconds
+        remaining_seconds = idle_until - self._loop.time()
+        if remaining_seconds > 0:
+            self._start_timer(remaining_seconds, self._on_idle_timeout)
+            return
+        self._set_ending(endings.End.IDLE)
+        self._transport.close()
 
     def _on_head_timeout(self) -> None:
         self._refuse(_TIMED_OUT)
--- a/tests/http/test_connection.py
+++ b/tests/http/test_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 import typing
 
 import testtools
@@ -169,6 +170,77 @@
         run(scenario)
 
 
+class IdleLimitTest(testtools.TestCase):
+    """Idle connections, which callers reuse within the limit in force."""
+
+    def test_limit_raised(self) -> None:
+        """A connection is kept for a limit that was raised while it was idle.
+
+        It was closed by the limit of the time at which it became idle, though
+        its callers reuse it for up to four fifths of the newer one.
+        """
+
+        async def scenario(scripted: ScriptedFront) -> None:
+            scripted.bounds = limits.Bounds(idle_seconds=0.2)
+            reader, writer = await scripted.connect()
+            writer.write(request('/a'))
+            self.assertEqual(b'/a', await read_answer(reader))
+            scripted.bounds = limits.Bounds(idle_seconds=1)
+            await asyncio.sleep(0.6)
+            writer.write(request('/b'))
+            self.assertEqual(b'/b', await read_answer(reader))
+            writer.close()
+
+        run(scenario)
+
+    def test_limit_lowered(self) -> None:
+        """A connection that is idle keeps the higher limit that it began with."""
+
+        async def scenario(scripted: ScriptedFront) -> None:
+            scripted.bounds = limits.Bounds(idle_seconds=1)
+            reader, writer = await scripted.connect()
+            writer.write(request('/a'))
+            self.assertEqual(b'/a', await read_answer(reader))
+            scripted.bounds = limits.Bounds(idle_seconds=0.1)
+            await asyncio.sleep(0.6)
+            writer.write(request('/b'))
+            self.assertEqual(b'/b', await read_answer(reader))
+            writer.close()
+
+        run(scenario)
+
+    def test_limit_reached(self) -> None:
+        """A connection without a request is closed at the limit."""
+
+        async def scenario(scripted: ScriptedFront) -> None:
+            scripted.bounds = limits.Bounds(idle_seconds=0.1)
+            reader, writer = await scripted.connect()
+            self.assertEqual(b'', await reader.read())
+            writer.close()
+
+        run(scenario)
+
+    def test_loop_held_up_at_the_limit(self) -> None:
+        """A request is served if the loop is busy until after the limit."""
+
+        async def scenario(scripted: ScriptedFront) -> None:
+            scripted.bounds = limits.Bounds(idle_seconds=0.05)
+            reader, writer = await scripted.connect()
+            writer.write(request('/a'))
+            self.assertEqual(b'/a', await read_answer(reader))
+            # The kernel has the bytes at once.
+            writer.write(request('/b'))
+            time.sleep(0.2)
+            self.assertEqual(b'/b', await read_answer(reader))
+            writer.close()
+
+        async def run_scenario() -> None:
+            async with ScriptedFront() as scripted, asyncio.timeout(20):
+                await scenario(scripted)
+
+        asyncio.run(run_scenario())
+
+
 def shrink_buffers(server_connection: connection.Connection) -> None:
     """Have the kernel buffer little of what a connection writes."""
     server_socket = server_connection._transport.get_extra_info('socket')
