Read what has arrived before an idle connection is closed

What callers saw: a connection reset after a whole request, sent before the entry closed the idle connection, at the idle limit or at the end of a process.

Cause: the event loop reads, then runs callbacks and timers. Bytes that arrive while it runs them, for long if it is busy, were in the kernel when a timer closed the connection for being idle, and closing a connection with unread bytes resets it.

Now the close is a timer of its own that is due at once: the loop reads before it runs it, and a request that is read cancels it. What is still on its way when the connection is closed is not read, and callers may repeat it.

--- a/clementinepass/http/connection.py
+++ b/clementinepass/http/connection.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import collections
+import functools
 import typing
 
 import httptools
@@ -242,9 +243,8 @@
         self._transport.abort()
 
     def close_for_shutdown(self) -> None:
-        """Close the connection once its buffer is written, at shutdown."""
-        self._set_ending(endings.End.CUT)
-        self._transport.close()
+        """Close the idle connection once its buffer is written, at shutdown."""
+        self._close_after_reading(endings.End.CUT)
 
     @property
     def is_blocked(self) -> bool:
@@ -395,7 +395,18 @@
         if remaining_seconds > 0:
             self._start_timer(remaining_seconds, self._on_idle_timeout)
             return
-        self._set_ending(endings.End.IDLE)
+        self._close_after_reading(endings.End.IDLE)
+
+    def _close_after_reading(self, reason: endings.End) -> None:
+        """Close an idle connection, unless a request has arrived on it.
+
+        Bytes may have arrived since the event loop last read. It reads again
+        before it runs a timer that was started now.
+        """
+        self._start_timer(0, functools.partial(self._close, reason))
+
+    def _close(self, reason: endings.End) -> None:
+        self._set_ending(reason)
         self._transport.close()
 
     def _on_head_timeout(self) -> None:
--- a/tests/http/test_connection.py
+++ b/tests/http/test_connection.py
@@ -220,6 +220,36 @@
 
         run(scenario)
 
+    def test_request_arrives_at_the_limit(self) -> None:
+        """A request that has arrived is read before its connection is closed.
+
+        The timer ran while the bytes waited in the kernel, as the event loop
+        was busy with other callbacks when they arrived.
+        """
+
+        async def scenario(scripted: ScriptedFront) -> None:
+            reader, writer = await scripted.connect()
+            scripted.bounds = limits.Bounds(idle_seconds=0)
+            # The loop reads no bytes between these two lines.
+            writer.write(request('/a'))
+            scripted.connection._on_idle_timeout()
+            self.assertEqual(b'/a', await read_answer(reader))
+            writer.close()
+
+        run(scenario)
+
+    def test_request_arrives_at_shutdown(self) -> None:
+        """A request that has arrived is read when idle connections are closed."""
+
+        async def scenario(scripted: ScriptedFront) -> None:
+            reader, writer = await scripted.connect()
+            writer.write(request('/a'))
+            scripted.front.close_idle()
+            self.assertEqual(b'/a', await read_answer(reader))
+            writer.close()
+
+        run(scenario)
+
     def test_loop_held_up_at_the_limit(self) -> None:
         """A request is served if the loop is busy until after the limit."""
 
