Judge a request by the limits in force when it began

What callers saw: 413 for a body within the limits, after which no caller tries again, if a configuration that lowers the limit came into force while the body arrived.

Cause: each part of a body was held against the newest configuration.

Evidence, on the commit before: test_limit_of_bodies_lowered fails with an empty answer after 413 ("b'/abody' != b''").

Now the limits at the begin of the request apply, or the newer ones if they allow more.

--- a/clementinepass/http/connection.py
+++ b/clementinepass/http/connection.py
@@ -166,7 +166,7 @@
             len(self._target) + sum(map(_pair_bytes, headers))
         )
         length = headers.get(b'content-length')
-        if length and int(length) > self._front.bounds().body_bytes:
+        if length and int(length) > self._max_body_bytes:
             self._refuse(_BODY_TOO_LONG)
         elif not self._is_unambiguous(headers):
             self._refuse(_BAD_REQUEST)
@@ -178,7 +178,7 @@
         if self._is_refused:
             return
         self._body_length += len(payload)
-        if self._body_length > self._front.bounds().body_bytes:
+        if self._body_length > self._max_body_bytes:
             self._refuse(_BODY_TOO_LONG)
             return
         self._body.append(payload)
@@ -276,6 +276,7 @@
         return bool(self._pending) and not isinstance(self._pending[0], int)
 
     def _reset_message(self) -> None:
+        self._bounds = self._front.bounds()
         self._target = b''
         self._pairs: list[messages.Pair] = []
         self._headers = messages.Headers()
@@ -286,6 +287,11 @@
         self._is_reading = False
         self._head_bytes = 0
 
+    @property
+    def _max_body_bytes(self) -> int:
+        """The limit at the begin of the request, or now if that is higher."""
+        return max(self._bounds.body_bytes, self._front.bounds().body_bytes)
+
     def _check_head_size(self, added_bytes: int) -> None:
         """Refuse a head that exceeds the size limit.
 
@@ -293,7 +299,9 @@
         exhaust the memory with a head that never ends.
         """
         self._head_bytes += added_bytes
-        if self._head_bytes > self._front.bounds().header_bytes:
+        if self._head_bytes > max(
+            self._bounds.header_bytes, self._front.bounds().header_bytes
+        ):
             self._refuse(_HEADERS_TOO_LONG)
 
     def _is_unambiguous(self, headers: messages.Headers) -> bool:
--- a/tests/http/test_connection.py
+++ b/tests/http/test_connection.py
@@ -324,6 +324,26 @@
 
         run(scenario)
 
+    def test_limit_of_bodies_lowered(self) -> None:
+        """A body within the limit at its begin is not refused for a lower one.
+
+        A request was refused with 413, after which no caller tries again, as
+        a newer configuration came into force while its body arrived.
+        """
+
+        async def scenario(scripted: ScriptedFront) -> None:
+            reader, writer = await scripted.connect()
+            payload = request('/a', b'body')
+            writer.write(payload[:-3])
+            while scripted.connection.is_idle:
+                await asyncio.sleep(0)
+            scripted.bounds = limits.Bounds(header_bytes=1, body_bytes=1)
+            writer.write(payload[-3:])
+            self.assertEqual(b'/abody', await read_answer(reader))
+            writer.close()
+
+        run(scenario)
+
 
 class LastAnswerTest(testtools.TestCase):
     """A draining front announces the end of a connection."""
