--- a/tests/test_machines_daemon.py
+++ b/tests/test_machines_daemon.py
@@ -32,20 +32,23 @@
 
 
 class Daemon:
-    """An entry run as a process."""
+    """An entry run as a process.
 
-    def __init__(self, store: str) -> None:
+    :param store: ``host:port`` of the store.
+    """
+
+    def __init__(self, store: str, ip: str = IP) -> None:
         folder = tempfile.mkdtemp()
         self.path = pathlib.Path(folder) / 'settings.json'
-        self.ports = [machines.free_port([IP]) for _ in range(3)]
+        self.ports = [machines.free_port([ip]) for _ in range(3)]
         self.settings: dict[str, typing.Any] = {
             'nodeName': 'e',
-            'ip': IP,
+            'ip': ip,
             'zone': 'a',
             'region': 'a',
             'listen': {
-                'front': f'{IP}:{self.ports[0]}',
-                'ready': f'{IP}:{self.ports[1]}',
+                'front': f'{ip}:{self.ports[0]}',
+                'ready': f'{ip}:{self.ports[1]}',
             },
             'internalPorts': [self.ports[2]],
             'platform': {'address': store},
@@ -91,6 +94,13 @@
             if found['message'] == message:
                 return found
 
+    async def discard_output(self) -> None:
+        """Read the log until the process ends, so that it isn't held up."""
+        assert self.process is not None
+        assert self.process.stdout is not None
+        while await self.process.stdout.read(65536):
+            """Read to the end."""
+
 
 async def get(port: int, target: bytes) -> pool.Answer:
     """Send a GET request to the daemon."""
