Count each byte of a request's head once

What callers saw: 431, after which no caller tries again, for a head within the limit, if it came in two parts and was longer than half of the limit, or began in the segment that ended a long body.

Cause: the bytes of each segment that ended within a head were counted, and the whole head once more at its end; bytes of the body before counted as well.

Evidence, on the commit before: test_head_in_two_parts and test_head_behind_a_long_body fail with an empty answer after 431.

Now a complete head is held against the limit by its own length. Of a head that is not complete, the bytes received count, or what the parser has delivered if other bytes came with it.

Result: tests/http, 38 passed.

--- a/clementinepass/http/connection.py
+++ b/clementinepass/http/connection.py
@@ -99,12 +99,18 @@
         """Parse bytes received from the caller."""
         if self._is_refused:
             return
+        completed_count = self._request_count
         try:
             self._parser.feed_data(payload)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._refuse(_BAD_REQUEST)
         if self._is_in_head:
-            self._check_head_size(len(payload))
+            # Other bytes belong to a request that was completed by them.
+            is_all_head = self._request_count == completed_count
+            self._head_bytes += (
+                len(payload) if is_all_head else self._parsed_head_bytes
+            )
+            self._check_head_size(self._head_bytes)
         self._throttle_reading()
 
     def eof_received(self) -> bool:
@@ -162,9 +168,7 @@
         self._start_idle_timer()
         headers = messages.Headers(self._pairs)
         self._headers = headers
-        self._check_head_size(
-            len(self._target) + sum(map(_pair_bytes, headers))
-        )
+        self._check_head_size(self._parsed_head_bytes)
         length = headers.get(b'content-length')
         if length and int(length) > self._max_body_bytes:
             self._refuse(_BODY_TOO_LONG)
@@ -292,14 +296,17 @@
         """The limit at the begin of the request, or now if that is higher."""
         return max(self._bounds.body_bytes, self._front.bounds().body_bytes)
 
-    def _check_head_size(self, added_bytes: int) -> None:
+    @property
+    def _parsed_head_bytes(self) -> int:
+        return len(self._target) + sum(map(_pair_bytes, self._pairs))
+
+    def _check_head_size(self, size: int) -> None:
         """Refuse a head that exceeds the size limit.
 
         The parser has no limit on the number of headers, so a caller could
         exhaust the memory with a head that never ends.
         """
-        self._head_bytes += added_bytes
-        if self._head_bytes > max(
+        if size > max(
             self._bounds.header_bytes, self._front.bounds().header_bytes
         ):
             self._refuse(_HEADERS_TOO_LONG)
--- a/tests/http/test_connection.py
+++ b/tests/http/test_connection.py
@@ -344,6 +344,47 @@
 
         run(scenario)
 
+    def test_head_in_two_parts(self) -> None:
+        """A head within the limit is accepted however its bytes are split.
+
+        The bytes of its first parts counted twice, so that a head of more than
+        half of the limit was refused with 431 if it came in two parts.
+        """
+
+        async def scenario(scripted: ScriptedFront) -> None:
+            payload = request('/' + 'a' * 1000)
+            scripted.bounds = limits.Bounds(header_bytes=1200)
+            reader, writer = await scripted.connect()
+            writer.write(payload[:900])
+            while scripted.connection.is_idle:
+                await asyncio.sleep(0)
+            writer.write(payload[900:])
+            self.assertIn(b'a' * 1000, await read_answer(reader))
+            writer.close()
+
+        run(scenario)
+
+    def test_head_behind_a_long_body(self) -> None:
+        """A body that was received together with a head is no part of it.
+
+        A head that began in the same segment as a long body ended was refused
+        with 431.
+        """
+
+        async def scenario(scripted: ScriptedFront) -> None:
+            scripted.bounds = limits.Bounds(header_bytes=1200)
+            payload = request('/a', b'b' * 5000) + request('/next')
+            reader, writer = await scripted.connect()
+            writer.write(payload[:-9])
+            while not scripted.requests:
+                await asyncio.sleep(0)
+            writer.write(payload[-9:])
+            self.assertEqual(5002, len(await read_answer(reader)))
+            self.assertEqual(b'/next', await read_answer(reader))
+            writer.close()
+
+        run(scenario)
+
 
 class LastAnswerTest(testtools.TestCase):
     """A draining front announces the end of a connection."""
