--- a/clementinepass/http/connection.py
+++ b/clementinepass/http/connection.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import collections
+import functools
 import typing
 
 import httptools
@@ -42,6 +43,8 @@
 _TIMED_OUT = 408
 _BODY_TOO_LONG = 413
 _HEADERS_TOO_LONG = 431
+#: Answer to a request whose handler failed; the request may have run.
+_HANDLER_FAILED = 502
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -73,8 +76,10 @@
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._keep_alive = True
+        self._is_end_announced = False
         self._is_refused = False
         self._opened_at = self._loop.time()
+        self._idle_since = self._opened_at
         self._request_count = 0
         #: Why the connection ended. The first reason is kept; later ones are
         #: its consequences.
@@ -88,20 +93,24 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=_WRITE_HIGH_WATER_BYTES)
         self._front.connections.add(self)
-        self._start_timer(
-            self._front.bounds().idle_seconds, self._on_idle_timeout
-        )
+        self._start_idle_timer()
 
     def data_received(self, payload: bytes) -> None:
         """Parse bytes received from the caller."""
         if self._is_refused:
             return
+        completed_count = self._request_count
         try:
             self._parser.feed_data(payload)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._refuse(_BAD_REQUEST)
         if self._is_in_head:
-            self._check_head_size(len(payload))
+            # Other bytes belong to a request that was completed by them.
+            is_all_head = self._request_count == completed_count
+            self._head_bytes += (
+                len(payload) if is_all_head else self._parsed_head_bytes
+            )
+            self._check_head_size(self._head_bytes)
         self._throttle_reading()
 
     def eof_received(self) -> bool:
@@ -156,16 +165,12 @@
         """Check a complete head."""
         self._is_in_head = False
         self._head_received_at = self._loop.time()
-        self._start_timer(
-            self._front.bounds().idle_seconds, self._on_idle_timeout
-        )
+        self._start_idle_timer()
         headers = messages.Headers(self._pairs)
         self._headers = headers
-        self._check_head_size(
-            len(self._target) + sum(map(_pair_bytes, headers))
-        )
+        self._check_head_size(self._parsed_head_bytes)
         length = headers.get(b'content-length')
-        if length and int(length) > self._front.bounds().body_bytes:
+        if length and int(length) > self._max_body_bytes:
             self._refuse(_BODY_TOO_LONG)
         elif not self._is_unambiguous(headers):
             self._refuse(_BAD_REQUEST)
@@ -177,10 +182,11 @@
         if self._is_refused:
             return
         self._body_length += len(payload)
-        if self._body_length > self._front.bounds().body_bytes:
+        if self._body_length > self._max_body_bytes:
             self._refuse(_BODY_TOO_LONG)
             return
         self._body.append(payload)
+        self._start_idle_timer()
 
     def on_message_complete(self) -> None:
         """Queue a complete request and serve it when its turn comes."""
@@ -197,6 +203,7 @@
             is_last=not self._parser.should_keep_alive(),
             connected_at=self._opened_at,
             number=self._request_count,
+            is_beyond_end=self._is_end_announced,
         )
         self._pending.append(request)
         self._serve_next()
@@ -208,17 +215,24 @@
         """Return whether no request is in progress or being received."""
         return not (self._is_busy or self._is_reading)
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether a part of an answer waits for a slow caller."""
+        return bool(self._transport.get_write_buffer_size())
+
     def write_head(self, status: int, pairs: list[messages.Pair]) -> None:
         """Write the head of an answer; announce the end of the connection.
 
         A draining front sends ``Connection: close`` only with the answer to
         the last queued request. Sent earlier, the caller would take that
         answer for the last one, and a pipelined request that was already
-        received would never be answered.
+        received would never be answered. A request that is received later,
+        during the last answer, is marked, so that it is answered but not run.
         """
         ends_here = self._front.is_draining and not self._pending
         if ends_here or not self._keep_alive:
             self._keep_alive = False
+            self._is_end_announced = True
             pairs = [*pairs, (b'Connection', b'close')]
         self.write(messages.encode_head(status, pairs))
 
@@ -238,9 +252,8 @@
         self._transport.abort()
 
     def close_for_shutdown(self) -> None:
-        """Close the connection once its buffer is written, at shutdown."""
-        self._set_ending(endings.End.CUT)
-        self._transport.close()
+        """Close the idle connection once its buffer is written, at shutdown."""
+        self._close_after_reading(endings.End.CUT)
 
     @property
     def is_blocked(self) -> bool:
@@ -262,7 +275,12 @@
     def _is_busy(self) -> bool:
         return self._serve_task is not None or bool(self._pending)
 
+    @property
+    def _has_pending_request(self) -> bool:
+        return bool(self._pending) and not isinstance(self._pending[0], int)
+
     def _reset_message(self) -> None:
+        self._bounds = self._front.bounds()
         self._target = b''
         self._pairs: list[messages.Pair] = []
         self._headers = messages.Headers()
@@ -273,14 +291,24 @@
         self._is_reading = False
         self._head_bytes = 0
 
-    def _check_head_size(self, added_bytes: int) -> None:
+    @property
+    def _max_body_bytes(self) -> int:
+        """The limit at the begin of the request, or now if that is higher."""
+        return max(self._bounds.body_bytes, self._front.bounds().body_bytes)
+
+    @property
+    def _parsed_head_bytes(self) -> int:
+        return len(self._target) + sum(map(_pair_bytes, self._pairs))
+
+    def _check_head_size(self, size: int) -> None:
         """Refuse a head that exceeds the size limit.
 
         The parser has no limit on the number of headers, so a caller could
         exhaust the memory with a head that never ends.
         """
-        self._head_bytes += added_bytes
-        if self._head_bytes > self._front.bounds().header_bytes:
+        if size > max(
+            self._bounds.header_bytes, self._front.bounds().header_bytes
+        ):
             self._refuse(_HEADERS_TOO_LONG)
 
     def _is_unambiguous(self, headers: messages.Headers) -> bool:
@@ -328,26 +356,25 @@
             raise
         except Exception as error:
             logger.bind(step='serve', error=repr(error)).error('handler failed')
-            reply.abort()
         finally:
             self._serve_task = None
         self._finish(reply)
 
     def _finish(self, reply: replies.Reply) -> None:
         if not reply.is_done:
-            reply.abort()
+            _end_unfinished(reply)
         if self._transport.is_closing():
             return
-        if not self._keep_alive:
+        if not (self._keep_alive or self._has_pending_request):
             self._set_ending(endings.End.LAST_ANSWER)
             self._transport.close()
             return
         self._throttle_reading()
         self._serve_next()
-        if self.is_idle:
-            self._start_timer(
-                self._front.bounds().idle_seconds, self._on_idle_timeout
-            )
+        if self._is_busy or self._is_refused:
+            return
+        if self.is_idle or self._timer is None:
+            self._start_idle_timer()
 
     def _send_final_error(self, status: int) -> None:
         self._keep_alive = False
@@ -379,14 +406,50 @@
             self._timer.cancel()
             self._timer = None
 
+    def _start_idle_timer(self) -> None:
+        self._idle_since = self._loop.time()
+        self._start_timer(
+            self._front.bounds().idle_seconds, self._on_idle_timeout
+        )
+
     def _on_idle_timeout(self) -> None:
-        if self._serve_task is None:
-            self._set_ending(endings.End.IDLE)
-            self._transport.close()
+        """Close the connection, unless the limit was raised meanwhile."""
+        if self._serve_task is not None:
+            self._start_idle_timer()
+            return
+        idle_until = self._idle_since + self._front.bounds().idle_seconds
+        remaining_seconds = idle_until - self._loop.time()
+        if remaining_seconds > 0:
+            self._start_timer(remaining_seconds, self._on_idle_timeout)
+            return
+        if self._is_reading:
+            self._refuse(_TIMED_OUT)
+            return
+        self._close_after_reading(endings.End.IDLE)
+
+    def _close_after_reading(self, reason: endings.End) -> None:
+        """Close an idle connection, unless a request has arrived on it.
+
+        Bytes may have arrived since the event loop last read. It reads again
+        before it runs a timer that was started now.
+        """
+        self._start_timer(0, functools.partial(self._close, reason))
+
+    def _close(self, reason: endings.End) -> None:
+        self._set_ending(reason)
+        self._transport.close()
 
     def _on_head_timeout(self) -> None:
         self._refuse(_TIMED_OUT)
 
 
+def _end_unfinished(reply: replies.Reply) -> None:
+    """End an answer that its handler has left unfinished."""
+    if reply.is_started:
+        reply.abort()
+    else:
+        reply.send(_HANDLER_FAILED, [], b'')
+
+
 def _pair_bytes(pair: messages.Pair) -> int:
     return len(pair[0]) + len(pair[1])
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -273,7 +273,8 @@
     ),
     'handler failed': Kind(
         'step error',
-        'an unexpected error while a request was served; its caller is cut off',
+        'an unexpected error while a request was served; its caller gets 502, '
+        'or is cut off if a part of the answer was sent',
     ),
     'configuration in force': Kind(
         'version before', 'requests are handled by this version from now on'
@@ -422,9 +423,10 @@
         f'request end attempts after_event {_PROGRESS_FIELDS}',
         'the request was aborted although its connection was open',
     ),
-    'cut off by a fault of this entry': Kind(
-        'request attempts error',
-        'an unexpected error; the caller is cut off',
+    'failed by a fault of this entry': Kind(
+        'request status error',
+        'an unexpected error; the caller gets 502, or 503 if the request has '
+        'not run, or is cut off if a part of the answer was sent',
     ),
     'getting pieces': Kind(
         'version missing', 'an agent starts to fetch a version'
--- a/tests/direct/test_leaving.py
+++ b/tests/direct/test_leaving.py
@@ -20,7 +20,8 @@
     node,
     routing,
 )
-from clementinepass.http import channel, limits
+from clementinepass.http import channel, front, limits
+from clementinepass.http import connection as server_connection
 from standins import direct_endpoint
 from tests.direct import path_harness
 
@@ -31,6 +32,12 @@
     path_harness.NODE,
     duties=msgspec.structs.replace(path_harness.DUTIES, grace=2),
 )
+#: An entry with so long a grace period that it accepts the requests of these
+#: tests, and ends after two seconds if it is idle.
+EARLY_END_NODE = msgspec.structs.replace(
+    path_harness.NODE,
+    duties=msgspec.structs.replace(path_harness.DUTIES, grace=12),
+)
 #: An entry with five minutes from SIGTERM to SIGKILL.
 LONG_GRACE_NODE = msgspec.structs.replace(
     path_harness.NODE,
@@ -75,6 +82,22 @@
     return task
 
 
+def connected_pair() -> tuple[socket.socket, socket.socket]:
+    """Return both ends of a connection on loopback, the caller's first."""
+    with socket.create_server((path_harness.HOST, 0)) as listener:
+        callers_side = socket.create_connection(listener.getsockname())
+        entry_side, _ = listener.accept()
+    for side in (callers_side, entry_side):
+        side.setblocking(False)
+    return callers_side, entry_side
+
+
+def shrink_buffers(side: socket.socket) -> None:
+    """Have the kernel buffer little of what one side of a connection sends."""
+    side.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    side.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+
+
 class LateRequestTest(testtools.TestCase):
     """Requests that arrive at a draining entry.
 
@@ -210,6 +233,196 @@
         path_harness.run(scenario, local_node=SHORT_GRACE_NODE)
 
 
+class AfterFirstEvent(asyncio.Event):
+    """An event that the first event of a stream doesn't wait for."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.has_passed = False
+
+    async def wait(self) -> typing.Literal[True]:
+        """Return at once when called first."""
+        if self.has_passed:
+            return await super().wait()
+        self.has_passed = True
+        return True
+
+
+class AnnouncedEndTest(testtools.TestCase):
+    """Requests behind an answer that announced the end of its connection."""
+
+    def test_request_during_last_stream(self) -> None:
+        """A request that arrives during the last stream is refused.
+
+        It was read, and the connection was closed after the stream without an
+        answer. It is not run, as its caller may repeat it elsewhere.
+        """
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            for endpoint in harness.endpoints:
+                endpoint.going = AfterFirstEvent()
+            drain_task = await send_sigterm(harness)
+            reader, writer = await asyncio.open_connection(
+                path_harness.HOST, harness.port
+            )
+            writer.write(path_harness.request('/stream/a'))
+            head = await reader.readuntil(b'\r\n\r\n')
+            self.assertIn(b'Connection: close', head)
+            writer.write(path_harness.request('/once/a', X_Attempt_Id='r-2'))
+            (connection,) = harness.front.connections
+            while not connection._pending:
+                await asyncio.sleep(0)
+            for endpoint in harness.endpoints:
+                endpoint.going.set()
+            answers = await reader.read()
+            self.assertIn(b'0\r\n\r\nHTTP/1.1 503 ', answers)
+            self.assertIn(b'X-Attempt-Id: r-2', answers)
+            self.assertIn(b'Retry-After: ', answers)
+            self.assertEqual(1, len(harness.received_requests))
+            writer.close()
+            await drain_task
+
+        path_harness.run(scenario, local_node=EARLY_END_NODE)
+
+
+class EarlyEndTest(testtools.TestCase):
+    """An entry that ends early, as no list names it and it seems idle."""
+
+    def test_unread_answer(self) -> None:
+        """An answer is written to a slow caller before the entry ends.
+
+        A request no longer counted once its answer was complete. What its caller
+        had not read was cut off when the entry ended early.
+        """
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            for endpoint in harness.endpoints:
+                endpoint.events = 1
+                endpoint.filling = b'~' * 60_000
+            callers_side = socket.socket()
+            shrink_buffers(callers_side)
+            callers_side.connect((path_harness.HOST, harness.port))
+            reader, writer = await asyncio.open_connection(
+                sock=callers_side, limit=1024
+            )
+            while not harness.front.connections:
+                await asyncio.sleep(0)
+            (connection,) = harness.front.connections
+            shrink_buffers(connection._transport.get_extra_info('socket'))
+            writer.write(path_harness.request('/stream/a'))
+            while not harness.executed_requests:
+                await asyncio.sleep(0)
+            drain_task = await send_sigterm(harness)
+            plan = harness.drain_state.plan
+            assert plan is not None
+            loop = asyncio.get_running_loop()
+            while loop.time() < plan.lists_expire_at + 0.5:
+                await asyncio.sleep(0.01)
+            answer = await reader.read(-1)
+            self.assertEqual(60_000, answer.count(b'~'))
+            self.assertTrue(answer.endswith(b'0\r\n\r\n'))
+            writer.close()
+            await drain_task
+
+        path_harness.run(scenario, local_node=EARLY_END_NODE)
+
+    def test_accepted_at_the_last_moment(self) -> None:
+        """A request on a connection that was just accepted is answered.
+
+        The entry stopped to listen while the event loop was about to set up
+        a connection that it had accepted. Its request was read and passed on,
+        and cut off when the entry ended a fifth of a second later.
+        """
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            for endpoint in harness.endpoints:
+                endpoint.going.clear()
+            loop = asyncio.get_running_loop()
+            callers_side, entry_side = connected_pair()
+            callers_side.sendall(path_harness.request('/plain/brief/a'))
+            stop_listening = front.Front.stop_listening
+            setups = []
+
+            def stop_while_accepting(stopped: front.Front) -> None:
+                if not setups:
+                    setup = loop.connect_accepted_socket(
+                        lambda: server_connection.Connection(stopped),
+                        entry_side,
+                    )
+                    setups.append(asyncio.ensure_future(setup))
+                stop_listening(stopped)
+
+            self.patch(front.Front, 'stop_listening', stop_while_accepting)
+            drain_task = await send_sigterm(harness)
+            while not harness.received_requests:
+                await asyncio.sleep(0)
+            await asyncio.sleep(0.4)
+            self.assertFalse(drain_task.done(), 'the process is gone')
+            for endpoint in harness.endpoints:
+                endpoint.going.set()
+            reader, writer = await asyncio.open_connection(sock=callers_side)
+            answer = await reader.read()
+            self.assertEqual(b'HTTP/1.1 200 ', answer[:13])
+            writer.close()
+            await drain_task
+
+        path_harness.run(scenario, local_node=EARLY_END_NODE)
+
+
+class SignalTest(testtools.TestCase):
+    """Signals that arrive more than once, or while the process is busy."""
+
+    def test_handled_late(self) -> None:
+        """The grace period counts from SIGTERM, not from its handling.
+
+        An entry whose event loop was held up counted from the moment in which
+        the loop went on, and planned its last answers after its SIGKILL.
+        """
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            drainer = leaving.Drainer(
+                harness.front,
+                harness.request_handler,
+                typing.cast('typing.Any', NoPeers()),
+                harness.drain_state,
+            )
+            drain_task = asyncio.create_task(drainer.wait_until_drained())
+            await asyncio.sleep(0)
+            signal.raise_signal(signal.SIGTERM)
+            signalled_at = asyncio.get_running_loop().time()
+            time.sleep(0.1)
+            while harness.drain_state.plan is None:
+                await asyncio.sleep(0)
+            self.assertLessEqual(
+                harness.drain_state.plan.started_at, signalled_at
+            )
+            await drain_task
+
+        path_harness.run(scenario, local_node=SHORT_GRACE_NODE)
+
+    def test_sigterm_twice(self) -> None:
+        """A second SIGTERM neither ends the entry nor restarts its schedule."""
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            for endpoint in harness.endpoints:
+                endpoint.going.clear()
+            pending_answer = asyncio.create_task(harness.send('/plain/brief/a'))
+            while not harness.received_requests:
+                await asyncio.sleep(0)
+            drain_task = await send_sigterm(harness)
+            plan = harness.drain_state.plan
+            for _ in range(3):
+                signal.raise_signal(signal.SIGTERM)
+                await asyncio.sleep(0.05)
+            self.assertIs(plan, harness.drain_state.plan)
+            for endpoint in harness.endpoints:
+                endpoint.going.set()
+            self.assertEqual(200, (await pending_answer).status)
+            await drain_task
+
+        path_harness.run(scenario, local_node=SHORT_GRACE_NODE)
+
+
 class DrainAnnouncementTest(testtools.TestCase):
     """What a draining entry announces to other entries and to callers."""
 
