Follow a grace period that is shortened while an entry drains

What callers would see: an answer cut off by SIGKILL, or none, if the settings are changed with a shorter grace period around SIGTERM.

Cause: the schedule of a drain was made once, at SIGTERM. A change of the settings after it changed nothing.

Settings that change the grace of a draining entry have not been seen on the platform.

Now a draining entry plans anew if the grace period is shorter, from the same SIGTERM, and ends the requests in progress by then. A longer one is not followed: the process may be killed by the earlier one.

--- a/clementinepass/direct/departure.py
+++ b/clementinepass/direct/departure.py
@@ -76,14 +76,26 @@
 
     def start(self, now: float) -> drain_decisions.DrainPlan:
         """Start to drain and return the schedule."""
-        self.plan = drain_decisions.plan_drain(
-            now,
-            self._local_node.duties.grace,
-            self.list_policy,
-            self._lists_expire_at,
-        )
+        self.plan = self._plan(now)
         return self.plan
 
+    def follow_shorter_grace(self) -> bool:
+        """Plan anew if the grace period is shorter than when the drain started.
+
+        A longer one is not followed, as the process may be killed by the
+        earlier one.
+
+        :returns: whether the schedule has changed.
+        """
+        current = self.plan
+        if current is None:
+            return False
+        newer = self._plan(current.started_at)
+        if newer.last_answer_at >= current.last_answer_at:
+            return False
+        self.plan = newer
+        return True
+
     def is_listed(self, now: float) -> bool:
         """Tell whether callers are sent here while no entry is ready."""
         seconds_draining = self.seconds_draining(now)
@@ -120,3 +132,11 @@
         ).info(
             'offered while leaving',
         )
+
+    def _plan(self, started_at: float) -> drain_decisions.DrainPlan:
+        return drain_decisions.plan_drain(
+            started_at,
+            self._local_node.duties.grace,
+            self.list_policy,
+            self._lists_expire_at,
+        )
--- a/clementinepass/direct/leaving.py
+++ b/clementinepass/direct/leaving.py
@@ -84,6 +84,9 @@
         ).info('leaving')
         while not plan.may_end(loop.time(), self._front.busy_count()):
             await asyncio.sleep(_POLL_SECONDS)
+            if self._drain_state.follow_shorter_grace():
+                plan = self._drain_state.plan or plan
+                self._request_handler.finish_by(plan.last_answer_at)
         await self._close(plan)
         logger.bind(
             seconds=round(loop.time() - plan.started_at, 3),
--- a/tests/direct/test_leaving.py
+++ b/tests/direct/test_leaving.py
@@ -396,6 +396,37 @@
 
         path_harness.run(scenario, local_node=SHORT_GRACE_NODE)
 
+    def test_grace_changed_while_draining(self) -> None:
+        """A shorter grace period applies to a drain that has begun.
+
+        The entry kept the schedule of its SIGTERM, and a request got no final
+        answer before the shorter period ended.
+        """
+        duties = msgspec.structs.replace(path_harness.DUTIES, grace=12)
+        local_node = msgspec.structs.replace(path_harness.NODE, duties=duties)
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            for endpoint in harness.endpoints:
+                endpoint.going.clear()
+            pending_answer = asyncio.create_task(harness.send('/plain/a'))
+            while not harness.received_requests:
+                await asyncio.sleep(0)
+            drain_task = await send_sigterm(harness)
+            plan = harness.drain_state.plan
+            assert plan is not None
+            for grace in (60, 2):
+                duties.update(msgspec.structs.replace(duties, grace=grace))
+                await asyncio.sleep(0.1)
+                assert harness.drain_state.plan is not None
+                self.assertEqual(
+                    grace == 2,
+                    harness.drain_state.plan.end_at < plan.end_at,
+                )
+            self.assertEqual(504, (await pending_answer).status)
+            await drain_task
+
+        path_harness.run(scenario, local_node=local_node)
+
     def test_sigterm_twice(self) -> None:
         """A second SIGTERM neither ends the entry nor restarts its schedule."""
 
