Wait for an endpoint that stops reading a long request

What callers saw: 502, or the answer of another endpoint, about three seconds after the endpoint of a long request had stopped reading it, though it would have gone on. A request that must not run twice was ended without an answer.

Cause: TCP_USER_TIMEOUT of 3 s. The rest of a request that does not fit into the receive buffer of the endpoint stays unsent. Its kernel acknowledges the probes, but the timeout counts on while the window is closed, so that the kernel of the entry resets the connection.

Now the timeout is set while a request of up to 32 KiB is exchanged, which the receive buffer holds. A longer request ends by its deadline; a peer without power is found by keep-alive probes once all of it was acknowledged.

--- a/clementinepass/http/channel.py
+++ b/clementinepass/http/channel.py
@@ -23,6 +23,10 @@
 #: This detects the same failure while data is in flight, when the kernel sends
 #: no keep-alive probes.
 _USER_TIMEOUT_MS = 3000
+#: Longest request in bytes that fits into the receive buffer of any peer. The
+#: rest of a longer one stays unsent while the peer does not read, though its
+#: kernel acknowledges probes. TCP_USER_TIMEOUT would end such a connection.
+_MAX_BUFFERED_REQUEST_BYTES = 32768
 #: Bytes of an answer that are buffered before reading pauses.
 _MAX_BUFFERED_BYTES = 262144
 _FIRST_FINAL_STATUS = 200
@@ -98,6 +102,7 @@
         self._is_complete = False
         self._has_surplus = False
         self._ends_with_connection = False
+        self._has_user_timeout = False
 
     @classmethod
     async def connect(
@@ -251,6 +256,9 @@
         """Send one request."""
         self._reset_answer()
         self._is_active = True
+        self._set_user_timeout(
+            is_enabled=len(request) <= _MAX_BUFFERED_REQUEST_BYTES
+        )
         self._transport.write(request)
 
     async def read_head(self) -> messages.AnswerHead:
@@ -334,6 +342,19 @@
 
     # Internal methods.
 
+    def _set_user_timeout(self, *, is_enabled: bool) -> None:
+        """Enable or disable TCP_USER_TIMEOUT, unless that is done already."""
+        if is_enabled is self._has_user_timeout:
+            return
+        if self._transport.is_closing():
+            return
+        self._has_user_timeout = is_enabled
+        self._transport.get_extra_info('socket').setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            _USER_TIMEOUT_MS if is_enabled else 0,
+        )
+
     def _reset_answer(self) -> None:
         self.head = None
         self._pairs = []
@@ -402,8 +423,3 @@
         socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_PROBE_SECONDS
     )
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
-    sock.setsockopt(
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        _USER_TIMEOUT_MS,
-    )
--- a/tests/http/test_channel.py
+++ b/tests/http/test_channel.py
@@ -13,6 +13,12 @@
 
 HOST = '127.0.0.1'
 REQUEST = messages.encode_request(b'GET', b'/', [(b'Host', b'h')], b'')
+#: Larger than the receive buffer of a peer.
+LONG_REQUEST = messages.encode_request(
+    b'POST', b'/', [(b'Host', b'h')], bytes(2 * 1024 * 1024)
+)
+#: Seconds for which a peer that is silent does not read.
+SILENT_SECONDS = 5
 
 
 class Peer:
@@ -235,6 +241,66 @@
 
         asyncio.run(exchange())
 
+    def test_long_request_is_read_late(self) -> None:
+        """A peer that stops reading a long request for a while is waited for.
+
+        The kernel ended the connection after three seconds, though the peer's
+        kernel acknowledged its probes and the peer would have gone on.
+        """
+
+        async def read_late(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await asyncio.sleep(SILENT_SECONDS)
+            await reader.readexactly(len(LONG_REQUEST))
+            writer.write(answer_with_length(b'late'))
+
+        async def exchange() -> None:
+            server = await asyncio.start_server(read_late, HOST, 0)
+            port = server.sockets[0].getsockname()[1]
+            async with server:
+                answer = await pool.fetch(
+                    pool.Pool(HOST, port), LONG_REQUEST, 20
+                )
+            self.assertEqual(b'late', answer.body)
+
+        asyncio.run(exchange())
+
+    def test_user_timeout(self) -> None:
+        """A peer that has lost its power is noticed after each short request.
+
+        A reused connection would keep the setting of a long request.
+        """
+        timeouts = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            for request in (REQUEST, LONG_REQUEST, REQUEST):
+                await reader.readexactly(len(request))
+                writer.write(answer_with_length(b''))
+
+        async def exchange() -> None:
+            server = await asyncio.start_server(serve, HOST, 0)
+            port = server.sockets[0].getsockname()[1]
+            async with server:
+                connection = await channel.Channel.connect(HOST, port, 5)
+                sock = connection._transport.get_extra_info('socket')
+                for request in (REQUEST, LONG_REQUEST, REQUEST):
+                    connection.send(request)
+                    await connection.read_head()
+                    await read_body(connection)
+                    timeouts.append(
+                        sock.getsockopt(
+                            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+                        )
+                    )
+                    self.assertTrue(connection.finish())
+                connection.abort()
+
+        asyncio.run(exchange())
+        self.assertEqual([3000, 0, 3000], timeouts)
+
 
 class PoolTest(testtools.TestCase):
     """Idle connections that the peer may be closing are not reused."""
