Do not count a plain answer that arrives slowly as silence

What callers saw: nothing, but their request ran a second time, and after a few such answers their endpoint was ejected.

Cause: for a plain answer, an attempt counted as waiting since the head of the answer. An answer that took longer than half of the time left was taken for silence, however steadily its bytes came: the endpoint was reported to the ejector as failed, and a retry was taken from the budget.

Now the attempt waits since the last bytes, as for streams.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -275,10 +275,12 @@
     ) -> serving.AttemptResult:
         """Buffer a plain answer until it is complete, then forward it."""
         attempt.mark_started()
-        attempt.waiting_since = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        attempt.waiting_since = loop.time()
         parts = []
         length = 0
         while part := await connection.read():
+            attempt.waiting_since = loop.time()
             parts.append(part)
             length += len(part)
             if length > _MAX_ANSWER_BYTES:
@@ -300,7 +302,7 @@
                 'a plain answer came instead of a stream', peer=connection.peer
             )
         self._take_over(admitted, attempt)
-        admitted.first_event_at = asyncio.get_running_loop().time()
+        admitted.first_event_at = loop.time()
         admitted.reply.send(status, decoded_head.pairs, body)
         return serving.AttemptResult.ANSWERED
 
--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -21,6 +21,8 @@
 _ERROR = 500
 _UNAVAILABLE = 503
 _MISDIRECTED = 421
+#: Seconds between two bytes of an answer that arrives little by little.
+_TRICKLE_SECONDS = 0.1
 
 
 class Fault(enum.Enum):
@@ -50,6 +52,8 @@
     SILENT_AFTER_HEAD = 'silent_after_head'
     #: Runs, and is silent after its first event until it is let go.
     SILENT_MIDWAY = 'silent_midway'
+    #: Runs, and a plain answer arrives little by little.
+    TRICKLE = 'trickle'
 
 
 #: Number of the event before which an endpoint is silent.
@@ -195,7 +199,19 @@
         else:
             await self.going.wait()
             pairs = self._marked(request, fault)
-            reply.send(_OK, pairs, b'by %b' % self.id.encode())
+            if fault is Fault.TRICKLE:
+                await self._trickle(reply, pairs)
+            else:
+                reply.send(_OK, pairs, b'by %b' % self.id.encode())
+
+    async def _trickle(
+        self, reply: replies.Reply, pairs: list[messages.Pair]
+    ) -> None:
+        reply.start(_OK, pairs)
+        for byte in b'by %b' % self.id.encode():
+            reply.write(bytes((byte,)))
+            await asyncio.sleep(_TRICKLE_SECONDS)
+        reply.end()
 
     async def _stream(
         self,
--- a/tests/direct/test_silent_endpoints.py
+++ b/tests/direct/test_silent_endpoints.py
@@ -449,6 +449,20 @@
 
         run(scenario)
 
+    def test_slow_answer_is_not_silence(self) -> None:
+        """An endpoint that sends a plain answer slowly is not silent.
+
+        It counted as failed, and another endpoint ran the request as well.
+        """
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            harness.set_shared_faults(Fault.TRICKLE)
+            answer = await harness.send('/plain/a', X_Deadline_Ms='1000')
+            self.assertEqual(200, answer.status)
+            self.assertEqual(1, len(harness.executed_requests))
+
+        run(scenario)
+
     def test_frozen_endpoint_is_ejected(self) -> None:
         """An endpoint is ejected that is silent on several requests.
 
