Keep an attempt at a silent endpoint when another one fails by an error

What callers saw: 502, or a stream cut off, while the endpoint that was silent for a moment would have gone on.

Cause: an unexpected error of the entry in the second attempt, for example at an answer that it cannot decode, ended the whole request and aborted the first attempt.

Now such an error is logged with its traceback and fails its attempt only, if another open attempt may still answer. An attempt that has delivered anything has superseded the others, so that its error still ends the request.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -115,7 +115,17 @@
         admitted: serving.AdmittedRequest,
         attempt: serving.Attempt,
     ) -> serving.AttemptResult:
-        result = await self._exchange(admitted, attempt.endpoint, attempt)
+        try:
+            result = await self._exchange(admitted, attempt.endpoint, attempt)
+        except Exception as error:
+            if not admitted.may_be_answered_without(attempt):
+                raise
+            attempt.given_up()
+            self._log.log_attempt_failed(admitted, attempt, error)
+            logger.opt(exception=error).bind(
+                step='attempt', error=repr(error)
+            ).error('handler failed')
+            result = serving.AttemptResult.BROKEN
         self._record_result(admitted, attempt, result)
         if result is serving.AttemptResult.ANSWERED:
             self._log.log_answered(admitted, attempt)
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -333,6 +333,13 @@
                 other.superseded_by = attempt
                 other.task.cancel()
 
+    def may_be_answered_without(self, attempt: Attempt) -> bool:
+        """Tell whether another open attempt may still deliver the answer."""
+        return any(
+            other is not attempt and other.superseded_by is None
+            for other in self.open_attempts
+        )
+
     async def next_result(self, seconds: float) -> AttemptResult | None:
         """Wait until the next of the open attempts ends.
 
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -274,7 +274,8 @@
     'handler failed': Kind(
         'step error',
         'an unexpected error while a request was served; its caller gets 502, '
-        'or is cut off if a part of the answer was sent',
+        'or is cut off if a part of the answer was sent; with `step` '
+        '`attempt`, another attempt may still answer',
     ),
     'configuration in force': Kind(
         'version before', 'requests are handled by this version from now on'
--- a/tests/direct/test_silent_endpoints.py
+++ b/tests/direct/test_silent_endpoints.py
@@ -11,8 +11,9 @@
 import testtools
 from loguru import logger
 
-from clementinepass.direct import endpoints, routing
-from clementinepass.http import channel
+from clementinepass.direct import calls, endpoints, routing
+from clementinepass.http import channel, messages
+from clementinepass.platform import dialect
 from standins import direct_endpoint
 from tests.direct import path_harness, steady_loop
 
@@ -262,6 +263,22 @@
     return lines
 
 
+class FailingDialect(dialect.HeaderDialect):
+    """A dialect that fails with the answers of one endpoint."""
+
+    def __init__(self, endpoint: direct_endpoint.DirectEndpoint) -> None:
+        super().__init__()
+        self._stamp = f'stamp-{endpoint.id}'.encode()
+
+    def decode_head(
+        self, call: calls.Call, head: messages.AnswerHead
+    ) -> calls.DecodedHead:
+        """Decode the head of an answer, unless it is of that endpoint."""
+        if head.headers.get(b'x-server-stamp') == self._stamp:
+            raise ZeroDivisionError
+        return super().decode_head(call, head)
+
+
 class ReplacementTest(testtools.TestCase):
     """Another endpoint is sought in the place of a silent one."""
 
@@ -449,6 +466,32 @@
 
         run(scenario)
 
+    def test_error_beside_silent_attempt(self) -> None:
+        """An error of the entry in another attempt ends no silent one."""
+
+        async def scenario(
+            harness: path_harness.PathHarness, target: str, silence: Fault
+        ) -> None:
+            harness.set_shared_faults(silence)
+            pending_answer = asyncio.create_task(
+                harness.send(target, X_Deadline_Ms=TIMEOUT_MS)
+            )
+            await wait_for_runs(harness, 1)
+            (other,) = [
+                endpoint for endpoint in harness.endpoints if not endpoint.came
+            ]
+            harness.sender._dialect = FailingDialect(other)
+            await wait_for_runs(harness, 2)
+            await asyncio.sleep(0.1)
+            let_go(harness)
+            answer = await pending_answer
+            self.assertEqual(200, answer.status)
+            if target.startswith('/stream'):
+                self.assertEqual(EVENTS, answer.body)
+            await wait_until_idle(harness)
+
+        run_each(scenario, SILENCES)
+
     def test_slow_answer_is_not_silence(self) -> None:
         """An endpoint that sends a plain answer slowly is not silent.
 
