--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -115,7 +115,17 @@
         admitted: serving.AdmittedRequest,
         attempt: serving.Attempt,
     ) -> serving.AttemptResult:
-        result = await self._exchange(admitted, attempt.endpoint, attempt)
+        try:
+            result = await self._exchange(admitted, attempt.endpoint, attempt)
+        except Exception as error:
+            if not admitted.may_be_answered_without(attempt):
+                raise
+            attempt.given_up()
+            self._log.log_attempt_failed(admitted, attempt, error)
+            logger.opt(exception=error).bind(
+                step='attempt', error=repr(error)
+            ).error('handler failed')
+            result = serving.AttemptResult.BROKEN
         self._record_result(admitted, attempt, result)
         if result is serving.AttemptResult.ANSWERED:
             self._log.log_answered(admitted, attempt)
@@ -275,10 +285,12 @@
     ) -> serving.AttemptResult:
         """Buffer a plain answer until it is complete, then forward it."""
         attempt.mark_started()
-        attempt.waiting_since = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        attempt.waiting_since = loop.time()
         parts = []
         length = 0
         while part := await connection.read():
+            attempt.waiting_since = loop.time()
             parts.append(part)
             length += len(part)
             if length > _MAX_ANSWER_BYTES:
@@ -300,7 +312,7 @@
                 'a plain answer came instead of a stream', peer=connection.peer
             )
         self._take_over(admitted, attempt)
-        admitted.first_event_at = asyncio.get_running_loop().time()
+        admitted.first_event_at = loop.time()
         admitted.reply.send(status, decoded_head.pairs, body)
         return serving.AttemptResult.ANSWERED
 
