Log for how long an endpoint asks for no requests

An endpoint that turns a request away with 503 may ask, in Retry-After, for a time without requests of this machine. The line `turned away by the endpoint` did not say whether it had, so that the log could not show whether later requests ignored it.

What requests do is unchanged.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -196,7 +196,9 @@
             return serving.AttemptResult.NOT_RUN
         if decoded_head.verdict is calls.Verdict.NOT_RUN:
             attempt.refused()
-            self._log.log_rejected(admitted, endpoint, head.status)
+            self._log.log_rejected(
+                admitted, endpoint, head.status, decoded_head.pause_seconds
+            )
             return serving.AttemptResult.NOT_RUN
         attempt.head_seen()
         if decoded_head.verdict in {
--- a/clementinepass/direct/calls.py
+++ b/clementinepass/direct/calls.py
@@ -119,6 +119,9 @@
     pairs: list[messages.Pair]
     #: Id of the instance that answered; empty if the answer has none.
     instance: str = ''
+    #: Seconds for which the endpoint wants no requests of this instance;
+    #: ``None`` if it asked for no pause.
+    pause_seconds: float | None = None
 
 
 class Dialect(typing.Protocol):
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -199,8 +199,13 @@
         admitted: serving.AdmittedRequest,
         endpoint: endpoints.Endpoint,
         status: int,
+        pause_seconds: float | None,
     ) -> None:
-        """Log that an endpoint rejected a request without running it."""
+        """Log that an endpoint rejected a request without running it.
+
+        :param pause_seconds: seconds for which the endpoint wants no requests
+            of this instance, if it asked for a pause.
+        """
         self._attempts.inc({'outcome': 'turned_away'})
         admitted.attempt_failures.append(serving.AttemptFailure.REJECTED)
         logger.bind(
@@ -209,6 +214,7 @@
             endpoint=endpoint.listing.id,
             status=status,
             in_flight=endpoint.in_flight,
+            retry_after=pause_seconds,
         ).info('turned away by the endpoint')
 
     def log_failed_by_endpoint(self, admitted: serving.AdmittedRequest) -> None:
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -181,6 +181,11 @@
     'resume_after': Field(
         'int or null', 'number of the last event that the caller received'
     ),
+    'retry_after': Field(
+        'float or null',
+        'seconds for which the endpoint asked for no requests of this machine; '
+        'null if it did not',
+    ),
     'rounds': Field(
         'int',
         'number of rounds of requests for the manifest that failed before',
@@ -347,7 +352,7 @@
         'the best endpoint, and how many requests would wait there',
     ),
     'turned away by the endpoint': Kind(
-        'request attempt endpoint status in_flight',
+        'request attempt endpoint status in_flight retry_after',
         'the endpoint did not run the request',
     ),
     'another endpoint or version answered': Kind(
--- a/tests/platform/test_machines.py
+++ b/tests/platform/test_machines.py
@@ -267,6 +267,52 @@
             decoded_head = header_dialect.decode_head(call, head)
             self.assertIs(verdict, decoded_head.verdict, (status, pairs))
 
+    def test_pause_of_an_endpoint(self) -> None:
+        """Only a 503 that says that nothing ran asks for a pause, in seconds."""
+        header_dialect = dialect.HeaderDialect()
+        request = messages.Request(
+            b'GET',
+            b'/',
+            messages.Headers([(b'X-Attempt-Id', b'r')]),
+            b'',
+            0,
+        )
+        call = header_dialect.decode_request(request)
+        id_header = (b'X-Attempt-Id', b'r')
+        not_run = (b'X-Not-Executed', b'1')
+        stamp = (b'X-Server-Stamp', b's')
+        rejected = [id_header, not_run]
+        table: tuple[
+            tuple[int, list[messages.Pair], bytes | None, float | None], ...
+        ] = (
+            (503, rejected, b'3', 3),
+            (503, rejected, b'0.25', 0.25),
+            (503, rejected, b'0', 0),
+            (503, rejected, b'86400', 86400),
+            (503, rejected, None, None),
+            (503, rejected, b'', None),
+            (503, rejected, b'-1', None),
+            (503, rejected, b'soon', None),
+            (503, rejected, b'nan', None),
+            (503, rejected, b'inf', None),
+            (503, rejected, b'1e3', None),
+            (503, rejected, b'9' * 400, None),
+            (503, rejected, b'Wed, 21 Oct 2015 07:28:00 GMT', None),
+            (429, rejected, b'3', None),
+            (421, rejected, b'3', None),
+            (503, [id_header, stamp], b'3', None),
+            (200, [id_header, stamp], b'3', None),
+            (503, [(b'X-Attempt-Id', b'o'), not_run], b'3', None),
+        )
+        for status, pairs, field, seconds in table:
+            if field is not None:
+                pairs = [*pairs, (b'Retry-After', field)]
+            head = messages.AnswerHead(status, messages.Headers(pairs))
+            decoded_head = header_dialect.decode_head(call, head)
+            self.assertEqual(
+                seconds, decoded_head.pause_seconds, (status, pairs)
+            )
+
 
 class SettingsTest(testtools.TestCase):
     """The settings file of a process."""
