Show that endpoints get requests during the pause that they asked for

An endpoint that answers 503 with Retry-After wants nothing from this machine for that time. The stand-in endpoint can ask for such a pause now and counts what arrives. Seen on this code: 20 requests at an endpoint that had asked for a pause with the first of them, while another one had free slots; 30 at each of two endpoints, where one each is due; retries, resumed streams and a request whose connection was being set up reach it as well, and after the pause all that wait come within 5 ms.

--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -28,6 +28,8 @@
 
     #: Turned away before it runs.
     FULL = 'full'
+    #: Turned away before it runs, and asks for a time without requests.
+    PAUSE = 'pause'
     #: Turned away, as at an address that is another's now.
     ANOTHER = 'another'
     #: Runs, and fails.
@@ -56,6 +58,8 @@
     def __init__(self, endpoint_id: str, events: int = 3) -> None:
         self.id = endpoint_id
         self.events = events
+        #: The ``Retry-After`` of requests that are turned away with a pause.
+        self.retry_after = b'3'
         #: What each event has besides its number.
         self.filling = b''
         #: What goes wrong with the next requests, in order.
@@ -132,8 +136,10 @@
             pairs = [(b'X-Instance-Id', b'i-another')]
             reply.send(_MISDIRECTED, self._marked(request) + pairs, b'')
             return
-        if fault is Fault.FULL:
+        if fault in {Fault.FULL, Fault.PAUSE}:
             pairs = [(b'X-Not-Executed', b'1')]
+            if fault is Fault.PAUSE:
+                pairs.append((b'Retry-After', self.retry_after))
             reply.send(_UNAVAILABLE, self._marked(request) + pairs, b'')
             return
         self.ran.append(request)
--- /dev/null
+++ b/tests/direct/test_paused_endpoints.py
@@ -0,0 +1,247 @@
+"""Tests of endpoints that ask, in ``Retry-After``, for no requests for a time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import testtools
+
+from clementinepass.http import channel, pool
+from standins import direct_endpoint
+from tests.direct import path_harness
+
+Fault = direct_endpoint.Fault
+World = path_harness.PathHarness
+#: A pause that lasts until after the deadlines of all requests.
+LONG_PAUSE = b'20'
+SHORT_PAUSE = b'0.4'
+SHORT_PAUSE_SECONDS = 0.4
+
+
+def now() -> float:
+    """Return the time of the event loop."""
+    return asyncio.get_running_loop().time()
+
+
+async def pause(
+    world: World, index: int = 0, retry_after: bytes = LONG_PAUSE
+) -> float:
+    """Let an endpoint turn a request away with a pause; return the time.
+
+    The other endpoints are not listed meanwhile, so that it gets the request.
+    """
+    paused = world.endpoints[index]
+    paused.retry_after = retry_after
+    paused.faults = [Fault.PAUSE]
+    others = [other for other in world.endpoints if other is not paused]
+    for other in others:
+        world.cluster.endpoints.mark_removed(other.id, now(), 0)
+    await world.send('/plain/a')
+    for other in others:
+        world.list_endpoint(other, heartbeat=len(other.came) + 1)
+    assert len(paused.came) == 1
+    return now()
+
+
+async def send_for_head(world: World, target: str) -> tuple[int, float]:
+    """Send a request; return status and ``Retry-After`` of its answer."""
+    connection = await channel.Channel.connect(path_harness.HOST, world.port, 5)
+    connection.send(path_harness.request(target))
+    head = await connection.read_head()
+    connection.abort()
+    return head.status, float(head.headers.get(b'retry-after') or 0)
+
+
+class PauseTest(testtools.TestCase):
+    """No request reaches an endpoint during its pause."""
+
+    def test_first_attempts_during_pause(self) -> None:
+        """Requests go to other endpoints while one has asked for a pause.
+
+        Endpoints that had asked for three seconds without requests got up to
+        17 from one entry in that time.
+        """
+
+        async def scenario(harness: World) -> None:
+            paused, other = harness.endpoints
+            paused.retry_after = LONG_PAUSE
+            paused.faults = [Fault.PAUSE] * 40
+            for _ in range(40):
+                answer = await harness.send('/plain/a')
+                self.assertEqual(200, answer.status)
+            self.assertEqual((1, 40), (len(paused.came), len(other.ran)))
+
+        path_harness.run(scenario)
+
+    def test_retries_during_pause(self) -> None:
+        """Retries are not sent to an endpoint that has asked for a pause."""
+
+        async def scenario(harness: World) -> None:
+            await pause(harness)
+            paused, failing, other = harness.endpoints
+            failing.faults = [Fault.ERROR, Fault.LOST, Fault.FULL] * 5
+            for _ in range(15):
+                answer = await harness.send('/plain/a')
+                self.assertEqual(200, answer.status)
+            self.assertEqual((1, 15), (len(paused.came), len(other.ran)))
+
+        path_harness.run(scenario, 3)
+
+    def test_resumed_stream_during_pause(self) -> None:
+        """A stream is resumed at an endpoint only after its pause."""
+
+        async def scenario(harness: World) -> None:
+            paused, failing = harness.endpoints
+            paused_at = await pause(harness, retry_after=SHORT_PAUSE)
+            failing.faults = [Fault.CUT]
+            answer = await harness.send('/stream/a')
+            self.assertEqual(3, answer.body.count(b'data:'))
+            self.assertEqual(2, len(paused.came))
+            self.assertGreaterEqual(
+                paused.came[1].received_at, paused_at + SHORT_PAUSE_SECONDS
+            )
+
+        path_harness.run(scenario)
+
+    def test_pause_during_connection_setup(self) -> None:
+        """A request does not reach an endpoint that asks for a pause meanwhile.
+
+        The endpoint had been selected before, and the connection was being set
+        up.
+        """
+
+        async def scenario(harness: World) -> None:
+            (paused,) = harness.endpoints
+            paused.retry_after = LONG_PAUSE
+            paused.faults = [Fault.PAUSE] * 2
+            gates = [asyncio.Event(), asyncio.Event()]
+            waiting = iter(gates)
+            acquire = pool.Pool.acquire
+
+            async def acquire_slowly(
+                peers: pool.Pool, **limits: float
+            ) -> object:
+                connection = await acquire(peers, **limits)
+                if limits:  # The caller's own connections have none.
+                    await next(waiting).wait()
+                return connection
+
+            self.patch(pool.Pool, 'acquire', acquire_slowly)
+            pending = [
+                asyncio.create_task(harness.send('/once/a')) for _ in gates
+            ]
+            while not sum(
+                harness.cluster.in_flight_by_endpoint(now()).values()
+            ) == len(gates):
+                await asyncio.sleep(0)
+            gates[0].set()
+            await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            gates[1].set()
+            for answer in await asyncio.gather(*pending):
+                self.assertEqual(503, answer.status)
+            self.assertEqual(1, len(paused.came))
+
+        path_harness.run(scenario, 1)
+
+
+class AllPausedTest(testtools.TestCase):
+    """All endpoints have asked for a pause."""
+
+    def test_rejected_without_attempts(self) -> None:
+        """A request that cannot wait for the pause is rejected at once.
+
+        Each request was sent to one endpoint after the other, which spent the
+        retry budget of the service.
+        """
+
+        async def scenario(harness: World) -> None:
+            for endpoint in harness.endpoints:
+                endpoint.retry_after = LONG_PAUSE
+                endpoint.faults = [Fault.PAUSE] * 200
+            for _ in range(10):
+                for target in ('/plain/a', '/stream/a', '/once/a'):
+                    answer = await harness.send(target)
+                    self.assertEqual(503, answer.status)
+            self.assertEqual(
+                [1, 1], [len(endpoint.came) for endpoint in harness.endpoints]
+            )
+
+        path_harness.run(scenario)
+
+    def test_retry_after_is_the_end_of_the_pause(self) -> None:
+        """The answer asks for a retry when an endpoint is available again."""
+
+        async def scenario(harness: World) -> None:
+            paused_at = await pause(harness, retry_after=b'1.2')
+            for target in ('/plain/brief/a', '/short/a'):
+                status, seconds = await send_for_head(harness, target)
+                self.assertEqual(503, status)
+                self.assertAlmostEqual(
+                    paused_at + 1.2 - now(), seconds, delta=0.2
+                )
+            self.assertEqual(1, len(harness.received_requests))
+
+        path_harness.run(scenario, 1)
+
+    def test_waits_for_the_end_of_the_pause(self) -> None:
+        """A request that can start after the pause waits for it."""
+
+        async def scenario(harness: World) -> None:
+            paused_at = await pause(harness, retry_after=SHORT_PAUSE)
+            for target in ('/plain/a', '/stream/a', '/once/a'):
+                answer = await harness.send(target)
+                self.assertEqual(200, answer.status)
+            first = harness.executed_requests[0]
+            self.assertGreaterEqual(
+                first.received_at, paused_at + SHORT_PAUSE_SECONDS
+            )
+
+        path_harness.run(scenario, 1)
+
+    def test_waiting_requests_are_not_sent_at_once(self) -> None:
+        """Few of the requests that have waited are sent when a pause ends."""
+
+        async def scenario(harness: World) -> None:
+            (paused,) = harness.endpoints
+            await pause(harness, retry_after=SHORT_PAUSE)
+            paused.retry_after = SHORT_PAUSE
+            paused.faults = [Fault.PAUSE] * 3
+            answers = await asyncio.gather(
+                *(
+                    harness.send('/plain/a', X_Attempt_Id=f'r-{number}')
+                    for number in range(12)
+                )
+            )
+            # Each of three pauses ends with the rejection of one request.
+            self.assertEqual(
+                [200] * 9 + [503] * 3,
+                sorted(answer.status for answer in answers),
+            )
+            arrivals = [one.received_at for one in paused.came[:5]]
+            for earlier, later in zip(arrivals[:4], arrivals[1:], strict=False):
+                self.assertGreaterEqual(later - earlier, SHORT_PAUSE_SECONDS)
+
+        path_harness.run(scenario, 1)
+
+    def test_one_request_first_after_pause(self) -> None:
+        """Until a request is accepted after the pause, others wait."""
+
+        async def scenario(harness: World) -> None:
+            (paused,) = harness.endpoints
+            await pause(harness, retry_after=SHORT_PAUSE)
+            paused.going.clear()
+            pending = [
+                asyncio.create_task(
+                    harness.send('/plain/a', X_Attempt_Id=f'r-{number}')
+                )
+                for number in range(12)
+            ]
+            while not paused.ran:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            self.assertEqual(1, len(paused.ran))
+            paused.going.set()
+            for answer in await asyncio.gather(*pending):
+                self.assertEqual(200, answer.status)
+
+        path_harness.run(scenario, 1)
