Leave endpoints alone for the time that they ask for

Endpoints that turned requests away with 503 and Retry-After went on getting requests of the same entry, up to 17 in three seconds; requests were sent to one such endpoint after the other, spent the retry budget of the service and were refused while other endpoints had free slots.

Cause: a rejection concerned one request only. Nothing kept the time that the endpoint had asked for, so that its next request was chosen as if nothing had been said.

Each start of an endpoint has a Backoff now.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -38,6 +38,10 @@
 #: another endpoint. Answers usually take a ninth of that time, and the slowest
 #: ones a half.
 _PLAIN_ANSWER_TIME_SHARE = 0.5
+#: Results that are no failures of the endpoint.
+_NOT_RUN_RESULTS = frozenset(
+    (serving.AttemptResult.NOT_RUN, serving.AttemptResult.NOT_SENT)
+)
 #: The urgency of the requests that an engine runs last.
 _MAX_URGENCY = 9
 
@@ -86,12 +90,11 @@
         """Send a request to an endpoint and forward the answer."""
         attempt = admitted.start_attempt(endpoint.listing.id)
         self._log.log_sending(admitted, endpoint)
-        endpoint.in_flight += 1
-        endpoint.reported_load.record_sent(asyncio.get_running_loop().time())
+        endpoint.start_request(admitted.attempt_started_at)
         try:
             result = await self._exchange(admitted, endpoint, attempt)
         finally:
-            endpoint.in_flight -= 1
+            endpoint.end_request(admitted.attempt_started_at)
             if not attempt.finished:
                 attempt.given_up()
         self._record_result(admitted, endpoint, result)
@@ -140,6 +143,10 @@
             if self._became_unusable(endpoint):
                 attempt.refused()
                 return serving.AttemptResult.NOT_RUN
+            if endpoint.backoff.has_paused_since(admitted.attempt_started_at):
+                attempt.refused()
+                self._withdraw(admitted, endpoint)
+                return serving.AttemptResult.NOT_SENT
             return await self._request_answer(
                 admitted, endpoint, attempt, connection
             )
@@ -168,6 +175,19 @@
         """
         return not endpoint.is_usable(asyncio.get_running_loop().time())
 
+    def _withdraw(
+        self,
+        admitted: serving.AdmittedRequest,
+        endpoint: endpoints.Endpoint,
+    ) -> None:
+        """Give up an attempt before the request is sent.
+
+        The endpoint has asked for a pause since it was selected. It may be
+        selected again after the pause.
+        """
+        admitted.tried_endpoint_ids.discard(endpoint.listing.id)
+        self._log.log_withdrawn(admitted, endpoint)
+
     async def _request_answer(
         self,
         admitted: serving.AdmittedRequest,
@@ -196,6 +216,9 @@
             return serving.AttemptResult.NOT_RUN
         if decoded_head.verdict is calls.Verdict.NOT_RUN:
             attempt.refused()
+            endpoint.backoff.record_rejection(
+                decoded_head.pause_seconds, asyncio.get_running_loop().time()
+            )
             self._log.log_rejected(
                 admitted, endpoint, head.status, decoded_head.pause_seconds
             )
@@ -209,6 +232,7 @@
                 f'status {head.status} is not a valid answer to this request',
                 peer=connection.peer,
             )
+        endpoint.backoff.record_acceptance(admitted.attempt_started_at)
         if (
             decoded_head.verdict is calls.Verdict.SUCCESS
             and decoded_head.is_stream
@@ -404,10 +428,7 @@
             answered_at = admitted.first_event_at or now
             seconds = answered_at - admitted.call.request.received_at
             self._cluster.ejector.observe(endpoint.listing.id, seconds, now)
-        elif (
-            result is not serving.AttemptResult.NOT_RUN
-            and not endpoint.is_loading
-        ):
+        elif result not in _NOT_RUN_RESULTS and not endpoint.is_loading:
             # An engine that loads new weights cuts off running requests.
             self._cluster.record_failure(endpoint, now)
 
--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -19,7 +19,7 @@
 
 import typing
 
-from clementinepass.decisions import incarnations
+from clementinepass.decisions import endpoint_backoff, incarnations
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterator
@@ -171,6 +171,7 @@
         'reported_load',
         'congested_until',
         'active_streams',
+        'backoff',
         'weights',
         'weights_started_ms',
     )
@@ -196,6 +197,8 @@
         self.last_received_at: float = 0
         #: Streams of this entry that have started and not ended.
         self.active_streams = 0
+        #: The pause that the endpoint has asked this entry for, if any.
+        self.backoff = endpoint_backoff.Backoff()
         #: The last load report of the agent.
         self.reported_load = ReportedLoad()
         #: Monotonic time until which the link of the instance is considered
@@ -213,6 +216,17 @@
             return False
         return self.unusable_at is None or now < self.unusable_at
 
+    def start_request(self, now: float) -> None:
+        """Record that this entry starts an attempt at the endpoint."""
+        self.in_flight += 1
+        self.backoff.record_sent(now)
+        self.reported_load.record_sent(now)
+
+    def end_request(self, started_at: float) -> None:
+        """Record the end of an attempt."""
+        self.in_flight -= 1
+        self.backoff.record_end(started_at)
+
     @property
     def is_listed(self) -> bool:
         """Tell whether the endpoint is listed and its record not refuted.
--- a/clementinepass/direct/gauges.py
+++ b/clementinepass/direct/gauges.py
@@ -26,6 +26,7 @@
         '_endpoints',
         '_followers',
         '_members',
+        '_paused_endpoints',
         '_peers',
         '_configuration_version',
     )
@@ -50,6 +51,11 @@
             'Endpoints that may be used.',
             registry=registry,
         )
+        self._paused_endpoints = aioprometheus.Gauge(
+            'clementinepass_paused_endpoints',
+            'Endpoints that have asked this entry for a time without requests.',
+            registry=registry,
+        )
         self._members = aioprometheus.Gauge(
             'clementinepass_members',
             'Other entries that are there.',
@@ -72,6 +78,11 @@
             endpoint.is_usable(now) for endpoint in self._cluster.endpoints
         )
         self._endpoints.set({}, usable)
+        paused = sum(
+            endpoint.backoff.is_paused(now)
+            for endpoint in self._cluster.endpoints
+        )
+        self._paused_endpoints.set({}, paused)
         self._members.set({}, len(self._peers.members.alive(now)))
         for topic, topic_follower in self._followers.items():
             if topic_follower.last_contact:
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -20,7 +20,7 @@
 if typing.TYPE_CHECKING:
     import random
 
-    from clementinepass.direct import cluster_state, departure, node
+    from clementinepass.direct import cluster_state, departure, endpoints, node
     from clementinepass.http import messages, replies
 
 _BAD_REQUEST = 400
@@ -257,12 +257,13 @@
                 return
             if result is serving.AttemptResult.FAILED:
                 self._log.log_failed_by_endpoint(admitted)
-            if not self._may_retry(admitted):
+            is_sent = result is not serving.AttemptResult.NOT_SENT
+            if is_sent and not self._may_retry(admitted):
                 self._send_final_answer(
                     admitted, self._ending_after_attempt(admitted, result)
                 )
                 return
-            endpoint = self._selector.select(admitted)
+            endpoint = await self._selector.select_next(admitted)
         self._send_final_answer(
             admitted, self._ending_without_endpoint(admitted)
         )
@@ -316,12 +317,15 @@
     def _ending_without_endpoint(
         self, admitted: serving.AdmittedRequest
     ) -> serving.Ending:
+        now = asyncio.get_running_loop().time()
+        candidates = self._cluster.candidates(admitted.service, now)
+        if admitted.has_not_run and _are_paused(candidates, now):
+            return serving.Ending.ALL_PAUSED
         if admitted.attempts:
             return self._ending_after_attempt(
                 admitted, serving.AttemptResult.NOT_RUN
             )
-        now = asyncio.get_running_loop().time()
-        if self._cluster.candidates(admitted.service, now):
+        if candidates:
             return serving.Ending.OVERLOAD
         configuration = self._cluster.routing
         service = admitted.service.name
@@ -375,6 +379,13 @@
         return _BAD_GATEWAY
 
 
+def _are_paused(candidates: list[endpoints.Endpoint], now: float) -> bool:
+    """Tell whether there are endpoints, and none of them admits requests."""
+    return bool(candidates) and not any(
+        endpoint.backoff.admits(now) for endpoint in candidates
+    )
+
+
 def _seconds_left(admitted: serving.AdmittedRequest, now: float) -> float:
     """Return the seconds left in which a retry is useful.
 
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -217,6 +217,34 @@
             retry_after=pause_seconds,
         ).info('turned away by the endpoint')
 
+    def log_withdrawn(
+        self,
+        admitted: serving.AdmittedRequest,
+        endpoint: endpoints.Endpoint,
+    ) -> None:
+        """Log that a request was not sent, as its endpoint wants a pause."""
+        self._attempts.inc({'outcome': 'paused'})
+        admitted.attempt_failures.append(serving.AttemptFailure.PAUSED)
+        logger.bind(
+            request=admitted.call.id,
+            attempt=admitted.attempts[-1].number,
+            endpoint=endpoint.listing.id,
+            retry_after=round(endpoint.backoff.seconds_left(_now()), 3),
+        ).info('not sent during a pause of the endpoint')
+
+    def log_all_paused(
+        self, admitted: serving.AdmittedRequest, seconds: float
+    ) -> None:
+        """Log that no endpoint can run a request before its time is over.
+
+        :param seconds: seconds until the first endpoint may be used again.
+        """
+        logger.bind(
+            request=admitted.call.id,
+            service=admitted.service.name,
+            retry_after=round(seconds, 3),
+        ).info('all endpoints have asked for a pause')
+
     def log_failed_by_endpoint(self, admitted: serving.AdmittedRequest) -> None:
         """Log the complete error answer of an endpoint."""
         self._attempts.inc({'outcome': 'failed'})
--- a/clementinepass/direct/selection.py
+++ b/clementinepass/direct/selection.py
@@ -6,7 +6,13 @@
 import math
 import typing
 
-from clementinepass.decisions import endpoint_choice, first_event, timely_start
+from clementinepass.decisions import (
+    endpoint_backoff,
+    endpoint_choice,
+    first_event,
+    timely_start,
+)
+from clementinepass.direct import calls, routing
 
 if typing.TYPE_CHECKING:
     import random
@@ -18,7 +24,6 @@
         endpoints,
         node,
         request_log,
-        routing,
         serving,
     )
 
@@ -75,7 +80,13 @@
                 break
             await asyncio.sleep(_POLL_SECONDS)
             endpoint = self.select(admitted)
-        return endpoint
+        return endpoint or await self._select_after_pause(admitted)
+
+    async def select_next(
+        self, admitted: serving.AdmittedRequest
+    ) -> endpoints.Endpoint | None:
+        """Select an endpoint for another attempt."""
+        return self.select(admitted) or await self._select_after_pause(admitted)
 
     def select(
         self, admitted: serving.AdmittedRequest
@@ -85,15 +96,15 @@
         usable = self._cluster.candidates(admitted.service, now)
         untried = [
             endpoint
-            for endpoint in usable
-            if endpoint.listing.id not in admitted.tried_endpoint_ids
+            for endpoint in _untried(admitted, usable)
+            if endpoint.backoff.admits(now)
         ]
         engine = admitted.service.engine
         compared = self._candidates(self._healthy(untried, now), engine, now)
         startable = _startable_in_time(admitted, compared)
         choice = endpoint_choice.choose(startable, self._rng)
         if choice is None:
-            admitted.retry_after = first_event.MAX_RETRY_AFTER
+            admitted.retry_after = _retry_after(usable, now)
             return None
         if not admitted.attempts and not self._answers_in_time(
             admitted, choice, now
@@ -102,6 +113,46 @@
             return None
         return self._cluster.endpoints.get(choice.endpoint_id)
 
+    async def _select_after_pause(
+        self, admitted: serving.AdmittedRequest
+    ) -> endpoints.Endpoint | None:
+        """Wait for the end of a pause if it leaves time for the answer.
+
+        A request that cannot wait is not sent to one endpoint after the other:
+        each of them would turn it away, and the retry budget would be spent.
+        """
+        loop = asyncio.get_running_loop()
+        wait_deadline = loop.time() + _max_wait(admitted, loop.time())
+        endpoint = None
+        while endpoint is None:
+            seconds = self._seconds_until_available(admitted, loop.time())
+            if seconds is None:
+                break
+            if loop.time() + seconds > wait_deadline:
+                self._log.log_all_paused(admitted, seconds)
+                break
+            await asyncio.sleep(_POLL_SECONDS)
+            endpoint = self.select(admitted)
+        return endpoint
+
+    def _seconds_until_available(
+        self, admitted: serving.AdmittedRequest, now: float
+    ) -> float | None:
+        """Return the seconds until the first pause of an endpoint ends.
+
+        :returns: ``None`` if there is no endpoint to wait for, or one that can
+            be used now.
+        """
+        untried = _untried(
+            admitted, self._cluster.candidates(admitted.service, now)
+        )
+        if any(endpoint.backoff.admits(now) for endpoint in untried):
+            return None
+        return min(
+            (endpoint.backoff.seconds_left(now) for endpoint in untried),
+            default=None,
+        )
+
     def _healthy(
         self,
         untried: list[endpoints.Endpoint],
@@ -229,6 +280,40 @@
         return first_event.meets_target(pending_request, service_rate)
 
 
+def _untried(
+    admitted: serving.AdmittedRequest, usable: list[endpoints.Endpoint]
+) -> list[endpoints.Endpoint]:
+    return [
+        endpoint
+        for endpoint in usable
+        if endpoint.listing.id not in admitted.tried_endpoint_ids
+    ]
+
+
+def _max_wait(admitted: serving.AdmittedRequest, now: float) -> float:
+    """Return the seconds for which a request may wait for an endpoint."""
+    event_wait_left = math.inf
+    if admitted.route.kind is routing.RouteKind.STREAM:
+        last_event_at = (
+            admitted.reply.last_written_at or admitted.call.request.received_at
+        )
+        event_wait = calls.max_event_wait(admitted.route)
+        event_wait_left = last_event_at + event_wait - now
+    return endpoint_backoff.max_wait(admitted.deadline - now, event_wait_left)
+
+
+def _retry_after(usable: list[endpoints.Endpoint], now: float) -> float:
+    """Return the seconds after which an endpoint may be available again."""
+    seconds = [
+        endpoint.backoff.seconds_left(now)
+        for endpoint in usable
+        if not endpoint.backoff.admits(now)
+    ]
+    if not seconds:
+        return first_event.MAX_RETRY_AFTER
+    return endpoint_backoff.retry_after(min(seconds))
+
+
 def _startable_in_time(
     admitted: serving.AdmittedRequest,
     candidates: list[endpoint_choice.Candidate],
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -41,6 +41,8 @@
     #: The service has endpoints, but none with complete weights of a version
     #: that may be used.
     NO_WEIGHTS = 'no_weights'
+    #: Every endpoint that could run the request has asked for a pause.
+    ALL_PAUSED = 'all_paused'
     #: Every endpoint that was tried rejected the request.
     REJECTED = 'turned_away'
     #: The answer of the endpoint was cut off or malformed.
@@ -77,6 +79,8 @@
     ANSWERED = 'answered'
     #: The endpoint did not run the request.
     NOT_RUN = 'not_run'
+    #: The request was not sent, as the endpoint had asked for a pause.
+    NOT_SENT = 'not_sent'
     #: The request may have run; the answer is missing or incomplete.
     BROKEN = 'broken'
     #: The request ran and failed; the error answer is complete.
@@ -92,6 +96,8 @@
 
     #: The endpoint rejected the request without running it.
     REJECTED = 'turned_away'
+    #: The endpoint asked for a pause before the request was sent.
+    PAUSED = 'paused'
     #: Another endpoint or another version answered at the address; the
     #: request did not run.
     MISDIRECTED = 'misdirected'
--- a/clementinepass/observability/causes.py
+++ b/clementinepass/observability/causes.py
@@ -41,6 +41,7 @@
     OVERLOAD = 'overload'
     NO_ENDPOINT = 'no_endpoint'
     NO_WEIGHTS = 'no_weights'
+    ALL_PAUSED = 'all_paused'
     REJECTED = 'turned_away'
     MISDIRECTED = 'misdirected'
     UNREACHABLE = 'unreachable'
@@ -129,6 +130,10 @@
         'endpoints of service {service} were available, but none held complete '
         'weights of a version that may be used'
     ),
+    Cause.ALL_PAUSED: (
+        'each endpoint of service {service} that could run it had asked for '
+        'a time without requests'
+    ),
     Cause.REJECTED: (
         'each endpoint that it was sent to answered that the request was not '
         'run'
@@ -175,6 +180,8 @@
     ACCEPTED_WHILE_DRAINING = 'taken while leaving'
     NO_FREE_SLOT = 'no endpoint has room'
     REJECTED = 'turned away by the endpoint'
+    NOT_SENT = 'not sent during a pause of the endpoint'
+    ALL_PAUSED = 'all endpoints have asked for a pause'
     MISDIRECTED = 'another endpoint or version answered'
     ATTEMPT_FAILED = 'attempt failed'
     FAILED_BY_ENDPOINT = 'failed by the endpoint'
@@ -193,6 +200,13 @@
         '{slots} slots'
     ),
     Finding.REJECTED: 'endpoint {endpoint} turned it away with {status}',
+    Finding.NOT_SENT: (
+        'endpoint {endpoint} asked for {retry_after} s without requests before '
+        'it was sent'
+    ),
+    Finding.ALL_PAUSED: (
+        'the first endpoint could be used again after {retry_after} s'
+    ),
     Finding.MISDIRECTED: (
         'the process at the address of endpoint {endpoint} was another '
         'endpoint, or did not hold version {version}'
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -149,8 +149,8 @@
     ),
     'outcomes': Field(
         'list',
-        'the outcome of each attempt: turned_away, misdirected, failed, or the '
-        'fault',
+        'the outcome of each attempt: turned_away, paused, misdirected, '
+        'failed, or the fault',
     ),
     'partners': Field('list', 'fallback agents besides the sources'),
     'path': Field('str', 'the first 80 bytes of the requested path'),
@@ -169,8 +169,8 @@
         'str',
         'why the request ended: starting, malformed, unknown_route, '
         'unknown_key, overload, no_service, no_endpoint, no_weights, '
-        'turned_away, broken, endpoint_failed, deadline (of its caller), '
-        'route_time, slow_reader, leaving',
+        'all_paused, turned_away, broken, endpoint_failed, deadline (of its '
+        'caller), route_time, slow_reader, leaving',
     ),
     'refused': Field(
         'int',
@@ -183,8 +183,8 @@
     ),
     'retry_after': Field(
         'float or null',
-        'seconds for which the endpoint asked for no requests of this machine; '
-        'null if it did not',
+        'seconds for which the endpoint asked for no requests of this machine, '
+        'or that are left of that time; null if it did not',
     ),
     'rounds': Field(
         'int',
@@ -355,6 +355,14 @@
         'request attempt endpoint status in_flight retry_after',
         'the endpoint did not run the request',
     ),
+    'not sent during a pause of the endpoint': Kind(
+        'request attempt endpoint retry_after',
+        'the endpoint asked for a pause after it had been selected',
+    ),
+    'all endpoints have asked for a pause': Kind(
+        'request service retry_after',
+        'no endpoint is available before the time of the request is over',
+    ),
     'another endpoint or version answered': Kind(
         'request attempt endpoint answered_by version',
         'the request was not run',
--- a/clementinepass/observability/verdicts.py
+++ b/clementinepass/observability/verdicts.py
@@ -34,6 +34,7 @@
     'no_service': Cause.NO_SERVICE,
     'no_endpoint': Cause.NO_ENDPOINT,
     'no_weights': Cause.NO_WEIGHTS,
+    'all_paused': Cause.ALL_PAUSED,
     'endpoint_failed': Cause.ENDPOINT_FAILED,
     'deadline': Cause.DEADLINE,
     'route_time': Cause.ROUTE_TIMEOUT,
@@ -65,6 +66,7 @@
     'turned_away': Cause.REJECTED,
     'misdirected': Cause.MISDIRECTED,
     'unreachable': Cause.UNREACHABLE,
+    'paused': Cause.ALL_PAUSED,
 }
 #: Causes to whose explanation the time without data from the endpoint is added.
 _CAUSES_WITH_SILENCE = frozenset(
--- a/tests/direct/test_paused_endpoints.py
+++ b/tests/direct/test_paused_endpoints.py
@@ -4,8 +4,10 @@
 
 import asyncio
 
+import msgspec
 import testtools
 
+from clementinepass.direct import node
 from clementinepass.http import channel, pool
 from standins import direct_endpoint
 from tests.direct import path_harness
@@ -143,6 +145,71 @@
 
         path_harness.run(scenario, 1)
 
+    def test_withdrawn_request_is_no_retry(self) -> None:
+        """A request that was not sent goes elsewhere without a retry budget.
+
+        It is no failure of the endpoint either.
+        """
+
+        async def scenario(harness: World) -> None:
+            paused, other = harness.endpoints
+            harness.cluster.endpoints.mark_removed(other.id, now(), 0)
+            paused.retry_after = LONG_PAUSE
+            paused.faults = [Fault.PAUSE]
+            gates = [asyncio.Event() for _ in range(6)]
+            waiting = iter(gates)
+            acquire = pool.Pool.acquire
+
+            async def acquire_slowly(
+                peers: pool.Pool, **limits: float
+            ) -> object:
+                connection = await acquire(peers, **limits)
+                if limits:  # The caller's own connections have none.
+                    await next(waiting, opened).wait()
+                return connection
+
+            opened = asyncio.Event()
+            opened.set()
+            self.patch(pool.Pool, 'acquire', acquire_slowly)
+            pending = [
+                asyncio.create_task(harness.send('/once/a')) for _ in gates
+            ]
+            while not sum(
+                harness.cluster.in_flight_by_endpoint(now()).values()
+            ) == len(gates):
+                await asyncio.sleep(0)
+            gates[0].set()
+            await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            harness.list_endpoint(other, heartbeat=1)
+            for gate in gates:
+                gate.set()
+            answers = await asyncio.gather(*pending)
+            self.assertEqual(
+                [200] * 5 + [503], sorted(answer.status for answer in answers)
+            )
+            self.assertEqual((1, 5), (len(paused.came), len(other.ran)))
+            ejected = harness.cluster.ejector.ejected_endpoints(now() + 1)
+            self.assertEqual(frozenset(), ejected)
+
+        limits = node.SystemLimits(budget_share=0, budget_surplus=0)
+        local_node = msgspec.structs.replace(path_harness.NODE, duties=limits)
+        path_harness.run(scenario, local_node=local_node)
+
+    def test_restart_ends_pause(self) -> None:
+        """A pause belongs to one start of an endpoint."""
+
+        async def scenario(harness: World) -> None:
+            (paused,) = harness.endpoints
+            harness.list_endpoint(paused, started_ms=1)
+            await pause(harness)
+            status, _ = await send_for_head(harness, '/plain/a')
+            self.assertEqual(503, status)
+            harness.list_endpoint(paused, started_ms=2, heartbeat=0)
+            answer = await harness.send('/plain/a')
+            self.assertEqual(200, answer.status)
+
+        path_harness.run(scenario, 1)
+
 
 class AllPausedTest(testtools.TestCase):
     """All endpoints have asked for a pause."""
--- a/tests/observability/test_causes.py
+++ b/tests/observability/test_causes.py
@@ -216,6 +216,13 @@
     await send_ignoring_failure(world, '/stream/a', X_Token_Usage='900,100')
 
 
+async def all_paused(world: World) -> None:
+    world.set_shared_faults(Fault.PAUSE, Fault.PAUSE)
+    for endpoint in world.endpoints:
+        endpoint.retry_after = b'20'
+    await send_ignoring_failure(world, '/plain/a')
+
+
 async def unreachable(world: World) -> None:
     for endpoint in world.endpoints:
         await endpoint.__aexit__()
@@ -332,6 +339,7 @@
     (no_endpoint, Cause.NO_ENDPOINT, 'service pool'),
     (no_weights, Cause.NO_WEIGHTS, 'service pool'),
     (overload, Cause.OVERLOAD, 'for 16 slots'),
+    (all_paused, Cause.ALL_PAUSED, 'service pool'),
     (
         failing_endpoints('/once/a', Fault.FULL, Fault.FULL),
         Cause.REJECTED,
