Pause endpoints that turn everything away without asking for it

Each rejection is a retry, and the retry budget was spent on them. A rejection is no failure, so that ejection does not act.

After three rejections in a row the endpoint is paused for 0.1 s, and for twice as long with each further one, up to a second; it comes back as after a pause that it asked for. Rejections of requests that were sent before the pause count once. An accepted request ends the count, so that a full endpoint that turns some away is used as before.

--- a/clementinepass/decisions/endpoint_backoff.py
+++ b/clementinepass/decisions/endpoint_backoff.py
@@ -4,6 +4,10 @@
 it is over, many requests may be waiting, and other entries send theirs at the
 same moment. As in the slow start of TCP, one request is sent first, and each
 one that is accepted allows one more to be undecided at a time.
+
+An endpoint that turns everything away runs nothing, so that it looks empty and
+attracts requests. If it asks for no pause, it gets one after a few rejections
+in a row, which grows exponentially.
 """
 
 from __future__ import annotations
@@ -13,6 +17,16 @@
 #: Longest pause in seconds. An endpoint that asks for hours by mistake gets a
 #: request after this time.
 MAX_PAUSE_SECONDS = 60.0
+#: Rejections in a row after which an endpoint is paused that asked for none. A
+#: full endpoint may turn a request away between two that it accepts.
+_REJECTION_THRESHOLD = 3
+#: Seconds of the first such pause; doubled for each further rejection.
+_FIRST_PAUSE_SECONDS = 0.1
+#: Longest such pause in seconds, which limits how late it is seen that the
+#: endpoint accepts requests again.
+_MAX_IMPLICIT_PAUSE_SECONDS = 1.0
+#: Doublings after which the longest pause is reached in any case.
+_MAX_DOUBLINGS = 8
 #: Accepted requests after which the endpoint is used without limits again.
 _RECOVERED_WINDOW = 8
 #: Seconds after which a request counts as accepted if there is no answer yet.
@@ -32,11 +46,19 @@
 class Backoff:
     """The pause of one start of an endpoint, and its return to full use."""
 
-    __slots__ = ('_is_recovering', '_paused_until', '_undecided', '_window')
+    __slots__ = (
+        '_is_recovering',
+        '_paused_until',
+        '_rejections',
+        '_undecided',
+        '_window',
+    )
 
     def __init__(self) -> None:
         self._paused_until = float('-inf')
         self._is_recovering = False
+        #: Rejections in a row of requests that were sent outside of a pause.
+        self._rejections = 0
         #: Number of requests that may be undecided during the recovery.
         self._window = 0
         #: Monotonic times at which requests were sent that the endpoint has
@@ -73,15 +95,22 @@
         if self._is_recovering:
             self._undecided.append(now)
 
-    def record_rejection(self, pause_seconds: float | None, now: float) -> None:
+    def record_rejection(
+        self, pause_seconds: float | None, sent_at: float, now: float
+    ) -> None:
         """Record that the endpoint has turned a request away.
 
         :param pause_seconds: time for which it asked for no requests, if it
             did. An answer that would end a pause sooner changes nothing.
+        :param sent_at: time at which the request was sent. Rejections of
+            requests that were sent before the pause began count as one.
         """
-        if pause_seconds:
-            pause_seconds = min(pause_seconds, MAX_PAUSE_SECONDS)
-            self._paused_until = max(self._paused_until, now + pause_seconds)
+        seconds = min(pause_seconds or 0, MAX_PAUSE_SECONDS)
+        if sent_at >= self._paused_until:
+            self._rejections += 1
+            seconds = max(seconds, _implicit_pause(self._rejections))
+        if seconds:
+            self._paused_until = max(self._paused_until, now + seconds)
             self._is_recovering = True
         self._window = 1
 
@@ -91,7 +120,10 @@
         Requests that were sent before the pause prove nothing.
         """
         self.record_end(sent_at)
-        if not self._is_recovering or sent_at < self._paused_until:
+        if sent_at < self._paused_until:
+            return
+        self._rejections = 0
+        if not self._is_recovering:
             return
         self._window += 1
         if self._window > _RECOVERED_WINDOW:
@@ -122,3 +154,15 @@
     :param seconds: seconds until the first pause ends.
     """
     return min(max(seconds, _MIN_RETRY_AFTER), first_event.MAX_RETRY_AFTER)
+
+
+def _implicit_pause(rejections: int) -> float:
+    """Return the seconds of a pause for which the endpoint did not ask.
+
+    :param rejections: number of rejections in a row.
+    """
+    doublings = rejections - _REJECTION_THRESHOLD
+    if doublings < 0:
+        return 0
+    seconds = _FIRST_PAUSE_SECONDS * 2 ** min(doublings, _MAX_DOUBLINGS)
+    return min(seconds, _MAX_IMPLICIT_PAUSE_SECONDS)
--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -182,7 +182,7 @@
     ) -> None:
         """Give up an attempt before the request is sent.
 
-        The endpoint has asked for a pause since it was selected. It may be
+        A pause of the endpoint has begun since it was selected. It may be
         selected again after the pause.
         """
         admitted.tried_endpoint_ids.discard(endpoint.listing.id)
@@ -217,7 +217,9 @@
         if decoded_head.verdict is calls.Verdict.NOT_RUN:
             attempt.refused()
             endpoint.backoff.record_rejection(
-                decoded_head.pause_seconds, asyncio.get_running_loop().time()
+                decoded_head.pause_seconds,
+                admitted.attempt_started_at,
+                asyncio.get_running_loop().time(),
             )
             self._log.log_rejected(
                 admitted, endpoint, head.status, decoded_head.pause_seconds
--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -197,7 +197,7 @@
         self.last_received_at: float = 0
         #: Streams of this entry that have started and not ended.
         self.active_streams = 0
-        #: The pause that the endpoint has asked this entry for, if any.
+        #: The pause of the endpoint, if it has turned requests away.
         self.backoff = endpoint_backoff.Backoff()
         #: The last load report of the agent.
         self.reported_load = ReportedLoad()
--- a/clementinepass/direct/gauges.py
+++ b/clementinepass/direct/gauges.py
@@ -53,7 +53,7 @@
         )
         self._paused_endpoints = aioprometheus.Gauge(
             'clementinepass_paused_endpoints',
-            'Endpoints that have asked this entry for a time without requests.',
+            'Endpoints paused by this entry, as they turned requests away.',
             registry=registry,
         )
         self._members = aioprometheus.Gauge(
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -222,7 +222,7 @@
         admitted: serving.AdmittedRequest,
         endpoint: endpoints.Endpoint,
     ) -> None:
-        """Log that a request was not sent, as its endpoint wants a pause."""
+        """Log that a request was not sent, as its endpoint is paused."""
         self._attempts.inc({'outcome': 'paused'})
         admitted.attempt_failures.append(serving.AttemptFailure.PAUSED)
         logger.bind(
@@ -243,7 +243,7 @@
             request=admitted.call.id,
             service=admitted.service.name,
             retry_after=round(seconds, 3),
-        ).info('all endpoints have asked for a pause')
+        ).info('all endpoints are paused')
 
     def log_failed_by_endpoint(self, admitted: serving.AdmittedRequest) -> None:
         """Log the complete error answer of an endpoint."""
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -41,7 +41,8 @@
     #: The service has endpoints, but none with complete weights of a version
     #: that may be used.
     NO_WEIGHTS = 'no_weights'
-    #: Every endpoint that could run the request has asked for a pause.
+    #: Every endpoint that could run the request is paused, as it has turned
+    #: others away.
     ALL_PAUSED = 'all_paused'
     #: Every endpoint that was tried rejected the request.
     REJECTED = 'turned_away'
@@ -79,7 +80,7 @@
     ANSWERED = 'answered'
     #: The endpoint did not run the request.
     NOT_RUN = 'not_run'
-    #: The request was not sent, as the endpoint had asked for a pause.
+    #: The request was not sent, as a pause of the endpoint had begun.
     NOT_SENT = 'not_sent'
     #: The request may have run; the answer is missing or incomplete.
     BROKEN = 'broken'
@@ -96,7 +97,7 @@
 
     #: The endpoint rejected the request without running it.
     REJECTED = 'turned_away'
-    #: The endpoint asked for a pause before the request was sent.
+    #: A pause of the endpoint began before the request was sent.
     PAUSED = 'paused'
     #: Another endpoint or another version answered at the address; the
     #: request did not run.
--- a/clementinepass/observability/causes.py
+++ b/clementinepass/observability/causes.py
@@ -131,8 +131,8 @@
         'weights of a version that may be used'
     ),
     Cause.ALL_PAUSED: (
-        'each endpoint of service {service} that could run it had asked for '
-        'a time without requests'
+        'each endpoint of service {service} that could run it was paused, as '
+        'it had turned requests away'
     ),
     Cause.REJECTED: (
         'each endpoint that it was sent to answered that the request was not '
@@ -181,7 +181,7 @@
     NO_FREE_SLOT = 'no endpoint has room'
     REJECTED = 'turned away by the endpoint'
     NOT_SENT = 'not sent during a pause of the endpoint'
-    ALL_PAUSED = 'all endpoints have asked for a pause'
+    ALL_PAUSED = 'all endpoints are paused'
     MISDIRECTED = 'another endpoint or version answered'
     ATTEMPT_FAILED = 'attempt failed'
     FAILED_BY_ENDPOINT = 'failed by the endpoint'
@@ -201,8 +201,7 @@
     ),
     Finding.REJECTED: 'endpoint {endpoint} turned it away with {status}',
     Finding.NOT_SENT: (
-        'endpoint {endpoint} asked for {retry_after} s without requests before '
-        'it was sent'
+        'endpoint {endpoint} was paused for {retry_after} s before it was sent'
     ),
     Finding.ALL_PAUSED: (
         'the first endpoint could be used again after {retry_after} s'
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -184,7 +184,7 @@
     'retry_after': Field(
         'float or null',
         'seconds for which the endpoint asked for no requests of this machine, '
-        'or that are left of that time; null if it did not',
+        'null if it did not; or that are left of the pause',
     ),
     'rounds': Field(
         'int',
@@ -357,9 +357,9 @@
     ),
     'not sent during a pause of the endpoint': Kind(
         'request attempt endpoint retry_after',
-        'the endpoint asked for a pause after it had been selected',
+        'the endpoint was paused after it had been selected',
     ),
-    'all endpoints have asked for a pause': Kind(
+    'all endpoints are paused': Kind(
         'request service retry_after',
         'no endpoint is available before the time of the request is over',
     ),
--- a/tests/direct/test_paused_endpoints.py
+++ b/tests/direct/test_paused_endpoints.py
@@ -312,3 +312,44 @@
                 self.assertEqual(200, answer.status)
 
         path_harness.run(scenario, 1)
+
+
+class RejectingEndpointTest(testtools.TestCase):
+    """An endpoint turns all requests away and asks for no pause."""
+
+    def test_does_not_attract_requests(self) -> None:
+        """An endpoint that turns everything away gets few of the requests.
+
+        It runs nothing and looks empty, so that it was preferred to the
+        endpoints that did the work, and each of its rejections cost a retry.
+        """
+
+        async def scenario(harness: World) -> None:
+            rejecting, *others = harness.endpoints
+            rejecting.faults = [Fault.FULL] * 1000
+            for _ in range(100):
+                harness.cluster.loads.update_peer_counts(
+                    'entry-2', {other.id: 8 for other in others}, now()
+                )
+                answer = await harness.send('/plain/a')
+                self.assertEqual(200, answer.status)
+            self.assertLess(len(rejecting.came), 100 / len(harness.endpoints))
+
+        path_harness.run(scenario, 3)
+
+    def test_is_used_again(self) -> None:
+        """It is used again soon after it accepts requests."""
+
+        async def scenario(harness: World) -> None:
+            rejecting, *others = harness.endpoints
+            rejecting.faults = [Fault.FULL] * 5
+            ended_at = now() + 3
+            while not rejecting.ran and now() < ended_at:
+                harness.cluster.loads.update_peer_counts(
+                    'entry-2', {other.id: 8 for other in others}, now()
+                )
+                await harness.send('/plain/a')
+                await asyncio.sleep(0.01)
+            self.assertEqual(1, len(rejecting.ran))
+
+        path_harness.run(scenario, 3)
