--- a/benchmarks/day.py
+++ b/benchmarks/day.py
@@ -1,11 +1,13 @@
-"""Play a day: ``scripts/bench day [--heavy] [--restarts]``.
+"""Play a day: ``scripts/bench day [--heavy] [--restarts] [--pauses]``.
 
 Entries and agents run here as they do on machines, around engines that work in
 passes, a store, an origin and callers that follow the pages, all in one process
 on loopback.  A calm day is even traffic.  A heavy day has more of it than the
 engines can run, one engine that stands still, a new version of the weights,
 and the origin gone while it spreads.  On a day with restarts one engine
-crashes several times and starts again under its id, holding nothing.
+crashes several times and starts again under its id, holding nothing.  On a day
+with pauses one engine, and then all of them, turn everything away and ask for a
+time without requests.
 """
 
 from __future__ import annotations
@@ -15,6 +17,7 @@
 import collections
 import random
 import sys
+import time
 import typing
 
 from loguru import logger
@@ -33,13 +36,21 @@
 #: Mean tokens of prompts and answers.
 _PROMPT = 900
 _ANSWER = 100
-#: The longest answer on a day with restarts. The rarest ones take the six
-#: seconds that callers have, and would fail without any restart.
+#: The longest answer on a day with restarts or pauses. The rarest ones take the
+#: six seconds that callers have, and would fail without either.
 _LONGEST_ANSWER = 300
 #: Seconds in which a version must be in use.
 _VERSION_SECONDS = 4.0
 #: How often the engine starts again on a day with restarts.
 RESTARTS = 3
+#: Seconds without requests that one engine asks for, and all of them at once.
+_LONG_PAUSE_SECONDS = 3.0
+_SHORT_PAUSE_SECONDS = 0.8
+#: Requests of each entry that may arrive during a pause, apart from those that
+#: come within this many seconds of its beginning.
+_MAX_DURING_PAUSE = 2
+_PAUSE_SLACK_SECONDS = 0.5
+_ENTRIES = 2
 #: Seconds from an engine's start until the list has its word.
 _UNLISTED_SECONDS = 0.4
 _STREAM = b'/stream/a'
@@ -78,11 +89,13 @@
         *,
         heavy: bool,
         restarts: bool = False,
+        pauses: bool = False,
     ) -> None:
         self._seconds = seconds
         self._rng = random.Random(seed)
         self._heavy = heavy
         self._restarts = restarts
+        self._pauses = pauses
         self.engines = [
             stepping_engine.SteppingEngine(
                 f'i-{number}',
@@ -101,6 +114,7 @@
             self.engines,
             node.SystemLimits(version=_VERSION_SECONDS),
             _CONFIG,
+            entries=_ENTRIES,
         )
         async with world:
             await machines.until(
@@ -115,6 +129,8 @@
                     tasks.create_task(self._trouble(world))
                 if self._restarts:
                     tasks.create_task(self._restart_engine(world))
+                if self._pauses:
+                    tasks.create_task(self._shed())
                 await self._send(tasks)
 
     async def _send(self, tasks: asyncio.TaskGroup) -> None:
@@ -125,7 +141,7 @@
         while loop.time() < until:
             prompt = int(self._rng.expovariate(1 / _PROMPT)) + 40
             answer = int(self._rng.expovariate(1 / _ANSWER)) + 6
-            if self._restarts:
+            if self._restarts or self._pauses:
                 answer = min(answer, _LONGEST_ANSWER)
             tasks.create_task(self.callers.ask(_STREAM, prompt, answer))
             await asyncio.sleep(self._rng.expovariate(rate))
@@ -157,6 +173,18 @@
             await asyncio.sleep(_UNLISTED_SECONDS)
             world.list_engines()
 
+    async def _shed(self) -> None:
+        """One engine turns everything away, and later all of them."""
+        part = self._seconds / 5
+        await asyncio.sleep(part)
+        for one in self.engines[:1]:
+            one.retry_after = _LONG_PAUSE_SECONDS
+            one.shed_until = time.monotonic() + 2 * part
+        await asyncio.sleep(3 * part)
+        for one in self.engines:
+            one.retry_after = _SHORT_PAUSE_SECONDS
+            one.shed_until = time.monotonic() + part / 2
+
     def broken(self) -> list[str]:
         """Return what was against the rules, a line each."""
         found = list(self.callers.broken)
@@ -175,6 +203,9 @@
                 if run.version < 2 and run.at > bound
             )
         for one in self.engines:
+            most = max(_counts_during_pauses(one.shed), default=0)
+            if most > _MAX_DURING_PAUSE * _ENTRIES:
+                found.append(f'BUDGET {one.id}: {most} during a pause')
             found.extend(
                 f'WHOLE {one.id}: loaded spoilt pieces of {version}'
                 for version, whole in one.orders
@@ -183,6 +214,23 @@
         return found
 
 
+def _counts_during_pauses(shed: list[tuple[float, float]]) -> list[int]:
+    """Return how many requests came in each pause that an engine asked for.
+
+    :param shed: times of requests that were turned away, and the seconds for
+        which the engine asked then.
+    """
+    counts = []
+    began, end = float('-inf'), float('-inf')
+    for at, seconds in shed:
+        if at > end:
+            began, end = at, at + seconds
+            counts.append(0)
+        elif at > began + _PAUSE_SLACK_SECONDS:
+            counts[-1] += 1
+    return counts
+
+
 def report(day: Day, write: Callable[[str], object]) -> None:
     """Write what callers got."""
     told = day.callers.told
@@ -197,6 +245,7 @@
             write(f'p{part * 100:.0f} first  {first * 1000:.0f} ms')
     versions = sorted(one.version for one in day.engines)
     write(f'versions   {versions}')
+    write(f'shed       {sum(len(one.shed) for one in day.engines)}')
     broken = day.broken()
     write(f'broken     {len(broken)}')
     for line in broken[:20]:
@@ -208,6 +257,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--heavy', action='store_true')
     parser.add_argument('--restarts', action='store_true')
+    parser.add_argument('--pauses', action='store_true')
     parser.add_argument('--seconds', type=float, default=20)
     parser.add_argument('--seed', type=int, default=1)
     options = parser.parse_args()
@@ -217,6 +267,7 @@
         options.seed,
         heavy=options.heavy,
         restarts=options.restarts,
+        pauses=options.pauses,
     )
     asyncio.run(day.play())
     report(day, print)
--- a/standins/stepping_engine.py
+++ b/standins/stepping_engine.py
@@ -88,6 +88,13 @@
         self.going.set()
         self._passes: asyncio.Task[None] | None = None
         self._loading_until: float = 0
+        #: Until this time everything is turned away, with a ``Retry-After`` of
+        #: so many seconds.
+        self.shed_until: float = 0
+        self.retry_after: float = 0
+        #: Monotonic seconds at which requests were turned away so, with their
+        #: ``Retry-After``.
+        self.shed: list[tuple[float, float]] = []
 
     async def listen(self, ip: str) -> None:
         """Listen on a port of its own, and work."""
@@ -148,8 +155,17 @@
         request: messages.Request,
         reply: replies.Reply,
     ) -> None:
+        now = time.monotonic()
+        if now < self.shed_until:
+            self.shed.append((now, self.retry_after))
+            pairs = [
+                (b'X-Not-Executed', b'1'),
+                (b'Retry-After', b'%g' % self.retry_after),
+            ]
+            reply.send(_UNAVAILABLE, self._marked(request) + pairs, b'')
+            return
         is_full = len(self._running) + len(self._waiting) >= SLOTS + QUEUE
-        if is_full or time.monotonic() < self._loading_until:
+        if is_full or now < self._loading_until:
             pairs = [(b'X-Not-Executed', b'1')]
             reply.send(_UNAVAILABLE, self._marked(request) + pairs, b'')
             return
--- a/tests/direct/test_day.py
+++ b/tests/direct/test_day.py
@@ -36,6 +36,20 @@
         kinds = {outcome.kind for outcome in restarts.callers.told}
         self.assertLessEqual(kinds, {'in aim', 'late'})
 
+    def test_pauses(self) -> None:
+        """Engines that ask for a time without requests hardly get any.
+
+        One engine turns everything away for two fifths of the day, and all of
+        them do so for a while. Callers are served by the others, or after it;
+        some are refused, and none fails.
+        """
+        pauses = day.Day(10, 1, heavy=False, pauses=True)
+        asyncio.run(pauses.play())
+        self.assertEqual([], pauses.broken())
+        self.assertNotEqual([], pauses.engines[0].shed)
+        kinds = {outcome.kind for outcome in pauses.callers.told}
+        self.assertLessEqual(kinds, {'in aim', 'late', 'refused'})
+
     def test_heavy(self) -> None:
         """A heavy day breaks no rule, and all engines get the new version.
 
