Select an endpoint after the wait for its pause, not before

Cause: the endpoint was selected first, which found it paused, and only then was it asked how long to wait; the pause had ended in between, so that there was nothing to wait for and the request had no endpoint. test_pause_that_ends_during_selection ends the pause between the two and failed with 503 where 200 is due.

Requests wait until an endpoint admits them, or cannot wait, and the endpoint is selected in the same step of the loop.

--- a/clementinepass/direct/selection.py
+++ b/clementinepass/direct/selection.py
@@ -72,6 +72,7 @@
         wait_deadline = (
             admitted.call.request.received_at + _LOADING_WAIT_SECONDS
         )
+        await self._wait_for_pause(admitted)
         endpoint = self.select(admitted)
         while endpoint is None and loop.time() < wait_deadline:
             if self._cluster.candidates(admitted.service, loop.time()):
@@ -80,13 +81,14 @@
                 break
             await asyncio.sleep(_POLL_SECONDS)
             endpoint = self.select(admitted)
-        return endpoint or await self._select_after_pause(admitted)
+        return endpoint
 
     async def select_next(
         self, admitted: serving.AdmittedRequest
     ) -> endpoints.Endpoint | None:
         """Select an endpoint for another attempt."""
-        return self.select(admitted) or await self._select_after_pause(admitted)
+        await self._wait_for_pause(admitted)
+        return self.select(admitted)
 
     def select(
         self, admitted: serving.AdmittedRequest
@@ -113,9 +115,7 @@
             return None
         return self._cluster.endpoints.get(choice.endpoint_id)
 
-    async def _select_after_pause(
-        self, admitted: serving.AdmittedRequest
-    ) -> endpoints.Endpoint | None:
+    async def _wait_for_pause(self, admitted: serving.AdmittedRequest) -> None:
         """Wait for the end of a pause if it leaves time for the answer.
 
         A request that cannot wait is not sent to one endpoint after the other:
@@ -123,17 +123,14 @@
         """
         loop = asyncio.get_running_loop()
         wait_deadline = loop.time() + _max_wait(admitted, loop.time())
-        endpoint = None
-        while endpoint is None:
+        while True:
             seconds = self._seconds_until_available(admitted, loop.time())
             if seconds is None:
-                break
+                return
             if loop.time() + seconds > wait_deadline:
                 self._log.log_all_paused(admitted, seconds)
-                break
+                return
             await asyncio.sleep(_POLL_SECONDS)
-            endpoint = self.select(admitted)
-        return endpoint
 
     def _seconds_until_available(
         self, admitted: serving.AdmittedRequest, now: float
--- a/tests/direct/test_paused_endpoints.py
+++ b/tests/direct/test_paused_endpoints.py
@@ -7,6 +7,7 @@
 import msgspec
 import testtools
 
+from clementinepass.decisions import endpoint_backoff
 from clementinepass.direct import node
 from clementinepass.http import channel, pool
 from standins import direct_endpoint
@@ -265,6 +266,30 @@
 
         path_harness.run(scenario, 1)
 
+    def test_pause_that_ends_during_selection(self) -> None:
+        """A request is sent if the pause ends while its endpoint is selected.
+
+        It was refused: the endpoint was paused when one was selected, and not
+        any longer when it was asked how long to wait.
+        """
+
+        async def scenario(harness: World) -> None:
+            await pause(harness)
+            admits = endpoint_backoff.Backoff.admits
+
+            def admits_next_time(
+                backoff: endpoint_backoff.Backoff, moment: float
+            ) -> bool:
+                is_admitted = admits(backoff, moment)
+                backoff._paused_until = moment
+                return is_admitted
+
+            self.patch(endpoint_backoff.Backoff, 'admits', admits_next_time)
+            answer = await harness.send('/plain/a')
+            self.assertEqual(200, answer.status)
+
+        path_harness.run(scenario, 1)
+
     def test_waiting_requests_are_not_sent_at_once(self) -> None:
         """Few of the requests that have waited are sent when a pause ends."""
 
