--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -29,6 +29,10 @@
 _CONNECT_TIMEOUT_SECONDS = 0.6
 #: Largest plain answer that is buffered.
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
+#: Results that are no failures of the endpoint.
+_NOT_RUN_RESULTS = frozenset(
+    (serving.AttemptResult.NOT_RUN, serving.AttemptResult.NOT_SENT)
+)
 #: The urgency of the requests that an engine runs last.
 _MAX_URGENCY = 9
 
@@ -81,8 +85,7 @@
         """
         attempt = admitted.add_attempt(endpoint)
         self._log.log_sending(admitted, endpoint)
-        endpoint.in_flight += 1
-        endpoint.reported_load.record_sent(asyncio.get_running_loop().time())
+        endpoint.start_request(attempt.started_at)
         attempt.task = asyncio.create_task(self._send(admitted, attempt))
         attempt.task.add_done_callback(
             functools.partial(self._finish, admitted, attempt)
@@ -129,7 +132,7 @@
         task: asyncio.Task[serving.AttemptResult],
     ) -> None:
         """Release the endpoint, also if the attempt was aborted."""
-        attempt.endpoint.in_flight -= 1
+        attempt.endpoint.end_request(attempt.started_at)
         attempt.waiting_since = None
         if attempt.finished:
             return
@@ -176,6 +179,10 @@
             if self._became_unusable(endpoint):
                 attempt.refused()
                 return serving.AttemptResult.NOT_RUN
+            if endpoint.backoff.has_paused_since(attempt.started_at):
+                attempt.refused()
+                self._withdraw(admitted, attempt)
+                return serving.AttemptResult.NOT_SENT
             async with _start_timeout(attempt, connection):
                 return await self._request_answer(
                     admitted, endpoint, attempt, connection
@@ -206,6 +213,19 @@
         """
         return not endpoint.is_usable(asyncio.get_running_loop().time())
 
+    def _withdraw(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+    ) -> None:
+        """Give up an attempt before the request is sent.
+
+        A pause of the endpoint has begun since it was selected. It may be
+        selected again after the pause.
+        """
+        admitted.tried_endpoint_ids.discard(attempt.peer)
+        self._log.log_withdrawn(admitted, attempt)
+
     async def _request_answer(
         self,
         admitted: serving.AdmittedRequest,
@@ -234,7 +254,14 @@
             return serving.AttemptResult.NOT_RUN
         if decoded_head.verdict is calls.Verdict.NOT_RUN:
             attempt.refused()
-            self._log.log_rejected(admitted, attempt, head.status)
+            endpoint.backoff.record_rejection(
+                decoded_head.pause_seconds,
+                attempt.started_at,
+                asyncio.get_running_loop().time(),
+            )
+            self._log.log_rejected(
+                admitted, attempt, head.status, decoded_head.pause_seconds
+            )
             return serving.AttemptResult.NOT_RUN
         attempt.head_seen()
         if decoded_head.verdict in {
@@ -245,6 +272,7 @@
                 f'status {head.status} is not a valid answer to this request',
                 peer=connection.peer,
             )
+        endpoint.backoff.record_acceptance(attempt.started_at)
         if (
             decoded_head.verdict is calls.Verdict.SUCCESS
             and decoded_head.is_stream
@@ -468,7 +496,7 @@
             seconds = answered_at - admitted.call.request.received_at
             self._cluster.ejector.observe(endpoint.listing.id, seconds, now)
         elif (
-            result is not serving.AttemptResult.NOT_RUN
+            result not in _NOT_RUN_RESULTS
             and not endpoint.is_loading
             and not attempt.is_silent
         ):
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -278,7 +278,9 @@
         finally:
             await admitted.abort_attempts()
         if not is_answered:
-            self._send_final_answer(admitted, _ending_after_attempts(admitted))
+            self._send_final_answer(
+                admitted, self._ending_after_attempts(admitted)
+            )
 
     async def _wait_for_answer(self, admitted: serving.AdmittedRequest) -> bool:
         """Wait for an answer, and start more attempts where they are needed.
@@ -300,7 +302,10 @@
                 search_at = loop.time()
             seconds = self._seconds_until_search(admitted, loop.time())
             if seconds <= 0 and search_at <= loop.time():
-                self._search(admitted)
+                await self._search(
+                    admitted,
+                    is_withdrawn=result is serving.AttemptResult.NOT_SENT,
+                )
                 search_at = loop.time() + _SEARCH_INTERVAL_SECONDS
         return False
 
@@ -325,33 +330,68 @@
             may_run_again=next_try.may_run_again(_history(admitted, now)),
         )
 
-    def _search(self, admitted: serving.AdmittedRequest) -> None:
-        """Start another attempt if the request may have one."""
+    async def _search(
+        self,
+        admitted: serving.AdmittedRequest,
+        *,
+        is_withdrawn: bool,
+    ) -> None:
+        """Start another attempt if the request may have one.
+
+        :param is_withdrawn: whether the last attempt ended before the request
+            was sent. Another one in its place is no retry.
+        """
         for silent_attempt in admitted.open_attempts:
             if not silent_attempt.is_silent:
                 self._sender.mark_silent(admitted, silent_attempt)
-        now = asyncio.get_running_loop().time()
-        decision, endpoint = self._choose_next(admitted, now)
-        self._log.log_retry_decision(admitted, decision)
+        if is_withdrawn:
+            endpoint = await self._select_next(admitted)
+        else:
+            endpoint = await self._select_for_retry(admitted)
         if endpoint is not None:
-            budget = self._retry_budget(admitted.service.name)
-            budget.try_acquire(now, self._count_entries())
             self._sender.start(admitted, endpoint)
 
-    def _choose_next(
+    async def _select_for_retry(
+        self, admitted: serving.AdmittedRequest
+    ) -> endpoints.Endpoint | None:
+        """Return the endpoint for a retry, which is taken from the budget."""
+        loop = asyncio.get_running_loop()
+        decision = self._decide_retry(admitted, loop.time())
+        endpoint = None
+        if decision is next_try.RetryDecision.ALLOWED:
+            endpoint = await self._select_next(admitted)
+            if endpoint is None:
+                decision = next_try.RetryDecision.NO_ENDPOINT
+            elif not self._retry_budget(admitted.service.name).try_acquire(
+                loop.time(), self._count_entries()
+            ):
+                decision = next_try.RetryDecision.BUDGET_SPENT
+                endpoint = None
+        self._log.log_retry_decision(admitted, decision)
+        return endpoint
+
+    async def _select_next(
+        self, admitted: serving.AdmittedRequest
+    ) -> endpoints.Endpoint | None:
+        """Select another endpoint.
+
+        Only without an open attempt is there time to wait for the end of a
+        pause: an open one may go on meanwhile.
+        """
+        if admitted.open_attempts:
+            return self._selector.select(admitted)
+        return await self._selector.select_next(admitted)
+
+    def _decide_retry(
         self, admitted: serving.AdmittedRequest, now: float
-    ) -> tuple[next_try.RetryDecision, endpoints.Endpoint | None]:
-        """Decide on another attempt; return its endpoint if there is one."""
+    ) -> next_try.RetryDecision:
         decision = next_try.decide(_history(admitted, now))
         if decision is not next_try.RetryDecision.ALLOWED:
-            return decision, None
+            return decision
         budget = self._retry_budget(admitted.service.name)
         if not budget.has_retry(now, self._count_entries()):
-            return next_try.RetryDecision.BUDGET_SPENT, None
-        endpoint = self._selector.select(admitted)
-        if endpoint is None:
-            return next_try.RetryDecision.NO_ENDPOINT, None
-        return decision, endpoint
+            return next_try.RetryDecision.BUDGET_SPENT
+        return decision
 
     def _retry_budget(self, service: str) -> window_budget.WindowBudget:
         budget = self._retry_budgets_by_service.get(service)
@@ -367,11 +407,25 @@
 
     # Final answers.
 
+    def _ending_after_attempts(
+        self, admitted: serving.AdmittedRequest
+    ) -> serving.Ending:
+        if not admitted.has_not_run:
+            return serving.Ending.BROKEN
+        now = asyncio.get_running_loop().time()
+        candidates = self._cluster.candidates(admitted.service, now)
+        if _are_paused(candidates, now):
+            return serving.Ending.ALL_PAUSED
+        return serving.Ending.REJECTED
+
     def _ending_without_endpoint(
         self, admitted: serving.AdmittedRequest
     ) -> serving.Ending:
         now = asyncio.get_running_loop().time()
-        if self._cluster.candidates(admitted.service, now):
+        candidates = self._cluster.candidates(admitted.service, now)
+        if _are_paused(candidates, now):
+            return serving.Ending.ALL_PAUSED
+        if candidates:
             return serving.Ending.OVERLOAD
         configuration = self._cluster.routing
         service = admitted.service.name
@@ -459,14 +513,6 @@
         return _BAD_GATEWAY
 
 
-def _ending_after_attempts(
-    admitted: serving.AdmittedRequest,
-) -> serving.Ending:
-    if admitted.has_not_run:
-        return serving.Ending.REJECTED
-    return serving.Ending.BROKEN
-
-
 def _history(
     admitted: serving.AdmittedRequest, now: float
 ) -> next_try.AttemptHistory:
@@ -479,6 +525,13 @@
     )
 
 
+def _are_paused(candidates: list[endpoints.Endpoint], now: float) -> bool:
+    """Tell whether there are endpoints, and none of them admits requests."""
+    return bool(candidates) and not any(
+        endpoint.backoff.admits(now) for endpoint in candidates
+    )
+
+
 def _seconds_left(admitted: serving.AdmittedRequest, now: float) -> float:
     """Return the seconds left in which a retry is useful.
 
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -199,8 +199,13 @@
         admitted: serving.AdmittedRequest,
         attempt: serving.Attempt,
         status: int,
+        pause_seconds: float | None,
     ) -> None:
-        """Log that an endpoint rejected a request without running it."""
+        """Log that an endpoint rejected a request without running it.
+
+        :param pause_seconds: seconds for which the endpoint wants no requests
+            of this instance, if it asked for a pause.
+        """
         self._attempts.inc({'outcome': 'turned_away'})
         attempt.failure = serving.AttemptFailure.REJECTED
         logger.bind(
@@ -209,8 +214,38 @@
             endpoint=attempt.peer,
             status=status,
             in_flight=attempt.endpoint.in_flight,
+            retry_after=pause_seconds,
         ).info('turned away by the endpoint')
 
+    def log_withdrawn(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+    ) -> None:
+        """Log that a request was not sent, as its endpoint is paused."""
+        self._attempts.inc({'outcome': 'paused'})
+        attempt.failure = serving.AttemptFailure.PAUSED
+        pause_left = attempt.endpoint.backoff.seconds_left(_now())
+        logger.bind(
+            request=admitted.call.id,
+            attempt=attempt.number,
+            endpoint=attempt.peer,
+            retry_after=round(pause_left, 3),
+        ).info('not sent during a pause of the endpoint')
+
+    def log_all_paused(
+        self, admitted: serving.AdmittedRequest, seconds: float
+    ) -> None:
+        """Log that no endpoint can run a request before its time is over.
+
+        :param seconds: seconds until the first endpoint may be used again.
+        """
+        logger.bind(
+            request=admitted.call.id,
+            service=admitted.service.name,
+            retry_after=round(seconds, 3),
+        ).info('all endpoints are paused')
+
     def log_failed_by_endpoint(
         self,
         admitted: serving.AdmittedRequest,
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -149,9 +149,9 @@
     ),
     'outcomes': Field(
         'list',
-        'the outcome of each attempt: turned_away, misdirected, failed, '
-        'silent, superseded (a silent endpoint went on), unfinished (aborted '
-        'or not sent), or the fault',
+        'the outcome of each attempt: turned_away, paused, misdirected, '
+        'failed, silent, superseded (a silent endpoint went on), unfinished '
+        '(aborted or not sent), or the fault',
     ),
     'partners': Field('list', 'fallback agents besides the sources'),
     'path': Field('str', 'the first 80 bytes of the requested path'),
@@ -170,8 +170,8 @@
         'str',
         'why the request ended: starting, malformed, unknown_route, '
         'unknown_key, overload, no_service, no_endpoint, no_weights, '
-        'turned_away, broken, endpoint_failed, deadline (of its caller), '
-        'route_time, slow_reader, leaving',
+        'all_paused, turned_away, broken, endpoint_failed, deadline (of its '
+        'caller), route_time, slow_reader, leaving',
     ),
     'refused': Field(
         'int',
@@ -182,6 +182,11 @@
     'resume_after': Field(
         'int or null', 'number of the last event that the caller received'
     ),
+    'retry_after': Field(
+        'float or null',
+        'seconds for which the endpoint asked for no requests of this machine, '
+        'null if it did not; or that are left of the pause',
+    ),
     'rounds': Field(
         'int',
         'number of rounds of requests for the manifest that failed before',
@@ -349,9 +354,17 @@
         'the best endpoint, and how many requests would wait there',
     ),
     'turned away by the endpoint': Kind(
-        'request attempt endpoint status in_flight',
+        'request attempt endpoint status in_flight retry_after',
         'the endpoint did not run the request',
     ),
+    'not sent during a pause of the endpoint': Kind(
+        'request attempt endpoint retry_after',
+        'the endpoint was paused after it had been selected',
+    ),
+    'all endpoints are paused': Kind(
+        'request service retry_after',
+        'no endpoint is available before the time of the request is over',
+    ),
     'another endpoint or version answered': Kind(
         'request attempt endpoint answered_by version',
         'the request was not run',
