Send nothing to an endpoint whose answers say that it drains

Callers' requests went on to endpoints that were about to leave: an endpoint that drains says so in each answer (Server-Leaving: 1), but an entry went only by the endpoint's record. While the store is unavailable the record still says ready, for as long as that lasts.

Cause: nothing decoded the header. The answer was decoded to a verdict, a stamp and the headers to forward.

The header is now decoded once, in clementinepass/platform/draining.py, into DecodedHead.is_draining. The endpoint to which the connection was opened counts as draining from then on, exactly as if its record said so: final for its start, ended by a newer start only. Any answer counts - whole ones, heads of streams, failures, refusals, 421 of the same instance, answers without a stamp and answers to another request - except one that names another instance, since that speaks of itself. Only the value 1 counts, once is enough if the header is repeated. Requests whose connection is in setup meanwhile are covered by _became_unusable, waiting ones and retries by the selection; streams there go on to their end. The header is forwarded to callers like any other header of the endpoint, since an answer is returned unchanged.

The first such answer of a start is logged (`endpoint drains by its answer`), counted (clementinepass_endpoint_drains_total, by service), and told by `explain`, also for requests of the service that found no endpoint.

Other entries are not informed: the bound is one of the entry that passed the answer on, an endpoint that drains still serves, and each other entry learns it from its own first answer or from the store.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -14,6 +14,7 @@
 
 if typing.TYPE_CHECKING:
     from clementinepass.direct import cluster_state, endpoints, request_log
+    from clementinepass.http import messages
     from clementinepass.requests import outcome
 
 #: Longest time that a connection may have been idle to be reused for a request
@@ -183,13 +184,13 @@
         connection.send(payload)
         async with _silence_timeout(admitted, connection):
             head = await connection.read_head()
-            decoded_head = self._dialect.decode_head(admitted.call, head)
+            decoded_head = self._decode_head(admitted, endpoint, head)
             if decoded_head.verdict is calls.Verdict.OTHER_REQUEST:
                 logger.bind(request=admitted.call.id).warning(
                     'passed over the answer to another request',
                 )
                 head = await connection.skip_to_next_answer()
-                decoded_head = self._dialect.decode_head(admitted.call, head)
+                decoded_head = self._decode_head(admitted, endpoint, head)
         if decoded_head.verdict is calls.Verdict.MISDIRECTED:
             attempt.refused()
             self._handle_misdirected(admitted, endpoint, decoded_head)
@@ -227,6 +228,26 @@
             admitted, attempt, connection, decoded_head, head.status
         )
 
+    def _decode_head(
+        self,
+        admitted: serving.AdmittedRequest,
+        endpoint: endpoints.Endpoint,
+        head: messages.AnswerHead,
+    ) -> calls.DecodedHead:
+        """Decode the head of any answer that arrives from an endpoint.
+
+        Refusals, failures and answers to other requests also say whether the
+        endpoint drains, unless another instance sent them.
+        """
+        decoded_head = self._dialect.decode_head(admitted.call, head)
+        if (
+            decoded_head.is_draining
+            and not _is_other_instance(endpoint, decoded_head)
+            and endpoint.mark_draining()
+        ):
+            self._log.log_draining(admitted, endpoint, head.status)
+        return decoded_head
+
     async def _forward_plain_answer(
         self,
         admitted: serving.AdmittedRequest,
@@ -359,11 +380,7 @@
         endpoint: endpoints.Endpoint,
         decoded_head: calls.DecodedHead,
     ) -> None:
-        is_other_instance = decoded_head.instance not in {
-            '',
-            endpoint.listing.id,
-        }
-        if is_other_instance:
+        if _is_other_instance(endpoint, decoded_head):
             endpoint.is_misdirected = True
         self._log.log_misdirected(admitted, endpoint, decoded_head.instance)
 
@@ -410,6 +427,12 @@
             self._cluster.record_failure(endpoint, now)
 
 
+def _is_other_instance(
+    endpoint: endpoints.Endpoint, decoded_head: calls.DecodedHead
+) -> bool:
+    return decoded_head.instance not in {'', endpoint.listing.id}
+
+
 def _urgency(admitted: serving.AdmittedRequest) -> int:
     """Return the priority at the engine: by team first, then by route."""
     team_priority = 0 if admitted.team is None else admitted.team.priority
--- a/clementinepass/direct/calls.py
+++ b/clementinepass/direct/calls.py
@@ -119,6 +119,8 @@
     pairs: list[messages.Pair]
     #: Id of the instance that answered; empty if the answer has none.
     instance: str = ''
+    #: Whether the instance that answered drains.
+    is_draining: bool = False
 
 
 class Dialect(typing.Protocol):
--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -5,7 +5,8 @@
 * An older record may arrive after a newer one. Its heartbeat number is lower,
   and it is ignored.
 * Draining is final for one start of an endpoint, so that a record that says so
-  counts even if it arrives late.
+  counts even if it arrives late. While the store is unavailable, only the
+  answers of an endpoint say so.
 * An endpoint restarts under its id with nothing loaded. All that was known of
   its earlier start is dropped.
 * A record expires while the store is unavailable, though its endpoint is alive.
@@ -71,6 +72,7 @@
     domain: str
     #: Requests that the endpoint runs at once.
     slots: int
+    #: Whether the endpoint drains, by any record or answer of its start.
     draining: bool
     #: Increases with each record of one start.
     heartbeat: int
@@ -213,6 +215,16 @@
             return False
         return self.unusable_at is None or now < self.unusable_at
 
+    def mark_draining(self) -> bool:
+        """Record that an answer of this start says that it drains.
+
+        :returns: whether that was unknown.
+        """
+        if self.listing.draining:
+            return False
+        self.listing = self.listing._replace(draining=True)
+        return True
+
     @property
     def is_listed(self) -> bool:
         """Tell whether the endpoint is listed and its record not refuted.
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -71,6 +71,7 @@
 
     __slots__ = (
         '_attempts',
+        '_drains',
         '_endings',
         '_first_piece_seconds',
         '_retries',
@@ -88,6 +89,11 @@
             'Attempts that failed, by what became of them.',
             registry=registry,
         )
+        self._drains = aioprometheus.Counter(
+            'clementinepass_endpoint_drains_total',
+            'Endpoints whose answers said first that they drain.',
+            registry=registry,
+        )
         self._retries = aioprometheus.Counter(
             'clementinepass_repeats_total',
             'Decisions on sending once more.',
@@ -211,6 +217,22 @@
             in_flight=endpoint.in_flight,
         ).info('turned away by the endpoint')
 
+    def log_draining(
+        self,
+        admitted: serving.AdmittedRequest,
+        endpoint: endpoints.Endpoint,
+        status: int,
+    ) -> None:
+        """Log the first answer in which an endpoint says that it drains."""
+        self._drains.inc({'service': endpoint.listing.service})
+        logger.bind(
+            request=admitted.call.id,
+            endpoint=endpoint.listing.id,
+            service=endpoint.listing.service,
+            status=status,
+            in_flight=endpoint.in_flight,
+        ).info('endpoint drains by its answer')
+
     def log_failed_by_endpoint(self, admitted: serving.AdmittedRequest) -> None:
         """Log the complete error answer of an endpoint."""
         self._attempts.inc({'outcome': 'failed'})
--- a/clementinepass/observability/causes.py
+++ b/clementinepass/observability/causes.py
@@ -178,6 +178,7 @@
     MISDIRECTED = 'another endpoint or version answered'
     ATTEMPT_FAILED = 'attempt failed'
     FAILED_BY_ENDPOINT = 'failed by the endpoint'
+    ENDPOINT_DRAINS = 'endpoint drains by its answer'
     NOT_RETRIED = 'not sending once more'
 
 
@@ -199,5 +200,9 @@
     ),
     Finding.ATTEMPT_FAILED: 'endpoint {endpoint} gave no whole answer: {error}',
     Finding.FAILED_BY_ENDPOINT: 'endpoint {endpoint} failed it with {status}',
+    Finding.ENDPOINT_DRAINS: (
+        'endpoint {endpoint} said for the first time that it drains, in its '
+        'answer with {status}'
+    ),
     Finding.NOT_RETRIED: 'it was not sent again: {decision}',
 }
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -289,6 +289,11 @@
         'endpoint service draining version layers offset started',
         'the state that an endpoint reports in the list changed',
     ),
+    'endpoint drains by its answer': Kind(
+        'request endpoint service status in_flight',
+        'an answer of the endpoint is the first to say that it drains; it gets '
+        'no more requests until it restarts',
+    ),
     'endpoint dropped from the list': Kind(
         'endpoint used_for', 'no request is sent to it after that time'
     ),
--- a/clementinepass/observability/request_history.py
+++ b/clementinepass/observability/request_history.py
@@ -25,6 +25,7 @@
     'version named': ('model',),
     'engine holds weights': ('endpoint',),
     'endpoint listed': ('endpoint',),
+    'endpoint drains by its answer': ('endpoint',),
     'endpoint dropped from the list': ('endpoint',),
     'link of an endpoint': ('endpoint',),
     'store lost': ('topic',),
@@ -36,6 +37,7 @@
 _ENDPOINT_LIST = frozenset(
     ('endpoint listed', 'endpoint dropped from the list')
 )
+_ENDPOINT_DRAINS = frozenset(('endpoint drains by its answer',))
 _SHUTDOWN = frozenset(('leaving',))
 #: Messages of the observations that decided the outcome, by its cause.
 _DECIDING_MESSAGES_BY_CAUSE = {
@@ -44,6 +46,7 @@
     causes.Cause.UNKNOWN_ROUTE: _CONFIGURATION,
     causes.Cause.ROUTE_WITHDRAWN: _CONFIGURATION,
     causes.Cause.NO_SERVICE: _CONFIGURATION,
+    causes.Cause.NO_ENDPOINT: _ENDPOINT_DRAINS,
     causes.Cause.NO_WEIGHTS: _WEIGHTS,
     causes.Cause.WEIGHTS_TOO_OLD: _WEIGHTS,
     causes.Cause.ENGINE_LOADING: _WEIGHTS,
@@ -56,7 +59,13 @@
 _START_MESSAGES = frozenset(('entry started', 'agent started'))
 #: Messages of a request that are no failure.
 _NORMAL_MESSAGES = frozenset(
-    ('sent', 'answered', 'sending once more', 'taken while leaving'),
+    (
+        'sent',
+        'answered',
+        'endpoint drains by its answer',
+        'sending once more',
+        'taken while leaving',
+    ),
 )
 #: Seconds before and after a request in which dropped lines may include lines
 #: of this request.
@@ -223,10 +232,8 @@
         when: float,
     ) -> Iterable[Observation]:
         """Return the newest observation of each subject at a certain time."""
-        endpoints = {
-            request_line.fields.get('endpoint')
-            for request_line in request_lines
-        }
+        endpoints = _values(request_lines, 'endpoint')
+        services = _values(request_lines, 'service')
         newest_by_key: dict[tuple[typing.Any, ...], lines.Line] = {}
         before = [
             observed for observed in self._lines if observed.written_at <= when
@@ -234,7 +241,7 @@
         for line in sorted(before, key=_time_of):
             if line.message in _START_MESSAGES:
                 newest_by_key = _without_process(newest_by_key, line.process)
-            observation_key = _observation_key(line, endpoints)
+            observation_key = _observation_key(line, endpoints, services)
             if line.process in processes and observation_key is not None:
                 newest_by_key[line.process, *observation_key] = line
         return [
@@ -267,18 +274,27 @@
 def _observation_key(
     line: lines.Line,
     endpoints: set[typing.Any],
+    services: set[typing.Any],
 ) -> tuple[typing.Any, ...] | None:
     """Return the subject of an observation; ``None`` if it is irrelevant.
 
     :param endpoints: ids of the endpoints that the request was sent to.
+    :param services: names of the services that the request was for.
     """
     key_fields = _KEY_FIELDS_BY_MESSAGE.get(line.message)
     if key_fields is None:
         return None
     key = tuple(line.fields.get(name) for name in key_fields)
-    if key_fields == ('endpoint',) and key[0] not in endpoints:
-        return None
-    return line.message, *key
+    is_relevant = key_fields != ('endpoint',) or key[0] in endpoints
+    if line.message in _ENDPOINT_DRAINS:
+        # It explains why a request was sent to no endpoint.
+        is_relevant = is_relevant or line.fields.get('service') in services
+    return (line.message, *key) if is_relevant else None
+
+
+def _values(request_lines: Iterable[lines.Line], name: str) -> set[typing.Any]:
+    """Return the values of a field; ``None`` for lines without it."""
+    return {line.fields.get(name) for line in request_lines}
 
 
 def _without_process(
--- a/clementinepass/platform/dialect.py
+++ b/clementinepass/platform/dialect.py
@@ -7,6 +7,7 @@
 
 from clementinepass.direct import calls
 from clementinepass.http import messages
+from clementinepass.platform import draining
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -135,6 +136,7 @@
             is_stream=content_type.lower().startswith(_EVENT_STREAM),
             pairs=headers.end_to_end(_PRIVATE_HEADERS),
             instance=(headers.get(_INSTANCE_NAME) or b'').decode('latin-1'),
+            is_draining=draining.is_draining(headers),
         )
 
     def refusal_headers(self, call: calls.Call | None) -> list[messages.Pair]:
--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -30,6 +30,8 @@
     FULL = 'full'
     #: Turned away, as at an address that is another's now.
     ANOTHER = 'another'
+    #: Turned away, as the weights have another version.
+    OTHER_VERSION = 'other_version'
     #: Runs, and fails.
     ERROR = 'error'
     #: Runs, and the connection is reset before the answer.
@@ -74,6 +76,8 @@
         self.going = asyncio.Event()
         self.going.set()
         self.port = 0
+        #: Whether all answers say that the endpoint drains.
+        self.is_draining = False
         #: Milliseconds of Unix time of its start.
         self.born = 1
         #: Words of this start so far.
@@ -106,6 +110,7 @@
         Connections to the start before are cut; its counts begin anew.
         """
         await self._front.close()
+        self.is_draining = False
         self.born += 1
         self.heartbeat = 0
         self._front = front.Front(self._handle)
@@ -132,6 +137,10 @@
             pairs = [(b'X-Instance-Id', b'i-another')]
             reply.send(_MISDIRECTED, self._marked(request) + pairs, b'')
             return
+        if fault is Fault.OTHER_VERSION:
+            pairs = [(b'X-Instance-Id', self.id.encode())]
+            reply.send(_MISDIRECTED, self._marked(request) + pairs, b'')
+            return
         if fault is Fault.FULL:
             pairs = [(b'X-Not-Executed', b'1')]
             reply.send(_UNAVAILABLE, self._marked(request) + pairs, b'')
@@ -205,4 +214,6 @@
             pairs.append((b'X-Server-Stamp', b'stamp-%b' % self.id.encode()))
         if fault is Fault.ENCODED:
             pairs.append((b'Content-Encoding', b'gzip'))
+        if self.is_draining:
+            pairs.append((b'Server-Leaving', b'1'))
         return pairs
--- a/tests/observability/test_causes.py
+++ b/tests/observability/test_causes.py
@@ -90,6 +90,18 @@
     return play
 
 
+def draining_endpoints(target: str, *faults: Fault) -> Play:
+    """Return a play whose endpoints say in their answers that they drain."""
+    fail = failing_endpoints(target, *faults)
+
+    async def play(world: World) -> None:
+        for endpoint in world.endpoints:
+            endpoint.is_draining = True
+        await fail(world)
+
+    return play
+
+
 async def answered(world: World) -> None:
     world.set_shared_faults(Fault.CUT)
     await send_ignoring_failure(world, '/stream/a')
@@ -342,6 +354,11 @@
         Cause.MISDIRECTED,
         'was another',
     ),
+    (
+        draining_endpoints('/once/a', Fault.FULL, Fault.FULL),
+        Cause.REJECTED,
+        'said for the first time that it drains',
+    ),
     (unreachable, Cause.UNREACHABLE, 'no connection'),
     (endpoint_connection_lost, Cause.ENDPOINT_CONNECTION_LOST, 'may_have_run'),
     (
--- a/tests/observability/test_request_history.py
+++ b/tests/observability/test_request_history.py
@@ -91,6 +91,34 @@
         self.assertEqual(5, observation.line.fields['version'])
         self.assertEqual(1, observation.age)
 
+    def test_draining_endpoint(self) -> None:
+        """Endpoints that drain decide a lack of endpoints, and are no failure.
+
+        A request was refused while all endpoints were listed as ready, and
+        nothing said why none could be used.
+        """
+        drains = line(
+            5,
+            'endpoint drains by its answer',
+            request='p',
+            endpoint='i-1',
+            service='pool',
+        )
+        ended = line(
+            6,
+            'ended without an answer',
+            request='q',
+            reason='no_endpoint',
+            service='pool',
+        )
+        history = self.explain(drains, ended, request='q')
+        assert history is not None
+        (observation,) = history.deciding_observations
+        self.assertEqual('i-1', observation.line.fields['endpoint'])
+        history = self.explain(drains, request='p')
+        assert history is not None
+        self.assertIsNone(history.first_failure)
+
     def test_restart(self) -> None:
         """State from before a restart of the process is not reported."""
         history = self.explain(line(5, 'entry started', node='entry-1'))
