Give no order to load to an engine that drains

An agent went on to order its engine to load a new version while the engine drained. Loading cuts off the streams that still run there, which callers saw as a pause while they were resumed elsewhere, for weights on which no request starts any more: entries send nothing to an endpoint that drains.

Cause: the agent knew of its engine only what the body of a report says. The header Server-Leaving of the report's answer is now decoded (clementinepass/platform/draining.py) into EngineReport.is_draining. With it, the agent neither announces a load nor orders one, and looks once more after the read-back, right before the order. It is logged once. A restart of the engine ends it, as the reports of the new start lack the header.

Left as it is: the agent still queries its engine, reports its load and weights, and fetches pieces, which other agents take from it. None of these calls is a caller's request.

Shown failing before, `scripts/test tests/platform/test_engine.py tests/direct/test_loading.py tests/direct/test_machines.py`: 25 passed, 4 failed: EngineReportTest::test_draining False is not True LoadingTest::test_draining_engine True is not false LoadingTest::test_engine_drains_before_order True is not false WeightsTest::test_draining_engine [] != [(2, True)] With the change all pass.

--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -300,7 +300,7 @@
         self._log_new_error('')
         self._record_report(report)
         engine = self._neighbours.engine_configuration()
-        if engine is None or report.is_busy:
+        if engine is None or not report.accepts_orders:
             return
         version = self._loader.newest_complete(engine.model)
         if not version or self._version_selector.has_version_or_newer(version):
@@ -395,6 +395,11 @@
         self._report = report
         self._version_selector.engine_weights = report.weights
         self._announcer.report_load(report.active, report.queued)
+        was_draining = previous is not None and previous.is_draining
+        if report.is_draining and not was_draining:
+            logger.bind(version=report.weights.version).info(
+                'engine drains; it loads no more versions',
+            )
         if previous is not None and _has_same_weights(previous, report):
             return
         self._announcer.announce_weights(report.weights, report.started_ms)
--- a/clementinepass/direct/loading.py
+++ b/clementinepass/direct/loading.py
@@ -146,7 +146,7 @@
         """
         version_pieces = self._pieces_by_version[version]
         report = await self._engine.report()
-        if report.is_busy:
+        if not report.accepts_orders:
             return False
         async with self._staging_lock:
             return await self._load(version_pieces, report)
@@ -166,9 +166,12 @@
         if _boot_time() - started_at > _MAX_READ_BACK_SECONDS:
             logger.bind(version=version).info('staged too long ago')
             return False
-        if await self._has_restarted(report):
+        latest = await self._engine.report()
+        if _has_restarted(report, latest):
             logger.bind(version=version).info('the engine has restarted')
             return False
+        if latest.is_draining:
+            return False
         result = await self._engine.load(model, version, report)
         logger.bind(
             version=version,
@@ -182,17 +185,6 @@
             await asyncio.sleep(_UNKNOWN_ORDER_SECONDS)
         return True
 
-    async def _has_restarted(self, report: weights.EngineReport) -> bool:
-        """Return whether the engine has restarted since it was last queried.
-
-        An order names the number of orders that the engine has begun, which is
-        ambiguous across restarts. An engine that had begun none lost power
-        between the read-back of its pieces and the order. Its new start had
-        begun none either, and accepted the order with pieces missing.
-        """
-        latest = await self._engine.report()
-        return latest.started_ms != report.started_ms
-
     async def _ensure_pieces(self, model: str, version: int) -> pieces.Pieces:
         existing = self.pieces_of(model, version)
         if existing is not None:
@@ -284,6 +276,19 @@
             )
 
 
+def _has_restarted(
+    report: weights.EngineReport, latest: weights.EngineReport
+) -> bool:
+    """Return whether the engine has restarted between two reports.
+
+    An order names the number of orders that the engine has begun, which is
+    ambiguous across restarts. An engine that had begun none lost power between
+    the read-back of its pieces and the order. Its new start had begun none
+    either, and accepted the order with pieces missing.
+    """
+    return latest.started_ms != report.started_ms
+
+
 def _boot_time() -> float:
     """Return the seconds since boot, including time spent suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/clementinepass/direct/weights.py
+++ b/clementinepass/direct/weights.py
@@ -18,6 +18,7 @@
     :param active: how many requests are running.
     :param queued: how many requests wait in the engine.
     :param started_ms: when the engine started, as its listing states it.
+    :param is_draining: whether the engine drains; final for its start.
     """
 
     weights: endpoints.Weights
@@ -26,6 +27,16 @@
     active: int
     queued: int
     started_ms: int = incarnations.UNKNOWN_START
+    is_draining: bool = False
+
+    @property
+    def accepts_orders(self) -> bool:
+        """Return whether the engine may be ordered to load.
+
+        Loading cuts off running requests, and an engine that drains runs no
+        others afterwards.
+        """
+        return not (self.is_busy or self.is_draining)
 
 
 class Piece(typing.NamedTuple):
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -300,6 +300,11 @@
     'engine holds weights': Kind(
         'endpoint version layers busy', 'layers is 0 while the engine loads'
     ),
+    'engine drains; it loads no more versions': Kind(
+        'version',
+        'the engine beside an agent drains; it is not ordered to load until it '
+        'restarts',
+    ),
     'link of an endpoint': Kind(
         'endpoint congested',
         'the link became congested, and requests avoid the endpoint where '
--- a/clementinepass/platform/engine.py
+++ b/clementinepass/platform/engine.py
@@ -9,7 +9,7 @@
 from clementinepass import errors
 from clementinepass.direct import weights
 from clementinepass.http import channel, messages, pool
-from clementinepass.platform import decoding, registry
+from clementinepass.platform import decoding, draining, registry
 
 _OK = 200
 _ACCEPTED = 202
@@ -166,6 +166,7 @@
             report.active,
             report.queued,
             registry.start_time(report.born),
+            is_draining=draining.is_draining(answer.headers),
         )
 
     async def staged_numbers(self, model: str) -> frozenset[int]:
--- a/standins/weights_origin.py
+++ b/standins/weights_origin.py
@@ -105,6 +105,10 @@
         self._orders_before = 0
         #: Milliseconds of Unix time of its start; ``None`` to not tell it.
         self.born: int | None = 1
+        #: Whether all answers say that the engine drains.
+        self.is_draining = False
+        #: How often the agent asked for a report.
+        self.reports = 0
         #: Called after each order.
         self.on_loaded: typing.Callable[[], None] | None = None
         self._front = front.Front(self._handle)
@@ -127,6 +131,7 @@
         if self.born is not None:
             self.born += 1
         self.version = 0
+        self.is_draining = False
         self._orders_before = len(self.orders)
         if not keep_staged:
             self.staged.clear()
@@ -156,22 +161,24 @@
         request: messages.Request,
         reply: replies.Reply,
     ) -> None:
+        pairs = [(b'Server-Leaving', b'1')] if self.is_draining else []
         path, _, text = request.target.decode().partition('?')
         number = dict(urllib.parse.parse_qsl(text)).get('num')
         if path == '/api/report':
-            reply.send(_OK, [], msgspec.json.encode(self._report()))
+            self.reports += 1
+            reply.send(_OK, pairs, msgspec.json.encode(self._report()))
         elif path == '/api/order':
             self._order(msgspec.json.decode(request.body), reply)
         elif number is None:
             held = {'held': sorted(self.staged)}
-            reply.send(_OK, [], msgspec.json.encode(held))
+            reply.send(_OK, pairs, msgspec.json.encode(held))
         elif request.method == b'PUT':
             self.staged[int(number)] = request.body
-            reply.send(_OK, [], b'')
+            reply.send(_OK, pairs, b'')
         else:
             found = self.staged.get(int(number))
             status = _NOT_FOUND if found is None else _OK
-            reply.send(status, [], found or b'')
+            reply.send(status, pairs, found or b'')
 
     def _order(
         self,
--- a/tests/direct/test_loading.py
+++ b/tests/direct/test_loading.py
@@ -37,13 +37,23 @@
         #: The number of the piece at whose read-back the engine loses power and
         #: restarts without its staged pieces.
         self.restart_at_piece: int | None = None
+        #: The number of the piece at whose read-back the engine begins to
+        #: drain.
+        self.drain_at_piece: int | None = None
+        self.is_draining = False
 
     async def report(self) -> weights.EngineReport:
         """Return the engine's state."""
         loaded = endpoints.Weights(1, 0, 4)
         order_count = len(self.orders)
         return weights.EngineReport(
-            loaded, False, order_count, 0, 0, self.started
+            loaded,
+            False,
+            order_count,
+            0,
+            0,
+            self.started,
+            is_draining=self.is_draining,
         )
 
     async def staged_numbers(self, model: str) -> frozenset[int]:
@@ -70,6 +80,8 @@
         """Return a staged piece."""
         await asyncio.sleep(STEP_SECONDS)
         piece = self.staged_pieces.get(number)
+        if number == self.drain_at_piece:
+            self.is_draining = True
         if number == self.restart_at_piece:
             self.restart_at_piece = None
             self.started += 1
@@ -281,6 +293,36 @@
         ((_, staged_pieces),) = engine.orders
         self.assertEqual(CHUNKS, len(staged_pieces))
 
+    def test_draining_engine(self) -> None:
+        """An engine that drains is not ordered to load.
+
+        The order cut off its running streams, which had to be resumed at other
+        engines, for weights that nothing could start on any more.
+        """
+        engine = Engine()
+        loader = loading.Loader(engine, _Context(Origin()))
+
+        async def scenario() -> None:
+            await loader.fetch(MODEL, 2)
+            engine.is_draining = True
+            self.assertFalse(await loader.load(MODEL, 2))
+
+        run_scenario(scenario())
+        self.assertEqual([], engine.orders)
+
+    def test_engine_drains_before_order(self) -> None:
+        """An engine that begins to drain during the read-back gets no order."""
+        engine = Engine()
+        loader = loading.Loader(engine, _Context(Origin()))
+
+        async def scenario() -> None:
+            await loader.fetch(MODEL, 2)
+            engine.drain_at_piece = CHUNKS - 1
+            self.assertFalse(await loader.load(MODEL, 2))
+
+        run_scenario(scenario())
+        self.assertEqual([], engine.orders)
+
     def test_agent_restarted(self) -> None:
         """An agent that is killed while fetching continues after a restart.
 
--- a/tests/direct/test_machines.py
+++ b/tests/direct/test_machines.py
@@ -482,6 +482,34 @@
 
         run(scenario, (1, 1))
 
+    def test_draining_engine(self) -> None:
+        """An engine that drains is not ordered to load until it restarts.
+
+        Loading cut off the streams that still ran there.
+        """
+
+        async def scenario(world: machines.Machines) -> None:
+            (engine,) = world.engines
+            engine.is_draining = True
+            world.store.put(
+                'keyed.op',
+                'version/m',
+                {'model': 'm', 'version': 2},
+            )
+            await machines.until(lambda: world.origin.sent >= machines.CHUNKS)
+            report_count = engine.reports
+            await machines.until(
+                lambda: engine.orders or engine.reports > report_count + 60
+            )
+            self.assertEqual([], engine.orders)
+            self.assertEqual([1, 1], _loaded_versions(world, 'i-0'))
+            engine.restart()
+            world.list_engines()
+            await machines.until(lambda: engine.version == 2)
+            self.assertEqual([(2, True)], engine.orders)
+
+        run(scenario, (1,))
+
     def test_newer_version_at_once(self) -> None:
         """Of two desired versions in quick succession the newer is loaded."""
 
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -1,9 +1,10 @@
-"""Tests of the timing of pieces that the origin serves."""
+"""Tests of the adapters for the engine and for the origin."""
 
 from __future__ import annotations
 
 import asyncio
 
+import msgspec
 import testtools
 
 from clementinepass.direct import weights
@@ -12,6 +13,9 @@
 
 #: Seconds between the two halves of a piece.
 PAUSE_SECONDS = 0.05
+REPORT = msgspec.json.encode(
+    {'models': [], 'busy': False, 'sequence': 0, 'active': 0, 'queued': 0}
+)
 
 
 async def _send_in_halves(
@@ -25,6 +29,32 @@
     reply.end()
 
 
+class EngineReportTest(testtools.TestCase):
+    """Reports of an engine to its agent."""
+
+    def test_draining(self) -> None:
+        """The header of a report says whether the engine drains."""
+        for fields, is_draining in (((), False), ((b'1',), True)):
+
+            async def answer(
+                request: messages.Request,
+                reply: replies.Reply,
+                fields: tuple[bytes, ...] = fields,
+            ) -> None:
+                pairs = [(b'Server-Leaving', field) for field in fields]
+                reply.send(200, pairs, REPORT)
+
+            async def fetch_report() -> weights.EngineReport:
+                listener = front.Front(answer)
+                port = await listener.listen('127.0.0.1', 0)
+                report = await engine.HttpEngine(f'127.0.0.1:{port}').report()
+                await listener.close()
+                return report
+
+            report = asyncio.run(fetch_report())
+            self.assertIs(is_draining, report.is_draining)
+
+
 class OriginPieceTest(testtools.TestCase):
     """The transfer time of the origin's pieces is measured.
 
