Tell why a request was not sent to an endpoint that began to drain

A request whose endpoint begins to drain while a connection to it is opened is not sent there. Nothing was logged, and if it then got 503, `explain` said "not known: its line lists no attempt that an endpoint did not run", while the reason in the log was turned_away.

Cause: only this way out of an attempt recorded no failure. It has the outcome `unusable` now, a line of its own that says whether the endpoint drains, a count in clementinepass_attempts_total, and the cause no_endpoint in `explain`.

Shown failing before, `scripts/test tests/observability/test_causes.py` with the new case: actual = [('no_endpoint', 'not_known', 'not known: its line lists no attempt ...')] With the change: 12 passed, in four runs.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -140,6 +140,7 @@
         try:
             if self._became_unusable(endpoint):
                 attempt.refused()
+                self._log.log_unusable(admitted, endpoint)
                 return serving.AttemptResult.NOT_RUN
             return await self._request_answer(
                 admitted, endpoint, attempt, connection
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -200,6 +200,22 @@
             after_event=admitted.resume_after,
         ).warning('attempt failed')
 
+    def log_unusable(
+        self,
+        admitted: serving.AdmittedRequest,
+        endpoint: endpoints.Endpoint,
+    ) -> None:
+        """Log an endpoint that became unusable during connection setup."""
+        failure = serving.AttemptFailure.UNUSABLE
+        self._attempts.inc({'outcome': failure.value})
+        admitted.attempt_failures.append(failure)
+        logger.bind(
+            request=admitted.call.id,
+            attempt=admitted.attempts[-1].number,
+            endpoint=endpoint.listing.id,
+            draining=endpoint.listing.draining,
+        ).info('not sent, as the endpoint became unusable')
+
     def log_rejected(
         self,
         admitted: serving.AdmittedRequest,
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -97,6 +97,9 @@
     MISDIRECTED = 'misdirected'
     #: No connection could be opened.
     UNREACHABLE = 'unreachable'
+    #: The endpoint became unusable during connection setup, for example as it
+    #: drains; nothing was sent.
+    UNUSABLE = 'unusable'
     #: The connection was reset or timed out in the kernel.
     CONNECTION_LOST = 'lost'
     #: The endpoint closed the connection before its answer was complete.
--- a/clementinepass/observability/causes.py
+++ b/clementinepass/observability/causes.py
@@ -174,6 +174,7 @@
 
     ACCEPTED_WHILE_DRAINING = 'taken while leaving'
     NO_FREE_SLOT = 'no endpoint has room'
+    UNUSABLE = 'not sent, as the endpoint became unusable'
     REJECTED = 'turned away by the endpoint'
     MISDIRECTED = 'another endpoint or version answered'
     ATTEMPT_FAILED = 'attempt failed'
@@ -193,6 +194,10 @@
         'the best endpoint, {endpoint}, had {waiting} requests waiting for '
         '{slots} slots'
     ),
+    Finding.UNUSABLE: (
+        'endpoint {endpoint} stopped being available while a connection to it '
+        'was opened'
+    ),
     Finding.REJECTED: 'endpoint {endpoint} turned it away with {status}',
     Finding.MISDIRECTED: (
         'the process at the address of endpoint {endpoint} was another '
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -149,8 +149,8 @@
     ),
     'outcomes': Field(
         'list',
-        'the outcome of each attempt: turned_away, misdirected, failed, or the '
-        'fault',
+        'the outcome of each attempt: turned_away, misdirected, unusable, '
+        'failed, or the fault',
     ),
     'partners': Field('list', 'fallback agents besides the sources'),
     'path': Field('str', 'the first 80 bytes of the requested path'),
@@ -356,6 +356,11 @@
         'request service endpoint waiting slots',
         'the best endpoint, and how many requests would wait there',
     ),
+    'not sent, as the endpoint became unusable': Kind(
+        'request attempt endpoint draining',
+        'the endpoint was selected, and became unusable while a connection to '
+        'it was opened',
+    ),
     'turned away by the endpoint': Kind(
         'request attempt endpoint status in_flight',
         'the endpoint did not run the request',
--- a/clementinepass/observability/verdicts.py
+++ b/clementinepass/observability/verdicts.py
@@ -65,6 +65,7 @@
     'turned_away': Cause.REJECTED,
     'misdirected': Cause.MISDIRECTED,
     'unreachable': Cause.UNREACHABLE,
+    'unusable': Cause.NO_ENDPOINT,
 }
 #: Causes to whose explanation the time without data from the endpoint is added.
 _CAUSES_WITH_SILENCE = frozenset(
--- a/tests/observability/test_causes.py
+++ b/tests/observability/test_causes.py
@@ -228,6 +228,16 @@
     await send_ignoring_failure(world, '/stream/a', X_Token_Usage='900,100')
 
 
+async def drains_during_setup(world: World) -> None:
+    pending = asyncio.create_task(send_ignoring_failure(world, '/once/a'))
+    loop = asyncio.get_running_loop()
+    while not world.cluster.in_flight_by_endpoint(loop.time()):
+        await asyncio.sleep(0)
+    for endpoint in world.endpoints:
+        world.list_endpoint(endpoint, heartbeat=9, draining=True)
+    await pending
+
+
 async def unreachable(world: World) -> None:
     for endpoint in world.endpoints:
         await endpoint.__aexit__()
@@ -359,6 +369,11 @@
         Cause.REJECTED,
         'said for the first time that it drains',
     ),
+    (
+        drains_during_setup,
+        Cause.NO_ENDPOINT,
+        'stopped being available while a connection to it was opened',
+    ),
     (unreachable, Cause.UNREACHABLE, 'no connection'),
     (endpoint_connection_lost, Cause.ENDPOINT_CONNECTION_LOST, 'may_have_run'),
     (
