--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -18,6 +18,7 @@
     from collections.abc import AsyncIterator
 
     from clementinepass.direct import cluster_state, endpoints, request_log
+    from clementinepass.http import messages
 
 #: Longest time that a connection may have been idle to be reused for a request
 #: that must not run twice. If the endpoint closes the connection meanwhile, it
@@ -178,6 +179,7 @@
         try:
             if self._became_unusable(endpoint):
                 attempt.refused()
+                self._log.log_unusable(admitted, attempt)
                 return serving.AttemptResult.NOT_RUN
             if endpoint.backoff.has_paused_since(attempt.started_at):
                 attempt.refused()
@@ -241,13 +243,13 @@
         connection.send(payload)
         attempt.waiting_since = asyncio.get_running_loop().time()
         head = await connection.read_head()
-        decoded_head = self._dialect.decode_head(admitted.call, head)
+        decoded_head = self._decode_head(admitted, attempt, head)
         if decoded_head.verdict is calls.Verdict.OTHER_REQUEST:
             logger.bind(request=admitted.call.id).warning(
                 'passed over the answer to another request',
             )
             head = await connection.skip_to_next_answer()
-            decoded_head = self._dialect.decode_head(admitted.call, head)
+            decoded_head = self._decode_head(admitted, attempt, head)
         if decoded_head.verdict is calls.Verdict.MISDIRECTED:
             attempt.refused()
             self._handle_misdirected(admitted, attempt, decoded_head)
@@ -293,6 +295,26 @@
             admitted, attempt, connection, decoded_head, head.status
         )
 
+    def _decode_head(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+        head: messages.AnswerHead,
+    ) -> calls.DecodedHead:
+        """Decode the head of any answer that arrives from an endpoint.
+
+        Refusals, failures and answers to other requests also say whether the
+        endpoint drains, unless another instance sent them.
+        """
+        decoded_head = self._dialect.decode_head(admitted.call, head)
+        if (
+            decoded_head.is_draining
+            and not _is_other_instance(attempt.endpoint, decoded_head)
+            and attempt.endpoint.mark_draining()
+        ):
+            self._log.log_draining(admitted, attempt, head.status)
+        return decoded_head
+
     async def _forward_plain_answer(
         self,
         admitted: serving.AdmittedRequest,
@@ -451,11 +473,7 @@
         decoded_head: calls.DecodedHead,
     ) -> None:
         endpoint = attempt.endpoint
-        is_other_instance = decoded_head.instance not in {
-            '',
-            endpoint.listing.id,
-        }
-        if is_other_instance:
+        if _is_other_instance(endpoint, decoded_head):
             endpoint.is_misdirected = True
         self._log.log_misdirected(admitted, attempt, decoded_head.instance)
 
@@ -505,6 +523,12 @@
             self._cluster.record_failure(endpoint, now)
 
 
+def _is_other_instance(
+    endpoint: endpoints.Endpoint, decoded_head: calls.DecodedHead
+) -> bool:
+    return decoded_head.instance not in {'', endpoint.listing.id}
+
+
 def _urgency(admitted: serving.AdmittedRequest) -> int:
     """Return the priority at the engine: by team first, then by route."""
     team_priority = 0 if admitted.team is None else admitted.team.priority
--- a/clementinepass/direct/calls.py
+++ b/clementinepass/direct/calls.py
@@ -122,6 +122,8 @@
     #: Seconds for which the endpoint wants no requests of this instance;
     #: ``None`` if it asked for no pause.
     pause_seconds: float | None = None
+    #: Whether the instance that answered drains.
+    is_draining: bool = False
 
 
 class Dialect(typing.Protocol):
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -71,6 +71,7 @@
 
     __slots__ = (
         '_attempts',
+        '_drains',
         '_endings',
         '_first_piece_seconds',
         '_retries',
@@ -88,6 +89,11 @@
             'Attempts that failed, by what became of them.',
             registry=registry,
         )
+        self._drains = aioprometheus.Counter(
+            'clementinepass_endpoint_drains_total',
+            'Endpoints whose answers said first that they drain.',
+            registry=registry,
+        )
         self._retries = aioprometheus.Counter(
             'clementinepass_repeats_total',
             'Decisions on sending once more.',
@@ -194,6 +200,21 @@
             after_event=admitted.resume_after,
         ).warning('attempt failed')
 
+    def log_unusable(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+    ) -> None:
+        """Log an endpoint that became unusable during connection setup."""
+        attempt.failure = serving.AttemptFailure.UNUSABLE
+        self._attempts.inc({'outcome': attempt.failure.value})
+        logger.bind(
+            request=admitted.call.id,
+            attempt=attempt.number,
+            endpoint=attempt.peer,
+            draining=attempt.endpoint.listing.draining,
+        ).info('not sent, as the endpoint became unusable')
+
     def log_rejected(
         self,
         admitted: serving.AdmittedRequest,
@@ -246,6 +267,23 @@
             retry_after=round(seconds, 3),
         ).info('all endpoints are paused')
 
+    def log_draining(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+        status: int,
+    ) -> None:
+        """Log the first answer in which an endpoint says that it drains."""
+        service = attempt.endpoint.listing.service
+        self._drains.inc({'service': service})
+        logger.bind(
+            request=admitted.call.id,
+            endpoint=attempt.peer,
+            service=service,
+            status=status,
+            in_flight=attempt.endpoint.in_flight,
+        ).info('endpoint drains by its answer')
+
     def log_failed_by_endpoint(
         self,
         admitted: serving.AdmittedRequest,
--- a/clementinepass/observability/causes.py
+++ b/clementinepass/observability/causes.py
@@ -179,6 +179,7 @@
 
     ACCEPTED_WHILE_DRAINING = 'taken while leaving'
     NO_FREE_SLOT = 'no endpoint has room'
+    UNUSABLE = 'not sent, as the endpoint became unusable'
     REJECTED = 'turned away by the endpoint'
     NOT_SENT = 'not sent during a pause of the endpoint'
     ALL_PAUSED = 'all endpoints are paused'
@@ -188,6 +189,7 @@
     ENDPOINT_SILENT = 'endpoint silent'
     ENDPOINT_GOES_ON = 'endpoint goes on'
     SUPERSEDED = 'attempt superseded'
+    ENDPOINT_DRAINS = 'endpoint drains by its answer'
     NOT_RETRIED = 'not sending once more'
 
 
@@ -202,6 +204,10 @@
         'the best endpoint, {endpoint}, had {waiting} requests waiting for '
         '{slots} slots'
     ),
+    Finding.UNUSABLE: (
+        'endpoint {endpoint} stopped being available while a connection to it '
+        'was opened'
+    ),
     Finding.REJECTED: 'endpoint {endpoint} turned it away with {status}',
     Finding.NOT_SENT: (
         'endpoint {endpoint} was paused for {retry_after} s before it was sent'
@@ -224,5 +230,9 @@
     Finding.SUPERSEDED: (
         'endpoint {answered_by} answered in the place of {endpoint}'
     ),
+    Finding.ENDPOINT_DRAINS: (
+        'endpoint {endpoint} said for the first time that it drains, in its '
+        'answer with {status}'
+    ),
     Finding.NOT_RETRIED: 'it was not sent again: {decision}',
 }
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -150,8 +150,8 @@
     'outcomes': Field(
         'list',
         'the outcome of each attempt: turned_away, paused, misdirected, '
-        'failed, silent, superseded (a silent endpoint went on), unfinished '
-        '(aborted or not sent), or the fault',
+        'unusable, failed, silent, superseded (a silent endpoint went on), '
+        'unfinished (aborted or not sent), or the fault',
     ),
     'partners': Field('list', 'fallback agents besides the sources'),
     'path': Field('str', 'the first 80 bytes of the requested path'),
@@ -296,12 +296,22 @@
         'endpoint service draining version layers offset started',
         'the state that an endpoint reports in the list changed',
     ),
+    'endpoint drains by its answer': Kind(
+        'request endpoint service status in_flight',
+        'an answer of the endpoint is the first to say that it drains; it gets '
+        'no more requests until it restarts',
+    ),
     'endpoint dropped from the list': Kind(
         'endpoint used_for', 'no request is sent to it after that time'
     ),
     'engine holds weights': Kind(
         'endpoint version layers busy', 'layers is 0 while the engine loads'
     ),
+    'engine drains; it loads no more versions': Kind(
+        'version',
+        'the engine beside an agent drains; it is not ordered to load until it '
+        'restarts',
+    ),
     'link of an endpoint': Kind(
         'endpoint congested',
         'the link became congested, and requests avoid the endpoint where '
@@ -353,6 +363,11 @@
         'request service endpoint waiting slots',
         'the best endpoint, and how many requests would wait there',
     ),
+    'not sent, as the endpoint became unusable': Kind(
+        'request attempt endpoint draining',
+        'the endpoint was selected, and became unusable while a connection to '
+        'it was opened',
+    ),
     'turned away by the endpoint': Kind(
         'request attempt endpoint status in_flight retry_after',
         'the endpoint did not run the request',
--- a/clementinepass/observability/verdicts.py
+++ b/clementinepass/observability/verdicts.py
@@ -69,6 +69,7 @@
     'misdirected': Cause.MISDIRECTED,
     'unreachable': Cause.UNREACHABLE,
     'paused': Cause.ALL_PAUSED,
+    'unusable': Cause.NO_ENDPOINT,
 }
 #: Outcomes of attempts that prove nothing against their endpoints.
 _HARMLESS_OUTCOMES = frozenset(('superseded', 'unfinished'))
--- a/clementinepass/platform/dialect.py
+++ b/clementinepass/platform/dialect.py
@@ -8,6 +8,7 @@
 
 from clementinepass.direct import calls
 from clementinepass.http import messages
+from clementinepass.platform import draining
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -145,6 +146,7 @@
             pairs=headers.end_to_end(_PRIVATE_HEADERS),
             instance=(headers.get(_INSTANCE_NAME) or b'').decode('latin-1'),
             pause_seconds=_pause_seconds(verdict, head),
+            is_draining=draining.is_draining(headers),
         )
 
     def refusal_headers(self, call: calls.Call | None) -> list[messages.Pair]:
