--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -18,6 +18,7 @@
     from collections.abc import AsyncIterator
 
     from clementinepass.direct import cluster_state, endpoints, request_log
+    from clementinepass.http import messages
 
 #: Longest time that a connection may have been idle to be reused for a request
 #: that must not run twice. If the endpoint closes the connection meanwhile, it
@@ -29,6 +30,10 @@
 _CONNECT_TIMEOUT_SECONDS = 0.6
 #: Largest plain answer that is buffered.
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
+#: Results that are no failures of the endpoint.
+_NOT_RUN_RESULTS = frozenset(
+    (serving.AttemptResult.NOT_RUN, serving.AttemptResult.NOT_SENT)
+)
 #: The urgency of the requests that an engine runs last.
 _MAX_URGENCY = 9
 
@@ -81,8 +86,7 @@
         """
         attempt = admitted.add_attempt(endpoint)
         self._log.log_sending(admitted, endpoint)
-        endpoint.in_flight += 1
-        endpoint.reported_load.record_sent(asyncio.get_running_loop().time())
+        endpoint.start_request(attempt.started_at)
         attempt.task = asyncio.create_task(self._send(admitted, attempt))
         attempt.task.add_done_callback(
             functools.partial(self._finish, admitted, attempt)
@@ -139,7 +143,7 @@
         task: asyncio.Task[serving.AttemptResult],
     ) -> None:
         """Release the endpoint, also if the attempt was aborted."""
-        attempt.endpoint.in_flight -= 1
+        attempt.endpoint.end_request(attempt.started_at)
         attempt.waiting_since = None
         if attempt.finished:
             return
@@ -185,7 +189,12 @@
         try:
             if self._became_unusable(endpoint):
                 attempt.refused()
+                self._log.log_unusable(admitted, attempt)
                 return serving.AttemptResult.NOT_RUN
+            if endpoint.backoff.has_paused_since(attempt.started_at):
+                attempt.refused()
+                self._withdraw(admitted, attempt)
+                return serving.AttemptResult.NOT_SENT
             async with _start_timeout(attempt, connection):
                 return await self._request_answer(
                     admitted, endpoint, attempt, connection
@@ -216,6 +225,19 @@
         """
         return not endpoint.is_usable(asyncio.get_running_loop().time())
 
+    def _withdraw(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+    ) -> None:
+        """Give up an attempt before the request is sent.
+
+        A pause of the endpoint has begun since it was selected. It may be
+        selected again after the pause.
+        """
+        admitted.tried_endpoint_ids.discard(attempt.peer)
+        self._log.log_withdrawn(admitted, attempt)
+
     async def _request_answer(
         self,
         admitted: serving.AdmittedRequest,
@@ -231,20 +253,27 @@
         connection.send(payload)
         attempt.waiting_since = asyncio.get_running_loop().time()
         head = await connection.read_head()
-        decoded_head = self._dialect.decode_head(admitted.call, head)
+        decoded_head = self._decode_head(admitted, attempt, head)
         if decoded_head.verdict is calls.Verdict.OTHER_REQUEST:
             logger.bind(request=admitted.call.id).warning(
                 'passed over the answer to another request',
             )
             head = await connection.skip_to_next_answer()
-            decoded_head = self._dialect.decode_head(admitted.call, head)
+            decoded_head = self._decode_head(admitted, attempt, head)
         if decoded_head.verdict is calls.Verdict.MISDIRECTED:
             attempt.refused()
             self._handle_misdirected(admitted, attempt, decoded_head)
             return serving.AttemptResult.NOT_RUN
         if decoded_head.verdict is calls.Verdict.NOT_RUN:
             attempt.refused()
-            self._log.log_rejected(admitted, attempt, head.status)
+            endpoint.backoff.record_rejection(
+                decoded_head.pause_seconds,
+                attempt.started_at,
+                asyncio.get_running_loop().time(),
+            )
+            self._log.log_rejected(
+                admitted, attempt, head.status, decoded_head.pause_seconds
+            )
             return serving.AttemptResult.NOT_RUN
         attempt.head_seen()
         if decoded_head.verdict in {
@@ -255,6 +284,7 @@
                 f'status {head.status} is not a valid answer to this request',
                 peer=connection.peer,
             )
+        endpoint.backoff.record_acceptance(attempt.started_at)
         if (
             decoded_head.verdict is calls.Verdict.SUCCESS
             and decoded_head.is_stream
@@ -275,6 +305,26 @@
             admitted, attempt, connection, decoded_head, head.status
         )
 
+    def _decode_head(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+        head: messages.AnswerHead,
+    ) -> calls.DecodedHead:
+        """Decode the head of any answer that arrives from an endpoint.
+
+        Refusals, failures and answers to other requests also say whether the
+        endpoint drains, unless another instance sent them.
+        """
+        decoded_head = self._dialect.decode_head(admitted.call, head)
+        if (
+            decoded_head.is_draining
+            and not _is_other_instance(attempt.endpoint, decoded_head)
+            and attempt.endpoint.mark_draining()
+        ):
+            self._log.log_draining(admitted, attempt, head.status)
+        return decoded_head
+
     async def _forward_plain_answer(
         self,
         admitted: serving.AdmittedRequest,
@@ -435,11 +485,7 @@
         decoded_head: calls.DecodedHead,
     ) -> None:
         endpoint = attempt.endpoint
-        is_other_instance = decoded_head.instance not in {
-            '',
-            endpoint.listing.id,
-        }
-        if is_other_instance:
+        if _is_other_instance(endpoint, decoded_head):
             endpoint.is_misdirected = True
         self._log.log_misdirected(admitted, attempt, decoded_head.instance)
 
@@ -480,7 +526,7 @@
             seconds = answered_at - admitted.call.request.received_at
             self._cluster.ejector.observe(endpoint.listing.id, seconds, now)
         elif (
-            result is not serving.AttemptResult.NOT_RUN
+            result not in _NOT_RUN_RESULTS
             and not endpoint.is_loading
             and not attempt.is_silent
         ):
@@ -489,6 +535,12 @@
             self._cluster.record_failure(endpoint, now)
 
 
+def _is_other_instance(
+    endpoint: endpoints.Endpoint, decoded_head: calls.DecodedHead
+) -> bool:
+    return decoded_head.instance not in {'', endpoint.listing.id}
+
+
 def _urgency(admitted: serving.AdmittedRequest) -> int:
     """Return the priority at the engine: by team first, then by route."""
     team_priority = 0 if admitted.team is None else admitted.team.priority
--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -5,7 +5,8 @@
 * An older record may arrive after a newer one. Its heartbeat number is lower,
   and it is ignored.
 * Draining is final for one start of an endpoint, so that a record that says so
-  counts even if it arrives late.
+  counts even if it arrives late. While the store is unavailable, only the
+  answers of an endpoint say so.
 * An endpoint restarts under its id with nothing loaded. All that was known of
   its earlier start is dropped.
 * A record expires while the store is unavailable, though its endpoint is alive.
@@ -19,7 +20,7 @@
 
 import typing
 
-from clementinepass.decisions import incarnations
+from clementinepass.decisions import endpoint_backoff, incarnations
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterator
@@ -71,6 +72,7 @@
     domain: str
     #: Requests that the endpoint runs at once.
     slots: int
+    #: Whether the endpoint drains, by any record or answer of its start.
     draining: bool
     #: Increases with each record of one start.
     heartbeat: int
@@ -171,6 +173,7 @@
         'reported_load',
         'congested_until',
         'active_streams',
+        'backoff',
         'weights',
         'weights_started_ms',
     )
@@ -196,6 +199,8 @@
         self.last_received_at: float = 0
         #: Streams of this entry that have started and not ended.
         self.active_streams = 0
+        #: The pause of the endpoint, if it has turned requests away.
+        self.backoff = endpoint_backoff.Backoff()
         #: The last load report of the agent.
         self.reported_load = ReportedLoad()
         #: Monotonic time until which the link of the instance is considered
@@ -213,6 +218,27 @@
             return False
         return self.unusable_at is None or now < self.unusable_at
 
+    def start_request(self, now: float) -> None:
+        """Record that this entry starts an attempt at the endpoint."""
+        self.in_flight += 1
+        self.backoff.record_sent(now)
+        self.reported_load.record_sent(now)
+
+    def end_request(self, started_at: float) -> None:
+        """Record the end of an attempt."""
+        self.in_flight -= 1
+        self.backoff.record_end(started_at)
+
+    def mark_draining(self) -> bool:
+        """Record that an answer of this start says that it drains.
+
+        :returns: whether that was unknown.
+        """
+        if self.listing.draining:
+            return False
+        self.listing = self.listing._replace(draining=True)
+        return True
+
     @property
     def is_listed(self) -> bool:
         """Tell whether the endpoint is listed and its record not refuted.
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -71,6 +71,7 @@
 
     __slots__ = (
         '_attempts',
+        '_drains',
         '_endings',
         '_first_piece_seconds',
         '_retries',
@@ -88,6 +89,11 @@
             'Attempts that failed, by what became of them.',
             registry=registry,
         )
+        self._drains = aioprometheus.Counter(
+            'clementinepass_endpoint_drains_total',
+            'Endpoints whose answers said first that they drain.',
+            registry=registry,
+        )
         self._retries = aioprometheus.Counter(
             'clementinepass_repeats_total',
             'Decisions on sending once more.',
@@ -194,13 +200,33 @@
             after_event=admitted.resume_after,
         ).warning('attempt failed')
 
+    def log_unusable(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+    ) -> None:
+        """Log an endpoint that became unusable during connection setup."""
+        attempt.failure = serving.AttemptFailure.UNUSABLE
+        self._attempts.inc({'outcome': attempt.failure.value})
+        logger.bind(
+            request=admitted.call.id,
+            attempt=attempt.number,
+            endpoint=attempt.peer,
+            draining=attempt.endpoint.listing.draining,
+        ).info('not sent, as the endpoint became unusable')
+
     def log_rejected(
         self,
         admitted: serving.AdmittedRequest,
         attempt: serving.Attempt,
         status: int,
+        pause_seconds: float | None,
     ) -> None:
-        """Log that an endpoint rejected a request without running it."""
+        """Log that an endpoint rejected a request without running it.
+
+        :param pause_seconds: seconds for which the endpoint wants no requests
+            of this instance, if it asked for a pause.
+        """
         self._attempts.inc({'outcome': 'turned_away'})
         attempt.failure = serving.AttemptFailure.REJECTED
         logger.bind(
@@ -209,8 +235,55 @@
             endpoint=attempt.peer,
             status=status,
             in_flight=attempt.endpoint.in_flight,
+            retry_after=pause_seconds,
         ).info('turned away by the endpoint')
 
+    def log_withdrawn(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+    ) -> None:
+        """Log that a request was not sent, as its endpoint is paused."""
+        self._attempts.inc({'outcome': 'paused'})
+        attempt.failure = serving.AttemptFailure.PAUSED
+        pause_left = attempt.endpoint.backoff.seconds_left(_now())
+        logger.bind(
+            request=admitted.call.id,
+            attempt=attempt.number,
+            endpoint=attempt.peer,
+            retry_after=round(pause_left, 3),
+        ).info('not sent during a pause of the endpoint')
+
+    def log_all_paused(
+        self, admitted: serving.AdmittedRequest, seconds: float
+    ) -> None:
+        """Log that no endpoint can run a request before its time is over.
+
+        :param seconds: seconds until the first endpoint may be used again.
+        """
+        logger.bind(
+            request=admitted.call.id,
+            service=admitted.service.name,
+            retry_after=round(seconds, 3),
+        ).info('all endpoints are paused')
+
+    def log_draining(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+        status: int,
+    ) -> None:
+        """Log the first answer in which an endpoint says that it drains."""
+        service = attempt.endpoint.listing.service
+        self._drains.inc({'service': service})
+        logger.bind(
+            request=admitted.call.id,
+            endpoint=attempt.peer,
+            service=service,
+            status=status,
+            in_flight=attempt.endpoint.in_flight,
+        ).info('endpoint drains by its answer')
+
     def log_failed_by_endpoint(
         self,
         admitted: serving.AdmittedRequest,
--- a/clementinepass/observability/causes.py
+++ b/clementinepass/observability/causes.py
@@ -41,6 +41,7 @@
     OVERLOAD = 'overload'
     NO_ENDPOINT = 'no_endpoint'
     NO_WEIGHTS = 'no_weights'
+    ALL_PAUSED = 'all_paused'
     REJECTED = 'turned_away'
     MISDIRECTED = 'misdirected'
     UNREACHABLE = 'unreachable'
@@ -129,6 +130,10 @@
         'endpoints of service {service} were available, but none held complete '
         'weights of a version that may be used'
     ),
+    Cause.ALL_PAUSED: (
+        'each endpoint of service {service} that could run it was paused, as '
+        'it had turned requests away'
+    ),
     Cause.REJECTED: (
         'each endpoint that it was sent to answered that the request was not '
         'run'
@@ -174,13 +179,17 @@
 
     ACCEPTED_WHILE_DRAINING = 'taken while leaving'
     NO_FREE_SLOT = 'no endpoint has room'
+    UNUSABLE = 'not sent, as the endpoint became unusable'
     REJECTED = 'turned away by the endpoint'
+    NOT_SENT = 'not sent during a pause of the endpoint'
+    ALL_PAUSED = 'all endpoints are paused'
     MISDIRECTED = 'another endpoint or version answered'
     ATTEMPT_FAILED = 'attempt failed'
     FAILED_BY_ENDPOINT = 'failed by the endpoint'
     ENDPOINT_SILENT = 'endpoint silent'
     ENDPOINT_GOES_ON = 'endpoint goes on'
     SUPERSEDED = 'attempt superseded'
+    ENDPOINT_DRAINS = 'endpoint drains by its answer'
     NOT_RETRIED = 'not sending once more'
 
 
@@ -195,7 +204,17 @@
         'the best endpoint, {endpoint}, had {waiting} requests waiting for '
         '{slots} slots'
     ),
+    Finding.UNUSABLE: (
+        'endpoint {endpoint} stopped being available while a connection to it '
+        'was opened'
+    ),
     Finding.REJECTED: 'endpoint {endpoint} turned it away with {status}',
+    Finding.NOT_SENT: (
+        'endpoint {endpoint} was paused for {retry_after} s before it was sent'
+    ),
+    Finding.ALL_PAUSED: (
+        'the first endpoint could be used again after {retry_after} s'
+    ),
     Finding.MISDIRECTED: (
         'the process at the address of endpoint {endpoint} was another '
         'endpoint, or did not hold version {version}'
@@ -211,5 +230,9 @@
     Finding.SUPERSEDED: (
         'endpoint {answered_by} answered in the place of {endpoint}'
     ),
+    Finding.ENDPOINT_DRAINS: (
+        'endpoint {endpoint} said for the first time that it drains, in its '
+        'answer with {status}'
+    ),
     Finding.NOT_RETRIED: 'it was not sent again: {decision}',
 }
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -149,9 +149,9 @@
     ),
     'outcomes': Field(
         'list',
-        'the outcome of each attempt: turned_away, misdirected, failed, '
-        'silent, superseded (a silent endpoint went on), unfinished (aborted '
-        'or not sent), or the fault',
+        'the outcome of each attempt: turned_away, paused, misdirected, '
+        'unusable, failed, silent, superseded (a silent endpoint went on), '
+        'unfinished (aborted or not sent), or the fault',
     ),
     'partners': Field('list', 'fallback agents besides the sources'),
     'path': Field('str', 'the first 80 bytes of the requested path'),
@@ -170,8 +170,8 @@
         'str',
         'why the request ended: starting, malformed, unknown_route, '
         'unknown_key, overload, no_service, no_endpoint, no_weights, '
-        'turned_away, broken, endpoint_failed, deadline (of its caller), '
-        'route_time, slow_reader, leaving',
+        'all_paused, turned_away, broken, endpoint_failed, deadline (of its '
+        'caller), route_time, slow_reader, leaving',
     ),
     'refused': Field(
         'int',
@@ -182,6 +182,11 @@
     'resume_after': Field(
         'int or null', 'number of the last event that the caller received'
     ),
+    'retry_after': Field(
+        'float or null',
+        'seconds for which the endpoint asked for no requests of this machine, '
+        'null if it did not; or that are left of the pause',
+    ),
     'rounds': Field(
         'int',
         'number of rounds of requests for the manifest that failed before',
@@ -292,12 +297,22 @@
         'endpoint service draining version layers offset started',
         'the state that an endpoint reports in the list changed',
     ),
+    'endpoint drains by its answer': Kind(
+        'request endpoint service status in_flight',
+        'an answer of the endpoint is the first to say that it drains; it gets '
+        'no more requests until it restarts',
+    ),
     'endpoint dropped from the list': Kind(
         'endpoint used_for', 'no request is sent to it after that time'
     ),
     'engine holds weights': Kind(
         'endpoint version layers busy', 'layers is 0 while the engine loads'
     ),
+    'engine drains; it loads no more versions': Kind(
+        'version',
+        'the engine beside an agent drains; it is not ordered to load until it '
+        'restarts',
+    ),
     'link of an endpoint': Kind(
         'endpoint congested',
         'the link became congested, and requests avoid the endpoint where '
@@ -349,10 +364,23 @@
         'request service endpoint waiting slots',
         'the best endpoint, and how many requests would wait there',
     ),
+    'not sent, as the endpoint became unusable': Kind(
+        'request attempt endpoint draining',
+        'the endpoint was selected, and became unusable while a connection to '
+        'it was opened',
+    ),
     'turned away by the endpoint': Kind(
-        'request attempt endpoint status in_flight',
+        'request attempt endpoint status in_flight retry_after',
         'the endpoint did not run the request',
     ),
+    'not sent during a pause of the endpoint': Kind(
+        'request attempt endpoint retry_after',
+        'the endpoint was paused after it had been selected',
+    ),
+    'all endpoints are paused': Kind(
+        'request service retry_after',
+        'no endpoint is available before the time of the request is over',
+    ),
     'another endpoint or version answered': Kind(
         'request attempt endpoint answered_by version',
         'the request was not run',
--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -30,8 +30,12 @@
 
     #: Turned away before it runs.
     FULL = 'full'
+    #: Turned away before it runs, and asks for a time without requests.
+    PAUSE = 'pause'
     #: Turned away, as at an address that is another's now.
     ANOTHER = 'another'
+    #: Turned away, as the weights have another version.
+    OTHER_VERSION = 'other_version'
     #: Runs, and fails.
     ERROR = 'error'
     #: Runs, and the connection is reset before the answer.
@@ -73,6 +77,8 @@
     def __init__(self, endpoint_id: str, events: int = 3) -> None:
         self.id = endpoint_id
         self.events = events
+        #: The ``Retry-After`` of requests that are turned away with a pause.
+        self.retry_after = b'3'
         #: What each event has besides its number.
         self.filling = b''
         #: What goes wrong with the next requests, in order.
@@ -93,6 +99,8 @@
         #: What silent requests wait for.
         self.let_go = asyncio.Event()
         self.port = 0
+        #: Whether all answers say that the endpoint drains.
+        self.is_draining = False
         #: Milliseconds of Unix time of its start.
         self.born = 1
         #: Words of this start so far.
@@ -125,6 +133,7 @@
         Connections to the start before are cut; its counts begin anew.
         """
         await self._front.close()
+        self.is_draining = False
         self.born += 1
         self.heartbeat = 0
         self._front = front.Front(self._handle)
@@ -151,8 +160,14 @@
             pairs = [(b'X-Instance-Id', b'i-another')]
             reply.send(_MISDIRECTED, self._marked(request) + pairs, b'')
             return
-        if fault is Fault.FULL:
+        if fault is Fault.OTHER_VERSION:
+            pairs = [(b'X-Instance-Id', self.id.encode())]
+            reply.send(_MISDIRECTED, self._marked(request) + pairs, b'')
+            return
+        if fault in {Fault.FULL, Fault.PAUSE}:
             pairs = [(b'X-Not-Executed', b'1')]
+            if fault is Fault.PAUSE:
+                pairs.append((b'Retry-After', self.retry_after))
             reply.send(_UNAVAILABLE, self._marked(request) + pairs, b'')
             return
         self.ran.append(request)
@@ -249,4 +264,6 @@
             pairs.append((b'X-Server-Stamp', b'stamp-%b' % self.id.encode()))
         if fault is Fault.ENCODED:
             pairs.append((b'Content-Encoding', b'gzip'))
+        if self.is_draining:
+            pairs.append((b'Server-Leaving', b'1'))
         return pairs
--- a/tests/observability/test_causes.py
+++ b/tests/observability/test_causes.py
@@ -90,6 +90,18 @@
     return play
 
 
+def draining_endpoints(target: str, *faults: Fault) -> Play:
+    """Return a play whose endpoints say in their answers that they drain."""
+    fail = failing_endpoints(target, *faults)
+
+    async def play(world: World) -> None:
+        for endpoint in world.endpoints:
+            endpoint.is_draining = True
+        await fail(world)
+
+    return play
+
+
 async def answered(world: World) -> None:
     world.set_shared_faults(Fault.CUT)
     await send_ignoring_failure(world, '/stream/a')
@@ -216,6 +228,23 @@
     await send_ignoring_failure(world, '/stream/a', X_Token_Usage='900,100')
 
 
+async def all_paused(world: World) -> None:
+    world.set_shared_faults(Fault.PAUSE, Fault.PAUSE)
+    for endpoint in world.endpoints:
+        endpoint.retry_after = b'20'
+    await send_ignoring_failure(world, '/plain/a')
+
+
+async def drains_during_setup(world: World) -> None:
+    pending = asyncio.create_task(send_ignoring_failure(world, '/once/a'))
+    loop = asyncio.get_running_loop()
+    while not world.cluster.in_flight_by_endpoint(loop.time()):
+        await asyncio.sleep(0)
+    for endpoint in world.endpoints:
+        world.list_endpoint(endpoint, heartbeat=9, draining=True)
+    await pending
+
+
 async def unreachable(world: World) -> None:
     for endpoint in world.endpoints:
         await endpoint.__aexit__()
@@ -332,6 +361,7 @@
     (no_endpoint, Cause.NO_ENDPOINT, 'service pool'),
     (no_weights, Cause.NO_WEIGHTS, 'service pool'),
     (overload, Cause.OVERLOAD, 'for 16 slots'),
+    (all_paused, Cause.ALL_PAUSED, 'service pool'),
     (
         failing_endpoints('/once/a', Fault.FULL, Fault.FULL),
         Cause.REJECTED,
@@ -342,6 +372,16 @@
         Cause.MISDIRECTED,
         'was another',
     ),
+    (
+        draining_endpoints('/once/a', Fault.FULL, Fault.FULL),
+        Cause.REJECTED,
+        'said for the first time that it drains',
+    ),
+    (
+        drains_during_setup,
+        Cause.NO_ENDPOINT,
+        'stopped being available while a connection to it was opened',
+    ),
     (unreachable, Cause.UNREACHABLE, 'no connection'),
     (endpoint_connection_lost, Cause.ENDPOINT_CONNECTION_LOST, 'may_have_run'),
     (
