Rename what a second reading of the silent endpoints asked for

No change of behaviour: follows_announced_close, is_available of a budget, _start_next_attempt, and docstrings that tell waited from silent seconds.

--- a/clementinepass/decisions/next_try.py
+++ b/clementinepass/decisions/next_try.py
@@ -34,7 +34,7 @@
     NO_ENDPOINT = 'no_endpoint'
 
 
-#: Decisions that hold for as long as the open attempts do.
+#: Decisions that change only if an open attempt turns out not to have run.
 _RUN_LIMITS = frozenset(
     (RetryDecision.MAY_HAVE_RUN, RetryDecision.TOO_MANY_RUNS)
 )
--- a/clementinepass/decisions/silence.py
+++ b/clementinepass/decisions/silence.py
@@ -48,7 +48,7 @@
 
     :param waited_seconds: seconds since the endpoint last sent something, or
         was sent the request.
-    :param seconds_left: seconds until the final answer is due.
+    :param seconds_left: seconds from now until the final answer is due.
     """
 
     waited_seconds: float
@@ -61,8 +61,8 @@
         return expectation.max_event_gap + _EVENT_GAP_GRACE_SECONDS
     if expectation.is_stream:
         return expectation.latency_target + _FIRST_EVENT_GRACE_SECONDS
-    seconds_at_first = wait.waited_seconds + wait.seconds_left
-    return _PLAIN_ANSWER_TIME_SHARE * seconds_at_first
+    seconds_left_at_start = wait.waited_seconds + wait.seconds_left
+    return _PLAIN_ANSWER_TIME_SHARE * seconds_left_at_start
 
 
 def seconds_until_search(
--- a/clementinepass/decisions/window_budget.py
+++ b/clementinepass/decisions/window_budget.py
@@ -52,12 +52,12 @@
 
         :param entry_count: number of entries that share the surplus.
         """
-        is_available = self.has_retry(now, entry_count)
-        if is_available:
-            self._retries.append(now)
-        return is_available
+        if not self.is_available(now, entry_count):
+            return False
+        self._retries.append(now)
+        return True
 
-    def has_retry(self, now: float, entry_count: int) -> bool:
+    def is_available(self, now: float, entry_count: int) -> bool:
         """Tell whether a retry can be taken from the budget.
 
         :param entry_count: number of entries that share the surplus.
--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -411,11 +411,6 @@
 
         From its first whole event, or its whole plain answer, on, nothing of
         another attempt reaches the caller.
-
-        The start deadline applies to each attempt until its own first event,
-        even if the caller has events of an earlier attempt. Otherwise a stream
-        that is resumed after a crash of its engine may start on old weights
-        after their bound (see ``_start_deadline``).
         """
         attempt.mark_started()
         if attempt.is_silent:
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -179,8 +179,9 @@
                 self._refuse(call, reply, ending, _UNAUTHORIZED)
                 return None
         deadline = calls.deadline(call, route)
-        if call.request.is_beyond_end or not self._drain_state.accepts(
-            deadline
+        if (
+            call.request.follows_announced_close
+            or not self._drain_state.accepts(deadline)
         ):
             self._refuse_while_draining(call, reply)
             return None
@@ -290,23 +291,23 @@
         :returns: whether the request was answered.
         """
         loop = asyncio.get_running_loop()
-        search_at = loop.time()
+        next_search_at = loop.time()
         while admitted.open_attempts:
             seconds = self._seconds_until_search(admitted, loop.time())
-            seconds = max(seconds, search_at - loop.time())
+            seconds = max(seconds, next_search_at - loop.time())
             result = await admitted.next_result(seconds)
             if result is serving.AttemptResult.ANSWERED:
                 return True
             if result is not None:
                 # Endpoints that were not free may be free now.
-                search_at = loop.time()
+                next_search_at = loop.time()
             seconds = self._seconds_until_search(admitted, loop.time())
-            if seconds <= 0 and search_at <= loop.time():
-                await self._search(
+            if seconds <= 0 and next_search_at <= loop.time():
+                await self._start_next_attempt(
                     admitted,
                     is_withdrawn=result is serving.AttemptResult.NOT_SENT,
                 )
-                search_at = loop.time() + _SEARCH_INTERVAL_SECONDS
+                next_search_at = loop.time() + _SEARCH_INTERVAL_SECONDS
         return False
 
     def _seconds_until_search(
@@ -330,7 +331,7 @@
             may_run_again=next_try.may_run_again(_history(admitted, now)),
         )
 
-    async def _search(
+    async def _start_next_attempt(
         self,
         admitted: serving.AdmittedRequest,
         *,
@@ -389,7 +390,7 @@
         if decision is not next_try.RetryDecision.ALLOWED:
             return decision
         budget = self._retry_budget(admitted.service.name)
-        if not budget.has_retry(now, self._count_entries()):
+        if not budget.is_available(now, self._count_entries()):
             return next_try.RetryDecision.BUDGET_SPENT
         return decision
 
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -123,7 +123,7 @@
     WEIGHTS_TOO_OLD = 'too_old'
     #: The request ran and failed.
     FAILED = 'failed'
-    #: The attempt replaced one at a silent endpoint, which then went on.
+    #: Another attempt delivered first.
     SUPERSEDED = 'superseded'
     #: The attempt was aborted or not sent, and nothing is known against its
     #: endpoint.
@@ -175,7 +175,7 @@
     failure: AttemptFailure | None = None
 
     def take_result(self) -> AttemptResult | None:
-        """Return the result once the task is done; ``None`` if aborted."""
+        """Take the result of the finished task; ``None`` if it was aborted."""
         task = self.task
         self.task = None
         if task is None or task.cancelled():
@@ -183,14 +183,23 @@
         return task.result()
 
     def mark_started(self) -> None:
-        """Record that the endpoint answers, so that it may take its time."""
+        """Record that the endpoint answers, so that it may take its time.
+
+        The start deadline applies to each attempt until its own first event,
+        even if the caller has events of an earlier attempt. Otherwise a stream
+        that is resumed after a crash of its engine may start on old weights
+        after their bound.
+        """
         if self.start_timeout is not None:
             self.start_deadline = math.inf
             self.start_timeout.reschedule(None)
             self.start_timeout = None
 
     def silent_seconds(self, now: float) -> float:
-        """Return the seconds for which the endpoint has sent nothing."""
+        """Return the seconds for which the endpoint has sent nothing.
+
+        They are for log lines, and include the time of connecting.
+        """
         last_activity_at = self.started_at
         if self.connection is not None:
             last_activity_at = max(
@@ -204,7 +213,11 @@
         return self.silent_since is not None
 
     def waited_seconds(self, now: float) -> float:
-        """Return the seconds for which the attempt waits for the endpoint."""
+        """Return the seconds for which the attempt waits for the endpoint.
+
+        They decide whether the endpoint is silent, and are 0 while a connection
+        is being opened and while the caller does not read.
+        """
         return 0 if self.waiting_since is None else now - self.waiting_since
 
 
--- a/clementinepass/http/connection.py
+++ b/clementinepass/http/connection.py
@@ -76,7 +76,7 @@
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._keep_alive = True
-        self._is_end_announced = False
+        self._is_close_announced = False
         self._is_refused = False
         self._opened_at = self._loop.time()
         self._idle_since = self._opened_at
@@ -105,7 +105,7 @@
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._refuse(_BAD_REQUEST)
         if self._is_in_head:
-            # Other bytes belong to a request that was completed by them.
+            # The segment may also hold the end of the request before.
             is_all_head = self._request_count == completed_count
             self._head_bytes += (
                 len(payload) if is_all_head else self._parsed_head_bytes
@@ -203,7 +203,7 @@
             is_last=not self._parser.should_keep_alive(),
             connected_at=self._opened_at,
             number=self._request_count,
-            is_beyond_end=self._is_end_announced,
+            follows_announced_close=self._is_close_announced,
         )
         self._pending.append(request)
         self._serve_next()
@@ -232,7 +232,7 @@
         ends_here = self._front.is_draining and not self._pending
         if ends_here or not self._keep_alive:
             self._keep_alive = False
-            self._is_end_announced = True
+            self._is_close_announced = True
             pairs = [*pairs, (b'Connection', b'close')]
         self.write(messages.encode_head(status, pairs))
 
--- a/clementinepass/http/messages.py
+++ b/clementinepass/http/messages.py
@@ -101,7 +101,7 @@
         'body',
         'connected_at',
         'headers',
-        'is_beyond_end',
+        'follows_announced_close',
         'is_last',
         'method',
         'number',
@@ -120,7 +120,7 @@
         is_last: bool = False,
         connected_at: float = 0,
         number: int = 1,
-        is_beyond_end: bool = False,
+        follows_announced_close: bool = False,
     ) -> None:
         self.method = method
         #: Path and query, exactly as sent.
@@ -138,7 +138,7 @@
         #: Whether the end of the connection was announced before. The caller
         #: may take the request for not received and repeat it, so that it must
         #: not be run.
-        self.is_beyond_end = is_beyond_end
+        self.follows_announced_close = follows_announced_close
 
     @property
     def path(self) -> bytes:
--- a/tests/decisions/test_direct_decisions.py
+++ b/tests/decisions/test_direct_decisions.py
@@ -47,9 +47,9 @@
     def test_looking_takes_nothing(self) -> None:
         """A retry is available until it is taken, however often one looks."""
         budget = window_budget.WindowBudget(0, 2, 10)
-        self.assertTrue(all(budget.has_retry(0, 1) for _ in range(9)))
+        self.assertTrue(all(budget.is_available(0, 1) for _ in range(9)))
         self.assertTrue(budget.try_acquire(0, 1))
-        self.assertFalse(budget.has_retry(0, 1))
+        self.assertFalse(budget.is_available(0, 1))
         self.assertFalse(budget.try_acquire(0, 1))
 
 
--- a/tests/http/test_connection.py
+++ b/tests/http/test_connection.py
@@ -409,10 +409,10 @@
             answers = await reader.read()
             self.assertEqual(2, answers.count(b'HTTP/1.1 200'))
             self.assertTrue(answers.endswith(b'/b'), answers)
-            is_beyond_end = [
-                served.is_beyond_end for served in scripted.requests
+            follows_announced_close = [
+                served.follows_announced_close for served in scripted.requests
             ]
-            self.assertEqual([False, True, True], is_beyond_end)
+            self.assertEqual([False, True, True], follows_announced_close)
             writer.close()
 
         run(scenario)
