Log by what a broken-off request is recognised when it comes again

The line 'attempt failed' had the id of the request, which is another one at each repeat, so that it could not be seen whether endpoints ended under the same request. It has a fingerprint now. Nothing else changes.

--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -198,6 +198,7 @@
             silent=round(attempt.silent_seconds(_now()), 3),
             error=str(error),
             after_event=admitted.resume_after,
+            fingerprint=admitted.fingerprint,
         ).warning('attempt failed')
 
     def log_unusable(
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -10,7 +10,7 @@
 
 from clementinepass import errors
 from clementinepass.direct import events
-from clementinepass.requests import outcome
+from clementinepass.requests import identity, outcome
 
 if typing.TYPE_CHECKING:
     from clementinepass.direct import calls, endpoints, routing
@@ -20,6 +20,9 @@
 #: Default of ``Retry-After`` in seconds. An entry that is starting has its
 #: configuration by then.
 _RETRY_AFTER_SECONDS = 0.4
+#: Hexadecimal digits of a fingerprint that are used, as it is sent to others.
+#: Nobody can craft a request with the 128 bits of another one's fingerprint.
+_FINGERPRINT_DIGITS = 32
 
 
 class Ending(enum.Enum):
@@ -228,6 +231,7 @@
     """
 
     __slots__ = (
+        '_fingerprint',
         'attempts',
         'retry_decision',
         'resume_after',
@@ -279,6 +283,25 @@
         self.retry_after = _RETRY_AFTER_SECONDS
         #: Id of the last event that the caller has received.
         self.resume_after = call.resume_after
+        self._fingerprint = ''
+
+    @property
+    def fingerprint(self) -> str:
+        """Return what is the same when the caller sends the request again.
+
+        The id of the request is another one then, and a stream may be resumed
+        after another event.
+        """
+        if not self._fingerprint:
+            request = self.call.request
+            self._fingerprint = identity.fingerprint(
+                '' if self.team is None else self.team.name,
+                self.call.host.lower().decode('latin-1'),
+                request.method.decode('latin-1'),
+                request.target.decode('latin-1'),
+                request.body,
+            )[:_FINGERPRINT_DIGITS]
+        return self._fingerprint
 
     @property
     def ending_at_deadline(self) -> Ending:
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -105,6 +105,11 @@
         'endpoint), spoilt (malformed answer), loading (the engine loads '
         'weights) or too_old (its weights)',
     ),
+    'fingerprint': Field(
+        'str',
+        'digest of what is the same when the caller sends the request again: '
+        'team, host, method, path with query, and body',
+    ),
     'first': Field('float or null', 'seconds to the first part of the answer'),
     'from_agents': Field('int', 'bytes fetched from agents'),
     'from_origin': Field('int', 'bytes fetched from the origin'),
@@ -391,7 +396,7 @@
     ),
     'attempt failed': Kind(
         'request attempt endpoint engine execution fault silent error '
-        'after_event',
+        'after_event fingerprint',
         'there is no complete answer',
     ),
     'failed by the endpoint': Kind(
