--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -40,6 +40,11 @@
     ERROR = 'error'
     #: Runs, and the connection is reset before the answer.
     LOST = 'lost'
+    #: Runs, and crashes the process: all connections are reset, and new ones
+    #: are refused.
+    CRASH = 'crash'
+    #: Sends an event, and crashes the process.
+    CRASH_MIDWAY = 'crash_midway'
     #: Runs, and the stream is cut in the middle of an event.
     CUT = 'cut'
     #: Runs, and nothing comes.
@@ -85,6 +90,8 @@
         self.faults: list[Fault] = []
         #: What goes wrong with a request by its id, one attempt after another.
         self.faults_by_request: dict[str, list[Fault]] = {}
+        #: What goes wrong with each request by its body.
+        self.faults_by_body: dict[bytes, Fault] = {}
         #: Ids of requests with what went wrong with them here.
         self.met: list[tuple[str, Fault]] = []
         #: Requests that ran.
@@ -98,6 +105,9 @@
         self.going.set()
         #: What silent requests wait for.
         self.let_go = asyncio.Event()
+        #: Set when the process has crashed.
+        self.crashed = asyncio.Event()
+        self._crashing: asyncio.Task[None] | None = None
         self.port = 0
         #: Whether all answers say that the endpoint drains.
         self.is_draining = False
@@ -127,6 +137,11 @@
             'born': self.born,
         }
 
+    async def crash(self) -> None:
+        """End without a word; nobody listens at the address any more."""
+        self.crashed.set()
+        await self._front.close()
+
     async def restart(self) -> None:
         """Crash and start again under the same id and address.
 
@@ -179,6 +194,9 @@
 
     def _fault(self, request: messages.Request) -> Fault | None:
         name = (request.headers.get(b'x-attempt-id') or b'').decode()
+        lasting_fault = self.faults_by_body.get(request.body)
+        if lasting_fault is not None:
+            return lasting_fault
         faults = self.faults_by_request.get(name) or self.faults
         if not faults:
             return None
@@ -194,6 +212,8 @@
     ) -> None:
         if fault is Fault.LOST:
             reply.abort()
+        elif fault is Fault.CRASH:
+            await self._crash_by_request()
         elif fault is Fault.MUTE:
             await asyncio.Event().wait()
         elif fault is Fault.ERROR:
@@ -201,6 +221,11 @@
         else:
             await self._succeed(request, reply, fault)
 
+    async def _crash_by_request(self) -> None:
+        # The request's own task is cancelled with its connection.
+        self._crashing = asyncio.create_task(self.crash())
+        await asyncio.Event().wait()
+
     async def _succeed(
         self,
         request: messages.Request,
@@ -252,6 +277,9 @@
                 reply.abort()
                 return
             reply.write(event)
+            if fault is Fault.CRASH_MIDWAY:
+                await asyncio.sleep(0.01)
+                await self._crash_by_request()
         reply.end()
 
     def _marked(
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -252,6 +252,13 @@
             return 'a'
         return 'abcdef'[self.entry_ips.index(ip) % self._regions]
 
+    def add_entry(self) -> entry.Entry:
+        """Start one more entry."""
+        ip = f'127.1.0.{len(self.entry_ips) + 1}'
+        self.entry_ips.append(ip)
+        self._start_entry(ip)
+        return self.entries[-1]
+
     def _start_entry(self, ip: str) -> None:
         ports = [free_port([ip]) for _ in range(2)]
         own = self._node(
