Let a quarantine need more than two crashes, and exchange ages

What a crash is can be less certain than where an agent names each one. The number of crashes that convict and the tolerance of their times are parameters now; the path by way of agents keeps both as they were. Crashes that convict are kept longest, so that a mass outage does not set free what is quarantined (test_many_other_crashes). The tests of two crashes are unchanged.

--- a/clementinepass/requests/quarantine.py
+++ b/clementinepass/requests/quarantine.py
@@ -1,22 +1,24 @@
-"""Find the request that kills the endpoints that run it, and bar it.
+"""Find the request that crashes the endpoints that run it, and bar it.
 
 Evidence is a set of crashes, each with the fingerprints that were in flight
-at the endpoint.  A fingerprint is convicted by two crashes that have it, and
-nothing else, in common.  Three guards keep innocent requests out:
+at the endpoint.  A fingerprint is convicted by two crashes, or by more if it
+is less certain what a crash is, that have it, and nothing else, in common.
+Three guards keep innocent requests out:
 
 - A suspect, one seen in a crash, runs at an endpoint where no other suspect
   is in flight, so two suspects of one crash don't meet in the next.
 - A fingerprint that was answered after the crash is cleared of it: a request
-  that kills endpoints is never answered.
-- It counts as in common only if it was dispatched to the second endpoint
-  after the first had died, as a repeat is.  When half the endpoints are lost
+  that crashes endpoints is never answered.
+- It counts as in common only if it was dispatched to the next endpoint
+  after the one before had died, as a repeat is.  When half the endpoints are lost
   at once, a popular request was in flight at many of them, and none of those
   dispatches came after a death.
 
 Evidence only grows until it expires, and two parts of it merge in any order
-to the same whole, so entries exchange it as it comes.  Times are Unix
-seconds, since they pass between processes: clocks that differ shift the end
-of a quarantine by their difference and do no other harm.
+to the same whole, so entries exchange it as it comes.  Where times pass
+between processes as Unix seconds, clocks that differ shift the end of a
+quarantine by their difference and do no other harm.  Where they pass as ages,
+each process uses its monotonic clock.
 """
 
 from __future__ import annotations
@@ -39,9 +41,14 @@
 DEFAULT_MAX_CRASHES = 64
 
 
+#: Crashes that convict a fingerprint.
+DEFAULT_MIN_CRASHES = 2
 #: Seconds by which the clocks of two entries may differ before a repeat is
-#: no longer recognised as one; the killer then takes one endpoint more.
+#: no longer recognised as one; it then crashes one endpoint more.
 CLOCK_TOLERANCE = 0.5
+#: Latest crashes of a fingerprint that are compared with one another, which
+#: bounds the number of their combinations.
+_MAX_COMPARED = 8
 
 
 class Suspect(msgspec.Struct, frozen=True):
@@ -79,6 +86,28 @@
         """Tell whether there is anything in it."""
         return bool(self.crashes or self.clearances)
 
+    def relative_to(self, now: float) -> typing.Self:
+        """Return the digest with ages in place of times, or the reverse.
+
+        Ages let processes with different clocks exchange evidence.
+
+        :param now: the present time of the local clock.
+        """
+        return type(self)(
+            tuple(
+                Crash(
+                    crash.id,
+                    now - crash.at,
+                    tuple(
+                        Suspect(suspect.fingerprint, now - suspect.started)
+                        for suspect in crash.suspects
+                    ),
+                )
+                for crash in self.crashes
+            ),
+            self.clearances,
+        )
+
     def encode(self) -> bytes:
         """Return the digest as the payload of a record."""
         return msgspec.json.encode(self)
@@ -110,6 +139,21 @@
     retry_after: float = 0
 
 
+class CrashHistory(typing.NamedTuple):
+    """The crashes that a fingerprint has met and no answer has disproved.
+
+    :param repeated: the number of crashes one after the other, with the
+        request sent again after each.
+    :param last_at: when the last one happened; minus infinity for none.
+    :param was_quarantined: whether the fingerprint is or was quarantined for
+        them.
+    """
+
+    repeated: int
+    last_at: float
+    was_quarantined: bool
+
+
 @dataclasses.dataclass(slots=True)
 class _Case:
     """One crash with those still under suspicion of it."""
@@ -138,14 +182,15 @@
         self.cleared.add(fingerprint)
         self.started_by_suspect.pop(fingerprint, None)
 
-    def repeated_in(self, later: _Case) -> tuple[str, ...]:
-        """Return the suspects that were sent again and met a later crash."""
-        return tuple(
-            fingerprint
-            for fingerprint in self.started_by_suspect
-            if fingerprint in later.started_by_suspect
-            and later.started_by_suspect[fingerprint]
-            >= self.at - CLOCK_TOLERANCE
+    def is_repeated_in(
+        self, fingerprint: str, later: _Case, tolerance: float
+    ) -> bool:
+        """Tell whether a suspect was sent again and met a later crash."""
+        started = later.started_by_suspect.get(fingerprint)
+        return (
+            fingerprint in self.started_by_suspect
+            and started is not None
+            and started >= self.at - tolerance
         )
 
 
@@ -155,13 +200,18 @@
     :param lifetime: seconds for which a convicted fingerprint is refused.
     :param memory: seconds for which a crash is kept.
     :param max_crashes: crashes kept at most.
+    :param min_crashes: crashes in a row that convict a fingerprint.
+    :param tolerance: seconds by which the times of two crashes may be wrong.
     """
 
     __slots__ = (
         '_cases_by_crash',
+        '_cases_by_fingerprint',
         '_lifetime',
         '_max_crashes',
         '_memory',
+        '_min_crashes',
+        '_tolerance',
         '_pending_clearances',
         '_pending_crashes',
         '_until_by_fingerprint',
@@ -172,11 +222,17 @@
         lifetime: float = DEFAULT_LIFETIME,
         memory: float = DEFAULT_MEMORY,
         max_crashes: int = DEFAULT_MAX_CRASHES,
+        min_crashes: int = DEFAULT_MIN_CRASHES,
+        tolerance: float = CLOCK_TOLERANCE,
     ) -> None:
         self._lifetime = lifetime
         self._memory = memory
         self._max_crashes = max_crashes
+        self._min_crashes = min_crashes
+        self._tolerance = tolerance
         self._cases_by_crash: dict[str, _Case] = {}
+        #: The crashes that each fingerprint is suspected of, by time.
+        self._cases_by_fingerprint: dict[str, list[_Case]] = {}
         self._until_by_fingerprint: dict[str, float] = {}
         self._pending_crashes: list[Crash] = []
         self._pending_clearances: list[Clearance] = []
@@ -235,8 +291,29 @@
         for clearance in digest.clearances:
             self._clear(clearance, now)
         self._forget(now)
+        self._index()
         self._convict()
 
+    def unknown_part(self, digest: Digest) -> Digest:
+        """Return the part of some evidence that is not known here."""
+        return Digest(
+            tuple(
+                Crash(crash.id, crash.at, suspects)
+                for crash in digest.crashes
+                if (suspects := tuple(self._unknown_suspects(crash)))
+            ),
+            tuple(
+                clearance
+                for clearance in digest.clearances
+                if any(
+                    crash_id not in self._cases_by_crash
+                    or clearance.fingerprint
+                    not in self._cases_by_crash[crash_id].cleared
+                    for crash_id in clearance.crashes
+                )
+            ),
+        )
+
     def judge(self, fingerprint: str, now: float) -> Judgement:
         """Tell how a fingerprint stands."""
         until = self._until_by_fingerprint.get(fingerprint, now)
@@ -248,6 +325,52 @@
                 return Judgement(Standing.SUSPECT)
         return Judgement(Standing.FREE)
 
+    def history(self, fingerprint: str, now: float) -> CrashHistory:
+        """Return the crashes that a fingerprint has met."""
+        oldest = now - self._memory
+        cases = [
+            case
+            for case in self._cases_by_fingerprint.get(fingerprint, ())
+            if case.at >= oldest
+        ]
+        return CrashHistory(
+            self._count_repeated(fingerprint, cases),
+            cases[-1].at if cases else float('-inf'),
+            fingerprint in self._until_by_fingerprint,
+        )
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether there is no evidence at all."""
+        return not self._cases_by_crash
+
+    def repeated(self, min_crashes: int, now: float) -> Digest:
+        """Return the evidence on fingerprints with some crashes in a row.
+
+        Entries that start later need no other: what an answer may still clear
+        is left out, and so are most of those that were there by chance.
+
+        :param min_crashes: crashes in a row that a fingerprint has met.
+        """
+        chosen = {
+            fingerprint
+            for fingerprint in self._cases_by_fingerprint
+            if self.history(fingerprint, now).repeated >= min_crashes
+        }
+        crashes = (
+            Crash(
+                crash_id,
+                case.at,
+                tuple(
+                    Suspect(fingerprint, started)
+                    for fingerprint, started in case.started_by_suspect.items()
+                    if fingerprint in chosen
+                ),
+            )
+            for crash_id, case in self._cases_by_crash.items()
+        )
+        return Digest(tuple(crash for crash in crashes if crash.suspects))
+
     def quarantined(self, now: float) -> dict[str, float]:
         """Return the seconds left by quarantined fingerprint."""
         return {
@@ -256,6 +379,18 @@
             if until > now
         }
 
+    def _unknown_suspects(self, crash: Crash) -> typing.Iterator[Suspect]:
+        case = self._cases_by_crash.get(crash.id, _Case(crash.at))
+        for suspect in crash.suspects:
+            known = case.started_by_suspect.get(
+                suspect.fingerprint, float('-inf')
+            )
+            if (
+                suspect.fingerprint not in case.cleared
+                and suspect.started > known + self._tolerance
+            ):
+                yield suspect
+
     def _add(self, crash: Crash, now: float) -> None:
         # A clock ahead of ours must not make evidence last longer.
         at = min(crash.at, now)
@@ -279,10 +414,15 @@
             case.clear(clearance.fingerprint)
 
     def _forget(self, now: float) -> None:
+        """Drop what is too old, and what is too much.
+
+        Crashes that convict are kept longest: many endpoints that end for
+        other reasons must not set free what is quarantined.
+        """
         oldest = now - self._memory
         by_age = sorted(
             self._cases_by_crash.items(),
-            key=_age_order,
+            key=self._retention_order,
             reverse=True,
         )
         self._cases_by_crash = {
@@ -291,23 +431,74 @@
             if case.at >= oldest
         }
 
+    def _retention_order(
+        self, item: tuple[str, _Case]
+    ) -> tuple[bool, float, str]:
+        crash_id, case = item
+        convicts = not self._until_by_fingerprint.keys().isdisjoint(
+            case.started_by_suspect
+        )
+        return convicts, case.at, crash_id
+
+    def _index(self) -> None:
+        """Sort the crashes by the fingerprints that are suspected of them."""
+        self._cases_by_fingerprint = {}
+        for case in sorted(self._cases_by_crash.values(), key=_time_order):
+            for fingerprint in case.started_by_suspect:
+                self._cases_by_fingerprint.setdefault(fingerprint, []).append(
+                    case
+                )
+
     def _convict(self) -> None:
-        """Work out anew who is convicted, and until when.
+        """Work out anew who is convicted, and until when."""
+        self._until_by_fingerprint = {}
+        for fingerprint, cases in self._cases_by_fingerprint.items():
+            for chain in itertools.combinations(
+                cases[-_MAX_COMPARED:], self._min_crashes
+            ):
+                if self._is_only_repeated(fingerprint, chain):
+                    until = chain[-1].at + self._lifetime
+                    known = self._until_by_fingerprint.get(fingerprint, until)
+                    self._until_by_fingerprint[fingerprint] = max(until, known)
+
+    def _is_only_repeated(
+        self, fingerprint: str, chain: tuple[_Case, ...]
+    ) -> bool:
+        """Tell whether one suspect alone was sent again from crash to crash.
 
-        Pairs with several suspects in common convict nobody: each of them
+        Crashes with several suspects in common convict nobody: each of them
         runs on, apart from the others, until it is answered or alone.  The
-        harm weighed: one more endpoint for a killer in that rare case,
+        harm weighed: one more endpoint that crashes in that rare case,
         against innocent requests refused for the whole lifetime.
         """
-        self._until_by_fingerprint = {}
-        by_age = sorted(self._cases_by_crash.values(), key=_time_order)
-        for first, second in itertools.combinations(by_age, 2):
-            repeated = first.repeated_in(second)
-            if len(repeated) == 1:
-                convicted = repeated[0]
-                until = second.at + self._lifetime
-                known = self._until_by_fingerprint.get(convicted, until)
-                self._until_by_fingerprint[convicted] = max(until, known)
+        if not self._is_repeated(fingerprint, chain):
+            return False
+        return not any(
+            other != fingerprint and self._is_repeated(other, chain)
+            for other in chain[0].started_by_suspect
+        )
+
+    def _is_repeated(self, fingerprint: str, chain: tuple[_Case, ...]) -> bool:
+        return all(
+            case.is_repeated_in(fingerprint, later, self._tolerance)
+            for case, later in itertools.pairwise(chain)
+        )
+
+    def _count_repeated(self, fingerprint: str, cases: list[_Case]) -> int:
+        """Return the length of the longest chain of crashes.
+
+        Of the crashes that end after a repeat has begun, the earliest leaves
+        most time for others.
+        """
+        count = 0
+        last: _Case | None = None
+        for case in cases:
+            if last is None or last.is_repeated_in(
+                fingerprint, case, self._tolerance
+            ):
+                last = case
+                count += 1
+        return count
 
 
 class InFlight:
@@ -364,10 +555,5 @@
         )
 
 
-def _age_order(item: tuple[str, _Case]) -> tuple[float, str]:
-    crash_id, case = item
-    return case.at, crash_id
-
-
 def _time_order(case: _Case) -> float:
     return case.at
--- a/tests/requests/test_quarantine.py
+++ b/tests/requests/test_quarantine.py
@@ -168,6 +168,80 @@
         self.assertEqual(judgements[0], judgements[2])
 
 
+class MoreCrashesTest(testtools.TestCase):
+    """A quarantine that needs three crashes in a row."""
+
+    def make(self) -> quarantine.Quarantine:
+        """Return a quarantine with exact times."""
+        return quarantine.Quarantine(
+            lifetime=600, min_crashes=3, tolerance=0.02
+        )
+
+    def test_third_crash(self) -> None:
+        """Two crashes in a row do not convict, three do."""
+        judge = self.make()
+        for number in range(2):
+            _died(judge, str(number), 'Ka', started=number, now=number + 0.5)
+        self.assertEqual(SUSPECT, judge.judge('K', 2).standing)
+        self.assertEqual(2, judge.history('K', 2).repeated)
+        _died(judge, '2', 'Kb', started=2, now=2.5)
+        self.assertEqual(QUARANTINED, judge.judge('K', 3).standing)
+        self.assertEqual(SUSPECT, judge.judge('a', 3).standing)
+
+    def test_always_beside_another(self) -> None:
+        """Of two that met three crashes together none is convicted."""
+        judge = self.make()
+        for number in range(3):
+            _died(judge, str(number), 'Ka', started=number, now=number + 0.5)
+        for fingerprint in 'Ka':
+            self.assertEqual(SUSPECT, judge.judge(fingerprint, 3).standing)
+        _died(judge, '3', 'K', started=3, now=3.5)
+        self.assertEqual(QUARANTINED, judge.judge('K', 4).standing)
+        self.assertEqual(SUSPECT, judge.judge('a', 4).standing)
+
+    def test_crashes_at_once(self) -> None:
+        """Crashes of one moment count as one, however many they are."""
+        judge = self.make()
+        for number in range(9):
+            _died(judge, str(number), 's', started=1, now=1.5 + number / 100)
+        self.assertEqual(1, judge.history('s', 2).repeated)
+
+    def test_many_other_crashes(self) -> None:
+        """A mass outage does not set free what is quarantined."""
+        judge = quarantine.Quarantine(max_crashes=8)
+        for number in range(2):
+            _died(judge, str(number), 'K', started=number, now=number + 0.5)
+        for number in range(2, 40):
+            _died(judge, str(number), chr(200 + number), started=2, now=number)
+        self.assertEqual(QUARANTINED, judge.judge('K', 40).standing)
+
+    def test_unknown_part(self) -> None:
+        """Known evidence is found unknown neither again nor once cleared."""
+        judge, other = self.make(), self.make()
+        _died(other, 'one', 'Ka', started=0, now=1)
+        digest = other.take_digest()
+        self.assertEqual(digest, judge.unknown_part(digest))
+        judge.merge(digest, 1)
+        self.assertFalse(judge.unknown_part(digest))
+        judge.answered('a', started=2, now=3)
+        clearances = judge.take_digest()
+        self.assertFalse(judge.unknown_part(digest))
+        self.assertTrue(other.unknown_part(clearances))
+
+    def test_relative_times(self) -> None:
+        """Evidence passes between clocks that differ."""
+        judge, other = self.make(), self.make()
+        for number in range(3):
+            _died(other, str(number), 'K', started=number, now=number + 0.5)
+        ages = other.take_digest().relative_to(10)
+        judge.merge(ages.relative_to(5000), 5000)
+        self.assertEqual(QUARANTINED, judge.judge('K', 5000).standing)
+        self.assertAlmostEqual(
+            other.judge('K', 10).retry_after,
+            judge.judge('K', 5000).retry_after,
+        )
+
+
 class PlacingTest(testtools.TestCase):
     """Suspects don't meet at one endpoint."""
 
