--- a/clementinepass/decisions/subsetting.py
+++ b/clementinepass/decisions/subsetting.py
@@ -15,7 +15,8 @@
 from __future__ import annotations
 
 import typing
-import zlib
+
+from clementinepass.decisions import rendezvous
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterable
@@ -55,8 +56,10 @@
     :param other_domains: addresses of the engines in other failure domains.
     :returns: addresses, those of the same failure domain first.
     """
-    chosen = _top_ranked(entry_ip, same_domain, _MAX_SAME_DOMAIN_ENGINES)
-    return chosen + _top_ranked(
+    chosen = rendezvous.top_ranked(
+        entry_ip, same_domain, _MAX_SAME_DOMAIN_ENGINES
+    )
+    return chosen + rendezvous.top_ranked(
         entry_ip,
         other_domains,
         max(_OTHER_DOMAIN_ENGINES, _MIN_ENGINES - len(chosen)),
@@ -70,12 +73,3 @@
     """
     seconds = subscribers / _REPORTS_PER_SECOND
     return min(max(seconds, _MIN_INTERVAL_SECONDS), _MAX_INTERVAL_SECONDS)
-
-
-def _top_ranked(
-    entry_ip: str, addresses: Iterable[str], limit: int
-) -> list[str]:
-    return sorted(
-        addresses,
-        key=lambda address: zlib.crc32(f'{entry_ip} {address}'.encode()),
-    )[:limit]
