--- a/clementinepass/requests/quarantine.py
+++ b/clementinepass/requests/quarantine.py
@@ -10,9 +10,9 @@
 - A fingerprint that was answered after the crash is cleared of it: a request
   that crashes endpoints is never answered.
 - It counts as in common only if it was dispatched to the next endpoint
-  after the one before had died, as a repeat is.  When half the endpoints are lost
-  at once, a popular request was in flight at many of them, and none of those
-  dispatches came after a death.
+  after the one before had died, as a repeat is.  When half the endpoints are
+  lost at once, a popular request was in flight at many of them, and none of
+  those dispatches came after a death.
 
 Evidence only grows until it expires, and two parts of it merge in any order
 to the same whole, so entries exchange it as it comes.  Where times pass
