Quarantine requests that crash the endpoints that run them, at all entries

Callers of a service of three endpoints got 502 or 503 for seconds, again and again: the same request of one caller came back every few seconds and crashed each endpoint that ran it, fifteen in 52 s.

Cause: an entry kept nothing of a request after its end. The runs of a request are counted by its id, and the next one has a new id.

An attempt whose connection ends is followed by one connection to the address of the endpoint: if it is refused, or the record of that start is removed within five seconds, the endpoint has crashed under the request. The crash goes to all entries in heartbeats, at once and for three seconds, and in full heartbeats once a request has met two in a row. After three in a row, with no answer in between, the request is refused with 503 for 600 s; then a single entry tries it. An answer at any entry clears it. After two in a row the entry does not send it once more by itself, nor to the last endpoint of its service.

--- a/clementinepass/decisions/next_try.py
+++ b/clementinepass/decisions/next_try.py
@@ -30,6 +30,8 @@
     NO_TIME = 'no_time'
     #: The retry budget of the service is spent.
     BUDGET_SPENT = 'budget_spent'
+    #: Endpoints have crashed under the request, one after the other.
+    CRASHED_ENDPOINTS = 'crashed_endpoints'
     #: No other endpoint can take the request.
     NO_ENDPOINT = 'no_endpoint'
 
--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -11,7 +11,13 @@
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.direct import calls, events, serving, uptime
+from clementinepass.direct import (
+    calls,
+    crash_detection,
+    events,
+    serving,
+    uptime,
+)
 from clementinepass.http import channel, pool
 
 if typing.TYPE_CHECKING:
@@ -59,6 +65,7 @@
         '_dialect',
         '_pools_by_id',
         '_log',
+        'crash_detector',
     )
 
     def __init__(
@@ -70,6 +77,8 @@
         self._cluster = cluster
         self._dialect = dialect
         self._log = log
+        #: Finds out whether endpoints have crashed under requests.
+        self.crash_detector = crash_detection.CrashDetector(cluster, log)
         self._pools_by_id: dict[str, _EndpointPool] = {}
         #: Services that have answered a request since the process started.
         self._answered_services: set[str] = set()
@@ -86,6 +95,9 @@
         """
         attempt = admitted.add_attempt(endpoint)
         self._log.log_sending(admitted, endpoint)
+        evidence = self._cluster.crash_evidence
+        if not evidence.is_empty:
+            evidence.record_attempt(admitted.fingerprint, attempt.started_at)
         endpoint.start_request(attempt.started_at)
         attempt.task = asyncio.create_task(self._send(admitted, attempt))
         attempt.task.add_done_callback(
@@ -133,9 +145,23 @@
         self._record_result(admitted, attempt, result)
         if result is serving.AttemptResult.ANSWERED:
             self._log.log_answered(admitted, attempt)
+            self._clear_of_crashes(admitted, attempt)
             self._log_first_answer(admitted.service.name)
         return result
 
+    def _clear_of_crashes(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+    ) -> None:
+        evidence = self._cluster.crash_evidence
+        if not evidence.is_empty:
+            evidence.record_answer(
+                admitted.fingerprint,
+                attempt.started_at,
+                asyncio.get_running_loop().time(),
+            )
+
     def _finish(
         self,
         admitted: serving.AdmittedRequest,
@@ -203,6 +229,7 @@
             attempt.failed(errors.Execution.MAY_HAVE_RUN)
             self._log.log_attempt_failed(admitted, attempt, error)
             connection.abort()
+            await self.crash_detector.examine(admitted, attempt)
             return serving.AttemptResult.BROKEN
         except BaseException:
             # The caller has disconnected, the deadline has passed or another
--- a/clementinepass/direct/cluster_state.py
+++ b/clementinepass/direct/cluster_state.py
@@ -9,7 +9,12 @@
 from loguru import logger
 
 from clementinepass.decisions import desired_versions, ejection, incarnations
-from clementinepass.direct import endpoint_loads, endpoints, heartbeats
+from clementinepass.direct import (
+    crash_evidence,
+    endpoint_loads,
+    endpoints,
+    heartbeats,
+)
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -42,6 +47,7 @@
         '_clock',
         '_desired_by_model',
         '_local_node',
+        'crash_evidence',
         'ejector',
         'on_desired_version',
         'endpoints',
@@ -68,6 +74,7 @@
         self.endpoints = endpoints.Endpoints()
         self.loads = endpoint_loads.EndpointLoads()
         self.ejector = ejection.Ejector()
+        self.crash_evidence = crash_evidence.CrashEvidence(local_node.ip)
         self._desired_by_model: dict[str, desired_versions.DesiredVersions] = {}
 
     def apply_configuration(self, newer: routing.Routing) -> bool:
--- /dev/null
+++ b/clementinepass/direct/crash_detection.py
@@ -0,0 +1,130 @@
+"""Find out whether an endpoint has crashed under a request.
+
+A connection that ends while a request runs there is no proof: links reset
+connections, and endpoints close them for other reasons. The process is gone if
+its address refuses connections. If nothing refuses them, as the machine is gone
+too or something else listens there already, its record tells later.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from clementinepass.direct import serving
+from clementinepass.http import channel
+
+if typing.TYPE_CHECKING:
+    from clementinepass.direct import cluster_state, endpoints, request_log
+
+#: Seconds within which an address refuses a connection. A retry of the request
+#: waits for it, usually for one round trip.
+_PROBE_SECONDS = 0.1
+#: Seconds after a broken attempt within which the record of an endpoint that
+#: has crashed is removed, if the store is available.
+_REMOVAL_SECONDS = 5.0
+_BROKEN_CONNECTION = frozenset(
+    (
+        serving.AttemptFailure.CONNECTION_LOST,
+        serving.AttemptFailure.CONNECTION_CLOSED,
+    ),
+)
+
+
+class _BrokenAttempt(typing.NamedTuple):
+    """An attempt whose endpoint may have crashed."""
+
+    admitted: serving.AdmittedRequest
+    attempt: serving.Attempt
+    broken_at: float
+
+
+class CrashDetector:
+    """Report crashes under requests to the evidence of the cluster."""
+
+    __slots__ = ('_cluster', '_log', '_probes_by_endpoint', '_undecided')
+
+    def __init__(
+        self,
+        cluster: cluster_state.ClusterState,
+        log: request_log.RequestLog,
+    ) -> None:
+        self._cluster = cluster
+        self._log = log
+        #: Probes in progress, each shared by all attempts that broke.
+        self._probes_by_endpoint: dict[
+            endpoints.Endpoint, asyncio.Task[bool]
+        ] = {}
+        self._undecided: list[_BrokenAttempt] = []
+
+    async def examine(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+    ) -> None:
+        """Find out whether the endpoint of a broken attempt has crashed.
+
+        Endpoints that drain, or whose records were removed before, end as
+        planned.
+        """
+        endpoint = attempt.endpoint
+        if attempt.failure not in _BROKEN_CONNECTION:
+            return
+        if endpoint.listing.draining or endpoint.removed_at is not None:
+            return
+        broken = _BrokenAttempt(
+            admitted, attempt, asyncio.get_running_loop().time()
+        )
+        if await self._is_refused(endpoint):
+            self._record(broken)
+        else:
+            self._undecided.append(broken)
+
+    def check_removals(self, now: float) -> None:
+        """Decide on attempts by what the list says of their endpoints since."""
+        undecided = self._undecided
+        self._undecided = []
+        for broken in undecided:
+            if self._is_removed(broken.attempt.endpoint):
+                self._record(broken)
+            elif now - broken.broken_at < _REMOVAL_SECONDS:
+                self._undecided.append(broken)
+
+    async def _is_refused(self, endpoint: endpoints.Endpoint) -> bool:
+        probe = self._probes_by_endpoint.get(endpoint)
+        if probe is None:
+            probe = asyncio.create_task(_refuses(endpoint.listing.address))
+            self._probes_by_endpoint[endpoint] = probe
+            probe.add_done_callback(
+                lambda _: self._probes_by_endpoint.pop(endpoint, None)
+            )
+        return await asyncio.shield(probe)
+
+    def _is_removed(self, endpoint: endpoints.Endpoint) -> bool:
+        """Tell whether a start of an endpoint is known to be over."""
+        is_replaced = endpoint.replaced_by is not None
+        is_known = self._cluster.endpoints.get(endpoint.listing.id) is endpoint
+        return is_replaced or not is_known or endpoint.removed_at is not None
+
+    def _record(self, broken: _BrokenAttempt) -> None:
+        listing = broken.attempt.endpoint.listing
+        history = self._cluster.crash_evidence.record_crash(
+            f'{listing.id}/{listing.started_ms}',
+            broken.admitted.fingerprint,
+            broken.attempt.started_at,
+            broken.broken_at,
+        )
+        self._log.log_crash(broken.admitted, broken.attempt, history.repeated)
+
+
+async def _refuses(address: str) -> bool:
+    """Tell whether nobody listens at an address."""
+    host, _, port = address.rpartition(':')
+    try:
+        connection = await channel.Channel.connect(
+            host, int(port), _PROBE_SECONDS
+        )
+    except channel.ChannelBrokenError as error:
+        return error.is_refused
+    connection.abort()
+    return False
--- /dev/null
+++ b/clementinepass/direct/crash_evidence.py
@@ -0,0 +1,228 @@
+"""What an entry knows of requests that crash the endpoints that run them.
+
+The repeats of a request come to any entry, so that each sees a part of the
+crashes only. Heartbeats carry new evidence to all of them, without the store,
+and full heartbeats carry older evidence to entries that start later. Times are
+sent as ages, as the clocks of machines differ.
+"""
+
+from __future__ import annotations
+
+import typing
+
+from loguru import logger
+
+from clementinepass.decisions import rendezvous
+from clementinepass.requests import quarantine
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+#: Crashes in a row by which a request is quarantined. Under two, requests have
+#: been that were there by chance.
+_MIN_CRASHES = 3
+#: Crashes in a row from which a request is not sent once more by the entry, and
+#: from which full heartbeats report it.
+_MIN_SUSPICIOUS_CRASHES = 2
+#: Seconds by which the times of two crashes may be wrong, mostly the time that
+#: a heartbeat takes.
+_TOLERANCE_SECONDS = 0.02
+#: Seconds for which new evidence is in each heartbeat, as some are lost.
+_FRESH_SECONDS = 3.0
+#: Maximum number of new findings in a heartbeat, which is a datagram.
+_MAX_FRESH = 48
+#: Seconds after which a request whose quarantine has ended may be tried again
+#: if it is neither answered nor crashes an endpoint.
+_TRIAL_SECONDS = 10.0
+#: Seconds after which a caller may come back that met the end of a quarantine
+#: at an entry that runs no trial.
+_TRIAL_RETRY_SECONDS = 2.0
+#: Seconds for which a request that crashed several endpoints is kept away from
+#: the last one of its service, as the others are being started again.
+_PROTECTION_SECONDS = 10.0
+
+
+class CrashEvidence:
+    """Crashes of endpoints and the requests that ran there.
+
+    :param local_ip: IP address of this process.
+    """
+
+    __slots__ = (
+        '_fresh',
+        '_local_ip',
+        '_quarantine',
+        '_quarantined',
+        '_trial_at_by_fingerprint',
+        'on_finding',
+        'other_entries',
+    )
+
+    def __init__(self, local_ip: str) -> None:
+        self._local_ip = local_ip
+        self._quarantine = quarantine.Quarantine(
+            min_crashes=_MIN_CRASHES, tolerance=_TOLERANCE_SECONDS
+        )
+        #: The time of each new finding.
+        self._fresh: list[tuple[float, quarantine.Digest]] = []
+        #: The fingerprints whose quarantine was logged.
+        self._quarantined: frozenset[str] = frozenset()
+        self._trial_at_by_fingerprint: dict[str, float] = {}
+        #: Called when this process has found something, to announce it at once.
+        self.on_finding: Callable[[], None] | None = None
+        #: Returns the IP addresses of the other entries that are alive.
+        self.other_entries: Callable[[], Iterable[str]] = tuple
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no crash is known."""
+        return self._quarantine.is_empty
+
+    def record_crash(
+        self, crash_id: str, fingerprint: str, started_at: float, now: float
+    ) -> quarantine.CrashHistory:
+        """Record a request that ran at an endpoint as it crashed.
+
+        :param crash_id: names the start of the endpoint.
+        :param started_at: when the attempt there began.
+        :returns: the crashes that the request has met so far.
+        """
+        suspect = quarantine.Suspect(fingerprint, started_at)
+        self._quarantine.died(crash_id, (suspect,), now)
+        self._publish(now)
+        return self._quarantine.history(fingerprint, now)
+
+    def record_answer(
+        self, fingerprint: str, started_at: float, now: float
+    ) -> None:
+        """Record a complete answer: the request has not crashed an endpoint."""
+        self._quarantine.answered(fingerprint, started_at, now)
+        self._publish(now)
+
+    def is_suspicious(self, fingerprint: str, now: float) -> bool:
+        """Tell whether a request has met several crashes in a row."""
+        history = self._quarantine.history(fingerprint, now)
+        return history.repeated >= _MIN_SUSPICIOUS_CRASHES
+
+    def seconds_barred(
+        self, fingerprint: str, now: float, *, has_spare_endpoint: bool
+    ) -> float:
+        """Return the seconds for which a request must not run; 0 if it may.
+
+        After its quarantine a request is tried by a single entry, one attempt
+        at a time, until it is answered or crashes an endpoint once more.
+
+        :param has_spare_endpoint: whether its service has several endpoints
+            that can be used.
+        """
+        judgement = self._quarantine.judge(fingerprint, now)
+        if judgement.standing is quarantine.Standing.FREE:
+            return 0
+        if judgement.standing is quarantine.Standing.QUARANTINED:
+            return judgement.retry_after
+        history = self._quarantine.history(fingerprint, now)
+        if history.was_quarantined:
+            return self._seconds_until_trial(fingerprint, now)
+        protected_until = history.last_at + _PROTECTION_SECONDS
+        if (
+            history.repeated >= _MIN_SUSPICIOUS_CRASHES
+            and not has_spare_endpoint
+            and now < protected_until
+        ):
+            return protected_until - now
+        return 0
+
+    def record_attempt(self, fingerprint: str, now: float) -> None:
+        """Record that an attempt of a request begins."""
+        if self._quarantine.history(fingerprint, now).was_quarantined:
+            self._trial_at_by_fingerprint[fingerprint] = now
+
+    def report(self, now: float, *, full: bool) -> quarantine.Digest:
+        """Return evidence for a heartbeat, with ages in place of times.
+
+        :param full: whether to add what entries need to know that have just
+            started.
+        """
+        self._fresh = [
+            (found_at, finding)
+            for found_at, finding in self._fresh[-_MAX_FRESH:]
+            if now - found_at < _FRESH_SECONDS
+        ]
+        findings = [finding for _, finding in self._fresh]
+        if full:
+            findings.append(
+                self._quarantine.repeated(_MIN_SUSPICIOUS_CRASHES, now)
+            )
+        merged = quarantine.Digest(
+            tuple(_joined(findings)),
+            tuple(
+                dict.fromkeys(
+                    clearance
+                    for finding in findings
+                    for clearance in finding.clearances
+                )
+            ),
+        )
+        return merged.relative_to(now)
+
+    def apply(
+        self, report: quarantine.Digest, now: float, *, is_relayed: bool
+    ) -> None:
+        """Apply the evidence of a heartbeat.
+
+        :param is_relayed: whether to pass new evidence on, as heartbeats reach
+            only some of the entries.
+        """
+        if not report:
+            return
+        new = self._quarantine.unknown_part(report.relative_to(now))
+        if not new:
+            return
+        self._quarantine.merge(new, now)
+        if is_relayed:
+            self._fresh.append((now, new))
+        self._log_quarantined(now)
+
+    def _seconds_until_trial(self, fingerprint: str, now: float) -> float:
+        entries = {self._local_ip, *self.other_entries()}
+        if rendezvous.top_ranked(fingerprint, entries, 1) != [self._local_ip]:
+            return _TRIAL_RETRY_SECONDS
+        trial_at = self._trial_at_by_fingerprint.get(fingerprint, float('-inf'))
+        return max(trial_at + _TRIAL_SECONDS - now, 0)
+
+    def _publish(self, now: float) -> None:
+        finding = self._quarantine.take_digest()
+        if not finding:
+            return
+        self._fresh.append((now, finding))
+        self._log_quarantined(now)
+        if self.on_finding is not None:
+            self.on_finding()
+
+    def _log_quarantined(self, now: float) -> None:
+        seconds_by_fingerprint = self._quarantine.quarantined(now)
+        for fingerprint, seconds in seconds_by_fingerprint.items():
+            if fingerprint not in self._quarantined:
+                logger.bind(
+                    fingerprint=fingerprint,
+                    seconds=round(seconds, 1),
+                ).warning('request quarantined')
+        self._quarantined = frozenset(seconds_by_fingerprint)
+
+
+def _joined(
+    findings: Iterable[quarantine.Digest],
+) -> Iterable[quarantine.Crash]:
+    """Return one crash for each id, with the suspects of all findings."""
+    suspects_by_crash: dict[str, dict[quarantine.Suspect, None]] = {}
+    time_by_crash: dict[str, float] = {}
+    for finding in findings:
+        for crash in finding.crashes:
+            suspects = suspects_by_crash.setdefault(crash.id, {})
+            suspects.update(dict.fromkeys(crash.suspects))
+            known_at = time_by_crash.get(crash.id, crash.at)
+            time_by_crash[crash.id] = min(known_at, crash.at)
+    for crash_id, suspects in suspects_by_crash.items():
+        yield quarantine.Crash(
+            crash_id, time_by_crash[crash_id], tuple(suspects)
+        )
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -87,6 +87,7 @@
         # Desired versions are announced at once: agents have eight seconds to
         # load a version, and need five.
         self.cluster.on_desired_version = self._announce_version
+        self.cluster.crash_evidence.other_entries = self._other_entries
         log = request_log.RequestLog(registry)
         #: Metrics of the cluster state.
         self.gauges = gauges.Gauges(
@@ -243,6 +244,7 @@
             now = loop.time()
             for endpoint in self.cluster.remove_expired(now):
                 self._sender.close_connections(endpoint.listing.id)
+            self._sender.crash_detector.check_removals(now)
             self.peers.members.remove_expired(now)
 
     def _announce_version(self) -> None:
@@ -254,6 +256,10 @@
             now, _ENTRY_COUNT_SECONDS
         )
 
+    def _other_entries(self) -> list[str]:
+        now = asyncio.get_running_loop().time()
+        return [member.ip for member in self.peers.members.alive(now)]
+
     def _count_ready_peers(self) -> int:
         now = asyncio.get_running_loop().time()
         return len(self.peers.members.ready(now))
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -43,6 +43,8 @@
 #: Most unknown members that are asked to introduce themselves, per heartbeat
 #: that lists them.
 _MAX_INTRODUCTIONS = 2
+#: Seconds for which findings on crashes are collected to announce them at once.
+_ANNOUNCEMENT_DELAY_SECONDS = 0.02
 _NOT_FOUND = 404
 
 
@@ -91,6 +93,8 @@
         }
         #: The entries that subscribe to the load of this agent's engine.
         self.subscribers = subscribers.Subscribers()
+        cluster.crash_evidence.on_finding = self._schedule_announcement
+        self._announcement: asyncio.TimerHandle | None = None
         #: The state that this process announces.
         self.phase = members.Phase.STARTING
         #: The state of this agent's engine, as it announces it.
@@ -153,6 +157,21 @@
         for ip in ips:
             self._send(payload, ip)
 
+    def _schedule_announcement(self) -> None:
+        """Announce a crash of an endpoint without waiting for a heartbeat.
+
+        All requests that ran there end at about the same time, and are
+        announced together.
+        """
+        if self._announcement is None:
+            self._announcement = asyncio.get_running_loop().call_later(
+                _ANNOUNCEMENT_DELAY_SECONDS, self._announce
+            )
+
+    def _announce(self) -> None:
+        self._announcement = None
+        self.send_heartbeat()
+
     def send_to(self, ips: list[str]) -> None:
         """Send one heartbeat to the processes at some IP addresses."""
         payload = wire_heartbeats.write_heartbeat(
@@ -265,6 +284,12 @@
             )
         for status in heartbeat.engine_statuses:
             self._cluster.update_engine_status(status, now)
+        member_count = len(self.members.alive(now))
+        self._cluster.crash_evidence.apply(
+            heartbeat.crash_evidence,
+            now,
+            is_relayed=member_count > dissemination.MAX_BROADCAST_MEMBERS,
+        )
         self._catching_up.handle_heartbeat(heartbeat, ip, now)
         self._bootstrap.handle_heartbeat(
             heartbeat, ip, now, offsets=self._offsets
@@ -338,6 +363,7 @@
                 else ()
             ),
             engine_statuses=self.engine_statuses,
+            crash_evidence=self._cluster.crash_evidence.report(now, full=full),
             wants_load=wants_load,
         )
 
--- a/clementinepass/direct/heartbeats.py
+++ b/clementinepass/direct/heartbeats.py
@@ -8,6 +8,7 @@
 
 from clementinepass.decisions import incarnations
 from clementinepass.direct import members as membership
+from clementinepass.requests import quarantine
 
 
 class DesiredVersion(typing.NamedTuple):
@@ -76,6 +77,8 @@
     :param desired_versions: the desired versions that the sender knows.
     :param engine_statuses: the state of the sender's engine, if the sender is
         an agent.
+    :param crash_evidence: crashes of endpoints under requests, with ages in
+        place of times.
     :param load: the load of the sender's engine; such a message carries
         nothing else.
     :param wants_load: whether the sender, an entry, uses the engine of the
@@ -94,5 +97,6 @@
     endpoints_read_ends_in: float = 0
     desired_versions: tuple[DesiredVersion, ...] = ()
     engine_statuses: tuple[EngineStatus, ...] = ()
+    crash_evidence: quarantine.Digest = quarantine.Digest()
     load: EngineLoad | None = None
     wants_load: bool = False
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -265,12 +265,19 @@
 
     async def _run_attempts(self, admitted: serving.AdmittedRequest) -> None:
         """Send the request until it is answered or must not be retried."""
+        if self._is_barred(admitted):
+            self._send_final_answer(admitted, serving.Ending.QUARANTINED)
+            return
         endpoint = await self._selector.select_first(admitted)
         if endpoint is None:
             self._send_final_answer(
                 admitted, self._ending_without_endpoint(admitted)
             )
             return
+        if self._is_barred(admitted):
+            # What barred it was found while it waited for an endpoint.
+            self._send_final_answer(admitted, serving.Ending.QUARANTINED)
+            return
         now = asyncio.get_running_loop().time()
         self._retry_budget(admitted.service.name).record_first_attempt(now)
         self._sender.start(admitted, endpoint)
@@ -349,9 +356,26 @@
             endpoint = await self._select_next(admitted)
         else:
             endpoint = await self._select_for_retry(admitted)
-        if endpoint is not None:
+        if endpoint is not None and not self._is_barred(admitted):
             self._sender.start(admitted, endpoint)
 
+    def _is_barred(self, admitted: serving.AdmittedRequest) -> bool:
+        """Tell whether a request must not run, as it crashes endpoints."""
+        evidence = self._cluster.crash_evidence
+        if evidence.is_empty:
+            return False
+        now = asyncio.get_running_loop().time()
+        candidates = self._cluster.candidates(admitted.service, now)
+        seconds = evidence.seconds_barred(
+            admitted.fingerprint,
+            now,
+            has_spare_endpoint=len(candidates) > 1,
+        )
+        if not seconds:
+            return False
+        admitted.retry_after = seconds
+        return True
+
     async def _select_for_retry(
         self, admitted: serving.AdmittedRequest
     ) -> endpoints.Endpoint | None:
@@ -389,6 +413,11 @@
         decision = next_try.decide(_history(admitted, now))
         if decision is not next_try.RetryDecision.ALLOWED:
             return decision
+        evidence = self._cluster.crash_evidence
+        if admitted.run_count and evidence.is_suspicious(
+            admitted.fingerprint, now
+        ):
+            return next_try.RetryDecision.CRASHED_ENDPOINTS
         budget = self._retry_budget(admitted.service.name)
         if not budget.is_available(now, self._count_entries()):
             return next_try.RetryDecision.BUDGET_SPENT
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -71,6 +71,7 @@
 
     __slots__ = (
         '_attempts',
+        '_crashes',
         '_drains',
         '_endings',
         '_first_piece_seconds',
@@ -89,6 +90,11 @@
             'Attempts that failed, by what became of them.',
             registry=registry,
         )
+        self._crashes = aioprometheus.Counter(
+            'clementinepass_crashed_attempts_total',
+            'Attempts that were running at endpoints as they crashed.',
+            registry=registry,
+        )
         self._drains = aioprometheus.Counter(
             'clementinepass_endpoint_drains_total',
             'Endpoints whose answers said first that they drain.',
@@ -201,6 +207,25 @@
             fingerprint=admitted.fingerprint,
         ).warning('attempt failed')
 
+    def log_crash(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+        repeated: int,
+    ) -> None:
+        """Log that an endpoint crashed while it ran a request.
+
+        :param repeated: crashes that the request has met one after the other.
+        """
+        self._crashes.inc({'service': attempt.endpoint.listing.service})
+        logger.bind(
+            request=admitted.call.id,
+            attempt=attempt.number,
+            endpoint=attempt.peer,
+            fingerprint=admitted.fingerprint,
+            crashes=repeated,
+        ).warning('endpoint crashed under a request')
+
     def log_unusable(
         self,
         admitted: serving.AdmittedRequest,
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -36,6 +36,8 @@
     MALFORMED = 'malformed'
     UNKNOWN_ROUTE = 'unknown_route'
     UNKNOWN_KEY = 'unknown_key'
+    #: Repeats of the request have crashed endpoints one after the other.
+    QUARANTINED = 'quarantined'
     #: The request would wait too long in every queue.
     OVERLOAD = 'overload'
     #: The route names a service that is missing in the configuration.
--- a/clementinepass/http/channel.py
+++ b/clementinepass/http/channel.py
@@ -52,6 +52,7 @@
     """A connection was lost, or carried data that is not a valid answer.
 
     :param is_clean: whether the peer closed the connection without a reset.
+    :param is_refused: whether nobody listens at the peer's address.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         *,
         peer: str,
         is_clean: bool = False,
+        is_refused: bool = False,
         fault: Fault = Fault.MALFORMED,
     ) -> None:
         super().__init__(detail, step='exchange', peer=peer)
@@ -67,6 +69,8 @@
         self.fault = fault
         #: Whether the peer closed the connection without a reset.
         self.is_clean = is_clean
+        #: Whether nobody listens at the peer's address.
+        self.is_refused = is_refused
 
 
 class Channel(asyncio.Protocol):
@@ -129,6 +133,7 @@
             raise ChannelBrokenError(
                 f'no connection: {error!r}',
                 peer=peer,
+                is_refused=isinstance(error, ConnectionRefusedError),
                 fault=Fault.UNREACHABLE,
             ) from error
         return channel
--- a/clementinepass/observability/causes.py
+++ b/clementinepass/observability/causes.py
@@ -38,6 +38,7 @@
     RETRY_BUDGET_SPENT = 'budget'
 
     # Endpoints.
+    QUARANTINED = 'quarantined'
     OVERLOAD = 'overload'
     NO_ENDPOINT = 'no_endpoint'
     NO_WEIGHTS = 'no_weights'
@@ -122,6 +123,10 @@
     Cause.RETRY_BUDGET_SPENT: (
         'the retry budget was spent, so it was not sent again'
     ),
+    Cause.QUARANTINED: (
+        'endpoints had crashed under it, or under the same request sent '
+        'before, one after the other'
+    ),
     Cause.OVERLOAD: 'even the best endpoint had too many requests waiting',
     Cause.NO_ENDPOINT: (
         'no endpoint of service {service} was available to run it'
@@ -185,6 +190,7 @@
     ALL_PAUSED = 'all endpoints are paused'
     MISDIRECTED = 'another endpoint or version answered'
     ATTEMPT_FAILED = 'attempt failed'
+    ENDPOINT_CRASHED = 'endpoint crashed under a request'
     FAILED_BY_ENDPOINT = 'failed by the endpoint'
     ENDPOINT_SILENT = 'endpoint silent'
     ENDPOINT_GOES_ON = 'endpoint goes on'
@@ -220,6 +226,10 @@
         'endpoint, or did not hold version {version}'
     ),
     Finding.ATTEMPT_FAILED: 'endpoint {endpoint} gave no whole answer: {error}',
+    Finding.ENDPOINT_CRASHED: (
+        'endpoint {endpoint} crashed while it ran there; crashes in a row: '
+        '{crashes}'
+    ),
     Finding.FAILED_BY_ENDPOINT: 'endpoint {endpoint} failed it with {status}',
     Finding.ENDPOINT_SILENT: (
         'endpoint {endpoint} had sent nothing for {silent} s and was waited for'
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -76,10 +76,16 @@
     ),
     'connected_for': Field('float', 'age of the connection in seconds'),
     'connections': Field('int', 'open connections of callers'),
+    'crashes': Field(
+        'int',
+        'crashes that the request has met one after the other, with no answer '
+        'in between',
+    ),
     'decision': Field(
         'str',
         'allowed, or why a retry is not: may_have_run, enough_runs, '
-        'enough_attempts, no_time, budget_spent, no_endpoint',
+        'enough_attempts, no_time, budget_spent, no_endpoint, or '
+        'crashed_endpoints (one after the other, under the same request)',
     ),
     'draining': Field('bool', 'whether the endpoint is draining'),
     'end': Field(
@@ -174,7 +180,8 @@
     'reason': Field(
         'str',
         'why the request ended: starting, malformed, unknown_route, '
-        'unknown_key, overload, no_service, no_endpoint, no_weights, '
+        'unknown_key, quarantined (its repeats crash endpoints), overload, '
+        'no_service, no_endpoint, no_weights, '
         'all_paused, turned_away, broken, endpoint_failed, deadline (of its '
         'caller), route_time, slow_reader, leaving',
     ),
@@ -399,6 +406,15 @@
         'after_event fingerprint',
         'there is no complete answer',
     ),
+    'endpoint crashed under a request': Kind(
+        'request attempt endpoint fingerprint crashes',
+        'its process is gone; other requests may have run there, too',
+    ),
+    'request quarantined': Kind(
+        'fingerprint seconds',
+        'repeats of a request have crashed endpoints one after the other; it '
+        'is refused at every entry for that time',
+    ),
     'failed by the endpoint': Kind(
         'request attempt endpoint status',
         'the endpoint ran the request and answered with an error',
--- a/clementinepass/observability/verdicts.py
+++ b/clementinepass/observability/verdicts.py
@@ -30,6 +30,7 @@
     'malformed': Cause.MALFORMED,
     'unknown_key': Cause.UNKNOWN_KEY,
     'unknown_route': Cause.UNKNOWN_ROUTE,
+    'quarantined': Cause.QUARANTINED,
     'overload': Cause.OVERLOAD,
     'no_service': Cause.NO_SERVICE,
     'no_endpoint': Cause.NO_ENDPOINT,
--- a/clementinepass/wire/direct.capnp
+++ b/clementinepass/wire/direct.capnp
@@ -71,6 +71,26 @@
   started @2 :UInt64;
 }
 
+struct Suspect {
+  # A request that ran at an endpoint as it crashed: the digest by which it is
+  # recognised, and the milliseconds since it was sent there.
+  fingerprint @0 :Data;
+  ageMs @1 :UInt32;
+}
+
+struct Crash {
+  # The start of the endpoint, and the milliseconds since the crash.
+  id @0 :Text;
+  ageMs @1 :UInt32;
+  suspects @2 :List(Suspect);
+}
+
+struct Clearance {
+  # A request that was answered after these crashes.
+  fingerprint @0 :Data;
+  crashes @1 :List(Text);
+}
+
 struct Heartbeat {
   sender @0 :Member;
   members @1 :List(Member);
@@ -85,6 +105,8 @@
   asks @8 :Bool;
   # If this field is set, the message carries no other field.
   load @9 :EngineLoad;
+  crashes @10 :List(Crash);
+  clearances @11 :List(Clearance);
 }
 
 struct Record {
--- a/clementinepass/wire/heartbeats.py
+++ b/clementinepass/wire/heartbeats.py
@@ -10,6 +10,7 @@
 
 from clementinepass import errors
 from clementinepass.direct import heartbeats, members, records
+from clementinepass.requests import quarantine
 
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('direct.capnp')))
 _PHASES = tuple(members.Phase)
@@ -17,6 +18,8 @@
 _IP_BYTES = 4
 #: The largest number of requests that a message can carry.
 _MAX_COUNT = 65535
+#: The highest age in milliseconds that a message can carry.
+_MAX_AGE_MS = 2**32 - 1
 
 
 def write_heartbeat(heartbeat: heartbeats.Heartbeat) -> bytes:
@@ -52,6 +55,7 @@
     message.asks = heartbeat.wants_introduction
     _write_versions(message, heartbeat)
     _write_engine_statuses(message, heartbeat)
+    _write_crash_evidence(message, heartbeat.crash_evidence)
     return bytes(message.to_bytes_packed())
 
 
@@ -150,7 +154,7 @@
     for slot, desired in zip(slots, heartbeat.desired_versions, strict=True):
         slot.model = desired.model
         slot.version = desired.version
-        slot.ageMs = min(int(desired.age * _MS_PER_SECOND), 2**32 - 1)
+        slot.ageMs = _age_ms(desired.age)
         slot.guessed = desired.guessed
 
 
@@ -167,6 +171,40 @@
         slot.started = status.started_ms
 
 
+def _write_crash_evidence(
+    message: typing.Any, digest: quarantine.Digest
+) -> None:
+    crashes = message.init('crashes', len(digest.crashes))
+    for slot, crash in zip(crashes, digest.crashes, strict=True):
+        slot.id = crash.id
+        slot.ageMs = _age_ms(crash.at)
+        suspects = slot.init('suspects', len(crash.suspects))
+        for suspect_slot, suspect in zip(suspects, crash.suspects, strict=True):
+            suspect_slot.fingerprint = bytes.fromhex(suspect.fingerprint)
+            suspect_slot.ageMs = _age_ms(suspect.started)
+    clearances = message.init('clearances', len(digest.clearances))
+    for slot, clearance in zip(clearances, digest.clearances, strict=True):
+        slot.fingerprint = bytes.fromhex(clearance.fingerprint)
+        slot.crashes = list(clearance.crashes)
+
+
+def _read_crash(slot: typing.Any) -> quarantine.Crash:
+    return quarantine.Crash(
+        slot.id,
+        slot.ageMs / _MS_PER_SECOND,
+        tuple(
+            quarantine.Suspect(
+                suspect.fingerprint.hex(), suspect.ageMs / _MS_PER_SECOND
+            )
+            for suspect in slot.suspects
+        ),
+    )
+
+
+def _age_ms(seconds: float) -> int:
+    return min(max(int(seconds * _MS_PER_SECOND), 0), _MAX_AGE_MS)
+
+
 def _read_heartbeat_fields(message: typing.Any) -> heartbeats.Heartbeat:
     sender = _read_member(message.sender)
     return heartbeats.Heartbeat(
@@ -193,6 +231,15 @@
         ),
         engine_statuses=tuple(map(_read_engine_status, message.held)),
         wants_load=message.wantsLoad,
+        crash_evidence=quarantine.Digest(
+            tuple(map(_read_crash, message.crashes)),
+            tuple(
+                quarantine.Clearance(
+                    clearance.fingerprint.hex(), tuple(clearance.crashes)
+                )
+                for clearance in message.clearances
+            ),
+        ),
     )
 
 
--- /dev/null
+++ b/tests/direct/test_crash_evidence.py
@@ -0,0 +1,159 @@
+"""Tests of the evidence on requests that crash endpoints."""
+
+from __future__ import annotations
+
+import testtools
+
+from clementinepass.direct import crash_evidence
+
+ENTRIES = tuple(f'10.0.0.{number}' for number in range(9))
+#: Longer than a quarantine, and than the protection after a crash.
+QUARANTINE_SECONDS = 600
+REQUEST = 'aa' * 16
+
+
+def make(ip: str = ENTRIES[0]) -> crash_evidence.CrashEvidence:
+    """Return the evidence of one of some entries."""
+    evidence = crash_evidence.CrashEvidence(ip)
+    evidence.other_entries = lambda: [other for other in ENTRIES if other != ip]
+    return evidence
+
+
+def crash(
+    evidence: crash_evidence.CrashEvidence,
+    count: int,
+    fingerprint: str = REQUEST,
+    first: float = 0,
+) -> None:
+    """Let a request crash endpoints, one each second."""
+    for number in range(count):
+        at = first + number
+        evidence.record_crash(f'i-{at}', fingerprint, at + 0.1, at + 0.2)
+
+
+def seconds_barred(
+    evidence: crash_evidence.CrashEvidence,
+    now: float,
+    *,
+    spare: bool = True,
+) -> float:
+    """Return the seconds for which the request is refused."""
+    return evidence.seconds_barred(REQUEST, now, has_spare_endpoint=spare)
+
+
+class BarTest(testtools.TestCase):
+    """When a request is refused."""
+
+    def test_third_crash(self) -> None:
+        """It is refused from the third crash on."""
+        evidence = make()
+        crash(evidence, 2)
+        self.assertEqual(0, seconds_barred(evidence, 2))
+        crash(evidence, 1, first=2)
+        self.assertAlmostEqual(
+            QUARANTINE_SECONDS, seconds_barred(evidence, 2.2)
+        )
+
+    def test_last_endpoint(self) -> None:
+        """After two crashes it is kept from the last endpoint for a while."""
+        evidence = make()
+        crash(evidence, 1)
+        self.assertEqual(0, seconds_barred(evidence, 1, spare=False))
+        crash(evidence, 1, first=1)
+        self.assertGreater(seconds_barred(evidence, 2, spare=False), 0)
+        self.assertEqual(0, seconds_barred(evidence, 2))
+        self.assertEqual(0, seconds_barred(evidence, 60, spare=False))
+
+    def test_single_trial(self) -> None:
+        """After the quarantine one entry tries it, once at a time."""
+        after = QUARANTINE_SECONDS + 3.0
+        admitting = []
+        for ip in ENTRIES:
+            evidence = make(ip)
+            crash(evidence, 3)
+            if not seconds_barred(evidence, after):
+                admitting.append(evidence)
+        self.assertEqual(1, len(admitting))
+        admitting[0].record_attempt(REQUEST, after)
+        self.assertGreater(seconds_barred(admitting[0], after + 0.1), 0)
+
+    def test_trial_answered(self) -> None:
+        """A request that is answered after its quarantine is free."""
+        evidence = make()
+        crash(evidence, 3)
+        after = QUARANTINE_SECONDS + 3.0
+        evidence.record_attempt(REQUEST, after)
+        evidence.record_answer(REQUEST, after, after + 1)
+        self.assertEqual(0, seconds_barred(evidence, after + 1))
+
+    def test_trial_crashes(self) -> None:
+        """One more crash after the quarantine begins another."""
+        evidence = make()
+        crash(evidence, 3)
+        after = QUARANTINE_SECONDS + 3.0
+        crash(evidence, 1, first=after)
+        self.assertGreater(seconds_barred(evidence, after + 1), 500)
+
+
+class ReportTest(testtools.TestCase):
+    """What heartbeats carry."""
+
+    def test_fresh(self) -> None:
+        """New evidence is in each heartbeat for a while."""
+        evidence = make()
+        crash(evidence, 1)
+        self.assertTrue(evidence.report(1, full=False))
+        self.assertFalse(evidence.report(9, full=False))
+        self.assertFalse(evidence.report(9, full=True))
+
+    def test_later_starts(self) -> None:
+        """Full heartbeats tell entries that start later, without others."""
+        evidence = make()
+        crash(evidence, 3)
+        evidence.record_crash('i-0', 'bb' * 16, 0.1, 0.2)
+        report = evidence.report(60, full=True)
+        self.assertEqual(
+            {REQUEST},
+            {
+                suspect.fingerprint
+                for reported in report.crashes
+                for suspect in reported.suspects
+            },
+        )
+        starting = make(ENTRIES[1])
+        starting.apply(report, 7000, is_relayed=False)
+        self.assertGreater(seconds_barred(starting, 7000), 500)
+
+    def test_each_entry_saw_one(self) -> None:
+        """Crashes that three entries saw convict at all of them."""
+        entries = [make(ip) for ip in ENTRIES[:3]]
+        for number, evidence in enumerate(entries):
+            crash(evidence, 1, first=number)
+        reports = [evidence.report(2.3, full=False) for evidence in entries]
+        for evidence in entries:
+            for report in reports:
+                evidence.apply(report, 2.3, is_relayed=False)
+            self.assertGreater(seconds_barred(evidence, 2.3), 500)
+
+    def test_relayed(self) -> None:
+        """New evidence is passed on once, if heartbeats do not reach all."""
+        first, second = make(), make(ENTRIES[1])
+        crash(first, 1)
+        report = first.report(1, full=False)
+        second.apply(report, 1, is_relayed=False)
+        self.assertFalse(second.report(1, full=False))
+        third = make(ENTRIES[2])
+        third.apply(report, 1, is_relayed=True)
+        self.assertTrue(third.report(3.5, full=False))
+        third.apply(first.report(3, full=False), 3, is_relayed=True)
+        self.assertFalse(third.report(4.1, full=False))
+
+    def test_answer(self) -> None:
+        """An answer at one entry frees the request at the others."""
+        first, second = make(), make(ENTRIES[1])
+        crash(first, 3)
+        second.apply(first.report(3, full=False), 3, is_relayed=False)
+        self.assertGreater(seconds_barred(second, 3), 0)
+        first.record_answer(REQUEST, 3.1, 3.2)
+        second.apply(first.report(3.2, full=False), 3.2, is_relayed=False)
+        self.assertEqual(0, seconds_barred(second, 3.2))
--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -142,6 +142,36 @@
         path_harness.run(scenario, ENDPOINTS)
 
 
+class RemovalTest(testtools.TestCase):
+    """Crashes that only the list tells, as the address is in use again."""
+
+    def test_records_removed(self) -> None:
+        """Connections are accepted, and the record is removed a second later."""
+
+        async def scenario(harness: World) -> None:
+            for _ in range(MAX_CRASHES):
+                harness.set_shared_faults(Fault.LOST)
+                before = {
+                    endpoint.id: len(endpoint.ran)
+                    for endpoint in harness.endpoints
+                }
+                await ask(harness, '/once/a')
+                (lost,) = (
+                    endpoint.id
+                    for endpoint in harness.endpoints
+                    if len(endpoint.ran) > before[endpoint.id]
+                )
+                now = asyncio.get_running_loop().time()
+                harness.cluster.endpoints.mark_removed(lost, now + 1, 0)
+                harness.sender.crash_detector.check_removals(now + 1)
+            answer = await ask(harness, '/once/a')
+            assert answer is not None
+            self.assertEqual(503, answer.status)
+            self.assertEqual(MAX_CRASHES, arrivals(harness))
+
+        path_harness.run(scenario, ENDPOINTS)
+
+
 class SoundTest(testtools.TestCase):
     """Requests that are at endpoints by chance as they crash are served."""
 
--- a/tests/observability/test_causes.py
+++ b/tests/observability/test_causes.py
@@ -235,6 +235,20 @@
     await send_ignoring_failure(world, '/plain/a')
 
 
+async def quarantined(world: World) -> None:
+    """Three endpoints crash under earlier requests of the same kind."""
+    while len(world.endpoints) < 5:
+        added = direct_endpoint.DirectEndpoint(f'i-{len(world.endpoints)}')
+        await added.__aenter__()
+        world.endpoints.append(added)
+        world.list_endpoint(added)
+    for endpoint in world.endpoints:
+        endpoint.faults_by_body[b'body'] = Fault.CRASH
+    for number in range(3):
+        await world.send('/once/a', X_Attempt_Id=f'before-{number}')
+    await send_ignoring_failure(world, '/once/a')
+
+
 async def drains_during_setup(world: World) -> None:
     pending = asyncio.create_task(send_ignoring_failure(world, '/once/a'))
     loop = asyncio.get_running_loop()
@@ -362,6 +376,7 @@
     (no_weights, Cause.NO_WEIGHTS, 'service pool'),
     (overload, Cause.OVERLOAD, 'for 16 slots'),
     (all_paused, Cause.ALL_PAUSED, 'service pool'),
+    (quarantined, Cause.QUARANTINED, 'one after the other'),
     (
         failing_endpoints('/once/a', Fault.FULL, Fault.FULL),
         Cause.REJECTED,
--- /dev/null
+++ b/tests/wire/test_heartbeats.py
@@ -0,0 +1,35 @@
+"""Tests of heartbeats on the wire."""
+
+from __future__ import annotations
+
+import testtools
+
+from clementinepass.direct import heartbeats
+from clementinepass.requests import quarantine
+from clementinepass.wire import heartbeats as wire_heartbeats
+
+
+class HeartbeatTest(testtools.TestCase):
+    """Heartbeats are read as they were written."""
+
+    def test_crash_evidence(self) -> None:
+        """Crashes, suspects and clearances come as they were sent."""
+        digest = quarantine.Digest(
+            (
+                quarantine.Crash(
+                    'i-1/5',
+                    1.5,
+                    (
+                        quarantine.Suspect('0a' * 16, 1.75),
+                        quarantine.Suspect('f0' * 16, 2.25),
+                    ),
+                ),
+                quarantine.Crash('i-2/0', 0, ()),
+            ),
+            (quarantine.Clearance('0b' * 16, ('i-1/5', 'i-3/7')),),
+        )
+        payload = wire_heartbeats.write_heartbeat(
+            heartbeats.Heartbeat(crash_evidence=digest)
+        )
+        decoded = wire_heartbeats.read_heartbeat(payload, 'peer')
+        self.assertEqual(digest, decoded.crash_evidence)
