Decode what endpoints say of themselves in one place, and log their limits

The pause, the drain and the limit of an endpoint are one typed notice now, which is decoded in platform/ and applied by one function, so that another header is a field and not a search. The limit is logged when it changes, and otherwise not used yet. The tests of the other two headers read them from the notice; their checks are the same.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -40,6 +40,10 @@
 _NOT_RUN_RESULTS = frozenset(
     (serving.AttemptResult.NOT_RUN, serving.AttemptResult.NOT_SENT)
 )
+#: Verdicts on answers to earlier requests, and on what is no answer.
+_STALE_OR_INVALID = frozenset(
+    (calls.Verdict.OTHER_REQUEST, calls.Verdict.INVALID)
+)
 #: The urgency of the requests that an engine runs last.
 _MAX_URGENCY = 9
 
@@ -294,19 +298,19 @@
         if decoded_head.verdict is calls.Verdict.NOT_RUN:
             attempt.refused()
             endpoint.backoff.record_rejection(
-                decoded_head.pause_seconds,
+                decoded_head.notice.pause_seconds,
                 attempt.started_at,
                 asyncio.get_running_loop().time(),
             )
             self._log.log_rejected(
-                admitted, attempt, head.status, decoded_head.pause_seconds
+                admitted,
+                attempt,
+                head.status,
+                decoded_head.notice.pause_seconds,
             )
             return serving.AttemptResult.NOT_RUN
         attempt.head_seen()
-        if decoded_head.verdict in {
-            calls.Verdict.OTHER_REQUEST,
-            calls.Verdict.INVALID,
-        }:
+        if decoded_head.verdict in _STALE_OR_INVALID:
             raise channel.ChannelBrokenError(
                 f'status {head.status} is not a valid answer to this request',
                 peer=connection.peer,
@@ -344,14 +348,30 @@
         endpoint drains, unless another instance sent them.
         """
         decoded_head = self._dialect.decode_head(admitted.call, head)
-        if (
-            decoded_head.is_draining
-            and not _is_other_instance(attempt.endpoint, decoded_head)
-            and attempt.endpoint.mark_draining()
-        ):
-            self._log.log_draining(admitted, attempt, head.status)
+        if not _is_other_instance(attempt.endpoint, decoded_head):
+            self._apply_notice(admitted, attempt, decoded_head, head.status)
         return decoded_head
 
+    def _apply_notice(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+        decoded_head: calls.DecodedHead,
+        status: int,
+    ) -> None:
+        """Apply what an endpoint says of itself beyond this request."""
+        endpoint = attempt.endpoint
+        notice = decoded_head.notice
+        if notice.is_draining and endpoint.mark_draining():
+            self._log.log_draining(admitted, attempt, status)
+        if decoded_head.verdict in _STALE_OR_INVALID:
+            return
+        if notice.has_invalid_rate:
+            self._log.log_invalid_rate(admitted, attempt)
+        elif notice.request_rate != endpoint.named_rate:
+            self._log.log_named_rate(admitted, attempt, notice.request_rate)
+            endpoint.named_rate = notice.request_rate
+
     async def _forward_plain_answer(
         self,
         admitted: serving.AdmittedRequest,
--- a/clementinepass/direct/calls.py
+++ b/clementinepass/direct/calls.py
@@ -109,6 +109,25 @@
     FAILURE = 'failure'
 
 
+class EndpointNotice(typing.NamedTuple):
+    """What an endpoint says of itself in an answer.
+
+    It applies to the endpoint, beyond the request that was answered.
+
+    :param pause_seconds: time for which it wants no requests of this instance;
+        ``None`` if it asked for no pause.
+    :param is_draining: whether it drains.
+    :param request_rate: requests a second that it takes of all entries
+        together; ``None`` if it names no limit.
+    :param has_invalid_rate: whether it names a limit that cannot be read.
+    """
+
+    pause_seconds: float | None = None
+    is_draining: bool = False
+    request_rate: float | None = None
+    has_invalid_rate: bool = False
+
+
 class DecodedHead(typing.NamedTuple):
     """The decoded head of an endpoint's answer."""
 
@@ -119,11 +138,8 @@
     pairs: list[messages.Pair]
     #: Id of the instance that answered; empty if the answer has none.
     instance: str = ''
-    #: Seconds for which the endpoint wants no requests of this instance;
-    #: ``None`` if it asked for no pause.
-    pause_seconds: float | None = None
-    #: Whether the instance that answered drains.
-    is_draining: bool = False
+    #: What the instance says of itself.
+    notice: EndpointNotice = EndpointNotice()
 
 
 class Dialect(typing.Protocol):
--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -168,6 +168,7 @@
         'is_unreadable',
         'listing',
         'is_misdirected',
+        'named_rate',
         'removed_at',
         'replaced_by',
         'reported_load',
@@ -201,6 +202,9 @@
         self.active_streams = 0
         #: The pause of the endpoint, if it has turned requests away.
         self.backoff = endpoint_backoff.Backoff()
+        #: Requests a second that it takes of all entries, by its last answer;
+        #: ``None`` if it names no limit.
+        self.named_rate: float | None = None
         #: The last load report of the agent.
         self.reported_load = ReportedLoad()
         #: Monotonic time until which the link of the instance is considered
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -24,6 +24,8 @@
 _MAX_PATH_BYTES = 80
 #: One in this many successful requests is logged.
 _SAMPLE_ONE_IN = 16
+#: Minimum seconds between lines on the limits that endpoints name.
+_RATE_LOG_INTERVAL_SECONDS = 0.25
 _BUCKETS = (
     0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, float('inf'),
 )  # fmt: skip
@@ -75,11 +77,14 @@
         '_drains',
         '_endings',
         '_first_piece_seconds',
+        '_rate_logged_at',
         '_retries',
         '_request_seconds',
     )
 
     def __init__(self, registry: aioprometheus.Registry) -> None:
+        #: Monotonic time of the last line on a limit that an endpoint named.
+        self._rate_logged_at = float('-inf')
         self._endings = aioprometheus.Counter(
             'clementinepass_requests_total',
             'Requests by how they ended.',
@@ -310,6 +315,45 @@
             in_flight=attempt.endpoint.in_flight,
         ).info('endpoint drains by its answer')
 
+    def log_named_rate(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+        rate: float | None,
+    ) -> None:
+        """Log that an endpoint names another limit of requests than before.
+
+        :param rate: requests a second; ``None`` if it names none any more.
+        """
+        if not self._may_log_rate():
+            return
+        logger.bind(
+            request=admitted.call.id,
+            endpoint=attempt.peer,
+            before=attempt.endpoint.named_rate,
+            rate=rate,
+        ).info('endpoint names a limit')
+
+    def log_invalid_rate(
+        self, admitted: serving.AdmittedRequest, attempt: serving.Attempt
+    ) -> None:
+        """Log that the limit that an endpoint names cannot be read."""
+        if not self._may_log_rate():
+            return
+        logger.bind(request=admitted.call.id, endpoint=attempt.peer).warning(
+            'limit of an endpoint not understood'
+        )
+
+    def _may_log_rate(self) -> bool:
+        """Tell whether a line on a limit may be logged.
+
+        An endpoint may name another limit in each answer.
+        """
+        if _now() - self._rate_logged_at < _RATE_LOG_INTERVAL_SECONDS:
+            return False
+        self._rate_logged_at = _now()
+        return True
+
     def log_failed_by_endpoint(
         self,
         admitted: serving.AdmittedRequest,
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -174,6 +174,11 @@
     'peer': Field('str', 'IP address of the peer'),
     'phase': Field('str', 'phase of the entry: starting, ready or leaving'),
     'piece': Field('int', 'number of the piece'),
+    'rate': Field(
+        'float or null',
+        'requests a second that the endpoint takes of all entries together; '
+        'null for no limit',
+    ),
     'reads': Field(
         'bool', 'whether this process reads the topic from the store itself'
     ),
@@ -415,6 +420,13 @@
         'repeats of a request have crashed endpoints one after the other; it '
         'is refused at every entry for that time',
     ),
+    'endpoint names a limit': Kind(
+        'request endpoint before rate',
+        'its answer names another limit of requests than the one before',
+    ),
+    'limit of an endpoint not understood': Kind(
+        'request endpoint', 'the limit in its answer is ignored'
+    ),
     'failed by the endpoint': Kind(
         'request attempt endpoint status',
         'the endpoint ran the request and answered with an error',
--- a/clementinepass/platform/dialect.py
+++ b/clementinepass/platform/dialect.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import math
-import re
 import typing
 
 from clementinepass.direct import calls
 from clementinepass.http import messages
-from clementinepass.platform import draining
+from clementinepass.platform import notices
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,10 +33,6 @@
 #: Present if the endpoint did not run the request, whatever the status.
 _NOT_RUN_NAME = b'x-not-executed'
 _INSTANCE_NAME = b'x-instance-id'
-_RETRY_AFTER_NAME = b'retry-after'
-#: Seconds, possibly with a fraction; HTTP also allows a date, which is ignored.
-_RETRY_AFTER = re.compile(rb'[0-9]+(?:\.[0-9]+)?')
-_UNAVAILABLE = 503
 _MISDIRECTED = 421
 _SUCCESS = range(200, 300)
 _EVENT_STREAM = b'text/event-stream'
@@ -145,8 +140,7 @@
             is_stream=content_type.lower().startswith(_EVENT_STREAM),
             pairs=headers.end_to_end(_PRIVATE_HEADERS),
             instance=(headers.get(_INSTANCE_NAME) or b'').decode('latin-1'),
-            pause_seconds=_pause_seconds(verdict, head),
-            is_draining=draining.is_draining(headers),
+            notice=notices.read_notice(verdict, head),
         )
 
     def refusal_headers(self, call: calls.Call | None) -> list[messages.Pair]:
@@ -173,19 +167,6 @@
     return calls.Verdict.FAILURE
 
 
-def _pause_seconds(
-    verdict: calls.Verdict, head: messages.AnswerHead
-) -> float | None:
-    """Return for how long the endpoint wants no requests of this instance."""
-    if verdict is not calls.Verdict.NOT_RUN or head.status != _UNAVAILABLE:
-        return None
-    field = head.headers.get(_RETRY_AFTER_NAME) or b''
-    if not _RETRY_AFTER.fullmatch(field):
-        return None
-    seconds = float(field)
-    return seconds if math.isfinite(seconds) else None
-
-
 def _parse_number(
     field: bytes | None, parse: Callable[[bytes], _T]
 ) -> _T | None:
--- a/tests/platform/test_draining.py
+++ b/tests/platform/test_draining.py
@@ -42,7 +42,9 @@
                 pairs = [(name, field) for field in fields]
                 head = messages.AnswerHead(200, messages.Headers(pairs))
                 decoded_head = dialect.HeaderDialect().decode_head(CALL, head)
-                self.assertIs(is_draining, decoded_head.is_draining, fields)
+                self.assertIs(
+                    is_draining, decoded_head.notice.is_draining, fields
+                )
 
     def test_any_status(self) -> None:
         """The header counts with any status and verdict."""
@@ -50,4 +52,4 @@
         for status in (200, 400, 404, 421, 429, 500, 502, 503):
             head = messages.AnswerHead(status, headers)
             decoded_head = dialect.HeaderDialect().decode_head(CALL, head)
-            self.assertTrue(decoded_head.is_draining, status)
+            self.assertTrue(decoded_head.notice.is_draining, status)
--- a/tests/platform/test_machines.py
+++ b/tests/platform/test_machines.py
@@ -310,7 +310,7 @@
             head = messages.AnswerHead(status, messages.Headers(pairs))
             decoded_head = header_dialect.decode_head(call, head)
             self.assertEqual(
-                seconds, decoded_head.pause_seconds, (status, pairs)
+                seconds, decoded_head.notice.pause_seconds, (status, pairs)
             )
 
 
