Keep to the limits that endpoints name, all entries together

Cause: the header was not read, so that it applied to nothing. It is of the class of Retry-After and Server-Leaving: an answer that says something of its endpoint was applied to one request only. And no entry knew what the others send.

The notice of an answer changes the limit of that start of the endpoint, and heartbeats tell the other entries, at once and for three seconds, and in full heartbeats later. Two entries for each request a second share the limit as token buckets, by rendezvous hashing; the others send nothing there. Equal shares of all entries would let nine requests through at one moment. A share that is new is used after one second, as the entry before may not have heard. Every attempt takes a token. If all endpoints are limited, requests wait by urgency if they can still be answered in time, and are refused at once otherwise, with the time (all_limited). An answer without the limit to a request sent after it was last named ends it, and the endpoint returns slowly.

--- a/clementinepass/decisions/endpoint_backoff.py
+++ b/clementinepass/decisions/endpoint_backoff.py
@@ -95,6 +95,12 @@
         if self._is_recovering:
             self._undecided.append(now)
 
+    def start_recovery(self) -> None:
+        """Return slowly to full use without a pause before."""
+        self._is_recovering = True
+        self._window = 1
+        self._undecided.clear()
+
     def record_rejection(
         self, pause_seconds: float | None, sent_at: float, now: float
     ) -> None:
--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -44,8 +44,6 @@
 _STALE_OR_INVALID = frozenset(
     (calls.Verdict.OTHER_REQUEST, calls.Verdict.INVALID)
 )
-#: The urgency of the requests that an engine runs last.
-_MAX_URGENCY = 9
 
 
 class _EndpointPool(typing.NamedTuple):
@@ -221,7 +219,7 @@
                 attempt.refused()
                 self._log.log_unusable(admitted, attempt)
                 return serving.AttemptResult.NOT_RUN
-            if endpoint.backoff.has_paused_since(attempt.started_at):
+            if endpoint.has_closed_since(attempt.started_at):
                 attempt.refused()
                 self._withdraw(admitted, attempt)
                 return serving.AttemptResult.NOT_SENT
@@ -263,8 +261,8 @@
     ) -> None:
         """Give up an attempt before the request is sent.
 
-        A pause of the endpoint has begun since it was selected. It may be
-        selected again after the pause.
+        A pause or a limit of the endpoint has begun since it was selected. It
+        may be selected again.
         """
         admitted.tried_endpoint_ids.discard(attempt.peer)
         self._log.log_withdrawn(admitted, attempt)
@@ -368,9 +366,13 @@
             return
         if notice.has_invalid_rate:
             self._log.log_invalid_rate(admitted, attempt)
-        elif notice.request_rate != endpoint.named_rate:
+        elif self._cluster.limits.record_answer(
+            endpoint,
+            notice.request_rate,
+            attempt.started_at,
+            asyncio.get_running_loop().time(),
+        ):
             self._log.log_named_rate(admitted, attempt, notice.request_rate)
-            endpoint.named_rate = notice.request_rate
 
     async def _forward_plain_answer(
         self,
@@ -517,7 +519,7 @@
             team='' if team is None else team.name,
             version=version,
             resume_after=admitted.resume_after,
-            urgency=_urgency(admitted),
+            urgency=admitted.urgency,
         )
 
     def _handle_misdirected(
@@ -583,14 +585,6 @@
     return decoded_head.instance not in {'', endpoint.listing.id}
 
 
-def _urgency(admitted: serving.AdmittedRequest) -> int:
-    """Return the priority at the engine: by team first, then by route."""
-    team_priority = 0 if admitted.team is None else admitted.team.priority
-    return min(
-        max(team_priority * 3 + admitted.route.priority, 0), _MAX_URGENCY
-    )
-
-
 @contextlib.asynccontextmanager
 async def _start_timeout(
     attempt: serving.Attempt,
--- a/clementinepass/direct/cluster_state.py
+++ b/clementinepass/direct/cluster_state.py
@@ -11,6 +11,7 @@
 from clementinepass.decisions import desired_versions, ejection, incarnations
 from clementinepass.direct import (
     crash_evidence,
+    endpoint_limits,
     endpoint_loads,
     endpoints,
     heartbeats,
@@ -51,6 +52,7 @@
         'ejector',
         'on_desired_version',
         'endpoints',
+        'limits',
         'loads',
         'routing',
         'last_store_contact',
@@ -72,6 +74,9 @@
         #: The configuration in force; ``None`` until the first one arrives.
         self.routing: routing.Routing | None = None
         self.endpoints = endpoints.Endpoints()
+        self.limits = endpoint_limits.EndpointLimits(
+            local_node.ip, self.endpoints
+        )
         self.loads = endpoint_loads.EndpointLoads()
         self.ejector = ejection.Ejector()
         self.crash_evidence = crash_evidence.CrashEvidence(local_node.ip)
@@ -297,6 +302,7 @@
         now: float,
     ) -> list[endpoints.Endpoint]:
         """Return the endpoints that may run a request to a service now."""
+        self.limits.update_shares(now)
         usable = self._usable_endpoints(service, now)
         engine = service.engine
         if engine is None:
--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -20,7 +20,11 @@
 
 import typing
 
-from clementinepass.decisions import endpoint_backoff, incarnations
+from clementinepass.decisions import (
+    endpoint_backoff,
+    incarnations,
+    rate_limit,
+)
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterator
@@ -168,7 +172,7 @@
         'is_unreadable',
         'listing',
         'is_misdirected',
-        'named_rate',
+        'rate_limit',
         'removed_at',
         'replaced_by',
         'reported_load',
@@ -202,9 +206,8 @@
         self.active_streams = 0
         #: The pause of the endpoint, if it has turned requests away.
         self.backoff = endpoint_backoff.Backoff()
-        #: Requests a second that it takes of all entries, by its last answer;
-        #: ``None`` if it names no limit.
-        self.named_rate: float | None = None
+        #: The limit of requests that the endpoint names, if it does.
+        self.rate_limit = rate_limit.RateLimit()
         #: The last load report of the agent.
         self.reported_load = ReportedLoad()
         #: Monotonic time until which the link of the instance is considered
@@ -222,10 +225,30 @@
             return False
         return self.unusable_at is None or now < self.unusable_at
 
+    def admits(self, now: float) -> bool:
+        """Tell whether its pause and its limit allow a request now."""
+        return self.backoff.admits(now) and self.rate_limit.admits(now)
+
+    def seconds_until_admission(self, now: float) -> float:
+        """Return the seconds until its pause and its limit allow a request.
+
+        Infinite if the limit is shared by other entries only.
+        """
+        return max(
+            self.backoff.seconds_left(now), self.rate_limit.seconds_left(now)
+        )
+
+    def has_closed_since(self, moment: float) -> bool:
+        """Tell whether a pause or a limit has begun since a time."""
+        return self.backoff.has_paused_since(
+            moment
+        ) or self.rate_limit.has_begun_since(moment)
+
     def start_request(self, now: float) -> None:
         """Record that this entry starts an attempt at the endpoint."""
         self.in_flight += 1
         self.backoff.record_sent(now)
+        self.rate_limit.record_sent(now)
         self.reported_load.record_sent(now)
 
     def end_request(self, started_at: float) -> None:
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -88,6 +88,7 @@
         # load a version, and need five.
         self.cluster.on_desired_version = self._announce_version
         self.cluster.crash_evidence.other_entries = self._other_entries
+        self.cluster.limits.sharing_entries = self._sharing_entries
         log = request_log.RequestLog(registry)
         #: Metrics of the cluster state.
         self.gauges = gauges.Gauges(
@@ -260,6 +261,17 @@
         now = asyncio.get_running_loop().time()
         return [member.ip for member in self.peers.members.alive(now)]
 
+    def _sharing_entries(self) -> list[str]:
+        """Return the entries that share the limits of endpoints.
+
+        One that drains gives its share to the others, unless all of them do.
+        """
+        now = asyncio.get_running_loop().time()
+        ips = [member.ip for member in self.peers.members.ready(now)]
+        if self.is_ready:
+            ips.append(self._local_node.ip)
+        return ips or [self._local_node.ip, *self._other_entries()]
+
     def _count_ready_peers(self) -> int:
         now = asyncio.get_running_loop().time()
         return len(self.peers.members.ready(now))
--- a/clementinepass/direct/gauges.py
+++ b/clementinepass/direct/gauges.py
@@ -25,6 +25,7 @@
         '_cluster',
         '_endpoints',
         '_followers',
+        '_limited_endpoints',
         '_members',
         '_paused_endpoints',
         '_peers',
@@ -56,6 +57,11 @@
             'Endpoints paused by this entry, as they turned requests away.',
             registry=registry,
         )
+        self._limited_endpoints = aioprometheus.Gauge(
+            'clementinepass_limited_endpoints',
+            'Endpoints that name a limit of requests in their answers.',
+            registry=registry,
+        )
         self._members = aioprometheus.Gauge(
             'clementinepass_members',
             'Other entries that are there.',
@@ -83,6 +89,10 @@
             for endpoint in self._cluster.endpoints
         )
         self._paused_endpoints.set({}, paused)
+        limited = sum(
+            endpoint.rate_limit.is_named for endpoint in self._cluster.endpoints
+        )
+        self._limited_endpoints.set({}, limited)
         self._members.set({}, len(self._peers.members.alive(now)))
         for topic, topic_follower in self._followers.items():
             if topic_follower.last_contact:
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -43,7 +43,7 @@
 #: Most unknown members that are asked to introduce themselves, per heartbeat
 #: that lists them.
 _MAX_INTRODUCTIONS = 2
-#: Seconds for which findings on crashes are collected to announce them at once.
+#: Seconds for which findings on endpoints are collected for an extra heartbeat.
 _ANNOUNCEMENT_DELAY_SECONDS = 0.02
 _NOT_FOUND = 404
 
@@ -94,6 +94,7 @@
         #: The entries that subscribe to the load of this agent's engine.
         self.subscribers = subscribers.Subscribers()
         cluster.crash_evidence.on_finding = self._schedule_announcement
+        cluster.limits.on_change = self._schedule_announcement
         self._announcement: asyncio.TimerHandle | None = None
         #: The state that this process announces.
         self.phase = members.Phase.STARTING
@@ -158,9 +159,9 @@
             self._send(payload, ip)
 
     def _schedule_announcement(self) -> None:
-        """Announce a crash of an endpoint without waiting for a heartbeat.
+        """Announce a crash or a limit of an endpoint by an extra heartbeat.
 
-        All requests that ran there end at about the same time, and are
+        All requests at a crashed endpoint end at about the same time, and are
         announced together.
         """
         if self._announcement is None:
@@ -284,6 +285,7 @@
             )
         for status in heartbeat.engine_statuses:
             self._cluster.update_engine_status(status, now)
+        self._cluster.limits.apply(heartbeat.endpoint_limits, now)
         member_count = len(self.members.alive(now))
         self._cluster.crash_evidence.apply(
             heartbeat.crash_evidence,
@@ -364,6 +366,7 @@
             ),
             engine_statuses=self.engine_statuses,
             crash_evidence=self._cluster.crash_evidence.report(now, full=full),
+            endpoint_limits=self._cluster.limits.report(now, full=full),
             wants_load=wants_load,
         )
 
--- a/clementinepass/direct/heartbeats.py
+++ b/clementinepass/direct/heartbeats.py
@@ -56,6 +56,20 @@
     started_ms: int = incarnations.UNKNOWN_START
 
 
+class EndpointLimit(typing.NamedTuple):
+    """The limit of requests that an endpoint names in its answers.
+
+    :param started_ms: start of the endpoint in Unix time, as in its listing.
+    :param rate: requests a second; ``None`` if the limit has ended.
+    :param age: seconds since the answer that said so.
+    """
+
+    endpoint_id: str
+    started_ms: int
+    rate: float | None
+    age: float
+
+
 class Heartbeat(msgspec.Struct, kw_only=True):
     """One heartbeat message.
 
@@ -79,6 +93,7 @@
         an agent.
     :param crash_evidence: crashes of endpoints under requests, with ages in
         place of times.
+    :param endpoint_limits: limits that endpoints name in their answers.
     :param load: the load of the sender's engine; such a message carries
         nothing else.
     :param wants_load: whether the sender, an entry, uses the engine of the
@@ -98,5 +113,6 @@
     desired_versions: tuple[DesiredVersion, ...] = ()
     engine_statuses: tuple[EngineStatus, ...] = ()
     crash_evidence: quarantine.Digest = quarantine.Digest()
+    endpoint_limits: tuple[EndpointLimit, ...] = ()
     load: EngineLoad | None = None
     wants_load: bool = False
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -452,6 +452,8 @@
         self, admitted: serving.AdmittedRequest
     ) -> serving.Ending:
         now = asyncio.get_running_loop().time()
+        if admitted.is_limited:
+            return serving.Ending.ALL_LIMITED
         candidates = self._cluster.candidates(admitted.service, now)
         if _are_paused(candidates, now):
             return serving.Ending.ALL_PAUSED
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing
 import zlib
 
@@ -277,12 +278,12 @@
         """Log that a request was not sent, as its endpoint is paused."""
         self._attempts.inc({'outcome': 'paused'})
         attempt.failure = serving.AttemptFailure.PAUSED
-        pause_left = attempt.endpoint.backoff.seconds_left(_now())
+        seconds = attempt.endpoint.seconds_until_admission(_now())
         logger.bind(
             request=admitted.call.id,
             attempt=attempt.number,
             endpoint=attempt.peer,
-            retry_after=round(pause_left, 3),
+            retry_after=round(seconds, 3) if math.isfinite(seconds) else None,
         ).info('not sent during a pause of the endpoint')
 
     def log_all_paused(
@@ -298,6 +299,14 @@
             retry_after=round(seconds, 3),
         ).info('all endpoints are paused')
 
+    def log_all_limited(self, admitted: serving.AdmittedRequest) -> None:
+        """Log that limits of endpoints leave no time for a request."""
+        logger.bind(
+            request=admitted.call.id,
+            service=admitted.service.name,
+            retry_after=round(admitted.retry_after, 3),
+        ).info('all endpoints are limited')
+
     def log_draining(
         self,
         admitted: serving.AdmittedRequest,
@@ -330,8 +339,8 @@
         logger.bind(
             request=admitted.call.id,
             endpoint=attempt.peer,
-            before=attempt.endpoint.named_rate,
             rate=rate,
+            share=round(attempt.endpoint.rate_limit.share, 3),
         ).info('endpoint names a limit')
 
     def log_invalid_rate(
--- a/clementinepass/direct/selection.py
+++ b/clementinepass/direct/selection.py
@@ -11,6 +11,7 @@
     endpoint_choice,
     first_event,
     timely_start,
+    waiting_line,
 )
 from clementinepass.direct import calls, routing
 
@@ -44,7 +45,7 @@
     :param cluster: configuration, versions, endpoints and loads.
     """
 
-    __slots__ = ('_cluster', '_log', '_local_node', '_rng')
+    __slots__ = ('_cluster', '_lines_by_service', '_log', '_local_node', '_rng')
 
     def __init__(
         self,
@@ -57,6 +58,7 @@
         self._cluster = cluster
         self._log = log
         self._rng = rng
+        self._lines_by_service: dict[str, waiting_line.WaitingLine] = {}
 
     async def select_first(
         self,
@@ -72,7 +74,8 @@
         wait_deadline = (
             admitted.call.request.received_at + _LOADING_WAIT_SECONDS
         )
-        await self._wait_for_pause(admitted)
+        if not await self._wait_for_admission(admitted):
+            return None
         endpoint = self.select(admitted)
         while endpoint is None and loop.time() < wait_deadline:
             if self._cluster.candidates(admitted.service, loop.time()):
@@ -87,7 +90,8 @@
         self, admitted: serving.AdmittedRequest
     ) -> endpoints.Endpoint | None:
         """Select an endpoint for another attempt."""
-        await self._wait_for_pause(admitted)
+        if not await self._wait_for_admission(admitted):
+            return None
         return self.select(admitted)
 
     def select(
@@ -99,7 +103,7 @@
         untried = [
             endpoint
             for endpoint in _untried(admitted, usable)
-            if endpoint.backoff.admits(now)
+            if endpoint.admits(now)
         ]
         engine = admitted.service.engine
         compared = self._candidates(self._healthy(untried, now), engine, now)
@@ -115,40 +119,83 @@
             return None
         return self._cluster.endpoints.get(choice.endpoint_id)
 
-    async def _wait_for_pause(self, admitted: serving.AdmittedRequest) -> None:
-        """Wait for the end of a pause if it leaves time for the answer.
+    async def _wait_for_admission(
+        self, admitted: serving.AdmittedRequest
+    ) -> bool:
+        """Wait for a pause or a limit if it leaves time for the answer.
 
         A request that cannot wait is not sent to one endpoint after the other:
         each of them would turn it away, and the retry budget would be spent.
+
+        :returns: whether an endpoint may be selected.
         """
+        line = self._lines_by_service.setdefault(
+            admitted.service.name, waiting_line.WaitingLine()
+        )
         loop = asyncio.get_running_loop()
         wait_deadline = loop.time() + _max_wait(admitted, loop.time())
-        while True:
-            seconds = self._seconds_until_available(admitted, loop.time())
-            if seconds is None:
-                return
-            if loop.time() + seconds > wait_deadline:
-                self._log.log_all_paused(admitted, seconds)
-                return
-            await asyncio.sleep(_POLL_SECONDS)
+        ticket = line.join(admitted.urgency)
+        try:
+            while True:
+                seconds = self._seconds_until_turn(
+                    admitted, line.count_ahead(ticket), loop.time()
+                )
+                if not seconds:
+                    return True
+                if loop.time() + seconds > wait_deadline:
+                    return self._may_not_wait(admitted, seconds)
+                await asyncio.sleep(_POLL_SECONDS)
+        finally:
+            line.leave(ticket)
+
+    def _may_not_wait(
+        self, admitted: serving.AdmittedRequest, seconds: float
+    ) -> bool:
+        """Note why a request cannot wait.
 
-    def _seconds_until_available(
-        self, admitted: serving.AdmittedRequest, now: float
-    ) -> float | None:
-        """Return the seconds until the first pause of an endpoint ends.
+        :param seconds: seconds until it could be sent.
+        :returns: whether an endpoint may be selected nevertheless.
+        """
+        now = asyncio.get_running_loop().time()
+        usable = self._cluster.candidates(admitted.service, now)
+        limits = [endpoint.rate_limit for endpoint in usable]
+        if not any(limit.is_named for limit in limits):
+            self._log.log_all_paused(admitted, seconds)
+            return True
+        if not math.isfinite(seconds):
+            seconds = 1 / sum(limit.rate or 0 for limit in limits)
+        admitted.is_limited = True
+        admitted.retry_after = endpoint_backoff.retry_after(seconds)
+        self._log.log_all_limited(admitted)
+        return False
+
+    def _seconds_until_turn(
+        self, admitted: serving.AdmittedRequest, ahead: int, now: float
+    ) -> float:
+        """Return the seconds until the request may be sent somewhere.
 
-        :returns: ``None`` if there is no endpoint to wait for, or one that can
-            be used now.
+        :param ahead: requests that wait and go first to limited endpoints.
+        :returns: 0 if there is no endpoint to wait for, or one that can be used
+            now.
         """
         untried = _untried(
             admitted, self._cluster.candidates(admitted.service, now)
         )
-        if any(endpoint.backoff.admits(now) for endpoint in untried):
-            return None
-        return min(
-            (endpoint.backoff.seconds_left(now) for endpoint in untried),
-            default=None,
-        )
+        unlimited = [
+            endpoint for endpoint in untried if not endpoint.rate_limit.is_named
+        ]
+        if not untried or any(endpoint.admits(now) for endpoint in unlimited):
+            return 0
+        limited = [
+            endpoint for endpoint in untried if endpoint.rate_limit.share
+        ]
+        waits = [
+            max(endpoint.seconds_until_admission(now), _POLL_SECONDS)
+            for endpoint in unlimited
+        ]
+        if limited:
+            waits.append(_seconds_in_line(limited, ahead, now))
+        return min(waits, default=math.inf)
 
     def _healthy(
         self,
@@ -302,15 +349,32 @@
 def _retry_after(usable: list[endpoints.Endpoint], now: float) -> float:
     """Return the seconds after which an endpoint may be available again."""
     seconds = [
-        endpoint.backoff.seconds_left(now)
+        endpoint.seconds_until_admission(now)
         for endpoint in usable
-        if not endpoint.backoff.admits(now)
+        if not endpoint.admits(now)
     ]
     if not seconds:
         return first_event.MAX_RETRY_AFTER
     return endpoint_backoff.retry_after(min(seconds))
 
 
+def _seconds_in_line(
+    limited: list[endpoints.Endpoint], ahead: int, now: float
+) -> float:
+    """Return the seconds until limited endpoints allow a waiting request.
+
+    :param limited: endpoints of whose limits this entry has a share.
+    :param ahead: requests that go first.
+    """
+    seconds = sorted(
+        endpoint.seconds_until_admission(now) for endpoint in limited
+    )
+    if ahead < len(seconds):
+        return seconds[ahead]
+    rate = sum(endpoint.rate_limit.share for endpoint in limited)
+    return seconds[-1] + (ahead - len(seconds) + 1) / rate
+
+
 def _startable_in_time(
     admitted: serving.AdmittedRequest,
     candidates: list[endpoint_choice.Candidate],
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -20,6 +20,8 @@
 #: Default of ``Retry-After`` in seconds. An entry that is starting has its
 #: configuration by then.
 _RETRY_AFTER_SECONDS = 0.4
+#: The urgency of the requests that run last.
+_MAX_URGENCY = 9
 #: Hexadecimal digits of a fingerprint that are used, as it is sent to others.
 #: Nobody can craft a request with the 128 bits of another one's fingerprint.
 _FINGERPRINT_DIGITS = 32
@@ -50,6 +52,8 @@
     #: Every endpoint that could run the request is paused, as it has turned
     #: others away.
     ALL_PAUSED = 'all_paused'
+    #: The limits that endpoints name leave no time for the request.
+    ALL_LIMITED = 'all_limited'
     #: Every endpoint that was tried rejected the request.
     REJECTED = 'turned_away'
     #: The answer of the endpoint was cut off or malformed.
@@ -86,7 +90,8 @@
     ANSWERED = 'answered'
     #: The endpoint did not run the request.
     NOT_RUN = 'not_run'
-    #: The request was not sent, as a pause of the endpoint had begun.
+    #: The request was not sent, as a pause or a limit of the endpoint had
+    #: begun.
     NOT_SENT = 'not_sent'
     #: The request may have run; the answer is missing or incomplete.
     BROKEN = 'broken'
@@ -103,7 +108,7 @@
 
     #: The endpoint rejected the request without running it.
     REJECTED = 'turned_away'
-    #: A pause of the endpoint began before the request was sent.
+    #: A pause or a limit of the endpoint began before the request was sent.
     PAUSED = 'paused'
     #: Another endpoint or another version answered at the address; the
     #: request did not run.
@@ -243,6 +248,7 @@
         'deadline',
         'retry_after',
         'first_event_at',
+        'is_limited',
         'is_logged',
         'reply',
         'route',
@@ -271,6 +277,8 @@
         self.attempts: list[Attempt] = []
         #: The last decision whether to start another attempt.
         self.retry_decision = ''
+        #: Whether limits of endpoints leave no time for the request.
+        self.is_limited = False
         #: Whether a line about the request was logged, so that its end must be
         #: logged as well.
         self.is_logged = False
@@ -305,6 +313,14 @@
             )[:_FINGERPRINT_DIGITS]
         return self._fingerprint
 
+    @property
+    def urgency(self) -> int:
+        """Return the priority at endpoints: by team first, then by route."""
+        team_priority = 0 if self.team is None else self.team.priority
+        return min(
+            max(team_priority * 3 + self.route.priority, 0), _MAX_URGENCY
+        )
+
     @property
     def ending_at_deadline(self) -> Ending:
         """Return the ending of the request if its deadline passes."""
--- a/clementinepass/observability/causes.py
+++ b/clementinepass/observability/causes.py
@@ -43,6 +43,7 @@
     NO_ENDPOINT = 'no_endpoint'
     NO_WEIGHTS = 'no_weights'
     ALL_PAUSED = 'all_paused'
+    ALL_LIMITED = 'all_limited'
     REJECTED = 'turned_away'
     MISDIRECTED = 'misdirected'
     UNREACHABLE = 'unreachable'
@@ -139,6 +140,10 @@
         'each endpoint of service {service} that could run it was paused, as '
         'it had turned requests away'
     ),
+    Cause.ALL_LIMITED: (
+        'the limits that the endpoints of service {service} name left no time '
+        'for it'
+    ),
     Cause.REJECTED: (
         'each endpoint that it was sent to answered that the request was not '
         'run'
@@ -188,6 +193,7 @@
     REJECTED = 'turned away by the endpoint'
     NOT_SENT = 'not sent during a pause of the endpoint'
     ALL_PAUSED = 'all endpoints are paused'
+    ALL_LIMITED = 'all endpoints are limited'
     MISDIRECTED = 'another endpoint or version answered'
     ATTEMPT_FAILED = 'attempt failed'
     ENDPOINT_CRASHED = 'endpoint crashed under a request'
@@ -221,6 +227,10 @@
     Finding.ALL_PAUSED: (
         'the first endpoint could be used again after {retry_after} s'
     ),
+    Finding.ALL_LIMITED: (
+        'the limits of its endpoints allow another request after '
+        '{retry_after} s'
+    ),
     Finding.MISDIRECTED: (
         'the process at the address of endpoint {endpoint} was another '
         'endpoint, or did not hold version {version}'
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -179,6 +179,7 @@
         'requests a second that the endpoint takes of all entries together; '
         'null for no limit',
     ),
+    'share': Field('float', 'the part of that rate that this entry may use'),
     'reads': Field(
         'bool', 'whether this process reads the topic from the store itself'
     ),
@@ -187,7 +188,8 @@
         'why the request ended: starting, malformed, unknown_route, '
         'unknown_key, quarantined (its repeats crash endpoints), overload, '
         'no_service, no_endpoint, no_weights, '
-        'all_paused, turned_away, broken, endpoint_failed, deadline (of its '
+        'all_paused, all_limited, turned_away, broken, endpoint_failed, '
+        'deadline (of its '
         'caller), route_time, slow_reader, leaving',
     ),
     'refused': Field(
@@ -202,7 +204,8 @@
     'retry_after': Field(
         'float or null',
         'seconds for which the endpoint asked for no requests of this machine, '
-        'null if it did not; or that are left of the pause',
+        'null if it did not; or that are left of the pause, or until limits '
+        'allow the request',
     ),
     'rounds': Field(
         'int',
@@ -421,9 +424,13 @@
         'is refused at every entry for that time',
     ),
     'endpoint names a limit': Kind(
-        'request endpoint before rate',
+        'request endpoint rate share',
         'its answer names another limit of requests than the one before',
     ),
+    'all endpoints are limited': Kind(
+        'request service retry_after',
+        'the limits that endpoints name leave no time for the request',
+    ),
     'limit of an endpoint not understood': Kind(
         'request endpoint', 'the limit in its answer is ignored'
     ),
--- a/clementinepass/observability/verdicts.py
+++ b/clementinepass/observability/verdicts.py
@@ -36,6 +36,7 @@
     'no_endpoint': Cause.NO_ENDPOINT,
     'no_weights': Cause.NO_WEIGHTS,
     'all_paused': Cause.ALL_PAUSED,
+    'all_limited': Cause.ALL_LIMITED,
     'endpoint_failed': Cause.ENDPOINT_FAILED,
     'deadline': Cause.DEADLINE,
     'route_time': Cause.ROUTE_TIMEOUT,
--- a/clementinepass/wire/direct.capnp
+++ b/clementinepass/wire/direct.capnp
@@ -91,6 +91,19 @@
   crashes @1 :List(Text);
 }
 
+struct EndpointLimit {
+  # The limit of requests that an endpoint names in its answers.
+  endpoint @0 :Text;
+  # When the endpoint started, in milliseconds of Unix time; 0 if unknown.
+  started @1 :UInt64;
+  # Requests a second of all entries together.
+  rate @2 :Float64;
+  # Whether the limit has ended.
+  ended @3 :Bool;
+  # Milliseconds since the answer that said so.
+  ageMs @4 :UInt32;
+}
+
 struct Heartbeat {
   sender @0 :Member;
   members @1 :List(Member);
@@ -107,6 +120,7 @@
   load @9 :EngineLoad;
   crashes @10 :List(Crash);
   clearances @11 :List(Clearance);
+  limits @12 :List(EndpointLimit);
 }
 
 struct Record {
--- a/clementinepass/wire/heartbeats.py
+++ b/clementinepass/wire/heartbeats.py
@@ -56,6 +56,7 @@
     _write_versions(message, heartbeat)
     _write_engine_statuses(message, heartbeat)
     _write_crash_evidence(message, heartbeat.crash_evidence)
+    _write_limits(message, heartbeat)
     return bytes(message.to_bytes_packed())
 
 
@@ -188,6 +189,25 @@
         slot.crashes = list(clearance.crashes)
 
 
+def _write_limits(message: typing.Any, heartbeat: heartbeats.Heartbeat) -> None:
+    slots = message.init('limits', len(heartbeat.endpoint_limits))
+    for slot, limit in zip(slots, heartbeat.endpoint_limits, strict=True):
+        slot.endpoint = limit.endpoint_id
+        slot.started = limit.started_ms
+        slot.rate = limit.rate or 0
+        slot.ended = limit.rate is None
+        slot.ageMs = _age_ms(limit.age)
+
+
+def _read_limit(slot: typing.Any) -> heartbeats.EndpointLimit:
+    return heartbeats.EndpointLimit(
+        slot.endpoint,
+        slot.started,
+        None if slot.ended else slot.rate,
+        slot.ageMs / _MS_PER_SECOND,
+    )
+
+
 def _read_crash(slot: typing.Any) -> quarantine.Crash:
     return quarantine.Crash(
         slot.id,
@@ -240,6 +260,7 @@
                 for clearance in message.clearances
             ),
         ),
+        endpoint_limits=tuple(map(_read_limit, message.limits)),
     )
 
 
--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -112,7 +112,7 @@
         #: Whether all answers say that the endpoint drains.
         self.is_draining = False
         #: The limit of requests a second that all answers name, if any.
-        self.limit: bytes | None = None
+        self.named_limit: bytes | None = None
         #: Milliseconds of Unix time of its start.
         self.born = 1
         #: Words of this start so far.
@@ -151,7 +151,7 @@
         """
         await self._front.close()
         self.is_draining = False
-        self.limit = None
+        self.named_limit = None
         self.born += 1
         self.heartbeat = 0
         self._front = front.Front(self._handle)
@@ -297,6 +297,6 @@
             pairs.append((b'Content-Encoding', b'gzip'))
         if self.is_draining:
             pairs.append((b'Server-Leaving', b'1'))
-        if self.limit is not None:
-            pairs.append((b'Server-Limit', self.limit))
+        if self.named_limit is not None:
+            pairs.append((b'Server-Limit', self.named_limit))
         return pairs
--- a/tests/direct/test_limited_endpoints.py
+++ b/tests/direct/test_limited_endpoints.py
@@ -47,7 +47,8 @@
 ) -> direct_endpoint.DirectEndpoint:
     """Let an endpoint name a limit in an answer, and forget what came."""
     limited = world.endpoints[index]
-    limited.limit = value
+    limited.named_limit = value
+    limited.came.clear()
     while not limited.came:
         await world.send('/plain/a')
     limited.came.clear()
@@ -100,9 +101,16 @@
 
         async def scenario(harness: World) -> None:
             limited = await limit(harness)
-            for _ in range(REQUESTS):
-                harness.endpoints[1].faults = [Fault.CUT]
-                await harness.send('/stream/a')
+            harness.endpoints[1].faults = [Fault.CUT] * REQUESTS
+            pending = [
+                harness.send(
+                    '/stream/a',
+                    X_Attempt_Id=f'r-{number}',
+                    X_Deadline_Ms='3000',
+                )
+                for number in range(REQUESTS)
+            ]
+            await asyncio.gather(*pending, return_exceptions=True)
             self.assertLessEqual(most_in_span(limited), allowed(LIMIT))
 
         path_harness.run(scenario)
@@ -112,7 +120,7 @@
 
         async def scenario(harness: World) -> None:
             (limited,) = harness.endpoints
-            limited.limit = LIMIT
+            limited.named_limit = LIMIT
             gate = asyncio.Event()
             acquire = pool.Pool.acquire
             first = asyncio.Event()
@@ -211,7 +219,7 @@
 
         async def scenario(harness: World) -> None:
             limited = await limit(harness, value=b'5')
-            limited.limit = None
+            limited.named_limit = None
             while not limited.came:
                 await harness.send('/plain/a')
                 await asyncio.sleep(0.05)
@@ -243,7 +251,7 @@
             first, second = harness.endpoints
             await limit(harness, 0, b'many')
             await limit(harness, 1)
-            second.limit = b'many'
+            second.named_limit = b'many'
             for _ in range(REQUESTS):
                 await harness.send('/plain/a')
             self.assertGreaterEqual(len(first.came), REQUESTS / 2)
@@ -269,7 +277,7 @@
                 if is_limited(number)
             ]
             for endpoint in limited:
-                endpoint.limit = value
+                endpoint.named_limit = value
             # The bound applies from three seconds after it was first named on.
             await send_all(system, 3)
             for endpoint in limited:
--- a/tests/observability/test_causes.py
+++ b/tests/observability/test_causes.py
@@ -235,6 +235,15 @@
     await send_ignoring_failure(world, '/plain/a')
 
 
+async def all_limited(world: World) -> None:
+    """Both endpoints name a limit, and the request cannot wait for it."""
+    for endpoint in world.endpoints:
+        endpoint.named_limit = b'0.1'
+    while not all(endpoint.came for endpoint in world.endpoints):
+        await world.send('/plain/a', X_Attempt_Id='before')
+    await send_ignoring_failure(world, '/plain/a', X_Deadline_Ms='200')
+
+
 async def quarantined(world: World) -> None:
     """Three endpoints crash under earlier requests of the same kind."""
     while len(world.endpoints) < 5:
@@ -376,6 +385,7 @@
     (no_weights, Cause.NO_WEIGHTS, 'service pool'),
     (overload, Cause.OVERLOAD, 'for 16 slots'),
     (all_paused, Cause.ALL_PAUSED, 'service pool'),
+    (all_limited, Cause.ALL_LIMITED, 'service pool'),
     (quarantined, Cause.QUARANTINED, 'one after the other'),
     (
         failing_endpoints('/once/a', Fault.FULL, Fault.FULL),
--- a/tests/wire/test_heartbeats.py
+++ b/tests/wire/test_heartbeats.py
@@ -33,3 +33,15 @@
         )
         decoded = wire_heartbeats.read_heartbeat(payload, 'peer')
         self.assertEqual(digest, decoded.crash_evidence)
+
+    def test_endpoint_limits(self) -> None:
+        """Limits and their ends come as they were sent."""
+        limits = (
+            heartbeats.EndpointLimit('i-1', 1_760_000_000_123, 1.2, 0.25),
+            heartbeats.EndpointLimit('i-2', 0, None, 12),
+        )
+        payload = wire_heartbeats.write_heartbeat(
+            heartbeats.Heartbeat(endpoint_limits=limits)
+        )
+        decoded = wire_heartbeats.read_heartbeat(payload, 'peer')
+        self.assertEqual(limits, decoded.endpoint_limits)
