--- a/clementinepass/requests/quarantine.py
+++ b/clementinepass/requests/quarantine.py
@@ -259,6 +259,8 @@
         :param started: when the answered attempt was dispatched; crashes
             after it are not disproved by it.
         """
+        if fingerprint not in self._cases_by_fingerprint:
+            return
         crashes = tuple(
             crash_id
             for crash_id, case in self._cases_by_crash.items()
@@ -320,8 +322,8 @@
         if until > now:
             return Judgement(Standing.QUARANTINED, until - now)
         oldest = now - self._memory
-        for case in self._cases_by_crash.values():
-            if fingerprint in case.started_by_suspect and case.at >= oldest:
+        for case in self._cases_by_fingerprint.get(fingerprint, ()):
+            if case.at >= oldest:
                 return Judgement(Standing.SUSPECT)
         return Judgement(Standing.FREE)
 
