--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -9,7 +9,7 @@
 import testtools
 
 from clementinepass.http import channel, messages, pool
-from standins import direct_endpoint, machines
+from standins import direct_endpoint, machines, weights_origin
 from tests.direct import path_harness
 
 Fault = direct_endpoint.Fault
@@ -311,14 +311,49 @@
 
         asyncio.run(run_entries(scenario))
 
+    def test_known_after_loss_of_all_entries(self) -> None:
+        """Agents tell entries that start after all entries were killed."""
+
+        async def scenario(system: machines.Machines) -> None:
+            endpoints = await list_endpoints(system, ENDPOINTS)
+            await system.all_known()
+            while await ask_entry(system, 0) != 503:
+                await asyncio.sleep(0.1)
+            crashed = sum(one.crashed.is_set() for one in endpoints)
+            # Agents get full heartbeats only.
+            await asyncio.sleep(3)
+            for ip in list(system.entry_ips):
+                system.kill_entry(ip)
+            await asyncio.sleep(0.5)
+            late = system.add_entry()
+            await machines.until(
+                lambda: (
+                    late.is_ready and not late.cluster.crash_evidence.is_empty
+                )
+            )
+            self.assertEqual(503, await ask_entry(system, ENTRIES))
+            self.assertEqual(
+                crashed, sum(one.crashed.is_set() for one in endpoints)
+            )
+
+        asyncio.run(run_entries(scenario, engines=2))
+
 
 async def run_entries(
     scenario: typing.Callable[[machines.Machines], typing.Awaitable[None]],
+    engines: int = 0,
 ) -> None:
-    """Run a scenario with some entries."""
+    """Run a scenario with some entries, and engines with agents."""
     plain = {**machines.CONFIG['routes'][0], 'maxAttempts': 2}
     config = {**machines.CONFIG, 'routes': [plain]}
-    system = machines.Machines([], config=config, entries=ENTRIES)
+    system = machines.Machines(
+        [
+            weights_origin.LoadingEngine(machines.LAYERS, machines.CHUNKS, 1)
+            for _ in range(engines)
+        ],
+        config=config,
+        entries=ENTRIES,
+    )
     async with asyncio.timeout(60), system:
         await scenario(system)
 
