Do not suspect requests that were answered shortly before a crash

A request that comes ten times a second is at many endpoints that crash one after the other.

Entries remember for three seconds what they have answered, and clear such requests of crashes at once, at all entries.

Tests of three entries also let the endpoint that they remove crash, as it stays in use for a moment.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -147,22 +147,13 @@
         self._record_result(admitted, attempt, result)
         if result is serving.AttemptResult.ANSWERED:
             self._log.log_answered(admitted, attempt)
-            self._clear_of_crashes(admitted, attempt)
-            self._log_first_answer(admitted.service.name)
-        return result
-
-    def _clear_of_crashes(
-        self,
-        admitted: serving.AdmittedRequest,
-        attempt: serving.Attempt,
-    ) -> None:
-        evidence = self._cluster.crash_evidence
-        if not evidence.is_empty:
-            evidence.record_answer(
+            self._cluster.crash_evidence.record_answer(
                 admitted.fingerprint,
                 attempt.started_at,
                 asyncio.get_running_loop().time(),
             )
+            self._log_first_answer(admitted.service.name)
+        return result
 
     def _finish(
         self,
--- a/clementinepass/direct/crash_evidence.py
+++ b/clementinepass/direct/crash_evidence.py
@@ -34,6 +34,12 @@
 #: Seconds after which a caller may come back that met the end of a quarantine
 #: at an entry that runs no trial.
 _TRIAL_RETRY_SECONDS = 2.0
+#: Seconds before a crash within which an answer shows that the request has not
+#: caused it. A request that comes often is at many endpoints that crash one
+#: after the other, and each of its runs may meet a crash for a moment.
+_ANSWER_SECONDS = 3.0
+#: Maximum number of answered requests that are remembered.
+_MAX_ANSWERED = 4096
 #: Seconds for which a request that crashed several endpoints is kept away from
 #: the last one of its service, as the others are being started again.
 _PROTECTION_SECONDS = 10.0
@@ -46,6 +52,7 @@
     """
 
     __slots__ = (
+        '_answered_at_by_fingerprint',
         '_fresh',
         '_local_ip',
         '_quarantine',
@@ -60,6 +67,8 @@
         self._quarantine = quarantine.Quarantine(
             min_crashes=_MIN_CRASHES, tolerance=0
         )
+        #: When each request was last answered, in this order.
+        self._answered_at_by_fingerprint: dict[str, float] = {}
         #: The time of each new finding.
         self._fresh: list[tuple[float, quarantine.Digest]] = []
         #: The fingerprints whose quarantine was logged.
@@ -86,6 +95,9 @@
         """
         suspect = quarantine.Suspect(fingerprint, started_at)
         self._quarantine.died(crash_id, (suspect,), now)
+        self._clear_answered(
+            (quarantine.Crash(crash_id, now, (suspect,)),), now
+        )
         self._publish(now)
         return self._quarantine.history(fingerprint, now)
 
@@ -93,6 +105,9 @@
         self, fingerprint: str, started_at: float, now: float
     ) -> None:
         """Record a complete answer: the request has not crashed an endpoint."""
+        self._answered_at_by_fingerprint.pop(fingerprint, None)
+        self._answered_at_by_fingerprint[fingerprint] = now
+        self._forget_answers(now)
         self._quarantine.answered(fingerprint, started_at, now)
         self._publish(now)
 
@@ -178,8 +193,33 @@
         self._quarantine.merge(new, now)
         if is_relayed:
             self._fresh.append((now, new))
+        self._clear_answered(new.crashes, now)
+        self._publish(now)
         self._log_quarantined(now)
 
+    def _clear_answered(
+        self, crashes: Iterable[quarantine.Crash], now: float
+    ) -> None:
+        """Clear requests that were answered shortly before crashes."""
+        for crash in crashes:
+            for suspect in crash.suspects:
+                answered_at = self._answered_at_by_fingerprint.get(
+                    suspect.fingerprint, float('-inf')
+                )
+                if answered_at > crash.at - _ANSWER_SECONDS:
+                    self._quarantine.clear(
+                        suspect.fingerprint, (crash.id,), now
+                    )
+
+    def _forget_answers(self, now: float) -> None:
+        answered = self._answered_at_by_fingerprint
+        while answered:
+            oldest = next(iter(answered))
+            is_old = answered[oldest] < now - _ANSWER_SECONDS
+            if not is_old and len(answered) <= _MAX_ANSWERED:
+                return
+            del answered[oldest]
+
     def _seconds_until_trial(self, fingerprint: str, now: float) -> float:
         entries = {self._local_ip, *self.other_entries()}
         if rendezvous.top_ranked(fingerprint, entries, 1) != [self._local_ip]:
--- a/tests/direct/test_crash_evidence.py
+++ b/tests/direct/test_crash_evidence.py
@@ -167,6 +167,23 @@
         self.assertFalse(first.is_suspicious(REQUEST, now))
         self.assertFalse(second.is_suspicious(REQUEST, now))
 
+    def test_answered_before(self) -> None:
+        """A request that is answered all the time does not crash endpoints."""
+        first, second = make(), make(ENTRIES[1])
+        first.record_answer(REQUEST, 0, 0.1)
+        crash(second, 2, first=1)
+        second.apply(first.report(2.3, full=False), 2.3, is_relayed=False)
+        first.apply(second.report(2.3, full=False), 2.3, is_relayed=False)
+        second.apply(first.report(2.4, full=False), 2.4, is_relayed=False)
+        self.assertFalse(second.is_suspicious(REQUEST, 2.4))
+
+    def test_answered_long_before(self) -> None:
+        """An answer long before proves nothing."""
+        evidence = make()
+        evidence.record_answer(REQUEST, 0, 0.1)
+        crash(evidence, 3, first=10)
+        self.assertGreater(seconds_barred(evidence, 13), 0)
+
     def test_answer(self) -> None:
         """An answer at one entry frees the request at the others."""
         first, second = make(), make(ENTRIES[1])
--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -371,6 +371,8 @@
             'keyed.servers', endpoint.id, endpoint.entry('desk', 'a')
         )
         endpoints.append(endpoint)
+    # It stays in use for a moment after its removal.
+    system.desk.faults_by_body[CRASHING] = Fault.CRASH
     system.store.put('keyed.servers', system.desk.id, None)
     return endpoints
 
