--- a/standins/machines.py
+++ b/standins/machines.py
@@ -153,6 +153,7 @@
         self._duties = duties or node.SystemLimits(version=1.5)
         self._config = config or CONFIG
         self.desk = direct_endpoint.DirectEndpoint('i-desk')
+        self._added_desks: list[direct_endpoint.DirectEndpoint] = []
         self.entries: list[entry.Entry] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._entry_task_by_ip: dict[str, asyncio.Task[None]] = {}
@@ -186,7 +187,8 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.store.__aexit__()
-        await self.desk.__aexit__()
+        for desk in (self.desk, *self._added_desks):
+            await desk.__aexit__()
         await self.origin.close()
         for one in self.engines:
             await one.close()
@@ -303,14 +305,41 @@
         )
         self._tasks.append(asyncio.create_task(process.run()))
 
-    async def ask(self, number: int, target: str = '/plain/a') -> int:
-        """Ask an entry as a caller and return the status."""
+    async def replace_desk(
+        self, count: int
+    ) -> list[direct_endpoint.DirectEndpoint]:
+        """List plain endpoints in the place of the only one.
+
+        That one stays in use for a moment after its removal.
+        """
+        added = []
+        for number in range(count):
+            one = direct_endpoint.DirectEndpoint(f'i-desk-{number}')
+            await one.__aenter__()
+            self.store.put('keyed.servers', one.id, one.entry('desk', 'a'))
+            added.append(one)
+        self.store.put('keyed.servers', self.desk.id, None)
+        self._added_desks.extend(added)
+        return added
+
+    async def ask(
+        self,
+        number: int,
+        target: str = '/plain/a',
+        *,
+        name: bytes = b'r',
+        body: bytes = b'',
+    ) -> int:
+        """Ask an entry as a caller and return the status.
+
+        :param name: the id of the request.
+        """
         address = self.entries[number].callers_address
         request = messages.encode_request(
-            b'GET',
+            b'POST' if body else b'GET',
             target.encode(),
-            [(b'Host', b'h'), (b'X-Attempt-Id', b'r')],
-            b'',
+            [(b'Host', b'h'), (b'X-Attempt-Id', name)],
+            body,
         )
         fetched = await pool.fetch(
             pool.Pool.from_address(address),
