Drop heartbeats with limits that are no numbers

A limit that is not finite could not be divided among entries, and each selection of an endpoint would have failed by an error. Found by reading; test_limit_that_is_no_number failed before.

--- a/clementinepass/wire/heartbeats.py
+++ b/clementinepass/wire/heartbeats.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import pathlib
 import socket
 import typing
@@ -200,6 +201,12 @@
 
 
 def _read_limit(slot: typing.Any) -> heartbeats.EndpointLimit:
+    if not 0 <= slot.rate < math.inf:
+        raise errors.MalformedMessageError(
+            f'endpoint {slot.endpoint!r} has a limit of {slot.rate} a second',
+            step='read a heartbeat',
+            peer='',
+        )
     return heartbeats.EndpointLimit(
         slot.endpoint,
         slot.started,
--- a/tests/wire/test_heartbeats.py
+++ b/tests/wire/test_heartbeats.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import math
+
 import testtools
 
+from clementinepass import errors
 from clementinepass.direct import heartbeats
 from clementinepass.requests import quarantine
 from clementinepass.wire import heartbeats as wire_heartbeats
@@ -45,3 +48,17 @@
         )
         decoded = wire_heartbeats.read_heartbeat(payload, 'peer')
         self.assertEqual(limits, decoded.endpoint_limits)
+
+    def test_limit_that_is_no_number(self) -> None:
+        """A limit by which nothing can be divided is not read."""
+        for rate in (math.nan, math.inf, -1.0):
+            limit = heartbeats.EndpointLimit('i-1', 0, rate, 0)
+            payload = wire_heartbeats.write_heartbeat(
+                heartbeats.Heartbeat(endpoint_limits=(limit,))
+            )
+            self.assertRaises(
+                errors.MalformedMessageError,
+                wire_heartbeats.read_heartbeat,
+                payload,
+                'peer',
+            )
