--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -26,7 +26,7 @@
 #: One in this many successful requests is logged.
 _SAMPLE_ONE_IN = 16
 #: Minimum seconds between lines on the limits that endpoints name.
-_RATE_LOG_INTERVAL_SECONDS = 0.25
+_RATE_LOG_INTERVAL_SECONDS = 0.05
 _BUCKETS = (
     0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, float('inf'),
 )  # fmt: skip
