--- a/clementinepass/direct/selection.py
+++ b/clementinepass/direct/selection.py
@@ -138,7 +138,7 @@
         try:
             while True:
                 seconds = self._seconds_until_turn(
-                    admitted, line.count_ahead(ticket), loop.time()
+                    admitted, line, ticket, loop.time()
                 )
                 if not seconds:
                     return True
@@ -170,11 +170,16 @@
         return False
 
     def _seconds_until_turn(
-        self, admitted: serving.AdmittedRequest, ahead: int, now: float
+        self,
+        admitted: serving.AdmittedRequest,
+        line: waiting_line.WaitingLine,
+        ticket: waiting_line.Ticket,
+        now: float,
     ) -> float:
         """Return the seconds until the request may be sent somewhere.
 
-        :param ahead: requests that wait and go first to limited endpoints.
+        :param line: the requests that wait; those ahead go first to endpoints
+            with limits.
         :returns: 0 if there is no endpoint to wait for, or one that can be used
             now.
         """
@@ -194,6 +199,7 @@
             for endpoint in unlimited
         ]
         if limited:
+            ahead = line.count_ahead(ticket)
             waits.append(_seconds_in_line(limited, ahead, now))
         return min(waits, default=math.inf)
 
