--- a/tests/direct/test_crash_evidence_simulation.py
+++ b/tests/direct/test_crash_evidence_simulation.py
@@ -25,7 +25,7 @@
 #: request has crashed its third endpoint.
 SETTLING_SECONDS = 3.0
 MAX_LATER_ARRIVALS = 3
-KILLERS = ('k0' * 16, 'k1' * 16)
+CRASHING = ('k0' * 16, 'k1' * 16)
 POPULAR = 'p0' * 16
 
 
@@ -76,9 +76,11 @@
         self.after(0.1, self._send_heartbeats)
         self.after(0.5, self._send_innocent)
         self.after(0.7, self._send_popular)
-        for killer in KILLERS:
+        for crashing in CRASHING:
             # By then the popular request has been answered.
-            self.after(4, lambda killer=killer: self._send_killer(killer))
+            self.after(
+                4, lambda crashing=crashing: self._send_crashing(crashing)
+            )
         self.after(4 + self.rng.expovariate(self._crash_rate), self._crash_one)
         while self.now < SECONDS:
             self.now, _, act = heapq.heappop(self._events)
@@ -126,11 +128,13 @@
         self._send(POPULAR)
         self.after(self.rng.expovariate(10), self._send_popular)
 
-    def _send_killer(self, killer: str) -> None:
-        self._send(killer)
+    def _send_crashing(self, crashing: str) -> None:
+        self._send(crashing)
         if self.rng.random() < 0.3:
-            self._send(killer)
-        self.after(self.rng.uniform(0.5, 3), lambda: self._send_killer(killer))
+            self._send(crashing)
+        self.after(
+            self.rng.uniform(0.5, 3), lambda: self._send_crashing(crashing)
+        )
 
     def _send(self, fingerprint: str) -> None:
         self._start(fingerprint, self.rng.randrange(ENTRIES), 0)
@@ -150,7 +154,7 @@
         attempt = Attempt(fingerprint, entry, self.now, runs + 1, endpoint)
         endpoint.running[number] = attempt
         self.arrivals[fingerprint].append(self.now)
-        if fingerprint in KILLERS:
+        if fingerprint in CRASHING:
             self.after(0.05, lambda: self._crash_by(attempt))
         else:
             self.after(
@@ -228,11 +232,11 @@
         for seed in SEEDS:
             played = Simulation(seed, crash_rate)
             played.run()
-            for killer in KILLERS:
+            for crashing in CRASHING:
                 self.assertLessEqual(
-                    played.later_arrivals(killer), MAX_LATER_ARRIVALS, seed
+                    played.later_arrivals(crashing), MAX_LATER_ARRIVALS, seed
                 )
-                del played.refused[killer]
+                del played.refused[crashing]
             self.assertEqual({}, dict(played.refused), seed)
 
     def test_few_crashes(self) -> None:
