Log the prompt parts of requests at endpoints that crash

The line on a crash had the fingerprint of the request, by which no two requests of the incident are the same. It has digests of the prompt's parts now, without the last, and whether the endpoint had begun to answer, so that it tells whether crashes have a part in common. Nothing else changes; the parts are read at the boundary to the platform, and a malformed header rejects nothing.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -452,7 +452,7 @@
         From its first whole event, or its whole plain answer, on, nothing of
         another attempt reaches the caller.
         """
-        attempt.mark_started()
+        attempt.mark_answering()
         if attempt.is_silent:
             self._log.log_going_on(admitted, attempt)
             attempt.silent_since = None
--- a/clementinepass/direct/calls.py
+++ b/clementinepass/direct/calls.py
@@ -17,6 +17,7 @@
 _MIN_EVENT_WAIT_SECONDS = 2.0
 _LATENCY_TARGETS_WAITED = 4
 _EVENT_GAPS_WAITED = 8
+_NO_PARTS: frozenset[bytes] = frozenset()
 
 
 class InvalidRequestError(errors.ClementinepassError):
@@ -38,6 +39,8 @@
     :param answer_tokens: maximum tokens of the answer; 0 if unspecified.
     :param resume_after: id of the last event that the caller has received;
         ``None`` for a request that is not resumed.
+    :param prompt_part_ids: ids of the parts of the prompt that other requests
+        may have, too.
     """
 
     __slots__ = (
@@ -46,6 +49,7 @@
         'id',
         'key',
         'timeout_seconds',
+        'prompt_part_ids',
         'prompt_tokens',
         'request',
         'resume_after',
@@ -62,6 +66,7 @@
         prompt_tokens: int = 0,
         answer_tokens: int = 0,
         resume_after: int | None = None,
+        prompt_part_ids: frozenset[bytes] = _NO_PARTS,
     ) -> None:
         self.id = id
         self.request = request
@@ -71,6 +76,7 @@
         self.prompt_tokens = prompt_tokens
         self.answer_tokens = answer_tokens
         self.resume_after = resume_after
+        self.prompt_part_ids = prompt_part_ids
 
 
 class AttemptParameters(typing.NamedTuple):
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -230,6 +230,8 @@
             endpoint=attempt.peer,
             fingerprint=admitted.fingerprint,
             crashes=repeated,
+            answering=attempt.has_begun_answer,
+            parts=sorted(admitted.prompt_parts),
         ).warning('endpoint crashed under a request')
 
     def log_unusable(
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -25,6 +25,9 @@
 #: Hexadecimal digits of a fingerprint that are used, as it is sent to others.
 #: Nobody can craft a request with the 128 bits of another one's fingerprint.
 _FINGERPRINT_DIGITS = 32
+#: Hexadecimal digits of the digest of a prompt part that are used. Heartbeats
+#: carry several parts for each request.
+_PROMPT_PART_DIGITS = 16
 
 
 class Ending(enum.Enum):
@@ -170,6 +173,8 @@
     #: Monotonic time since which the attempt waits for the endpoint; ``None``
     #: while it does not.
     waiting_since: float | None = None
+    #: Whether a whole event or answer of the endpoint has arrived.
+    has_begun_answer: bool = False
     #: Monotonic time by which the first event of the attempt must have
     #: arrived, as the weights of the endpoint become too old; infinite if they
     #: do not, and once that event has arrived.
@@ -192,6 +197,11 @@
             return None
         return task.result()
 
+    def mark_answering(self) -> None:
+        """Record that a whole event or answer of the endpoint has arrived."""
+        self.has_begun_answer = True
+        self.mark_started()
+
     def mark_started(self) -> None:
         """Record that the endpoint answers, so that it may take its time.
 
@@ -239,6 +249,7 @@
 
     __slots__ = (
         '_fingerprint',
+        '_prompt_parts',
         'attempts',
         'retry_decision',
         'resume_after',
@@ -294,6 +305,7 @@
         #: Id of the last event that the caller has received.
         self.resume_after = call.resume_after
         self._fingerprint = ''
+        self._prompt_parts: frozenset[str] | None = None
 
     @property
     def fingerprint(self) -> str:
@@ -313,6 +325,20 @@
             )[:_FINGERPRINT_DIGITS]
         return self._fingerprint
 
+    @property
+    def prompt_parts(self) -> frozenset[str]:
+        """Return digests of the prompt's parts that other requests may have."""
+        if self._prompt_parts is None:
+            engine = self.service.engine
+            target = self.service.name if engine is None else engine.model
+            self._prompt_parts = frozenset(
+                identity.prompt_part_digest(target, part_id)[
+                    :_PROMPT_PART_DIGITS
+                ]
+                for part_id in self.call.prompt_part_ids
+            )
+        return self._prompt_parts
+
     @property
     def urgency(self) -> int:
         """Return the priority at endpoints: by team first, then by route."""
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -60,6 +60,9 @@
     'answer': Field(
         'str', 'of the engine: accepted, done, rejected or unknown'
     ),
+    'answering': Field(
+        'bool', 'whether an event of the answer had arrived from the endpoint'
+    ),
     'answered_by': Field(
         'str', 'id of the endpoint that answered; empty if it is not given'
     ),
@@ -172,6 +175,11 @@
         'answer is no stream',
     ),
     'peer': Field('str', 'IP address of the peer'),
+    'parts': Field(
+        'list',
+        'digests of parts of the prompt, without the last one; each stands for '
+        'the same part in all lines',
+    ),
     'phase': Field('str', 'phase of the entry: starting, ready or leaving'),
     'piece': Field('int', 'number of the piece'),
     'rate': Field(
@@ -415,7 +423,7 @@
         'there is no complete answer',
     ),
     'endpoint crashed under a request': Kind(
-        'request attempt endpoint fingerprint crashes',
+        'request attempt endpoint fingerprint crashes answering parts',
         'its process is gone; other requests may have run there, too',
     ),
     'request quarantined': Kind(
--- a/clementinepass/platform/dialect.py
+++ b/clementinepass/platform/dialect.py
@@ -21,6 +21,8 @@
 _DEADLINE_NAME = b'x-deadline-ms'
 #: Tokens of the prompt and of the longest answer, separated by a comma.
 _USAGE_NAME = b'x-token-usage'
+#: The parts of the prompt in order, as ID:TOKENS, separated by commas.
+_PROMPT_NAME = b'x-prompt-prefix'
 _RESUME = b'Last-Event-Id'
 _RESUME_NAME = b'last-event-id'
 _EXPECT_INSTANCE = b'X-Expect-Instance'
@@ -54,6 +56,8 @@
         b'path',
     ),
 )
+#: Parts of a prompt that are read, from its beginning.
+_MAX_PROMPT_PARTS = 32
 _T = typing.TypeVar('_T')
 
 
@@ -101,6 +105,7 @@
             resume_after=_parse_number(
                 headers.get(_RESUME_NAME), _parse_event_id
             ),
+            prompt_part_ids=_parse_shared_parts(headers.get(_PROMPT_NAME)),
         )
 
     def encode_attempt(
@@ -209,5 +214,16 @@
     return int(parts[0]), int(parts[1])
 
 
+def _parse_shared_parts(field: bytes | None) -> frozenset[bytes]:
+    """Return the ids of the parts of a prompt that other prompts may have.
+
+    The last part belongs to the request itself. Malformed parts don't reject
+    the request, which is passed on as it came.
+    """
+    entries = (field or b'').split(b',', _MAX_PROMPT_PARTS)
+    ids = (entry.partition(b':')[0].strip().lower() for entry in entries[:-1])
+    return frozenset(part_id for part_id in ids if part_id)
+
+
 def _is_token_count(field: bytes) -> bool:
     return field.isdigit() and len(field) <= _MAX_USAGE_DIGITS
--- a/clementinepass/requests/identity.py
+++ b/clementinepass/requests/identity.py
@@ -96,6 +96,18 @@
     return digest.hexdigest()
 
 
+def prompt_part_digest(target: str, part_id: bytes) -> str:
+    """Return a digest by which a part of prompts is recognised.
+
+    :param target: the model or service that reads the prompt; the same part may
+        crash one of them and not another.
+    """
+    digest = hashlib.sha256()
+    for part in (target.encode(), part_id):
+        _add(digest, part)
+    return digest.hexdigest()
+
+
 def _add(digest: hashlib._Hash, part: bytes) -> None:
     # The length goes first, so that no two lists of parts read alike.
     digest.update(len(part).to_bytes(_LENGTH_BYTES, 'big'))
