--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -11,16 +11,14 @@
 import enum
 import typing
 
-from clementinepass.http import front, replies
-
-if typing.TYPE_CHECKING:
-    from clementinepass.http import messages
+from clementinepass.http import front, messages, replies
 
 HOST = '127.0.0.1'
 _OK = 200
 _ERROR = 500
 _UNAVAILABLE = 503
 _MISDIRECTED = 421
+_EVENT_STREAM = (b'Content-Type', b'text/event-stream')
 #: Seconds between two bytes of an answer that arrives little by little.
 _TRICKLE_SECONDS = 0.1
 
@@ -45,6 +43,15 @@
     CRASH = 'crash'
     #: Sends an event, and crashes the process.
     CRASH_MIDWAY = 'crash_midway'
+    #: Sends the head of a stream, and crashes the process.
+    CRASH_AFTER_HEAD = 'crash_after_head'
+    #: Sends the head of an answer that ends with its connection, and crashes
+    #: the process.
+    CRASH_UNFRAMED = 'crash_unframed'
+    #: The same, after a part of an event.
+    CRASH_INSIDE_EVENT = 'crash_inside_event'
+    #: Answers with neither a length nor chunks, and closes the connection.
+    UNFRAMED = 'unframed'
     #: Runs, and the stream is cut in the middle of an event.
     CUT = 'cut'
     #: Runs, and nothing comes.
@@ -72,6 +79,17 @@
 }
 
 
+#: Faults of answers whose end is not marked.
+_PARTIAL_ANSWERS = frozenset(
+    (
+        Fault.CRASH_AFTER_HEAD,
+        Fault.CRASH_UNFRAMED,
+        Fault.CRASH_INSIDE_EVENT,
+        Fault.UNFRAMED,
+    ),
+)
+
+
 class DirectEndpoint:
     """One endpoint.
 
@@ -92,6 +110,9 @@
         self.faults_by_request: dict[str, list[Fault]] = {}
         #: What goes wrong with each request by its body.
         self.faults_by_body: dict[bytes, Fault] = {}
+        #: What goes wrong with each request by a part of its prompt; the last
+        #: part is the request's own.
+        self.faults_by_prompt_part: dict[bytes, Fault] = {}
         #: Ids of requests with what went wrong with them here.
         self.met: list[tuple[str, Fault]] = []
         #: Requests that ran.
@@ -200,6 +221,10 @@
         lasting_fault = self.faults_by_body.get(request.body)
         if lasting_fault is not None:
             return lasting_fault
+        for part in prompt_parts(request)[:-1]:
+            lasting_fault = self.faults_by_prompt_part.get(part)
+            if lasting_fault is not None:
+                return lasting_fault
         faults = self.faults_by_request.get(name) or self.faults
         if not faults:
             return None
@@ -229,6 +254,31 @@
         self._crashing = asyncio.create_task(self.crash())
         await asyncio.Event().wait()
 
+    async def _answer_in_part(
+        self,
+        request: messages.Request,
+        reply: replies.Reply,
+        fault: Fault | None,
+    ) -> None:
+        pairs = self._marked(request)
+        body = b'by %b' % self.id.encode()
+        if b'/stream/' in request.target:
+            pairs.append(_EVENT_STREAM)
+            body = b'id: 0\ndata: 0\n\n'
+        connection = reply._connection
+        if fault is Fault.CRASH_AFTER_HEAD:
+            reply.start(_OK, pairs)
+        else:
+            connection.write(messages.encode_head(_OK, pairs))
+        if fault is Fault.UNFRAMED:
+            connection.write(body)
+        if fault is Fault.CRASH_INSIDE_EVENT:
+            connection.write(body[:-1])
+        await asyncio.sleep(0.01)
+        if fault is not Fault.UNFRAMED:
+            await self._crash_by_request()
+        reply.abort()
+
     async def _succeed(
         self,
         request: messages.Request,
@@ -237,7 +287,9 @@
     ) -> None:
         if fault is Fault.SILENT:
             await self.let_go.wait()
-        if b'/stream/' in request.target:
+        if fault in _PARTIAL_ANSWERS:
+            await self._answer_in_part(request, reply, fault)
+        elif b'/stream/' in request.target:
             await self._stream(request, reply, fault)
         else:
             await self.going.wait()
@@ -263,7 +315,7 @@
         fault: Fault | None,
     ) -> None:
         pairs = self._marked(request, fault)
-        reply.start(_OK, [*pairs, (b'Content-Type', b'text/event-stream')])
+        reply.start(_OK, [*pairs, _EVENT_STREAM])
         last = request.headers.get(b'last-event-id')
         first = 0 if last is None else int(last) + 1
         for number in range(first, self.events):
@@ -300,3 +352,9 @@
         if self.named_limit is not None:
             pairs.append((b'Server-Limit', self.named_limit))
         return pairs
+
+
+def prompt_parts(request: messages.Request) -> list[bytes]:
+    """Return the ids of the parts of a request's prompt, in order."""
+    field = request.headers.get(b'x-prompt-prefix') or b''
+    return [entry.partition(b':')[0] for entry in field.split(b',')]
