Do not take the end of a crashed endpoint for the end of its answer

An answer with neither a length nor chunks ends with its connection, and so does a crash. A caller got 200 with an empty or partial answer, and an empty stream counted as answered, which cleared the request of the crash that it had caused. Such an end is now examined like a broken connection: if the endpoint drains or was removed before, or accepts connections, the answer is whole; if its address refuses connections, the attempt is broken, and counts as a crash.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -389,6 +389,7 @@
                     peer=connection.peer,
                 )
         attempt.waiting_since = None
+        await self._check_end(attempt, connection)
         attempt.ended()
         body = b''.join(parts)
         if decoded_head.verdict is calls.Verdict.FAILURE:
@@ -436,12 +437,32 @@
             raise events.StreamBrokenError(
                 'the stream ended in the middle of an event'
             )
+        await self._check_end(attempt, connection)
         self._take_over(admitted, attempt)
         self._start_reply(admitted, decoded_head, status)
         attempt.ended()
         reply.end()
         return serving.AttemptResult.ANSWERED
 
+    async def _check_end(
+        self, attempt: serving.Attempt, connection: channel.Channel
+    ) -> None:
+        """Check that an answer without a length was not ended by a crash.
+
+        Both the end of such an answer and a crash close the connection.
+
+        :raises ChannelBrokenError: the endpoint is gone.
+        """
+        if connection.ends_with_connection and (
+            await self.crash_detector.is_gone(attempt.endpoint)
+        ):
+            raise channel.ChannelBrokenError(
+                'the endpoint crashed in an answer without a length',
+                peer=connection.peer,
+                is_clean=True,
+                fault=channel.Fault.ENDED,
+            )
+
     def _take_over(
         self,
         admitted: serving.AdmittedRequest,
--- a/clementinepass/direct/crash_detection.py
+++ b/clementinepass/direct/crash_detection.py
@@ -57,20 +57,26 @@
         ] = {}
         self._undecided: list[_BrokenAttempt] = []
 
+    async def is_gone(self, endpoint: endpoints.Endpoint) -> bool:
+        """Tell whether the process of an endpoint has ended unexpectedly.
+
+        Endpoints that drain, or whose records were removed before, end as
+        planned.
+        """
+        return not _ends_as_planned(endpoint) and await self._is_refused(
+            endpoint
+        )
+
     async def examine(
         self,
         admitted: serving.AdmittedRequest,
         attempt: serving.Attempt,
     ) -> None:
-        """Find out whether the endpoint of a broken attempt has crashed.
-
-        Endpoints that drain, or whose records were removed before, end as
-        planned.
-        """
+        """Find out whether the endpoint of a broken attempt has crashed."""
         endpoint = attempt.endpoint
         if attempt.failure not in _BROKEN_CONNECTION:
             return
-        if endpoint.listing.draining or endpoint.removed_at is not None:
+        if _ends_as_planned(endpoint):
             return
         broken = _BrokenAttempt(
             admitted, attempt, asyncio.get_running_loop().time()
@@ -117,6 +123,10 @@
         self._log.log_crash(broken.admitted, broken.attempt, history.repeated)
 
 
+def _ends_as_planned(endpoint: endpoints.Endpoint) -> bool:
+    return endpoint.listing.draining or endpoint.removed_at is not None
+
+
 async def _refuses(address: str) -> bool:
     """Tell whether nobody listens at an address."""
     host, _, port = address.rpartition(':')
--- a/clementinepass/http/channel.py
+++ b/clementinepass/http/channel.py
@@ -105,7 +105,9 @@
         self._buffered_bytes = 0
         self._is_complete = False
         self._has_surplus = False
-        self._ends_with_connection = False
+        #: Whether the current answer has neither a length nor chunks, and is
+        #: complete when the peer closes the connection.
+        self.ends_with_connection = False
         self._has_user_timeout = False
 
     @classmethod
@@ -166,7 +168,7 @@
         """Handle the end of stream, which ends an answer without a length."""
         if (
             self._is_active
-            and self._ends_with_connection
+            and self.ends_with_connection
             and not self._is_complete
         ):
             self._is_complete = True
@@ -214,12 +216,12 @@
             return
         headers = messages.Headers(self._pairs)
         self.head = messages.AnswerHead(status, headers)
-        self._ends_with_connection = (
+        self.ends_with_connection = (
             headers.get(b'content-length') is None
             and b'chunked' not in headers.tokens(b'transfer-encoding')
             and status not in _BODILESS_STATUSES
         )
-        if self._ends_with_connection or b'close' in headers.tokens(
+        if self.ends_with_connection or b'close' in headers.tokens(
             b'connection'
         ):
             self.is_reusable = False
@@ -238,7 +240,7 @@
 
     def on_message_complete(self) -> None:
         """Handle the end of an answer that has a length or chunks."""
-        if self.head is not None and not self._ends_with_connection:
+        if self.head is not None and not self.ends_with_connection:
             self._is_complete = True
 
     # Methods for clients.
@@ -287,7 +289,7 @@
             connection, or no further answer follows.
         """
         self.is_reusable = False
-        if self._ends_with_connection:
+        if self.ends_with_connection:
             raise ChannelBrokenError(
                 'answer to another request', peer=self.peer
             )
@@ -367,7 +369,7 @@
         self._buffered_bytes = 0
         self._is_complete = False
         self._has_surplus = False
-        self._ends_with_connection = False
+        self.ends_with_connection = False
 
     def _handle_parse_error(self, error: Exception) -> None:
         if self._is_complete:
--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -52,6 +52,8 @@
     CRASH_INSIDE_EVENT = 'crash_inside_event'
     #: Answers with neither a length nor chunks, and closes the connection.
     UNFRAMED = 'unframed'
+    #: The same, and the process ends.
+    ENDS_AFTER_ANSWER = 'ends_after_answer'
     #: Runs, and the stream is cut in the middle of an event.
     CUT = 'cut'
     #: Runs, and nothing comes.
@@ -86,6 +88,7 @@
         Fault.CRASH_UNFRAMED,
         Fault.CRASH_INSIDE_EVENT,
         Fault.UNFRAMED,
+        Fault.ENDS_AFTER_ANSWER,
     ),
 )
 
@@ -270,7 +273,7 @@
             reply.start(_OK, pairs)
         else:
             connection.write(messages.encode_head(_OK, pairs))
-        if fault is Fault.UNFRAMED:
+        if fault in {Fault.UNFRAMED, Fault.ENDS_AFTER_ANSWER}:
             connection.write(body)
         if fault is Fault.CRASH_INSIDE_EVENT:
             connection.write(body[:-1])
