Let requests of the test wait until a crash that ends the search

The test of requests that wait for a connection held back all connections, also those by which a crash is noticed, and the crash came before they waited: it would have passed whatever they did. They wait in the pool now, the endpoint crashes meanwhile, and exactly four requests may have reached endpoints, where five were allowed before.

--- a/tests/direct/test_crashing_parts.py
+++ b/tests/direct/test_crashing_parts.py
@@ -272,44 +272,54 @@
 
         async def scenario(harness: World) -> None:
             set_faults(harness)
-            connect = channel.Channel.connect
-            may_connect = asyncio.Event()
-            may_connect.set()
-
-            async def connect_late(*arguments: typing.Any) -> channel.Channel:
-                await may_connect.wait()
-                return await connect(*arguments)
-
-            self.patch(channel.Channel, 'connect', connect_late)
             for _ in range(MAX_CRASHES - 2):
                 self.assertEqual(200, await ask(harness, '/once/a', ROOT))
                 await ask(harness, '/once/a', ROOT, CRASHING)
-            for endpoint in harness.endpoints:
-                endpoint.going.clear()
-            sound = asyncio.create_task(ask(harness, '/once/a', ROOT))
-            crashing = asyncio.create_task(
+            set_faults(harness, Fault.SILENT)
+            before = len(harness.executed_requests)
+            running = asyncio.create_task(
                 ask(harness, '/once/a', ROOT, CRASHING)
             )
-            await asyncio.sleep(PAUSE_SECONDS)
-            may_connect.clear()
+            while len(harness.executed_requests) == before:
+                await asyncio.sleep(0.001)
+            may_connect = self._delay_connections(harness)
             waiting = [
                 asyncio.create_task(ask(harness, '/once/a', ROOT, CRASHING))
                 for _ in range(MAX_CRASHES)
             ]
-            await crashing
+            await asyncio.sleep(PAUSE_SECONDS)
+            (crashing,) = (
+                endpoint
+                for endpoint in harness.endpoints
+                if arrivals(endpoint.ran) and not endpoint.crashed.is_set()
+            )
+            await crashing.crash()
+            self.assertEqual(502, await running)
             may_connect.set()
-            for endpoint in harness.endpoints:
-                endpoint.going.set()
-            await sound
             self.assertEqual(
                 [503] * MAX_CRASHES, await asyncio.gather(*waiting)
             )
-            self.assertLessEqual(
-                arrivals(harness.received_requests), MAX_CRASHES
+            self.assertEqual(
+                MAX_CRASHES - 1, arrivals(harness.received_requests)
             )
 
         path_harness.run(scenario, ENDPOINTS)
 
+    def _delay_connections(self, harness: World) -> asyncio.Event:
+        """Let attempts wait for connections until an event is set."""
+        acquire = pool.Pool.acquire
+        may_connect = asyncio.Event()
+
+        async def acquire_late(
+            connections: pool.Pool, **options: typing.Any
+        ) -> channel.Channel:
+            if connections is not harness._callers:
+                await may_connect.wait()
+            return await acquire(connections, **options)
+
+        self.patch(pool.Pool, 'acquire', acquire_late)
+        return may_connect
+
 
 class EntriesTest(testtools.TestCase):
     """What entries have seen of a part, all of them act on."""
