Find the prompt parts that crash endpoints, and refuse requests with them

Callers lost endpoint after endpoint: requests with one part in their prompts, no two of them alike, crashed each endpoint that began to answer. The evidence of entries was kept by the fingerprint of the whole request, so that each crash stood alone.

Crash reports carry the parts that may have crashed the endpoint: those of requests of which no event had arrived, that were not answered in the three seconds before at any entry, and that not all answered requests have. A part with four crashes one after the other, under two different requests, explains the crashes; parts in exactly the same crashes are one cause, and only requests with all of them are refused. An answer at any entry clears its parts at all.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -99,7 +99,11 @@
         self._log.log_sending(admitted, endpoint)
         evidence = self._cluster.crash_evidence
         if not evidence.is_empty:
-            evidence.record_attempt(admitted.fingerprint, attempt.started_at)
+            evidence.record_attempt(
+                admitted.fingerprint,
+                attempt.started_at,
+                admitted.prompt_parts,
+            )
         endpoint.start_request(attempt.started_at)
         attempt.task = asyncio.create_task(self._send(admitted, attempt))
         attempt.task.add_done_callback(
@@ -433,11 +437,11 @@
                 reply.write(event.payload)
                 admitted.resume_after = attempt.splitter.last_id
             await reply.wait_writable()
+        await self._check_end(attempt, connection)
         if attempt.splitter.has_partial_event:
             raise events.StreamBrokenError(
                 'the stream ended in the middle of an event'
             )
-        await self._check_end(attempt, connection)
         self._take_over(admitted, attempt)
         self._start_reply(admitted, decoded_head, status)
         attempt.ended()
@@ -473,6 +477,10 @@
         From its first whole event, or its whole plain answer, on, nothing of
         another attempt reaches the caller.
         """
+        if not attempt.has_begun_answer:
+            self._cluster.crash_evidence.record_beginning(
+                admitted.prompt_parts, asyncio.get_running_loop().time()
+            )
         attempt.mark_answering()
         if attempt.is_silent:
             self._log.log_going_on(admitted, attempt)
--- a/clementinepass/direct/crash_detection.py
+++ b/clementinepass/direct/crash_detection.py
@@ -11,7 +11,7 @@
 import asyncio
 import typing
 
-from clementinepass.direct import serving
+from clementinepass.direct import part_evidence, serving
 from clementinepass.http import channel
 
 if typing.TYPE_CHECKING:
@@ -119,6 +119,9 @@
             broken.admitted.fingerprint,
             broken.attempt.started_at,
             broken.broken_at,
+            part_evidence.NO_PARTS
+            if broken.attempt.has_begun_answer
+            else broken.admitted.prompt_parts,
         )
         self._log.log_crash(broken.admitted, broken.attempt, history.repeated)
 
--- a/clementinepass/direct/crash_evidence.py
+++ b/clementinepass/direct/crash_evidence.py
@@ -1,7 +1,8 @@
 """What an entry knows of requests that crash the endpoints that run them.
 
-The repeats of a request come to any entry, so that each sees a part of the
-crashes only. Heartbeats carry new evidence to all of them, without the store,
+Repeats of one request crash endpoints, or all requests with some part of a
+prompt do. They come to any entry, so that each sees some of the crashes only.
+Heartbeats carry new evidence to all of them, without the store,
 and full heartbeats carry older evidence to entries that start later. Times are
 sent as ages, as the clocks of machines differ.
 """
@@ -13,11 +14,14 @@
 from loguru import logger
 
 from clementinepass.decisions import rendezvous
+from clementinepass.direct import part_evidence
 from clementinepass.requests import quarantine
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from clementinepass.decisions import crash_causes
+
 #: Crashes in a row by which a request is quarantined. Under two, requests have
 #: been that were there by chance.
 _MIN_CRASHES = 3
@@ -28,6 +32,10 @@
 _FRESH_SECONDS = 3.0
 #: Maximum number of new findings in a heartbeat, which is a datagram.
 _MAX_FRESH = 48
+#: Maximum number of prompt parts, of requests at crashed endpoints, and of
+#: clearances in a heartbeat.
+_MAX_REPORTED_PARTS = 1024
+_MAX_REPORTED_CLEARANCES = 128
 #: Seconds after which a request whose quarantine has ended may be tried again
 #: if it is neither answered nor crashes an endpoint.
 _TRIAL_SECONDS = 10.0
@@ -54,10 +62,14 @@
     __slots__ = (
         '_answered_at_by_fingerprint',
         '_fresh',
+        '_is_outdated',
+        '_known_causes',
         '_local_ip',
+        '_parts',
         '_quarantine',
         '_quarantined',
-        '_trial_at_by_fingerprint',
+        '_suspected_parts',
+        '_trial_at',
         'on_finding',
         'other_entries',
     )
@@ -67,13 +79,21 @@
         self._quarantine = quarantine.Quarantine(
             min_crashes=_MIN_CRASHES, tolerance=0
         )
+        self._parts = part_evidence.PartEvidence()
+        #: Whether something was found since the causes were last looked for.
+        self._is_outdated = False
+        #: All parts that are suspected of some crash.
+        self._suspected_parts: frozenset[str] = frozenset()
+        #: The causes that were logged.
+        self._known_causes: frozenset[frozenset[str]] = frozenset()
         #: When each request was last answered, in this order.
         self._answered_at_by_fingerprint: dict[str, float] = {}
         #: The time of each new finding.
         self._fresh: list[tuple[float, quarantine.Digest]] = []
         #: The fingerprints whose quarantine was logged.
         self._quarantined: frozenset[str] = frozenset()
-        self._trial_at_by_fingerprint: dict[str, float] = {}
+        #: When each request, or parts of a prompt, were last tried.
+        self._trial_at: dict[str, float] = {}
         #: Called when this process has found something, to announce it at once.
         self.on_finding: Callable[[], None] | None = None
         #: Returns the IP addresses of the other entries that are alive.
@@ -85,22 +105,59 @@
         return self._quarantine.is_empty
 
     def record_crash(
-        self, crash_id: str, fingerprint: str, started_at: float, now: float
+        self,
+        crash_id: str,
+        fingerprint: str,
+        started_at: float,
+        now: float,
+        parts: part_evidence.PromptParts = part_evidence.NO_PARTS,
     ) -> quarantine.CrashHistory:
         """Record a request that ran at an endpoint as it crashed.
 
         :param crash_id: names the start of the endpoint.
         :param started_at: when the attempt there began.
+        :param parts: the parts of its prompt, none if an event of its answer
+            had arrived: they have not crashed the endpoint then.
         :returns: the crashes that the request has met so far.
         """
-        suspect = quarantine.Suspect(fingerprint, started_at)
+        suspect = quarantine.Suspect(
+            fingerprint, started_at, self._parts.suspected_parts(parts, now)
+        )
         self._quarantine.died(crash_id, (suspect,), now)
+        self._is_outdated = True
         self._clear_answered(
             (quarantine.Crash(crash_id, now, (suspect,)),), now
         )
         self._publish(now)
         return self._quarantine.history(fingerprint, now)
 
+    def record_beginning(
+        self, parts: part_evidence.PromptParts, now: float
+    ) -> None:
+        """Record the first event, or the whole answer, of a request.
+
+        The parts of its prompt have not crashed an endpoint.
+        """
+        self._parts.record_answer(parts, now)
+        if self.is_empty:
+            return
+        self._refresh(now)
+        cleared = parts.digests & self._suspected_parts
+        for part in cleared:
+            self._quarantine.clear(
+                part,
+                tuple(
+                    crash.id
+                    for crash in self._quarantine.crashes()
+                    if part in crash.requests_by_part
+                    and self._parts.is_cleared(part, crash.at)
+                ),
+                now,
+            )
+        if cleared:
+            self._is_outdated = True
+            self._publish(now)
+
     def record_answer(
         self, fingerprint: str, started_at: float, now: float
     ) -> None:
@@ -111,43 +168,88 @@
         self._quarantine.answered(fingerprint, started_at, now)
         self._publish(now)
 
-    def is_suspicious(self, fingerprint: str, now: float) -> bool:
-        """Tell whether a request has met several crashes in a row."""
+    def is_suspicious(
+        self,
+        fingerprint: str,
+        now: float,
+        parts: part_evidence.PromptParts = part_evidence.NO_PARTS,
+    ) -> bool:
+        """Tell whether a request, or a part of it, has met several crashes."""
+        self._refresh(now)
         history = self._quarantine.history(fingerprint, now)
-        return history.repeated >= _MIN_SUSPICIOUS_CRASHES
+        suspicious_parts = self._parts.suspicious_parts()
+        return (
+            history.repeated >= _MIN_SUSPICIOUS_CRASHES
+            or not suspicious_parts.isdisjoint(parts.digests)
+        )
 
     def seconds_barred(
-        self, fingerprint: str, now: float, *, has_spare_endpoint: bool
+        self,
+        fingerprint: str,
+        now: float,
+        *,
+        has_spare_endpoint: bool,
+        parts: part_evidence.PromptParts = part_evidence.NO_PARTS,
     ) -> float:
         """Return the seconds for which a request must not run; 0 if it may.
 
-        After its quarantine a request is tried by a single entry, one attempt
-        at a time, until it is answered or crashes an endpoint once more.
+        After a quarantine a request is tried by a single entry, one attempt at
+        a time, until it is answered or crashes an endpoint once more.
 
         :param has_spare_endpoint: whether its service has several endpoints
             that can be used.
         """
+        self._refresh(now)
+        seconds = [self._seconds_quarantined(fingerprint, now)]
+        for cause in self._parts.causes_in(parts.digests):
+            seconds.append(
+                part_evidence.seconds_refused(cause, now)
+                or self._seconds_until_trial(_trial_key(cause), now)
+            )
+        if not has_spare_endpoint:
+            seconds.append(self._seconds_protected(fingerprint, parts, now))
+        return max(seconds)
+
+    def find_cause(
+        self, parts: part_evidence.PromptParts
+    ) -> crash_causes.Cause | None:
+        """Return the quarantined parts that a prompt has, if there are any."""
+        return next(self._parts.causes_in(parts.digests), None)
+
+    def record_attempt(
+        self,
+        fingerprint: str,
+        now: float,
+        parts: part_evidence.PromptParts = part_evidence.NO_PARTS,
+    ) -> None:
+        """Record that an attempt of a request begins."""
+        self._refresh(now)
+        if self._quarantine.history(fingerprint, now).was_quarantined:
+            self._trial_at[fingerprint] = now
+        for cause in self._parts.causes_in(parts.digests):
+            self._trial_at[_trial_key(cause)] = now
+
+    def _seconds_quarantined(self, fingerprint: str, now: float) -> float:
         judgement = self._quarantine.judge(fingerprint, now)
-        if judgement.standing is quarantine.Standing.FREE:
-            return 0
         if judgement.standing is quarantine.Standing.QUARANTINED:
             return judgement.retry_after
         history = self._quarantine.history(fingerprint, now)
         if history.was_quarantined:
             return self._seconds_until_trial(fingerprint, now)
-        protected_until = history.last_at + _PROTECTION_SECONDS
-        if (
-            history.repeated >= _MIN_SUSPICIOUS_CRASHES
-            and not has_spare_endpoint
-            and now < protected_until
-        ):
-            return protected_until - now
         return 0
 
-    def record_attempt(self, fingerprint: str, now: float) -> None:
-        """Record that an attempt of a request begins."""
-        if self._quarantine.history(fingerprint, now).was_quarantined:
-            self._trial_at_by_fingerprint[fingerprint] = now
+    def _seconds_protected(
+        self, fingerprint: str, parts: part_evidence.PromptParts, now: float
+    ) -> float:
+        """Return the seconds for which to keep a request off the last endpoint.
+
+        :returns: 0 if nothing suggests that it crashes endpoints.
+        """
+        crashed_at = self._parts.last_suspicious_crash(parts.digests)
+        history = self._quarantine.history(fingerprint, now)
+        if history.repeated >= _MIN_SUSPICIOUS_CRASHES:
+            crashed_at = max(crashed_at, history.last_at)
+        return max(crashed_at + _PROTECTION_SECONDS - now, 0)
 
     def report(self, now: float, *, full: bool) -> quarantine.Digest:
         """Return evidence for a heartbeat, with ages in place of times.
@@ -155,6 +257,7 @@
         :param full: whether to add what entries need to know that have just
             started.
         """
+        self._refresh(now)
         self._fresh = [
             (found_at, finding)
             for found_at, finding in self._fresh[-_MAX_FRESH:]
@@ -163,17 +266,20 @@
         findings = [finding for _, finding in self._fresh]
         if full:
             findings.append(
-                self._quarantine.repeated(_MIN_SUSPICIOUS_CRASHES, now)
+                self._quarantine.repeated(
+                    _MIN_SUSPICIOUS_CRASHES,
+                    now,
+                    self._parts.suspicious_parts(),
+                )
             )
+        clearances = dict.fromkeys(
+            clearance
+            for finding in findings
+            for clearance in finding.clearances
+        )
         merged = quarantine.Digest(
-            tuple(_joined(findings)),
-            tuple(
-                dict.fromkeys(
-                    clearance
-                    for finding in findings
-                    for clearance in finding.clearances
-                )
-            ),
+            tuple(_limit_parts(_joined(findings))),
+            tuple(clearances)[-_MAX_REPORTED_CLEARANCES:],
         )
         return merged.relative_to(now)
 
@@ -191,17 +297,41 @@
         if not new:
             return
         self._quarantine.merge(new, now)
+        self._is_outdated = True
         if is_relayed:
             self._fresh.append((now, new))
         self._clear_answered(new.crashes, now)
         self._publish(now)
+        self._refresh(now)
+
+    def _refresh(self, now: float) -> None:
+        """Look for the causes of the crashes if something was found."""
+        if not self._is_outdated:
+            return
+        self._is_outdated = False
+        crashes = self._quarantine.crashes()
+        self._suspected_parts = frozenset().union(
+            *(crash.requests_by_part for crash in crashes)
+        )
+        self._parts.update(crashes)
+        self._quarantine.retain(
+            frozenset[str]().union(
+                *(cause.crash_ids for cause in self._parts.causes)
+            )
+        )
         self._log_quarantined(now)
 
     def _clear_answered(
         self, crashes: Iterable[quarantine.Crash], now: float
     ) -> None:
-        """Clear requests that were answered shortly before crashes."""
+        """Clear what was answered shortly before crashes."""
         for crash in crashes:
+            parts = frozenset[str]().union(
+                *(suspect.parts for suspect in crash.suspects)
+            )
+            for part in sorted(parts):
+                if self._parts.is_cleared(part, crash.at):
+                    self._quarantine.clear(part, (crash.id,), now)
             for suspect in crash.suspects:
                 answered_at = self._answered_at_by_fingerprint.get(
                     suspect.fingerprint, float('-inf')
@@ -220,11 +350,11 @@
                 return
             del answered[oldest]
 
-    def _seconds_until_trial(self, fingerprint: str, now: float) -> float:
+    def _seconds_until_trial(self, key: str, now: float) -> float:
         entries = {self._local_ip, *self.other_entries()}
-        if rendezvous.top_ranked(fingerprint, entries, 1) != [self._local_ip]:
+        if rendezvous.top_ranked(key, entries, 1) != [self._local_ip]:
             return _TRIAL_RETRY_SECONDS
-        trial_at = self._trial_at_by_fingerprint.get(fingerprint, float('-inf'))
+        trial_at = self._trial_at.get(key, float('-inf'))
         return max(trial_at + _TRIAL_SECONDS - now, 0)
 
     def _publish(self, now: float) -> None:
@@ -232,7 +362,6 @@
         if not finding:
             return
         self._fresh.append((now, finding))
-        self._log_quarantined(now)
         if self.on_finding is not None:
             self.on_finding()
 
@@ -245,6 +374,37 @@
                     seconds=round(seconds, 1),
                 ).warning('request quarantined')
         self._quarantined = frozenset(seconds_by_fingerprint)
+        for found in self._parts.causes:
+            if found.parts not in self._known_causes:
+                logger.bind(
+                    parts=sorted(found.parts),
+                    crashed=sorted(found.crash_ids),
+                    seconds=round(part_evidence.seconds_refused(found, now), 1),
+                ).warning('prompt parts quarantined')
+        self._known_causes = frozenset(
+            cause.parts for cause in self._parts.causes
+        )
+
+
+def _trial_key(cause: crash_causes.Cause) -> str:
+    """Return what is the same at all entries for the trial of a cause."""
+    return ','.join(sorted(cause.parts))
+
+
+def _limit_parts(
+    crashes: Iterable[quarantine.Crash],
+) -> Iterable[quarantine.Crash]:
+    """Leave out parts that do not fit into a datagram."""
+    left = _MAX_REPORTED_PARTS
+    for crash in crashes:
+        suspects = []
+        for suspect in crash.suspects:
+            parts = suspect.parts[:left]
+            left -= len(parts)
+            suspects.append(
+                quarantine.Suspect(suspect.fingerprint, suspect.started, parts)
+            )
+        yield quarantine.Crash(crash.id, crash.at, tuple(suspects))
 
 
 def _joined(
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -370,6 +370,7 @@
             admitted.fingerprint,
             now,
             has_spare_endpoint=len(candidates) > 1,
+            parts=admitted.prompt_parts,
         )
         if not seconds:
             return False
@@ -415,7 +416,7 @@
             return decision
         evidence = self._cluster.crash_evidence
         if admitted.run_count and evidence.is_suspicious(
-            admitted.fingerprint, now
+            admitted.fingerprint, now, admitted.prompt_parts
         ):
             return next_try.RetryDecision.CRASHED_ENDPOINTS
         budget = self._retry_budget(admitted.service.name)
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -231,7 +231,7 @@
             fingerprint=admitted.fingerprint,
             crashes=repeated,
             answering=attempt.has_begun_answer,
-            parts=sorted(admitted.prompt_parts),
+            parts=sorted(admitted.prompt_parts.digests),
         ).warning('endpoint crashed under a request')
 
     def log_unusable(
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -9,7 +9,7 @@
 import typing
 
 from clementinepass import errors
-from clementinepass.direct import events
+from clementinepass.direct import events, part_evidence
 from clementinepass.requests import identity, outcome
 
 if typing.TYPE_CHECKING:
@@ -305,7 +305,7 @@
         #: Id of the last event that the caller has received.
         self.resume_after = call.resume_after
         self._fingerprint = ''
-        self._prompt_parts: frozenset[str] | None = None
+        self._prompt_parts: part_evidence.PromptParts | None = None
 
     @property
     def fingerprint(self) -> str:
@@ -326,17 +326,19 @@
         return self._fingerprint
 
     @property
-    def prompt_parts(self) -> frozenset[str]:
-        """Return digests of the prompt's parts that other requests may have."""
+    def prompt_parts(self) -> part_evidence.PromptParts:
+        """Return the prompt's parts that other requests may have."""
         if self._prompt_parts is None:
             engine = self.service.engine
             target = self.service.name if engine is None else engine.model
-            self._prompt_parts = frozenset(
-                identity.prompt_part_digest(target, part_id)[
-                    :_PROMPT_PART_DIGITS
-                ]
+            digests = (
+                identity.prompt_part_digest(target, part_id)
                 for part_id in self.call.prompt_part_ids
             )
+            self._prompt_parts = part_evidence.PromptParts(
+                target,
+                frozenset(digest[:_PROMPT_PART_DIGITS] for digest in digests),
+            )
         return self._prompt_parts
 
     @property
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -84,6 +84,9 @@
         'crashes that the request has met one after the other, with no answer '
         'in between',
     ),
+    'crashed': Field(
+        'list', 'starts of endpoints that crashed, as ID/START in milliseconds'
+    ),
     'decision': Field(
         'str',
         'allowed, or why a retry is not: may_have_run, enough_runs, '
@@ -431,6 +434,12 @@
         'repeats of a request have crashed endpoints one after the other; it '
         'is refused at every entry for that time',
     ),
+    'prompt parts quarantined': Kind(
+        'parts crashed seconds',
+        'requests with all these parts in their prompts have crashed '
+        'endpoints, no two of them alike; such requests are refused at every '
+        'entry for that time',
+    ),
     'endpoint names a limit': Kind(
         'request endpoint rate share',
         'its answer names another limit of requests than the one before',
--- a/clementinepass/requests/quarantine.py
+++ b/clementinepass/requests/quarantine.py
@@ -30,6 +30,8 @@
 
 import msgspec
 
+from clementinepass.decisions import crash_causes
+
 #: Seconds for which a convicted fingerprint is refused.  Long enough for
 #: people to look, short enough for an innocent request to be bearable.
 DEFAULT_LIFETIME = 600.0
@@ -51,6 +53,7 @@
 #: Latest crashes of a fingerprint that are compared with one another, which
 #: bounds the number of their combinations.
 _MAX_COMPARED = 8
+_NO_PARTS: frozenset[str] = frozenset()
 
 
 class Suspect(msgspec.Struct, frozen=True):
@@ -59,6 +62,8 @@
     fingerprint: str
     #: When its latest dispatch there began, in Unix seconds.
     started: float
+    #: Digests of parts of its prompt that may have crashed the endpoint.
+    parts: tuple[str, ...] = ()
 
 
 class Crash(msgspec.Struct, frozen=True):
@@ -72,8 +77,9 @@
 
 
 class Clearance(msgspec.Struct, frozen=True):
-    """A fingerprint that was answered after some crashes."""
+    """A fingerprint, or a part of prompts, that did not cause some crashes."""
 
+    #: The fingerprint, or the digest of the part, which is shorter.
     fingerprint: str
     crashes: tuple[str, ...]
 
@@ -101,7 +107,11 @@
                     crash.id,
                     now - crash.at,
                     tuple(
-                        Suspect(suspect.fingerprint, now - suspect.started)
+                        Suspect(
+                            suspect.fingerprint,
+                            now - suspect.started,
+                            suspect.parts,
+                        )
                         for suspect in crash.suspects
                     ),
                 )
@@ -166,28 +176,63 @@
     lead_by_suspect: dict[str, float] = dataclasses.field(
         default_factory=dict,
     )
+    #: Parts of the prompts of suspects that are under suspicion as well.
+    parts_by_suspect: dict[str, set[str]] = dataclasses.field(
+        default_factory=dict,
+    )
+    #: Fingerprints and parts.
     cleared: set[str] = dataclasses.field(default_factory=set)
 
-    def add(self, fingerprint: str, lead: float) -> None:
+    def add(self, suspect: Suspect, lead: float) -> None:
         """Take in one that was in flight, unless it was cleared."""
-        if fingerprint not in self.cleared:
-            known = self.lead_by_suspect.get(fingerprint, lead)
-            self.lead_by_suspect[fingerprint] = min(known, lead)
+        fingerprint = suspect.fingerprint
+        if fingerprint in self.cleared:
+            return
+        known = self.lead_by_suspect.get(fingerprint, lead)
+        self.lead_by_suspect[fingerprint] = min(known, lead)
+        parts = set(suspect.parts).difference(self.cleared)
+        if parts:
+            self.parts_by_suspect.setdefault(fingerprint, set()).update(parts)
 
-    def lacks(self, fingerprint: str, lead: float) -> bool:
+    def lacks(self, suspect: Suspect, lead: float) -> bool:
         """Tell whether adding a suspect would change anything."""
+        fingerprint = suspect.fingerprint
+        if fingerprint in self.cleared:
+            return False
         known = self.lead_by_suspect.get(fingerprint, float('inf'))
-        return fingerprint not in self.cleared and lead < known - _LEAD_ERROR
+        unknown_parts = set(suspect.parts).difference(
+            self.cleared, self.parts_by_suspect.get(fingerprint, ())
+        )
+        return lead < known - _LEAD_ERROR or bool(unknown_parts)
 
     def started(self, fingerprint: str) -> float | None:
         """Return when a suspect was dispatched; ``None`` if it is none."""
         lead = self.lead_by_suspect.get(fingerprint)
         return None if lead is None else self.at - lead
 
-    def clear(self, fingerprint: str) -> None:
-        """Note that the fingerprint did not cause this crash."""
-        self.cleared.add(fingerprint)
-        self.lead_by_suspect.pop(fingerprint, None)
+    def clear(self, cleared: str) -> None:
+        """Note that a fingerprint or a part did not cause this crash."""
+        self.cleared.add(cleared)
+        self.lead_by_suspect.pop(cleared, None)
+        self.parts_by_suspect.pop(cleared, None)
+        for others in self.parts_by_suspect.values():
+            others.discard(cleared)
+
+    def parts_of(self, fingerprint: str) -> set[str]:
+        """Return the parts of a suspect that are under suspicion."""
+        return self.parts_by_suspect.get(fingerprint, set())
+
+    def requests_by_part(self) -> dict[str, frozenset[str]]:
+        """Return the fingerprints with each part under suspicion."""
+        parts = frozenset[str]().union(*self.parts_by_suspect.values())
+        return {
+            part: frozenset(
+                fingerprint
+                for fingerprint, own_parts in self.parts_by_suspect.items()
+                if part in own_parts
+            )
+            for part in parts
+        }
 
     def is_repeated_in(
         self, fingerprint: str, later: _Case, tolerance: float
@@ -214,6 +259,7 @@
     __slots__ = (
         '_cases_by_crash',
         '_cases_by_fingerprint',
+        '_explained',
         '_lifetime',
         '_max_crashes',
         '_memory',
@@ -241,6 +287,8 @@
         #: The crashes that each fingerprint is suspected of, by time.
         self._cases_by_fingerprint: dict[str, list[_Case]] = {}
         self._until_by_fingerprint: dict[str, float] = {}
+        #: Crashes that parts of prompts explain.
+        self._explained: frozenset[str] = frozenset()
         self._pending_crashes: list[Crash] = []
         self._pending_clearances: list[Clearance] = []
 
@@ -359,13 +407,19 @@
         """Tell whether there is no evidence at all."""
         return not self._cases_by_crash
 
-    def repeated(self, min_crashes: int, now: float) -> Digest:
+    def repeated(
+        self,
+        min_crashes: int,
+        now: float,
+        parts: frozenset[str] = _NO_PARTS,
+    ) -> Digest:
         """Return the evidence on fingerprints with some crashes in a row.
 
         Entries that start later need no other: what an answer may still clear
         is left out, and so are most of those that were there by chance.
 
         :param min_crashes: crashes in a row that a fingerprint has met.
+        :param parts: parts of prompts on which to return the evidence, too.
         """
         chosen = {
             fingerprint
@@ -377,15 +431,35 @@
                 crash_id,
                 case.at,
                 tuple(
-                    Suspect(fingerprint, case.at - lead)
+                    Suspect(
+                        fingerprint,
+                        case.at - lead,
+                        tuple(sorted(parts & case.parts_of(fingerprint))),
+                    )
                     for fingerprint, lead in case.lead_by_suspect.items()
                     if fingerprint in chosen
+                    or not parts.isdisjoint(case.parts_of(fingerprint))
                 ),
             )
             for crash_id, case in self._cases_by_crash.items()
         )
         return Digest(tuple(crash for crash in crashes if crash.suspects))
 
+    def crashes(self) -> list[crash_causes.Crash]:
+        """Return the crashes with the parts of prompts under suspicion."""
+        return [
+            crash_causes.Crash(crash_id, case.at, case.requests_by_part())
+            for crash_id, case in self._cases_by_crash.items()
+            if case.parts_by_suspect
+        ]
+
+    def retain(self, crash_ids: frozenset[str]) -> None:
+        """Keep crashes longest, as they are explained by parts of prompts.
+
+        :param crash_ids: all crashes that are.
+        """
+        self._explained = crash_ids
+
     def quarantined(self, now: float) -> dict[str, float]:
         """Return the seconds left by quarantined fingerprint."""
         return {
@@ -397,7 +471,7 @@
     def _unknown_suspects(self, crash: Crash) -> typing.Iterator[Suspect]:
         case = self._cases_by_crash.get(crash.id, _Case(crash.at))
         for suspect in crash.suspects:
-            if case.lacks(suspect.fingerprint, crash.at - suspect.started):
+            if case.lacks(suspect, crash.at - suspect.started):
                 yield suspect
 
     def _add(self, crash: Crash, now: float) -> None:
@@ -411,7 +485,7 @@
         # the earliest counts wherever the reports are merged.
         case.at = min(case.at, at)
         for suspect in crash.suspects:
-            case.add(suspect.fingerprint, crash.at - suspect.started)
+            case.add(suspect, crash.at - suspect.started)
 
     def _clear(self, clearance: Clearance, now: float) -> None:
         for crash_id in clearance.crashes:
@@ -444,8 +518,11 @@
         self, item: tuple[str, _Case]
     ) -> tuple[bool, float, str]:
         crash_id, case = item
-        convicts = not self._until_by_fingerprint.keys().isdisjoint(
-            case.lead_by_suspect
+        convicts = (
+            crash_id in self._explained
+            or not self._until_by_fingerprint.keys().isdisjoint(
+                case.lead_by_suspect
+            )
         )
         return convicts, case.at, crash_id
 
--- a/clementinepass/wire/direct.capnp
+++ b/clementinepass/wire/direct.capnp
@@ -77,6 +77,8 @@
   # the same however often the message is passed on.
   fingerprint @0 :Data;
   leadMs @1 :UInt32;
+  # Digests of parts of its prompt that may have crashed the endpoint.
+  parts @2 :List(UInt64);
 }
 
 struct Crash {
@@ -87,7 +89,8 @@
 }
 
 struct Clearance {
-  # A request that was answered after these crashes.
+  # A request, or a part of prompts, that was answered after these crashes or
+  # shortly before them; the digest of a part is shorter.
   fingerprint @0 :Data;
   crashes @1 :List(Text);
 }
--- a/clementinepass/wire/heartbeats.py
+++ b/clementinepass/wire/heartbeats.py
@@ -184,6 +184,7 @@
         for suspect_slot, suspect in zip(suspects, crash.suspects, strict=True):
             suspect_slot.fingerprint = bytes.fromhex(suspect.fingerprint)
             suspect_slot.leadMs = _age_ms(suspect.started - crash.at)
+            suspect_slot.parts = [int(part, 16) for part in suspect.parts]
     clearances = message.init('clearances', len(digest.clearances))
     for slot, clearance in zip(clearances, digest.clearances, strict=True):
         slot.fingerprint = bytes.fromhex(clearance.fingerprint)
@@ -223,6 +224,7 @@
             quarantine.Suspect(
                 suspect.fingerprint.hex(),
                 (slot.ageMs + suspect.leadMs) / _MS_PER_SECOND,
+                tuple(f'{part:016x}' for part in suspect.parts),
             )
             for suspect in slot.suspects
         ),
--- /dev/null
+++ b/tests/direct/test_part_evidence.py
@@ -0,0 +1,233 @@
+"""Tests of the evidence on prompt parts under which endpoints crash."""
+
+from __future__ import annotations
+
+import testtools
+
+from clementinepass.direct import crash_evidence, heartbeats, part_evidence
+from clementinepass.wire import heartbeats as wire_heartbeats
+
+ENTRIES = tuple(f'10.0.0.{number}' for number in range(9))
+#: Longer than a quarantine.
+QUARANTINE_SECONDS = 600
+BAD = 'b' * 16
+ROOT = '5' * 16
+PARENT = 'a' * 16
+#: Largest payload of a datagram in bytes.
+MAX_DATAGRAM_BYTES = 65507
+
+
+def parts(*digests: str, target: str = 'm') -> part_evidence.PromptParts:
+    """Return the parts of a prompt."""
+    return part_evidence.PromptParts(target, frozenset(digests))
+
+
+def fingerprint(number: int) -> str:
+    """Return the fingerprint of a request of its own."""
+    return f'{number:032x}'
+
+
+def make(ip: str = ENTRIES[0]) -> crash_evidence.CrashEvidence:
+    """Return the evidence of an entry that has answered a sound request."""
+    evidence = crash_evidence.CrashEvidence(ip)
+    evidence.other_entries = lambda: [other for other in ENTRIES if other != ip]
+    evidence.record_beginning(parts(ROOT), 0)
+    return evidence
+
+
+def crash(
+    evidence: crash_evidence.CrashEvidence,
+    count: int,
+    *digests: str,
+    first: float = 10,
+) -> None:
+    """Let new requests with some parts crash endpoints, one each second."""
+    for number in range(count):
+        at = first + number
+        evidence.record_beginning(parts(ROOT), at)
+        evidence.record_crash(
+            f'i-{at}',
+            fingerprint(int(at * 100)),
+            at + 0.1,
+            at + 0.2,
+            parts(ROOT, *(digests or (BAD,))),
+        )
+
+
+def seconds_barred(
+    evidence: crash_evidence.CrashEvidence,
+    now: float,
+    *digests: str,
+    target: str = 'm',
+) -> float:
+    """Return the seconds for which a new request with parts is refused."""
+    return evidence.seconds_barred(
+        fingerprint(0),
+        now,
+        has_spare_endpoint=True,
+        parts=parts(ROOT, *digests, target=target),
+    )
+
+
+class BarTest(testtools.TestCase):
+    """When requests with a part are refused."""
+
+    def test_fourth_crash(self) -> None:
+        """They are refused from the fourth crash on, and others are not."""
+        evidence = make()
+        crash(evidence, 3)
+        self.assertEqual(0, seconds_barred(evidence, 13, BAD))
+        crash(evidence, 1, first=13)
+        self.assertAlmostEqual(
+            QUARANTINE_SECONDS, seconds_barred(evidence, 13.2, BAD), 3
+        )
+        self.assertEqual(0, seconds_barred(evidence, 13.2, PARENT))
+        self.assertEqual(0, seconds_barred(evidence, 13.2))
+
+    def test_not_sent_once_more(self) -> None:
+        """From the second crash on, the entry does not retry by itself."""
+        evidence = make()
+        for count, is_suspicious in ((1, False), (1, True)):
+            crash(evidence, count, first=11 if is_suspicious else 10)
+            self.assertEqual(
+                is_suspicious,
+                evidence.is_suspicious(fingerprint(0), 12, parts(BAD)),
+            )
+        self.assertFalse(
+            evidence.is_suspicious(fingerprint(0), 12, parts(ROOT))
+        )
+
+    def test_last_endpoint(self) -> None:
+        """After two crashes, the last endpoint is protected for a while."""
+        evidence = make()
+        crash(evidence, 2)
+        for now, is_refused in ((11.3, True), (30, False)):
+            seconds = evidence.seconds_barred(
+                fingerprint(0), now, has_spare_endpoint=False, parts=parts(BAD)
+            )
+            self.assertEqual(is_refused, seconds > 0)
+
+    def test_trial(self) -> None:
+        """After the quarantine one entry tries one request at a time."""
+        entries = [make(ip) for ip in ENTRIES]
+        for evidence in entries:
+            crash(evidence, 4)
+        now = 14 + QUARANTINE_SECONDS
+        (trying,) = (
+            evidence
+            for evidence in entries
+            if not seconds_barred(evidence, now, BAD)
+        )
+        trying.record_attempt(fingerprint(1), now, parts(BAD))
+        self.assertGreater(seconds_barred(trying, now + 1, BAD), 0)
+        trying.record_crash('i-last', fingerprint(1), now, now + 1, parts(BAD))
+        self.assertGreater(seconds_barred(trying, now + 60, BAD), 60)
+
+    def test_answered_trial(self) -> None:
+        """A request that is answered frees its parts."""
+        evidence = make()
+        crash(evidence, 4)
+        evidence.record_beginning(parts(BAD), 14)
+        self.assertEqual(0, seconds_barred(evidence, 14, BAD))
+
+
+class InnocentTest(testtools.TestCase):
+    """Parts that are not suspected."""
+
+    def test_answered_shortly_before(self) -> None:
+        """A part that was answered shortly before a crash has not caused it."""
+        evidence = make()
+        for number in range(6):
+            evidence.record_beginning(parts(BAD), 8 + number)
+            crash(evidence, 1, first=10 + number)
+        self.assertFalse(evidence.is_suspicious(fingerprint(0), 16, parts(BAD)))
+
+    def test_answering(self) -> None:
+        """A request with an event of its answer has not caused the crash."""
+        evidence = make()
+        for number in range(6):
+            evidence.record_crash(
+                f'i-{number}', fingerprint(number), number, number + 0.5
+            )
+        self.assertFalse(evidence.is_suspicious(fingerprint(9), 9, parts(BAD)))
+
+    def test_nothing_to_compare_with(self) -> None:
+        """A part that all requests have is none."""
+        evidence = make()
+        evidence.record_beginning(parts(BAD, ROOT), 0)
+        for number in range(6):
+            at = 40 + number
+            evidence.record_crash(
+                f'i-{at}', fingerprint(at), at, at + 0.5, parts(BAD)
+            )
+        self.assertEqual(0, seconds_barred(evidence, 46, BAD))
+
+    def test_other_model(self) -> None:
+        """An answer of another model proves nothing, and neither is refused."""
+        evidence = make()
+        crash(evidence, 2)
+        evidence.record_beginning(parts(PARENT, target='other'), 12)
+        crash(evidence, 2, first=12)
+        self.assertGreater(seconds_barred(evidence, 14, BAD), 0)
+
+
+class ReportTest(testtools.TestCase):
+    """What heartbeats carry."""
+
+    def test_each_entry_saw_one(self) -> None:
+        """Crashes that four entries saw bar a part at all of them."""
+        entries = [make(ip) for ip in ENTRIES[:4]]
+        for number, evidence in enumerate(entries):
+            crash(evidence, 1, first=11 + number / 2)
+        reports = [evidence.report(13.3, full=False) for evidence in entries]
+        for evidence in entries:
+            for report in reports:
+                evidence.apply(report, 13.3, is_relayed=False)
+            self.assertGreater(seconds_barred(evidence, 13.3, BAD), 500)
+            self.assertEqual(0, seconds_barred(evidence, 13.3, PARENT))
+
+    def test_answered_at_another_entry(self) -> None:
+        """An answer at one entry clears the part at the others."""
+        first, second = make(), make(ENTRIES[1])
+        second.record_beginning(parts(PARENT), 11)
+        crash(first, 4, PARENT)
+        second.apply(first.report(13.3, full=False), 13.3, is_relayed=False)
+        self.assertGreater(seconds_barred(first, 13.3, PARENT), 0)
+        second.record_beginning(parts(PARENT), 13.4)
+        first.apply(second.report(13.5, full=False), 13.5, is_relayed=False)
+        self.assertEqual(0, seconds_barred(first, 13.5, PARENT))
+        self.assertFalse(
+            first.is_suspicious(fingerprint(0), 13.5, parts(PARENT))
+        )
+
+    def test_later_starts(self) -> None:
+        """Full heartbeats tell entries that start later."""
+        evidence = make()
+        crash(evidence, 4)
+        starting = crash_evidence.CrashEvidence(ENTRIES[1])
+        report = evidence.report(60, full=True)
+        starting.apply(report, 7000, is_relayed=False)
+        self.assertGreater(seconds_barred(starting, 7000, BAD), 500)
+
+    def test_many_parts(self) -> None:
+        """Crashes of many requests with many parts fit into a datagram."""
+        evidence = make()
+        for number in range(40):
+            for request in range(20):
+                number_of_request = 100 * number + request
+                evidence.record_crash(
+                    f'i-{number:010x}/1760000000000',
+                    fingerprint(number_of_request),
+                    1,
+                    1 + number / 100,
+                    parts(
+                        *(
+                            f'{32 * number_of_request + one:016x}'
+                            for one in range(32)
+                        )
+                    ),
+                )
+        payload = wire_heartbeats.write_heartbeat(
+            heartbeats.Heartbeat(crash_evidence=evidence.report(2, full=True))
+        )
+        self.assertLess(len(payload), MAX_DATAGRAM_BYTES)
--- a/tests/wire/test_heartbeats.py
+++ b/tests/wire/test_heartbeats.py
@@ -25,11 +25,17 @@
                     (
                         quarantine.Suspect('0a' * 16, 1.75),
                         quarantine.Suspect('f0' * 16, 2.25),
+                        quarantine.Suspect(
+                            'f1' * 16, 2.25, ('00000000000000b1', 'f' * 16)
+                        ),
                     ),
                 ),
                 quarantine.Crash('i-2/0', 0, ()),
             ),
-            (quarantine.Clearance('0b' * 16, ('i-1/5', 'i-3/7')),),
+            (
+                quarantine.Clearance('0b' * 16, ('i-1/5', 'i-3/7')),
+                quarantine.Clearance('00000000000000b1', ('i-1/5',)),
+            ),
         )
         payload = wire_heartbeats.write_heartbeat(
             heartbeats.Heartbeat(crash_evidence=digest)
