Do not quarantine requests for crashes that a prompt part explains

A dozen sound requests are at each endpoint that crashes and are sent again after it, so that one of them may be all that three crashes have in common. Requests without the part that explains a crash are no suspects of it any more.

test_companions failed before: refused for 600 s.

--- a/clementinepass/direct/crash_evidence.py
+++ b/clementinepass/direct/crash_evidence.py
@@ -314,11 +314,7 @@
             *(crash.requests_by_part for crash in crashes)
         )
         self._parts.update(crashes)
-        self._quarantine.retain(
-            frozenset[str]().union(
-                *(cause.crash_ids for cause in self._parts.causes)
-            )
-        )
+        self._quarantine.explain(self._parts.causes)
         self._log_quarantined(now)
 
     def _clear_answered(
--- a/clementinepass/requests/quarantine.py
+++ b/clementinepass/requests/quarantine.py
@@ -182,6 +182,8 @@
     )
     #: Fingerprints and parts.
     cleared: set[str] = dataclasses.field(default_factory=set)
+    #: Suspects that another cause of this crash excuses.
+    excused: frozenset[str] = frozenset()
 
     def add(self, suspect: Suspect, lead: float) -> None:
         """Take in one that was in flight, unless it was cleared."""
@@ -222,6 +224,15 @@
         """Return the parts of a suspect that are under suspicion."""
         return self.parts_by_suspect.get(fingerprint, set())
 
+    @property
+    def suspects(self) -> typing.Iterator[str]:
+        """Return the fingerprints that nothing excuses."""
+        return (
+            fingerprint
+            for fingerprint in self.lead_by_suspect
+            if fingerprint not in self.excused
+        )
+
     def requests_by_part(self) -> dict[str, frozenset[str]]:
         """Return the fingerprints with each part under suspicion."""
         parts = frozenset[str]().union(*self.parts_by_suspect.values())
@@ -453,12 +464,28 @@
             if case.parts_by_suspect
         ]
 
-    def retain(self, crash_ids: frozenset[str]) -> None:
-        """Keep crashes longest, as they are explained by parts of prompts.
+    def explain(self, causes: typing.Iterable[crash_causes.Cause]) -> None:
+        """Excuse the requests that lack the prompt parts of a known cause.
+
+        The crashes that it explains are kept longest.
 
-        :param crash_ids: all crashes that are.
+        :param causes: all causes that are known.
         """
-        self._explained = crash_ids
+        parts_by_crash = {
+            crash_id: cause.parts
+            for cause in causes
+            for crash_id in cause.crash_ids
+        }
+        self._explained = frozenset(parts_by_crash)
+        for crash_id, case in self._cases_by_crash.items():
+            parts = parts_by_crash.get(crash_id)
+            case.excused = frozenset(
+                fingerprint
+                for fingerprint in case.lead_by_suspect
+                if parts and not parts <= case.parts_of(fingerprint)
+            )
+        self._index()
+        self._convict()
 
     def quarantined(self, now: float) -> dict[str, float]:
         """Return the seconds left by quarantined fingerprint."""
@@ -530,7 +557,7 @@
         """Sort the crashes by the fingerprints that are suspected of them."""
         self._cases_by_fingerprint = {}
         for case in sorted(self._cases_by_crash.values(), key=_time_order):
-            for fingerprint in case.lead_by_suspect:
+            for fingerprint in case.suspects:
                 self._cases_by_fingerprint.setdefault(fingerprint, []).append(
                     case
                 )
@@ -561,7 +588,7 @@
             return False
         return not any(
             other != fingerprint and self._is_repeated(other, chain)
-            for other in chain[0].lead_by_suspect
+            for other in chain[0].suspects
         )
 
     def _is_repeated(self, fingerprint: str, chain: tuple[_Case, ...]) -> bool:
--- a/tests/direct/test_part_evidence.py
+++ b/tests/direct/test_part_evidence.py
@@ -170,6 +170,30 @@
         crash(evidence, 2, first=12)
         self.assertGreater(seconds_barred(evidence, 14, BAD), 0)
 
+    def test_companions(self) -> None:
+        """Requests at the same crashes are not quarantined for them.
+
+        A sound request that is sent again after each crash was taken for the
+        one thing that the crashes have in common.
+        """
+        evidence = make()
+        sound = 'c' * 32
+        for number in range(5):
+            at = 10 + number
+            evidence.record_beginning(parts(ROOT), at)
+            evidence.record_crash(f'i-{at}', sound, at + 0.1, at + 0.2)
+            evidence.record_crash(
+                f'i-{at}',
+                fingerprint(at),
+                at + 0.1,
+                at + 0.2,
+                parts(BAD, ROOT),
+            )
+        self.assertEqual(
+            0, evidence.seconds_barred(sound, 15, has_spare_endpoint=True)
+        )
+        self.assertGreater(seconds_barred(evidence, 15, BAD), 0)
+
 
 class ReportTest(testtools.TestCase):
     """What heartbeats carry."""
