Check right before a request is sent whether it is quarantined

A request that waits for a connection, for up to 0.6 s, was sent though its prompt part, or the request itself, had been quarantined meanwhile. It is checked together with what else ends an attempt before it is sent; the caller gets 503 'quarantined' at once, where it got 504 at its deadline in the test, as the silent endpoint of the test never answered. A trial after a quarantine is recorded when it is sent, so that it is not held back by itself.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -97,13 +97,6 @@
         """
         attempt = admitted.add_attempt(endpoint)
         self._log.log_sending(admitted, endpoint)
-        evidence = self._cluster.crash_evidence
-        if not evidence.is_empty:
-            evidence.record_attempt(
-                admitted.fingerprint,
-                attempt.started_at,
-                admitted.prompt_parts,
-            )
         endpoint.start_request(attempt.started_at)
         attempt.task = asyncio.create_task(self._send(admitted, attempt))
         attempt.task.add_done_callback(
@@ -210,14 +203,9 @@
             return serving.AttemptResult.NOT_RUN
         attempt.connection = connection
         try:
-            if self._became_unusable(endpoint):
-                attempt.refused()
-                self._log.log_unusable(admitted, attempt)
-                return serving.AttemptResult.NOT_RUN
-            if endpoint.has_closed_since(attempt.started_at):
-                attempt.refused()
-                self._withdraw(admitted, attempt)
-                return serving.AttemptResult.NOT_SENT
+            result = self._withhold(admitted, attempt)
+            if result is not None:
+                return result
             async with _start_timeout(attempt, connection):
                 return await self._request_answer(
                     admitted, endpoint, attempt, connection
@@ -240,6 +228,35 @@
                 # The endpoint has restarted: its old connections are useless.
                 connections.close()
 
+    def _withhold(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+    ) -> serving.AttemptResult | None:
+        """Give up an attempt that must not be sent any more.
+
+        :returns: its result; ``None`` if it is to be sent.
+        """
+        if self._became_unusable(attempt.endpoint):
+            attempt.refused()
+            self._log.log_unusable(admitted, attempt)
+            return serving.AttemptResult.NOT_RUN
+        now = asyncio.get_running_loop().time()
+        if self._cluster.seconds_barred(admitted, now):
+            attempt.refused()
+            self._log.log_quarantined(admitted, attempt)
+            return serving.AttemptResult.NOT_SENT
+        if attempt.endpoint.has_closed_since(attempt.started_at):
+            attempt.refused()
+            self._withdraw(admitted, attempt)
+            return serving.AttemptResult.NOT_SENT
+        evidence = self._cluster.crash_evidence
+        if not evidence.is_empty:
+            evidence.record_attempt(
+                admitted.fingerprint, now, admitted.prompt_parts
+            )
+        return None
+
     def _became_unusable(self, endpoint: endpoints.Endpoint) -> bool:
         """Tell whether an endpoint became unusable during connection setup.
 
--- a/clementinepass/direct/cluster_state.py
+++ b/clementinepass/direct/cluster_state.py
@@ -20,7 +20,7 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
 
-    from clementinepass.direct import node, routing
+    from clementinepass.direct import node, routing, serving
 
 #: Seconds before the bound on older versions at which they stop getting new
 #: requests: a request may wait that long in an engine's queue before it starts.
@@ -314,6 +314,24 @@
             if endpoint.has_weights(engine, version)
         ]
 
+    def seconds_barred(
+        self, admitted: serving.AdmittedRequest, now: float
+    ) -> float:
+        """Return the seconds for which a request must not run; 0 if it may.
+
+        Requests that have crashed endpoints, or parts of whose prompts have,
+        are barred.
+        """
+        if self.crash_evidence.is_empty:
+            return 0
+        candidates = self.candidates(admitted.service, now)
+        return self.crash_evidence.seconds_barred(
+            admitted.fingerprint,
+            now,
+            has_spare_endpoint=len(candidates) > 1,
+            parts=admitted.prompt_parts,
+        )
+
     def is_loading(self, service: routing.Service, now: float) -> bool:
         """Return whether some engine of a service is loading weights."""
         return any(
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -352,6 +352,8 @@
         for silent_attempt in admitted.open_attempts:
             if not silent_attempt.is_silent:
                 self._sender.mark_silent(admitted, silent_attempt)
+        if self._is_barred(admitted):
+            return
         if is_withdrawn:
             endpoint = await self._select_next(admitted)
         else:
@@ -361,16 +363,8 @@
 
     def _is_barred(self, admitted: serving.AdmittedRequest) -> bool:
         """Tell whether a request must not run, as it crashes endpoints."""
-        evidence = self._cluster.crash_evidence
-        if evidence.is_empty:
-            return False
-        now = asyncio.get_running_loop().time()
-        candidates = self._cluster.candidates(admitted.service, now)
-        seconds = evidence.seconds_barred(
-            admitted.fingerprint,
-            now,
-            has_spare_endpoint=len(candidates) > 1,
-            parts=admitted.prompt_parts,
+        seconds = self._cluster.seconds_barred(
+            admitted, asyncio.get_running_loop().time()
         )
         if not seconds:
             return False
@@ -443,6 +437,8 @@
     ) -> serving.Ending:
         if not admitted.has_not_run:
             return serving.Ending.BROKEN
+        if self._is_barred(admitted):
+            return serving.Ending.QUARANTINED
         now = asyncio.get_running_loop().time()
         candidates = self._cluster.candidates(admitted.service, now)
         if _are_paused(candidates, now):
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -288,6 +288,18 @@
             retry_after=round(seconds, 3) if math.isfinite(seconds) else None,
         ).info('not sent during a pause of the endpoint')
 
+    def log_quarantined(
+        self, admitted: serving.AdmittedRequest, attempt: serving.Attempt
+    ) -> None:
+        """Log that a request was not sent, as it crashes endpoints."""
+        attempt.failure = serving.AttemptFailure.QUARANTINED
+        self._attempts.inc({'outcome': attempt.failure.value})
+        logger.bind(
+            request=admitted.call.id,
+            attempt=attempt.number,
+            endpoint=attempt.peer,
+        ).info('not sent, as it was quarantined')
+
     def log_all_paused(
         self, admitted: serving.AdmittedRequest, seconds: float
     ) -> None:
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -425,6 +425,11 @@
         'after_event fingerprint',
         'there is no complete answer',
     ),
+    'not sent, as it was quarantined': Kind(
+        'request attempt endpoint',
+        'the request, or a part of its prompt, was found to crash endpoints '
+        'while a connection was opened',
+    ),
     'endpoint crashed under a request': Kind(
         'request attempt endpoint fingerprint crashes answering parts',
         'its process is gone; other requests may have run there, too',
--- a/clementinepass/observability/verdicts.py
+++ b/clementinepass/observability/verdicts.py
@@ -71,6 +71,7 @@
     'misdirected': Cause.MISDIRECTED,
     'unreachable': Cause.UNREACHABLE,
     'paused': Cause.ALL_PAUSED,
+    'quarantined': Cause.QUARANTINED,
     'unusable': Cause.NO_ENDPOINT,
 }
 #: Outcomes of attempts that prove nothing against their endpoints.
--- a/tests/direct/test_crashing_parts.py
+++ b/tests/direct/test_crashing_parts.py
@@ -8,6 +8,7 @@
 
 import testtools
 
+from clementinepass.direct import part_evidence
 from clementinepass.http import channel, messages, pool
 from standins import direct_endpoint, machines
 from tests import tables
@@ -321,6 +322,29 @@
         return may_connect
 
 
+class TrialTest(testtools.TestCase):
+    """After a quarantine, one request is sent to find out whether it ends."""
+
+    def test_answered(self) -> None:
+        """The request that is sent is not held back by itself."""
+        self.patch(part_evidence, '_LIFETIME_SECONDS', PAUSE_SECONDS)
+
+        async def scenario(harness: World) -> None:
+            set_faults(harness)
+            for _ in range(MAX_CRASHES - 1):
+                self.assertEqual(200, await ask(harness, '/once/a', ROOT))
+                await ask(harness, '/once/a', ROOT, CRASHING)
+            for endpoint in harness.endpoints:
+                endpoint.faults_by_prompt_part.clear()
+            await asyncio.sleep(2 * PAUSE_SECONDS)
+            for _ in range(REPEATS):
+                self.assertEqual(
+                    200, await ask(harness, '/once/a', ROOT, CRASHING)
+                )
+
+        path_harness.run(scenario, ENDPOINTS)
+
+
 class EntriesTest(testtools.TestCase):
     """What entries have seen of a part, all of them act on."""
 
