Take requests back that a quarantined prompt part will crash endpoints with

Requests with the part that had been sent before the verdict waited in the queues of endpoints and crashed them when they began. Attempts whose endpoint has not begun to answer are aborted when the part is found: closing the connection removes a request from the queue. The caller gets 502, as the request may have run.

test_waiting_at_endpoints failed before: the callers got 504 at their deadline, and the endpoints kept the requests.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -119,6 +119,16 @@
             self._cluster.record_failure(attempt.endpoint, now)
         self._log.log_silent(admitted, attempt)
 
+    def take_back(self, admitted: serving.AdmittedRequest) -> None:
+        """Abort attempts at endpoints that have not begun to answer.
+
+        The end of its connection removes a request from an endpoint's queue.
+        """
+        for attempt in admitted.open_attempts:
+            if attempt.task is not None and not attempt.has_begun_answer:
+                attempt.task.cancel()
+                self._log.log_quarantined(admitted, attempt)
+
     def close_connections(self, endpoint_id: str) -> None:
         """Close the connections to an endpoint that was removed."""
         endpoint_pool = self._pools_by_id.pop(endpoint_id, None)
--- a/clementinepass/direct/crash_evidence.py
+++ b/clementinepass/direct/crash_evidence.py
@@ -70,6 +70,7 @@
         '_quarantined',
         '_suspected_parts',
         '_trial_at',
+        'on_cause',
         'on_finding',
         'other_entries',
     )
@@ -96,6 +97,8 @@
         self._trial_at: dict[str, float] = {}
         #: Called when this process has found something, to announce it at once.
         self.on_finding: Callable[[], None] | None = None
+        #: Called when prompt parts have been found that crash endpoints.
+        self.on_cause: Callable[[], None] | None = None
         #: Returns the IP addresses of the other entries that are alive.
         self.other_entries: Callable[[], Iterable[str]] = tuple
 
@@ -316,6 +319,7 @@
         self._parts.update(crashes)
         self._quarantine.explain(self._parts.causes)
         self._log_quarantined(now)
+        self._announce_causes(now)
 
     def _clear_answered(
         self, crashes: Iterable[quarantine.Crash], now: float
@@ -370,16 +374,24 @@
                     seconds=round(seconds, 1),
                 ).warning('request quarantined')
         self._quarantined = frozenset(seconds_by_fingerprint)
-        for found in self._parts.causes:
-            if found.parts not in self._known_causes:
-                logger.bind(
-                    parts=sorted(found.parts),
-                    crashed=sorted(found.crash_ids),
-                    seconds=round(part_evidence.seconds_refused(found, now), 1),
-                ).warning('prompt parts quarantined')
+
+    def _announce_causes(self, now: float) -> None:
+        new = [
+            cause
+            for cause in self._parts.causes
+            if cause.parts not in self._known_causes
+        ]
         self._known_causes = frozenset(
             cause.parts for cause in self._parts.causes
         )
+        for cause in new:
+            logger.bind(
+                parts=sorted(cause.parts),
+                crashed=sorted(cause.crash_ids),
+                seconds=round(part_evidence.seconds_refused(cause, now), 1),
+            ).warning('prompt parts quarantined')
+        if new and self.on_cause is not None:
+            self.on_cause()
 
 
 def _trial_key(cause: crash_causes.Cause) -> str:
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -106,6 +106,7 @@
         self._retry_budgets_by_service: dict[
             str, window_budget.WindowBudget
         ] = {}
+        cluster.crash_evidence.on_cause = self._take_back_quarantined
 
     async def serve(
         self,
@@ -154,6 +155,12 @@
             if admitted.shorten_deadline(deadline):
                 timeout.reschedule(deadline)
 
+    def _take_back_quarantined(self) -> None:
+        """Abort attempts that would crash endpoints when they begin."""
+        for admitted in list(self._timeouts_by_request):
+            if self._cluster.crash_evidence.find_cause(admitted.prompt_parts):
+                self._sender.take_back(admitted)
+
     # Admission.
 
     def _admit(
@@ -435,10 +442,11 @@
     def _ending_after_attempts(
         self, admitted: serving.AdmittedRequest
     ) -> serving.Ending:
+        if admitted.attempts[-1].failure is serving.AttemptFailure.QUARANTINED:
+            self._is_barred(admitted)
+            return serving.Ending.QUARANTINED
         if not admitted.has_not_run:
             return serving.Ending.BROKEN
-        if self._is_barred(admitted):
-            return serving.Ending.QUARANTINED
         now = asyncio.get_running_loop().time()
         candidates = self._cluster.candidates(admitted.service, now)
         if _are_paused(candidates, now):
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -291,14 +291,15 @@
     def log_quarantined(
         self, admitted: serving.AdmittedRequest, attempt: serving.Attempt
     ) -> None:
-        """Log that a request was not sent, as it crashes endpoints."""
+        """Log an attempt that was given up, as it crashes endpoints."""
         attempt.failure = serving.AttemptFailure.QUARANTINED
         self._attempts.inc({'outcome': attempt.failure.value})
         logger.bind(
             request=admitted.call.id,
             attempt=attempt.number,
             endpoint=attempt.peer,
-        ).info('not sent, as it was quarantined')
+            execution=attempt.execution.value,
+        ).info('given up, as it was quarantined')
 
     def log_all_paused(
         self, admitted: serving.AdmittedRequest, seconds: float
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -113,7 +113,7 @@
     REJECTED = 'turned_away'
     #: A pause or a limit of the endpoint began before the request was sent.
     PAUSED = 'paused'
-    #: What crashes endpoints was found before the request was sent.
+    #: What crashes endpoints was found before the endpoint began to answer.
     QUARANTINED = 'quarantined'
     #: Another endpoint or another version answered at the address; the
     #: request did not run.
--- a/clementinepass/observability/causes.py
+++ b/clementinepass/observability/causes.py
@@ -192,7 +192,7 @@
     UNUSABLE = 'not sent, as the endpoint became unusable'
     REJECTED = 'turned away by the endpoint'
     NOT_SENT = 'not sent during a pause of the endpoint'
-    QUARANTINED = 'not sent, as it was quarantined'
+    QUARANTINED = 'given up, as it was quarantined'
     ALL_PAUSED = 'all endpoints are paused'
     ALL_LIMITED = 'all endpoints are limited'
     MISDIRECTED = 'another endpoint or version answered'
@@ -226,7 +226,8 @@
         'endpoint {endpoint} was paused for {retry_after} s before it was sent'
     ),
     Finding.QUARANTINED: (
-        'it was quarantined before it was sent to endpoint {endpoint}'
+        'it was quarantined before endpoint {endpoint} began to answer: '
+        '{execution}'
     ),
     Finding.ALL_PAUSED: (
         'the first endpoint could be used again after {retry_after} s'
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -425,10 +425,10 @@
         'after_event fingerprint',
         'there is no complete answer',
     ),
-    'not sent, as it was quarantined': Kind(
-        'request attempt endpoint',
+    'given up, as it was quarantined': Kind(
+        'request attempt endpoint execution',
         'the request, or a part of its prompt, was found to crash endpoints '
-        'while a connection was opened',
+        'before it was sent, or before the endpoint began to answer',
     ),
     'endpoint crashed under a request': Kind(
         'request attempt endpoint fingerprint crashes answering parts',
--- a/tests/direct/test_crashing_parts.py
+++ b/tests/direct/test_crashing_parts.py
@@ -272,29 +272,14 @@
         """They are not sent once the connection is there."""
 
         async def scenario(harness: World) -> None:
-            set_faults(harness)
-            for _ in range(MAX_CRASHES - 2):
-                self.assertEqual(200, await ask(harness, '/once/a', ROOT))
-                await ask(harness, '/once/a', ROOT, CRASHING)
-            set_faults(harness, Fault.SILENT)
-            before = len(harness.executed_requests)
-            running = asyncio.create_task(
-                ask(harness, '/once/a', ROOT, CRASHING)
-            )
-            while len(harness.executed_requests) == before:
-                await asyncio.sleep(0.001)
+            running = await self._start_last(harness)
             may_connect = self._delay_connections(harness)
             waiting = [
                 asyncio.create_task(ask(harness, '/once/a', ROOT, CRASHING))
                 for _ in range(MAX_CRASHES)
             ]
             await asyncio.sleep(PAUSE_SECONDS)
-            (crashing,) = (
-                endpoint
-                for endpoint in harness.endpoints
-                if arrivals(endpoint.ran) and not endpoint.crashed.is_set()
-            )
-            await crashing.crash()
+            await self._crash_one(harness)
             self.assertEqual(502, await running)
             may_connect.set()
             self.assertEqual(
@@ -306,6 +291,50 @@
 
         path_harness.run(scenario, ENDPOINTS)
 
+    def test_waiting_at_endpoints(self) -> None:
+        """They are taken back from endpoints that have not begun to answer."""
+
+        async def scenario(harness: World) -> None:
+            running = [await self._start_last(harness)]
+            for _ in range(MAX_CRASHES):
+                running.append(await self._start(harness))
+            await self._crash_one(harness)
+            loop = asyncio.get_running_loop()
+            crashed_at = loop.time()
+            statuses = await asyncio.gather(*running)
+            self.assertEqual([502] * (MAX_CRASHES + 1), statuses)
+            self.assertLess(loop.time() - crashed_at, 1)
+            self.assertEqual(
+                1, count_crashes(harness.endpoints) - (MAX_CRASHES - 2)
+            )
+
+        path_harness.run(scenario, ENDPOINTS)
+
+    async def _start_last(self, harness: World) -> asyncio.Task[int]:
+        """Start the request under which the last of four endpoints crashes."""
+        set_faults(harness)
+        for _ in range(MAX_CRASHES - 2):
+            self.assertEqual(200, await ask(harness, '/once/a', ROOT))
+            await ask(harness, '/once/a', ROOT, CRASHING)
+        set_faults(harness, Fault.SILENT)
+        return await self._start(harness)
+
+    async def _start(self, harness: World) -> asyncio.Task[int]:
+        """Start a request that waits at an endpoint."""
+        before = len(harness.executed_requests)
+        running = asyncio.create_task(ask(harness, '/once/a', ROOT, CRASHING))
+        while len(harness.executed_requests) == before:
+            await asyncio.sleep(0.001)
+        return running
+
+    async def _crash_one(self, harness: World) -> None:
+        crashing = next(
+            endpoint
+            for endpoint in harness.endpoints
+            if arrivals(endpoint.ran) and not endpoint.crashed.is_set()
+        )
+        await crashing.crash()
+
     def _delay_connections(self, harness: World) -> asyncio.Event:
         """Let attempts wait for connections until an event is set."""
         acquire = pool.Pool.acquire
