Take repeats of a quarantined request back, too

Both quarantines are announced in one place now.

test_crashing_requests.WaitingTest failed before: 504 at the deadline.

--- a/clementinepass/direct/crash_evidence.py
+++ b/clementinepass/direct/crash_evidence.py
@@ -70,7 +70,7 @@
         '_quarantined',
         '_suspected_parts',
         '_trial_at',
-        'on_cause',
+        'on_quarantine',
         'on_finding',
         'other_entries',
     )
@@ -85,7 +85,7 @@
         self._is_outdated = False
         #: All parts that are suspected of some crash.
         self._suspected_parts: frozenset[str] = frozenset()
-        #: The causes that were logged.
+        #: The prompt parts whose quarantine was logged.
         self._known_causes: frozenset[frozenset[str]] = frozenset()
         #: When each request was last answered, in this order.
         self._answered_at_by_fingerprint: dict[str, float] = {}
@@ -97,8 +97,8 @@
         self._trial_at: dict[str, float] = {}
         #: Called when this process has found something, to announce it at once.
         self.on_finding: Callable[[], None] | None = None
-        #: Called when prompt parts have been found that crash endpoints.
-        self.on_cause: Callable[[], None] | None = None
+        #: Called when a request or prompt parts are quarantined.
+        self.on_quarantine: Callable[[], None] | None = None
         #: Returns the IP addresses of the other entries that are alive.
         self.other_entries: Callable[[], Iterable[str]] = tuple
 
@@ -213,6 +213,16 @@
             seconds.append(self._seconds_protected(fingerprint, parts, now))
         return max(seconds)
 
+    def is_quarantined(
+        self, fingerprint: str, now: float, parts: part_evidence.PromptParts
+    ) -> bool:
+        """Tell whether a request, or parts of its prompt, are quarantined."""
+        standing = self._quarantine.judge(fingerprint, now).standing
+        return (
+            standing is quarantine.Standing.QUARANTINED
+            or self.find_cause(parts) is not None
+        )
+
     def find_cause(
         self, parts: part_evidence.PromptParts
     ) -> crash_causes.Cause | None:
@@ -318,8 +328,7 @@
         )
         self._parts.update(crashes)
         self._quarantine.explain(self._parts.causes)
-        self._log_quarantined(now)
-        self._announce_causes(now)
+        self._announce_quarantined(now)
 
     def _clear_answered(
         self, crashes: Iterable[quarantine.Crash], now: float
@@ -365,33 +374,33 @@
         if self.on_finding is not None:
             self.on_finding()
 
-    def _log_quarantined(self, now: float) -> None:
+    def _announce_quarantined(self, now: float) -> None:
+        """Log what has been quarantined since the last call."""
         seconds_by_fingerprint = self._quarantine.quarantined(now)
-        for fingerprint, seconds in seconds_by_fingerprint.items():
-            if fingerprint not in self._quarantined:
-                logger.bind(
-                    fingerprint=fingerprint,
-                    seconds=round(seconds, 1),
-                ).warning('request quarantined')
-        self._quarantined = frozenset(seconds_by_fingerprint)
-
-    def _announce_causes(self, now: float) -> None:
-        new = [
+        fingerprints = seconds_by_fingerprint.keys() - self._quarantined
+        causes = [
             cause
             for cause in self._parts.causes
             if cause.parts not in self._known_causes
         ]
+        self._quarantined = frozenset(seconds_by_fingerprint)
         self._known_causes = frozenset(
             cause.parts for cause in self._parts.causes
         )
-        for cause in new:
+        for fingerprint in fingerprints:
+            seconds = seconds_by_fingerprint[fingerprint]
+            logger.bind(
+                fingerprint=fingerprint, seconds=round(seconds, 1)
+            ).warning('request quarantined')
+        for cause in causes:
+            seconds = part_evidence.seconds_refused(cause, now)
             logger.bind(
                 parts=sorted(cause.parts),
                 crashed=sorted(cause.crash_ids),
-                seconds=round(part_evidence.seconds_refused(cause, now), 1),
+                seconds=round(seconds, 1),
             ).warning('prompt parts quarantined')
-        if new and self.on_cause is not None:
-            self.on_cause()
+        if self.on_quarantine is not None and (fingerprints or causes):
+            self.on_quarantine()
 
 
 def _trial_key(cause: crash_causes.Cause) -> str:
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -106,7 +106,7 @@
         self._retry_budgets_by_service: dict[
             str, window_budget.WindowBudget
         ] = {}
-        cluster.crash_evidence.on_cause = self._take_back_quarantined
+        cluster.crash_evidence.on_quarantine = self._take_back_quarantined
 
     async def serve(
         self,
@@ -157,8 +157,11 @@
 
     def _take_back_quarantined(self) -> None:
         """Abort attempts that would crash endpoints when they begin."""
+        now = asyncio.get_running_loop().time()
         for admitted in list(self._timeouts_by_request):
-            if self._cluster.crash_evidence.find_cause(admitted.prompt_parts):
+            if self._cluster.crash_evidence.is_quarantined(
+                admitted.fingerprint, now, admitted.prompt_parts
+            ):
                 self._sender.take_back(admitted)
 
     # Admission.
--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -142,6 +142,39 @@
         path_harness.run(scenario, ENDPOINTS)
 
 
+class WaitingTest(testtools.TestCase):
+    """Repeats that are at other endpoints when the request is quarantined."""
+
+    def test_waiting_at_endpoints(self) -> None:
+        """They are taken back from endpoints that have not begun to answer."""
+
+        async def scenario(harness: World) -> None:
+            set_faults(harness)
+            for _ in range(MAX_CRASHES - 1):
+                await ask(harness, '/once/a')
+            set_faults(harness, Fault.SILENT)
+            running = [
+                asyncio.create_task(ask(harness, '/once/a'))
+                for _ in range(2 * ENDPOINTS)
+            ]
+            while arrivals(harness) < MAX_CRASHES - 1 + 2 * ENDPOINTS:
+                await asyncio.sleep(0.001)
+            crashing = next(
+                endpoint
+                for endpoint in harness.endpoints
+                if endpoint.ran and not endpoint.crashed.is_set()
+            )
+            await crashing.crash()
+            loop = asyncio.get_running_loop()
+            crashed_at = loop.time()
+            for answer in await asyncio.gather(*running):
+                assert answer is not None
+                self.assertEqual(502, answer.status)
+            self.assertLess(loop.time() - crashed_at, 1)
+
+        path_harness.run(scenario, ENDPOINTS)
+
+
 class RemovalTest(testtools.TestCase):
     """Crashes that only the list tells, as the address is in use again."""
 
