Keep the parts of a request whose fingerprint is cleared

A fingerprint has no prompt in it: a sound request with the same body was answered, which took the parts of the request under which an endpoint had crashed out of the evidence. Either is cleared by itself now.

test_fingerprint_answered failed before: the part was not refused.

--- a/clementinepass/requests/quarantine.py
+++ b/clementinepass/requests/quarantine.py
@@ -176,7 +176,9 @@
     lead_by_suspect: dict[str, float] = dataclasses.field(
         default_factory=dict,
     )
-    #: Parts of the prompts of suspects that are under suspicion as well.
+    #: Parts of prompts that are under suspicion, by the fingerprints of the
+    #: requests with them. Either may be cleared without the other: the next
+    #: request with a part is another one.
     parts_by_suspect: dict[str, set[str]] = dataclasses.field(
         default_factory=dict,
     )
@@ -188,10 +190,9 @@
     def add(self, suspect: Suspect, lead: float) -> None:
         """Take in one that was in flight, unless it was cleared."""
         fingerprint = suspect.fingerprint
-        if fingerprint in self.cleared:
-            return
-        known = self.lead_by_suspect.get(fingerprint, lead)
-        self.lead_by_suspect[fingerprint] = min(known, lead)
+        if fingerprint not in self.cleared:
+            known = self.lead_by_suspect.get(fingerprint, lead)
+            self.lead_by_suspect[fingerprint] = min(known, lead)
         parts = set(suspect.parts).difference(self.cleared)
         if parts:
             self.parts_by_suspect.setdefault(fingerprint, set()).update(parts)
@@ -199,13 +200,12 @@
     def lacks(self, suspect: Suspect, lead: float) -> bool:
         """Tell whether adding a suspect would change anything."""
         fingerprint = suspect.fingerprint
-        if fingerprint in self.cleared:
-            return False
         known = self.lead_by_suspect.get(fingerprint, float('inf'))
-        unknown_parts = set(suspect.parts).difference(
-            self.cleared, self.parts_by_suspect.get(fingerprint, ())
+        is_new = fingerprint not in self.cleared and lead < known - _LEAD_ERROR
+        new_parts = set(suspect.parts).difference(
+            self.cleared, self.parts_of(fingerprint)
         )
-        return lead < known - _LEAD_ERROR or bool(unknown_parts)
+        return is_new or bool(new_parts)
 
     def started(self, fingerprint: str) -> float | None:
         """Return when a suspect was dispatched; ``None`` if it is none."""
@@ -216,7 +216,6 @@
         """Note that a fingerprint or a part did not cause this crash."""
         self.cleared.add(cleared)
         self.lead_by_suspect.pop(cleared, None)
-        self.parts_by_suspect.pop(cleared, None)
         for others in self.parts_by_suspect.values():
             others.discard(cleared)
 
@@ -233,6 +232,19 @@
             if fingerprint not in self.excused
         )
 
+    def select(
+        self, fingerprints: set[str], parts: frozenset[str]
+    ) -> typing.Iterator[Suspect]:
+        """Return the suspects that are chosen or have chosen parts."""
+        met = self.lead_by_suspect.keys() | self.parts_by_suspect
+        for fingerprint in sorted(met):
+            own_parts = parts & self.parts_of(fingerprint)
+            if fingerprint in fingerprints or own_parts:
+                lead = self.lead_by_suspect.get(fingerprint, 0)
+                yield Suspect(
+                    fingerprint, self.at - lead, tuple(sorted(own_parts))
+                )
+
     def requests_by_part(self) -> dict[str, frozenset[str]]:
         """Return the fingerprints with each part under suspicion."""
         parts = frozenset[str]().union(*self.parts_by_suspect.values())
@@ -438,23 +450,19 @@
             if self.history(fingerprint, now).repeated >= min_crashes
         }
         crashes = (
-            Crash(
-                crash_id,
-                case.at,
-                tuple(
-                    Suspect(
-                        fingerprint,
-                        case.at - lead,
-                        tuple(sorted(parts & case.parts_of(fingerprint))),
-                    )
-                    for fingerprint, lead in case.lead_by_suspect.items()
-                    if fingerprint in chosen
-                    or not parts.isdisjoint(case.parts_of(fingerprint))
-                ),
-            )
+            Crash(crash_id, case.at, tuple(case.select(chosen, parts)))
+            for crash_id, case in self._cases_by_crash.items()
+        )
+        clearances = (
+            Clearance(fingerprint, (crash_id,))
             for crash_id, case in self._cases_by_crash.items()
+            for fingerprint in case.cleared.intersection(case.parts_by_suspect)
+            if not parts.isdisjoint(case.parts_of(fingerprint))
+        )
+        return Digest(
+            tuple(crash for crash in crashes if crash.suspects),
+            tuple(clearances),
         )
-        return Digest(tuple(crash for crash in crashes if crash.suspects))
 
     def crashes(self) -> list[crash_causes.Crash]:
         """Return the crashes with the parts of prompts under suspicion."""
--- a/tests/direct/test_part_evidence.py
+++ b/tests/direct/test_part_evidence.py
@@ -162,6 +162,24 @@
             )
         self.assertEqual(0, seconds_barred(evidence, 46, BAD))
 
+    def test_fingerprint_answered(self) -> None:
+        """An answer without a part does not clear it for the same body."""
+        evidence = make()
+        crash(evidence, 4)
+        for at in range(10, 14):
+            evidence.record_answer(fingerprint(100 * at), 14, 14)
+        self.assertGreater(seconds_barred(evidence, 14, BAD), 0)
+        starting = crash_evidence.CrashEvidence(ENTRIES[1])
+        report = evidence.report(60, full=True)
+        starting.apply(report, 60, is_relayed=False)
+        self.assertGreater(seconds_barred(starting, 60, BAD), 0)
+        self.assertEqual(
+            0,
+            starting.seconds_barred(
+                fingerprint(1000), 60, has_spare_endpoint=False
+            ),
+        )
+
     def test_other_model(self) -> None:
         """An answer of another model proves nothing, and neither is refused."""
         evidence = make()
