Tell for which prompt parts a request is refused

The explanation of a refused request said that it was quarantined, and not by what. A line names the digests of the parts and the starts of the endpoints that crashed under them, and 'explain' tells them. No line has a part of a prompt. test_causes has the case.

--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -500,6 +500,11 @@
             )
             return
         status = self._final_status(admitted, ending)
+        if ending is serving.Ending.QUARANTINED:
+            self._log.log_quarantined_parts(
+                admitted,
+                self._cluster.crash_evidence.find_cause(admitted.prompt_parts),
+            )
         self._log.log_ended(admitted, ending, status)
         self._send_error(admitted, status)
 
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -18,7 +18,11 @@
 from clementinepass.http import channel, endings
 
 if typing.TYPE_CHECKING:
-    from clementinepass.decisions import endpoint_choice, next_try
+    from clementinepass.decisions import (
+        crash_causes,
+        endpoint_choice,
+        next_try,
+    )
     from clementinepass.direct import endpoints
 
 #: Longest logged part of a path; callers may send paths of any length.
@@ -301,6 +305,25 @@
             execution=attempt.execution.value,
         ).info('given up, as it was quarantined')
 
+    def log_quarantined_parts(
+        self,
+        admitted: serving.AdmittedRequest,
+        cause: crash_causes.Cause | None,
+    ) -> None:
+        """Log for which parts of its prompt a request is refused.
+
+        :param cause: the parts, with the crashes that they explain; ``None`` if
+            the request itself is quarantined.
+        """
+        if cause is None:
+            return
+        logger.bind(
+            request=admitted.call.id,
+            parts=sorted(cause.parts),
+            crashed=sorted(cause.crash_ids),
+            retry_after=round(admitted.retry_after, 3),
+        ).info('refused for its prompt parts')
+
     def log_all_paused(
         self, admitted: serving.AdmittedRequest, seconds: float
     ) -> None:
--- a/clementinepass/observability/causes.py
+++ b/clementinepass/observability/causes.py
@@ -125,8 +125,9 @@
         'the retry budget was spent, so it was not sent again'
     ),
     Cause.QUARANTINED: (
-        'endpoints had crashed under it, or under the same request sent '
-        'before, one after the other'
+        'endpoints had crashed under it, or under requests sent before that '
+        'are the same or have parts of their prompts in common, one after the '
+        'other'
     ),
     Cause.OVERLOAD: 'even the best endpoint had too many requests waiting',
     Cause.NO_ENDPOINT: (
@@ -193,6 +194,7 @@
     REJECTED = 'turned away by the endpoint'
     NOT_SENT = 'not sent during a pause of the endpoint'
     QUARANTINED = 'given up, as it was quarantined'
+    QUARANTINED_PARTS = 'refused for its prompt parts'
     ALL_PAUSED = 'all endpoints are paused'
     ALL_LIMITED = 'all endpoints are limited'
     MISDIRECTED = 'another endpoint or version answered'
@@ -229,6 +231,10 @@
         'it was quarantined before endpoint {endpoint} began to answer: '
         '{execution}'
     ),
+    Finding.QUARANTINED_PARTS: (
+        'requests with parts {parts} in their prompts crashed {crashed}; such '
+        'requests are refused for {retry_after} s'
+    ),
     Finding.ALL_PAUSED: (
         'the first endpoint could be used again after {retry_after} s'
     ),
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -445,6 +445,10 @@
         'endpoints, no two of them alike; such requests are refused at every '
         'entry for that time',
     ),
+    'refused for its prompt parts': Kind(
+        'request parts crashed retry_after',
+        'requests with these parts crashed those endpoints',
+    ),
     'endpoint names a limit': Kind(
         'request endpoint rate share',
         'its answer names another limit of requests than the one before',
--- a/tests/observability/test_causes.py
+++ b/tests/observability/test_causes.py
@@ -258,6 +258,31 @@
     await send_ignoring_failure(world, '/once/a')
 
 
+async def quarantined_part(world: World) -> None:
+    """Four endpoints crash under other requests with a part of its prompt."""
+    while len(world.endpoints) < 6:
+        added = direct_endpoint.DirectEndpoint(f'i-{len(world.endpoints)}')
+        await added.__aenter__()
+        world.endpoints.append(added)
+        world.list_endpoint(added)
+    for endpoint in world.endpoints:
+        endpoint.faults_by_prompt_part[b'bad0'] = Fault.CRASH
+    for number in range(4):
+        for parts in ('5c1e:1,1:1', '5c1e:1,bad0:1,2:1'):
+            await world.send(
+                '/once/a',
+                b'%d' % number,
+                X_Attempt_Id=f'before-{number}',
+                X_Prompt_Prefix=parts,
+            )
+            await asyncio.sleep(0.1)
+        now = asyncio.get_running_loop().time()
+        for endpoint in world.endpoints:
+            if endpoint.crashed.is_set():
+                world.cluster.endpoints.mark_removed(endpoint.id, now, 0)
+    await send_ignoring_failure(world, '/once/a', X_Prompt_Prefix='bad0:1,3:1')
+
+
 async def drains_during_setup(world: World) -> None:
     pending = asyncio.create_task(send_ignoring_failure(world, '/once/a'))
     loop = asyncio.get_running_loop()
@@ -387,6 +412,7 @@
     (all_paused, Cause.ALL_PAUSED, 'service pool'),
     (all_limited, Cause.ALL_LIMITED, 'service pool'),
     (quarantined, Cause.QUARANTINED, 'one after the other'),
+    (quarantined_part, Cause.QUARANTINED, 'in their prompts crashed'),
     (
         failing_endpoints('/once/a', Fault.FULL, Fault.FULL),
         Cause.REJECTED,
