--- /dev/null
+++ b/tests/direct/test_part_evidence_simulation.py
@@ -0,0 +1,198 @@
+"""Simulated entries, and callers with prompt parts that crash endpoints."""
+
+from __future__ import annotations
+
+import collections
+import testtools
+
+from clementinepass.direct import part_evidence
+from tests.direct import test_crash_evidence_simulation as simulation
+
+SEEDS = range(10)
+ROOT = '5' * 16
+MIDDLES = tuple(f'{number:016x}' for number in range(0xA0, 0xA6))
+SESSIONS = tuple(f'{number:016x}' for number in range(0x100, 0x140))
+CRASHING = ('b0' * 8, 'b1' * 8)
+#: When requests with each of the crashing parts begin to come.
+BEGINS = (4.0, 15.0)
+#: Crashes under a part after which the bound on later arrivals counts.
+MAX_CRASHES = 5
+#: Longest time for which a request is kept off the last endpoint.
+PROTECTION_SECONDS = 10.0
+
+
+class PartSimulation(simulation.Simulation):
+    """Requests with parts in common, no two alike.
+
+    :param crash_rate: crashes of endpoints of themselves, a second.
+    """
+
+    def __init__(self, seed: int, crash_rate: float) -> None:
+        super().__init__(seed, crash_rate)
+        self.parts_by_fingerprint: dict[str, part_evidence.PromptParts] = {}
+        #: Attempts with an event of their answers.
+        self.answering: set[simulation.Attempt] = set()
+        #: Sound requests that were refused, with the seconds.
+        self.sound_refused: list[float] = []
+        self.sound_count = 0
+        self.part_arrivals: dict[str, list[float]] = collections.defaultdict(
+            list
+        )
+        self.part_crashes: dict[str, list[float]] = collections.defaultdict(
+            list
+        )
+
+    def run(self) -> None:
+        """Play the whole time."""
+        for part, begin in zip(CRASHING, BEGINS, strict=True):
+            self.after(begin, lambda part=part: self._send_bad(part))
+        super().run()
+
+    def later_arrivals(self, part: str) -> int:
+        """Count arrivals later than allowed after the fifth crash."""
+        if len(self.part_crashes[part]) < MAX_CRASHES:
+            return 0
+        fifth = self.part_crashes[part][MAX_CRASHES - 1]
+        return sum(
+            at > fifth + simulation.SETTLING_SECONDS
+            for at in self.part_arrivals[part]
+        )
+
+    # Callers.
+
+    def _send_innocent(self) -> None:
+        fingerprint = self._new_request(
+            ROOT,
+            self.rng.choice(MIDDLES),
+            *self.rng.sample(SESSIONS, self.rng.randrange(2)),
+        )
+        self.sound_count += 1
+        self._send(fingerprint)
+        if self.rng.random() < 0.3:
+            self.after(0.05, lambda: self._send(fingerprint))
+        self.after(self.rng.expovariate(30), self._send_innocent)
+
+    def _send_popular(self) -> None:
+        """Send none: all sound requests have popular parts."""
+
+    def _send_crashing(self, crashing: str) -> None:
+        """Send none: no request crashes endpoints by itself."""
+
+    def _send_bad(self, part: str) -> None:
+        middle = self.rng.sample(MIDDLES, self.rng.randrange(2))
+        for _ in range(self.rng.choice((1, 1, 2))):
+            self._send(self._new_request(ROOT, *middle, part))
+        self.after(self.rng.uniform(0.1, 0.8), lambda: self._send_bad(part))
+
+    def _new_request(self, *digests: str) -> str:
+        fingerprint = f'{next(self._numbers):032x}'
+        self.parts_by_fingerprint[fingerprint] = part_evidence.PromptParts(
+            'm', frozenset(digests)
+        )
+        return fingerprint
+
+    def _bad_part(self, fingerprint: str) -> str | None:
+        digests = self.parts_by_fingerprint[fingerprint].digests
+        return next((part for part in CRASHING if part in digests), None)
+
+    # Attempts.
+
+    def _start(self, fingerprint: str, entry: int, runs: int) -> None:
+        up = [endpoint for endpoint in self.endpoints if endpoint.is_up]
+        if not up:
+            return
+        parts = self.parts_by_fingerprint[fingerprint]
+        bad = self._bad_part(fingerprint)
+        evidence = self.entries[entry]
+        seconds = evidence.seconds_barred(
+            fingerprint, self.now, has_spare_endpoint=len(up) > 1, parts=parts
+        )
+        if seconds:
+            if bad is None:
+                self.sound_refused.append(seconds)
+            return
+        evidence.record_attempt(fingerprint, self.now, parts)
+        endpoint = self.rng.choice(up)
+        number = next(self._numbers)
+        attempt = simulation.Attempt(
+            fingerprint, entry, self.now, runs + 1, endpoint
+        )
+        endpoint.running[number] = attempt
+        if bad is None:
+            self._answer_later(number, attempt)
+        else:
+            self.part_arrivals[bad].append(self.now)
+            self.after(
+                self.rng.uniform(0.05, 0.3),
+                lambda: self._crash_under(number, attempt, bad),
+            )
+
+    def _answer_later(self, number: int, attempt: simulation.Attempt) -> None:
+        begin = self.rng.uniform(0.03, 0.4)
+        self.after(begin, lambda: self._begin(number, attempt))
+        end = begin + self.rng.uniform(0, 0.6)
+        self.after(end, lambda: self._answer(number, attempt))
+
+    def _begin(self, number: int, attempt: simulation.Attempt) -> None:
+        if attempt.endpoint.running.get(number) is attempt:
+            self.answering.add(attempt)
+            self.entries[attempt.entry].record_beginning(
+                self.parts_by_fingerprint[attempt.fingerprint], self.now
+            )
+
+    # Crashes.
+
+    def _crash_under(
+        self, number: int, attempt: simulation.Attempt, part: str
+    ) -> None:
+        if attempt.endpoint.running.get(number) is attempt:
+            self.part_crashes[part].append(self.now)
+            self._crash(attempt.endpoint)
+
+    def _break(self, attempt: simulation.Attempt) -> None:
+        evidence = self.entries[attempt.entry]
+        parts = self.parts_by_fingerprint[attempt.fingerprint]
+        is_answering = attempt in self.answering
+        evidence.record_crash(
+            attempt.endpoint.name,
+            attempt.fingerprint,
+            attempt.started_at,
+            self.now,
+            part_evidence.NO_PARTS if is_answering else parts,
+        )
+        may_retry = (
+            attempt.runs < simulation.MAX_RUNS
+            and not evidence.is_suspicious(attempt.fingerprint, self.now, parts)
+        )
+        if may_retry:
+            self._start(attempt.fingerprint, attempt.entry, attempt.runs)
+
+
+class SimulationTest(testtools.TestCase):
+    """Parts that crash endpoints are stopped, others are not."""
+
+    def check(self, crash_rate: float) -> None:
+        """Play all seeds."""
+        for seed in SEEDS:
+            played = PartSimulation(seed, crash_rate)
+            played.run()
+            for part in CRASHING:
+                self.assertLessEqual(
+                    played.later_arrivals(part),
+                    simulation.MAX_LATER_ARRIVALS,
+                    seed,
+                )
+            quarantined = [
+                seconds
+                for seconds in played.sound_refused
+                if seconds > PROTECTION_SECONDS
+            ]
+            self.assertEqual([], quarantined, seed)
+
+    def test_few_crashes(self) -> None:
+        """Endpoints crash of themselves now and then."""
+        self.check(0.05)
+
+    def test_many_crashes(self) -> None:
+        """Endpoints crash of themselves each second, some of them at once."""
+        self.check(1)
