Report all requests at endpoints that crash at the same time

A heartbeat carried 48 findings, and each request at a crashed endpoint is one: of ten crashes at once with twenty requests each at an entry, four in five were never told, so that the part they had in common may not have been found by others. Findings of the same moment are kept as one; what goes into a datagram is bounded by the number of requests, parts and clearances, the latest crashes first.

test_crashes_at_once failed before: 58 of 200 requests were reported.

--- a/clementinepass/direct/crash_evidence.py
+++ b/clementinepass/direct/crash_evidence.py
@@ -30,11 +30,14 @@
 _MIN_SUSPICIOUS_CRASHES = 2
 #: Seconds for which new evidence is in each heartbeat, as some are lost.
 _FRESH_SECONDS = 3.0
-#: Maximum number of new findings in a heartbeat, which is a datagram.
-_MAX_FRESH = 48
-#: Maximum number of prompt parts, of requests at crashed endpoints, and of
-#: clearances in a heartbeat.
-_MAX_REPORTED_PARTS = 1024
+#: Seconds within which new findings are kept as one.
+_JOIN_SECONDS = 0.02
+#: Maximum number of such findings that are kept.
+_MAX_FRESH = 200
+#: Maximum number of requests at crashed endpoints, of parts of their prompts,
+#: and of clearances in a heartbeat, which is a datagram.
+_MAX_REPORTED_SUSPECTS = 400
+_MAX_REPORTED_PARTS = 1600
 _MAX_REPORTED_CLEARANCES = 128
 #: Seconds after which a request whose quarantine has ended may be tried again
 #: if it is neither answered nor crashes an endpoint.
@@ -146,20 +149,22 @@
             return
         self._refresh(now)
         cleared = parts.digests & self._suspected_parts
-        for part in cleared:
+        if not cleared:
+            return
+        crashes = self._quarantine.crashes()
+        for part in sorted(cleared):
             self._quarantine.clear(
                 part,
                 tuple(
                     crash.id
-                    for crash in self._quarantine.crashes()
+                    for crash in crashes
                     if part in crash.requests_by_part
                     and self._parts.is_cleared(part, crash.at)
                 ),
                 now,
             )
-        if cleared:
-            self._is_outdated = True
-            self._publish(now)
+        self._is_outdated = True
+        self._publish(now)
 
     def record_answer(
         self, fingerprint: str, started_at: float, now: float
@@ -291,7 +296,7 @@
             for clearance in finding.clearances
         )
         merged = quarantine.Digest(
-            tuple(_limit_parts(_joined(findings))),
+            tuple(_limit(_joined(findings))),
             tuple(clearances)[-_MAX_REPORTED_CLEARANCES:],
         )
         return merged.relative_to(now)
@@ -312,7 +317,7 @@
         self._quarantine.merge(new, now)
         self._is_outdated = True
         if is_relayed:
-            self._fresh.append((now, new))
+            self._add_fresh(new, now)
         self._clear_answered(new.crashes, now)
         self._publish(now)
         self._refresh(now)
@@ -366,11 +371,26 @@
         trial_at = self._trial_at.get(key, float('-inf'))
         return max(trial_at + _TRIAL_SECONDS - now, 0)
 
+    def _add_fresh(self, finding: quarantine.Digest, now: float) -> None:
+        """Add a new finding for the next heartbeats.
+
+        All requests at a crashed endpoint end at about the same time.
+        """
+        if self._fresh and now - self._fresh[-1][0] < _JOIN_SECONDS:
+            found_at, last = self._fresh.pop()
+            joined = quarantine.Digest(
+                last.crashes + finding.crashes,
+                last.clearances + finding.clearances,
+            )
+            self._fresh.append((found_at, joined))
+        else:
+            self._fresh.append((now, finding))
+
     def _publish(self, now: float) -> None:
         finding = self._quarantine.take_digest()
         if not finding:
             return
-        self._fresh.append((now, finding))
+        self._add_fresh(finding, now)
         if self.on_finding is not None:
             self.on_finding()
 
@@ -408,35 +428,51 @@
     return ','.join(sorted(cause.parts))
 
 
-def _limit_parts(
+def _limit(
     crashes: Iterable[quarantine.Crash],
 ) -> Iterable[quarantine.Crash]:
-    """Leave out parts that do not fit into a datagram."""
-    left = _MAX_REPORTED_PARTS
-    for crash in crashes:
+    """Leave out requests and parts that do not fit into a datagram.
+
+    The latest crashes are the first that are reported.
+    """
+    suspects_left = _MAX_REPORTED_SUSPECTS
+    parts_left = _MAX_REPORTED_PARTS
+    for crash in sorted(crashes, key=_crash_time, reverse=True):
         suspects = []
-        for suspect in crash.suspects:
-            parts = suspect.parts[:left]
-            left -= len(parts)
+        for suspect in crash.suspects[:suspects_left]:
+            parts = suspect.parts[:parts_left]
+            parts_left -= len(parts)
             suspects.append(
                 quarantine.Suspect(suspect.fingerprint, suspect.started, parts)
             )
-        yield quarantine.Crash(crash.id, crash.at, tuple(suspects))
+        suspects_left -= len(suspects)
+        if suspects:
+            yield quarantine.Crash(crash.id, crash.at, tuple(suspects))
+
+
+def _crash_time(crash: quarantine.Crash) -> float:
+    return crash.at
 
 
 def _joined(
     findings: Iterable[quarantine.Digest],
 ) -> Iterable[quarantine.Crash]:
     """Return one crash for each id, with the suspects of all findings."""
-    suspects_by_crash: dict[str, dict[quarantine.Suspect, None]] = {}
+    suspects_by_crash: dict[str, dict[str, quarantine.Suspect]] = {}
     time_by_crash: dict[str, float] = {}
     for finding in findings:
         for crash in finding.crashes:
             suspects = suspects_by_crash.setdefault(crash.id, {})
-            suspects.update(dict.fromkeys(crash.suspects))
+            for suspect in crash.suspects:
+                known = suspects.get(suspect.fingerprint, suspect)
+                suspects[suspect.fingerprint] = quarantine.Suspect(
+                    suspect.fingerprint,
+                    max(known.started, suspect.started),
+                    tuple(sorted({*known.parts, *suspect.parts})),
+                )
             known_at = time_by_crash.get(crash.id, crash.at)
             time_by_crash[crash.id] = min(known_at, crash.at)
     for crash_id, suspects in suspects_by_crash.items():
         yield quarantine.Crash(
-            crash_id, time_by_crash[crash_id], tuple(suspects)
+            crash_id, time_by_crash[crash_id], tuple(suspects.values())
         )
--- a/tests/direct/test_part_evidence.py
+++ b/tests/direct/test_part_evidence.py
@@ -251,6 +251,36 @@
         starting.apply(report, 7000, is_relayed=False)
         self.assertGreater(seconds_barred(starting, 7000, BAD), 500)
 
+    def test_crashes_at_once(self) -> None:
+        """All requests of many crashes at once are reported."""
+        evidence = make()
+        for number in range(10):
+            at = 10 + number / 10
+            evidence.record_beginning(parts(ROOT, PARENT), at)
+            for request in range(20):
+                evidence.record_crash(
+                    f'i-{number:010x}/1760000000000',
+                    fingerprint(100 * number + request),
+                    at,
+                    at,
+                    parts(
+                        BAD if request == 0 else PARENT,
+                        *(
+                            f'{number + 1:08x}{4 * request + one:08x}'
+                            for one in range(3)
+                        ),
+                    ),
+                )
+        payload = wire_heartbeats.write_heartbeat(
+            heartbeats.Heartbeat(crash_evidence=evidence.report(11, full=True))
+        )
+        self.assertLess(len(payload), MAX_DATAGRAM_BYTES)
+        other = make(ENTRIES[1])
+        report = wire_heartbeats.read_heartbeat(payload, 'peer').crash_evidence
+        other.apply(report, 11, is_relayed=False)
+        self.assertGreater(seconds_barred(other, 11, BAD), 0)
+        self.assertEqual(200, sum(len(one.suspects) for one in report.crashes))
+
     def test_many_parts(self) -> None:
         """Crashes of many requests with many parts fit into a datagram."""
         evidence = make()
