--- a/clementinepass/direct/crash_evidence.py
+++ b/clementinepass/direct/crash_evidence.py
@@ -2,9 +2,9 @@
 
 Repeats of one request crash endpoints, or all requests with some part of a
 prompt do. They come to any entry, so that each sees some of the crashes only.
-Heartbeats carry new evidence to all of them, without the store,
-and full heartbeats carry older evidence to entries that start later. Times are
-sent as ages, as the clocks of machines differ.
+Heartbeats carry new evidence to all of them, without the store, and full
+heartbeats carry older evidence to entries that start later. Times are sent as
+ages, as the clocks of machines differ.
 """
 
 from __future__ import annotations
@@ -88,14 +88,14 @@
         self._is_outdated = False
         #: All parts that are suspected of some crash.
         self._suspected_parts: frozenset[str] = frozenset()
-        #: The prompt parts whose quarantine was logged.
-        self._known_causes: frozenset[frozenset[str]] = frozenset()
         #: When each request was last answered, in this order.
         self._answered_at_by_fingerprint: dict[str, float] = {}
         #: The time of each new finding.
         self._fresh: list[tuple[float, quarantine.Digest]] = []
-        #: The fingerprints whose quarantine was logged.
+        #: The fingerprints whose quarantine was announced.
         self._quarantined: frozenset[str] = frozenset()
+        #: The prompt parts whose quarantine was announced.
+        self._known_causes: frozenset[frozenset[str]] = frozenset()
         #: When each request, or parts of a prompt, were last tried.
         self._trial_at: dict[str, float] = {}
         #: Called when this process has found something, to announce it at once.
@@ -296,7 +296,7 @@
             for clearance in finding.clearances
         )
         merged = quarantine.Digest(
-            tuple(_limit(_joined(findings))),
+            tuple(_select_reported(_joined(findings))),
             tuple(clearances)[-_MAX_REPORTED_CLEARANCES:],
         )
         return merged.relative_to(now)
@@ -395,7 +395,7 @@
             self.on_finding()
 
     def _announce_quarantined(self, now: float) -> None:
-        """Log what has been quarantined since the last call."""
+        """Announce what has been quarantined since the last call."""
         seconds_by_fingerprint = self._quarantine.quarantined(now)
         fingerprints = seconds_by_fingerprint.keys() - self._quarantined
         causes = [
@@ -428,7 +428,7 @@
     return ','.join(sorted(cause.parts))
 
 
-def _limit(
+def _select_reported(
     crashes: Iterable[quarantine.Crash],
 ) -> Iterable[quarantine.Crash]:
     """Leave out requests and parts that do not fit into a datagram.
