--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -197,8 +197,8 @@
     'reason': Field(
         'str',
         'why the request ended: starting, malformed, unknown_route, '
-        'unknown_key, quarantined (its repeats crash endpoints), overload, '
-        'no_service, no_endpoint, no_weights, '
+        'unknown_key, quarantined (it, or its prompt, crashes endpoints), '
+        'overload, no_service, no_endpoint, no_weights, '
         'all_paused, all_limited, turned_away, broken, endpoint_failed, '
         'deadline (of its '
         'caller), route_time, slow_reader, leaving',
