Count crashes that go on without a pause as more than one

Crashes within 0.05 s of the one before counted as the same moment, so that any number of them, one each 15 ms, counted as one, and their part was not found. Each is compared with the first of its moment now, which lasts 0.02 s.

test_close_together failed before.

--- a/clementinepass/decisions/crash_causes.py
+++ b/clementinepass/decisions/crash_causes.py
@@ -12,7 +12,6 @@
 
 from __future__ import annotations
 
-import itertools
 import typing
 
 if typing.TYPE_CHECKING:
@@ -20,7 +19,7 @@
 
 #: Seconds within which crashes count as one. Endpoints that end for a common
 #: reason, such as a loss of power, end at the same time.
-_SIMULTANEOUS_SECONDS = 0.05
+_SIMULTANEOUS_SECONDS = 0.02
 
 
 class Crash(typing.NamedTuple):
@@ -137,9 +136,10 @@
 
     :param times: monotonic times of the crashes in seconds.
     """
-    ordered = sorted(times)
-    is_next = (
-        later - earlier > _SIMULTANEOUS_SECONDS
-        for earlier, later in itertools.pairwise(ordered)
-    )
-    return len(ordered[:1]) + sum(is_next)
+    count = 0
+    last_at = float('-inf')
+    for at in sorted(times):
+        if at - last_at > _SIMULTANEOUS_SECONDS:
+            last_at = at
+            count += 1
+    return count
--- a/tests/decisions/test_crash_causes.py
+++ b/tests/decisions/test_crash_causes.py
@@ -75,6 +75,11 @@
             [], find(*(crash(0.01 * at, bad='abcdef'[at]) for at in range(6)))
         )
 
+    def test_close_together(self) -> None:
+        """Crashes that go on without a pause are not one moment."""
+        crashes = [crash(0.015 * at, bad='abcdefghij'[at]) for at in range(10)]
+        self.assertEqual([{'bad'}], find(*crashes))
+
     def test_same_request(self) -> None:
         """Crashes by repeats of one request name none of its parts."""
         self.assertEqual([], find(*(crash(at, bad='a') for at in range(6))))
