Compare parts that crash endpoints together one request at a time

Two entries of all send such requests now, one a second each, until one is answered or crashes an endpoint.

--- a/clementinepass/direct/crash_evidence.py
+++ b/clementinepass/direct/crash_evidence.py
@@ -45,6 +45,12 @@
 #: Seconds after which a caller may come back that met the end of a quarantine
 #: at an entry that runs no trial.
 _TRIAL_RETRY_SECONDS = 2.0
+#: Number of entries that send requests with some of the prompt parts that have
+#: crashed endpoints together, and the seconds between two such requests of one.
+#: If all did, several would reach endpoints before the first one shows which of
+#: the parts is the cause.
+_COMPARING_ENTRIES = 2
+_COMPARISON_SECONDS = 1.0
 #: Seconds before a crash within which an answer shows that the request has not
 #: caused it. A request that comes often is at many endpoints that crash one
 #: after the other, and each of its runs may meet a crash for a moment.
@@ -214,6 +220,8 @@
                 part_evidence.seconds_refused(cause, now)
                 or self._seconds_until_trial(_trial_key(cause), now)
             )
+        for cause in self._parts.partial_causes_in(parts.digests):
+            seconds.append(self._seconds_until_comparison(cause, now))
         if not has_spare_endpoint:
             seconds.append(self._seconds_protected(fingerprint, parts, now))
         return max(seconds)
@@ -246,6 +254,8 @@
             self._trial_at[fingerprint] = now
         for cause in self._parts.causes_in(parts.digests):
             self._trial_at[_trial_key(cause)] = now
+        for cause in self._parts.partial_causes_in(parts.digests):
+            self._trial_at[_trial_key(cause)] = now
 
     def _seconds_quarantined(self, fingerprint: str, now: float) -> float:
         judgement = self._quarantine.judge(fingerprint, now)
@@ -371,6 +381,18 @@
         trial_at = self._trial_at.get(key, float('-inf'))
         return max(trial_at + _TRIAL_SECONDS - now, 0)
 
+    def _seconds_until_comparison(
+        self, cause: crash_causes.Cause, now: float
+    ) -> float:
+        """Return the seconds for which a request with some parts must wait."""
+        key = _trial_key(cause)
+        entries = {self._local_ip, *self.other_entries()}
+        chosen = rendezvous.top_ranked(key, entries, _COMPARING_ENTRIES)
+        if self._local_ip not in chosen:
+            return _TRIAL_RETRY_SECONDS
+        sent_at = self._trial_at.get(key, float('-inf'))
+        return max(sent_at + _COMPARISON_SECONDS - now, 0)
+
     def _add_fresh(self, finding: quarantine.Digest, now: float) -> None:
         """Add a new finding for the next heartbeats.
 
--- a/clementinepass/direct/part_evidence.py
+++ b/clementinepass/direct/part_evidence.py
@@ -155,6 +155,20 @@
         """Return the causes all parts of which a request has."""
         return (cause for cause in self.causes if cause.parts <= parts)
 
+    def partial_causes_in(
+        self, parts: frozenset[str]
+    ) -> typing.Iterator[crash_causes.Cause]:
+        """Return the causes some parts of which a request has, but not all.
+
+        It shows which of the parts crash endpoints: it is answered, or crashes
+        one more.
+        """
+        return (
+            cause
+            for cause in self.causes
+            if not cause.parts.isdisjoint(parts) and not cause.parts <= parts
+        )
+
     def _forget_answers(self, now: float) -> None:
         answered = self._answered_at_by_part
         while answered:
--- a/tests/direct/test_part_evidence.py
+++ b/tests/direct/test_part_evidence.py
@@ -123,6 +123,32 @@
         trying.record_crash('i-last', fingerprint(1), now, now + 1, parts(BAD))
         self.assertGreater(seconds_barred(trying, now + 60, BAD), 60)
 
+    def test_some_of_the_parts(self) -> None:
+        """Two entries send one request each that may tell two parts apart.
+
+        Four requests with one of the parts reached endpoints before the first
+        showed that it is the one that crashes them.
+        """
+        entries = [make(ip) for ip in ENTRIES]
+        for evidence in entries:
+            crash(evidence, 4, BAD, PARENT)
+        comparing = [
+            evidence
+            for evidence in entries
+            if not seconds_barred(evidence, 14, PARENT)
+        ]
+        self.assertEqual(2, len(comparing))
+        first, second = comparing
+        first.record_attempt(fingerprint(1), 14, parts(PARENT))
+        self.assertGreater(seconds_barred(first, 14.1, PARENT), 0)
+        self.assertLess(seconds_barred(first, 14.1, PARENT), 2)
+        first.record_beginning(parts(PARENT), 14.2)
+        self.assertEqual(0, seconds_barred(first, 14.2, PARENT))
+        self.assertGreater(seconds_barred(first, 14.2, BAD), 500)
+        report = first.report(14.3, full=False)
+        second.apply(report, 14.3, is_relayed=False)
+        self.assertEqual(0, seconds_barred(second, 14.3, PARENT))
+
     def test_answered_trial(self) -> None:
         """A request that is answered frees its parts."""
         evidence = make()
