Tell how many bytes of records come from where, and how long it takes

A change could be late by what stood on a link before it, by a slow fetch or by an event loop that was busy, and no line or metric told them apart. Entries and agents now count the bytes of records by source: the store, processes of the same region, processes of others (clementinepass_record_bytes). Fetches say their bytes and seconds, reads of the store with long records their bytes, and a heartbeat that is 0.2 s late is logged as a delay of the event loop.

--- a/clementinepass/direct/catching_up.py
+++ b/clementinepass/direct/catching_up.py
@@ -117,7 +117,12 @@
             self._compare_offset(
                 topic, offset, ip, now, is_same_region=is_same_region
             )
-        self._compare_configuration(heartbeat.configuration_version, ip, now)
+        self._compare_configuration(
+            heartbeat.configuration_version,
+            ip,
+            now,
+            is_same_region=is_same_region,
+        )
 
     def _may_fetch(self, heartbeat: heartbeats.Heartbeat, now: float) -> bool:
         """Return whether records may be fetched from a heartbeat's sender.
@@ -185,9 +190,16 @@
             return
         if topic not in self._fetch_task_by_topic:
             self._behind_since_by_topic[topic] = now
-            self._start_fetch(topic_follower, ip, from_start=False)
+            self._start_fetch(
+                topic_follower,
+                ip,
+                from_start=False,
+                is_same_region=is_same_region,
+            )
 
-    def _compare_configuration(self, version: int, ip: str, now: float) -> None:
+    def _compare_configuration(
+        self, version: int, ip: str, now: float, *, is_same_region: bool
+    ) -> None:
         """Fetch all of the operator's records if a peer's version is newer.
 
         An entry may have lost a record although its offset equals that of its
@@ -212,13 +224,25 @@
                 here=current.version,
                 offset=operator.state.next_offset,
             ).warning('a peer has a newer configuration')
-            self._start_fetch(operator, ip, from_start=True)
+            self._start_fetch(
+                operator, ip, from_start=True, is_same_region=is_same_region
+            )
 
     def _start_fetch(
-        self, topic_follower: follower.Follower, ip: str, *, from_start: bool
+        self,
+        topic_follower: follower.Follower,
+        ip: str,
+        *,
+        from_start: bool,
+        is_same_region: bool,
     ) -> None:
+        source = (
+            records.Source.REGION
+            if is_same_region
+            else records.Source.OTHER_REGION
+        )
         task = asyncio.create_task(
-            self._fetch(topic_follower, ip, from_start=from_start)
+            self._fetch(topic_follower, ip, source, from_start=from_start)
         )
         self._fetch_task_by_topic[topic_follower.topic] = task
 
@@ -226,9 +250,11 @@
         self,
         topic_follower: follower.Follower,
         ip: str,
+        source: records.Source,
         *,
         from_start: bool,
     ) -> None:
+        started_at = asyncio.get_running_loop().time()
         offset = 0 if from_start else topic_follower.state.next_offset
         request = messages.encode_request(
             b'GET',
@@ -249,6 +275,8 @@
         finally:
             peers.close()
             self._fetch_task_by_topic.pop(topic_follower.topic, None)
+        size = len(answer.body)
+        topic_follower.received_bytes_by_source[source] += size
         if not page.next_offset:
             # The peer has restarted since it announced its offset.
             logger.bind(peer=ip).info('records not fetched: the peer has none')
@@ -263,6 +291,8 @@
             topic=topic_follower.topic.value,
             news=new_count,
             offset=page.next_offset,
+            bytes=size,
+            seconds=round(asyncio.get_running_loop().time() - started_at, 3),
         ).info('records taken from a peer')
 
 
--- a/clementinepass/direct/follower.py
+++ b/clementinepass/direct/follower.py
@@ -62,6 +62,8 @@
 _OUTAGE_AFTERMATH_SECONDS = 1.0
 #: Seconds between checks whether this process has to read the store itself.
 _IDLE_POLL_SECONDS = 0.1
+#: Size of a message of records from which on it is logged.
+_LONG_MESSAGE_BYTES = 16384
 #: Shortest interval of reads that return changes of endpoints. While a version
 #: is rolled out each engine updates its listing three times, and each read
 #: costs a call to the store and a heartbeat to all entries of a region.
@@ -166,6 +168,7 @@
         'state',
         'outage_ended_at',
         'peer_wait_seconds',
+        'received_bytes_by_source',
         'is_initialized',
         'on_missed_changes',
         'on_changes',
@@ -191,6 +194,9 @@
         self.last_contact: float = 0
         #: Monotonic seconds at which the last known outage ended.
         self.outage_ended_at = float('-inf')
+        #: Size of the messages of records received.
+        self.received_bytes_by_source: collections.Counter[records.Source]
+        self.received_bytes_by_source = collections.Counter()
         #: Whether the topic has been read, from the store or from a peer.
         self.is_initialized = False
         #: Seconds after the start in which a peer may supply the first records
@@ -311,6 +317,7 @@
     async def _read_newest(self) -> typing.Any:
         page = await self._store.newest(self.topic)
         self._record_contact()
+        self._record_read(page)
         self.apply(page._replace(is_snapshot=True))
         return self._read_changes
 
@@ -322,6 +329,7 @@
             0 if was_unreachable else self._wait_seconds(),
         )
         self._record_contact()
+        self._record_read(page)
         self._has_changes = bool(page.records)
         new_count = self.apply(page)
         if was_unreachable and new_count and self.on_missed_changes is not None:
@@ -330,6 +338,15 @@
             await self._limit_read_rate()
         return self._read_changes
 
+    def _record_read(self, page: records.Page) -> None:
+        self.received_bytes_by_source[records.Source.STORE] += page.size_bytes
+        if page.size_bytes >= _LONG_MESSAGE_BYTES:
+            logger.bind(
+                topic=self.topic.value,
+                bytes=page.size_bytes,
+                offset=page.next_offset,
+            ).info('long records read')
+
     async def _limit_read_rate(self) -> None:
         """Pause after a read that returned changes of endpoints."""
         loop = asyncio.get_running_loop()
--- a/clementinepass/direct/gauges.py
+++ b/clementinepass/direct/gauges.py
@@ -7,8 +7,10 @@
 
 import aioprometheus
 
+from clementinepass.direct import records
+
 if typing.TYPE_CHECKING:
-    from clementinepass.direct import cluster_state, follower, gossip, records
+    from clementinepass.direct import cluster_state, follower, gossip
 
 
 class Gauges:
@@ -25,6 +27,7 @@
         '_cluster',
         '_endpoints',
         '_followers',
+        '_record_bytes',
         '_limited_endpoints',
         '_members',
         '_paused_endpoints',
@@ -73,6 +76,13 @@
             registry=registry,
         )
 
+        self._record_bytes = aioprometheus.Gauge(
+            'clementinepass_record_bytes',
+            'Bytes of records received from the store and from processes of '
+            'the same region and of others.',
+            registry=registry,
+        )
+
     def update(self) -> None:
         """Set the gauges to the current state."""
         now = asyncio.get_running_loop().time()
@@ -95,6 +105,11 @@
         self._limited_endpoints.set({}, limited)
         self._members.set({}, len(self._peers.members.alive(now)))
         for topic, topic_follower in self._followers.items():
+            for source in records.Source:
+                self._record_bytes.set(
+                    {'topic': topic.value, 'source': source.value},
+                    topic_follower.received_bytes_by_source[source],
+                )
             if topic_follower.last_contact:
                 age = round(now - topic_follower.last_contact, 3)
                 self._store_answer_age.set({'topic': topic.value}, age)
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -45,6 +45,8 @@
 _MAX_INTRODUCTIONS = 2
 #: Seconds for which findings on endpoints are collected for an extra heartbeat.
 _ANNOUNCEMENT_DELAY_SECONDS = 0.02
+#: Delay of a heartbeat from which on it is logged: requests waited as long.
+_LOGGED_DELAY_SECONDS = 0.2
 _NOT_FOUND = 404
 
 
@@ -123,6 +125,7 @@
 
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
+        loop = asyncio.get_running_loop()
         while True:
             self.send_heartbeat()
             is_starting = self.is_bootstrapping
@@ -131,7 +134,14 @@
                 if is_starting
                 else _HEARTBEAT_SECONDS
             )
-            await asyncio.sleep(seconds * self._rng.uniform(0.9, 1.1))
+            seconds *= self._rng.uniform(0.9, 1.1)
+            due_at = loop.time() + seconds
+            await asyncio.sleep(seconds)
+            delay = loop.time() - due_at
+            if delay >= _LOGGED_DELAY_SECONDS:
+                logger.bind(seconds=round(delay, 3)).warning(
+                    'event loop delayed'
+                )
 
     def poll_seeds(self) -> float:
         """Send heartbeats to the seeds that are due.
--- a/clementinepass/direct/records.py
+++ b/clementinepass/direct/records.py
@@ -18,6 +18,16 @@
     ENTRIES = 'entries'
 
 
+class Source(enum.Enum):
+    """Where records come from."""
+
+    STORE = 'store'
+    #: A process of the same region.
+    REGION = 'region'
+    #: A process of another region.
+    OTHER_REGION = 'other_region'
+
+
 class Record(typing.NamedTuple):
     """The value of a key at an offset.
 
@@ -37,12 +47,14 @@
         records were read just after one; else ``None``.
     :param is_snapshot: whether the records are those of all keys, so that a
         key that is missing was removed.
+    :param size_bytes: the size of the message that contained the records.
     """
 
     records: tuple[Record, ...]
     next_offset: int
     outage_age: float | None = None
     is_snapshot: bool = False
+    size_bytes: int = 0
 
     @property
     def ips(self) -> list[str]:
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -72,6 +72,7 @@
     'busy': Field(
         'bool', 'whether the engine is carrying out an order to load'
     ),
+    'bytes': Field('int', 'size of the message'),
     'callers': Field('str', 'address for callers'),
     'changed': Field('bool', 'whether a limit changed'),
     'configuration': Field(
@@ -366,8 +367,16 @@
         'the store no longer has the records at the offset; the newest records '
         'are read instead',
     ),
+    'long records read': Kind(
+        'topic bytes offset', 'the store answered a read with long records'
+    ),
+    'event loop delayed': Kind(
+        'seconds',
+        'the process did nothing, or one thing, for so long; requests waited',
+    ),
     'records taken from a peer': Kind(
-        'peer topic news offset', 'the peer had read further in the topic'
+        'peer topic news offset bytes seconds',
+        'the peer had read further in the topic',
     ),
     'records not fetched': Kind('peer', 'the peer did not provide the records'),
     'record passed over': Kind(
--- a/clementinepass/platform/store.py
+++ b/clementinepass/platform/store.py
@@ -53,6 +53,8 @@
     entries: list[_NewestRecord]
     end_offset: int
     has_more: bool = False
+    #: Size of the encoded page.
+    size_bytes: int = 0
 
 
 class HttpStore:
@@ -85,12 +87,17 @@
         end = first_page.end_offset
         after = ''
         newest_records: list[records.Record] = []
+        size = first_page.size_bytes
         while True:
             page = await self._newest_page(topic, after)
+            size += page.size_bytes
             newest_records.extend(map(_decode_newest, page.entries))
             if not (page.has_more and page.entries):
                 return records.Page(
-                    tuple(newest_records), end, is_snapshot=True
+                    tuple(newest_records),
+                    end,
+                    is_snapshot=True,
+                    size_bytes=size,
                 )
             after = page.entries[-1].key
 
@@ -172,12 +179,14 @@
             seconds=_CALL_TIMEOUT_SECONDS,
         )
         self._check(answer, 'newest')
-        return decoding.decode(
+        page = decoding.decode(
             answer.body,
             _NewestPage,
             'newest',
             self._address,
         )
+        page.size_bytes = len(answer.body)
+        return page
 
     async def _call(
         self,
@@ -260,7 +269,7 @@
             page_records.append(record)
         position += length
         next_offset += 1
-    return records.Page(tuple(page_records), next_offset)
+    return records.Page(tuple(page_records), next_offset, size_bytes=len(body))
 
 
 def _decode_record(content: bytes, offset: int) -> records.Record | None:
