--- /dev/null
+++ b/tests/direct/test_long_configurations.py
@@ -0,0 +1,144 @@
+"""Tests of long configurations and the links between regions.
+
+A configuration with thousands of routes was sent twice over each link between
+regions, and filled it for a second. Requests and cancellations waited behind it:
+requests reached endpoints after their callers had left, and callers got 404 on
+routes that had been added.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import typing
+
+import msgspec
+import testtools
+from testtools import matchers
+
+from clementinepass.direct import records
+from standins import machines, skipped_time
+
+ENTRIES = 12
+REGIONS = 3
+ROUTES = 2000
+#: The region nearest to the store. In these tests all are equally near, and the
+#: first by name counts as the nearest.
+STORE_REGION = 'a'
+#: Regions that a change has to reach over a link.
+OTHER_REGIONS = REGIONS - 1
+#: Entries of a region that each read the whole configuration before.
+FORMER_READERS = 2
+#: Part of the bytes that crossed before which a change may take.
+MAX_SHARE = 0.1
+#: Seconds after the first entry within which the last one must have a change.
+IN_FORCE_SECONDS = 0.3
+
+
+def configuration(version: int, routes: int) -> dict[str, typing.Any]:
+    """Return a configuration with some routes more.
+
+    The timeout of one of them is that of the version.
+    """
+    rng = random.Random(1)
+    added = [
+        {
+            'name': f'r{rng.getrandbits(40):x}',
+            'host': f'{rng.getrandbits(32):x}.example',
+            'pathPrefix': f'/{rng.getrandbits(32):x}/',
+            'routeKind': 'idempotent',
+            'timeoutMs': 5000,
+            'sloMs': 1000,
+            'priority': 1,
+            'maxAttempts': 2,
+            'backends': [{'service': 'desk', 'weight': 1}],
+        }
+        for _ in range(routes)
+    ]
+    if added:
+        added[routes // 2]['timeoutMs'] = 5000 + version
+    return {
+        **machines.CONFIG,
+        'version': version,
+        'routes': machines.CONFIG['routes'] + added,
+    }
+
+
+def crossed_bytes(world: machines.Machines) -> int:
+    """Return the bytes of the operator's records received from elsewhere.
+
+    They came over links between regions.
+    """
+    total = 0
+    for ip, entry in zip(world.entry_ips, world.entries, strict=True):
+        if world._region(ip) == STORE_REGION:
+            continue
+        received = entry._followers[records.Topic.OPERATOR]
+        by_source = received.received_bytes_by_source
+        total += by_source[records.Source.STORE]
+        total += by_source[records.Source.OTHER_REGION]
+    return total
+
+
+async def change(
+    world: machines.Machines, config: dict[str, typing.Any]
+) -> tuple[int, float]:
+    """Write a configuration and wait until it is in force at all entries.
+
+    :returns: the bytes that crossed between regions, and the seconds from the
+        first entry to the last.
+    """
+    before = crossed_bytes(world)
+    world.configure(config)
+    now = asyncio.get_running_loop().time
+    in_force_at: list[float] = []
+    for entry in world.entries:
+        await machines.until(
+            lambda entry=entry: (
+                entry.cluster.configuration_version == config['version']
+            )
+        )
+        in_force_at.append(now())
+    await asyncio.sleep(2)
+    return crossed_bytes(world) - before, max(in_force_at) - min(in_force_at)
+
+
+class LongConfigurationTest(testtools.TestCase):
+    """What has changed crosses to a region once."""
+
+    def run_changes(
+        self, *configs: dict[str, typing.Any]
+    ) -> list[tuple[int, float]]:
+        """Return the bytes that crossed and the seconds of each change."""
+
+        async def scenario() -> list[tuple[int, float]]:
+            world = machines.Machines((), entries=ENTRIES, regions=REGIONS)
+            async with world:
+                await world.all_known()
+                await asyncio.sleep(12)
+                return [await change(world, config) for config in configs]
+
+        return skipped_time.run(scenario())
+
+    def test_bytes_between_regions(self) -> None:
+        """Added routes and a changed timeout take a tenth of the bytes."""
+        configs = [
+            configuration(2, ROUTES),
+            configuration(3, ROUTES),
+            configuration(4, 2 * ROUTES),
+        ]
+        for config, (crossed, _) in zip(
+            configs, self.run_changes(*configs), strict=True
+        ):
+            whole = len(msgspec.json.encode(config))
+            before = whole * FORMER_READERS * OTHER_REGIONS
+            self.assertThat(
+                crossed, matchers.LessThan(before * MAX_SHARE), str(before)
+            )
+
+    def test_in_force_in_time(self) -> None:
+        """All entries have a change soon after the first one has it."""
+        for _, seconds in self.run_changes(
+            configuration(2, ROUTES), configuration(3, ROUTES)
+        ):
+            self.assertThat(seconds, matchers.LessThan(IN_FORCE_SECONDS))
