Send to each region once what has changed in a configuration

Callers' requests reached endpoints after the callers had left, and callers got 404 on routes that had been added, while configurations of thousands of routes were written. The store hands out whole texts, and two readers of each region read each one over the same link: 830 KB four times for a changed timeout. The link was full for up to a second, and all else waited behind it.

The operator's records are now read in the region nearest to the store only, by the shortest time in which one of its entries connected to it. The first entry of each other region fetches them there as soon as it is told, the second one 0.3 s later unless it has them. A response is compressed with the last configuration of the requesting process as a dictionary. A region that hears of no reader in the nearest one for 1.2 s reads for itself, as before.

--- a/clementinepass/decisions/region_readers.py
+++ b/clementinepass/decisions/region_readers.py
@@ -9,6 +9,11 @@
 So a few entries of each region read the store, the first ones by address of
 those heard from recently. There are two of them, since it takes a while to
 notice that one was killed.
+
+The operator's records are read in the region nearest to the store only. The
+store hands out whole configurations, and one of 480 KB filled the links to the
+other regions for 0.6 s, while requests and cancellations waited behind it. The
+others get from an entry of the nearest region what has changed.
 """
 
 from __future__ import annotations
@@ -40,3 +45,20 @@
     if len(region_ips) <= _MAX_ALL_READERS:
         return True
     return local_ip in sorted(region_ips)[:_READERS_PER_REGION]
+
+
+def rank(local_ip: str, peer_ips: Iterable[str]) -> int:
+    """Return the position of the local entry in the order of its region.
+
+    :param peer_ips: as for :func:`is_reader`.
+    """
+    return sum(ip < local_ip for ip in peer_ips)
+
+
+def relays(region_ips: Iterable[str]) -> list[str]:
+    """Return the entries of a region that fetch records from another one.
+
+    :param region_ips: IP numbers of the region's entries that were heard from
+        recently and are not draining.
+    """
+    return sorted(region_ips)[:_READERS_PER_REGION]
--- a/clementinepass/direct/catching_up.py
+++ b/clementinepass/direct/catching_up.py
@@ -8,13 +8,12 @@
 
 import asyncio
 import typing
-import zlib
 
 from loguru import logger
 
 from clementinepass import errors
 from clementinepass.decisions import start_reading
-from clementinepass.direct import records
+from clementinepass.direct import record_compression, records
 from clementinepass.http import messages, pool
 from clementinepass.wire import heartbeats as wire_heartbeats
 
@@ -25,6 +24,7 @@
         heartbeats,
         members,
         node,
+        turns,
     )
 
 #: Seconds for which a peer may be ahead in reading the store before records
@@ -35,15 +35,21 @@
 #: within milliseconds and announce it at once, and a record should cross the
 #: link between regions only once.
 _OTHER_REGION_DELAY_SECONDS = 1.0
+#: Seconds for which entries of another region may be ahead in the operator's
+#: records before the first entries of this region, in their order, fetch them
+#: there. The second one does so only if the first one has not announced them.
+_RELAY_DELAYS_SECONDS: tuple[float, ...] = (0, 0.3)
 #: The same delay for an agent. Its link is narrow: a configuration takes as
 #: long as two pieces of weights, and an agent needs little of it.
 _AGENT_FETCH_DELAY_SECONDS = 4.0
-#: Timeout of a fetch from a peer. A peer that does not answer delays the fetch
-#: from another one. The narrow link of an agent takes longer.
-_FETCH_TIMEOUT_SECONDS = 0.8
-_AGENT_FETCH_TIMEOUT_SECONDS = 3.0
-#: Most bytes of records, decompressed, that are accepted from a peer at once.
-_MAX_RECORDS_BYTES = 16 * 1024 * 1024
+#: Longest time without a byte of a fetch from a peer. A peer that does not
+#: answer delays the fetch from another one. The narrow link of an agent takes
+#: longer.
+_MAX_SILENCE_SECONDS = 0.8
+_AGENT_MAX_SILENCE_SECONDS = 3.0
+#: Timeout of a fetch from a peer. A large configuration takes this long on a
+#: link narrowed to a fiftieth; a second fetch would only take as long again.
+_FETCH_TIMEOUT_SECONDS = 6.0
 #: Path of peers' requests for records; the topic follows it.
 PATH_PREFIX = b'/records/'
 
@@ -54,6 +60,7 @@
     :param local_node: the local node.
     :param followers: the followers of the store's topics.
     :param cluster: the state of the cluster.
+    :param operator_turns: the schedule of reads of the operator's records.
     """
 
     __slots__ = (
@@ -61,7 +68,8 @@
         '_behind_since_by_topic',
         '_first_received_at',
         '_cluster',
-        '_fetch_timeout_seconds',
+        '_max_silence_seconds',
+        '_operator_turns',
         '_fetch_task_by_topic',
         '_followers',
         '_local_node',
@@ -74,13 +82,15 @@
         local_node: node.Node,
         followers: dict[records.Topic, follower.Follower],
         cluster: cluster_state.ClusterState,
+        operator_turns: turns.ReadTurns,
     ) -> None:
         self._local_node = local_node
         self._followers = followers
         self._cluster = cluster
+        self._operator_turns = operator_turns
         is_entry = bool(local_node.callers)
-        self._fetch_timeout_seconds = (
-            _FETCH_TIMEOUT_SECONDS if is_entry else _AGENT_FETCH_TIMEOUT_SECONDS
+        self._max_silence_seconds = (
+            _MAX_SILENCE_SECONDS if is_entry else _AGENT_MAX_SILENCE_SECONDS
         )
         self._fetch_delay_by_topic = {
             records.Topic.OPERATOR: (
@@ -148,12 +158,22 @@
         return member.region == self._local_node.region
 
     def _fetch_delay(
-        self, topic_follower: follower.Follower, *, is_same_region: bool
+        self,
+        topic_follower: follower.Follower,
+        now: float,
+        *,
+        is_same_region: bool,
     ) -> float:
         """Return for how long a peer must be ahead before a fetch."""
         if topic_follower.is_reading:
             return self._fetch_delay_by_topic[topic_follower.topic]
-        return 0 if is_same_region else _OTHER_REGION_DELAY_SECONDS
+        if is_same_region:
+            return 0
+        if topic_follower.topic is records.Topic.OPERATOR:
+            rank = self._operator_turns.rank(now)
+            if rank < len(_RELAY_DELAYS_SECONDS):
+                return _RELAY_DELAYS_SECONDS[rank]
+        return _OTHER_REGION_DELAY_SECONDS
 
     def _compare_offset(
         self,
@@ -185,7 +205,9 @@
         if topic_follower.is_initialized and offset <= local_offset:
             return
         since = self._behind_since_by_topic.setdefault(topic, now)
-        delay = self._fetch_delay(topic_follower, is_same_region=is_same_region)
+        delay = self._fetch_delay(
+            topic_follower, now, is_same_region=is_same_region
+        )
         if topic_follower.is_initialized and now - since < delay:
             return
         if topic not in self._fetch_task_by_topic:
@@ -215,7 +237,10 @@
         if self._configuration_behind_since is None:
             self._configuration_behind_since = now
         behind = now - self._configuration_behind_since
-        delay = 2 * self._fetch_delay(operator, is_same_region=False)
+        delay = 2 * max(
+            self._fetch_delay(operator, now, is_same_region=False),
+            _FETCH_DELAY_SECONDS,
+        )
         if behind >= delay and operator.topic not in self._fetch_task_by_topic:
             self._configuration_behind_since = now
             logger.bind(
@@ -256,19 +281,21 @@
     ) -> None:
         started_at = asyncio.get_running_loop().time()
         offset = 0 if from_start else topic_follower.state.next_offset
-        request = messages.encode_request(
-            b'GET',
-            b'%b?%d'
-            % (PATH_PREFIX + topic_follower.topic.value.encode(), offset),
-            [(b'Host', ip.encode()), (b'Accept-Encoding', b'deflate')],
-            b'',
+        request = _encode_request(
+            topic_follower.topic,
+            ip,
+            offset,
+            topic_follower.state.base_offset,
         )
         peers = pool.Pool(ip, self._local_node.first_port)
         try:
             answer = await pool.fetch(
-                peers, request, self._fetch_timeout_seconds
+                peers,
+                request,
+                _FETCH_TIMEOUT_SECONDS,
+                max_silence_seconds=self._max_silence_seconds,
             )
-            page = wire_heartbeats.read_records(_decompress(answer, ip), ip)
+            page = _decode_answer(answer, topic_follower.state, ip)
         except errors.ClementinepassError as error:
             logger.bind(peer=ip).info('records not fetched: {}', error)
             return
@@ -296,26 +323,37 @@
         ).info('records taken from a peer')
 
 
-def _decompress(answer: pool.Answer, peer: str) -> bytes:
-    """Return the decompressed body of a response.
+def _encode_request(
+    topic: records.Topic, ip: str, offset: int, base_offset: int | None
+) -> bytes:
+    pairs = [
+        (b'Host', ip.encode()),
+        (
+            b'Accept-Encoding',
+            b', '.join((record_compression.ZSTD, record_compression.DEFLATE)),
+        ),
+    ]
+    if base_offset is not None:
+        pairs.append((record_compression.BASE_HEADER, b'%d' % base_offset))
+    target = b'%b%b?%d' % (PATH_PREFIX, topic.value.encode(), offset)
+    return messages.encode_request(b'GET', target, pairs, b'')
+
 
-    :raises MalformedMessageError: the body is corrupt, truncated or too long.
+def _decode_answer(
+    answer: pool.Answer, state: follower.TopicState, peer: str
+) -> records.Page:
+    """Decode the records that a peer sent.
+
+    :raises MalformedMessageError: the body can't be decoded.
     """
-    if b'deflate' not in answer.headers.tokens(b'content-encoding'):
-        return answer.body
-    reader = zlib.decompressobj()
+    encoding = answer.headers.get(b'content-encoding') or b''
+    base_offset = answer.headers.get(record_compression.BASE_HEADER.lower())
+    base = b'' if base_offset is None else state.base(int(base_offset))
     try:
-        body = reader.decompress(answer.body, _MAX_RECORDS_BYTES)
-    except zlib.error as error:
-        raise errors.MalformedMessageError(
-            str(error),
-            step='read records',
-            peer=peer,
-        ) from error
-    if not reader.eof:
-        raise errors.MalformedMessageError(
-            'compressed records are truncated or too long',
-            step='read records',
-            peer=peer,
-        )
-    return body
+        body = record_compression.decompress(answer.body, encoding, peer, base)
+    except errors.MalformedMessageError:
+        if base_offset is not None:
+            # The peer's record differs. The next request names another one.
+            state.drop_base(int(base_offset))
+        raise
+    return wire_heartbeats.read_records(body, peer)
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -75,6 +75,9 @@
         self.peers = gossip.Peers(
             local_node, self._followers, self.cluster, rng
         )
+        self.peers.store_distances.measure = lambda: (
+            adapters.store.min_connect_seconds
+        )
         for topic, follower in self._followers.items():
             follower.schedule = self.peers.read_turns_by_topic[topic]
             follower.on_changes = self.peers.update_dependents
--- a/clementinepass/direct/follower.py
+++ b/clementinepass/direct/follower.py
@@ -70,12 +70,17 @@
 _MIN_READ_INTERVAL_SECONDS = 0.25
 #: Most removals kept per topic, to pass them on to peers.
 _MAX_REMOVALS = 256
+#: Shortest record in bytes that is kept as a base, and most bytes of the bases
+#: of a topic: agents fetch a configuration seconds after it was replaced.
+_MIN_BASE_BYTES = 4096
+_MAX_BASES_BYTES = 8 * 1024 * 1024
 
 
 class TopicState:
     """The newest record of each key, and the most recent removals."""
 
     __slots__ = (
+        '_bases_by_offset',
         '_by_key',
         '_complete_from',
         '_removals',
@@ -87,6 +92,9 @@
         self._by_key: dict[str, records.Record] = {}
         self._removals: collections.OrderedDict[str, records.Record]
         self._removals = collections.OrderedDict()
+        #: Recent long records, also those that were replaced.
+        self._bases_by_offset: collections.OrderedDict[int, bytes]
+        self._bases_by_offset = collections.OrderedDict()
         #: The offset from which on all removals are known.
         self._complete_from = 0
         #: The offset of the next record; changes before it are known.
@@ -117,8 +125,30 @@
         else:
             self._removals.pop(record.key, None)
             self._by_key[record.key] = record
+            self._keep_base(record.offset, record.payload)
         return True
 
+    @property
+    def base_offset(self) -> int | None:
+        """Return the offset of the newest long record; ``None`` for none."""
+        return next(reversed(self._bases_by_offset), None)
+
+    def base(self, offset: int) -> bytes:
+        """Return a recent long record; empty if it is not known."""
+        return self._bases_by_offset.get(offset, b'')
+
+    def drop_base(self, offset: int) -> None:
+        """Drop a long record that differs from that of a peer."""
+        self._bases_by_offset.pop(offset, None)
+
+    def _keep_base(self, offset: int, payload: bytes) -> None:
+        if len(payload) < _MIN_BASE_BYTES:
+            return
+        self._bases_by_offset[offset] = payload
+        total = sum(map(len, self._bases_by_offset.values()))
+        while total > _MAX_BASES_BYTES and len(self._bases_by_offset) > 1:
+            total -= len(self._bases_by_offset.popitem(last=False)[1])
+
     def implied_removals(self, snapshot: records.Page) -> list[records.Record]:
         """Return removals of the keys that are missing from a snapshot."""
         if snapshot.next_offset < self.next_offset:
@@ -231,10 +261,13 @@
         """Return whether this process reads the store itself."""
         return self._is_reading
 
-    def record_reader_contact(self, now: float) -> None:
-        """Record that an entry which reads for the region is alive."""
+    def record_reader_contact(self, at: float) -> None:
+        """Record when an entry that reads for this one heard from the store.
+
+        :param at: monotonic seconds.
+        """
         if not self._is_reading:
-            self.last_contact = now
+            self.last_contact = max(self.last_contact, at)
 
     def outage_age(self, now: float) -> float | None:
         """Return the seconds since an outage of the store that just ended.
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -17,6 +17,7 @@
     heartbeats,
     members,
     records,
+    store_distances,
     subscribers,
     bootstrap,
     turns,
@@ -43,6 +44,9 @@
 #: Most unknown members that are asked to introduce themselves, per heartbeat
 #: that lists them.
 _MAX_INTRODUCTIONS = 2
+#: Shortest age of the last contact with the store that is announced; 0 means
+#: that there was none.
+_MIN_CONTACT_AGE_SECONDS = 0.001
 #: Seconds for which findings on endpoints are collected for an extra heartbeat.
 _ANNOUNCEMENT_DELAY_SECONDS = 0.02
 #: Delay of a heartbeat from which on it is logged: requests waited as long.
@@ -83,16 +87,24 @@
         self._polling = start_reading.SeedPolling(
             local_node.ip, local_node.seeds, rng
         )
-        self._catching_up = catching_up.PeerCatchUp(
-            local_node, followers, cluster
-        )
         #: The other entries.
         self.members = members.Members(local_node.ip)
-        #: The schedule of reads of the store, by topic.
+        #: How far each region is from the store.
+        self.store_distances = store_distances.StoreDistances(local_node.region)
+        #: The schedule of reads of the store, by topic. Configurations are
+        #: large, and only the region nearest to the store reads them.
         self.read_turns_by_topic = {
-            topic: turns.ReadTurns(local_node, self.members)
-            for topic in (records.Topic.OPERATOR, records.Topic.ENDPOINTS)
+            records.Topic.OPERATOR: turns.ReadTurns(
+                local_node, self.members, self.store_distances
+            ),
+            records.Topic.ENDPOINTS: turns.ReadTurns(local_node, self.members),
         }
+        self._catching_up = catching_up.PeerCatchUp(
+            local_node,
+            followers,
+            cluster,
+            self.read_turns_by_topic[records.Topic.OPERATOR],
+        )
         #: The entries that subscribe to the load of this agent's engine.
         self.subscribers = subscribers.Subscribers()
         cluster.crash_evidence.on_finding = self._schedule_announcement
@@ -285,7 +297,8 @@
                 heartbeat.in_flight_by_endpoint,
                 now,
             )
-            self._update_read_turns(heartbeat, ip, now)
+            self.store_distances.update(heartbeat.store_distances)
+            self._update_read_turns(heartbeat, heartbeat.sender, now)
         for desired in heartbeat.desired_versions:
             self._cluster.add_desired_version(
                 desired.model,
@@ -308,20 +321,33 @@
         )
 
     def _update_read_turns(
-        self, heartbeat: heartbeats.Heartbeat, ip: str, now: float
+        self,
+        heartbeat: heartbeats.Heartbeat,
+        sender: members.Member,
+        now: float,
     ) -> None:
         pairs = (
             (records.Topic.OPERATOR, heartbeat.operator_read_ends_in),
             (records.Topic.ENDPOINTS, heartbeat.endpoints_read_ends_in),
         )
-        sender = heartbeat.sender
-        is_same_region = (
-            sender is not None and sender.region == self._local_node.region
-        )
         for topic, seconds in pairs:
-            self.read_turns_by_topic[topic].update(ip, seconds, now)
-            if is_same_region and seconds and topic in self._followers:
-                self._followers[topic].record_reader_contact(now)
+            self.read_turns_by_topic[topic].update(
+                sender.ip, sender.region, seconds, now
+            )
+        if (
+            sender.region == self._local_node.region
+            and heartbeat.endpoints_read_ends_in
+        ):
+            self._record_contact(records.Topic.ENDPOINTS, now)
+        if heartbeat.operator_contact_age:
+            self._record_contact(
+                records.Topic.OPERATOR, now - heartbeat.operator_contact_age
+            )
+
+    def _record_contact(self, topic: records.Topic, at: float) -> None:
+        topic_follower = self._followers.get(topic)
+        if topic_follower is not None:
+            topic_follower.record_reader_contact(at)
 
     async def _serve(
         self,
@@ -369,6 +395,8 @@
             endpoints_read_ends_in=self._read_ends_in(
                 records.Topic.ENDPOINTS, now
             ),
+            operator_contact_age=self._contact_age(records.Topic.OPERATOR, now),
+            store_distances=dict(self.store_distances.seconds_by_region),
             desired_versions=(
                 self._cluster.desired_versions(now)
                 if full or wants_load
@@ -400,6 +428,12 @@
         topic_follower = self._followers.get(topic)
         return 0 if topic_follower is None else topic_follower.read_ends_in(now)
 
+    def _contact_age(self, topic: records.Topic, now: float) -> float:
+        topic_follower = self._followers.get(topic)
+        if topic_follower is None or not topic_follower.last_contact:
+            return 0
+        return max(now - topic_follower.last_contact, _MIN_CONTACT_AGE_SECONDS)
+
     def _targets(self, *, full: bool) -> list[str]:
         """Return the IP addresses that a heartbeat goes to."""
         near, far = self.members.split_by_domain(self._local_node.domain)
@@ -426,7 +460,8 @@
         """Return the entries that get the store's records from this one.
 
         Each heartbeat goes to all of them, however many there are: an entry
-        that sees no reader of its region reads the store itself.
+        that sees no reader of its region reads the store itself. Of the other
+        regions these are the entries that fetch the operator's records.
         """
         if not any(
             topic_follower.is_reading
@@ -434,11 +469,16 @@
         ):
             return set()
         now = asyncio.get_running_loop().time()
-        return {
+        dependents = {
             member.ip
             for member in self.members.alive(now)
             if member.region == self._local_node.region
         }
+        operator = self._followers.get(records.Topic.OPERATOR)
+        if operator is not None and operator.is_reading:
+            turns_of_operator = self.read_turns_by_topic[operator.topic]
+            dependents |= turns_of_operator.relays(now)
+        return dependents
 
     def _nearby_agents(self) -> list[str]:
         """Return the agents of the local failure domain; none for an agent.
--- a/clementinepass/direct/heartbeats.py
+++ b/clementinepass/direct/heartbeats.py
@@ -88,6 +88,10 @@
     :param operator_read_ends_in: seconds until the sender's pending read of
         the operator's records ends; 0 if none is pending.
     :param endpoints_read_ends_in: the same for the endpoints' records.
+    :param operator_contact_age: seconds since the sender, or who reads for it,
+        last heard from the store about the operator's records; 0 if never.
+    :param store_distances: the shortest known time to connect to the store, in
+        seconds, by region.
     :param desired_versions: the desired versions that the sender knows.
     :param engine_statuses: the state of the sender's engine, if the sender is
         an agent.
@@ -110,6 +114,8 @@
     configuration_version: int = 0
     operator_read_ends_in: float = 0
     endpoints_read_ends_in: float = 0
+    operator_contact_age: float = 0
+    store_distances: dict[str, float] = msgspec.field(default_factory=dict)
     desired_versions: tuple[DesiredVersion, ...] = ()
     engine_statuses: tuple[EngineStatus, ...] = ()
     crash_evidence: quarantine.Digest = quarantine.Digest()
--- a/clementinepass/direct/record_server.py
+++ b/clementinepass/direct/record_server.py
@@ -4,17 +4,14 @@
 
 import asyncio
 import typing
-import zlib
 
-from clementinepass.direct import catching_up, records
+from clementinepass.direct import catching_up, record_compression, records
 from clementinepass.wire import heartbeats as wire_heartbeats
 
 if typing.TYPE_CHECKING:
     from clementinepass.direct import follower
     from clementinepass.http import messages, replies
 
-#: The zlib level that takes the least time.
-_FASTEST_COMPRESSION = 1
 _OK = 200
 #: Responses cached per topic: peers that send requests at the same moment
 #: start from a few different offsets, most of them from 0.
@@ -26,6 +23,8 @@
 
     topic: records.Topic
     offset: int
+    encoding: bytes
+    base_offset: int | None
     revision: int
     next_offset: int
 
@@ -35,13 +34,6 @@
         return state == (newest.revision, newest.next_offset)
 
 
-class _Response(typing.NamedTuple):
-    """Encoded records from an offset on."""
-
-    body: bytes
-    compressed: bytes
-
-
 class RecordServer:
     """Serves the followers' records from an offset on.
 
@@ -58,7 +50,7 @@
         followers: dict[records.Topic, follower.Follower],
     ) -> None:
         self._followers = followers
-        self._responses_by_key: dict[_CacheKey, _Response] = {}
+        self._responses_by_key: dict[_CacheKey, bytes] = {}
 
     def handles(self, request: messages.Request) -> bool:
         """Return whether a request is for records."""
@@ -68,19 +60,25 @@
         """Send the records of a topic from an offset on.
 
         They are compressed if the peer accepts it: a few entries send each
-        configuration, some 50 KB, to all entries of a region. Uncompressed,
-        the configurations would saturate the links of those few.
+        configuration to all entries of a region. Uncompressed, the
+        configurations would saturate the links of those few.
         """
         topic = self._topic(request)
         if topic is None:
             raise KeyError(request.path)
         offset = int(request.target.partition(b'?')[2] or b'0')
-        response = self._response(self._followers[topic], offset)
-        if b'deflate' in request.headers.tokens(b'accept-encoding'):
-            pairs = [(b'Content-Encoding', b'deflate')]
-            reply.send(_OK, pairs, response.compressed)
-        else:
-            reply.send(_OK, [], response.body)
+        topic_follower = self._followers[topic]
+        encoding = _choose_encoding(request.headers)
+        base_offset = None
+        if encoding == record_compression.ZSTD:
+            base_offset = _known_base(request.headers, topic_follower.state)
+        body = self._response(topic_follower, offset, encoding, base_offset)
+        pairs = []
+        if encoding:
+            pairs.append((b'Content-Encoding', encoding))
+        if base_offset is not None:
+            pairs.append((record_compression.BASE_HEADER, b'%d' % base_offset))
+        reply.send(_OK, pairs, body)
 
     def _topic(self, request: messages.Request) -> records.Topic | None:
         for topic in self._followers:
@@ -89,27 +87,34 @@
         return None
 
     def _response(
-        self, topic_follower: follower.Follower, offset: int
-    ) -> _Response:
+        self,
+        topic_follower: follower.Follower,
+        offset: int,
+        encoding: bytes,
+        base_offset: int | None,
+    ) -> bytes:
+        state = topic_follower.state
+        base = b'' if base_offset is None else state.base(base_offset)
         age = topic_follower.outage_age(asyncio.get_running_loop().time())
         if age is not None:
             # Not cached: the age of the outage changes all the time.
-            return _encode(
-                topic_follower.state.since(offset)._replace(outage_age=age)
-            )
+            page = state.since(offset)._replace(outage_age=age)
+            return _encode(page, encoding, base)
         key = _CacheKey(
             topic_follower.topic,
             offset,
-            topic_follower.state.revision,
-            topic_follower.state.next_offset,
+            encoding,
+            base_offset,
+            state.revision,
+            state.next_offset,
         )
         response = self._responses_by_key.get(key)
         if response is None:
-            response = _encode(topic_follower.state.since(offset))
+            response = _encode(state.since(offset), encoding, base)
             self._cache_response(key, response)
         return response
 
-    def _cache_response(self, key: _CacheKey, response: _Response) -> None:
+    def _cache_response(self, key: _CacheKey, response: bytes) -> None:
         """Cache a response; evict outdated ones, and the oldest."""
         topic_keys = [
             cached
@@ -123,6 +128,29 @@
         self._responses_by_key[key] = response
 
 
-def _encode(page: records.Page) -> _Response:
+def _choose_encoding(headers: messages.Headers) -> bytes:
+    """Return the best encoding that a peer accepts; empty for none."""
+    accepted = headers.tokens(b'accept-encoding')
+    for encoding in (record_compression.ZSTD, record_compression.DEFLATE):
+        if encoding in accepted:
+            return encoding
+    return b''
+
+
+def _known_base(
+    headers: messages.Headers, state: follower.TopicState
+) -> int | None:
+    """Return the offset of the peer's base if it is known here."""
+    offset = headers.get(record_compression.BASE_HEADER.lower())
+    if offset is None or not state.base(int(offset)):
+        return None
+    return int(offset)
+
+
+def _encode(page: records.Page, encoding: bytes, base: bytes) -> bytes:
     body = wire_heartbeats.write_records(page)
-    return _Response(body, zlib.compress(body, _FASTEST_COMPRESSION))
+    if encoding == record_compression.ZSTD:
+        return record_compression.compress(body, base)
+    if encoding == record_compression.DEFLATE:
+        return record_compression.deflate(body)
+    return body
--- a/clementinepass/direct/records.py
+++ b/clementinepass/direct/records.py
@@ -69,6 +69,10 @@
 class Store(typing.Protocol):
     """The platform's store, which keeps the newest record of each key."""
 
+    @property
+    def min_connect_seconds(self) -> float:
+        """Return the shortest time to connect; infinite before the first."""
+
     async def newest(self, topic: Topic) -> Page:
         """Return the newest record of each key.
 
--- a/clementinepass/http/pool.py
+++ b/clementinepass/http/pool.py
@@ -20,6 +20,9 @@
 _CONNECT_TIMEOUT_SECONDS = 1.5
 
 
+_Part = typing.TypeVar('_Part')
+
+
 class Pool:
     """Client connections to one address; the last used one is reused first.
 
@@ -36,6 +39,7 @@
         '_port',
         '_in_use',
         'busy_count',
+        'min_connect_seconds',
         'opened_count',
     )
 
@@ -50,6 +54,8 @@
         self.busy_count = 0
         #: Number of connections opened so far.
         self.opened_count = 0
+        #: Seconds that the fastest of them took to open; infinite before it.
+        self.min_connect_seconds = math.inf
 
     @classmethod
     def from_address(cls, address: str, max_connections: int = 64) -> Pool:
@@ -93,6 +99,7 @@
             self._in_use.add(idle_connection)
             return idle_connection
         self.opened_count += 1
+        started_at = asyncio.get_running_loop().time()
         try:
             new_connection = await channel.Channel.connect(
                 self._host,
@@ -102,6 +109,10 @@
         except BaseException:
             self.busy_count -= 1
             raise
+        self.min_connect_seconds = min(
+            self.min_connect_seconds,
+            asyncio.get_running_loop().time() - started_at,
+        )
         self._in_use.add(new_connection)
         return new_connection
 
@@ -152,36 +163,67 @@
     seconds: float = 0
 
 
-async def fetch(pool: Pool, request: bytes, seconds: float) -> Answer:
+async def fetch(
+    pool: Pool,
+    request: bytes,
+    seconds: float,
+    *,
+    max_silence_seconds: float | None = None,
+) -> Answer:
     """Send one request and return its complete answer within ``seconds``.
 
+    :param max_silence_seconds: longest time without a byte of the answer;
+        ``None`` for no limit but ``seconds``.
     :raises ChannelBrokenError: no complete answer arrived. The request may
         have been executed.
     """
     try:
         async with asyncio.timeout(seconds):
-            return await _fetch(pool, request)
+            return await _fetch(pool, request, max_silence_seconds)
     except TimeoutError as error:
-        raise channel.ChannelBrokenError(
-            f'no answer within {seconds:.1f} s',
-            peer='',
-            fault=channel.Fault.SILENT,
-        ) from error
+        raise _silence_error(seconds) from error
 
 
-async def _fetch(pool: Pool, request: bytes) -> Answer:
-    connection = await pool.acquire()
+async def _fetch(
+    pool: Pool, request: bytes, max_silence_seconds: float | None
+) -> Answer:
+    connection = await _within(max_silence_seconds, pool.acquire())
+    loop = asyncio.get_running_loop()
     try:
         connection.send(request)
-        head = await connection.read_head()
-        started_at = asyncio.get_running_loop().time()
+        head = await _within(max_silence_seconds, connection.read_head())
+        started_at = loop.time()
         parts = []
-        while part := await connection.read():
+        while part := await _within(max_silence_seconds, connection.read()):
             parts.append(part)
     except BaseException:
         connection.abort()
         raise
     finally:
         pool.release(connection)
-    seconds = asyncio.get_running_loop().time() - started_at
+    seconds = loop.time() - started_at
     return Answer(head.status, b''.join(parts), head.headers, seconds)
+
+
+async def _within(
+    seconds: float | None, reading: typing.Awaitable[_Part]
+) -> _Part:
+    """Wait for a connection or for a part of an answer.
+
+    :raises ChannelBrokenError: it did not arrive within ``seconds``.
+    """
+    if seconds is None:
+        return await reading
+    try:
+        async with asyncio.timeout(seconds):
+            return await reading
+    except TimeoutError as error:
+        raise _silence_error(seconds) from error
+
+
+def _silence_error(seconds: float) -> channel.ChannelBrokenError:
+    return channel.ChannelBrokenError(
+        f'no answer within {seconds:.1f} s',
+        peer='',
+        fault=channel.Fault.SILENT,
+    )
--- a/clementinepass/platform/store.py
+++ b/clementinepass/platform/store.py
@@ -73,6 +73,11 @@
         #: Number of calls made so far.
         self.call_count = 0
 
+    @property
+    def min_connect_seconds(self) -> float:
+        """Return the shortest time to connect; infinite before the first."""
+        return self._pool.min_connect_seconds
+
     async def newest(self, topic: records.Topic) -> records.Page:
         """Return the newest record of each key.
 
--- a/clementinepass/wire/direct.capnp
+++ b/clementinepass/wire/direct.capnp
@@ -38,6 +38,15 @@
   # Milliseconds until the sender's pending reads end; 0 if none is pending.
   operatorEndsMs @3 :UInt32;
   endpointsEndsMs @4 :UInt32;
+  # Milliseconds since the sender, or who reads for it, last heard from the
+  # store about the operator's records; 0 if never.
+  operatorContactMs @5 :UInt32;
+}
+
+struct StoreDistance {
+  # The shortest time in which an entry of a region connected to the store.
+  region @0 :Text;
+  micros @1 :UInt32;
 }
 
 struct NamedVersion {
@@ -125,6 +134,7 @@
   crashes @10 :List(Crash);
   clearances @11 :List(Clearance);
   limits @12 :List(EndpointLimit);
+  distances @13 :List(StoreDistance);
 }
 
 struct Record {
--- a/clementinepass/wire/heartbeats.py
+++ b/clementinepass/wire/heartbeats.py
@@ -16,6 +16,7 @@
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('direct.capnp')))
 _PHASES = tuple(members.Phase)
 _MS_PER_SECOND = 1000
+_MICROS_PER_SECOND = 1_000_000
 _IP_BYTES = 4
 #: The largest number of requests that a message can carry.
 _MAX_COUNT = 65535
@@ -52,6 +53,8 @@
     message.follow.endpointsEndsMs = int(
         heartbeat.endpoints_read_ends_in * _MS_PER_SECOND
     )
+    message.follow.operatorContactMs = _age_ms(heartbeat.operator_contact_age)
+    _write_distances(message, heartbeat)
     message.wantsLoad = heartbeat.wants_load
     message.asks = heartbeat.wants_introduction
     _write_versions(message, heartbeat)
@@ -191,6 +194,16 @@
         slot.crashes = list(clearance.crashes)
 
 
+def _write_distances(
+    message: typing.Any, heartbeat: heartbeats.Heartbeat
+) -> None:
+    slots = message.init('distances', len(heartbeat.store_distances))
+    pairs = heartbeat.store_distances.items()
+    for slot, (region, seconds) in zip(slots, pairs, strict=True):
+        slot.region = region
+        slot.micros = min(round(seconds * _MICROS_PER_SECOND), _MAX_AGE_MS)
+
+
 def _write_limits(message: typing.Any, heartbeat: heartbeats.Heartbeat) -> None:
     slots = message.init('limits', len(heartbeat.endpoint_limits))
     for slot, limit in zip(slots, heartbeat.endpoint_limits, strict=True):
@@ -250,6 +263,11 @@
         configuration_version=message.follow.configuration,
         operator_read_ends_in=message.follow.operatorEndsMs / _MS_PER_SECOND,
         endpoints_read_ends_in=message.follow.endpointsEndsMs / _MS_PER_SECOND,
+        operator_contact_age=message.follow.operatorContactMs / _MS_PER_SECOND,
+        store_distances={
+            distance.region: distance.micros / _MICROS_PER_SECOND
+            for distance in message.distances
+        },
         desired_versions=tuple(
             heartbeats.DesiredVersion(
                 desired.model,
--- a/tests/direct/test_catching_up.py
+++ b/tests/direct/test_catching_up.py
@@ -14,9 +14,11 @@
     cluster_state,
     follower,
     heartbeats,
+    members,
     node,
     records,
     routing,
+    turns,
 )
 from clementinepass.http import front, limits, replies
 from clementinepass.wire import heartbeats as wire_heartbeats
@@ -82,6 +84,7 @@
             local_node,
             {OPERATOR: self.follower},
             self.cluster,
+            turns.ReadTurns(local_node, members.Members(HOST)),
         )
 
     def _apply(self, record: records.Record) -> None:
--- a/tests/direct/test_long_configurations.py
+++ b/tests/direct/test_long_configurations.py
@@ -17,6 +17,7 @@
 from testtools import matchers
 
 from clementinepass.direct import records
+from clementinepass.http import pool
 from standins import machines, skipped_time
 
 ENTRIES = 12
@@ -33,6 +34,8 @@
 MAX_SHARE = 0.1
 #: Seconds after the first entry within which the last one must have a change.
 IN_FORCE_SECONDS = 0.3
+#: Seconds from a change within which it must be in force.
+CHANGE_SECONDS = 2.0
 
 
 def configuration(version: int, routes: int) -> dict[str, typing.Any]:
@@ -142,3 +145,80 @@
             configuration(2, ROUTES), configuration(3, ROUTES)
         ):
             self.assertThat(seconds, matchers.LessThan(IN_FORCE_SECONDS))
+
+
+class NearestRegionTest(testtools.TestCase):
+    """The other regions do not depend on the entries nearest to the store."""
+
+    def delay(
+        self,
+        disturb: typing.Callable[[machines.Machines, list[str]], None],
+        seconds: float,
+    ) -> float:
+        """Return the seconds until a change is in force in other regions.
+
+        :param disturb: disturbs the entries of the nearest region, whose IP
+            addresses it gets.
+        :param seconds: time from then until the change.
+        """
+
+        async def scenario() -> float:
+            world = machines.Machines((), entries=ENTRIES, regions=REGIONS)
+            async with world:
+                await world.all_known()
+                await asyncio.sleep(12)
+                ips = [
+                    ip
+                    for ip in world.entry_ips
+                    if world._region(ip) == STORE_REGION
+                ]
+                disturb(world, ips)
+                await asyncio.sleep(seconds)
+                now = asyncio.get_running_loop().time
+                started_at = now()
+                world.configure(configuration(2, 100))
+                for ip, entry in zip(
+                    world.entry_ips, world.entries, strict=True
+                ):
+                    if ip not in ips:
+                        await machines.until(
+                            lambda entry=entry: (
+                                entry.cluster.configuration_version == 2
+                            )
+                        )
+                return now() - started_at
+
+        return skipped_time.run(scenario())
+
+    def check(
+        self,
+        disturb: typing.Callable[[machines.Machines, list[str]], None],
+    ) -> None:
+        """Check that a change is in force in time after a disturbance."""
+        for seconds in (0.01, 0.5, 1.1, 3.0):
+            self.assertThat(
+                self.delay(disturb, seconds),
+                matchers.LessThan(CHANGE_SECONDS),
+                f'{seconds} s after the disturbance',
+            )
+
+    def test_killed(self) -> None:
+        """All entries of the nearest region are killed before a change."""
+
+        def disturb(world: machines.Machines, ips: list[str]) -> None:
+            for ip in ips:
+                world.kill_entry(ip)
+
+        self.check(disturb)
+
+    def test_rejected_by_the_store(self) -> None:
+        """The store rejects the entries of the nearest region only."""
+
+        def disturb(world: machines.Machines, ips: list[str]) -> None:
+            for ip, entry in zip(world.entry_ips, world.entries, strict=True):
+                if ip in ips:
+                    unreachable = pool.Pool(ip, machines.free_port([ip]))
+                    entry._adapters.store._pool = unreachable
+            world.store.silence()
+
+        self.check(disturb)
--- a/tests/direct/test_record_server.py
+++ b/tests/direct/test_record_server.py
@@ -10,7 +10,14 @@
 
 import testtools
 
-from clementinepass.direct import catching_up, follower, record_server, records
+from clementinepass import errors
+from clementinepass.direct import (
+    catching_up,
+    follower,
+    record_compression,
+    record_server,
+    records,
+)
 from clementinepass.http import messages
 from clementinepass.wire import heartbeats as wire_heartbeats
 from tests.direct import test_follower
@@ -24,6 +31,7 @@
 
     def __init__(self) -> None:
         self.body = b''
+        self.pairs: list[messages.Pair] = []
 
     def send(
         self,
@@ -31,8 +39,9 @@
         pairs: list[messages.Pair],
         body: bytes,
     ) -> None:
-        """Keep the body."""
+        """Keep the response."""
         self.body = body
+        self.pairs = pairs
 
 
 class RecordServerTest(testtools.TestCase):
@@ -62,6 +71,18 @@
     def fetch(self, offset: int, *, deflate: bool = True) -> records.Page:
         """Return the page that a peer gets from an offset on."""
         pairs = [(b'accept-encoding', b'deflate')] if deflate else []
+        body = self.send_request(offset, pairs).body
+        if deflate:
+            body = zlib.decompress(body)
+        return wire_heartbeats.read_records(body, 'peer')
+
+    def request(self, offset: int, *pairs: messages.Pair) -> _Reply:
+        """Return the response to a peer that accepts zstd."""
+        accepted = (b'accept-encoding', b'zstd, deflate')
+        return self.send_request(offset, [accepted, *pairs])
+
+    def send_request(self, offset: int, pairs: list[messages.Pair]) -> _Reply:
+        """Return the response to a request with some headers."""
         request = messages.Request(
             b'GET',
             b'%b%b?%d'
@@ -73,8 +94,7 @@
         self.assertTrue(self.server.handles(request))
         reply = _Reply()
         self.server.handle(request, typing.cast('typing.Any', reply))
-        body = zlib.decompress(reply.body) if deflate else reply.body
-        return wire_heartbeats.read_records(body, 'peer')
+        return reply
 
     def offsets(self, offset: int) -> list[int]:
         """Return the offsets of the records that a peer gets."""
@@ -119,6 +139,55 @@
 
         asyncio.run(scenario())
 
+    def test_only_what_differs(self) -> None:
+        """A long record is sent as what differs from one that the peer has."""
+
+        async def scenario() -> None:
+            before = bytes(random.Random(1).randbytes(40_000))
+            after = before[:20_000] + b'changed' + before[20_000:]
+            self.follower.apply(
+                records.Page((records.Record('e', 1, before),), 2)
+            )
+            self.follower.apply(
+                records.Page((records.Record('e', 2, after),), 3)
+            )
+            reply = self.request(2, (b'records-base', b'1'))
+            self.assertLess(len(reply.body), 400)
+            self.assertIn((record_compression.BASE_HEADER, b'1'), reply.pairs)
+            body = record_compression.decompress(
+                reply.body, record_compression.ZSTD, 'peer', before
+            )
+            (record,) = wire_heartbeats.read_records(body, 'peer').records
+            self.assertEqual(after, record.payload)
+
+        asyncio.run(scenario())
+
+    def test_unknown_base(self) -> None:
+        """A peer whose long record is not known here gets all bytes."""
+
+        async def scenario() -> None:
+            self.apply(1, 2)
+            reply = self.request(1, (b'records-base', b'77'))
+            self.assertEqual([(b'Content-Encoding', b'zstd')], reply.pairs)
+            body = record_compression.decompress(reply.body, b'zstd', 'peer')
+            self.assertEqual(
+                2, len(wire_heartbeats.read_records(body, 'peer').records)
+            )
+
+        asyncio.run(scenario())
+
+    def test_another_base(self) -> None:
+        """Bytes that were compressed with another record are an error."""
+        body = record_compression.compress(b'ab' * 5000, b'ab' * 4000)
+        self.assertRaises(
+            errors.MalformedMessageError,
+            record_compression.decompress,
+            body,
+            record_compression.ZSTD,
+            'peer',
+            b'xy' * 4000,
+        )
+
     def test_outage_age_is_current(self) -> None:
         """The age of an outage is computed for each response."""
 
