--- a/clementinepass/direct/catching_up.py
+++ b/clementinepass/direct/catching_up.py
@@ -24,6 +24,7 @@
         heartbeats,
         members,
         node,
+        topic_state,
         turns,
     )
 
@@ -340,7 +341,7 @@
 
 
 def _decode_answer(
-    answer: pool.Answer, state: follower.TopicState, peer: str
+    answer: pool.Answer, state: topic_state.TopicState, peer: str
 ) -> records.Page:
     """Decode the records that a peer sent.
 
--- a/clementinepass/direct/record_server.py
+++ b/clementinepass/direct/record_server.py
@@ -9,7 +9,7 @@
 from clementinepass.wire import heartbeats as wire_heartbeats
 
 if typing.TYPE_CHECKING:
-    from clementinepass.direct import follower
+    from clementinepass.direct import follower, topic_state
     from clementinepass.http import messages, replies
 
 _OK = 200
@@ -138,7 +138,7 @@
 
 
 def _known_base(
-    headers: messages.Headers, state: follower.TopicState
+    headers: messages.Headers, state: topic_state.TopicState
 ) -> int | None:
     """Return the offset of the peer's base if it is known here."""
     offset = headers.get(record_compression.BASE_HEADER.lower())
--- a/tests/direct/test_follower.py
+++ b/tests/direct/test_follower.py
@@ -9,7 +9,7 @@
 import testtools
 
 from clementinepass import errors
-from clementinepass.direct import follower, records
+from clementinepass.direct import follower, records, topic_state
 from standins import skipped_time
 
 if typing.TYPE_CHECKING:
@@ -147,7 +147,7 @@
 
     def test_since(self) -> None:
         """A peer gets newer records, removals included."""
-        state = follower.TopicState()
+        state = topic_state.TopicState()
         for change in (record('a', 1), record('b', 2), record('a', 3, None)):
             state.apply(change)
         state.next_offset = 4
@@ -158,7 +158,7 @@
 
     def test_removed_and_back(self) -> None:
         """A key that came back does not count as removed any more."""
-        state = follower.TopicState()
+        state = topic_state.TopicState()
         for change in (record('a', 1), record('a', 2, None), record('a', 3)):
             self.assertTrue(state.apply(change))
         self.assertFalse(state.apply(record('a', 2, None)))
