--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -449,11 +449,18 @@
     def update_dependents(self) -> None:
         """Announce new records at once to the entries that get them from here.
 
-        Processes that have just started and wait for records are answered, too.
+        An entry that fetches records for its region announces them to those of
+        the other regions, too: the link of one of them to the nearest region
+        may be full and lose datagrams. Processes that have just started and
+        wait for records are answered, too.
         """
-        self.send_to(list(self._dependents()))
+        now = asyncio.get_running_loop().time()
+        operator_turns = self.read_turns_by_topic[records.Topic.OPERATOR]
+        ips = self._dependents()
+        if ips and operator_turns.is_relay(now):
+            ips |= operator_turns.relays(now)
+        self.send_to(list(ips))
         if not self.is_bootstrapping:
-            now = asyncio.get_running_loop().time()
             self._bootstrap.reply_to_waiting(now)
 
     def _dependents(self) -> set[str]:
--- a/clementinepass/direct/turns.py
+++ b/clementinepass/direct/turns.py
@@ -77,6 +77,12 @@
         """Return the position of this entry in the order of its region."""
         return region_readers.rank(self._local_node.ip, self._nearby_ips(now))
 
+    def is_relay(self, now: float) -> bool:
+        """Return whether this entry fetches records for its region."""
+        return self._local_node.ip in region_readers.relays(
+            [self._local_node.ip, *self._nearby_ips(now)]
+        )
+
     def relays(self, now: float) -> set[str]:
         """Return the entries that fetch the records for the other regions."""
         ips_by_region: dict[str, list[str]] = {}
