--- a/clementinepass/direct/follower.py
+++ b/clementinepass/direct/follower.py
@@ -181,7 +181,9 @@
                 read = await self._read_if_scheduled(read)
                 pause = 0
             except errors.RecordsExpiredError:
-                logger.bind(topic=self.topic.value).info('history was dropped')
+                logger.bind(
+                    topic=self.topic.value, offset=self.state.next_offset
+                ).info('history was dropped')
                 read = self._read_newest
             except errors.ClementinepassError as error:
                 self._record_outage(error)
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -363,7 +363,7 @@
         'this process starts to read the topic, or leaves it to other entries',
     ),
     'history was dropped': Kind(
-        'topic',
+        'topic offset',
         'the store no longer has the records at the offset; the newest records '
         'are read instead',
     ),
