--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -1,7 +1,8 @@
 """The users' store of records: topics whose newest record of each key stays.
 
 Only what the system uses: appending to and reading from keyed topics of one
-part, long reads, and the newest record of each key.
+part, long reads, and the newest record of each key. In a drill the store is put
+back to a copy; all answers tell its era, which then rises by one.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 import base64
 import collections
 import contextlib
+import math
 import typing
 import urllib.parse
 
@@ -24,17 +26,22 @@
 _OK = 200
 _GONE = 410
 _UNAVAILABLE = 503
+_TOO_MANY_REQUESTS = 429
 _MS = 1000
 _LENGTH_BYTES = 4
 _OFFSET_BYTES = 8
+_ERA_HEADER = b'Store-Era'
+
+
+#: Key and value of each record; ``None`` for a removal.
+_Records = list[tuple[bytes, bytes | None]]
 
 
 class _Topic:
     """The records of one topic."""
 
     def __init__(self) -> None:
-        #: Key and value of each record; ``None`` for a removal.
-        self.records: list[tuple[bytes, bytes | None]] = []
+        self.records: _Records = []
         #: The first offset that is still kept.
         self.first = 0
         self.changed = asyncio.Event()
@@ -57,6 +64,13 @@
         self.address = ''
         #: Whether each call is refused.
         self.down = False
+        #: Calls that are answered in a second; more are rejected.
+        self.max_calls_per_second = math.inf
+        self.rejected_calls = 0
+        self._calls_by_second: collections.Counter[int] = collections.Counter()
+        #: How often the store was put back to a copy, counted from 1.
+        self.era = 1
+        self._copied_records_by_topic: dict[str, _Records] = {}
         self._silenced = asyncio.Event()
         #: Calls that came, and those for the newest records by topic.
         self.calls = 0
@@ -99,6 +113,42 @@
         self._silenced = asyncio.Event()
         silenced.set()
 
+    def make_copy(self) -> None:
+        """Copy all records, to be put back later."""
+        self._copied_records_by_topic = {
+            name: list(topic.records) for name, topic in self._topics.items()
+        }
+
+    def restore_copy(self) -> None:
+        """Come back from the copy: what was written since is lost.
+
+        Reads that are open stay so until there is a record for them.
+        """
+        for name, topic in self._topics.items():
+            topic.records = list(self._copied_records_by_topic.get(name, ()))
+        self.era += 1
+        self.down = False
+
+    def put_copy(self, topic: str, records: _Records) -> None:
+        """Replace a topic of the copy."""
+        self._copied_records_by_topic[topic] = records
+
+    def drop_from_copy(self, topic: str, key: str) -> None:
+        """Drop the records of a key from the copy."""
+        self._copied_records_by_topic[topic] = [
+            record
+            for record in self._copied_records_by_topic[topic]
+            if record[0] != key.encode()
+        ]
+
+    def keys(self, topic: str) -> set[bytes]:
+        """Return the keys of a topic that are not removed."""
+        newest = dict(self._topic(topic).records)
+        return {key for key, payload in newest.items() if payload is not None}
+
+    def _send(self, reply: replies.Reply, status: int, body: bytes) -> None:
+        reply.send(status, [(_ERA_HEADER, b'%d' % self.era)], body)
+
     def _topic(self, name: str) -> _Topic:
         return self._topics.setdefault(name, _Topic())
 
@@ -108,8 +158,14 @@
         reply: replies.Reply,
     ) -> None:
         self.calls += 1
+        second = int(asyncio.get_running_loop().time())
+        self._calls_by_second[second] += 1
+        if self._calls_by_second[second] > self.max_calls_per_second:
+            self.rejected_calls += 1
+            self._send(reply, _TOO_MANY_REQUESTS, b'')
+            return
         if self.down:
-            reply.send(_UNAVAILABLE, [], b'')
+            self._send(reply, _UNAVAILABLE, b'')
             return
         path, _, text = request.target.decode().partition('?')
         query = dict(urllib.parse.parse_qsl(text))
@@ -128,10 +184,17 @@
         body: bytes,
         reply: replies.Reply,
     ) -> None:
-        whole = body[_LENGTH_BYTES:]
-        end = 1 + whole[0]
-        offset = topic.add(whole[1:end], whole[end:] or None)
-        reply.send(_OK, [], msgspec.json.encode({'offset': offset}))
+        first_offset = len(topic.records)
+        position = 0
+        while position < len(body):
+            start = position + _LENGTH_BYTES
+            length = int.from_bytes(body[position:start], 'big')
+            position = start + length
+            whole = body[start:position]
+            end = 1 + whole[0]
+            topic.add(whole[1:end], whole[end:] or None)
+        answer = {'offset': first_offset, 'endOffset': len(topic.records)}
+        self._send(reply, _OK, msgspec.json.encode(answer))
 
     def _newest(self, topic: _Topic, reply: replies.Reply) -> None:
         newest = {
@@ -148,7 +211,7 @@
             if payload is not None
         ]
         answer = {'entries': entries, 'endOffset': len(topic.records)}
-        reply.send(_OK, [], msgspec.json.encode(answer))
+        self._send(reply, _OK, msgspec.json.encode(answer))
 
     async def _read(
         self,
@@ -157,7 +220,7 @@
         reply: replies.Reply,
     ) -> None:
         offset = int(query['from'])
-        if len(topic.records) <= offset:
+        if len(topic.records) == offset:
             wait = int(query.get('waitMs', '0')) / _MS
             silenced = self._silenced
             with contextlib.suppress(TimeoutError):
@@ -165,8 +228,9 @@
                     await topic.changed.wait()
             if silenced.is_set():
                 await asyncio.Event().wait()
-        if offset < topic.first:
-            reply.send(_GONE, [], b'{}')
+        if not topic.first <= offset <= len(topic.records):
+            gone = {'firstOffset': topic.first}
+            self._send(reply, _GONE, msgspec.json.encode(gone))
             return
         parts = [
             len(topic.records).to_bytes(_OFFSET_BYTES, 'big'),
@@ -177,4 +241,4 @@
         for key, payload in handed_out:
             whole = bytes((len(key),)) + key + (payload or b'')
             parts.append(len(whole).to_bytes(_LENGTH_BYTES, 'big') + whole)
-        reply.send(_OK, [], b''.join(parts))
+        self._send(reply, _OK, b''.join(parts))
--- a/tests/direct/test_long_configurations.py
+++ b/tests/direct/test_long_configurations.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import typing
 
 import msgspec
@@ -18,7 +17,7 @@
 
 from clementinepass.direct import records
 from clementinepass.http import pool
-from standins import machines, skipped_time
+from standins import drills, machines, skipped_time
 
 ENTRIES = 12
 REGIONS = 3
@@ -38,35 +37,6 @@
 CHANGE_SECONDS = 2.0
 
 
-def configuration(version: int, routes: int) -> dict[str, typing.Any]:
-    """Return a configuration with some routes more.
-
-    The timeout of one of them is that of the version.
-    """
-    rng = random.Random(1)
-    added = [
-        {
-            'name': f'r{rng.getrandbits(40):x}',
-            'host': f'{rng.getrandbits(32):x}.example',
-            'pathPrefix': f'/{rng.getrandbits(32):x}/',
-            'routeKind': 'idempotent',
-            'timeoutMs': 5000,
-            'sloMs': 1000,
-            'priority': 1,
-            'maxAttempts': 2,
-            'backends': [{'service': 'desk', 'weight': 1}],
-        }
-        for _ in range(routes)
-    ]
-    if added:
-        added[routes // 2]['timeoutMs'] = 5000 + version
-    return {
-        **machines.CONFIG,
-        'version': version,
-        'routes': machines.CONFIG['routes'] + added,
-    }
-
-
 def crossed_bytes(world: machines.Machines) -> int:
     """Return the bytes of the operator's records received from elsewhere.
 
@@ -126,9 +96,9 @@
     def test_bytes_between_regions(self) -> None:
         """Added routes and a changed timeout take a tenth of the bytes."""
         configs = [
-            configuration(2, ROUTES),
-            configuration(3, ROUTES),
-            configuration(4, 2 * ROUTES),
+            drills.long_configuration(2, ROUTES),
+            drills.long_configuration(3, ROUTES),
+            drills.long_configuration(4, 2 * ROUTES),
         ]
         for config, (crossed, _) in zip(
             configs, self.run_changes(*configs), strict=True
@@ -142,7 +112,8 @@
     def test_in_force_in_time(self) -> None:
         """All entries have a change soon after the first one has it."""
         for _, seconds in self.run_changes(
-            configuration(2, ROUTES), configuration(3, ROUTES)
+            drills.long_configuration(2, ROUTES),
+            drills.long_configuration(3, ROUTES),
         ):
             self.assertThat(seconds, matchers.LessThan(IN_FORCE_SECONDS))
 
@@ -176,7 +147,7 @@
                 await asyncio.sleep(seconds)
                 now = asyncio.get_running_loop().time
                 started_at = now()
-                world.configure(configuration(2, 100))
+                world.configure(drills.long_configuration(2, 100))
                 for ip, entry in zip(
                     world.entry_ips, world.entries, strict=True
                 ):
