Call the store with a pause whatever it answers

After the store had come back from a copy, entries called it 850 times a second: a read was answered 410, the newest records were read at once, and so on. Two reads of the newest records are now at least 0.5 s apart, and a read that returns nothing takes at least 0.1 s.

--- a/clementinepass/direct/follower.py
+++ b/clementinepass/direct/follower.py
@@ -58,6 +58,12 @@
 _OUTAGE_AFTERMATH_SECONDS = 1.0
 #: Seconds between checks whether this process has to read the store itself.
 _IDLE_POLL_SECONDS = 0.1
+#: Shortest interval of reads of all newest records, also if the store keeps
+#: telling that the history was dropped.
+_MIN_SNAPSHOT_INTERVAL_SECONDS = 0.5
+#: Shortest interval of reads that return nothing, also if the store does not
+#: wait for a change.
+_MIN_EMPTY_READ_SECONDS = 0.1
 #: Size of a message of records from which on it is logged.
 _LONG_MESSAGE_BYTES = 16384
 #: Shortest interval of reads that return changes of endpoints. While a version
@@ -77,6 +83,7 @@
         '_failing_since',
         '_has_changes',
         '_is_reading',
+        '_snapshot_read_at',
         '_listener',
         '_last_change_at',
         '_rng',
@@ -106,6 +113,8 @@
         self._rng = rng
         self._failing_since: float | None = None
         self.state = topic_state.TopicState()
+        #: Monotonic seconds of the last read of all newest records.
+        self._snapshot_read_at = float('-inf')
         #: Monotonic seconds of the store's last answer, or of the last
         #: heartbeat of an entry that reads the store for this one.
         self.last_contact: float = 0
@@ -185,6 +194,7 @@
                     topic=self.topic.value, offset=self.state.next_offset
                 ).info('history was dropped')
                 read = self._read_newest
+                await self._limit_snapshot_rate()
             except errors.ClementinepassError as error:
                 self._record_outage(error)
                 pause = min(
@@ -236,7 +246,14 @@
         while not self.is_initialized and loop.time() < deadline:
             await asyncio.sleep(_PEER_POLL_SECONDS)
 
+    async def _limit_snapshot_rate(self) -> None:
+        now = asyncio.get_running_loop().time()
+        due_at = self._snapshot_read_at + _MIN_SNAPSHOT_INTERVAL_SECONDS
+        if now < due_at:
+            await asyncio.sleep(due_at - now)
+
     async def _read_newest(self) -> typing.Any:
+        self._snapshot_read_at = asyncio.get_running_loop().time()
         page = await self._store.newest(self.topic)
         self._record_contact()
         self._record_read(page)
@@ -245,6 +262,7 @@
 
     async def _read_changes(self) -> typing.Any:
         was_unreachable = not self.is_store_reachable
+        started_at = asyncio.get_running_loop().time()
         page = await self._store.changes(
             self.topic,
             self.state.next_offset,
@@ -258,6 +276,9 @@
             self.on_missed_changes()
         if self._has_changes:
             await self._limit_read_rate()
+        elif not was_unreachable:
+            due_at = started_at + _MIN_EMPTY_READ_SECONDS
+            await asyncio.sleep(due_at - asyncio.get_running_loop().time())
         return self._read_changes
 
     def _record_read(self, page: records.Page) -> None:
