Keep what is known when the store comes back from a copy

Callers got 404 on routes that had been added and were served by a configuration that had been replaced, and requests reached an endpoint 2.1 and 2.8 s after it had said that it leaves. The store had come back from a copy: it gave out again offsets that entries had passed, and they took the records there for old ones.

Offsets are now counted on from era to era: those of an era, which the header Store-Era tells in each answer, start at a multiple of 2^40, so that a peer that knows a newer era is ahead whatever the offsets. A read from an offset of an earlier era is not sent, and one that is open starts anew. When a newer era is seen, all newest records are read; one of them replaces what is known of its key only if its content is newer (versions, starts and heartbeat numbers), removals included, and an endpoint that is missing is used for 2.4 s more, in which it lists itself again.

The harness of test_follower waits two more steps of the loop, since reads are tasks of their own.

--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -97,6 +97,19 @@
         """Return the stamp that orders the records of an id."""
         return incarnations.Stamp(self.started_ms, self.heartbeat)
 
+    def is_newer_than(self, known: Listing) -> bool:
+        """Tell whether this record was written after a known one of its id.
+
+        Draining is final for one start, so that a record that says so counts.
+        """
+        order = incarnations.compare(known.stamp, self.stamp)
+        if order is incarnations.Order.NEW_START:
+            return True
+        if order is incarnations.Order.OLDER_START:
+            return False
+        is_drain = self.draining and not known.draining
+        return is_drain or self.heartbeat > known.heartbeat
+
     def has_moved_from(self, earlier: Listing) -> bool:
         """Tell whether service or address differ from an earlier record.
 
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -78,6 +78,7 @@
         self.peers.store_distances.measure = lambda: (
             adapters.store.min_connect_seconds
         )
+        adapters.store.on_new_era = self._restart_reads
         for topic, follower in self._followers.items():
             follower.schedule = self.peers.read_turns_by_topic[topic]
             follower.on_changes = self.peers.update_dependents
@@ -206,6 +207,12 @@
             'entry started',
         )
 
+    def _restart_reads(self, era: int) -> None:
+        """Start reads of earlier eras of the store anew, once this one ends."""
+        loop = asyncio.get_running_loop()
+        for follower in self._followers.values():
+            loop.call_soon(follower.restart_read, era)
+
     async def _become_ready(self) -> None:
         """Become ready once configuration and endpoints are known."""
         while not all(
--- a/clementinepass/direct/follower.py
+++ b/clementinepass/direct/follower.py
@@ -58,6 +58,10 @@
 _OUTAGE_AFTERMATH_SECONDS = 1.0
 #: Seconds between checks whether this process has to read the store itself.
 _IDLE_POLL_SECONDS = 0.1
+#: Seconds from the beginning of an era of the store after which an endpoint
+#: that it has not shown is gone: endpoints list themselves again within two
+#: seconds.
+_RELIST_SECONDS = 2.4
 #: Shortest interval of reads of all newest records, also if the store keeps
 #: telling that the history was dropped.
 _MIN_SNAPSHOT_INTERVAL_SECONDS = 0.5
@@ -76,13 +80,17 @@
     """Keeps up with one topic of the store.
 
     :param listener: called with each new record, removals included.
+    :param is_newer: compares the contents of two records of a key.
     """
 
     __slots__ = (
         '_read_ends_at',
         '_failing_since',
         '_has_changes',
+        '_is_read_outdated',
         '_is_reading',
+        '_pending_read',
+        '_read_era',
         '_snapshot_read_at',
         '_listener',
         '_last_change_at',
@@ -106,13 +114,20 @@
         topic: records.Topic,
         listener: Listener,
         rng: random.Random,
+        is_newer: topic_state.IsNewer | None = None,
     ) -> None:
         self._store = store
         self.topic = topic
         self._listener = listener
         self._rng = rng
         self._failing_since: float | None = None
-        self.state = topic_state.TopicState()
+        self.state = topic_state.TopicState(is_newer)
+        #: The read of changes that waits for an answer.
+        self._pending_read: asyncio.Task[records.Page] | None = None
+        #: The era of the offset that it starts from.
+        self._read_era = 0
+        #: Whether it was cancelled since the store has begun another era.
+        self._is_read_outdated = False
         #: Monotonic seconds of the last read of all newest records.
         self._snapshot_read_at = float('-inf')
         #: Monotonic seconds of the store's last answer, or of the last
@@ -210,6 +225,14 @@
         if page.outage_age is not None:
             ended = asyncio.get_running_loop().time() - page.outage_age
             self.outage_ended_at = max(self.outage_ended_at, ended)
+        if page.era < self.state.era:
+            return 0
+        if page.era > self.state.era and self.is_initialized:
+            if not page.is_snapshot:
+                return 0
+            self._begin_era(page)
+        elif not self.is_initialized and _has_earlier_records(page):
+            self._schedule_end_of_recovery(page.era)
         new_count = 0
         removed = self.state.implied_removals(page) if page.is_snapshot else ()
         for record in (*removed, *page.records):
@@ -234,12 +257,56 @@
 
         The listener must be idempotent: it may get a record twice.
         """
+        if page.era != self.state.era:
+            return self.apply(page)
         for record in page.records:
             self.state.apply(record)
             self._listener(record)
         self.state.next_offset = max(self.state.next_offset, page.next_offset)
         return len(page.records)
 
+    def _begin_era(self, page: records.Page) -> None:
+        """Begin an era of the store that a snapshot has shown."""
+        now = asyncio.get_running_loop().time()
+        self.outage_ended_at = max(
+            self.outage_ended_at, now - (page.outage_age or 0)
+        )
+        logger.bind(
+            topic=self.topic.value,
+            era=page.era,
+            offset=page.next_offset % records.ERA_SPAN,
+            before=self.state.next_offset % records.ERA_SPAN,
+        ).warning('store came back from a copy')
+        self.state.begin_era(page.next_offset)
+        self._schedule_end_of_recovery(page.era)
+        self.restart_read(page.era)
+
+    def _schedule_end_of_recovery(self, era: int) -> None:
+        if self.topic is records.Topic.ENDPOINTS:
+            asyncio.get_running_loop().call_later(
+                _RELIST_SECONDS, self._end_recovery, era
+            )
+
+    def _end_recovery(self, era: int) -> None:
+        """Remove the endpoints that have not listed themselves again."""
+        if self.state.era != era:
+            return
+        removals = self.state.end_recovery()
+        for removal in removals:
+            self.state.apply(removal)
+            self._listener(removal)
+        if removals and self.on_changes is not None:
+            self.on_changes()
+
+    def restart_read(self, era: int) -> None:
+        """Start the pending read anew if it is of an earlier era.
+
+        It may never be answered.
+        """
+        if self._pending_read is not None and self._read_era < era:
+            self._is_read_outdated = True
+            self._pending_read.cancel()
+
     async def _wait_for_peers(self) -> None:
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.peer_wait_seconds
@@ -263,11 +330,11 @@
     async def _read_changes(self) -> typing.Any:
         was_unreachable = not self.is_store_reachable
         started_at = asyncio.get_running_loop().time()
-        page = await self._store.changes(
-            self.topic,
-            self.state.next_offset,
-            0 if was_unreachable else self._wait_seconds(),
+        page = await self._wait_for_changes(
+            0 if was_unreachable else self._wait_seconds()
         )
+        if page is None:
+            return self._read_changes
         self._record_contact()
         self._record_read(page)
         self._has_changes = bool(page.records)
@@ -281,6 +348,22 @@
             await asyncio.sleep(due_at - asyncio.get_running_loop().time())
         return self._read_changes
 
+    async def _wait_for_changes(self, seconds: float) -> records.Page | None:
+        """Return the changes; ``None`` if the read has to start anew."""
+        self._read_era = self.state.era
+        self._is_read_outdated = False
+        self._pending_read = asyncio.ensure_future(
+            self._store.changes(self.topic, self.state.next_offset, seconds)
+        )
+        try:
+            return await self._pending_read
+        except asyncio.CancelledError:
+            if self._is_read_outdated:
+                return None
+            raise
+        finally:
+            self._pending_read = None
+
     def _record_read(self, page: records.Page) -> None:
         self.received_bytes_by_source[records.Source.STORE] += page.size_bytes
         if page.size_bytes >= _LONG_MESSAGE_BYTES:
@@ -358,3 +441,8 @@
             ).info('store regained')
             self._failing_since = None
             self.outage_ended_at = now
+
+
+def _has_earlier_records(page: records.Page) -> bool:
+    """Return whether some records are from an earlier era than the page."""
+    return any(records.era(record.offset) < page.era for record in page.records)
--- a/clementinepass/direct/intake.py
+++ b/clementinepass/direct/intake.py
@@ -89,12 +89,14 @@
             records.Topic.OPERATOR,
             self._apply_operator_record,
             rng,
+            self._is_newer_operator_record,
         )
         self._endpoint_follower = follower.Follower(
             store,
             records.Topic.ENDPOINTS,
             self._apply_endpoint_record,
             rng,
+            self._is_newer_listing,
         )
         self._cluster.last_store_contact = self._last_operator_contact
         return {
@@ -134,6 +136,32 @@
         elif decoded is not None:
             self._cluster.apply_configuration(decoded)
 
+    def _is_newer_operator_record(
+        self, record: records.Record, known: records.Record
+    ) -> bool:
+        """Return whether a record has a higher version than the known one."""
+        try:
+            decoded = self._decoders.operator(record)
+            decoded_known = self._decoders.operator(known)
+        except errors.MalformedMessageError:
+            return True
+        if decoded is None or decoded_known is None:
+            return True
+        return decoded.version > decoded_known.version
+
+    def _is_newer_listing(
+        self, record: records.Record, known: records.Record
+    ) -> bool:
+        """Return whether an endpoint wrote a listing after the known one."""
+        try:
+            listing = self._decoders.endpoint(record)
+            known_listing = self._decoders.endpoint(known)
+        except errors.MalformedMessageError:
+            return True
+        if listing is None or known_listing is None:
+            return True
+        return listing.is_newer_than(known_listing)
+
     def _apply_endpoint_record(self, record: records.Record) -> None:
         try:
             listing = self._decoders.endpoint(record)
--- a/clementinepass/direct/records.py
+++ b/clementinepass/direct/records.py
@@ -6,6 +6,21 @@
 import ipaddress
 import typing
 
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+#: Number of offsets in one era of the store. It begins a new era when it comes
+#: back from a copy, and gives out again the offsets of records that were lost.
+#: So that offsets grow nevertheless, those of each era start at a multiple of
+#: this number.
+ERA_SPAN = 2**40
+
+
+def era(offset: int) -> int:
+    """Return the era of the store in which an offset was given out."""
+    return offset // ERA_SPAN
+
 
 class Topic(enum.Enum):
     """A topic of the store that a process follows."""
@@ -31,7 +46,8 @@
 class Record(typing.NamedTuple):
     """The value of a key at an offset.
 
-    :param offset: the position in the topic; grows with each record.
+    :param offset: the position in the topic; grows with each record, and from
+        one era of the store to the next.
     :param payload: the value; ``None`` if the key was removed.
     """
 
@@ -56,6 +72,11 @@
     is_snapshot: bool = False
     size_bytes: int = 0
 
+    @property
+    def era(self) -> int:
+        """Return the era of the store from which the records are."""
+        return era(self.next_offset)
+
     @property
     def ips(self) -> list[str]:
         """Return the keys that are IP addresses, as the keys of entries are.
@@ -73,6 +94,9 @@
     def min_connect_seconds(self) -> float:
         """Return the shortest time to connect; infinite before the first."""
 
+    #: Called with a newer era of the store when an answer tells of one.
+    on_new_era: Callable[[int], None] | None
+
     async def newest(self, topic: Topic) -> Page:
         """Return the newest record of each key.
 
@@ -83,7 +107,8 @@
         """Return the records from an offset on; wait if there is none yet.
 
         :param wait: the longest wait for a record, in seconds.
-        :raises RecordsExpiredError: the offset is no longer kept.
+        :raises RecordsExpiredError: the offset is no longer kept, or is of an
+            earlier era.
         :raises PlatformUnavailableError: the store did not answer.
         """
 
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -108,6 +108,7 @@
     'engine': Field('str', 'address of the engine'),
     'error': Field('str', 'the error, with the step and the peer'),
     'events': Field('int', 'events of the answer that the caller received'),
+    'era': Field('int', 'how often the store came back from a copy'),
     'execution': Field(
         'str', 'whether the endpoint ran the request: not_run or may_have_run'
     ),
@@ -374,6 +375,11 @@
         'seconds',
         'the process did nothing, or one thing, for so long; requests waited',
     ),
+    'store came back from a copy': Kind(
+        'topic era offset before',
+        'what was written since the copy is lost; what is known here is kept '
+        'until the store shows something newer',
+    ),
     'records taken from a peer': Kind(
         'peer topic news offset bytes seconds',
         'the peer had read further in the topic',
--- a/clementinepass/platform/store.py
+++ b/clementinepass/platform/store.py
@@ -13,6 +13,9 @@
 from clementinepass.http import channel, messages, pool
 from clementinepass.platform import decoding
 
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
 #: The store's names of the topics. The first two belong to other writers; this
 #: system only reads them.
 _NAME_BY_TOPIC = {
@@ -23,6 +26,10 @@
 _LENGTH_BYTES = 4
 _OFFSET_BYTES = 8
 _MS_PER_SECOND = 1000
+#: Header of all answers. It rises by one when the store comes back from a copy;
+#: a store that does not send it has never done so.
+_ERA_HEADER = b'store-era'
+_FIRST_ERA = 1
 _GONE = 410
 _TOO_MANY_REQUESTS = 429
 _OK = 200
@@ -55,6 +62,8 @@
     has_more: bool = False
     #: Size of the encoded page.
     size_bytes: int = 0
+    #: Era of the store, counted from 0.
+    era: int = 0
 
 
 class HttpStore:
@@ -65,13 +74,17 @@
     :param address: the store's address, ``host:port``.
     """
 
-    __slots__ = ('_address', '_pool', 'call_count')
+    __slots__ = ('_address', '_era', '_pool', 'call_count', 'on_new_era')
 
     def __init__(self, address: str) -> None:
         self._address = address
         self._pool = pool.Pool.from_address(address)
+        #: The newest era of the store in any answer, counted from 0.
+        self._era = 0
         #: Number of calls made so far.
         self.call_count = 0
+        #: Called with a newer era when an answer tells of one.
+        self.on_new_era: Callable[[int], None] | None = None
 
     @property
     def min_connect_seconds(self) -> float:
@@ -86,21 +99,30 @@
         returned page therefore ends at the end offset of a request made before
         all others, and records written meanwhile are read a second time.
 
-        :raises PlatformUnavailableError: the store did not answer.
+        :raises PlatformUnavailableError: the store did not answer, or came back
+            from a copy meanwhile.
         """
         first_page = await self._newest_page(topic, '')
-        end = first_page.end_offset
+        first_offset = first_page.era * records.ERA_SPAN
         after = ''
         newest_records: list[records.Record] = []
         size = first_page.size_bytes
         while True:
             page = await self._newest_page(topic, after)
             size += page.size_bytes
-            newest_records.extend(map(_decode_newest, page.entries))
+            if page.era != first_page.era:
+                raise errors.PlatformUnavailableError(
+                    f'era {page.era} follows {first_page.era} while it is read',
+                    step='newest',
+                    peer=self._address,
+                )
+            newest_records.extend(
+                _decode_newest(entry, first_offset) for entry in page.entries
+            )
             if not (page.has_more and page.entries):
                 return records.Page(
                     tuple(newest_records),
-                    end,
+                    first_offset + first_page.end_offset,
                     is_snapshot=True,
                     size_bytes=size,
                 )
@@ -114,15 +136,22 @@
     ) -> records.Page:
         """Return the records from an offset on.
 
+        The offsets of an earlier era have been given out again: what the store
+        has there now are other records.
+
         :param wait: seconds to wait for a record if there is none yet.
-        :raises RecordsExpiredError: the offset is no longer retained.
+        :raises RecordsExpiredError: the offset is no longer retained, or is of
+            an earlier era.
         :raises PlatformUnavailableError: the store did not answer in time.
         :raises MalformedMessageError: a record is truncated.
         """
+        era, store_offset = divmod(offset, records.ERA_SPAN)
+        if era < self._era:
+            raise self._expired_error()
         query = {
             'topic': _NAME_BY_TOPIC[topic],
             'part': 0,
-            'from': offset,
+            'from': store_offset,
             'waitMs': int(wait * _MS_PER_SECOND),
         }
         answer = await self._call(
@@ -133,12 +162,8 @@
             if wait
             else _READ_TIMEOUT_SECONDS,
         )
-        if answer.status == _GONE:
-            raise errors.RecordsExpiredError(
-                step='read',
-                peer=self._address,
-                oldest=0,
-            )
+        if answer.status == _GONE or _era(answer, era) != era:
+            raise self._expired_error()
         self._check(answer, 'read')
         try:
             return _decode_page(answer.body, offset)
@@ -191,6 +216,7 @@
             self._address,
         )
         page.size_bytes = len(answer.body)
+        page.era = _era(answer, self._era)
         return page
 
     async def _call(
@@ -211,13 +237,27 @@
         )
         self.call_count += 1
         try:
-            return await pool.fetch(self._pool, request, seconds)
+            answer = await pool.fetch(self._pool, request, seconds)
         except channel.ChannelBrokenError as error:
             raise errors.PlatformUnavailableError(
                 error.detail,
                 step=operation,
                 peer=self._address,
             ) from error
+        self._record_era(_era(answer, self._era))
+        return answer
+
+    def _record_era(self, era: int) -> None:
+        if era <= self._era:
+            return
+        self._era = era
+        if self.on_new_era is not None:
+            self.on_new_era(era)
+
+    def _expired_error(self) -> errors.RecordsExpiredError:
+        return errors.RecordsExpiredError(
+            step='read', peer=self._address, oldest=0
+        )
 
     def _check(self, answer: pool.Answer, step: str) -> None:
         if answer.status == _OK:
@@ -242,14 +282,23 @@
         )
 
 
-def _decode_newest(newest: _NewestRecord) -> records.Record:
+def _era(answer: pool.Answer, default: int) -> int:
+    """Return the era of the store in an answer, counted from 0."""
+    header = answer.headers.get(_ERA_HEADER)
+    if header is None or not header.isdigit():
+        return default
+    return max(int(header) - _FIRST_ERA, 0)
+
+
+def _decode_newest(newest: _NewestRecord, first_offset: int) -> records.Record:
     try:
         payload = base64.b64decode(newest.value)
     except ValueError:
         # The decoder of records reports it and skips this record alone.
         payload = newest.value.encode()
     # An empty value marks a removed key.
-    return records.Record(newest.key, newest.offset, payload or None)
+    offset = first_offset + newest.offset
+    return records.Record(newest.key, offset, payload or None)
 
 
 def _decode_page(body: bytes, offset: int) -> records.Page:
--- a/tests/direct/test_follower.py
+++ b/tests/direct/test_follower.py
@@ -75,7 +75,9 @@
         task = asyncio.create_task(topic_follower.run())
         while store.answers:
             await asyncio.sleep(0)
-        await asyncio.sleep(0)
+        # Reads of changes are tasks of their own.
+        for _ in range(3):
+            await asyncio.sleep(0)
         task.cancel()
 
     asyncio.run(scenario(received.append))
