Write the list of entries again after the store came back from a copy

What the system itself wrote is gone, too: the list of entries, by which processes find each other that start where no seed answers. The few entries that read the store now compare the list with the members that they know, and write those that are missing in one call, within a second or two.

--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -235,18 +235,44 @@
             try:
                 page = await store.newest(records.Topic.ENTRIES)
                 self.peers.contact(page.ips)
-                if not any(
-                    record.key == self._local_node.ip for record in page.records
-                ):
-                    await store.put(
-                        records.Topic.ENTRIES, self._local_node.ip, b'1'
-                    )
+                await self._register({self._local_node.ip}, page)
                 break
             except errors.ClementinepassError as error:
                 logger.info('entries not read: {}', error)
             await asyncio.sleep(_CLEANUP_SECONDS)
-        # Wait forever: a job that returns is started again.
-        await asyncio.Event().wait()
+        await self._restore_registrations()
+
+    async def _restore_registrations(self) -> None:
+        """Register all entries again when the store came back from a copy.
+
+        Only the few entries that read the store do it, in one call each.
+        """
+        operator = self._followers[records.Topic.OPERATOR]
+        era = operator.state.era
+        while True:
+            await asyncio.sleep(_CLEANUP_SECONDS)
+            if operator.state.era == era or not operator.is_reading:
+                continue
+            newer_era = operator.state.era
+            ips = {self._local_node.ip, *self._other_entries()}
+            try:
+                page = await self._adapters.store.newest(records.Topic.ENTRIES)
+                await self._register(ips, page)
+                era = newer_era
+            except errors.ClementinepassError as error:
+                logger.info('entries not read: {}', error)
+
+    async def _register(self, ips: set[str], page: records.Page) -> None:
+        """Write the entries that are missing in a list.
+
+        :param ips: the IP addresses of the entries.
+        :param page: the newest records of the list.
+        """
+        missing = ips.difference(record.key for record in page.records)
+        if missing:
+            await self._adapters.store.put(
+                records.Topic.ENTRIES, dict.fromkeys(sorted(missing), b'1')
+            )
 
     async def _clean_up(self) -> None:
         loop = asyncio.get_running_loop()
--- a/clementinepass/direct/records.py
+++ b/clementinepass/direct/records.py
@@ -7,7 +7,7 @@
 import typing
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
 
 #: Number of offsets in one era of the store. It begins a new era when it comes
@@ -112,11 +112,13 @@
         :raises PlatformUnavailableError: the store did not answer.
         """
 
-    async def put(self, topic: Topic, key: str, payload: bytes) -> None:
-        """Write the newest record of a key.
+    async def put(
+        self, topic: Topic, payload_by_key: Mapping[str, bytes]
+    ) -> None:
+        """Write the newest records of some keys, all or none.
 
         :raises PlatformUnavailableError: the store did not answer; the
-            record may have been written.
+            records may have been written.
         """
 
 
--- a/clementinepass/platform/store.py
+++ b/clementinepass/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import itertools
 import typing
 import urllib.parse
 
@@ -14,7 +15,7 @@
 from clementinepass.platform import decoding
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
 #: The store's names of the topics. The first two belong to other writers; this
 #: system only reads them.
@@ -173,23 +174,19 @@
     async def put(
         self,
         topic: records.Topic,
-        key: str,
-        payload: bytes,
+        payload_by_key: Mapping[str, bytes],
     ) -> None:
-        """Write a record, which replaces the key's previous one.
+        """Write records, which replace the keys' previous ones; all or none.
 
         :raises PlatformUnavailableError: the store did not answer; the
-            record may have been written.
+            records may have been written.
         """
-        name = key.encode()
-        record = bytes((len(name),)) + name + payload
-        framed_record = len(record).to_bytes(_LENGTH_BYTES, 'big') + record
         query = {'topic': _NAME_BY_TOPIC[topic], 'part': 0}
         answer = await self._call(
             'POST',
             'log-append',
             query,
-            body=framed_record,
+            body=b''.join(itertools.starmap(_frame, payload_by_key.items())),
             seconds=_CALL_TIMEOUT_SECONDS,
         )
         self._check(answer, 'append')
@@ -290,6 +287,12 @@
     return max(int(header) - _FIRST_ERA, 0)
 
 
+def _frame(key: str, payload: bytes) -> bytes:
+    name = key.encode()
+    record = bytes((len(name),)) + name + payload
+    return len(record).to_bytes(_LENGTH_BYTES, 'big') + record
+
+
 def _decode_newest(newest: _NewestRecord, first_offset: int) -> records.Record:
     try:
         payload = base64.b64decode(newest.value)
--- a/tests/direct/test_follower.py
+++ b/tests/direct/test_follower.py
@@ -13,7 +13,7 @@
 from standins import skipped_time
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
 TOPIC = records.Topic.OPERATOR
 
@@ -45,7 +45,9 @@
         """Return the next answer."""
         return await self._next(f'from {offset}')
 
-    async def put(self, topic: records.Topic, key: str, payload: bytes) -> None:
+    async def put(
+        self, topic: records.Topic, payload_by_key: Mapping[str, bytes]
+    ) -> None:
         """Do nothing."""
 
     async def _next(self, call: str) -> records.Page:
