--- a/benchmarks/day.py
+++ b/benchmarks/day.py
@@ -1,4 +1,4 @@
-"""Play a day: ``scripts/bench day [--heavy] [--restarts] [--pauses]``.
+"""Play a day: ``scripts/bench day``, with ``--heavy`` and other options.
 
 Entries and agents run here as they do on machines, around engines that work in
 passes, a store, an origin and callers that follow the pages, all in one process
@@ -7,7 +7,8 @@
 and the origin gone while it spreads.  On a day with restarts one engine
 crashes several times and starts again under its id, holding nothing.  On a day
 with pauses one engine, and then all of them, turn everything away and ask for a
-time without requests.
+time without requests.  On a day with drills, routes are added by the thousand,
+and the store comes back twice from a copy that lacks the last changes.
 """
 
 from __future__ import annotations
@@ -23,7 +24,7 @@
 from loguru import logger
 
 from clementinepass.direct import node
-from standins import following_callers, machines, stepping_engine
+from standins import drills, following_callers, machines, stepping_engine
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -54,6 +55,12 @@
 #: Seconds from an engine's start until the list has its word.
 _UNLISTED_SECONDS = 0.4
 _STREAM = b'/stream/a'
+#: Routes that are added on a day with drills.
+_ADDED_ROUTES = 2000
+#: Seconds for which the store is away in a drill, and after which the operator
+#: and the engines write again what was lost.
+_DRILL_SECONDS = 0.4
+_REWRITE_SECONDS = 0.5
 _CONFIG: dict[str, typing.Any] = {
     'version': 1,
     'routes': [{**machines.STREAM_ROUTE, 'service': 'pool'}],
@@ -90,12 +97,15 @@
         heavy: bool,
         restarts: bool = False,
         pauses: bool = False,
+        store_drills: bool = False,
     ) -> None:
         self._seconds = seconds
         self._rng = random.Random(seed)
         self._heavy = heavy
         self._restarts = restarts
         self._pauses = pauses
+        self._store_drills = store_drills
+        self._went_back: list[str] = []
         self.engines = [
             stepping_engine.SteppingEngine(
                 f'i-{number}',
@@ -131,6 +141,8 @@
                     tasks.create_task(self._restart_engine(world))
                 if self._pauses:
                     tasks.create_task(self._shed())
+                if self._store_drills:
+                    tasks.create_task(self._drill(world))
                 await self._send(tasks)
 
     async def _send(self, tasks: asyncio.TaskGroup) -> None:
@@ -185,9 +197,37 @@
             one.retry_after = _SHORT_PAUSE_SECONDS
             one.shed_until = time.monotonic() + part / 2
 
+    async def _drill(self, world: machines.Machines) -> None:
+        """Add routes and let the store come back from an older copy, twice."""
+        watch = drills.Watch(world)
+        watching = asyncio.create_task(watch.run())
+        part = self._seconds / 5
+        for version in (2, 3):
+            world.store.make_copy()
+            config = drills.long_configuration(
+                version, _ADDED_ROUTES, world.config
+            )
+            world.configure(config)
+            await asyncio.sleep(part)
+            world.store.down = True
+            await asyncio.sleep(_DRILL_SECONDS)
+            world.store.restore_copy()
+            await asyncio.sleep(_REWRITE_SECONDS)
+            world.configure(config)
+            world.list_engines()
+            await asyncio.sleep(part)
+            watch.broken.extend(
+                f'version {version} is not in force'
+                for one in world.entries
+                if one.cluster.configuration_version < version
+            )
+        watching.cancel()
+        self._went_back = watch.broken
+
     def broken(self) -> list[str]:
         """Return what was against the rules, a line each."""
         found = list(self.callers.broken)
+        found.extend(f'CONFIG {line}' for line in self._went_back)
         runs = [run for one in self.engines for run in one.runs]
         times = collections.Counter(run.id for run in runs)
         for name in self.callers.promised & set(times):
@@ -258,6 +298,7 @@
     parser.add_argument('--heavy', action='store_true')
     parser.add_argument('--restarts', action='store_true')
     parser.add_argument('--pauses', action='store_true')
+    parser.add_argument('--drills', action='store_true')
     parser.add_argument('--seconds', type=float, default=20)
     parser.add_argument('--seed', type=int, default=1)
     options = parser.parse_args()
@@ -268,6 +309,7 @@
         heavy=options.heavy,
         restarts=options.restarts,
         pauses=options.pauses,
+        store_drills=options.drills,
     )
     asyncio.run(day.play())
     report(day, print)
--- a/standins/drills.py
+++ b/standins/drills.py
@@ -99,7 +99,11 @@
         self._world.configure(long_configuration(version, count))
 
 
-def long_configuration(version: int, routes: int) -> dict[str, typing.Any]:
+def long_configuration(
+    version: int,
+    routes: int,
+    first: dict[str, typing.Any] = machines.CONFIG,
+) -> dict[str, typing.Any]:
     """Return a configuration with some routes more than the first one.
 
     The timeout of one of them is that of the version.
@@ -121,11 +125,7 @@
     ]
     if added:
         added[routes // 2]['timeoutMs'] = 5000 + version
-    return {
-        **machines.CONFIG,
-        'version': version,
-        'routes': machines.CONFIG['routes'] + added,
-    }
+    return {**first, 'version': version, 'routes': first['routes'] + added}
 
 
 def list_endpoint(
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -152,6 +152,8 @@
         self.engines = list(engines)
         self._duties = duties or node.SystemLimits(version=1.5)
         self._config = config or CONFIG
+        #: The first configuration, with the origin.
+        self.config = self._config
         self.desk = direct_endpoint.DirectEndpoint('i-desk')
         self._added_desks: list[direct_endpoint.DirectEndpoint] = []
         self.entries: list[entry.Entry] = []
@@ -171,7 +173,8 @@
         await self.origin.listen('127.0.0.1')
         origin = {'name': 'o', 'origin': self.origin.address, 'zone': 'a'}
         services = [*self._config['services'], origin]
-        self.configure({**self._config, 'services': services})
+        self.config = {**self._config, 'services': services}
+        self.configure(self.config)
         self.list_desk()
         for ip in self.entry_ips:
             self._start_entry(ip)
--- a/tests/direct/test_day.py
+++ b/tests/direct/test_day.py
@@ -50,6 +50,17 @@
         kinds = {outcome.kind for outcome in pauses.callers.told}
         self.assertLessEqual(kinds, {'in aim', 'late', 'refused'})
 
+    def test_drills(self) -> None:
+        """Routes are added by the thousand, and the store loses them twice.
+
+        Entries keep what they know, and each caller gets its complete answer.
+        """
+        drilled = day.Day(8, 1, heavy=False, store_drills=True)
+        asyncio.run(drilled.play())
+        self.assertEqual([], drilled.broken())
+        kinds = {outcome.kind for outcome in drilled.callers.told}
+        self.assertLessEqual(kinds, {'in aim', 'late'})
+
     def test_heavy(self) -> None:
         """A heavy day breaks no rule, and all engines get the new version.
 
