--- a/clementinepass/direct/catching_up.py
+++ b/clementinepass/direct/catching_up.py
@@ -348,13 +348,13 @@
     :raises MalformedMessageError: the body can't be decoded.
     """
     encoding = answer.headers.get(b'content-encoding') or b''
-    base_offset = answer.headers.get(record_compression.BASE_HEADER.lower())
-    base = b'' if base_offset is None else state.base(int(base_offset))
+    base_offset = record_compression.base_offset(answer.headers)
+    base = b'' if base_offset is None else state.base(base_offset)
     try:
         body = record_compression.decompress(answer.body, encoding, peer, base)
     except errors.MalformedMessageError:
         if base_offset is not None:
             # The peer's record differs. The next request names another one.
-            state.drop_base(int(base_offset))
+            state.drop_base(base_offset)
         raise
     return wire_heartbeats.read_records(body, peer)
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -396,7 +396,9 @@
                 records.Topic.ENDPOINTS, now
             ),
             operator_contact_age=self._contact_age(records.Topic.OPERATOR, now),
-            store_distances=dict(self.store_distances.seconds_by_region),
+            store_distances=(
+                dict(self.store_distances.seconds_by_region) if full else {}
+            ),
             desired_versions=(
                 self._cluster.desired_versions(now)
                 if full or wants_load
--- a/clementinepass/direct/record_compression.py
+++ b/clementinepass/direct/record_compression.py
@@ -6,12 +6,16 @@
 
 from __future__ import annotations
 
+import typing
 import zlib
 
 from backports import zstd
 
 from clementinepass import errors
 
+if typing.TYPE_CHECKING:
+    from clementinepass.http import messages
+
 #: Names of the encodings in ``Accept-Encoding`` and ``Content-Encoding``.
 ZSTD = b'zstd'
 DEFLATE = b'deflate'
@@ -31,6 +35,12 @@
 _STEP = 'read records'
 
 
+def base_offset(headers: messages.Headers) -> int | None:
+    """Return the offset of the base that a message names; ``None`` for none."""
+    offset = headers.get(BASE_HEADER.lower())
+    return int(offset) if offset is not None and offset.isdigit() else None
+
+
 def deflate(body: bytes) -> bytes:
     """Return compressed bytes for peers that do not know the base."""
     return zlib.compress(body, _FASTEST_DEFLATE)
--- a/clementinepass/direct/record_server.py
+++ b/clementinepass/direct/record_server.py
@@ -141,10 +141,8 @@
     headers: messages.Headers, state: topic_state.TopicState
 ) -> int | None:
     """Return the offset of the peer's base if it is known here."""
-    offset = headers.get(record_compression.BASE_HEADER.lower())
-    if offset is None or not state.base(int(offset)):
-        return None
-    return int(offset)
+    offset = record_compression.base_offset(headers)
+    return offset if offset is not None and state.base(offset) else None
 
 
 def _encode(page: records.Page, encoding: bytes, base: bytes) -> bytes:
