Leave a request alone whose caller closed before it was read

Where a request and the close behind it are read together, the request was handled first and reached an endpoint. Its handler now begins one step of the event loop later, when the close has been seen.

test_front.test_caller_has_left_before failed (two requests handled instead of one) and passes.

--- a/clementinepass/http/connection.py
+++ b/clementinepass/http/connection.py
@@ -350,6 +350,11 @@
     async def _serve(self, request: messages.Request) -> None:
         reply = replies.Reply(self)
         try:
+            # The caller's close may be there to read: its request waited in
+            # this process or on the way for longer than the caller did.
+            await asyncio.sleep(0)
+            if self._transport.is_closing():
+                return
             await self._front.handler(request, reply)
         except asyncio.CancelledError:
             self._transport.abort()
--- a/tests/http/test_front.py
+++ b/tests/http/test_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import typing
 
 import testtools
@@ -244,6 +245,25 @@
 
         run(exchange_bytes)
 
+    def test_caller_has_left_before(self) -> None:
+        """A request is not handled if its caller closed before it was read.
+
+        It may have waited in a busy process or on a full link for so long that
+        its caller gave up.
+        """
+
+        async def exchange_bytes(echo_front: EchoFront) -> None:
+            # Blocking calls: both are there before the front reads either.
+            with socket.create_connection((HOST, echo_front.port)) as caller:
+                caller.sendall(HEAD + b'\r\n')
+            answer = await echo_front.exchange(
+                HEAD + b'Connection: close\r\n\r\n'
+            )
+            self.assertTrue(answer.endswith(b'GET/a'))
+            self.assertEqual(1, len(echo_front.requests))
+
+        run(exchange_bytes)
+
     def test_draining(self) -> None:
         """A draining front closes each connection after its next answer."""
 
