--- a/tests/direct/test_store_drills.py
+++ b/tests/direct/test_store_drills.py
@@ -121,15 +121,19 @@
         self.assertThat(in_force, matchers.LessThan(BOUND_SECONDS))
         self.assertThat(drained, matchers.LessThan(BOUND_SECONDS))
 
+    async def change_and_check(self, drill: Drill) -> None:
+        """Check changes that are written a second after the return."""
+        await asyncio.sleep(1)
+        drill.operator.configure()
+        drill.drain()
+        await self.check_changes(drill)
+
     def test_offsets_ahead_of_the_store(self) -> None:
         """The store ends before the offsets that entries have read."""
 
         async def scenario(drill: Drill) -> None:
             await drill.come_back()
-            await asyncio.sleep(1)
-            drill.operator.configure()
-            drill.drain()
-            await self.check_changes(drill)
+            await self.change_and_check(drill)
 
         for entries, regions in CASES:
             run(scenario, entries, regions)
@@ -174,10 +178,7 @@
         async def scenario(drill: Drill) -> None:
             drill.store.silence()
             await drill.come_back()
-            await asyncio.sleep(1)
-            drill.operator.configure()
-            drill.drain()
-            await self.check_changes(drill)
+            await self.change_and_check(drill)
 
         for entries, regions in CASES:
             run(scenario, entries, regions)
@@ -190,10 +191,7 @@
             await asyncio.sleep(1)
             drill.store.make_copy()
             await drill.come_back()
-            await asyncio.sleep(1)
-            drill.operator.configure()
-            drill.drain()
-            await self.check_changes(drill)
+            await self.change_and_check(drill)
 
         for entries, regions in CASES:
             run(scenario, entries, regions)
@@ -207,10 +205,7 @@
             drill.world.add_entry()
             await asyncio.sleep(0.4)
             drill.store.restore_copy()
-            await asyncio.sleep(1)
-            drill.operator.configure()
-            drill.drain()
-            await self.check_changes(drill)
+            await self.change_and_check(drill)
 
         run(scenario)
         run(scenario, 3, 1)
--- a/tests/platform/test_machines.py
+++ b/tests/platform/test_machines.py
@@ -387,6 +387,8 @@
 
     def __init__(self, *script: tuple[int, bytes]) -> None:
         self.script = list(script)
+        #: The era that each answer tells, if any.
+        self.eras: list[int] = []
         self.requests: list[messages.Request] = []
         self._front = front.Front(self._handle)
         self.address = ''
@@ -405,7 +407,10 @@
     ) -> None:
         self.requests.append(request)
         status, body = self.script.pop(0)
-        reply.send(status, [], body)
+        pairs = []
+        if self.eras:
+            pairs.append((b'Store-Era', b'%d' % self.eras.pop(0)))
+        reply.send(status, pairs, body)
 
 
 def encode_page(*pairs: tuple[bytes, bytes]) -> bytes:
@@ -543,20 +548,109 @@
         asyncio.run(run_calls())
 
     def test_put(self) -> None:
-        """A record is encoded with length, key and value."""
+        """Records are encoded with length, key and value."""
 
         async def run_calls() -> None:
             async with ScriptedServer((200, b'{}')) as server:
                 await store.HttpStore(server.address).put(
-                    records.Topic.ENTRIES,
-                    'key',
-                    b'v',
+                    records.Topic.ENTRIES, {'key': b'v', 'k': b'xy'}
                 )
-            self.assertEqual(b'\0\0\0\5\3keyv', server.requests[0].body)
+            self.assertEqual(
+                b'\0\0\0\5\3keyv' + b'\0\0\0\4\1kxy',
+                server.requests[0].body,
+            )
 
         asyncio.run(run_calls())
 
 
+class EraTest(testtools.TestCase):
+    """The store came back from a copy and gives offsets out again."""
+
+    NEWEST = b'{"entries": [{"key": "a", "offset": 3, "value": "MQ=="}], '
+    NEWEST += b'"endOffset": 4, "hasMore": false}'
+
+    def run_calls(
+        self,
+        script: list[tuple[int, bytes]],
+        eras: list[int],
+        calls: typing.Callable[
+            [store.HttpStore, ScriptedServer], typing.Awaitable[None]
+        ],
+    ) -> None:
+        """Run calls to a store whose answers tell some eras."""
+
+        async def scenario() -> None:
+            async with ScriptedServer(*script) as server:
+                server.eras = eras
+                await calls(store.HttpStore(server.address), server)
+
+        asyncio.run(scenario())
+
+    def test_offsets_grow(self) -> None:
+        """Offsets of a newer era are higher than all earlier ones."""
+
+        async def calls(one: store.HttpStore, server: ScriptedServer) -> None:
+            page = await one.newest(records.Topic.OPERATOR)
+            self.assertEqual(2 * records.ERA_SPAN + 4, page.next_offset)
+            (record,) = page.records
+            self.assertEqual(2 * records.ERA_SPAN + 3, record.offset)
+            changes = await one.changes(
+                records.Topic.OPERATOR, page.next_offset, 0.5
+            )
+            self.assertEqual(page.next_offset + 1, changes.next_offset)
+            self.assertIn(b'from=4&', server.requests[-1].target)
+
+        script = [(200, self.NEWEST)] * 2 + [(200, encode_page((b'a', b'2')))]
+        self.run_calls(script, [3, 3, 3], calls)
+
+    def test_answer_of_a_newer_era(self) -> None:
+        """Records at offsets that were given out again are dropped."""
+        told: list[int] = []
+
+        async def calls(one: store.HttpStore, server: ScriptedServer) -> None:
+            one.on_new_era = told.append
+            error = await _raised(one.changes(records.Topic.OPERATOR, 4, 0.5))
+            self.assertIsInstance(error, errors.RecordsExpiredError)
+            # The next one is known to be of an earlier era.
+            error = await _raised(one.changes(records.Topic.OPERATOR, 4, 0.5))
+            self.assertIsInstance(error, errors.RecordsExpiredError)
+            self.assertEqual(1, len(server.requests))
+            self.assertEqual([1], told)
+
+        self.run_calls([(200, encode_page((b'a', b'2')))], [2], calls)
+
+    def test_rejected_write_tells_the_era(self) -> None:
+        """A refusal tells the era, too."""
+        told: list[int] = []
+
+        async def calls(one: store.HttpStore, server: ScriptedServer) -> None:
+            one.on_new_era = told.append
+            error = await _raised(one.put(records.Topic.ENTRIES, {'k': b'1'}))
+            self.assertIsInstance(error, errors.PlatformUnavailableError)
+            self.assertEqual([4], told)
+
+        self.run_calls([(503, b'')], [5], calls)
+
+    def test_pages_of_two_eras(self) -> None:
+        """Pages of the newest records from two eras are not put together."""
+
+        async def calls(one: store.HttpStore, server: ScriptedServer) -> None:
+            error = await _raised(one.newest(records.Topic.OPERATOR))
+            self.assertIsInstance(error, errors.PlatformUnavailableError)
+
+        self.run_calls([(200, self.NEWEST)] * 2, [1, 2], calls)
+
+
+async def _raised(
+    call: typing.Awaitable[typing.Any],
+) -> errors.ClementinepassError | None:
+    try:
+        await call
+    except errors.ClementinepassError as error:
+        return error
+    return None
+
+
 class EngineTest(testtools.TestCase):
     """The engine's and the origin's calls."""
 
