End a follower that is cancelled while its read starts anew

A read that was open when the store began another era is cancelled and started again. If the follower itself was cancelled in that moment, as when its process stops, the cancellation was taken for that of the read, and the process would have waited for it. test_cancelled_meanwhile failed and passes.

--- a/clementinepass/direct/follower.py
+++ b/clementinepass/direct/follower.py
@@ -358,7 +358,9 @@
         try:
             return await self._pending_read
         except asyncio.CancelledError:
-            if self._is_read_outdated:
+            task = asyncio.current_task()
+            is_stopping = task is not None and task.cancelling()
+            if self._is_read_outdated and not is_stopping:
                 return None
             raise
         finally:
--- a/tests/direct/test_follower.py
+++ b/tests/direct/test_follower.py
@@ -146,6 +146,28 @@
         self.assertEqual([b'x', None], [change.payload for change in received])
 
 
+class RestartedReadTest(testtools.TestCase):
+    """A pending read starts anew when the store has begun another era."""
+
+    def test_cancelled_meanwhile(self) -> None:
+        """A follower that is cancelled at that moment ends all the same."""
+
+        async def scenario() -> None:
+            store = ScriptedStore([records.Page((record('a', 3),), 4)])
+            topic_follower = follower.Follower(
+                store, TOPIC, lambda _: None, random.Random(1)
+            )
+            task = asyncio.create_task(topic_follower.run())
+            while 'from 4' not in store.calls:
+                await asyncio.sleep(0)
+            topic_follower.restart_read(1)
+            task.cancel()
+            await asyncio.wait([task], timeout=1)
+            self.assertTrue(task.cancelled())
+
+        asyncio.run(scenario())
+
+
 class TopicStateTest(testtools.TestCase):
     """Records are handed to peers that have read less far."""
 
