Inform all entries of a small region that read for themselves

Of a region of up to three entries all read; the third one was not among those whom entries of the nearest region inform, and would have read whole configurations where heartbeats don't go to all. Tests of the turns.

--- a/clementinepass/decisions/region_readers.py
+++ b/clementinepass/decisions/region_readers.py
@@ -41,10 +41,7 @@
     :param peer_ips: IP numbers of the other entries of its region that were
         heard from recently and are not draining.
     """
-    region_ips = [local_ip, *peer_ips]
-    if len(region_ips) <= _MAX_ALL_READERS:
-        return True
-    return local_ip in sorted(region_ips)[:_READERS_PER_REGION]
+    return local_ip in relays([local_ip, *peer_ips])
 
 
 def rank(local_ip: str, peer_ips: Iterable[str]) -> int:
@@ -56,9 +53,14 @@
 
 
 def relays(region_ips: Iterable[str]) -> list[str]:
-    """Return the entries of a region that fetch records from another one.
+    """Return the entries of a region that get records from outside it.
+
+    They read the store, or fetch its records from another region.
 
     :param region_ips: IP numbers of the region's entries that were heard from
         recently and are not draining.
     """
-    return sorted(region_ips)[:_READERS_PER_REGION]
+    ordered = sorted(region_ips)
+    if len(ordered) <= _MAX_ALL_READERS:
+        return ordered
+    return ordered[:_READERS_PER_REGION]
--- a/tests/decisions/test_region_readers.py
+++ b/tests/decisions/test_region_readers.py
@@ -35,6 +35,16 @@
         self.assertTrue(region_readers.is_reader('c', ['b', 'd', 'e']))
         self.assertFalse(region_readers.is_reader('d', ['b', 'c', 'e']))
 
+    def test_relays(self) -> None:
+        """The entries that read for a region are those that others inform."""
+        for ips in (['b', 'a'], ['c', 'b', 'a'], ['d', 'a', 'c', 'b', 'e']):
+            self.assertEqual(sorted(readers(ips)), region_readers.relays(ips))
+
+    def test_rank(self) -> None:
+        """Ranks follow the order of addresses, whoever reckons them."""
+        self.assertEqual(0, region_readers.rank('a', ['c', 'b']))
+        self.assertEqual(2, region_readers.rank('c', ['a', 'b', 'd']))
+
     def test_no_peers(self) -> None:
         """An entry that hears from no other reads."""
         self.assertTrue(region_readers.is_reader('z', []))
