Inform other regions of the operator's records only, and not by agents

Entries that fetch records for their region informed those of the other regions of each change of an endpoint, too, and agents, which count as readers, sent them each heartbeat. The age of the store's word in a refusal's line is now that of the store's last answer.

--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 import typing
 
@@ -81,7 +82,9 @@
         adapters.store.on_new_era = self._restart_reads
         for topic, follower in self._followers.items():
             follower.schedule = self.peers.read_turns_by_topic[topic]
-            follower.on_changes = self.peers.update_dependents
+            follower.on_changes = functools.partial(
+                self.peers.update_dependents, topic
+            )
             follower.on_missed_changes = self.peers.send_heartbeat
         self._subscribing = subscribing.LoadSubscriptions(
             local_node,
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -446,21 +446,25 @@
             extra.update(self._local_node.seeds, self._nearby_agents())
         far.extend(extra.difference(near, far))
         drawn = dissemination.choose_targets(near, far, self._rng)
-        return [*drawn, *self._dependents().difference(drawn)]
+        dependents = self._dependents() | self._informed_relays()
+        return [*drawn, *dependents.difference(drawn)]
 
-    def update_dependents(self) -> None:
+    def update_dependents(self, topic: records.Topic) -> None:
         """Announce new records at once to the entries that get them from here.
 
         An entry that fetches records for its region announces them to those of
         the other regions, too: the link of one of them to the nearest region
         may be full and lose datagrams. Processes that have just started and
         wait for records are answered, too.
+
+        :param topic: the topic of the new records.
         """
         now = asyncio.get_running_loop().time()
-        operator_turns = self.read_turns_by_topic[records.Topic.OPERATOR]
         ips = self._dependents()
-        if ips and operator_turns.is_relay(now):
-            ips |= operator_turns.relays(now)
+        if topic is records.Topic.OPERATOR:
+            operator_turns = self.read_turns_by_topic[topic]
+            if operator_turns.is_relay(now):
+                ips |= operator_turns.relays(now)
         self.send_to(list(ips))
         if not self.is_bootstrapping:
             self._bootstrap.reply_to_waiting(now)
@@ -469,8 +473,7 @@
         """Return the entries that get the store's records from this one.
 
         Each heartbeat goes to all of them, however many there are: an entry
-        that sees no reader of its region reads the store itself. Of the other
-        regions these are the entries that fetch the operator's records.
+        that sees no reader of its region reads the store itself.
         """
         if not any(
             topic_follower.is_reading
@@ -478,16 +481,24 @@
         ):
             return set()
         now = asyncio.get_running_loop().time()
-        dependents = {
+        return {
             member.ip
             for member in self.members.alive(now)
             if member.region == self._local_node.region
         }
+
+    def _informed_relays(self) -> set[str]:
+        """Return the entries of other regions that rely on reads of this one.
+
+        They fetch the operator's records, and read the store themselves if they
+        hear of no reader.
+        """
         operator = self._followers.get(records.Topic.OPERATOR)
-        if operator is not None and operator.is_reading:
-            turns_of_operator = self.read_turns_by_topic[operator.topic]
-            dependents |= turns_of_operator.relays(now)
-        return dependents
+        is_entry = bool(self._local_node.callers)
+        if operator is None or not (is_entry and operator.is_reading):
+            return set()
+        now = asyncio.get_running_loop().time()
+        return self.read_turns_by_topic[operator.topic].relays(now)
 
     def _nearby_agents(self) -> list[str]:
         """Return the agents of the local failure domain; none for an agent.
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -242,8 +242,8 @@
     'store_age': Field(
         'float or null',
         "seconds since the store last answered a read of the operator's "
-        'records, or a message came from an entry that reads them for this '
-        'one; null for never',
+        'records, here or at an entry that reads them for this one; null for '
+        'never',
     ),
     'congested': Field('bool', 'whether the link is congested'),
     'taken': Field('int', 'requests accepted since SIGTERM'),
