Notice a change that the readers of the store are not told of

With the operator's records read in one region only, two entries read them for all.

The first two entries of each region that do not read now ask the store each 0.9 s for the end of the topic, an answer without records. One that finds a change that has not arrived 0.25 s later reads itself for three seconds, and informs its region.

--- a/clementinepass/decisions/region_readers.py
+++ b/clementinepass/decisions/region_readers.py
@@ -30,6 +30,8 @@
 MAX_SILENCE_SECONDS = 1.2
 #: Entries of a region that read the store.
 _READERS_PER_REGION = 2
+#: Entries of a region that do not read and check that the readers do.
+_WATCHERS_PER_REGION = 2
 #: Number of entries in a region up to which all of them read, as their reads
 #: are few.
 _MAX_ALL_READERS = 3
@@ -64,3 +66,21 @@
     if len(ordered) <= _MAX_ALL_READERS:
         return ordered
     return ordered[:_READERS_PER_REGION]
+
+
+def is_watcher(
+    local_ip: str, peer_ips: Iterable[str], *, is_region_reading: bool
+) -> bool:
+    """Return whether the local entry checks that the readers are not behind.
+
+    The store may turn away the few entries that read while it serves others,
+    which then have to notice a change without them. So the first entries that
+    do not read ask it for the end of the topic only.
+
+    :param peer_ips: as for :func:`is_reader`.
+    :param is_region_reading: whether entries of this region read.
+    """
+    ordered = sorted([local_ip, *peer_ips])
+    if is_region_reading:
+        ordered = ordered[len(relays(ordered)) :]
+    return local_ip in ordered[:_WATCHERS_PER_REGION]
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -25,6 +25,7 @@
     path,
     records,
     request_log,
+    store_watch,
     subscribing,
     uptime,
 )
@@ -86,6 +87,12 @@
                 self.peers.update_dependents, topic
             )
             follower.on_missed_changes = self.peers.send_heartbeat
+        self._store_watch = store_watch.StoreWatch(
+            adapters.store,
+            self._followers[records.Topic.OPERATOR],
+            self.peers.read_turns_by_topic[records.Topic.OPERATOR],
+            rng,
+        )
         self._subscribing = subscribing.LoadSubscriptions(
             local_node,
             self.cluster,
@@ -183,6 +190,7 @@
                 self._clean_up,
                 self._become_ready,
                 self._subscribing.run,
+                self._store_watch.run,
             )
             running = [
                 tasks.create_task(background.keep_running(job)) for job in jobs
--- a/clementinepass/direct/records.py
+++ b/clementinepass/direct/records.py
@@ -97,6 +97,12 @@
     #: Called with a newer era of the store when an answer tells of one.
     on_new_era: Callable[[int], None] | None
 
+    async def end(self, topic: Topic) -> int:
+        """Return the offset of the next record, without reading any.
+
+        :raises PlatformUnavailableError: the store did not answer.
+        """
+
     async def newest(self, topic: Topic) -> Page:
         """Return the newest record of each key.
 
--- a/clementinepass/direct/turns.py
+++ b/clementinepass/direct/turns.py
@@ -14,6 +14,10 @@
     from clementinepass.direct import node, store_distances
 
 
+#: Seconds for which an entry reads after it has found the readers behind.
+_SUBSTITUTE_SECONDS = 3.0
+
+
 class ReadTurns:
     """Decides whether this entry reads a topic, and how long reads wait.
 
@@ -29,6 +33,7 @@
         '_members',
         '_nearest_read_at',
         '_read_end_by_ip',
+        '_reads_until',
     )
 
     def __init__(
@@ -45,6 +50,8 @@
         #: Monotonic seconds at which an entry of the region nearest to the
         #: store last announced a pending read.
         self._nearest_read_at = float('-inf')
+        #: Monotonic seconds until which this entry reads whatever others do.
+        self._reads_until = float('-inf')
 
     def update(self, ip: str, region: str, seconds: float, now: float) -> None:
         """Record the seconds until an entry's pending read ends; 0 for none.
@@ -64,15 +71,32 @@
         It does so for its region; if another region is nearer to the store,
         only while no entry there is known to read.
         """
+        if now < self._reads_until:
+            return True
         if not region_readers.is_reader(
             self._local_node.ip, self._nearby_ips(now)
         ):
             return False
-        if self._distances is None or self._distances.is_local_nearest:
+        if self._is_region_reading:
             return True
         silence = now - self._nearest_read_at
         return silence > region_readers.MAX_SILENCE_SECONDS
 
+    def read_for_a_while(self, now: float) -> None:
+        """Let this entry read, as those that others rely on are behind."""
+        self._reads_until = now + _SUBSTITUTE_SECONDS
+
+    def is_watcher(self, now: float) -> bool:
+        """Return whether this entry checks that the readers are not behind.
+
+        These are the first two of a region that do not read.
+        """
+        return region_readers.is_watcher(
+            self._local_node.ip,
+            self._nearby_ips(now),
+            is_region_reading=self._is_region_reading,
+        )
+
     def rank(self, now: float) -> int:
         """Return the position of this entry in the order of its region."""
         return region_readers.rank(self._local_node.ip, self._nearby_ips(now))
@@ -95,6 +119,11 @@
             for ip in region_readers.relays(ips)
         }
 
+    @property
+    def _is_region_reading(self) -> bool:
+        """Return whether entries of this region read the topic."""
+        return self._distances is None or self._distances.is_local_nearest
+
     def _nearby_ips(self, now: float) -> list[str]:
         return [
             member.ip
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -375,6 +375,14 @@
         'seconds',
         'the process did nothing, or one thing, for so long; requests waited',
     ),
+    'readers of the store are behind': Kind(
+        'topic offset before',
+        'the store has records that have not arrived from the entries that '
+        'read it for this one, which now reads itself for a while',
+    ),
+    'end of records not read': Kind(
+        '', 'the store did not tell the end of a topic; it is asked again'
+    ),
     'store came back from a copy': Kind(
         'topic era offset before',
         'what was written since the copy is lost; what is known here is kept '
--- a/clementinepass/platform/store.py
+++ b/clementinepass/platform/store.py
@@ -41,6 +41,10 @@
 #: It is less than ``_READ_TIMEOUT_SECONDS``: a connection may have died during
 #: the wait, which only another read can show.
 _LONG_READ_GRACE_SECONDS = 0.6
+#: Timeout of a read of the end of a topic.
+_END_TIMEOUT_SECONDS = 0.8
+#: A key behind all others.
+_LAST_KEY = '\U0010ffff'
 #: Timeout of a write or of a read of the newest records; a slow store needs
 #: most of it.
 _CALL_TIMEOUT_SECONDS = 2.5
@@ -92,6 +96,14 @@
         """Return the shortest time to connect; infinite before the first."""
         return self._pool.min_connect_seconds
 
+    async def end(self, topic: records.Topic) -> int:
+        """Return the offset of the next record, without reading any.
+
+        :raises PlatformUnavailableError: the store did not answer.
+        """
+        page = await self._newest_page(topic, _LAST_KEY, _END_TIMEOUT_SECONDS)
+        return page.era * records.ERA_SPAN + page.end_offset
+
     async def newest(self, topic: records.Topic) -> records.Page:
         """Return the newest record of each key.
 
@@ -195,6 +207,7 @@
         self,
         topic: records.Topic,
         after: str,
+        seconds: float = _CALL_TIMEOUT_SECONDS,
     ) -> _NewestPage:
         query = {'topic': _NAME_BY_TOPIC[topic], 'part': 0}
         if after:
@@ -203,7 +216,7 @@
             'GET',
             'log-newest',
             query,
-            seconds=_CALL_TIMEOUT_SECONDS,
+            seconds=seconds,
         )
         self._check(answer, 'newest')
         page = decoding.decode(
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -67,6 +67,8 @@
         #: Calls that are answered in a second; more are rejected.
         self.max_calls_per_second = math.inf
         self.rejected_calls = 0
+        #: Bytes of records in a second that a read is answered with.
+        self.bytes_per_second = math.inf
         self._calls_by_second: collections.Counter[int] = collections.Counter()
         #: How often the store was put back to a copy, counted from 1.
         self.era = 1
@@ -174,7 +176,7 @@
             self._append(topic, request.body, reply)
         elif path.endswith('log-newest'):
             self.newest_by_topic[query['topic']] += 1
-            self._newest(topic, reply)
+            self._newest(topic, query.get('after', ''), reply)
         else:
             await self._read(topic, query, reply)
 
@@ -196,7 +198,7 @@
         answer = {'offset': first_offset, 'endOffset': len(topic.records)}
         self._send(reply, _OK, msgspec.json.encode(answer))
 
-    def _newest(self, topic: _Topic, reply: replies.Reply) -> None:
+    def _newest(self, topic: _Topic, after: str, reply: replies.Reply) -> None:
         newest = {
             key: (offset, payload)
             for offset, (key, payload) in enumerate(topic.records)
@@ -207,8 +209,8 @@
                 'offset': offset,
                 'value': base64.b64encode(payload).decode(),
             }
-            for key, (offset, payload) in newest.items()
-            if payload is not None
+            for key, (offset, payload) in sorted(newest.items())
+            if payload is not None and key > after.encode()
         ]
         answer = {'entries': entries, 'endOffset': len(topic.records)}
         self._send(reply, _OK, msgspec.json.encode(answer))
@@ -241,4 +243,6 @@
         for key, payload in handed_out:
             whole = bytes((len(key),)) + key + (payload or b'')
             parts.append(len(whole).to_bytes(_LENGTH_BYTES, 'big') + whole)
-        self._send(reply, _OK, b''.join(parts))
+        body = b''.join(parts)
+        await asyncio.sleep(len(body) / self.bytes_per_second)
+        self._send(reply, _OK, body)
--- a/tests/direct/test_long_configurations.py
+++ b/tests/direct/test_long_configurations.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import typing
 
 import msgspec
@@ -33,6 +34,8 @@
 MAX_SHARE = 0.1
 #: Seconds after the first entry within which the last one must have a change.
 IN_FORCE_SECONDS = 0.3
+#: Bandwidth of a link between regions, 12 Mbit/s.
+LINK_BYTES_PER_SECOND = 1_500_000
 #: Seconds from a change within which it must be in force.
 CHANGE_SECONDS = 2.0
 
@@ -137,6 +140,7 @@
             world = machines.Machines((), entries=ENTRIES, regions=REGIONS)
             async with world:
                 await world.all_known()
+                world.store.bytes_per_second = LINK_BYTES_PER_SECOND
                 await asyncio.sleep(12)
                 ips = [
                     ip
@@ -147,7 +151,7 @@
                 await asyncio.sleep(seconds)
                 now = asyncio.get_running_loop().time
                 started_at = now()
-                world.configure(drills.long_configuration(2, 100))
+                world.configure(drills.long_configuration(2, ROUTES))
                 for ip, entry in zip(
                     world.entry_ips, world.entries, strict=True
                 ):
@@ -182,6 +186,27 @@
 
         self.check(disturb)
 
+    def test_store_silent_to_the_readers(self) -> None:
+        """The store says nothing to the two entries that read for all.
+
+        Their reads are open and seem to wait for a change. The other entries
+        notice that there is one.
+        """
+
+        def disturb(world: machines.Machines, ips: list[str]) -> None:
+            ips.sort()
+            del ips[2:]
+            for ip, entry in zip(world.entry_ips, world.entries, strict=True):
+                if ip in ips:
+                    silent = pool.Pool(*silent_address)
+                    entry._adapters.store._pool = silent
+            world.store.silence()
+
+        with socket.create_server(('127.0.0.1', 0)) as server:
+            # Connections are accepted by the kernel and never answered.
+            silent_address = server.getsockname()
+            self.check(disturb)
+
     def test_rejected_by_the_store(self) -> None:
         """The store rejects the entries of the nearest region only."""
 
