Read the newest records of the store once

The first page was read for the end of the topic alone and then again, so that a process that starts read a configuration of 480 KB as 1.3 MB of base64 (reckoned), in other regions over the link that it was to spare. The end is now asked for with a key behind all others. NewestTest failed before.

--- a/clementinepass/platform/store.py
+++ b/clementinepass/platform/store.py
@@ -115,17 +115,18 @@
         :raises PlatformUnavailableError: the store did not answer, or came back
             from a copy meanwhile.
         """
-        first_page = await self._newest_page(topic, '')
-        first_offset = first_page.era * records.ERA_SPAN
+        end_page = await self._newest_page(topic, _LAST_KEY)
+        era = end_page.era
+        first_offset = era * records.ERA_SPAN
         after = ''
         newest_records: list[records.Record] = []
-        size = first_page.size_bytes
+        size = 0
         while True:
             page = await self._newest_page(topic, after)
             size += page.size_bytes
-            if page.era != first_page.era:
+            if page.era != era:
                 raise errors.PlatformUnavailableError(
-                    f'era {page.era} follows {first_page.era} while it is read',
+                    f'era {page.era} follows {era} while it is read',
                     step='newest',
                     peer=self._address,
                 )
@@ -135,7 +136,7 @@
             if not (page.has_more and page.entries):
                 return records.Page(
                     tuple(newest_records),
-                    first_offset + first_page.end_offset,
+                    first_offset + end_page.end_offset,
                     is_snapshot=True,
                     size_bytes=size,
                 )
--- a/tests/platform/test_machines.py
+++ b/tests/platform/test_machines.py
@@ -563,6 +563,31 @@
         asyncio.run(run_calls())
 
 
+class NewestTest(testtools.TestCase):
+    """All newest records of a topic are read."""
+
+    def test_records_are_read_once(self) -> None:
+        """The end of the topic is asked for without reading records.
+
+        They were read twice at each start, 1.3 MB of a configuration of 480 KB.
+        """
+
+        async def run_calls() -> None:
+            end = b'{"entries": [], "endOffset": 7, "hasMore": false}'
+            page = b'{"entries": [{"key": "a", "offset": 7, "value": "MQ=="}],'
+            page += b'"endOffset": 8, "hasMore": false}'
+            async with ScriptedServer((200, end), (200, page)) as server:
+                newest = await store.HttpStore(server.address).newest(
+                    records.Topic.OPERATOR
+                )
+            self.assertEqual(7, newest.next_offset)
+            self.assertEqual('a', newest.records[0].key)
+            self.assertIn(b'&after=%F4%8F%BF%BF', server.requests[0].target)
+            self.assertNotIn(b'after', server.requests[1].target)
+
+        asyncio.run(run_calls())
+
+
 class EraTest(testtools.TestCase):
     """The store came back from a copy and gives offsets out again."""
 
