--- a/clementinepass/direct/catching_up.py
+++ b/clementinepass/direct/catching_up.py
@@ -48,8 +48,8 @@
 #: longer.
 _MAX_SILENCE_SECONDS = 0.8
 _AGENT_MAX_SILENCE_SECONDS = 3.0
-#: Timeout of a fetch from a peer. A large configuration takes this long on a
-#: link narrowed to a fiftieth; a second fetch would only take as long again.
+#: Timeout of a fetch from a peer. It is long, since another fetch over the same
+#: narrow link would take as long again.
 _FETCH_TIMEOUT_SECONDS = 6.0
 #: Path of peers' requests for records; the topic follows it.
 PATH_PREFIX = b'/records/'
