Let one entry of each region watch the readers of the store

Whoever finds a change informs the other regions, too, so that one watcher that is served is enough.

--- a/clementinepass/decisions/region_readers.py
+++ b/clementinepass/decisions/region_readers.py
@@ -30,8 +30,9 @@
 MAX_SILENCE_SECONDS = 1.2
 #: Entries of a region that read the store.
 _READERS_PER_REGION = 2
-#: Entries of a region that do not read and check that the readers do.
-_WATCHERS_PER_REGION = 2
+#: Entries of a region that do not read and check that the readers do. Whoever
+#: finds a change informs the other regions, too.
+_WATCHERS_PER_REGION = 1
 #: Number of entries in a region up to which all of them read, as their reads
 #: are few.
 _MAX_ALL_READERS = 3
@@ -74,8 +75,8 @@
     """Return whether the local entry checks that the readers are not behind.
 
     The store may turn away the few entries that read while it serves others,
-    which then have to notice a change without them. So the first entries that
-    do not read ask it for the end of the topic only.
+    which then have to notice a change without them. So the first entry of each
+    region that does not read asks it for the end of the topic only.
 
     :param peer_ips: as for :func:`is_reader`.
     :param is_region_reading: whether entries of this region read.
--- a/clementinepass/direct/turns.py
+++ b/clementinepass/direct/turns.py
@@ -89,7 +89,7 @@
     def is_watcher(self, now: float) -> bool:
         """Return whether this entry checks that the readers are not behind.
 
-        These are the first two of a region that do not read.
+        It is the first one of its region that does not read.
         """
         return region_readers.is_watcher(
             self._local_node.ip,
