Ask a store that repeats a page of newest records no further

Pages were read on for as long as the store said that there were more, without a pause, also if it answered with the same one again. test_same_page_again failed with ten requests instead of three and passes.

--- a/clementinepass/platform/store.py
+++ b/clementinepass/platform/store.py
@@ -140,7 +140,14 @@
                     is_snapshot=True,
                     size_bytes=size,
                 )
-            after = page.entries[-1].key
+            last_key = page.entries[-1].key
+            if last_key == after:
+                raise errors.PlatformUnavailableError(
+                    f'the page after {after!r} ends with it again',
+                    step='newest',
+                    peer=self._address,
+                )
+            after = last_key
 
     async def changes(
         self,
--- a/tests/platform/test_machines.py
+++ b/tests/platform/test_machines.py
@@ -587,6 +587,23 @@
 
         asyncio.run(run_calls())
 
+    def test_same_page_again(self) -> None:
+        """A store that answers with the same page again is not asked on."""
+
+        async def run_calls() -> None:
+            page = b'{"entries": [{"key": "a", "offset": 0, "value": "MQ=="}],'
+            page += b'"endOffset": 1, "hasMore": true}'
+            async with ScriptedServer(*[(200, page)] * 9) as server:
+                error = await _raised(
+                    store.HttpStore(server.address).newest(
+                        records.Topic.OPERATOR
+                    )
+                )
+            self.assertIsInstance(error, errors.PlatformUnavailableError)
+            self.assertEqual(3, len(server.requests))
+
+        asyncio.run(run_calls())
+
 
 class EraTest(testtools.TestCase):
     """The store came back from a copy and gives offsets out again."""
