--- a/clementinepass/decisions/region_readers.py
+++ b/clementinepass/decisions/region_readers.py
@@ -10,10 +10,9 @@
 those heard from recently. There are two of them, since it takes a while to
 notice that one was killed.
 
-The operator's records are read in the region nearest to the store only. The
-store hands out whole configurations, and one of 480 KB filled the links to the
-other regions for 0.6 s, while requests and cancellations waited behind it. The
-others get from an entry of the nearest region what has changed.
+The operator's records are read in the region nearest to the store only, as the
+store hands out whole configurations. The other regions get from an entry there
+what has changed.
 """
 
 from __future__ import annotations
