Run requests only where the operator allows it

Cause: allowed regions of routes and teams were ignored, and so were evacuations of failure domains.

Change: ClusterState.candidates filters endpoints by allowed regions and evacuations, for first and further attempts; the same check runs again after the connection was opened. Refusals get the endings region_not_allowed and evacuated. The directory names entries of fitting regions.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -256,7 +256,13 @@
             attempt.refused()
             self._log.log_quarantined(admitted, attempt)
             return serving.AttemptResult.NOT_SENT
-        if attempt.endpoint.has_closed_since(attempt.started_at):
+        is_eligible = self._cluster.is_eligible(
+            attempt.endpoint, admitted.allowed_regions
+        )
+        if (
+            attempt.endpoint.has_closed_since(attempt.started_at)
+            or not is_eligible
+        ):
             attempt.refused()
             self._withdraw(admitted, attempt)
             return serving.AttemptResult.NOT_SENT
@@ -283,8 +289,8 @@
     ) -> None:
         """Give up an attempt before the request is sent.
 
-        A pause or a limit of the endpoint has begun since it was selected. It
-        may be selected again.
+        A pause or a limit of the endpoint has begun since it was selected, or
+        the evacuation of its failure domain. It may be selected again later.
         """
         admitted.tried_endpoint_ids.discard(attempt.peer)
         self._log.log_withdrawn(admitted, attempt)
--- a/clementinepass/direct/cluster_state.py
+++ b/clementinepass/direct/cluster_state.py
@@ -8,12 +8,18 @@
 
 from loguru import logger
 
-from clementinepass.decisions import desired_versions, ejection, incarnations
+from clementinepass.decisions import (
+    desired_versions,
+    ejection,
+    eligibility,
+    incarnations,
+)
 from clementinepass.direct import (
     crash_evidence,
     endpoint_limits,
     endpoint_loads,
     endpoints,
+    evacuation,
     heartbeats,
 )
 
@@ -50,6 +56,7 @@
         '_local_node',
         'crash_evidence',
         'ejector',
+        'evacuated',
         'on_desired_version',
         'endpoints',
         'limits',
@@ -78,6 +85,9 @@
             local_node.ip, self.endpoints
         )
         self.loads = endpoint_loads.EndpointLoads()
+        #: The failure domains that the operator evacuates.
+        self.evacuated = evacuation.EvacuatedDomains()
+        self.evacuated.on_end = self._restore_domain
         self.ejector = ejection.Ejector()
         self.crash_evidence = crash_evidence.CrashEvidence(local_node.ip)
         self._desired_by_model: dict[str, desired_versions.DesiredVersions] = {}
@@ -300,10 +310,18 @@
         self,
         service: routing.Service,
         now: float,
+        allowed_regions: eligibility.Regions = None,
     ) -> list[endpoints.Endpoint]:
-        """Return the endpoints that may run a request to a service now."""
+        """Return the endpoints that may run a request to a service now.
+
+        :param allowed_regions: the regions in which the request may run.
+        """
         self.limits.update_shares(now)
-        usable = self._usable_endpoints(service, now)
+        usable = [
+            endpoint
+            for endpoint in self.usable_endpoints(service, now)
+            if self.is_eligible(endpoint, allowed_regions)
+        ]
         engine = service.engine
         if engine is None:
             return usable
@@ -314,6 +332,42 @@
             if endpoint.has_weights(engine, version)
         ]
 
+    def is_eligible(
+        self,
+        endpoint: endpoints.Endpoint,
+        allowed_regions: eligibility.Regions,
+    ) -> bool:
+        """Tell whether the operator lets a request run at an endpoint."""
+        return eligibility.is_eligible(
+            self._location(endpoint), allowed_regions, self.evacuated.domains
+        )
+
+    def exclusion(
+        self, admitted: serving.AdmittedRequest, now: float
+    ) -> eligibility.Exclusion | None:
+        """Return why the operator lets a request run at no usable endpoint.
+
+        ``None`` if it may run at one, or if the service has none.
+        """
+        return eligibility.exclusion(
+            map(self._location, self.usable_endpoints(admitted.service, now)),
+            admitted.allowed_regions,
+            self.evacuated.domains,
+        )
+
+    def _location(self, endpoint: endpoints.Endpoint) -> eligibility.Location:
+        domain = endpoint.listing.domain
+        return eligibility.Location(domain, self._local_node.region_of(domain))
+
+    def _restore_domain(self, domain: str) -> None:
+        """Let the endpoints of a domain return slowly after its evacuation.
+
+        They are empty, and all entries would send to them at the same moment.
+        """
+        for endpoint in self.endpoints:
+            if endpoint.listing.domain == domain:
+                endpoint.backoff.start_recovery()
+
     def seconds_barred(
         self, admitted: serving.AdmittedRequest, now: float
     ) -> float:
@@ -324,7 +378,9 @@
         """
         if self.crash_evidence.is_empty:
             return 0
-        candidates = self.candidates(admitted.service, now)
+        candidates = self.candidates(
+            admitted.service, now, admitted.allowed_regions
+        )
         return self.crash_evidence.seconds_barred(
             admitted.fingerprint,
             now,
@@ -336,10 +392,10 @@
         """Return whether some engine of a service is loading weights."""
         return any(
             endpoint.is_loading
-            for endpoint in self._usable_endpoints(service, now)
+            for endpoint in self.usable_endpoints(service, now)
         )
 
-    def _usable_endpoints(
+    def usable_endpoints(
         self,
         service: routing.Service,
         now: float,
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -17,6 +17,7 @@
     background,
     cluster_state,
     departure,
+    directory,
     gauges,
     gossip,
     intake,
@@ -32,7 +33,7 @@
 from clementinepass.http import front, limits
 
 if typing.TYPE_CHECKING:
-    from clementinepass.direct import calls, directory, node, routing
+    from clementinepass.direct import calls, node, routing
 
 #: Seconds between removals of expired endpoints and members.
 _CLEANUP_SECONDS = 1.0
@@ -148,13 +149,21 @@
         """Return how long callers may keep a list that they receive now."""
         return self._drain_state.list_ttl_seconds(now)
 
-    def listed_addresses(self, now: float) -> list[str]:
-        """Return the addresses of the entries that callers should use."""
-        addresses = [
-            member.callers_address for member in self.peers.members.ready(now)
-        ]
-        if self.is_ready:
-            addresses.append(self._local_node.callers)
+    def listed_addresses(
+        self, now: float, query: directory.Query = directory.ANY_CALLER
+    ) -> list[str]:
+        """Return the addresses of the entries that a caller should use.
+
+        They depend on the regions in which its requests may run.
+        """
+        ready = self.peers.members.ready(now)
+        local_member = self.peers.local_member()
+        if self.is_ready and local_member is not None:
+            ready.append(local_member)
+        preferred = directory.preferred_entries(
+            ready, self.cluster.routing, query
+        )
+        addresses = [member.callers_address for member in preferred]
         return addresses or self._draining_addresses(now)
 
     def _draining_addresses(self, now: float) -> list[str]:
--- a/clementinepass/direct/intake.py
+++ b/clementinepass/direct/intake.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from clementinepass import errors
-from clementinepass.direct import follower, records, routing
+from clementinepass.direct import evacuation, follower, records, routing
 
 if typing.TYPE_CHECKING:
     import random
@@ -38,17 +38,21 @@
     version: int
 
 
+#: An operator's record, decoded.
+OperatorRecord = routing.Routing | DesiredVersion | evacuation.Evacuation
+
+
 class Decoders(typing.NamedTuple):
     """Functions that decode records or raise ``MalformedMessageError``.
 
     :param operator: decodes an operator's record; returns ``None`` for one
-        that is neither a configuration nor a desired version.
+        that is not relevant.
     :param endpoint: decodes a listing; returns ``None`` for a removed one.
     """
 
     operator: Callable[
         [records.Record],
-        routing.Routing | DesiredVersion | None,
+        OperatorRecord | None,
     ]
     endpoint: Callable[[records.Record], endpoints.Listing | None]
 
@@ -133,18 +137,28 @@
                 self._cluster.add_desired_version(
                     decoded.model, decoded.version, now
                 )
+        elif isinstance(decoded, evacuation.Evacuation):
+            self._cluster.evacuated.apply(decoded)
         elif decoded is not None:
             self._cluster.apply_configuration(decoded)
 
     def _is_newer_operator_record(
         self, record: records.Record, known: records.Record
     ) -> bool:
-        """Return whether a record has a higher version than the known one."""
+        """Return whether a record is to replace the known one of its key.
+
+        An evacuation has no version. When the store comes back from a copy, its
+        present records of evacuations count, as the operator sees these.
+        """
         try:
             decoded = self._decoders.operator(record)
             decoded_known = self._decoders.operator(known)
         except errors.MalformedMessageError:
             return True
+        if isinstance(decoded, evacuation.Evacuation) or isinstance(
+            decoded_known, evacuation.Evacuation
+        ):
+            return True
         if decoded is None or decoded_known is None:
             return True
         return decoded.version > decoded_known.version
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -6,7 +6,13 @@
 import typing
 
 from clementinepass.decisions import departure as drain_decisions
-from clementinepass.decisions import next_try, silence, window_budget
+from clementinepass.decisions import (
+    eligibility,
+    first_event,
+    next_try,
+    silence,
+    window_budget,
+)
 from clementinepass.direct import (
     attempt,
     calls,
@@ -42,6 +48,10 @@
 _FIRST_EVENT_MARGIN_SECONDS = 0.35
 #: Seconds between two searches for an endpoint in the place of a silent one.
 _SEARCH_INTERVAL_SECONDS = 0.2
+_ENDINGS_BY_EXCLUSION = {
+    eligibility.Exclusion.REGION: serving.Ending.REGION_NOT_ALLOWED,
+    eligibility.Exclusion.EVACUATION: serving.Ending.EVACUATED,
+}
 
 
 class RequestHandler:
@@ -451,7 +461,9 @@
         if not admitted.has_not_run:
             return serving.Ending.BROKEN
         now = asyncio.get_running_loop().time()
-        candidates = self._cluster.candidates(admitted.service, now)
+        candidates = self._cluster.candidates(
+            admitted.service, now, admitted.allowed_regions
+        )
         if _are_paused(candidates, now):
             return serving.Ending.ALL_PAUSED
         return serving.Ending.REJECTED
@@ -462,11 +474,23 @@
         now = asyncio.get_running_loop().time()
         if admitted.is_limited:
             return serving.Ending.ALL_LIMITED
-        candidates = self._cluster.candidates(admitted.service, now)
+        candidates = self._cluster.candidates(
+            admitted.service, now, admitted.allowed_regions
+        )
         if _are_paused(candidates, now):
             return serving.Ending.ALL_PAUSED
         if candidates:
             return serving.Ending.OVERLOAD
+        return self._ending_without_candidate(admitted, now)
+
+    def _ending_without_candidate(
+        self, admitted: serving.AdmittedRequest, now: float
+    ) -> serving.Ending:
+        exclusion = self._cluster.exclusion(admitted, now)
+        if exclusion is not None:
+            # Nothing changes before the operator changes it.
+            admitted.retry_after = first_event.MAX_RETRY_AFTER
+            return _ENDINGS_BY_EXCLUSION[exclusion]
         configuration = self._cluster.routing
         service = admitted.service.name
         if (
--- a/clementinepass/direct/routing.py
+++ b/clementinepass/direct/routing.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from clementinepass.decisions import first_event
+from clementinepass.decisions import eligibility, first_event
 from clementinepass.http import limits
 
 if typing.TYPE_CHECKING:
@@ -54,6 +54,8 @@
     is_public: bool = False
     #: Whether a stream may be resumed after its last event.
     is_resumable: bool = False
+    #: Regions in which requests may run; ``None`` for any.
+    allowed_regions: eligibility.Regions = None
 
     @property
     def is_repeatable(self) -> bool:
@@ -117,6 +119,10 @@
     domain: str = ''
     #: Bandwidth of the origin's link in Mbit/s; 0 if unknown.
     link_mbps: float = 0
+    #: Seconds for which an endpoint is cold after its start.
+    cold_seconds: float = 0
+    #: Requests a second that a cold endpoint takes; 0 for no limit.
+    cold_rate: float = 0
 
 
 class Team(msgspec.Struct, frozen=True):
@@ -125,6 +131,8 @@
     name: str
     #: 0 is served first.
     priority: int
+    #: Regions in which requests may run; ``None`` for any.
+    allowed_regions: eligibility.Regions = None
 
 
 class Routing:
@@ -140,6 +148,7 @@
         'teams_by_key',
         'timeouts',
         'version',
+        '_restricted_teams',
         '_routes_by_host',
     )
 
@@ -156,6 +165,11 @@
         #: Whether requests for routes that are not public need a key.
         self.requires_key = teams_by_key is not None
         self.teams_by_key = teams_by_key or {}
+        self._restricted_teams = {
+            team
+            for team in self.teams_by_key.values()
+            if team.allowed_regions is not None
+        }
         self.bounds = bounds
         self._routes_by_host: dict[bytes, list[Route]] = {}
         routes = tuple(routes)
@@ -174,6 +188,31 @@
                 return route
         return None
 
+    def restricted_regions(self, host: bytes) -> eligibility.Regions:
+        """Return the regions in which any request for a host may run.
+
+        ``None`` if none of them is restricted. The team of a caller is not
+        known before its first request, so that all teams count.
+        """
+        restricted = [
+            owner.allowed_regions
+            for owner in (
+                *self._routes_by_host.get(host.lower(), ()),
+                *self._restricted_teams,
+            )
+            if owner.allowed_regions is not None
+        ]
+        return frozenset.intersection(*restricted) if restricted else None
+
+    @property
+    def has_region_rules(self) -> bool:
+        """Tell whether some request may not run in every region."""
+        return bool(self._restricted_teams) or any(
+            route.allowed_regions is not None
+            for routes in self._routes_by_host.values()
+            for route in routes
+        )
+
     @property
     def origin(self) -> Service | None:
         """Return the service from which weights originate."""
--- a/clementinepass/direct/selection.py
+++ b/clementinepass/direct/selection.py
@@ -78,7 +78,7 @@
             return None
         endpoint = self.select(admitted)
         while endpoint is None and loop.time() < wait_deadline:
-            if self._cluster.candidates(admitted.service, loop.time()):
+            if self._usable(admitted, loop.time()):
                 break
             if not self._cluster.is_loading(admitted.service, loop.time()):
                 break
@@ -99,7 +99,7 @@
     ) -> endpoints.Endpoint | None:
         """Select an endpoint; return ``None`` if none has free capacity."""
         now = asyncio.get_running_loop().time()
-        usable = self._cluster.candidates(admitted.service, now)
+        usable = self._usable(admitted, now)
         untried = [
             endpoint
             for endpoint in _untried(admitted, usable)
@@ -119,6 +119,13 @@
             return None
         return self._cluster.endpoints.get(choice.endpoint_id)
 
+    def _usable(
+        self, admitted: serving.AdmittedRequest, now: float
+    ) -> list[endpoints.Endpoint]:
+        return self._cluster.candidates(
+            admitted.service, now, admitted.allowed_regions
+        )
+
     async def _wait_for_admission(
         self, admitted: serving.AdmittedRequest
     ) -> bool:
@@ -157,7 +164,7 @@
         :returns: whether an endpoint may be selected nevertheless.
         """
         now = asyncio.get_running_loop().time()
-        usable = self._cluster.candidates(admitted.service, now)
+        usable = self._usable(admitted, now)
         limits = [endpoint.rate_limit for endpoint in usable]
         if not any(limit.is_named for limit in limits):
             self._log.log_all_paused(admitted, seconds)
@@ -183,9 +190,7 @@
         :returns: 0 if there is no endpoint to wait for, or one that can be used
             now.
         """
-        untried = _untried(
-            admitted, self._cluster.candidates(admitted.service, now)
-        )
+        untried = _untried(admitted, self._usable(admitted, now))
         unlimited = [
             endpoint for endpoint in untried if not endpoint.rate_limit.is_named
         ]
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -9,6 +9,7 @@
 import typing
 
 from clementinepass import errors
+from clementinepass.decisions import eligibility
 from clementinepass.direct import events, part_evidence
 from clementinepass.requests import identity, outcome
 
@@ -52,6 +53,11 @@
     #: The service has endpoints, but none with complete weights of a version
     #: that may be used.
     NO_WEIGHTS = 'no_weights'
+    #: The service has no endpoint in the regions where the request may run.
+    REGION_NOT_ALLOWED = 'region_not_allowed'
+    #: Every endpoint that could run the request is in a failure domain that the
+    #: operator evacuates.
+    EVACUATED = 'evacuated'
     #: Every endpoint that could run the request is paused, as it has turned
     #: others away.
     ALL_PAUSED = 'all_paused'
@@ -252,6 +258,7 @@
     __slots__ = (
         '_fingerprint',
         '_prompt_parts',
+        'allowed_regions',
         'attempts',
         'retry_decision',
         'resume_after',
@@ -284,6 +291,11 @@
         self.route = route
         self.service = service
         self.team = team
+        #: The regions in which the request may run; ``None`` for any.
+        self.allowed_regions = eligibility.common_regions(
+            route.allowed_regions,
+            None if team is None else team.allowed_regions,
+        )
         self.deadline = deadline
         #: Whether the deadline is that of the entry's own shutdown.
         self.is_cut_short_by_drain = False
--- a/clementinepass/direct/subscribing.py
+++ b/clementinepass/direct/subscribing.py
@@ -5,7 +5,7 @@
 import asyncio
 import typing
 
-from clementinepass.decisions import subsetting
+from clementinepass.decisions import rendezvous, subsetting
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -16,6 +16,9 @@
 _POLL_SECONDS = 0.2
 #: Seconds after which a subscription is renewed.
 _RENEW_SECONDS = 1.0
+#: Engines of each other region that are used while some requests may not run in
+#: every region: two, so that the less loaded one can be chosen.
+_ENGINES_PER_OTHER_REGION = 2
 
 
 class LoadSubscriptions:
@@ -91,9 +94,36 @@
         domain = self._local_node.domain
         near, far = _split(usable, domain)
         chosen = subsetting.subset(self._local_node.ip, near, far)
+        chosen += [
+            address
+            for address in self._engines_of_other_regions(usable)
+            if address not in chosen
+        ]
         near_waiting, _ = _split(waiting, domain)
         return chosen + subsetting.subset(self._local_node.ip, near_waiting, ())
 
+    def _engines_of_other_regions(
+        self, usable: list[endpoints.Endpoint]
+    ) -> list[str]:
+        """Return engines for requests that must run in another region."""
+        current = self._cluster.routing
+        if current is None or not current.has_region_rules:
+            return []
+        addresses_by_region: dict[str, list[str]] = {}
+        for engine in usable:
+            region = self._local_node.region_of(engine.listing.domain)
+            if region != self._local_node.region:
+                addresses_by_region.setdefault(region, []).append(
+                    engine.listing.address
+                )
+        return [
+            address
+            for addresses in addresses_by_region.values()
+            for address in rendezvous.top_ranked(
+                self._local_node.ip, addresses, _ENGINES_PER_OTHER_REGION
+            )
+        ]
+
 
 def _split(
     engines: list[endpoints.Endpoint],
--- a/clementinepass/observability/causes.py
+++ b/clementinepass/observability/causes.py
@@ -42,6 +42,8 @@
     OVERLOAD = 'overload'
     NO_ENDPOINT = 'no_endpoint'
     NO_WEIGHTS = 'no_weights'
+    REGION_NOT_ALLOWED = 'region_not_allowed'
+    EVACUATED = 'evacuated'
     ALL_PAUSED = 'all_paused'
     ALL_LIMITED = 'all_limited'
     REJECTED = 'turned_away'
@@ -137,6 +139,14 @@
         'endpoints of service {service} were available, but none held complete '
         'weights of a version that may be used'
     ),
+    Cause.REGION_NOT_ALLOWED: (
+        'service {service} had no endpoint in the regions that its route and '
+        'its team allow'
+    ),
+    Cause.EVACUATED: (
+        'each endpoint of service {service} that could run it was in a failure '
+        'domain that the operator evacuates'
+    ),
     Cause.ALL_PAUSED: (
         'each endpoint of service {service} that could run it was paused, as '
         'it had turned requests away'
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -94,6 +94,7 @@
         'enough_attempts, no_time, budget_spent, no_endpoint, or '
         'crashed_endpoints (one after the other, under the same request)',
     ),
+    'domain': Field('str', 'a failure domain'),
     'draining': Field('bool', 'whether the endpoint is draining'),
     'end': Field(
         'str',
@@ -107,6 +108,9 @@
     ),
     'engine': Field('str', 'address of the engine'),
     'error': Field('str', 'the error, with the step and the peer'),
+    'evacuated': Field(
+        'bool', 'whether the operator evacuates the failure domain'
+    ),
     'events': Field('int', 'events of the answer that the caller received'),
     'era': Field('int', 'how often the store came back from a copy'),
     'execution': Field(
@@ -338,6 +342,11 @@
     'endpoint dropped from the list': Kind(
         'endpoint used_for', 'no request is sent to it after that time'
     ),
+    'evacuation of a failure domain': Kind(
+        'domain evacuated',
+        'while it is evacuated, its endpoints get no requests; afterwards they '
+        'return slowly to full use',
+    ),
     'engine holds weights': Kind(
         'endpoint version layers busy', 'layers is 0 while the engine loads'
     ),
--- a/clementinepass/observability/request_history.py
+++ b/clementinepass/observability/request_history.py
@@ -31,6 +31,7 @@
     'store lost': ('topic',),
     'store regained': ('topic',),
     'leaving': (),
+    'evacuation of a failure domain': ('domain',),
 }
 _CONFIGURATION = frozenset(('configuration in force',))
 _WEIGHTS = frozenset(('version named', 'engine holds weights'))
@@ -38,6 +39,7 @@
     ('endpoint listed', 'endpoint dropped from the list')
 )
 _ENDPOINT_DRAINS = frozenset(('endpoint drains by its answer',))
+_EVACUATION = frozenset(('evacuation of a failure domain',))
 _SHUTDOWN = frozenset(('leaving',))
 #: Messages of the observations that decided the outcome, by its cause.
 _DECIDING_MESSAGES_BY_CAUSE = {
@@ -48,6 +50,8 @@
     causes.Cause.NO_SERVICE: _CONFIGURATION,
     causes.Cause.NO_ENDPOINT: _ENDPOINT_DRAINS,
     causes.Cause.NO_WEIGHTS: _WEIGHTS,
+    causes.Cause.EVACUATED: _EVACUATION,
+    causes.Cause.REGION_NOT_ALLOWED: _CONFIGURATION | _ENDPOINT_LIST,
     causes.Cause.WEIGHTS_TOO_OLD: _WEIGHTS,
     causes.Cause.ENGINE_LOADING: _WEIGHTS,
     causes.Cause.MISDIRECTED: _WEIGHTS | _ENDPOINT_LIST,
--- a/clementinepass/observability/verdicts.py
+++ b/clementinepass/observability/verdicts.py
@@ -35,6 +35,8 @@
     'no_service': Cause.NO_SERVICE,
     'no_endpoint': Cause.NO_ENDPOINT,
     'no_weights': Cause.NO_WEIGHTS,
+    'region_not_allowed': Cause.REGION_NOT_ALLOWED,
+    'evacuated': Cause.EVACUATED,
     'all_paused': Cause.ALL_PAUSED,
     'all_limited': Cause.ALL_LIMITED,
     'endpoint_failed': Cause.ENDPOINT_FAILED,
--- a/clementinepass/platform/directory.py
+++ b/clementinepass/platform/directory.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import typing
+import urllib.parse
 
 import msgspec
 
+from clementinepass.direct import directory
+
 if typing.TYPE_CHECKING:
-    from clementinepass.direct import directory
     from clementinepass.http import connection, messages, replies
 
 _RESOLVE = b'/api/resolve'
@@ -43,7 +45,7 @@
             reply: replies.Reply,
         ) -> None:
             if request.path == _RESOLVE:
-                self._resolve(entry_directory, reply)
+                self._resolve(entry_directory, request, reply)
             elif request.path == _READY:
                 reply.send(
                     _OK if entry_directory.is_ready else _UNAVAILABLE, [], b''
@@ -54,9 +56,23 @@
         return answer
 
     def _resolve(
-        self, entry_directory: directory.EntryDirectory, reply: replies.Reply
+        self,
+        entry_directory: directory.EntryDirectory,
+        request: messages.Request,
+        reply: replies.Reply,
     ) -> None:
         now = asyncio.get_running_loop().time()
-        addresses = entry_directory.listed_addresses(now)[:_MAX_ADDRESSES]
-        resolved = _Resolved(addresses, entry_directory.list_ttl_seconds(now))
+        addresses = entry_directory.listed_addresses(now, _query(request))
+        resolved = _Resolved(
+            addresses[:_MAX_ADDRESSES], entry_directory.list_ttl_seconds(now)
+        )
         reply.send(_OK, _JSON, msgspec.json.encode(resolved))
+
+
+def _query(request: messages.Request) -> directory.Query:
+    query = request.target.partition(b'?')[2].decode('latin-1')
+    fields = dict(urllib.parse.parse_qsl(query))
+    return directory.Query(
+        fields.get('name', '').encode('latin-1', 'replace'),
+        fields.get('region', ''),
+    )
--- a/clementinepass/platform/operator.py
+++ b/clementinepass/platform/operator.py
@@ -6,17 +6,20 @@
 
 import msgspec
 
-from clementinepass.direct import intake, routing
+from clementinepass.direct import evacuation, intake, routing
 from clementinepass.http import limits
 from clementinepass.platform import decoding
 
 if typing.TYPE_CHECKING:
+    from clementinepass.decisions import eligibility
     from clementinepass.direct import records
 
 #: Key of the record that holds the complete configuration.
 _CONFIG_KEY = 'config'
 #: Prefix of the keys of desired versions; the model's name follows.
 _VERSION_PREFIX = 'version/'
+#: Prefix of the keys of evacuations; the failure domain follows.
+_EVACUATION_PREFIX = 'evacuate/'
 _MS_PER_SECOND = 1000
 _STEP = 'decode'
 _KINDS_BY_NAME = {
@@ -53,6 +56,9 @@
     #: Longest time in milliseconds between two events of a stream that is
     #: on time.
     gap_target_ms: float = 0
+    #: Regions in which requests may run. An empty list is no restriction: the
+    #: operator writes one for each route that has none.
+    allowed_regions: list[str] | None = None
 
 
 class _EngineModel(_CamelStruct):
@@ -88,6 +94,14 @@
     origin: str = ''
     zone: str = ''
     link_mbps: float = 0
+    #: Seconds for which an endpoint is cold after its start, and the requests a
+    #: second that a cold one takes; 0 for no limit.
+    cold_start_s: typing.Annotated[float, msgspec.Meta(ge=0)] = msgspec.field(
+        default=0, name='coldStartS'
+    )
+    cold_per_s: typing.Annotated[float, msgspec.Meta(ge=0)] = msgspec.field(
+        default=0, name='coldPerS'
+    )
 
 
 class _Limits(_CamelStruct):
@@ -101,6 +115,7 @@
     name: str
     api_keys: list[str] = []
     priority: int = 0
+    allowed_regions: list[str] | None = None
 
 
 class _Config(_CamelStruct):
@@ -116,13 +131,19 @@
     version: decoding.PositiveCount
 
 
-def decode_record(
-    record: records.Record,
-) -> routing.Routing | intake.DesiredVersion | None:
+def decode_record(record: records.Record) -> intake.OperatorRecord | None:
     """Decode an operator's record; ``None`` if its key is not relevant.
 
+    A failure domain is evacuated for as long as its record exists, whatever
+    the record contains.
+
     :raises MalformedMessageError: the record can't be decoded.
     """
+    if record.key.startswith(_EVACUATION_PREFIX):
+        return evacuation.Evacuation(
+            record.key.removeprefix(_EVACUATION_PREFIX),
+            record.payload is not None,
+        )
     if record.payload is None:
         return None
     peer = f'operator record {record.key}'
@@ -141,7 +162,11 @@
     teams_by_key = None
     if config.tenants is not None:
         teams_by_key = {
-            key.encode(): routing.Team(tenant.name, tenant.priority)
+            key.encode(): routing.Team(
+                tenant.name,
+                tenant.priority,
+                _allowed_regions(tenant.allowed_regions),
+            )
             for tenant in config.tenants
             for key in tenant.api_keys
         }
@@ -175,9 +200,14 @@
         max_runs=max(route.max_attempts, 1),
         is_public=route.public,
         is_resumable=route.resumable,
+        allowed_regions=_allowed_regions(route.allowed_regions),
     )
 
 
+def _allowed_regions(names: list[str] | None) -> eligibility.Regions:
+    return frozenset(names) if names else None
+
+
 def _service(service: _Service) -> routing.Service:
     engine = service.engine
     if service.origin:
@@ -189,6 +219,8 @@
         origin=service.origin,
         domain=service.zone,
         link_mbps=service.link_mbps,
+        cold_seconds=service.cold_start_s,
+        cold_rate=service.cold_per_s,
     )
 
 
--- a/tests/observability/test_causes.py
+++ b/tests/observability/test_causes.py
@@ -15,7 +15,13 @@
 import testtools
 from loguru import logger
 
-from clementinepass.direct import attempt, endpoints, routing, serving
+from clementinepass.direct import (
+    attempt,
+    endpoints,
+    evacuation,
+    routing,
+    serving,
+)
 from clementinepass.http import (
     channel,
     endings,
@@ -222,6 +228,18 @@
     await send_ignoring_failure(world, '/plain/a')
 
 
+async def region_not_allowed(world: World) -> None:
+    world.configure(
+        2, [path_harness.route('plain', allowed_regions=frozenset(('south',)))]
+    )
+    await send_ignoring_failure(world, '/plain/a')
+
+
+async def evacuated(world: World) -> None:
+    world.cluster.evacuated.apply(evacuation.Evacuation('north-1', True))
+    await send_ignoring_failure(world, '/plain/a')
+
+
 async def overload(world: World) -> None:
     for endpoint in world.cluster.endpoints:
         endpoint.in_flight = 500
@@ -408,6 +426,8 @@
     (no_service, Cause.NO_SERVICE, 'service nobody'),
     (no_endpoint, Cause.NO_ENDPOINT, 'service pool'),
     (no_weights, Cause.NO_WEIGHTS, 'service pool'),
+    (region_not_allowed, Cause.REGION_NOT_ALLOWED, 'service pool'),
+    (evacuated, Cause.EVACUATED, 'service pool'),
     (overload, Cause.OVERLOAD, 'for 16 slots'),
     (all_paused, Cause.ALL_PAUSED, 'service pool'),
     (all_limited, Cause.ALL_LIMITED, 'service pool'),
--- a/tests/platform/test_machines.py
+++ b/tests/platform/test_machines.py
@@ -15,11 +15,13 @@
 from clementinepass.direct import (
     calls,
     endpoints,
+    evacuation,
     intake,
     records,
     routing,
     weights,
 )
+from clementinepass.direct import directory as direct_directory
 from clementinepass.http import front, messages, replies
 from clementinepass.platform import (
     dialect,
@@ -165,6 +167,49 @@
             operator.decode_record(records.Record('config', 0, None))
         )
 
+    def test_evacuation(self) -> None:
+        """A domain is evacuated while its record exists, whatever it holds."""
+        for payload in (b'{}', b'', b'no JSON'):
+            self.assertEqual(
+                evacuation.Evacuation('north-1', True),
+                operator.decode_record(
+                    records.Record('evacuate/north-1', 0, payload)
+                ),
+            )
+        self.assertEqual(
+            evacuation.Evacuation('north-1', False),
+            operator.decode_record(records.Record('evacuate/north-1', 1, None)),
+        )
+
+    def test_allowed_regions(self) -> None:
+        """An empty list restricts nothing; another type is malformed."""
+        for named, expected in (
+            (['north', 'south'], frozenset(('north', 'south'))),
+            (['nowhere'], frozenset(('nowhere',))),
+            ([], None),
+            (None, None),
+        ):
+            config = {
+                **CONFIG,
+                'routes': [{**CONFIG['routes'][0], 'allowedRegions': named}],
+                'tenants': [{**CONFIG['tenants'][0], 'allowedRegions': named}],
+            }
+            found = operator.decode_record(record('config', config))
+            assert isinstance(found, routing.Routing)
+            decoded_route = found.find_route(b'h.example', b'/a/x')
+            assert decoded_route is not None
+            self.assertEqual(expected, decoded_route.allowed_regions)
+            self.assertEqual(
+                expected, found.teams_by_key[b'k1'].allowed_regions
+            )
+        for malformed in ('north', [1], {'north': 1}):
+            routes = [{**CONFIG['routes'][0], 'allowedRegions': malformed}]
+            self.assertRaises(
+                errors.MalformedMessageError,
+                operator.decode_record,
+                record('config', {**CONFIG, 'routes': routes}),
+            )
+
     def test_malformed(self) -> None:
         """A malformed configuration raises an error."""
         for payload in (b'', b'{', b'[]', b'{"version": "x"}', b'\xff'):
@@ -754,8 +799,14 @@
 
         is_ready = False
 
-        def listed_addresses(self, now: float) -> list[str]:
+        def __init__(self) -> None:
+            self.queries: list[direct_directory.Query] = []
+
+        def listed_addresses(
+            self, now: float, query: direct_directory.Query
+        ) -> list[str]:
             """Return one address."""
+            self.queries.append(query)
             return ['10.0.0.1:80']
 
         def list_ttl_seconds(self, now: float) -> float:
@@ -774,7 +825,7 @@
 
         async def run_calls() -> None:
             for target in (
-                b'/api/resolve?name=h',
+                b'/api/resolve?name=h&region=north&zone=north-1',
                 b'/api/readyz',
                 b'/other',
             ):
@@ -793,3 +844,6 @@
             {'addresses': ['10.0.0.1:80'], 'ttlS': 1.5},
             json.loads(sent[0][1]),
         )
+        self.assertEqual(
+            [direct_directory.Query(b'h', 'north')], entry_directory.queries
+        )
