Limit the requests to cold endpoints over all entries

Cause: an endpoint that has just started or lost its caches takes few requests a second and crashes well above that; the time for which it stays cold was read and dropped.

Change: a few entries for each cold endpoint share its rate. They keep their shares when they no longer hear one another, and save up one request at most, so that no second exceeds the bound. Endpoints are cold by their record, after a start, and after an evacuation.

--- a/clementinepass/decisions/rate_limit.py
+++ b/clementinepass/decisions/rate_limit.py
@@ -20,16 +20,21 @@
 #: Entries that share a limit, for each request a second.
 _SHARES_PER_RATE = 2.0
 #: Seconds of its share that an entry may save up beyond a whole request.
-_BURST_SECONDS = 0.25
+BURST_SECONDS = 0.25
 #: Seconds from which on an entry uses a share that it did not have before. By
 #: then each entry has had two heartbeats that tell of the change.
 _HANDOVER_SECONDS = 1.0
 
 
 class RateLimit:
-    """The limit of one start of an endpoint, and the local share of it."""
+    """The limit of one start of an endpoint, and the local share of it.
+
+    :param burst_seconds: seconds of its share that an entry may save up beyond
+        a whole request.
+    """
 
     __slots__ = (
+        '_burst_seconds',
         '_share',
         '_shared_since',
         '_tokens',
@@ -40,7 +45,8 @@
         'rate',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, burst_seconds: float = BURST_SECONDS) -> None:
+        self._burst_seconds = burst_seconds
         #: Requests a second that the endpoint takes; ``None`` for no limit.
         self.rate: float | None = None
         #: Monotonic time of the newest answer that named the limit, or of the
@@ -139,7 +145,7 @@
         elapsed = now - max(self._updated_at, self.begun_at)
         self._updated_at = now
         if self._share:
-            capacity = 1 + self._share * _BURST_SECONDS
+            capacity = 1 + self._share * self._burst_seconds
             filled = self._tokens + self._share * max(elapsed, 0)
             self._tokens = min(filled, capacity)
 
--- a/clementinepass/direct/cluster_state.py
+++ b/clementinepass/direct/cluster_state.py
@@ -15,6 +15,7 @@
     incarnations,
 )
 from clementinepass.direct import (
+    cold_endpoints,
     crash_evidence,
     endpoint_limits,
     endpoint_loads,
@@ -54,6 +55,7 @@
         '_clock',
         '_desired_by_model',
         '_local_node',
+        'cold',
         'crash_evidence',
         'ejector',
         'evacuated',
@@ -84,6 +86,9 @@
         self.limits = endpoint_limits.EndpointLimits(
             local_node.ip, self.endpoints
         )
+        self.cold = cold_endpoints.ColdEndpoints(
+            local_node.ip, local_node.duties
+        )
         self.loads = endpoint_loads.EndpointLoads()
         #: The failure domains that the operator evacuates.
         self.evacuated = evacuation.EvacuatedDomains()
@@ -219,21 +224,50 @@
         versions = self._desired_by_model.get(engine.model)
         return math.inf if versions is None else versions.usable_until(version)
 
-    def update_listing(self, listing: endpoints.Listing) -> bool:
+    def update_listing(
+        self, listing: endpoints.Listing, *, is_initial: bool = False
+    ) -> bool:
         """Apply an endpoint's listing; return whether it changed anything.
 
         Failures and loads of an earlier incarnation are dropped. Otherwise an
         endpoint that crashed and came back under its id would stay ejected
         for its old failures, and requests that other entries had lost there
         would count as its load.
+
+        :param is_initial: whether it belongs to the first records that this
+            process gets, so that the endpoint may have started long before.
         """
         before = self.endpoints.get(listing.id)
         changed = self.endpoints.apply_listing(listing)
         if before is not None and before is not self.endpoints.get(listing.id):
             self.ejector.forget(listing.id)
             self.loads.forget_endpoint(listing.id)
+        endpoint = self.endpoints.get(listing.id)
+        if endpoint is not None and changed:
+            is_new_start = before is not endpoint and not is_initial
+            self._mark_cold(endpoint, listing.cold_left, is_fresh=is_new_start)
         return changed
 
+    def _mark_cold(
+        self,
+        endpoint: endpoints.Endpoint,
+        seconds: float,
+        *,
+        is_fresh: bool,
+    ) -> None:
+        """Limit the requests to an endpoint while it is cold.
+
+        :param seconds: for which it says that it stays cold.
+        :param is_fresh: whether it may be as cold as after a start.
+        """
+        services = {} if self.routing is None else self.routing.services_by_name
+        service = services.get(endpoint.listing.service)
+        if service is None:
+            return
+        if is_fresh:
+            seconds = max(seconds, service.cold_seconds)
+        self.cold.mark(endpoint, service.cold_rate, seconds, self._clock())
+
     def record_failure(self, endpoint: endpoints.Endpoint, now: float) -> None:
         """Count a failure of an endpoint if its incarnation is current."""
         if self.endpoints.get(endpoint.listing.id) is endpoint:
@@ -317,6 +351,7 @@
         :param allowed_regions: the regions in which the request may run.
         """
         self.limits.update_shares(now)
+        self.cold.update_shares(now)
         usable = [
             endpoint
             for endpoint in self.usable_endpoints(service, now)
@@ -363,10 +398,12 @@
         """Let the endpoints of a domain return slowly after its evacuation.
 
         They are empty, and all entries would send to them at the same moment.
+        They may also have become cold shortly before or during the evacuation.
         """
         for endpoint in self.endpoints:
             if endpoint.listing.domain == domain:
                 endpoint.backoff.start_recovery()
+                self._mark_cold(endpoint, 0, is_fresh=True)
 
     def seconds_barred(
         self, admitted: serving.AdmittedRequest, now: float
--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -86,6 +86,8 @@
     #: Offset of the record in the list; increases with each record of any
     #: endpoint.
     record_offset: int = 0
+    #: Seconds for which the endpoint stays cold, as of the record's writing.
+    cold_left: float = 0
 
     @property
     def ip(self) -> str:
@@ -192,6 +194,8 @@
         'congested_until',
         'active_streams',
         'backoff',
+        'cold_limit',
+        'cold_until',
         'weights',
         'weights_started_ms',
     )
@@ -221,6 +225,11 @@
         self.backoff = endpoint_backoff.Backoff()
         #: The limit of requests that the endpoint names, if it does.
         self.rate_limit = rate_limit.RateLimit()
+        #: The limit of requests while the endpoint is cold. An entry saves up
+        #: no more than one request, as all of them may send at once.
+        self.cold_limit = rate_limit.RateLimit(burst_seconds=0)
+        #: Monotonic time until which the endpoint is cold.
+        self.cold_until = float('-inf')
         #: The last load report of the agent.
         self.reported_load = ReportedLoad()
         #: Monotonic time until which the link of the instance is considered
@@ -239,29 +248,41 @@
         return self.unusable_at is None or now < self.unusable_at
 
     def admits(self, now: float) -> bool:
-        """Tell whether its pause and its limit allow a request now."""
-        return self.backoff.admits(now) and self.rate_limit.admits(now)
+        """Tell whether its pause and its limits allow a request now."""
+        return (
+            self.backoff.admits(now)
+            and self.rate_limit.admits(now)
+            and self.cold_limit.admits(now)
+        )
 
     def seconds_until_admission(self, now: float) -> float:
-        """Return the seconds until its pause and its limit allow a request.
+        """Return the seconds until its pause and its limits allow a request.
 
-        Infinite if the limit is shared by other entries only.
+        Infinite if its named limit is shared by other entries only.
         """
         return max(
-            self.backoff.seconds_left(now), self.rate_limit.seconds_left(now)
+            self.backoff.seconds_left(now),
+            self.rate_limit.seconds_left(now),
+            min(
+                self.cold_limit.seconds_left(now),
+                max(self.cold_until - now, 0),
+            ),
         )
 
     def has_closed_since(self, moment: float) -> bool:
         """Tell whether a pause or a limit has begun since a time."""
-        return self.backoff.has_paused_since(
-            moment
-        ) or self.rate_limit.has_begun_since(moment)
+        return (
+            self.backoff.has_paused_since(moment)
+            or self.rate_limit.has_begun_since(moment)
+            or self.cold_limit.has_begun_since(moment)
+        )
 
     def start_request(self, now: float) -> None:
         """Record that this entry starts an attempt at the endpoint."""
         self.in_flight += 1
         self.backoff.record_sent(now)
         self.rate_limit.record_sent(now)
+        self.cold_limit.record_sent(now)
         self.reported_load.record_sent(now)
 
     def end_request(self, started_at: float) -> None:
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -104,6 +104,7 @@
         self.cluster.on_desired_version = self._announce_version
         self.cluster.crash_evidence.other_entries = self._other_entries
         self.cluster.limits.sharing_entries = self._sharing_entries
+        self.cluster.cold.known_entries = self._known_entries
         log = request_log.RequestLog(registry)
         #: Metrics of the cluster state.
         self.gauges = gauges.Gauges(
@@ -317,6 +318,11 @@
         now = asyncio.get_running_loop().time()
         return [member.ip for member in self.peers.members.alive(now)]
 
+    def _known_entries(self) -> list[str]:
+        """Return the other entries that are known, silent ones included."""
+        near, far = self.peers.members.split_by_domain(self._local_node.domain)
+        return near + far
+
     def _sharing_entries(self) -> list[str]:
         """Return the entries that share the limits of endpoints.
 
--- a/clementinepass/direct/gauges.py
+++ b/clementinepass/direct/gauges.py
@@ -25,7 +25,9 @@
     __slots__ = (
         '_store_answer_age',
         '_cluster',
+        '_cold_endpoints',
         '_endpoints',
+        '_evacuated_domains',
         '_followers',
         '_record_bytes',
         '_limited_endpoints',
@@ -65,6 +67,16 @@
             'Endpoints that name a limit of requests in their answers.',
             registry=registry,
         )
+        self._cold_endpoints = aioprometheus.Gauge(
+            'clementinepass_cold_endpoints',
+            'Endpoints that are cold, so that entries share a limit.',
+            registry=registry,
+        )
+        self._evacuated_domains = aioprometheus.Gauge(
+            'clementinepass_evacuated_domains',
+            'Failure domains that the operator evacuates.',
+            registry=registry,
+        )
         self._members = aioprometheus.Gauge(
             'clementinepass_members',
             'Other entries that are there.',
@@ -103,6 +115,11 @@
             endpoint.rate_limit.is_named for endpoint in self._cluster.endpoints
         )
         self._limited_endpoints.set({}, limited)
+        cold = sum(
+            endpoint.cold_until > now for endpoint in self._cluster.endpoints
+        )
+        self._cold_endpoints.set({}, cold)
+        self._evacuated_domains.set({}, len(self._cluster.evacuated.domains))
         self._members.set({}, len(self._peers.members.alive(now)))
         for topic, topic_follower in self._followers.items():
             for source in records.Source:
--- a/clementinepass/direct/intake.py
+++ b/clementinepass/direct/intake.py
@@ -186,7 +186,10 @@
         if listing is None:
             self._remove_endpoint(record.key)
         elif (
-            self._cluster.update_listing(listing) and self._has_initial_listings
+            self._cluster.update_listing(
+                listing, is_initial=not self._has_initial_listings
+            )
+            and self._has_initial_listings
         ):
             logger.bind(
                 endpoint=listing.id,
--- a/clementinepass/direct/node.py
+++ b/clementinepass/direct/node.py
@@ -28,6 +28,10 @@
     #: Time for which the limits do not apply to a process that has started or
     #: whose links were disturbed.
     settling: float = 3
+    #: Factor by which the requests to a cold endpoint in one second may exceed
+    #: its rate, and the requests that may come on top of that.
+    cold_overrun: float = 1
+    cold_slack: float = 0
     #: Longest time for which callers may keep a list of entries.
     longest_offer: float = 5
 
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -347,6 +347,10 @@
         'while it is evacuated, its endpoints get no requests; afterwards they '
         'return slowly to full use',
     ),
+    'endpoint is cold': Kind(
+        'endpoint rate seconds',
+        'it takes few requests a second, which a few entries share',
+    ),
     'engine holds weights': Kind(
         'endpoint version layers busy', 'layers is 0 while the engine loads'
     ),
--- a/clementinepass/platform/node_settings.py
+++ b/clementinepass/platform/node_settings.py
@@ -50,6 +50,10 @@
     budgetSlack: float = 100  # noqa: N815
     #: Milliseconds after which no request starts on an older version.
     version_ms: float = 8000
+    #: Factor by which the requests to a cold endpoint in one second may exceed
+    #: its rate, and the requests that may come on top of that.
+    coldOverrun: float = 1  # noqa: N815
+    coldSlack: float = 0  # noqa: N815
     #: Maximum number of seconds for which callers cache a list of entries.
     ttl_max_s: float = 5
 
@@ -133,5 +137,7 @@
         budget_surplus=bounds.budgetSlack,
         version=bounds.version_ms / _MS_PER_SECOND,
         settling=bounds.stableWindowMs / _MS_PER_SECOND,
+        cold_overrun=bounds.coldOverrun,
+        cold_slack=bounds.coldSlack,
         longest_offer=bounds.ttl_max_s,
     )
--- a/clementinepass/platform/registry.py
+++ b/clementinepass/platform/registry.py
@@ -20,6 +20,7 @@
 
 _STEP = 'decode'
 _DRAINING = 'draining'
+_MS_PER_SECOND = 1000
 #: Length of the longest IPv4 address with a colon and a port.
 _MAX_ADDRESS_LENGTH = 21
 
@@ -54,10 +55,11 @@
     born: decoding.UnixMilliseconds | msgspec.UnsetType = msgspec.UNSET
     models: list[Model] = []
     layers: Layers | list[Layers] | None = None
-    #: ``version`` and ``cold_left_ms`` are not used. They are declared since
-    #: values of another type show that the record is not an endpoint's.
-    version: str = ''
+    #: Milliseconds for which the endpoint stays cold.
     cold_left_ms: float = 0
+    #: ``version`` is not used. It is declared since a value of another type
+    #: shows that the record is not an endpoint's.
+    version: str = ''
 
 
 def decode_record(record: records.Record) -> endpoints.Listing | None:
@@ -86,6 +88,7 @@
         weights=loaded_weights(endpoint.models, endpoint.layers),
         started_ms=start_time(endpoint.born),
         record_offset=record.offset,
+        cold_left=endpoint.cold_left_ms / _MS_PER_SECOND,
     )
 
 
