--- /dev/null
+++ b/tests/direct/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the slots that agents offer."""
