Bound what an entry holds for callers and endpoints

Cause: each request had limits, but their sum over a process had none. A caller that did not read kept a plain answer of up to 16 MB for as long as it liked, and could pipeline requests for more of them. An endpoint that did not read kept a copy of each body. A process over its memory is killed with all its requests.

Change: one count for each process, with bounds derived from limits.memoryMb. Beyond them, callers without progress are cut off, new requests are refused with 503 and Retry-After, and plain answers are read one after another. A pipelined request waits until its caller has read the answer before. Without the setting only this wait, and the limit on queued bodies, are new.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -18,7 +18,7 @@
     serving,
     uptime,
 )
-from clementinepass.http import channel, pool
+from clementinepass.http import channel, held_memory, pool
 
 if typing.TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -36,6 +36,11 @@
 _CONNECT_TIMEOUT_SECONDS = 0.6
 #: Largest plain answer that is buffered.
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
+#: Bytes counted for a stream whose caller does not read: what its connection
+#: to the endpoint buffers before it stops reading, with the last read.
+_BLOCKED_STREAM_BYTES = 524288
+#: Seconds between two checks whether an answer may be read on.
+_MEMORY_CHECK_SECONDS = 0.05
 #: Results that are no failures of the endpoint.
 _NOT_RUN_RESULTS = frozenset(
     (serving.AttemptResult.NOT_RUN, serving.AttemptResult.NOT_SENT)
@@ -59,15 +64,19 @@
     :param cluster: the state of the cluster.
     :param dialect: encodes requests for endpoints and decodes their answers.
     :param log: logs and counts attempts.
+    :param memory: counts the bytes held for attempts; without a bound if
+        absent.
     """
 
     __slots__ = (
         '_answered_services',
+        '_buffering',
         '_cluster',
         '_dialect',
         '_pools_by_id',
         '_log',
         'crash_detector',
+        'memory',
     )
 
     def __init__(
@@ -75,10 +84,15 @@
         cluster: cluster_state.ClusterState,
         dialect: calls.Dialect,
         log: request_log.RequestLog,
+        memory: held_memory.HeldMemory | None = None,
     ) -> None:
         self._cluster = cluster
         self._dialect = dialect
         self._log = log
+        #: Counts the bytes held for attempts.
+        self.memory = memory or held_memory.HeldMemory()
+        #: Connections whose plain answers are being buffered, in this order.
+        self._buffering: dict[channel.Channel, None] = {}
         #: Finds out whether endpoints have crashed under requests.
         self.crash_detector = crash_detection.CrashDetector(cluster, log)
         self._pools_by_id: dict[str, _EndpointPool] = {}
@@ -169,6 +183,7 @@
         task: asyncio.Task[serving.AttemptResult],
     ) -> None:
         """Release the endpoint, also if the attempt was aborted."""
+        self._hold(attempt, _kept_bytes(admitted, attempt))
         attempt.endpoint.end_request(attempt.started_at)
         attempt.waiting_since = None
         if attempt.finished:
@@ -302,14 +317,11 @@
         attempt: serving.Attempt,
         connection: channel.Channel,
     ) -> serving.AttemptResult:
-        payload = self._dialect.encode_attempt(
-            admitted.call,
-            self._attempt_parameters(admitted, endpoint),
-        )
-        attempt.sent()
-        connection.send(payload)
+        self._send_request(admitted, attempt, connection)
         attempt.waiting_since = asyncio.get_running_loop().time()
         head = await connection.read_head()
+        if attempt.held_bytes:
+            self._hold(attempt, connection.unsent_bytes)
         decoded_head = self._decode_head(admitted, attempt, head)
         if decoded_head.verdict is calls.Verdict.OTHER_REQUEST:
             logger.bind(request=admitted.call.id).warning(
@@ -358,9 +370,31 @@
                 )
             finally:
                 endpoint.active_streams -= 1
-        return await self._forward_plain_answer(
-            admitted, attempt, connection, decoded_head, head.status
+        self._buffering[connection] = None
+        try:
+            return await self._forward_plain_answer(
+                admitted, attempt, connection, decoded_head, head.status
+            )
+        finally:
+            del self._buffering[connection]
+
+    def _send_request(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+        connection: channel.Channel,
+    ) -> None:
+        """Send the request, and keep no copy of what was sent."""
+        payload = self._dialect.encode_attempt(
+            admitted.call,
+            self._attempt_parameters(admitted, attempt.endpoint),
         )
+        attempt.sent()
+        connection.send(payload)
+        if len(admitted.open_attempts) > 1:
+            # The caller's connection counts one copy of the body. This one
+            # counts until the endpoint answers.
+            self._hold(attempt, len(payload))
 
     def _decode_head(
         self,
@@ -417,7 +451,6 @@
         parts = []
         length = 0
         while part := await connection.read():
-            attempt.waiting_since = loop.time()
             parts.append(part)
             length += len(part)
             if length > _MAX_ANSWER_BYTES:
@@ -425,10 +458,15 @@
                     'the answer is longer than the limit',
                     peer=connection.peer,
                 )
+            self._hold(attempt, length)
+            attempt.waiting_since = None
+            await self._wait_for_memory(connection)
+            attempt.waiting_since = loop.time()
         attempt.waiting_since = None
         await self._check_end(attempt, connection)
         attempt.ended()
         body = b''.join(parts)
+        parts.clear()
         if decoded_head.verdict is calls.Verdict.FAILURE:
             admitted.failed_answer = serving.FailedAnswer(
                 status, decoded_head.pairs, body
@@ -441,6 +479,8 @@
             )
         self._take_over(admitted, attempt)
         admitted.first_event_at = loop.time()
+        # From here on, the caller's connection counts the answer.
+        self._hold(attempt, 0)
         admitted.reply.send(status, decoded_head.pairs, body)
         return serving.AttemptResult.ANSWERED
 
@@ -469,7 +509,7 @@
                 self._start_reply(admitted, decoded_head, status)
                 reply.write(event.payload)
                 admitted.resume_after = attempt.splitter.last_id
-            await reply.wait_writable()
+            await self._wait_for_reader(admitted, attempt, connection)
         await self._check_end(attempt, connection)
         if attempt.splitter.has_partial_event:
             raise events.StreamBrokenError(
@@ -481,6 +521,44 @@
         reply.end()
         return serving.AttemptResult.ANSWERED
 
+    async def _wait_for_reader(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+        connection: channel.Channel,
+    ) -> None:
+        """Wait until the caller of a stream has read most of what was sent."""
+        pending_bytes = attempt.splitter.pending_bytes
+        if admitted.reply.is_blocked:
+            if self.memory.has_room(_BLOCKED_STREAM_BYTES):
+                self._hold(attempt, pending_bytes + _BLOCKED_STREAM_BYTES)
+            else:
+                connection.pause_reading()
+            await admitted.reply.wait_writable()
+        self._hold(attempt, pending_bytes)
+
+    async def _wait_for_memory(self, connection: channel.Channel) -> None:
+        """Wait until more of a plain answer may be buffered.
+
+        The first one is read on in any case, so that not all of them wait.
+        """
+        while self.memory.is_exceeded() and self._is_behind(connection):
+            connection.pause_reading()
+            await asyncio.sleep(_MEMORY_CHECK_SECONDS)
+
+    def _is_behind(self, connection: channel.Channel) -> bool:
+        return next(iter(self._buffering)) is not connection
+
+    def release_all(self, admitted: serving.AdmittedRequest) -> None:
+        """Release what is held for the attempts of an ended request."""
+        for attempt in admitted.attempts:
+            self._hold(attempt, 0)
+
+    def _hold(self, attempt: serving.Attempt, count: int) -> None:
+        """Count the bytes that are held for an attempt from now on."""
+        self.memory.hold(count - attempt.held_bytes)
+        attempt.held_bytes = count
+
     async def _check_end(
         self, attempt: serving.Attempt, connection: channel.Channel
     ) -> None:
@@ -638,6 +716,16 @@
     return decoded_head.instance not in {'', endpoint.listing.id}
 
 
+def _kept_bytes(
+    admitted: serving.AdmittedRequest, attempt: serving.Attempt
+) -> int:
+    """Return the size of an error answer that is kept after its attempt."""
+    if attempt.failure is not serving.AttemptFailure.FAILED:
+        return 0
+    failed_answer = admitted.failed_answer
+    return 0 if failed_answer is None else len(failed_answer.body)
+
+
 @contextlib.asynccontextmanager
 async def _start_timeout(
     attempt: serving.Attempt,
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -30,7 +30,7 @@
     subscribing,
     uptime,
 )
-from clementinepass.http import front, limits
+from clementinepass.http import front, held_memory, limits
 
 if typing.TYPE_CHECKING:
     from clementinepass.direct import calls, node, routing
@@ -106,15 +106,19 @@
         self.cluster.limits.sharing_entries = self._sharing_entries
         self.cluster.cold.known_entries = self._known_entries
         log = request_log.RequestLog(registry)
+        memory = held_memory.HeldMemory.from_memory(local_node.memory_bytes)
         #: Metrics of the cluster state.
         self.gauges = gauges.Gauges(
             registry,
             self.cluster,
             self._followers,
             self.peers,
+            memory,
         )
         self._drain_state = departure.DrainState(local_node, self.cluster)
-        self._sender = attempt.Sender(self.cluster, adapters.dialect, log)
+        self._sender = attempt.Sender(
+            self.cluster, adapters.dialect, log, memory
+        )
         self._request_handler = path.RequestHandler(
             local_node,
             self.cluster,
@@ -126,7 +130,9 @@
             self._count_ready_peers,
             rng,
         )
-        self.front = front.Front(self._request_handler.serve, self._bounds)
+        self.front = front.Front(
+            self._request_handler.serve, self._bounds, memory
+        )
         self._directory_front = front.Front(
             adapters.directory_handlers.create_handler(self)
         )
--- a/clementinepass/direct/events.py
+++ b/clementinepass/direct/events.py
@@ -48,6 +48,11 @@
         #: The id of the last event that was yielded.
         self.last_id = after_id
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the size of the incomplete event that is buffered."""
+        return len(self._pending)
+
     @property
     def has_partial_event(self) -> bool:
         """Tell whether an incomplete event is buffered."""
--- a/clementinepass/direct/gauges.py
+++ b/clementinepass/direct/gauges.py
@@ -11,6 +11,7 @@
 
 if typing.TYPE_CHECKING:
     from clementinepass.direct import cluster_state, follower, gossip
+    from clementinepass.http import held_memory
 
 
 class Gauges:
@@ -20,6 +21,7 @@
     :param cluster: the state of the cluster.
     :param followers: the readers of the store, by topic.
     :param peers: the other entries.
+    :param memory: the bytes held for callers; ``None`` for an agent.
     """
 
     __slots__ = (
@@ -29,6 +31,8 @@
         '_endpoints',
         '_evacuated_domains',
         '_followers',
+        '_held_bytes',
+        '_memory',
         '_record_bytes',
         '_limited_endpoints',
         '_members',
@@ -43,10 +47,12 @@
         cluster: cluster_state.ClusterState,
         followers: dict[records.Topic, follower.Follower],
         peers: gossip.Peers,
+        memory: held_memory.HeldMemory | None = None,
     ) -> None:
         self._cluster = cluster
         self._followers = followers
         self._peers = peers
+        self._memory = memory
         self._configuration_version = aioprometheus.Gauge(
             'clementinepass_configuration_version',
             'Configuration in force; 0 while none is known.',
@@ -88,6 +94,12 @@
             registry=registry,
         )
 
+        self._held_bytes = aioprometheus.Gauge(
+            'clementinepass_held_bytes',
+            'Bytes of bodies and answers that are held for callers and '
+            'endpoints; refused near a bound of two fifths of the memory.',
+            registry=registry,
+        )
         self._record_bytes = aioprometheus.Gauge(
             'clementinepass_record_bytes',
             'Bytes of records received from the store and from processes of '
@@ -121,6 +133,9 @@
         self._cold_endpoints.set({}, cold)
         self._evacuated_domains.set({}, len(self._cluster.evacuated.domains))
         self._members.set({}, len(self._peers.members.alive(now)))
+        if self._memory is not None:
+            self._memory.measure()
+            self._held_bytes.set({}, self._memory.held)
         for topic, topic_follower in self._followers.items():
             for source in records.Source:
                 self._record_bytes.set(
--- a/clementinepass/direct/node.py
+++ b/clementinepass/direct/node.py
@@ -65,6 +65,8 @@
     directory: str = ''
     #: Bandwidth of the link in Mbit/s.
     link_mbps: float = 1000
+    #: Memory above which the process is killed; 0 if not limited.
+    memory_bytes: int = 0
     #: ``host:port`` of the endpoint beside an agent, and its service.
     endpoint: str = ''
     service: str = ''
--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -43,6 +43,9 @@
 #: Default of ``Retry-After`` in seconds. An entry that is starting has its
 #: configuration by then.
 _RETRY_AFTER_SECONDS = 0.4
+#: Range of ``Retry-After`` in seconds for lack of memory. Callers that do not
+#: read are cut off after seconds; the range spreads the returns.
+_MEMORY_RETRY_AFTER_SECONDS = (1.0, 2.0)
 #: Seconds that a retry needs from sending a stream's request to its first
 #: event: twice the usual time.
 _FIRST_EVENT_MARGIN_SECONDS = 0.35
@@ -154,6 +157,7 @@
             self._answer_after_fault(admitted, error)
         finally:
             del self._timeouts_by_request[admitted]
+            self._sender.release_all(admitted)
 
     def finish_by(self, deadline: float) -> None:
         """Send the final answers of all requests in progress by a deadline.
@@ -205,6 +209,15 @@
         ):
             self._refuse_while_draining(call, reply)
             return None
+        if call.request.is_body_dropped or not self._sender.memory.has_room(0):
+            self._refuse(
+                call,
+                reply,
+                serving.Ending.MEMORY_FULL,
+                _UNAVAILABLE,
+                self._rng.uniform(*_MEMORY_RETRY_AFTER_SECONDS),
+            )
+            return None
         admitted = serving.AdmittedRequest(
             call,
             reply,
@@ -220,6 +233,15 @@
             self._log.log_accepted_while_draining(admitted, seconds_draining)
         return admitted
 
+    def _has_memory(self, admitted: serving.AdmittedRequest) -> bool:
+        """Tell whether the body may be copied for another endpoint.
+
+        The copy of an ended attempt makes room for the next one.
+        """
+        return not admitted.open_attempts or self._sender.memory.has_room(
+            len(admitted.call.request.body)
+        )
+
     def _choose_service(
         self,
         configuration: routing.Routing,
@@ -372,7 +394,7 @@
         for silent_attempt in admitted.open_attempts:
             if not silent_attempt.is_silent:
                 self._sender.mark_silent(admitted, silent_attempt)
-        if self._is_barred(admitted):
+        if self._is_barred(admitted) or not self._has_memory(admitted):
             return
         if is_withdrawn:
             endpoint = await self._select_next(admitted)
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -63,6 +63,8 @@
     ALL_PAUSED = 'all_paused'
     #: The limits that endpoints name leave no time for the request.
     ALL_LIMITED = 'all_limited'
+    #: The entry holds too many bytes for callers and endpoints.
+    MEMORY_FULL = 'memory_full'
     #: Every endpoint that was tried rejected the request.
     REJECTED = 'turned_away'
     #: The answer of the endpoint was cut off or malformed.
@@ -194,6 +196,8 @@
     silent_since: float | None = None
     #: The attempt that delivered a part of the answer in place of this one.
     superseded_by: Attempt | None = None
+    #: Bytes held for the attempt, as far as they are counted.
+    held_bytes: int = 0
     #: Why the attempt failed, if it did.
     failure: AttemptFailure | None = None
 
--- a/clementinepass/http/channel.py
+++ b/clementinepass/http/channel.py
@@ -109,6 +109,7 @@
         #: complete when the peer closes the connection.
         self.ends_with_connection = False
         self._has_user_timeout = False
+        self._is_paused = False
 
     @classmethod
     async def connect(
@@ -302,12 +303,22 @@
         self._reset_answer()
         return await self.read_head()
 
+    def pause_reading(self) -> None:
+        """Receive nothing more until the next call of :meth:`read`."""
+        if not self._transport.is_closing():
+            self._is_paused = True
+            self._transport.pause_reading()
+
     async def read(self) -> bytes:
         """Return the next bytes of the body; empty at its end.
 
         :raises ChannelBrokenError: the connection failed before the end of the
             answer.
         """
+        if self._is_paused:
+            # The end of the answer may have been received before the pause.
+            self._is_paused = False
+            self._resume_reading()
         while not self._body_parts:
             if self._is_complete:
                 return b''
@@ -315,8 +326,7 @@
         payload = b''.join(self._body_parts)
         self._body_parts.clear()
         self._buffered_bytes = 0
-        if not self._transport.is_closing():
-            self._transport.resume_reading()
+        self._resume_reading()
         return payload
 
     def finish(self) -> bool:
@@ -349,6 +359,10 @@
 
     # Internal methods.
 
+    def _resume_reading(self) -> None:
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def _set_user_timeout(self, *, is_enabled: bool) -> None:
         """Enable or disable TCP_USER_TIMEOUT, unless that is done already."""
         if is_enabled is self._has_user_timeout:
--- a/clementinepass/http/connection.py
+++ b/clementinepass/http/connection.py
@@ -16,12 +16,13 @@
 import httptools
 from loguru import logger
 
+from clementinepass.decisions import held_bytes
 from clementinepass.http import endings, messages, replies
 
 if typing.TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from clementinepass.http import limits
+    from clementinepass.http import held_memory, limits
 
     Handler = Callable[
         [messages.Request, replies.Reply],
@@ -39,6 +40,11 @@
 #: might lose the answer.
 _LINGER_SECONDS = 0.5
 
+#: Copies of a body that are counted: the body, and its copy in the request to
+#: an endpoint. If the copy counted only from then on, bodies that arrive at the
+#: same time could leave no room for any copy, and all would be refused.
+_BODY_COPIES = 2
+
 _BAD_REQUEST = 400
 _TIMED_OUT = 408
 _BODY_TOO_LONG = 413
@@ -55,6 +61,7 @@
     bounds: Callable[[], limits.Bounds]
     connections: set[Connection]
     is_draining: bool
+    memory: held_memory.HeldMemory
 
     def report_refused_input(self, status: int) -> None:
         """Report input that was refused before it became a request."""
@@ -81,6 +88,14 @@
         self._opened_at = self._loop.time()
         self._idle_since = self._opened_at
         self._request_count = 0
+        self._body: list[bytes] = []
+        #: Whether the body being received is dropped for lack of memory.
+        self._is_body_dropped = False
+        self._memory = front.memory
+        #: Bytes of answers that the caller has not read, as of the last
+        #: measurement, and the time of the last known progress.
+        self._unsent_bytes = 0
+        self._progressed_at = self._opened_at
         #: Why the connection ended. The first reason is kept; later ones are
         #: its consequences.
         self.ending = endings.End.OPEN
@@ -131,6 +146,8 @@
         self._front.connections.discard(self)
         self._cancel_timer()
         self._can_write.set()
+        self.measure_unsent()
+        self._release_unserved()
         if self._serve_task is not None:
             self._serve_task.cancel()
 
@@ -141,6 +158,7 @@
     def resume_writing(self) -> None:
         """Handle a drained write buffer: the caller has caught up."""
         self._can_write.set()
+        self.measure_unsent()
 
     # Callbacks of the parser.
 
@@ -178,14 +196,18 @@
             self.write(_CONTINUE)
 
     def on_body(self, payload: bytes) -> None:
-        """Buffer a part of the body, up to the size limit."""
+        """Buffer a part of the body, up to the size limit.
+
+        For lack of memory, the body is read and dropped, so that the request
+        can be refused like any other.
+        """
         if self._is_refused:
             return
         self._body_length += len(payload)
         if self._body_length > self._max_body_bytes:
             self._refuse(_BODY_TOO_LONG)
             return
-        self._body.append(payload)
+        self._keep(payload)
         self._start_idle_timer()
 
     def on_message_complete(self) -> None:
@@ -204,7 +226,10 @@
             connected_at=self._opened_at,
             number=self._request_count,
             follows_announced_close=self._is_close_announced,
+            is_body_dropped=self._is_body_dropped,
         )
+        self._body = []
+        self._body_length = 0
         self._pending.append(request)
         self._serve_next()
 
@@ -240,6 +265,7 @@
         """Write bytes, unless the connection is closing."""
         if not self._transport.is_closing():
             self._transport.write(payload)
+            self.measure_unsent()
 
     def abort(self) -> None:
         """Close the connection immediately, before its answer is complete."""
@@ -264,6 +290,30 @@
         """Wait until the write buffer has free space."""
         await self._can_write.wait()
 
+    @property
+    def backlog(self) -> held_bytes.Backlog:
+        """Return the unread bytes as of the last measurement."""
+        return held_bytes.Backlog(self._unsent_bytes, self._progressed_at)
+
+    def measure_unsent(self) -> None:
+        """Update the count of unread bytes, which falls as the caller reads."""
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes == self._unsent_bytes:
+            return
+        if unsent_bytes < self._unsent_bytes or not self._unsent_bytes:
+            self._progressed_at = self._loop.time()
+        self._memory.hold(unsent_bytes - self._unsent_bytes)
+        self._unsent_bytes = unsent_bytes
+        if unsent_bytes:
+            self._memory.readers.add(self)
+        else:
+            self._memory.readers.discard(self)
+
+    def cut_off(self) -> None:
+        """Close the connection and drop the unread bytes."""
+        self.abort()
+        self.measure_unsent()
+
     # Internal methods.
 
     def _set_ending(self, reason: endings.End) -> None:
@@ -284,8 +334,9 @@
         self._target = b''
         self._pairs: list[messages.Pair] = []
         self._headers = messages.Headers()
-        self._body: list[bytes] = []
+        self._body = []
         self._body_length = 0
+        self._is_body_dropped = False
         self._head_received_at = float(0)
         self._is_in_head = False
         self._is_reading = False
@@ -332,6 +383,7 @@
         if self._is_refused:
             return
         self._is_refused = True
+        self._drop_body()
         self._pending.append(status)
         self._serve_next()
 
@@ -346,6 +398,9 @@
         # Only the last of the queued requests can be the connection's last.
         self._keep_alive = not pending.is_last
         self._serve_task = self._loop.create_task(self._serve(pending))
+        self._serve_task.add_done_callback(
+            functools.partial(self._release_served, len(pending.body))
+        )
 
     async def _serve(self, request: messages.Request) -> None:
         reply = replies.Reply(self)
@@ -353,6 +408,8 @@
             # The caller's close may be there to read: its request waited in
             # this process or on the way for longer than the caller did.
             await asyncio.sleep(0)
+            # The answers to a caller that does not read would add up.
+            await self._can_write.wait()
             if self._transport.is_closing():
                 return
             await self._front.handler(request, reply)
@@ -391,11 +448,50 @@
         replies.Reply(self).send(status, [], b'')
         self._start_timer(_LINGER_SECONDS, self._transport.close)
 
+    def _keep(self, payload: bytes) -> None:
+        """Keep a part of a body, or drop the body for lack of memory."""
+        if self._is_body_dropped:
+            return
+        counted_bytes = _BODY_COPIES * len(payload)
+        if self._memory.has_room(counted_bytes):
+            self._body.append(payload)
+            self._memory.hold(counted_bytes)
+        else:
+            self._drop_body()
+            self._is_body_dropped = True
+
+    def _drop_body(self) -> None:
+        """Release the part of a body that was received."""
+        self._memory.hold(-_BODY_COPIES * sum(map(len, self._body)))
+        self._body = []
+
+    def _release_served(
+        self, body_bytes: int, task: asyncio.Task[None]
+    ) -> None:
+        self._memory.hold(-_BODY_COPIES * body_bytes)
+
+    def _release_unserved(self) -> None:
+        """Release the bodies of requests that will not be served."""
+        self._drop_body()
+        self._memory.hold(-_BODY_COPIES * self._pending_bytes)
+        self._pending.clear()
+
+    @property
+    def _pending_bytes(self) -> int:
+        return sum(
+            len(pending.body)
+            for pending in self._pending
+            if not isinstance(pending, int)
+        )
+
     def _throttle_reading(self) -> None:
         """Pause reading from the caller while the request queue is full."""
         if self._transport.is_closing():
             return
-        if len(self._pending) >= _MAX_PIPELINED:
+        if (
+            len(self._pending) >= _MAX_PIPELINED
+            or self._pending_bytes >= self._max_body_bytes
+        ):
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
--- a/clementinepass/http/front.py
+++ b/clementinepass/http/front.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from clementinepass.http import connection, limits
+from clementinepass.http import connection, held_memory, limits
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,6 +26,7 @@
     :param handler: serves one request.
     :param bounds: returns the current limits; called at each use, as they
         change with the configuration.
+    :param memory: counts the bytes held for callers; without a bound if absent.
     """
 
     __slots__ = (
@@ -36,15 +37,18 @@
         'connections',
         'handler',
         'is_draining',
+        'memory',
     )
 
     def __init__(
         self,
         handler: connection.Handler,
         bounds: Callable[[], limits.Bounds] = limits.Bounds,
+        memory: held_memory.HeldMemory | None = None,
     ) -> None:
         self.handler = handler
         self.bounds = bounds
+        self.memory = memory or held_memory.HeldMemory()
         #: The open connections.
         self.connections: set[connection.Connection] = set()
         #: Whether answers close their connections, since the process drains.
--- a/clementinepass/http/messages.py
+++ b/clementinepass/http/messages.py
@@ -102,6 +102,7 @@
         'connected_at',
         'headers',
         'follows_announced_close',
+        'is_body_dropped',
         'is_last',
         'method',
         'number',
@@ -121,6 +122,7 @@
         connected_at: float = 0,
         number: int = 1,
         follows_announced_close: bool = False,
+        is_body_dropped: bool = False,
     ) -> None:
         self.method = method
         #: Path and query, exactly as sent.
@@ -139,6 +141,9 @@
         #: may take the request for not received and repeat it, so that it must
         #: not be run.
         self.follows_announced_close = follows_announced_close
+        #: Whether the body was not kept, for lack of memory. The request must
+        #: be refused.
+        self.is_body_dropped = is_body_dropped
 
     @property
     def path(self) -> bytes:
--- a/clementinepass/observability/causes.py
+++ b/clementinepass/observability/causes.py
@@ -44,6 +44,7 @@
     NO_WEIGHTS = 'no_weights'
     REGION_NOT_ALLOWED = 'region_not_allowed'
     EVACUATED = 'evacuated'
+    MEMORY_FULL = 'memory_full'
     ALL_PAUSED = 'all_paused'
     ALL_LIMITED = 'all_limited'
     REJECTED = 'turned_away'
@@ -147,6 +148,10 @@
         'each endpoint of service {service} that could run it was in a failure '
         'domain that the operator evacuates'
     ),
+    Cause.MEMORY_FULL: (
+        'the entry held too many bytes for callers and endpoints that did not '
+        'read'
+    ),
     Cause.ALL_PAUSED: (
         'each endpoint of service {service} that could run it was paused, as '
         'it had turned requests away'
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -72,7 +72,7 @@
     'busy': Field(
         'bool', 'whether the engine is carrying out an order to load'
     ),
-    'bytes': Field('int', 'size of the message'),
+    'bytes': Field('int', 'size of the message, or bytes that were not read'),
     'callers': Field('str', 'address for callers'),
     'changed': Field('bool', 'whether a limit changed'),
     'configuration': Field(
@@ -135,6 +135,7 @@
         'bool',
         'whether the time is an estimate, as the process started later',
     ),
+    'held': Field('int', 'bytes of bodies and answers that the entry holds'),
     'here': Field(
         'int', 'version of the configuration in force in this process'
     ),
@@ -204,7 +205,7 @@
         'str',
         'why the request ended: starting, malformed, unknown_route, '
         'unknown_key, quarantined (it, or its prompt, crashes endpoints), '
-        'overload, no_service, no_endpoint, no_weights, '
+        'overload, memory_full, no_service, no_endpoint, no_weights, '
         'all_paused, all_limited, turned_away, broken, endpoint_failed, '
         'deadline (of its '
         'caller), route_time, slow_reader, leaving',
@@ -538,6 +539,11 @@
         'received data is no request that can be served; at most one line a '
         'second',
     ),
+    'caller that does not read cut off': Kind(
+        'bytes seconds held',
+        'the entry held too many bytes, and the caller read nothing for so '
+        'long',
+    ),
     'caller left': Kind(
         f'request end attempts after_event {_PROGRESS_FIELDS}',
         'the caller closed the connection; the request is aborted',
--- a/clementinepass/observability/verdicts.py
+++ b/clementinepass/observability/verdicts.py
@@ -37,6 +37,7 @@
     'no_weights': Cause.NO_WEIGHTS,
     'region_not_allowed': Cause.REGION_NOT_ALLOWED,
     'evacuated': Cause.EVACUATED,
+    'memory_full': Cause.MEMORY_FULL,
     'all_paused': Cause.ALL_PAUSED,
     'all_limited': Cause.ALL_LIMITED,
     'endpoint_failed': Cause.ENDPOINT_FAILED,
--- a/clementinepass/platform/node_settings.py
+++ b/clementinepass/platform/node_settings.py
@@ -15,6 +15,7 @@
 #: Name of the environment variable that holds the file's path.
 PATH_VARIABLE = 'CLEMENTINEPASS_SETTINGS'
 _MS_PER_SECOND = 1000
+_BYTES_PER_MEGABYTE = 1000000
 _STEP = 'read settings'
 
 
@@ -65,6 +66,8 @@
 class _Limits(_CamelStruct):
     #: Bandwidth of the machine's link in megabits per second.
     link_mbps: float = 1000
+    #: Memory in megabytes above which the process is killed; 0 if not limited.
+    memory_mb: float = 0
 
 
 class _Settings(_CamelStruct):
@@ -109,6 +112,7 @@
 def _node(settings: _Settings) -> node.Node:
     listen = settings.listen or _Listen()
     ports = settings.internal_ports or [7700]
+    limits = settings.limits or _Limits()
     return node.Node(
         name=settings.node_name,
         ip=settings.ip,
@@ -121,7 +125,8 @@
         callers=listen.front,
         readiness=listen.ready,
         directory=listen.directory,
-        link_mbps=(settings.limits or _Limits()).link_mbps,
+        link_mbps=limits.link_mbps,
+        memory_bytes=int(limits.memory_mb * _BYTES_PER_MEGABYTE),
         endpoint=settings.app,
         service=settings.service,
         seeds=tuple(seed.rpartition(':')[0] for seed in settings.seeds),
--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -105,7 +105,8 @@
         self.events = events
         #: The ``Retry-After`` of requests that are turned away with a pause.
         self.retry_after = b'3'
-        #: What each event has besides its number.
+        #: What each event has besides its number, and a plain answer at its
+        #: end.
         self.filling = b''
         #: What goes wrong with the next requests, in order.
         self.faults: list[Fault] = []
@@ -300,7 +301,8 @@
             if fault is Fault.TRICKLE:
                 await self._trickle(reply, pairs)
             else:
-                reply.send(_OK, pairs, b'by %b' % self.id.encode())
+                text = b'by %b%b' % (self.id.encode(), self.filling)
+                reply.send(_OK, pairs, text)
 
     async def _trickle(
         self, reply: replies.Reply, pairs: list[messages.Pair]
--- a/tests/direct/path_harness.py
+++ b/tests/direct/path_harness.py
@@ -18,7 +18,14 @@
     request_log,
     routing,
 )
-from clementinepass.http import channel, front, limits, messages, pool
+from clementinepass.http import (
+    channel,
+    front,
+    held_memory,
+    limits,
+    messages,
+    pool,
+)
 from clementinepass.platform import dialect
 from standins import direct_endpoint
 from tests.direct import steady_loop
@@ -91,9 +98,14 @@
         self.drain_state = departure.DrainState(local_node, self.cluster)
         #: Number of other entries that callers may be sent to.
         self.ready_peers = 0
+        self.memory = held_memory.HeldMemory.from_memory(
+            local_node.memory_bytes
+        )
         log = request_log.RequestLog(aioprometheus.Registry())
         header_dialect = dialect.HeaderDialect()
-        self.sender = attempt.Sender(self.cluster, header_dialect, log)
+        self.sender = attempt.Sender(
+            self.cluster, header_dialect, log, self.memory
+        )
         self.request_handler = path.RequestHandler(
             local_node,
             self.cluster,
@@ -105,7 +117,7 @@
             lambda: self.ready_peers,
             random.Random(3),
         )
-        self.front = front.Front(self.request_handler.serve)
+        self.front = front.Front(self.request_handler.serve, memory=self.memory)
         self.port = 0
         self._callers: pool.Pool | None = None
 
--- a/tests/observability/test_causes.py
+++ b/tests/observability/test_causes.py
@@ -15,6 +15,7 @@
 import testtools
 from loguru import logger
 
+from clementinepass.decisions import held_bytes
 from clementinepass.direct import (
     attempt,
     endpoints,
@@ -240,6 +241,11 @@
     await send_ignoring_failure(world, '/plain/a')
 
 
+async def memory_full(world: World) -> None:
+    world.memory._limits = held_bytes.Limits(0, 0)
+    await send_ignoring_failure(world, '/plain/a')
+
+
 async def overload(world: World) -> None:
     for endpoint in world.cluster.endpoints:
         endpoint.in_flight = 500
@@ -428,6 +434,7 @@
     (no_weights, Cause.NO_WEIGHTS, 'service pool'),
     (region_not_allowed, Cause.REGION_NOT_ALLOWED, 'service pool'),
     (evacuated, Cause.EVACUATED, 'service pool'),
+    (memory_full, Cause.MEMORY_FULL, 'too many bytes'),
     (overload, Cause.OVERLOAD, 'for 16 slots'),
     (all_paused, Cause.ALL_PAUSED, 'service pool'),
     (all_limited, Cause.ALL_LIMITED, 'service pool'),
