Test that a stream goes on after its connection was paused

A stream whose caller does not read is not read ahead near the bound. If its connection stayed paused, the caller would wait until its deadline.

--- a/tests/direct/test_slow_readers.py
+++ b/tests/direct/test_slow_readers.py
@@ -167,6 +167,37 @@
 
         path_harness.run(scenario, local_node=SMALL_NODE)
 
+    def test_paused_stream(self) -> None:
+        """A stream that is not read ahead goes on when its caller reads.
+
+        The connection to the endpoint would stay paused.
+        """
+
+        async def scenario(harness: Harness) -> None:
+            for endpoint in harness.endpoints:
+                endpoint.events, endpoint.filling = 64, b'x' * 500_000
+            harness.memory._limits = held_bytes.Limits(admission=MEGABYTE / 2)
+            pauses = []
+            pause = channel.Channel.pause_reading
+
+            def count_pause(paused: channel.Channel) -> None:
+                pauses.append(paused)
+                pause(paused)
+
+            self.patch(channel.Channel, 'pause_reading', count_pause)
+            payload = path_harness.request('/stream/a')
+            caller = await open_unread(harness, payload)
+            await until(lambda: pauses)
+            reader, writer = await asyncio.open_connection(
+                sock=caller, limit=64 * MEGABYTE
+            )
+            body = await reader.readuntil(b'\r\n0\r\n\r\n')
+            self.assertEqual(64, body.count(b'data: '))
+            writer.close()
+            await until(lambda: not harness.memory.held)
+
+        path_harness.run(scenario)
+
 
 class EndpointTest(testtools.TestCase):
     """Guards against copies of bodies for endpoints that do not read."""
