--- a/benchmarks/day.py
+++ b/benchmarks/day.py
@@ -8,7 +8,9 @@
 crashes several times and starts again under its id, holding nothing.  On a day
 with pauses one engine, and then all of them, turn everything away and ask for a
 time without requests.  On a day with drills, routes are added by the thousand,
-and the store comes back twice from a copy that lacks the last changes.
+and the store comes back twice from a copy that lacks the last changes.  On an
+uneven day some requests may run in one region only, its failure domain is
+evacuated for a while, and engines are cold after that or after a start.
 """
 
 from __future__ import annotations
@@ -24,7 +26,13 @@
 from loguru import logger
 
 from clementinepass.direct import node
-from standins import drills, following_callers, machines, stepping_engine
+from standins import (
+    cold_start,
+    drills,
+    following_callers,
+    machines,
+    stepping_engine,
+)
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,6 +48,8 @@
 #: The longest answer on a day with restarts, pauses or drills. The rarest ones
 #: take the six seconds that callers have, and would fail without any of these.
 _LONGEST_ANSWER = 300
+#: The same on an uneven day, on which callers wait up to four seconds before.
+_LONGEST_UNEVEN_ANSWER = 100
 #: Seconds in which a version must be in use.
 _VERSION_SECONDS = 4.0
 #: How often the engine starts again on a day with restarts.
@@ -81,6 +91,41 @@
         },
     ],
 }
+_REGIONAL = b'/regional/a'
+#: Failure domain, and region, where regional requests may run, and which is
+#: evacuated. It has one engine.
+_REGION = 'b'
+#: Part of the requests that are regional: more than a cold engine takes.
+_REGIONAL_PART = 0.35
+#: Seconds after which no request may come to an evacuated domain. The bound is
+#: shorter without disturbance; the machine may delay the day.
+_EVACUATION_SECONDS = 1.0
+_COLD_SECONDS = 2.0
+_COLD_RATE = 2
+_COLD_LIMITS = node.SystemLimits(
+    version=_VERSION_SECONDS, cold_overrun=1.5, cold_slack=2
+)
+_COLD_BOUND = _COLD_RATE * _COLD_LIMITS.cold_overrun + _COLD_LIMITS.cold_slack
+_UNEVEN_CONFIG: dict[str, typing.Any] = {
+    **_CONFIG,
+    'routes': [
+        *_CONFIG['routes'],
+        {
+            **machines.STREAM_ROUTE,
+            'name': 'regional',
+            'pathPrefix': '/regional/',
+            'service': 'pool',
+            'allowedRegions': [_REGION],
+        },
+    ],
+    'services': [
+        {
+            **_CONFIG['services'][0],
+            'coldStartS': _COLD_SECONDS,
+            'coldPerS': _COLD_RATE,
+        },
+    ],
+}
 
 
 class Day:
@@ -98,6 +143,7 @@
         restarts: bool = False,
         pauses: bool = False,
         store_drills: bool = False,
+        uneven: bool = False,
     ) -> None:
         self._seconds = seconds
         self._rng = random.Random(seed)
@@ -105,6 +151,9 @@
         self._restarts = restarts
         self._pauses = pauses
         self._store_drills = store_drills
+        self._uneven = uneven
+        #: When the evacuation began and ended.
+        self._evacuated = (float('inf'), float('-inf'))
         self._went_back: list[str] = []
         self.engines = [
             stepping_engine.SteppingEngine(
@@ -122,8 +171,8 @@
         """Play it."""
         world = machines.Machines(
             self.engines,
-            node.SystemLimits(version=_VERSION_SECONDS),
-            _CONFIG,
+            _COLD_LIMITS,
+            _UNEVEN_CONFIG if self._uneven else _CONFIG,
             entries=_ENTRIES,
         )
         async with world:
@@ -143,6 +192,8 @@
                     tasks.create_task(self._shed())
                 if self._store_drills:
                     tasks.create_task(self._drill(world))
+                if self._uneven:
+                    tasks.create_task(self._evacuate(world))
                 await self._send(tasks)
 
     async def _send(self, tasks: asyncio.TaskGroup) -> None:
@@ -155,7 +206,12 @@
             answer = int(self._rng.expovariate(1 / _ANSWER)) + 6
             if self._restarts or self._pauses or self._store_drills:
                 answer = min(answer, _LONGEST_ANSWER)
-            tasks.create_task(self.callers.ask(_STREAM, prompt, answer))
+            target = _STREAM
+            if self._uneven:
+                answer = min(answer, _LONGEST_UNEVEN_ANSWER)
+                if self._rng.random() < _REGIONAL_PART:
+                    target = _REGIONAL
+            tasks.create_task(self.callers.ask(target, prompt, answer))
             await asyncio.sleep(self._rng.expovariate(rate))
 
     async def _trouble(self, world: machines.Machines) -> None:
@@ -224,6 +280,24 @@
         watching.cancel()
         self._went_back = watch.broken
 
+    async def _evacuate(self, world: machines.Machines) -> None:
+        """Evacuate a domain, whose engine loses its caches; restart another."""
+        for one in self.engines:
+            one.cold = cold_start.ColdLimit(_COLD_BOUND, _COLD_SECONDS)
+        part = self._seconds / 10
+        await asyncio.sleep(part)
+        world.evacuate(_REGION)
+        began = time.monotonic()
+        await asyncio.sleep(3 * part)
+        self._evacuated = (began, time.monotonic())
+        for number, one in enumerate(self.engines):
+            if machines.engine_domain(number) == _REGION:
+                one.cold.begin(time.monotonic())
+        world.evacuate(_REGION, is_active=False)
+        await asyncio.sleep(3 * part)
+        self.engines[-1].restart()
+        world.list_engines()
+
     def broken(self) -> list[str]:
         """Return what was against the rules, a line each."""
         found = list(self.callers.broken)
@@ -251,6 +325,22 @@
                 for version, whole in one.orders
                 if not whole
             )
+        return found + self._broken_restrictions()
+
+    def _broken_restrictions(self) -> list[str]:
+        """Return the requests that came where they must not."""
+        began, ended = self._evacuated
+        found = []
+        for number, one in enumerate(self.engines):
+            is_regional = machines.engine_domain(number) == _REGION
+            most = cold_start.most_in_a_second(one.cold.arrivals)
+            if most > one.cold.per_second:
+                found.append(f'COLD {one.id}: {most} in a second')
+            for target, at in one.arrivals:
+                if is_regional and began + _EVACUATION_SECONDS < at < ended:
+                    found.append(f'EVACUATE {one.id}: {target!r}')
+                if target == _REGIONAL and not is_regional:
+                    found.append(f'REGION {one.id}: {target!r}')
         return found
 
 
@@ -299,6 +389,7 @@
     parser.add_argument('--restarts', action='store_true')
     parser.add_argument('--pauses', action='store_true')
     parser.add_argument('--drills', action='store_true')
+    parser.add_argument('--uneven', action='store_true')
     parser.add_argument('--seconds', type=float, default=20)
     parser.add_argument('--seed', type=int, default=1)
     options = parser.parse_args()
@@ -310,6 +401,7 @@
         restarts=options.restarts,
         pauses=options.pauses,
         store_drills=options.drills,
+        uneven=options.uneven,
     )
     asyncio.run(day.play())
     report(day, print)
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -200,6 +200,12 @@
         """Write a configuration."""
         self.store.put('keyed.op', 'config', config)
 
+    def evacuate(self, domain: str, *, is_active: bool = True) -> None:
+        """Begin or end the evacuation of a failure domain."""
+        self.store.put(
+            'keyed.op', f'evacuate/{domain}', {} if is_active else None
+        )
+
     async def all_known(self) -> list[entry.Entry]:
         """Return the entries once each offers all.
 
@@ -230,11 +236,10 @@
     def list_engines(self) -> None:
         """Have all engines write what they hold."""
         for number, one in enumerate(self.engines):
-            domain = 'ab'[number % 2]
             self.store.put(
                 'keyed.servers',
                 f'i-{number}',
-                one.entry('pool', domain),
+                one.entry('pool', engine_domain(number)),
             )
 
     def _node(self, ip: str, **changes: typing.Any) -> node.Node:
@@ -352,6 +357,11 @@
         return fetched.status
 
 
+def engine_domain(number: int) -> str:
+    """Return the failure domain of an engine."""
+    return 'ab'[number % 2]
+
+
 async def until(condition: typing.Callable[[], bool]) -> None:
     """Wait until something is so."""
     while not condition():
--- a/standins/stepping_engine.py
+++ b/standins/stepping_engine.py
@@ -12,7 +12,7 @@
 import time
 import typing
 
-from standins import weights_origin
+from standins import cold_start, weights_origin
 
 if typing.TYPE_CHECKING:
     from clementinepass.http import messages, replies
@@ -44,6 +44,14 @@
     at: float
 
 
+class Arrival(typing.NamedTuple):
+    """A request that reached the engine it was meant for."""
+
+    target: bytes
+    #: Monotonic seconds.
+    at: float
+
+
 class _Job:
     """One request in the engine."""
 
@@ -80,6 +88,10 @@
         self.id = endpoint_id
         #: Requests that began to run, in order.
         self.runs: list[Run] = []
+        #: Requests that came, in order.
+        self.arrivals: list[Arrival] = []
+        #: What it takes while it is cold.
+        self.cold = cold_start.ColdLimit()
         self._waiting: collections.deque[_Job] = collections.deque()
         self._running: list[_Job] = []
         self._work = asyncio.Event()
@@ -135,8 +147,14 @@
     def restart(self, *, keep_staged: bool = True) -> None:
         """Crash and start again, cutting all that runs or waits."""
         super().restart(keep_staged=keep_staged)
+        self.cold.begin(time.monotonic())
         self._cut()
 
+    def entry(self, service: str, domain: str) -> dict[str, typing.Any]:
+        """Return what the engine writes of itself into the list."""
+        cold_left = self.cold.left_ms(time.monotonic())
+        return {**super().entry(service, domain), 'coldLeftMs': cold_left}
+
     def _cut(self) -> None:
         for job in (*self._running, *self._waiting):
             job.events.put_nowait(False)
@@ -156,6 +174,11 @@
         reply: replies.Reply,
     ) -> None:
         now = time.monotonic()
+        self.arrivals.append(Arrival(request.target, now))
+        if self.cold.record(now):
+            self.restart(keep_staged=False)
+            reply.abort()
+            return
         if now < self.shed_until:
             self.shed.append((now, self.retry_after))
             pairs = [
--- a/tests/direct/test_cold_endpoints.py
+++ b/tests/direct/test_cold_endpoints.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import bisect
 import typing
 
 import testtools
@@ -16,6 +15,7 @@
     routing,
 )
 from clementinepass.http import limits
+from standins import cold_start
 from tests.direct import test_cluster_state
 
 LIMITS = node.SystemLimits(cold_overrun=1.5, cold_slack=5)
@@ -46,15 +46,6 @@
         return True
 
 
-def most_in_a_second(arrivals: list[float]) -> int:
-    """Return the largest number of arrivals in any second."""
-    arrivals = sorted(arrivals)
-    return max(
-        bisect.bisect_left(arrivals, at + 1) - index
-        for index, at in enumerate(arrivals)
-    )
-
-
 class SharedLimitTest(testtools.TestCase):
     """Guards against entries that together crash a cold endpoint."""
 
@@ -84,7 +75,9 @@
         """The rate is used, and no second has more than the bound."""
         ips = {f'10.0.0.{number}' for number in range(35)}
         arrivals = self.play(35, lambda ip, now: ips)
-        self.assertLessEqual(most_in_a_second(arrivals), MOST_PER_SECOND)
+        self.assertLessEqual(
+            cold_start.most_in_a_second(arrivals), MOST_PER_SECOND
+        )
         self.assertGreater(len(arrivals), 4 * RATE)
 
     def test_two_fifths_cut_off(self) -> None:
@@ -98,7 +91,9 @@
             return set(ips[:14] if is_cut_off else ips[14:])
 
         arrivals = self.play(35, heard)
-        self.assertLessEqual(most_in_a_second(arrivals), MOST_PER_SECOND)
+        self.assertLessEqual(
+            cold_start.most_in_a_second(arrivals), MOST_PER_SECOND
+        )
 
     def test_entries_join(self) -> None:
         """Entries that join are known to each other at different times."""
@@ -109,14 +104,18 @@
             return set(ips if now > 103 + is_late else ips[:30])
 
         arrivals = self.play(35, heard)
-        self.assertLessEqual(most_in_a_second(arrivals), MOST_PER_SECOND)
+        self.assertLessEqual(
+            cold_start.most_in_a_second(arrivals), MOST_PER_SECOND
+        )
 
     def test_few_entries(self) -> None:
         """A few entries stay within the bound as well."""
         for count in (1, 2, 3, 8):
             ips = {f'10.0.0.{number}' for number in range(count)}
             arrivals = self.play(count, lambda ip, now, ips=ips: ips)
-            self.assertLessEqual(most_in_a_second(arrivals), MOST_PER_SECOND)
+            self.assertLessEqual(
+                cold_start.most_in_a_second(arrivals), MOST_PER_SECOND
+            )
             self.assertGreater(len(arrivals), 3 * RATE)
 
 
--- a/tests/direct/test_day.py
+++ b/tests/direct/test_day.py
@@ -61,6 +61,23 @@
         kinds = {outcome.kind for outcome in drilled.callers.told}
         self.assertLessEqual(kinds, {'in aim', 'late'})
 
+    def test_uneven(self) -> None:
+        """Guards against requests where the operator does not allow them.
+
+        None reaches an evacuated domain until its end, a regional one reaches no
+        other region, and an engine that is cold after an evacuation or a start
+        gets no more than its bound. Callers are refused at worst.
+        """
+        uneven = day.Day(9, 1, heavy=False, uneven=True)
+        asyncio.run(uneven.play())
+        self.assertEqual([], uneven.broken())
+        kinds = {outcome.kind for outcome in uneven.callers.told}
+        self.assertLessEqual(kinds, {'in aim', 'late', 'refused'})
+        regional, restarted = uneven.engines[1], uneven.engines[2]
+        self.assertNotEqual([], regional.cold.arrivals)
+        self.assertEqual(2, restarted.born)
+        self.assertEqual([1, 1], [regional.born, uneven.engines[0].born])
+
     def test_heavy(self) -> None:
         """A heavy day breaks no rule, and all engines get the new version.
 
