Evacuate failure domains and crash cold endpoints in the soak

Change: a disturbance of the soak begins or ends an evacuation, also between a copy of the store and its return; each entry must have it within the bound. New endpoints, and those of a domain after its evacuation, are cold, and crash at twice their bound.

Entries give the cluster state the event loop's clock, as its contract asks. By skipped time endpoints stayed cold for good before. In operation both clocks are the same.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -3,10 +3,11 @@
 Entries of several regions on loopback, by skipped time, while disturbances come
 in series and overlap: the store is away, comes back from a copy or leaves reads
 without an answer; configurations are written, some of them long; entries are
-killed and others start; endpoints leave and others come.  Callers go on using
-their open connections.  Checked all the while: a change is in force in time
-once nothing is disturbed, nothing goes back, an endpoint that has left is not
-used, and the store is not called more often than it allows.
+killed and others start; endpoints leave and others come, cold; a failure domain
+is evacuated.  Callers go on using their open connections.  Checked all the
+while: a change is in force in time once nothing is disturbed, nothing goes
+back, an endpoint that has left is not used, a cold one gets no more than its
+bound, and the store is not called more often than it allows.
 """
 
 from __future__ import annotations
@@ -23,7 +24,13 @@
 
 from clementinepass.direct import node
 from clementinepass.http import channel, messages, pool
-from standins import direct_endpoint, drills, machines, skipped_time
+from standins import (
+    cold_start,
+    direct_endpoint,
+    drills,
+    machines,
+    skipped_time,
+)
 
 #: Seconds in which a change must be in force, and in which an endpoint that
 #: leaves gets no more requests.
@@ -39,6 +46,23 @@
 #: Seconds of a run, and the time at its end without disturbances.
 _SECONDS = 60.0
 _QUIET_SECONDS = _SETTLING_SECONDS + _BOUND_SECONDS + 1
+#: The failure domain that is evacuated; every second endpoint is there.
+_EVACUATED_DOMAIN = 'b'
+_COLD_SECONDS = 3.0
+_COLD_RATE = 2
+_LIMITS = node.SystemLimits(version=1.5, cold_overrun=1.5, cold_slack=2)
+_COLD_BOUND = _COLD_RATE * _LIMITS.cold_overrun + _LIMITS.cold_slack
+_CONFIG: dict[str, typing.Any] = {
+    **machines.CONFIG,
+    'services': [
+        {
+            'name': 'desk',
+            'coldStartS': _COLD_SECONDS,
+            'coldPerS': _COLD_RATE,
+        },
+        *machines.CONFIG['services'][1:],
+    ],
+}
 
 
 class Soak:
@@ -49,12 +73,17 @@
         self._seconds = seconds
         regions = self._rng.choice((1, 2, 3))
         entries = self._rng.choice((3, 5, 9, 12))
-        self._world = machines.Machines((), entries=entries, regions=regions)
-        self._operator = drills.Operator(self._world)
+        self._world = machines.Machines(
+            (), _LIMITS, _CONFIG, entries=entries, regions=regions
+        )
+        self._operator = drills.Operator(self._world, _CONFIG)
         self._watch = drills.Watch(self._world)
         self._endpoints: list[direct_endpoint.DirectEndpoint] = []
         self._leaving: dict[str, direct_endpoint.DirectEndpoint] = {}
         self._left_at: dict[str, float] = {}
+        #: Whether the domain is evacuated, and since when this is so.
+        self._is_evacuated = False
+        self._evacuated_since: float = 0
         self._sequence = 100
         self._disturbed_at: float = 0
         self._is_drilling = False
@@ -112,6 +141,7 @@
             (self._outage, 1),
             (self._kill, 2),
             (lambda: self._replace_endpoint(stack), 2),
+            (self._evacuate, 2),
         )
         ends_at = self._now + self._seconds
         async with asyncio.TaskGroup() as tasks:
@@ -154,6 +184,7 @@
         for version in lost:
             self._written_at[version] = self._now
         self._operator.write_again(lost)
+        self._world.evacuate(_EVACUATED_DOMAIN, is_active=self._is_evacuated)
         self._list_all()
         self._disturbed_at = self._now
         self._is_drilling = False
@@ -189,6 +220,23 @@
         self._world.add_entry()
         self._disturbed_at = self._now
 
+    async def _evacuate(self) -> None:
+        """Begin or end the evacuation of a failure domain.
+
+        Its endpoints lose their caches, unless an entry may have missed that
+        the domain was evacuated.
+        """
+        if self._world.store.down:
+            return
+        self.events['evacuation'] += 1
+        if self._is_evacuated and self._is_in_force(self._evacuated_since):
+            for endpoint in self._endpoints:
+                if _domain(endpoint) == _EVACUATED_DOMAIN:
+                    endpoint.cold.begin(self._now)
+        self._is_evacuated = not self._is_evacuated
+        self._evacuated_since = self._now
+        self._world.evacuate(_EVACUATED_DOMAIN, is_active=self._is_evacuated)
+
     async def _replace_endpoint(self, stack: contextlib.AsyncExitStack) -> None:
         if self._world.store.down or self._is_drilling:
             return
@@ -204,6 +252,8 @@
         endpoint = direct_endpoint.DirectEndpoint(f'i-soak-{number}')
         await stack.enter_async_context(endpoint)
         self._endpoints.append(endpoint)
+        endpoint.cold = cold_start.ColdLimit(_COLD_BOUND, _COLD_SECONDS)
+        endpoint.cold.begin(self._now)
         self._list(endpoint)
 
     async def _heartbeat(self) -> None:
@@ -220,7 +270,14 @@
     def _list(self, endpoint: direct_endpoint.DirectEndpoint) -> None:
         self._sequence += 1
         state = 'draining' if endpoint.id in self._leaving else 'ready'
-        drills.list_endpoint(self._world, endpoint, self._sequence, state=state)
+        drills.list_endpoint(
+            self._world,
+            endpoint,
+            self._sequence,
+            state=state,
+            zone=_domain(endpoint),
+            coldLeftMs=endpoint.cold.left_ms(self._now),
+        )
 
     async def _check(self) -> None:
         while True:
@@ -234,9 +291,7 @@
         ):
             if entry.is_ready:
                 self._ready_at_by_ip.setdefault(ip, now)
-        if self._is_drilling or self._world.store.down:
-            return
-        if now - self._disturbed_at < _SETTLING_SECONDS:
+        if self._is_disturbed():
             return
         due = max(
             (
@@ -256,6 +311,24 @@
                 if now - at > _BOUND_SECONDS
                 and drills.is_used(entry, endpoint_id)
             )
+            is_evacuated = _EVACUATED_DOMAIN in entry.cluster.evacuated.domains
+            if (
+                self._is_in_force(self._evacuated_since)
+                and is_evacuated is not self._is_evacuated
+            ):
+                self.broken.append(f'{now:.2f} {ip}: evacuated {is_evacuated}')
+
+    def _is_disturbed(self) -> bool:
+        return (
+            self._is_drilling
+            or self._world.store.down
+            or self._now - self._disturbed_at < _SETTLING_SECONDS
+        )
+
+    def _is_in_force(self, written_at: float) -> bool:
+        """Return whether all undisturbed entries have what was written."""
+        is_due = self._now - written_at > _BOUND_SECONDS
+        return is_due and not self._is_disturbed()
 
     def _undisturbed_entries(self, now: float) -> list[tuple[str, typing.Any]]:
         return [
@@ -269,6 +342,10 @@
 
     def _check_end(self) -> None:
         """Check that all is as it was written, and that all are listed."""
+        for one in (*self._endpoints, *self._leaving.values()):
+            most = cold_start.most_in_a_second(one.cold.arrivals)
+            if most > _COLD_BOUND:
+                self.broken.append(f'{one.id}: {most} while cold')
         for ip, entry in self._undisturbed_entries(self._now):
             if entry.cluster.configuration_version != self._operator.version:
                 self.broken.append(f'at the end {ip} is behind')
@@ -319,6 +396,10 @@
                 )
 
 
+def _domain(endpoint: direct_endpoint.DirectEndpoint) -> str:
+    return machines.engine_domain(int(endpoint.id.rpartition('-')[2]))
+
+
 def main() -> int:
     """Play the runs and print what came of them; 1 if a rule was broken."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -67,7 +67,7 @@
     ) -> None:
         self._local_node = local_node
         self._adapters = adapters
-        self.cluster = cluster_state.ClusterState(local_node)
+        self.cluster = cluster_state.ClusterState(local_node, _loop_time)
         record_intake = intake.Intake(self.cluster, adapters.decoders)
         self._followers = record_intake.create_followers(adapters.store, rng)
         start_delay = start_reading.read_delay(
@@ -343,3 +343,7 @@
         return (
             limits.Bounds() if configuration is None else configuration.bounds
         )
+
+
+def _loop_time() -> float:
+    return asyncio.get_running_loop().time()
--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -12,6 +12,7 @@
 import typing
 
 from clementinepass.http import front, messages, replies
+from standins import cold_start
 
 HOST = '127.0.0.1'
 _OK = 200
@@ -137,6 +138,8 @@
         self.is_draining = False
         #: The limit of requests a second that all answers name, if any.
         self.named_limit: bytes | None = None
+        #: What it takes while it is cold.
+        self.cold = cold_start.ColdLimit()
         #: Milliseconds of Unix time of its start.
         self.born = 1
         #: Words of this start so far.
@@ -206,6 +209,8 @@
             pairs = [(b'X-Instance-Id', self.id.encode())]
             reply.send(_MISDIRECTED, self._marked(request) + pairs, b'')
             return
+        if self.cold.record(asyncio.get_running_loop().time()):
+            await self._crash_by_request()
         if fault in {Fault.FULL, Fault.PAUSE}:
             pairs = [(b'X-Not-Executed', b'1')]
             if fault is Fault.PAUSE:
--- a/standins/drills.py
+++ b/standins/drills.py
@@ -66,10 +66,16 @@
     """Writes configurations, also those that were lost.
 
     :param world: the system.
+    :param first: the first configuration, without the origin.
     """
 
-    def __init__(self, world: machines.Machines) -> None:
+    def __init__(
+        self,
+        world: machines.Machines,
+        first: dict[str, typing.Any] = machines.CONFIG,
+    ) -> None:
         self._world = world
+        self._first = first
         self.version = 1
         self._routes_by_version: dict[int, int] = {}
 
@@ -96,7 +102,7 @@
 
     def _write(self, version: int) -> None:
         count = self._routes_by_version.get(version, 0)
-        self._world.configure(long_configuration(version, count))
+        self._world.configure(long_configuration(version, count, self._first))
 
 
 def long_configuration(
