Tell the true reason where an evacuation or a cold endpoint refuses

A request whose endpoint was evacuated while its connection was opened ended as turned_away, and one for which all endpoints were cold as overload.

--- a/clementinepass/direct/path.py
+++ b/clementinepass/direct/path.py
@@ -494,6 +494,11 @@
         )
         if _are_paused(candidates, now):
             return serving.Ending.ALL_PAUSED
+        exclusion = self._cluster.exclusion(admitted, now)
+        if exclusion is not None:
+            # The evacuation arrived while the connection was opened.
+            admitted.retry_after = first_event.MAX_RETRY_AFTER
+            return _ENDINGS_BY_EXCLUSION[exclusion]
         return serving.Ending.REJECTED
 
     def _ending_without_endpoint(
@@ -625,7 +630,8 @@
 def _are_paused(candidates: list[endpoints.Endpoint], now: float) -> bool:
     """Tell whether there are endpoints, and none of them admits requests."""
     return bool(candidates) and not any(
-        endpoint.backoff.admits(now) for endpoint in candidates
+        endpoint.backoff.admits(now) and endpoint.cold_limit.admits(now)
+        for endpoint in candidates
     )
 
 
--- a/tests/direct/test_eligible_endpoints.py
+++ b/tests/direct/test_eligible_endpoints.py
@@ -135,6 +135,7 @@
             evacuate(world, 'north-1')
             answer = await send
             self.assertEqual(503, answer.status)
+            self.assertEqual(b'2.00', answer.headers.get(b'retry-after'))
             self.assertEqual([], world.received_requests)
 
         self.play(scenario)
