Let requests that become late wait a second more for a slot

Change: a request that can no longer be answered in time goes behind the others and waits for a second, and so does one that came back.

--- a/clementinepass/decisions/slot_queue.py
+++ b/clementinepass/decisions/slot_queue.py
@@ -14,7 +14,7 @@
 
 from __future__ import annotations
 
-import itertools
+import heapq
 import typing
 
 #: Seconds for which an offered slot is counted as taken beside a newer report
@@ -31,29 +31,29 @@
     :param entry: the IP address of the entry.
     :param number: the entry's number of the request.
     :param urgency: 0 is served first.
-    :param is_late: whether its answer will be late in any case.
+    :param late_at: monotonic seconds from which on its answer will be late.
     :param expires_at: monotonic seconds until which it waits.
     """
 
     entry: str
     number: int
     urgency: int
-    is_late: bool
+    late_at: float
     expires_at: float
 
 
 class SlotQueue:
     """The requests that wait for the slots of one engine."""
 
-    __slots__ = ('_free_slots', '_offered_at', '_order', '_waiting')
+    __slots__ = ('_free_slots', '_offered_at', '_waiting')
 
     def __init__(self) -> None:
         #: Slots that were free at the engine's last report.
         self._free_slots = 0
         #: Monotonic seconds of the offers that the report does not include.
         self._offered_at: list[float] = []
-        self._order = itertools.count()
-        self._waiting: list[tuple[bool, int, int, SlotRequest]] = []
+        #: The waiting requests, in the order of their arrival.
+        self._waiting: list[SlotRequest] = []
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
@@ -63,9 +63,7 @@
         """Add a request; return whether there was room for it."""
         if len(self._waiting) >= _MAX_REQUESTS:
             return False
-        self._waiting.append(
-            (request.is_late, request.urgency, next(self._order), request)
-        )
+        self._waiting.append(request)
         return True
 
     def update(self, free_slots: int, now: float) -> None:
@@ -79,6 +77,7 @@
             for offered_at in self._offered_at
             if now - offered_at < _TRANSIT_SECONDS
         ]
+        self._drop_expired(now)
 
     def give_back(self) -> None:
         """Record that an offered slot is not used."""
@@ -87,14 +86,23 @@
 
     def take_offers(self, now: float) -> list[SlotRequest]:
         """Return the requests to which a slot is offered now."""
-        self._waiting = [
-            waiting for waiting in self._waiting if waiting[-1].expires_at > now
-        ]
         count = self._free_slots - len(self._offered_at)
         if count <= 0 or not self._waiting:
             return []
-        self._waiting.sort()
-        offers = [waiting[-1] for waiting in self._waiting[:count]]
-        del self._waiting[:count]
+        self._drop_expired(now)
+        offers = heapq.nsmallest(
+            count,
+            self._waiting,
+            key=lambda waiting: (waiting.late_at <= now, waiting.urgency),
+        )
+        taken = set(map(id, offers))
+        self._waiting = [
+            waiting for waiting in self._waiting if id(waiting) not in taken
+        ]
         self._offered_at.extend(now for _ in offers)
         return offers
+
+    def _drop_expired(self, now: float) -> None:
+        self._waiting = [
+            waiting for waiting in self._waiting if waiting.expires_at > now
+        ]
--- a/clementinepass/decisions/slot_wait.py
+++ b/clementinepass/decisions/slot_wait.py
@@ -17,8 +17,9 @@
 #: apart from reading the prompt: it finishes the step in progress, reads the
 #: prompts of other requests, and generates the tokens of the event.
 _START_SECONDS = 0.2
-#: Shortest wait in seconds: an offer takes two messages.
-_MIN_WAIT_SECONDS = 0.02
+#: Seconds for which a request waits that will be late. Callers that come back
+#: have four seconds left, and get an answer in this time if there is any room.
+_LATE_WAIT_SECONDS = 1.0
 
 
 class Wish(typing.NamedTuple):
@@ -41,11 +42,12 @@
 class Wait(typing.NamedTuple):
     """How a request waits for a slot.
 
-    :param is_late: whether its answer will be late in any case.
+    :param timely_seconds: for which an answer in time is possible.
+    :param seconds: for which it waits.
     """
 
+    timely_seconds: float
     seconds: float
-    is_late: bool
 
 
 def usable_slots(slots: int, pace: float) -> int:
@@ -84,17 +86,15 @@
 def wait_for(wish: Wish, rate: first_event.ServiceRate) -> Wait:
     """Return for how long a request waits for a slot.
 
-    One that can be answered in time waits until that is no longer so: its
-    caller is then told to come back instead of a slot being spent on it. One
-    that will be late in any case goes behind the others, and waits for as long
-    as its caller does.
+    One that can no longer be answered in time goes behind the others. It waits
+    for a second more, as a late answer is better than none, and is then refused
+    while its caller still has time to come back.
     """
     seconds = wish.latency_target - wish.elapsed_seconds - _START_SECONDS
     if rate.prompt_tokens_per_second:
         seconds -= wish.prompt_tokens / rate.prompt_tokens_per_second
-    if wish.is_returning:
-        return Wait(max(wish.patience_seconds, 0), is_late=True)
-    return Wait(
-        min(max(seconds, _MIN_WAIT_SECONDS), wish.patience_seconds),
-        is_late=False,
+    timely_seconds = 0 if wish.is_returning else max(seconds, 0)
+    waited_seconds = min(
+        timely_seconds + _LATE_WAIT_SECONDS, wish.patience_seconds
     )
+    return Wait(timely_seconds, max(waited_seconds, 0))
--- a/clementinepass/direct/placement/messages.py
+++ b/clementinepass/direct/placement/messages.py
@@ -12,13 +12,14 @@
 
     :param number: the entry's number of the request that waits.
     :param urgency: 0 is served first.
-    :param is_late: whether its answer will be late in any case.
+    :param timely_seconds: for how long an answer in time is possible; 0 if it
+        is not.
     :param wait_seconds: for how long it waits.
     """
 
     number: int
     urgency: int
-    is_late: bool
+    timely_seconds: float
     wait_seconds: float
 
 
--- a/clementinepass/direct/placement/offering.py
+++ b/clementinepass/direct/placement/offering.py
@@ -48,7 +48,7 @@
                     ip,
                     message.number,
                     message.urgency,
-                    message.is_late,
+                    now + message.timely_seconds,
                     now + message.wait_seconds,
                 )
             )
--- a/clementinepass/direct/placement/slot_selection.py
+++ b/clementinepass/direct/placement/slot_selection.py
@@ -138,11 +138,14 @@
         wait = slot_wait.wait_for(wish, rate)
         began_at = asyncio.get_running_loop().time()
         endpoint = await self.requests.wait_for_slot(
-            messages.SlotWish(0, admitted.urgency, wait.is_late, wait.seconds),
+            messages.SlotWish(
+                0, admitted.urgency, wait.timely_seconds, wait.seconds
+            ),
             asked,
             preparation.is_usable,
         )
         waited = asyncio.get_running_loop().time() - began_at
+        admitted.is_late = waited > wait.timely_seconds
         if endpoint is None:
             self.refuse(admitted, waited, len(asked))
         else:
--- a/clementinepass/wire/direct.capnp
+++ b/clementinepass/wire/direct.capnp
@@ -89,8 +89,8 @@
     # An entry asks for a slot of the engine beside the receiving agent.
     wish :group {
       urgency @1 :UInt8;
-      # Whether the answer will be late in any case.
-      late @2 :Bool;
+      # Milliseconds for which an answer in time is possible; 0 if it is not.
+      timelyMs @2 :UInt32;
       # Milliseconds for which the request waits.
       waitMs @3 :UInt32;
     }
--- a/clementinepass/wire/heartbeats.py
+++ b/clementinepass/wire/heartbeats.py
@@ -322,7 +322,7 @@
     if isinstance(message, slots.SlotWish):
         wish = target.init('wish')
         wish.urgency = message.urgency
-        wish.late = message.is_late
+        wish.timelyMs = _age_ms(message.timely_seconds)
         wish.waitMs = _age_ms(message.wait_seconds)
     elif isinstance(message, slots.SlotOffer):
         target.offer = message.started_ms
@@ -336,7 +336,7 @@
         return slots.SlotWish(
             source.number,
             source.wish.urgency,
-            source.wish.late,
+            source.wish.timelyMs / _MS_PER_SECOND,
             source.wish.waitMs / _MS_PER_SECOND,
         )
     if kind == 'offer':
--- a/tests/decisions/test_slot_queue.py
+++ b/tests/decisions/test_slot_queue.py
@@ -16,7 +16,7 @@
 def request(number: int, **changes: typing.Any) -> slot_queue.SlotRequest:
     """Return a request that waits for long."""
     waiting = slot_queue.SlotRequest(
-        'a', number, urgency=1, is_late=False, expires_at=1000
+        'a', number, urgency=1, late_at=500, expires_at=1000
     )
     return waiting._replace(**changes)
 
@@ -33,7 +33,7 @@
         queue = slot_queue.SlotQueue()
         for waiting in (
             request(1, urgency=2),
-            request(2, urgency=0, is_late=True),
+            request(2, urgency=0, late_at=0),
             request(3, urgency=1),
             request(4, urgency=0),
             request(5, urgency=0),
@@ -45,6 +45,16 @@
         queue.update(8, 1)
         self.assertEqual([3, 1, 2], self.offered(queue))
 
+    def test_becomes_late(self) -> None:
+        """Guards against timely requests that wait behind those now late."""
+        queue = slot_queue.SlotQueue()
+        queue.add(request(1, late_at=5))
+        queue.add(request(2, late_at=50))
+        queue.update(1, 6)
+        self.assertEqual([2], self.offered(queue, 6))
+        queue.update(1, 7)
+        self.assertEqual([1], self.offered(queue, 7))
+
     def test_slot_is_offered_once(self) -> None:
         """Guards against slots that are offered twice before they are used."""
         queue = slot_queue.SlotQueue()
@@ -116,8 +126,8 @@
     POLL = 0.1
     STEP = 0.005
 
-    def play(self, seed: int) -> dict[int, tuple[float, float]]:
-        """Return the shares served in time and refused, by urgency."""
+    def play(self, seed: int) -> list[float]:
+        """Return the shares served in time, by urgency."""
         rng = random.Random(seed)
         engines = [_Engine(self.SLOTS) for _ in range(self.ENGINES)]
         counts: collections.Counter[tuple[int, str]] = collections.Counter()
@@ -138,6 +148,7 @@
                         request(
                             number,
                             urgency=urgency,
+                            late_at=now + self.TARGET,
                             expires_at=now + self.TARGET,
                         )
                     )
@@ -145,13 +156,10 @@
                 if (step + 2 * index) % round(self.POLL / self.STEP) == 0:
                     engine.queue.update(engine.free(now), now)
                 self.serve(engine, waiting, counts, now, rng)
-        return {
-            urgency: (
-                counts[urgency, 'served'] / counts[urgency, 'all'],
-                1 - counts[urgency, 'served'] / counts[urgency, 'all'],
-            )
+        return [
+            counts[urgency, 'served'] / counts[urgency, 'all']
             for urgency in range(3)
-        }
+        ]
 
     def serve(
         self,
@@ -178,7 +186,7 @@
         than a less urgent one.
         """
         for seed in range(3):
-            served = [self.play(seed)[urgency][0] for urgency in range(3)]
+            served = self.play(seed)
             self.assertGreaterEqual(served[0], served[1])
             self.assertGreaterEqual(served[1], served[2])
             # A third of the load fits twice into half of it.
--- a/tests/decisions/test_slot_wait.py
+++ b/tests/decisions/test_slot_wait.py
@@ -29,15 +29,19 @@
     def test_in_time(self) -> None:
         """Guards against slots that are spent on requests already late."""
         wait = slot_wait.wait_for(WISH, RATE)
-        self.assertFalse(wait.is_late)
-        self.assertTrue(0.1 < wait.seconds < 0.25, wait)
+        self.assertTrue(0.1 < wait.timely_seconds < 0.25, wait)
         longer = slot_wait.wait_for(WISH._replace(prompt_tokens=3000), RATE)
-        self.assertLess(longer.seconds, wait.seconds)
+        self.assertLess(longer.timely_seconds, wait.timely_seconds)
+
+    def test_late(self) -> None:
+        """Guards against late requests that are dropped while room is left."""
+        wait = slot_wait.wait_for(WISH, RATE)
+        self.assertAlmostEqual(1, wait.seconds - wait.timely_seconds)
 
     def test_returning(self) -> None:
         """Guards against callers that are refused twice in a short time."""
         wait = slot_wait.wait_for(WISH._replace(is_returning=True), RATE)
-        self.assertEqual(slot_wait.Wait(2, is_late=True), wait)
+        self.assertEqual(slot_wait.Wait(0, 1), wait)
 
     def test_never_beyond_patience(self) -> None:
         """Guards against requests that wait after their caller has left."""
--- a/tests/direct/placement/test_slots.py
+++ b/tests/direct/placement/test_slots.py
@@ -14,7 +14,7 @@
 from tests.direct import path_harness, test_cluster_state
 
 World = path_harness.PathHarness
-WISH = messages.SlotWish(0, 1, is_late=False, wait_seconds=5)
+WISH = messages.SlotWish(0, 1, timely_seconds=0.2, wait_seconds=5)
 REPORT = weights.EngineReport(
     endpoints.Weights(1, 0, 2), is_busy=False, orders=0, active=16, queued=0
 )
@@ -191,8 +191,8 @@
     def test_messages(self) -> None:
         """Guards against fields that are lost on the way."""
         for message in (
-            messages.SlotWish(7, 9, is_late=True, wait_seconds=1.25),
-            messages.SlotWish(2**31, 0, is_late=False, wait_seconds=0.02),
+            messages.SlotWish(7, 9, timely_seconds=0, wait_seconds=1.25),
+            messages.SlotWish(2**31, 0, timely_seconds=0.2, wait_seconds=1.2),
             messages.SlotOffer(7, 1789850439729),
             messages.SlotOffer(8),
             messages.SlotReturn(9),
@@ -283,6 +283,7 @@
             self.assertEqual(
                 {0}, {each.urgency for each in wishes if _is_wish(each)}
             )
+            self.fill(world)
             task = asyncio.create_task(
                 world.send('/stream/a', X_Token_Usage='900,100')
             )
