--- a/clementinepass/decisions/overload_retry.py
+++ b/clementinepass/decisions/overload_retry.py
@@ -16,8 +16,8 @@
 #: ``Retry-After`` in seconds at the beginning of an overload. With the spread
 #: it is long enough for entries to recognize callers that come back.
 _FIRST_SECONDS = 1.0
-#: Longest ``Retry-After`` in seconds. Callers wait for a third of their time at
-#: most, which is six seconds at first.
+#: Longest ``Retry-After`` in seconds, the spread included. Callers wait for a
+#: third of their time at most, which is six seconds at first.
 _MAX_SECONDS = 2.0
 #: Seconds without a refusal after which an overload is over.
 _CALM_SECONDS = 1.0
@@ -45,6 +45,8 @@
         if now - self._refused_at > _CALM_SECONDS:
             self._began_at = now
         self._refused_at = now
-        seconds = min(_FIRST_SECONDS + now - self._began_at, _MAX_SECONDS)
-        varied = seconds * rng.uniform(1 - _SPREAD, 1 + _SPREAD)
-        return min(varied, _MAX_SECONDS)
+        seconds = min(
+            _FIRST_SECONDS + now - self._began_at,
+            _MAX_SECONDS / (1 + _SPREAD),
+        )
+        return seconds * rng.uniform(1 - _SPREAD, 1 + _SPREAD)
--- a/clementinepass/decisions/returning_calls.py
+++ b/clementinepass/decisions/returning_calls.py
@@ -47,7 +47,11 @@
         counts[round(seconds / _PRECISION_SECONDS)] += 1
         if counts.total() > _HALVING_COUNT:
             self._counts_by_route[route] = collections.Counter(
-                {timeout: count // 2 for timeout, count in counts.items()}
+                {
+                    timeout: count // 2
+                    for timeout, count in counts.items()
+                    if count > 1
+                }
             )
         if counts.total() < _MIN_COUNT:
             return 0
--- a/clementinepass/decisions/slot_queue.py
+++ b/clementinepass/decisions/slot_queue.py
@@ -50,8 +50,9 @@
     def __init__(self) -> None:
         #: Slots that were free at the engine's last report.
         self._free_slots = 0
-        #: Monotonic seconds of the offers that the report does not include.
-        self._offered_at: list[float] = []
+        #: Monotonic seconds of the offers that the report does not include, by
+        #: entry and number of the request.
+        self._offered_at: dict[tuple[str, int], float] = {}
         #: The waiting requests, in the order of their arrival.
         self._waiting: list[SlotRequest] = []
 
@@ -72,24 +73,23 @@
         :param free_slots: slots that are free; 0 if it takes no requests.
         """
         self._free_slots = free_slots
-        self._offered_at = [
-            offered_at
-            for offered_at in self._offered_at
+        self._offered_at = {
+            key: offered_at
+            for key, offered_at in self._offered_at.items()
             if now - offered_at < _TRANSIT_SECONDS
-        ]
+        }
         self._drop_expired(now)
 
-    def give_back(self) -> None:
-        """Record that an offered slot is not used."""
-        if self._offered_at:
-            self._offered_at.pop()
+    def give_back(self, entry: str, number: int) -> None:
+        """Record that the slot offered to a request is not used."""
+        self._offered_at.pop((entry, number), None)
 
     def take_offers(self, now: float) -> list[SlotRequest]:
         """Return the requests to which a slot is offered now."""
+        self._drop_expired(now)
         count = self._free_slots - len(self._offered_at)
         if count <= 0 or not self._waiting:
             return []
-        self._drop_expired(now)
         offers = heapq.nsmallest(
             count,
             self._waiting,
@@ -99,7 +99,9 @@
         self._waiting = [
             waiting for waiting in self._waiting if id(waiting) not in taken
         ]
-        self._offered_at.extend(now for _ in offers)
+        self._offered_at.update(
+            ((request.entry, request.number), now) for request in offers
+        )
         return offers
 
     def _drop_expired(self, now: float) -> None:
--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -293,6 +293,7 @@
             try:
                 await self._check_engine()
             except errors.ClementinepassError as error:
+                self._slots.close()
                 self._log_new_error(f'not loaded: {error}')
             self._has_queried_engine = True
             await asyncio.sleep(_POLL_SECONDS)
@@ -305,8 +306,9 @@
                 continue
             try:
                 self._update_slots(await self._adapters.engine.report())
-            except errors.ClementinepassError as error:
-                self._log_new_error(f'slots not known: {error}')
+            except errors.ClementinepassError:
+                # The regular poll logs that the engine does not answer.
+                self._slots.close()
 
     def _update_slots(self, report: weights.EngineReport) -> None:
         engine = self._neighbours.engine_configuration()
--- a/clementinepass/direct/placement/offering.py
+++ b/clementinepass/direct/placement/offering.py
@@ -41,7 +41,7 @@
         """Handle a message of an entry."""
         now = asyncio.get_running_loop().time()
         if isinstance(message, messages.SlotReturn):
-            self._queue.give_back()
+            self._queue.give_back(ip, message.number)
         elif isinstance(message, messages.SlotWish):
             self._queue.add(
                 slot_queue.SlotRequest(
@@ -69,6 +69,10 @@
         self._queue.update(free_slots, now)
         self._offer(now)
 
+    def close(self) -> None:
+        """Offer nothing until the next report: the engine does not answer."""
+        self._queue.update(0, asyncio.get_running_loop().time())
+
     def _offer(self, now: float) -> None:
         for request in self._queue.take_offers(now):
             self._send(
--- a/clementinepass/direct/placement/requesting.py
+++ b/clementinepass/direct/placement/requesting.py
@@ -15,6 +15,10 @@
     from clementinepass.direct import endpoints
 
 
+#: Numbers are sent with 32 bits.
+_NUMBER_COUNT = 2**32
+
+
 class _Waiting:
     """A request that waits, and the engines that were asked."""
 
@@ -31,6 +35,15 @@
             asyncio.get_running_loop().create_future()
         )
 
+    @property
+    def taken_engine(self) -> endpoints.Endpoint | None:
+        """Return the engine whose slot was taken; ``None`` if there is none.
+
+        The offer may arrive in the same turn of the event loop as the timeout
+        or the cancellation.
+        """
+        return self.offered.result() if self.offered.done() else None
+
     def may_take(
         self, engine: endpoints.Endpoint, offer: messages.SlotOffer
     ) -> bool:
@@ -71,16 +84,22 @@
         :returns: ``None`` if none had a slot in time.
         """
         waiting = _Waiting(engines, is_usable)
-        number = next(self._numbers)
+        number = next(self._numbers) % _NUMBER_COUNT
         self._waiting_by_number[number] = waiting
-        for ip in waiting.engines_by_ip:
-            self.send(ip, wish._replace(number=number))
         try:
+            for ip in waiting.engines_by_ip:
+                self.send(ip, wish._replace(number=number))
             async with asyncio.timeout(wish.wait_seconds):
-                return await waiting.offered
+                return await asyncio.shield(waiting.offered)
         except TimeoutError:
-            return None
+            return waiting.taken_engine
+        except asyncio.CancelledError:
+            engine = waiting.taken_engine
+            if engine is not None:
+                self.send(engine.listing.ip, messages.SlotReturn(number))
+            raise
         finally:
+            waiting.offered.cancel()
             del self._waiting_by_number[number]
 
     def handle(self, ip: str, message: messages.SlotMessage) -> None:
--- a/clementinepass/direct/placement/slot_selection.py
+++ b/clementinepass/direct/placement/slot_selection.py
@@ -107,8 +107,10 @@
         """Find out whether a request comes back after a refusal."""
         seconds = admitted.call.timeout_seconds
         if seconds is not None and admitted.service.engine is not None:
+            # Callers may send any timeout; beyond that of the route it has no
+            # effect.
             admitted.seconds_before = self._usual_timeouts.observe(
-                admitted.route.name, seconds
+                admitted.route.name, min(seconds, admitted.route.timeout)
             )
 
     async def select(
@@ -132,27 +134,39 @@
         ):
             self._log.count_slot_wait(admitted, 'free', 0)
             return self._cluster.endpoints.get(choice.endpoint_id)
-        asked = _sample(
-            engines, self._rng, _SAME_DOMAIN_ASKED, _OTHER_DOMAIN_ASKED
-        )
-        wait = slot_wait.wait_for(wish, rate)
-        began_at = asyncio.get_running_loop().time()
-        endpoint = await self.requests.wait_for_slot(
-            messages.SlotWish(
-                0, admitted.urgency, wait.timely_seconds, wait.seconds
+        return await self._wait_for_slot(
+            preparation,
+            _sample(
+                engines, self._rng, _SAME_DOMAIN_ASKED, _OTHER_DOMAIN_ASKED
             ),
-            asked,
-            preparation.is_usable,
         )
-        waited = asyncio.get_running_loop().time() - began_at
-        admitted.is_late = waited > wait.timely_seconds
+
+    async def _wait_for_slot(
+        self, preparation: Preparation, engines: list[endpoints.Endpoint]
+    ) -> endpoints.Endpoint | None:
+        admitted = preparation.admitted
+        wish = preparation.wish
+        wait = slot_wait.wait_for(wish, _service_rate(admitted))
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        endpoint = None
+        if wait.seconds:
+            endpoint = await self.requests.wait_for_slot(
+                messages.SlotWish(
+                    0, admitted.urgency, wait.timely_seconds, wait.seconds
+                ),
+                engines,
+                preparation.is_usable,
+            )
+        waited = loop.time() - began_at
+        admitted.is_late = wish.is_returning or waited > wait.timely_seconds
         if endpoint is None:
-            self.refuse(admitted, waited, len(asked))
+            self._refuse(admitted, waited, len(engines))
         else:
             self._log.count_slot_wait(admitted, 'offered', waited)
         return endpoint
 
-    def refuse(
+    def _refuse(
         self, admitted: serving.AdmittedRequest, waited: float, asked: int
     ) -> None:
         """Set when the caller of a request may come back."""
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -202,7 +202,7 @@
         self._slot_waits.inc(
             {
                 'outcome': outcome,
-                'urgency': str(admitted.urgency),
+                'urgency': str(admitted.priority),
                 'returning': returning,
             }
         )
@@ -223,7 +223,7 @@
         logger.bind(
             request=admitted.call.id,
             service=admitted.service.name,
-            urgency=admitted.urgency,
+            urgency=admitted.priority,
             waited=round(waited, 3),
             asked=asked,
             returning=bool(admitted.seconds_before),
--- a/clementinepass/direct/selection.py
+++ b/clementinepass/direct/selection.py
@@ -38,6 +38,10 @@
 _LOADING_WAIT_SECONDS = 1.2
 _POLL_SECONDS = 0.03
 _UNKNOWN_SERVICE_RATE = first_event.ServiceRate(0, 0)
+#: Engines with fresh reports without which slots are not used: on links that
+#: are full of weights, reports are late, and all requests would wait for the
+#: few engines whose reports arrive.
+_MIN_REACHABLE = 2
 #: Engines with congested links are not considered if at least this many others
 #: can be selected.
 _MIN_UNCONGESTED = 2
@@ -98,7 +102,7 @@
         if self._cluster.is_contended(admitted.service, loop.time()):
             await self._wait_for_engines(admitted)
             preparation = self._prepare(admitted, loop.time())
-            if preparation.engines.combined:
+            if len(preparation.engines.combined) >= _MIN_REACHABLE:
                 return await self._slots.select(preparation)
         endpoint = self.select(admitted)
         while endpoint is None and loop.time() < wait_deadline:
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -373,8 +373,11 @@
 
         A request whose answer will be late goes behind all others.
         """
-        if self.is_late:
-            return _MAX_URGENCY
+        return _MAX_URGENCY if self.is_late else self.priority
+
+    @property
+    def priority(self) -> int:
+        """Return the priority by team and route alone."""
         team_priority = 0 if self.team is None else self.team.priority
         return min(
             max(team_priority * 3 + self.route.priority, 0), _MAX_URGENCY
--- a/clementinepass/wire/heartbeats.py
+++ b/clementinepass/wire/heartbeats.py
@@ -11,7 +11,7 @@
 
 from clementinepass import errors
 from clementinepass.direct import heartbeats, members, records
-from clementinepass.direct.placement import messages as slots
+from clementinepass.direct.placement import messages as slot_messages
 from clementinepass.requests import quarantine
 
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('direct.capnp')))
@@ -317,31 +317,31 @@
     )
 
 
-def _write_slot(target: typing.Any, message: slots.SlotMessage) -> None:
+def _write_slot(target: typing.Any, message: slot_messages.SlotMessage) -> None:
     target.number = message.number
-    if isinstance(message, slots.SlotWish):
+    if isinstance(message, slot_messages.SlotWish):
         wish = target.init('wish')
         wish.urgency = message.urgency
         wish.timelyMs = _age_ms(message.timely_seconds)
         wish.waitMs = _age_ms(message.wait_seconds)
-    elif isinstance(message, slots.SlotOffer):
+    elif isinstance(message, slot_messages.SlotOffer):
         target.offer = message.started_ms
     else:
         setattr(target, 'return', None)
 
 
-def _read_slot(source: typing.Any) -> slots.SlotMessage:
+def _read_slot(source: typing.Any) -> slot_messages.SlotMessage:
     kind = source.which()
     if kind == 'wish':
-        return slots.SlotWish(
+        return slot_messages.SlotWish(
             source.number,
             source.wish.urgency,
             source.wish.timelyMs / _MS_PER_SECOND,
             source.wish.waitMs / _MS_PER_SECOND,
         )
     if kind == 'offer':
-        return slots.SlotOffer(source.number, source.offer)
-    return slots.SlotReturn(source.number)
+        return slot_messages.SlotOffer(source.number, source.offer)
+    return slot_messages.SlotReturn(source.number)
 
 
 def _read_digest(slot: typing.Any) -> members.Digest:
--- a/tests/decisions/test_slot_queue.py
+++ b/tests/decisions/test_slot_queue.py
@@ -76,12 +76,25 @@
         queue.add(request(2))
         queue.update(1, 0)
         self.assertEqual([1], self.offered(queue))
-        queue.give_back()
+        queue.give_back('a', 1)
         self.assertEqual([2], self.offered(queue))
-        queue.give_back()
-        queue.give_back()
+        queue.give_back('a', 2)
+        queue.give_back('a', 2)
         self.assertEqual([], self.offered(queue))
 
+    def test_returned_late(self) -> None:
+        """Guards against a late return that frees another request's slot."""
+        queue = slot_queue.SlotQueue()
+        queue.add(request(1))
+        queue.update(1, 0)
+        self.assertEqual([1], self.offered(queue))
+        queue.update(1, 0.1)
+        for number in (2, 3):
+            queue.add(request(number))
+        self.assertEqual([2], self.offered(queue, 0.1))
+        queue.give_back('a', 1)
+        self.assertEqual([], self.offered(queue, 0.1))
+
     def test_expired(self) -> None:
         """Guards against offers to requests that no longer wait."""
         queue = slot_queue.SlotQueue()
@@ -174,7 +187,7 @@
             for offer in offers:
                 arrived_at = waiting.pop(offer.number, None)
                 if arrived_at is None:
-                    engine.queue.give_back()
+                    engine.queue.give_back(offer.entry, offer.number)
                     continue
                 heapq.heappush(engine.ends, now + rng.uniform(0.5, 1.5))
                 counts[offer.urgency, 'served'] += 1
--- a/tests/decisions/test_slot_wait.py
+++ b/tests/decisions/test_slot_wait.py
@@ -80,8 +80,10 @@
             retry.refuse(step / 10, rng) for step in range(1, 31) for _ in '12'
         ]
         self.assertTrue(all(0.75 <= seconds <= 1.25 for seconds in first))
-        self.assertGreater(min(later[-10:]), 1.5)
+        self.assertGreater(min(later[-10:]), max(first))
         self.assertLessEqual(max(later), first_event.MAX_RETRY_AFTER)
+        # Callers told the same time would be the next burst.
+        self.assertEqual(len(later), len(set(later)))
         self.assertGreater(max(first) - min(first), 0.1)
         self.assertEqual(3.0, retry.duration(3.0))
         self.assertEqual(0, retry.duration(4.1))
@@ -114,6 +116,13 @@
         """Guards against guesses before the usual timeout is known."""
         self.assertEqual([0, 0, 0], self.observe(6, 3, 1))
 
+    def test_bounded(self) -> None:
+        """Guards against state that grows with the timeouts callers choose."""
+        usual = returning_calls.UsualTimeouts()
+        for number in range(5000):
+            usual.observe('r', number)
+        self.assertLess(len(usual._counts_by_route['r']), 600)
+
     def test_change(self) -> None:
         """Guards against a usual timeout that never changes."""
         found = self.observe(*[6.0] * 300, *[3.0] * 600)
--- a/tests/direct/placement/test_slots.py
+++ b/tests/direct/placement/test_slots.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import typing
 
 import testtools
@@ -161,6 +162,56 @@
 
         self.play(scenario)
 
+    def test_offer_beside_timeout(self) -> None:
+        """Guards against a slot that is lost as it comes at the last moment."""
+
+        async def scenario() -> None:
+            link = Link('1')
+            known = engine('1')
+            waiting = asyncio.create_task(
+                link.requests.wait_for_slot(
+                    WISH._replace(wait_seconds=0.02), [known], lambda _: True
+                )
+            )
+            await settle()
+            time.sleep(0.03)
+            link.send_to_entry('1', messages.SlotOffer(1))
+            self.assertIs(known, await waiting)
+
+        self.play(scenario)
+
+    def test_offer_beside_cancellation(self) -> None:
+        """Guards against a slot that is kept for a caller leaving just now."""
+
+        async def scenario() -> None:
+            link = Link('1')
+            waiting = asyncio.create_task(
+                link.requests.wait_for_slot(WISH, [engine('1')], lambda _: True)
+            )
+            await settle()
+            link.report('1', SLOTS - 1)
+            waiting.cancel()
+            await settle()
+            self.assertEqual(['1'], link.returned)
+
+        self.play(scenario)
+
+    def test_engine_does_not_answer(self) -> None:
+        """Guards against offers of an engine that its agent cannot read."""
+
+        async def scenario() -> None:
+            link = Link('1')
+            link.report('1', 0)
+            link.offers_by_ip['1'].close()
+            waiting = asyncio.create_task(
+                link.requests.wait_for_slot(WISH, [engine('1')], lambda _: True)
+            )
+            await settle()
+            self.assertFalse(waiting.done())
+            waiting.cancel()
+
+        self.play(scenario)
+
     def test_engine_restarted(self) -> None:
         """Guards against an offer of an engine's previous start."""
 
