--- a/clementinepass/decisions/slot_wait.py
+++ b/clementinepass/decisions/slot_wait.py
@@ -22,7 +22,7 @@
 _LATE_WAIT_SECONDS = 1.0
 
 
-class Wish(typing.NamedTuple):
+class Timing(typing.NamedTuple):
     """A request for which a slot is sought.
 
     :param prompt_tokens: tokens of its prompt.
@@ -70,7 +70,7 @@
 
 
 def starts_in_time(
-    wish: Wish, pace: float, rate: first_event.ServiceRate
+    timing: Timing, pace: float, rate: first_event.ServiceRate
 ) -> bool:
     """Tell whether a free engine would answer a request in time.
 
@@ -79,22 +79,22 @@
     if not rate.prompt_tokens_per_second:
         return True
     seconds = first_event.BASE_LATENCY_SECONDS
-    seconds += wish.prompt_tokens / rate.prompt_tokens_per_second
-    return seconds * pace + wish.elapsed_seconds <= wish.latency_target
+    seconds += timing.prompt_tokens / rate.prompt_tokens_per_second
+    return seconds * pace + timing.elapsed_seconds <= timing.latency_target
 
 
-def wait_for(wish: Wish, rate: first_event.ServiceRate) -> Wait:
+def wait_for(timing: Timing, rate: first_event.ServiceRate) -> Wait:
     """Return for how long a request waits for a slot.
 
     One that can no longer be answered in time goes behind the others. It waits
     for a second more, as a late answer is better than none, and is then refused
     while its caller still has time to come back.
     """
-    seconds = wish.latency_target - wish.elapsed_seconds - _START_SECONDS
+    seconds = timing.latency_target - timing.elapsed_seconds - _START_SECONDS
     if rate.prompt_tokens_per_second:
-        seconds -= wish.prompt_tokens / rate.prompt_tokens_per_second
-    timely_seconds = 0 if wish.is_returning else max(seconds, 0)
+        seconds -= timing.prompt_tokens / rate.prompt_tokens_per_second
+    timely_seconds = 0 if timing.is_returning else max(seconds, 0)
     waited_seconds = min(
-        timely_seconds + _LATE_WAIT_SECONDS, wish.patience_seconds
+        timely_seconds + _LATE_WAIT_SECONDS, timing.patience_seconds
     )
     return Wait(timely_seconds, max(waited_seconds, 0))
--- a/clementinepass/direct/placement/messages.py
+++ b/clementinepass/direct/placement/messages.py
@@ -7,7 +7,7 @@
 from clementinepass.decisions import incarnations
 
 
-class SlotWish(typing.NamedTuple):
+class SlotQuery(typing.NamedTuple):
     """An entry asks for a slot of the engine beside the receiving agent.
 
     :param number: the entry's number of the request that waits.
@@ -39,4 +39,4 @@
     number: int
 
 
-SlotMessage = SlotWish | SlotOffer | SlotReturn
+SlotMessage = SlotQuery | SlotOffer | SlotReturn
--- a/clementinepass/direct/placement/offering.py
+++ b/clementinepass/direct/placement/offering.py
@@ -42,7 +42,7 @@
         now = asyncio.get_running_loop().time()
         if isinstance(message, messages.SlotReturn):
             self._queue.give_back(ip, message.number)
-        elif isinstance(message, messages.SlotWish):
+        elif isinstance(message, messages.SlotQuery):
             self._queue.add(
                 slot_queue.SlotRequest(
                     ip,
--- a/clementinepass/direct/placement/requesting.py
+++ b/clementinepass/direct/placement/requesting.py
@@ -72,13 +72,13 @@
 
     async def wait_for_slot(
         self,
-        wish: messages.SlotWish,
+        query: messages.SlotQuery,
         engines: Iterable[endpoints.Endpoint],
         is_usable: Callable[[endpoints.Endpoint], bool],
     ) -> endpoints.Endpoint | None:
         """Wait until one of some engines has a free slot.
 
-        :param wish: its number is replaced.
+        :param query: its number is replaced.
         :param is_usable: tells whether the request may still be sent to an
             engine when the offer arrives.
         :returns: ``None`` if none had a slot in time.
@@ -88,8 +88,8 @@
         self._waiting_by_number[number] = waiting
         try:
             for ip in waiting.engines_by_ip:
-                self.send(ip, wish._replace(number=number))
-            async with asyncio.timeout(wish.wait_seconds):
+                self.send(ip, query._replace(number=number))
+            async with asyncio.timeout(query.wait_seconds):
                 return await asyncio.shield(waiting.offered)
         except TimeoutError:
             return waiting.taken_engine
--- a/clementinepass/direct/placement/slot_selection.py
+++ b/clementinepass/direct/placement/slot_selection.py
@@ -70,7 +70,7 @@
         [Sequence[endpoints.Endpoint]], endpoint_choice.Choice | None
     ]
     is_usable: Callable[[endpoints.Endpoint], bool]
-    wish: slot_wait.Wish
+    timing: slot_wait.Timing
 
 
 class SlotSelector:
@@ -121,12 +121,12 @@
         :returns: ``None`` if none had a slot in time.
         """
         admitted = preparation.admitted
-        wish = preparation.wish
-        admitted.is_late = wish.is_returning
+        timing = preparation.timing
+        admitted.is_late = timing.is_returning
         rate = _service_rate(admitted)
         engines = preparation.engines
-        if not wish.is_returning:
-            engines = self._in_time(engines, wish, rate)
+        if not timing.is_returning:
+            engines = self._in_time(engines, timing, rate)
         compared = _sample(engines, self._rng, 2, 1)
         choice = preparation.choose(compared)
         if choice is not None and slot_wait.has_room(
@@ -145,21 +145,21 @@
         self, preparation: Preparation, engines: list[endpoints.Endpoint]
     ) -> endpoints.Endpoint | None:
         admitted = preparation.admitted
-        wish = preparation.wish
-        wait = slot_wait.wait_for(wish, _service_rate(admitted))
+        timing = preparation.timing
+        wait = slot_wait.wait_for(timing, _service_rate(admitted))
         loop = asyncio.get_running_loop()
         began_at = loop.time()
         endpoint = None
         if wait.seconds:
             endpoint = await self.requests.wait_for_slot(
-                messages.SlotWish(
+                messages.SlotQuery(
                     0, admitted.urgency, wait.timely_seconds, wait.seconds
                 ),
                 engines,
                 preparation.is_usable,
             )
         waited = loop.time() - began_at
-        admitted.is_late = wish.is_returning or waited > wait.timely_seconds
+        admitted.is_late = timing.is_returning or waited > wait.timely_seconds
         if endpoint is None:
             self._refuse(admitted, waited, len(engines))
         else:
@@ -182,14 +182,14 @@
     def _in_time(
         self,
         engines: Engines,
-        wish: slot_wait.Wish,
+        timing: slot_wait.Timing,
         rate: first_event.ServiceRate,
     ) -> Engines:
         """Return the engines fast enough for a request, or all if none is."""
         now = asyncio.get_running_loop().time()
         fast = engines.filter(
             lambda engine: slot_wait.starts_in_time(
-                wish, engine.reported_load.pace_at(now), rate
+                timing, engine.reported_load.pace_at(now), rate
             )
         )
         return fast if fast.combined else engines
--- a/clementinepass/direct/selection.py
+++ b/clementinepass/direct/selection.py
@@ -164,7 +164,7 @@
             ),
             functools.partial(self._choose, admitted, newest_version),
             functools.partial(self._is_still_usable, admitted),
-            slot_wait.Wish(
+            slot_wait.Timing(
                 prompt_tokens=admitted.call.prompt_tokens,
                 latency_target=admitted.route.latency_target,
                 elapsed_seconds=now - admitted.call.request.received_at,
--- a/clementinepass/wire/direct.capnp
+++ b/clementinepass/wire/direct.capnp
@@ -87,7 +87,7 @@
   number @0 :UInt32;
   union {
     # An entry asks for a slot of the engine beside the receiving agent.
-    wish :group {
+    query :group {
       urgency @1 :UInt8;
       # Milliseconds for which an answer in time is possible; 0 if it is not.
       timelyMs @2 :UInt32;
--- a/clementinepass/wire/heartbeats.py
+++ b/clementinepass/wire/heartbeats.py
@@ -319,11 +319,11 @@
 
 def _write_slot(target: typing.Any, message: slot_messages.SlotMessage) -> None:
     target.number = message.number
-    if isinstance(message, slot_messages.SlotWish):
-        wish = target.init('wish')
-        wish.urgency = message.urgency
-        wish.timelyMs = _age_ms(message.timely_seconds)
-        wish.waitMs = _age_ms(message.wait_seconds)
+    if isinstance(message, slot_messages.SlotQuery):
+        query = target.init('query')
+        query.urgency = message.urgency
+        query.timelyMs = _age_ms(message.timely_seconds)
+        query.waitMs = _age_ms(message.wait_seconds)
     elif isinstance(message, slot_messages.SlotOffer):
         target.offer = message.started_ms
     else:
@@ -332,12 +332,12 @@
 
 def _read_slot(source: typing.Any) -> slot_messages.SlotMessage:
     kind = source.which()
-    if kind == 'wish':
-        return slot_messages.SlotWish(
+    if kind == 'query':
+        return slot_messages.SlotQuery(
             source.number,
-            source.wish.urgency,
-            source.wish.timelyMs / _MS_PER_SECOND,
-            source.wish.waitMs / _MS_PER_SECOND,
+            source.query.urgency,
+            source.query.timelyMs / _MS_PER_SECOND,
+            source.query.waitMs / _MS_PER_SECOND,
         )
     if kind == 'offer':
         return slot_messages.SlotOffer(source.number, source.offer)
--- a/tests/decisions/test_slot_wait.py
+++ b/tests/decisions/test_slot_wait.py
@@ -14,7 +14,7 @@
 )
 
 RATE = first_event.ServiceRate(30000, 8)
-WISH = slot_wait.Wish(
+TIMING = slot_wait.Timing(
     prompt_tokens=900,
     latency_target=0.4,
     elapsed_seconds=0,
@@ -28,36 +28,36 @@
 
     def test_in_time(self) -> None:
         """Guards against slots that are spent on requests already late."""
-        wait = slot_wait.wait_for(WISH, RATE)
+        wait = slot_wait.wait_for(TIMING, RATE)
         self.assertTrue(0.1 < wait.timely_seconds < 0.25, wait)
-        longer = slot_wait.wait_for(WISH._replace(prompt_tokens=3000), RATE)
+        longer = slot_wait.wait_for(TIMING._replace(prompt_tokens=3000), RATE)
         self.assertLess(longer.timely_seconds, wait.timely_seconds)
 
     def test_late(self) -> None:
         """Guards against late requests that are dropped while room is left."""
-        wait = slot_wait.wait_for(WISH, RATE)
+        wait = slot_wait.wait_for(TIMING, RATE)
         self.assertAlmostEqual(1, wait.seconds - wait.timely_seconds)
 
     def test_returning(self) -> None:
         """Guards against callers that are refused twice in a short time."""
-        wait = slot_wait.wait_for(WISH._replace(is_returning=True), RATE)
+        wait = slot_wait.wait_for(TIMING._replace(is_returning=True), RATE)
         self.assertEqual(slot_wait.Wait(0, 1), wait)
 
     def test_never_beyond_patience(self) -> None:
         """Guards against requests that wait after their caller has left."""
         for is_returning in (False, True):
-            wish = WISH._replace(
+            timing = TIMING._replace(
                 patience_seconds=0.01, is_returning=is_returning
             )
-            wait = slot_wait.wait_for(wish, RATE)
+            wait = slot_wait.wait_for(timing, RATE)
             self.assertLessEqual(wait.seconds, 0.01)
 
     def test_slow_engine(self) -> None:
         """Guards against long prompts on engines too slow for them."""
-        long_prompt = WISH._replace(prompt_tokens=4000)
+        long_prompt = TIMING._replace(prompt_tokens=4000)
         self.assertTrue(slot_wait.starts_in_time(long_prompt, 1, RATE))
         self.assertFalse(slot_wait.starts_in_time(long_prompt, 2.5, RATE))
-        self.assertTrue(slot_wait.starts_in_time(WISH, 2.5, RATE))
+        self.assertTrue(slot_wait.starts_in_time(TIMING, 2.5, RATE))
 
     def test_fewer_slots_of_slow_engine(self) -> None:
         """Guards against slow engines that are filled like others."""
--- a/tests/direct/placement/test_slots.py
+++ b/tests/direct/placement/test_slots.py
@@ -15,7 +15,7 @@
 from tests.direct import path_harness, test_cluster_state
 
 World = path_harness.PathHarness
-WISH = messages.SlotWish(0, 1, timely_seconds=0.2, wait_seconds=5)
+QUERY = messages.SlotQuery(0, 1, timely_seconds=0.2, wait_seconds=5)
 REPORT = weights.EngineReport(
     endpoints.Weights(1, 0, 2), is_busy=False, orders=0, active=16, queued=0
 )
@@ -85,7 +85,7 @@
             link = Link('1', '2')
             engines = [engine('1'), engine('2')]
             waiting = asyncio.create_task(
-                link.requests.wait_for_slot(WISH, engines, lambda _: True)
+                link.requests.wait_for_slot(QUERY, engines, lambda _: True)
             )
             await settle()
             link.report('2', SLOTS - 1)
@@ -104,7 +104,7 @@
             engines = [engine('1'), engine('2')]
             waiting = asyncio.create_task(
                 link.requests.wait_for_slot(
-                    WISH, engines, lambda each: each is engines[1]
+                    QUERY, engines, lambda each: each is engines[1]
                 )
             )
             await settle()
@@ -122,7 +122,7 @@
             link = Link('1')
             link.lost_ips.add('1')
             slot = await link.requests.wait_for_slot(
-                WISH._replace(wait_seconds=0.05), [engine('1')], lambda _: True
+                QUERY._replace(wait_seconds=0.05), [engine('1')], lambda _: True
             )
             self.assertIsNone(slot)
             self.assertEqual(0, len(link.requests))
@@ -135,7 +135,9 @@
         async def scenario() -> None:
             link = Link('1')
             waiting = asyncio.create_task(
-                link.requests.wait_for_slot(WISH, [engine('1')], lambda _: True)
+                link.requests.wait_for_slot(
+                    QUERY, [engine('1')], lambda _: True
+                )
             )
             await settle()
             link.report('1', 0, accepts=False)
@@ -152,7 +154,9 @@
         async def scenario() -> None:
             link = Link('1')
             waiting = asyncio.create_task(
-                link.requests.wait_for_slot(WISH, [engine('1')], lambda _: True)
+                link.requests.wait_for_slot(
+                    QUERY, [engine('1')], lambda _: True
+                )
             )
             await settle()
             waiting.cancel()
@@ -170,7 +174,7 @@
             known = engine('1')
             waiting = asyncio.create_task(
                 link.requests.wait_for_slot(
-                    WISH._replace(wait_seconds=0.02), [known], lambda _: True
+                    QUERY._replace(wait_seconds=0.02), [known], lambda _: True
                 )
             )
             await settle()
@@ -186,7 +190,9 @@
         async def scenario() -> None:
             link = Link('1')
             waiting = asyncio.create_task(
-                link.requests.wait_for_slot(WISH, [engine('1')], lambda _: True)
+                link.requests.wait_for_slot(
+                    QUERY, [engine('1')], lambda _: True
+                )
             )
             await settle()
             link.report('1', SLOTS - 1)
@@ -204,7 +210,9 @@
             link.report('1', 0)
             link.offers_by_ip['1'].close()
             waiting = asyncio.create_task(
-                link.requests.wait_for_slot(WISH, [engine('1')], lambda _: True)
+                link.requests.wait_for_slot(
+                    QUERY, [engine('1')], lambda _: True
+                )
             )
             await settle()
             self.assertFalse(waiting.done())
@@ -220,7 +228,7 @@
             known = engine('1')
             known.weights_started_ms = 2000
             waiting = asyncio.create_task(
-                link.requests.wait_for_slot(WISH, [known], lambda _: True)
+                link.requests.wait_for_slot(QUERY, [known], lambda _: True)
             )
             await settle()
             link.send_to_entry('1', messages.SlotOffer(1, 1000))
@@ -242,8 +250,8 @@
     def test_messages(self) -> None:
         """Guards against fields that are lost on the way."""
         for message in (
-            messages.SlotWish(7, 9, timely_seconds=0, wait_seconds=1.25),
-            messages.SlotWish(2**31, 0, timely_seconds=0.2, wait_seconds=1.2),
+            messages.SlotQuery(7, 9, timely_seconds=0, wait_seconds=1.25),
+            messages.SlotQuery(2**31, 0, timely_seconds=0.2, wait_seconds=1.2),
             messages.SlotOffer(7, 1789850439729),
             messages.SlotOffer(8),
             messages.SlotReturn(9),
@@ -330,9 +338,9 @@
             answer = await world.send('/stream/a', X_Token_Usage='900,100')
             self.assertEqual(503, answer.status)
             self.assertEqual([], world.received_requests)
-            wishes = [each for _, each in sent]
+            queries = [each for _, each in sent]
             self.assertEqual(
-                {0}, {each.urgency for each in wishes if _is_wish(each)}
+                {0}, {each.urgency for each in queries if _is_query(each)}
             )
             self.fill(world)
             task = asyncio.create_task(
@@ -341,16 +349,16 @@
             sent.clear()
             while not sent:
                 await asyncio.sleep(0)
-            ip, wish = sent[0]
-            slots.handle(ip, messages.SlotOffer(wish.number))
+            ip, query = sent[0]
+            slots.handle(ip, messages.SlotOffer(query.number))
             answer = await task
             self.assertEqual(200, answer.status)
 
         self.play(scenario)
 
 
-def _is_wish(message: messages.SlotMessage) -> bool:
-    return isinstance(message, messages.SlotWish)
+def _is_query(message: messages.SlotMessage) -> bool:
+    return isinstance(message, messages.SlotQuery)
 
 
 class OrderedServicesTest(testtools.TestCase):
