Log and count each decision on crashes, and let explain follow them

A record of repeats that crash endpoints could not be read: an attempt that was not counted as a crash, and evidence that was cleared, dropped, received or shared with another request, left no line. Each leaves one now, with the fingerprint, the crashes and their ages, and is counted; answers have the fingerprint, too. explain leads from the id of a request that crashed an endpoint to why it was let through.

--- a/clementinepass/cli/explain_command.py
+++ b/clementinepass/cli/explain_command.py
@@ -12,6 +12,8 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from clementinepass.observability import crash_history
+
 
 def explain(
     request: str,
@@ -90,6 +92,8 @@
         ],
     )
     _print_cause(history)
+    if history.crashes.evidence_lines:
+        _print_crashes(history.crashes, started_at)
     output.print_table(
         'state known when the request arrived',
         ('process', 'what', 'for seconds', 'of'),
@@ -107,6 +111,27 @@
         output.screen.print(f'may be missing: {gap}')
 
 
+def _print_crashes(
+    crashes: crash_history.CrashHistory, started_at: float
+) -> None:
+    """Print what became of the evidence on crashes under the request."""
+    output.print_table(
+        'evidence on crashes under requests with the same fingerprint',
+        ('seconds', 'process', 'what', 'why'),
+        [
+            (
+                f'{line.written_at - started_at:.3f}',
+                line.process,
+                line.message,
+                line.details,
+            )
+            for line in crashes.evidence_lines
+        ],
+    )
+    for sentence in crashes.sentences:
+        output.screen.print(f'let through: {sentence}', markup=False)
+
+
 def _print_cause(history: request_history.RequestHistory) -> None:
     verdict = history.verdict
     output.screen.print(
--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -284,7 +284,10 @@
         evidence = self._cluster.crash_evidence
         if not evidence.is_empty:
             evidence.record_attempt(
-                admitted.fingerprint, now, admitted.prompt_parts
+                admitted.fingerprint,
+                now,
+                admitted.prompt_parts,
+                admitted.call.id,
             )
         return None
 
--- a/clementinepass/direct/crash_detection.py
+++ b/clementinepass/direct/crash_detection.py
@@ -11,7 +11,7 @@
 import asyncio
 import typing
 
-from clementinepass.direct import part_evidence, serving
+from clementinepass.direct import evidence_log, part_evidence, serving
 from clementinepass.http import channel
 
 if typing.TYPE_CHECKING:
@@ -76,11 +76,15 @@
         endpoint = attempt.endpoint
         if attempt.failure not in _BROKEN_CONNECTION:
             return
-        if _ends_as_planned(endpoint):
-            return
         broken = _BrokenAttempt(
             admitted, attempt, asyncio.get_running_loop().time()
         )
+        if endpoint.listing.draining:
+            self._dismiss(broken, evidence_log.Doubt.DRAINING)
+            return
+        if endpoint.removed_at is not None:
+            self._dismiss(broken, evidence_log.Doubt.REMOVED_BEFORE)
+            return
         if await self._is_refused(endpoint):
             self._record(broken)
         else:
@@ -95,6 +99,8 @@
                 self._record(broken)
             elif now - broken.broken_at < _REMOVAL_SECONDS:
                 self._undecided.append(broken)
+            else:
+                self._dismiss(broken, evidence_log.Doubt.NOT_REMOVED)
 
     async def _is_refused(self, endpoint: endpoints.Endpoint) -> bool:
         probe = self._probes_by_endpoint.get(endpoint)
@@ -112,6 +118,17 @@
         is_known = self._cluster.endpoints.get(endpoint.listing.id) is endpoint
         return is_replaced or not is_known or endpoint.removed_at is not None
 
+    def _dismiss(
+        self, broken: _BrokenAttempt, reason: evidence_log.Doubt
+    ) -> None:
+        """Log that an attempt is no evidence of a crash."""
+        self._cluster.crash_evidence.log.log_not_counted(
+            broken.admitted.call.id,
+            broken.admitted.fingerprint,
+            broken.attempt.peer,
+            reason,
+        )
+
     def _record(self, broken: _BrokenAttempt) -> None:
         listing = broken.attempt.endpoint.listing
         history = self._cluster.crash_evidence.record_crash(
@@ -123,7 +140,12 @@
             if broken.attempt.has_begun_answer
             else broken.admitted.prompt_parts,
         )
-        self._log.log_crash(broken.admitted, broken.attempt, history.repeated)
+        evidence = self._cluster.crash_evidence.evidence(
+            broken.admitted.fingerprint, broken.broken_at
+        )
+        self._log.log_crash(
+            broken.admitted, broken.attempt, history.repeated, evidence
+        )
 
 
 def _ends_as_planned(endpoint: endpoints.Endpoint) -> bool:
--- a/clementinepass/direct/crash_evidence.py
+++ b/clementinepass/direct/crash_evidence.py
@@ -11,10 +11,8 @@
 
 import typing
 
-from loguru import logger
-
 from clementinepass.decisions import rendezvous
-from clementinepass.direct import part_evidence
+from clementinepass.direct import evidence_log, part_evidence
 from clementinepass.requests import quarantine
 
 if typing.TYPE_CHECKING:
@@ -79,6 +77,7 @@
         '_quarantined',
         '_suspected_parts',
         '_trial_at',
+        'log',
         'on_quarantine',
         'on_finding',
         'other_entries',
@@ -104,6 +103,8 @@
         self._known_causes: frozenset[frozenset[str]] = frozenset()
         #: When each request, or parts of a prompt, were last tried.
         self._trial_at: dict[str, float] = {}
+        #: Logs and counts decisions on the evidence.
+        self.log = evidence_log.EvidenceLog()
         #: Called when this process has found something, to announce it at once.
         self.on_finding: Callable[[], None] | None = None
         #: Called when a request or prompt parts are quarantined.
@@ -116,6 +117,29 @@
         """Tell whether no crash is known."""
         return self._quarantine.is_empty
 
+    @property
+    def crash_count(self) -> int:
+        """Return the number of crashes that are kept."""
+        return self._quarantine.crash_count
+
+    def count_quarantined(self, now: float) -> int:
+        """Return the number of requests that are quarantined."""
+        self._refresh(now)
+        return len(self._quarantine.quarantined(now))
+
+    def count_quarantined_causes(self, now: float) -> int:
+        """Return the number of quarantined combinations of prompt parts."""
+        self._refresh(now)
+        return sum(
+            part_evidence.seconds_refused(cause, now) > 0
+            for cause in self._parts.causes
+        )
+
+    def evidence(self, fingerprint: str, now: float) -> quarantine.Evidence:
+        """Return what is held against a request."""
+        self._refresh(now)
+        return self._quarantine.evidence(fingerprint, now)
+
     def record_crash(
         self,
         crash_id: str,
@@ -136,6 +160,7 @@
             fingerprint, started_at, self._parts.suspected_parts(parts, now)
         )
         self._quarantine.died(crash_id, (suspect,), now)
+        self.log.count(evidence_log.Decision.RECORDED)
         self._is_outdated = True
         self._clear_answered(
             (quarantine.Crash(crash_id, now, (suspect,)),), now
@@ -158,16 +183,21 @@
         if not cleared:
             return
         crashes = self._quarantine.crashes()
+        cleared_ids: list[str] = []
         for part in sorted(cleared):
-            self._quarantine.clear(
-                part,
-                tuple(
-                    crash.id
-                    for crash in crashes
-                    if part in crash.requests_by_part
-                    and self._parts.is_cleared(part, crash.at)
-                ),
-                now,
+            crash_ids = tuple(
+                crash.id
+                for crash in crashes
+                if part in crash.requests_by_part
+                and self._parts.is_cleared(part, crash.at)
+            )
+            self._quarantine.clear(part, crash_ids, now)
+            cleared_ids += crash_ids
+        if cleared_ids:
+            self.log.log_cleared(
+                cleared_ids,
+                evidence_log.Clearing.BEGINNING,
+                parts=sorted(cleared),
             )
         self._is_outdated = True
         self._publish(now)
@@ -179,7 +209,14 @@
         self._answered_at_by_fingerprint.pop(fingerprint, None)
         self._answered_at_by_fingerprint[fingerprint] = now
         self._forget_answers(now)
-        self._quarantine.answered(fingerprint, started_at, now)
+        cleared = self._quarantine.answered(fingerprint, started_at, now)
+        if cleared:
+            self._is_outdated = True
+            self.log.log_cleared(
+                cleared,
+                evidence_log.Clearing.ANSWER,
+                fingerprints=[fingerprint],
+            )
         self._publish(now)
 
     def is_suspicious(
@@ -247,11 +284,24 @@
         fingerprint: str,
         now: float,
         parts: part_evidence.PromptParts = part_evidence.NO_PARTS,
+        request_id: str = '',
     ) -> None:
-        """Record that an attempt of a request begins."""
+        """Record that an attempt of a request begins.
+
+        :param request_id: the id by which its caller knows the request.
+        """
         self._refresh(now)
-        if self._quarantine.history(fingerprint, now).was_quarantined:
+        history = self._quarantine.history(fingerprint, now)
+        if history.was_quarantined:
             self._trial_at[fingerprint] = now
+        if history.repeated:
+            evidence = self._quarantine.evidence(fingerprint, now)
+            self.log.log_let_through(
+                request_id,
+                fingerprint,
+                evidence,
+                _reason_to_admit(history, evidence),
+            )
         for cause in self._parts.causes_in(parts.digests):
             self._trial_at[_trial_key(cause)] = now
         for cause in self._parts.partial_causes_in(parts.digests):
@@ -312,18 +362,25 @@
         return merged.relative_to(now)
 
     def apply(
-        self, report: quarantine.Digest, now: float, *, is_relayed: bool
+        self,
+        report: quarantine.Digest,
+        now: float,
+        *,
+        is_relayed: bool,
+        peer: str = '',
     ) -> None:
         """Apply the evidence of a heartbeat.
 
         :param is_relayed: whether to pass new evidence on, as heartbeats reach
             only some of the entries.
+        :param peer: IP address of its sender.
         """
         if not report:
             return
         new = self._quarantine.unknown_part(report.relative_to(now))
         if not new:
             return
+        self.log.log_received(new.relative_to(now), peer)
         self._quarantine.merge(new, now)
         self._is_outdated = True
         if is_relayed:
@@ -349,21 +406,44 @@
         self, crashes: Iterable[quarantine.Crash], now: float
     ) -> None:
         """Clear what was answered shortly before crashes."""
+        crash_ids: list[str] = []
+        parts: set[str] = set()
+        fingerprints: set[str] = set()
         for crash in crashes:
-            parts = frozenset[str]().union(
-                *(suspect.parts for suspect in crash.suspects)
+            answered_parts = self._answered_parts(crash)
+            answered = self._answered_fingerprints(crash)
+            for cleared in sorted(answered_parts | answered):
+                self._quarantine.clear(cleared, (crash.id,), now)
+                crash_ids.append(crash.id)
+            parts |= answered_parts
+            fingerprints |= answered
+        if crash_ids:
+            self.log.log_cleared(
+                crash_ids,
+                evidence_log.Clearing.EARLIER_ANSWER,
+                fingerprints=sorted(fingerprints),
+                parts=sorted(parts),
             )
-            for part in sorted(parts):
-                if self._parts.is_cleared(part, crash.at):
-                    self._quarantine.clear(part, (crash.id,), now)
-            for suspect in crash.suspects:
-                answered_at = self._answered_at_by_fingerprint.get(
-                    suspect.fingerprint, float('-inf')
-                )
-                if answered_at > crash.at - _ANSWER_SECONDS:
-                    self._quarantine.clear(
-                        suspect.fingerprint, (crash.id,), now
-                    )
+
+    def _answered_parts(self, crash: quarantine.Crash) -> set[str]:
+        """Return the parts of prompts that were answered before a crash."""
+        return {
+            part
+            for suspect in crash.suspects
+            for part in suspect.parts
+            if self._parts.is_cleared(part, crash.at)
+        }
+
+    def _answered_fingerprints(self, crash: quarantine.Crash) -> set[str]:
+        """Return the requests that were answered shortly before a crash."""
+        return {
+            suspect.fingerprint
+            for suspect in crash.suspects
+            if self._answered_at_by_fingerprint.get(
+                suspect.fingerprint, float('-inf')
+            )
+            > crash.at - _ANSWER_SECONDS
+        }
 
     def _forget_answers(self, now: float) -> None:
         answered = self._answered_at_by_fingerprint
@@ -409,6 +489,8 @@
             self._fresh.append((now, finding))
 
     def _publish(self, now: float) -> None:
+        for dropped in self._quarantine.take_dropped():
+            self.log.log_dropped(dropped)
         finding = self._quarantine.take_digest()
         if not finding:
             return
@@ -419,32 +501,44 @@
     def _announce_quarantined(self, now: float) -> None:
         """Announce what has been quarantined since the last call."""
         seconds_by_fingerprint = self._quarantine.quarantined(now)
+        cause_by_parts = {cause.parts: cause for cause in self._parts.causes}
         fingerprints = seconds_by_fingerprint.keys() - self._quarantined
-        causes = [
-            cause
-            for cause in self._parts.causes
-            if cause.parts not in self._known_causes
-        ]
+        new_causes = cause_by_parts.keys() - self._known_causes
+        for released in self._quarantined - seconds_by_fingerprint.keys():
+            self.log.log_released(
+                released, self._quarantine.evidence(released, now)
+            )
+        for released_parts in self._known_causes - cause_by_parts.keys():
+            self.log.log_released_parts(released_parts)
         self._quarantined = frozenset(seconds_by_fingerprint)
-        self._known_causes = frozenset(
-            cause.parts for cause in self._parts.causes
-        )
+        self._known_causes = frozenset(cause_by_parts)
         for fingerprint in fingerprints:
-            seconds = seconds_by_fingerprint[fingerprint]
-            logger.bind(
-                fingerprint=fingerprint, seconds=round(seconds, 1)
-            ).warning('request quarantined')
-        for cause in causes:
-            seconds = part_evidence.seconds_refused(cause, now)
-            logger.bind(
-                parts=sorted(cause.parts),
-                crashed=sorted(cause.crash_ids),
-                seconds=round(seconds, 1),
-            ).warning('prompt parts quarantined')
-        if self.on_quarantine is not None and (fingerprints or causes):
+            self.log.log_quarantined(
+                fingerprint,
+                self._quarantine.evidence(fingerprint, now),
+                seconds_by_fingerprint[fingerprint],
+            )
+        for parts in new_causes:
+            cause = cause_by_parts[parts]
+            self.log.log_quarantined_parts(
+                parts,
+                cause.crash_ids,
+                part_evidence.seconds_refused(cause, now),
+            )
+        if self.on_quarantine is not None and (fingerprints or new_causes):
             self.on_quarantine()
 
 
+def _reason_to_admit(
+    history: quarantine.CrashHistory, evidence: quarantine.Evidence
+) -> evidence_log.Admission:
+    if history.was_quarantined:
+        return evidence_log.Admission.TRIAL
+    if evidence.companions:
+        return evidence_log.Admission.SHARED
+    return evidence_log.Admission.TOO_FEW
+
+
 def _trial_key(cause: crash_causes.Cause) -> str:
     """Return what is the same at all entries for the trial of a cause."""
     return ','.join(sorted(cause.parts))
--- /dev/null
+++ b/clementinepass/direct/evidence_log.py
@@ -0,0 +1,223 @@
+"""Log lines and counts of what is decided on crashes and their evidence.
+
+Each decision by which a request is let through or refused leaves one line with
+the fingerprint of the request, so that the lines of all processes show where
+evidence ended up.  Lists in lines are bounded.
+"""
+
+from __future__ import annotations
+
+import collections
+import enum
+import typing
+
+from loguru import logger
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from clementinepass.requests import quarantine
+
+#: Maximum number of ids that a line lists.
+_MAX_LISTED = 8
+
+
+class Decision(enum.Enum):
+    """What became of evidence, or of a request that some is known of."""
+
+    #: A crash that this process has seen.
+    RECORDED = 'recorded'
+    #: An attempt broke, but nothing showed that its endpoint had crashed.
+    NOT_COUNTED = 'not_counted'
+    #: Another process reported it.
+    RECEIVED = 'received'
+    #: An answer has disproved it.
+    CLEARED = 'cleared'
+    #: It expired, or there was too much of it.
+    DROPPED = 'dropped'
+    #: A request was sent, although crashes under it are known.
+    LET_THROUGH = 'let_through'
+    QUARANTINED = 'quarantined'
+    #: A request, or parts of prompts, are not quarantined any more.
+    RELEASED = 'released'
+
+
+class Doubt(enum.Enum):
+    """Why a broken attempt does not count as a crash of its endpoint."""
+
+    #: The endpoint was draining.
+    DRAINING = 'draining'
+    #: Its record had been removed, or another start had replaced it.
+    REMOVED_BEFORE = 'removed_before'
+    #: Its address accepted connections, and its record stayed.
+    NOT_REMOVED = 'not_removed'
+    #: Too many attempts waited for the removal of records.
+    TOO_MANY = 'too_many'
+
+
+class Clearing(enum.Enum):
+    """By which answer a request, or a part, is cleared of crashes."""
+
+    #: A complete answer to the request, sent after the crashes.
+    ANSWER = 'answer'
+    #: An answer shortly before the crashes.
+    EARLIER_ANSWER = 'earlier_answer'
+    #: The first event of an answer to a request with the part.
+    BEGINNING = 'beginning'
+
+
+class Admission(enum.Enum):
+    """Why a request is sent, although crashes under it are known."""
+
+    #: There are fewer crashes in a row than convict.
+    TOO_FEW = 'too_few'
+    #: Another request has met the same crashes.
+    SHARED = 'shared'
+    #: Its quarantine is over; it is tried again.
+    TRIAL = 'trial'
+
+
+class EvidenceLog:
+    """Log and count decisions on evidence."""
+
+    __slots__ = ('counts_by_decision',)
+
+    def __init__(self) -> None:
+        self.counts_by_decision: collections.Counter[Decision] = (
+            collections.Counter()
+        )
+
+    def count(self, decision: Decision) -> None:
+        """Count a decision."""
+        self.counts_by_decision[decision] += 1
+
+    def log_received(self, report: quarantine.Digest, peer: str) -> None:
+        """Log evidence that was new to this process.
+
+        :param report: with ages in place of times.
+        :param peer: IP address of the process that reported it.
+        """
+        self.count(Decision.RECEIVED)
+        latest = sorted(report.crashes, key=_age)[:_MAX_LISTED]
+        logger.bind(
+            peer=peer,
+            crashed=[crash.id for crash in latest],
+            ages=[round(crash.at, 3) for crash in latest],
+            fingerprints=_listed(
+                suspect.fingerprint
+                for crash in latest
+                for suspect in crash.suspects
+            ),
+            cleared=_listed(one.fingerprint for one in report.clearances),
+        ).info('crash evidence received')
+
+    def log_cleared(
+        self,
+        crash_ids: Iterable[str],
+        by: Clearing,
+        *,
+        fingerprints: Iterable[str] = (),
+        parts: Iterable[str] = (),
+    ) -> None:
+        """Log that answers disprove that requests, or parts, caused crashes."""
+        self.count(Decision.CLEARED)
+        logger.bind(
+            fingerprints=_listed(fingerprints),
+            parts=_listed(parts),
+            crashed=_listed(crash_ids),
+            by=by.value,
+        ).info('cleared of crashes')
+
+    def log_dropped(self, dropped: quarantine.Dropped) -> None:
+        """Log evidence that is not kept any longer."""
+        self.count(Decision.DROPPED)
+        logger.bind(
+            crashed=_listed(dropped.crash_ids),
+            fingerprints=_listed(dropped.fingerprints),
+            expired=dropped.is_expired,
+        ).info('crash evidence dropped')
+
+    def log_not_counted(
+        self, request_id: str, fingerprint: str, endpoint: str, reason: Doubt
+    ) -> None:
+        """Log that an attempt broke without a proof of a crash."""
+        self.count(Decision.NOT_COUNTED)
+        logger.bind(
+            request=request_id,
+            fingerprint=fingerprint,
+            endpoint=endpoint,
+            reason=reason.value,
+        ).info('broken attempt not counted as a crash')
+
+    def log_let_through(
+        self,
+        request_id: str,
+        fingerprint: str,
+        evidence: quarantine.Evidence,
+        admission: Admission,
+    ) -> None:
+        """Log that a request is sent, although crashes under it are known."""
+        self.count(Decision.LET_THROUGH)
+        logger.bind(
+            request=request_id,
+            fingerprint=fingerprint,
+            crashes=evidence.repeated,
+            **describe(evidence),
+            decision=admission.value,
+        ).info('sent after crashes')
+
+    def log_quarantined(
+        self, fingerprint: str, evidence: quarantine.Evidence, seconds: float
+    ) -> None:
+        """Log that a request is refused from now on."""
+        self.count(Decision.QUARANTINED)
+        logger.bind(
+            fingerprint=fingerprint,
+            **describe(evidence),
+            seconds=round(seconds, 1),
+        ).warning('request quarantined')
+
+    def log_quarantined_parts(
+        self, parts: Iterable[str], crash_ids: Iterable[str], seconds: float
+    ) -> None:
+        """Log that requests with some parts of prompts are refused."""
+        self.count(Decision.QUARANTINED)
+        logger.bind(
+            parts=sorted(parts),
+            crashed=sorted(crash_ids),
+            seconds=round(seconds, 1),
+        ).warning('prompt parts quarantined')
+
+    def log_released(
+        self, fingerprint: str, evidence: quarantine.Evidence
+    ) -> None:
+        """Log that a request is not quarantined any more."""
+        self.count(Decision.RELEASED)
+        logger.bind(fingerprint=fingerprint, **describe(evidence)).info(
+            'quarantine of a request ended'
+        )
+
+    def log_released_parts(self, parts: Iterable[str]) -> None:
+        """Log that parts of prompts are not quarantined any more."""
+        self.count(Decision.RELEASED)
+        logger.bind(parts=sorted(parts)).info(
+            'quarantine of prompt parts ended'
+        )
+
+
+def describe(evidence: quarantine.Evidence) -> dict[str, list[typing.Any]]:
+    """Return the log fields on the latest crashes of a request."""
+    latest = evidence.crashes[-_MAX_LISTED:]
+    return {
+        'crashed': [crash.id for crash in latest],
+        'ages': [round(crash.age, 3) for crash in latest],
+        'shared_with': list(evidence.companions[:_MAX_LISTED]),
+    }
+
+
+def _age(crash: quarantine.Crash) -> float:
+    return crash.at
+
+
+def _listed(ids: Iterable[str]) -> list[str]:
+    return list(dict.fromkeys(ids))[:_MAX_LISTED]
--- a/clementinepass/direct/gauges.py
+++ b/clementinepass/direct/gauges.py
@@ -39,6 +39,9 @@
         '_paused_endpoints',
         '_peers',
         '_configuration_version',
+        '_crash_decisions',
+        '_crashes',
+        '_quarantined',
     )
 
     def __init__(
@@ -100,6 +103,22 @@
             'endpoints; refused near a bound of two fifths of the memory.',
             registry=registry,
         )
+        self._crash_decisions = aioprometheus.Counter(
+            'clementinepass_crash_decisions_total',
+            'Decisions on crashes under requests, by what became of them.',
+            registry=registry,
+        )
+        self._crashes = aioprometheus.Gauge(
+            'clementinepass_known_crashes',
+            'Crashes that are kept as evidence, other entries included.',
+            registry=registry,
+        )
+        self._quarantined = aioprometheus.Gauge(
+            'clementinepass_quarantined',
+            'Requests and combinations of prompt parts that are refused, as '
+            'endpoints crashed under them.',
+            registry=registry,
+        )
         self._record_bytes = aioprometheus.Gauge(
             'clementinepass_record_bytes',
             'Bytes of records received from the store and from processes of '
@@ -133,6 +152,7 @@
         self._cold_endpoints.set({}, cold)
         self._evacuated_domains.set({}, len(self._cluster.evacuated.domains))
         self._members.set({}, len(self._peers.members.alive(now)))
+        self._update_crash_evidence(now)
         if self._memory is not None:
             self._memory.measure()
             self._held_bytes.set({}, self._memory.held)
@@ -145,3 +165,15 @@
             if topic_follower.last_contact:
                 age = round(now - topic_follower.last_contact, 3)
                 self._store_answer_age.set({'topic': topic.value}, age)
+
+    def _update_crash_evidence(self, now: float) -> None:
+        evidence = self._cluster.crash_evidence
+        self._crashes.set({}, evidence.crash_count)
+        self._quarantined.set(
+            {'kind': 'request'}, evidence.count_quarantined(now)
+        )
+        self._quarantined.set(
+            {'kind': 'parts'}, evidence.count_quarantined_causes(now)
+        )
+        for decision, count in evidence.log.counts_by_decision.items():
+            self._crash_decisions.set({'decision': decision.value}, count)
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -330,6 +330,7 @@
             heartbeat.crash_evidence,
             now,
             is_relayed=member_count > dissemination.MAX_BROADCAST_MEMBERS,
+            peer=ip,
         )
         self._catching_up.handle_heartbeat(heartbeat, ip, now)
         self._bootstrap.handle_heartbeat(
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import math
 import typing
 import zlib
@@ -14,7 +15,7 @@
 import aioprometheus
 from loguru import logger
 
-from clementinepass.direct import calls, routing, serving
+from clementinepass.direct import calls, evidence_log, routing, serving
 from clementinepass.http import channel, endings
 
 if typing.TYPE_CHECKING:
@@ -24,6 +25,7 @@
         next_try,
     )
     from clementinepass.direct import endpoints
+    from clementinepass.requests import quarantine
 
 #: Longest logged part of a path; callers may send paths of any length.
 _MAX_PATH_BYTES = 80
@@ -31,6 +33,8 @@
 _SAMPLE_ONE_IN = 16
 #: Minimum seconds between lines on the limits that endpoints name.
 _RATE_LOG_INTERVAL_SECONDS = 0.05
+#: Hexadecimal digits of the digests of a request's target and body.
+_DIGEST_DIGITS = 8
 _BUCKETS = (
     0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, float('inf'),
 )  # fmt: skip
@@ -278,11 +282,17 @@
         admitted: serving.AdmittedRequest,
         attempt: serving.Attempt,
         repeated: int,
+        evidence: quarantine.Evidence,
     ) -> None:
         """Log that an endpoint crashed while it ran a request.
 
+        The host and two digests show in what repeats of a request differ that
+        have different fingerprints.
+
         :param repeated: crashes that the request has met one after the other.
+        :param evidence: what is held against the request now.
         """
+        request = admitted.call.request
         self._crashes.inc({'service': attempt.endpoint.listing.service})
         logger.bind(
             request=admitted.call.id,
@@ -292,6 +302,10 @@
             crashes=repeated,
             answering=attempt.has_begun_answer,
             parts=sorted(admitted.prompt_parts.digests),
+            **evidence_log.describe(evidence),
+            host=admitted.call.host.decode('latin-1'),
+            target=_digest(request.target),
+            body=_digest(request.body),
         ).warning('endpoint crashed under a request')
 
     def log_unusable(
@@ -585,6 +599,7 @@
                 attempt=attempt.number,
                 first=round(first_piece_seconds, 3),
                 seconds=round(seconds, 3),
+                fingerprint=admitted.fingerprint,
             ).info('answered')
 
     def log_ended(
@@ -604,6 +619,7 @@
             runs=admitted.run_count,
             outcomes=[_outcome(attempt) for attempt in admitted.attempts],
             decision=admitted.retry_decision,
+            fingerprint=_fingerprint_at_end(admitted, ending),
             **_progress(admitted, _now()),
         ).warning('ended without an answer')
 
@@ -711,6 +727,21 @@
     return failure
 
 
+def _fingerprint_at_end(
+    admitted: serving.AdmittedRequest, ending: serving.Ending
+) -> str:
+    """Return the fingerprint of a request that concerns evidence on crashes.
+
+    It is not worked out for requests that overload refuses.
+    """
+    is_needed = admitted.attempts or ending is serving.Ending.QUARANTINED
+    return admitted.fingerprint if is_needed else ''
+
+
+def _digest(data: bytes) -> str:
+    return hashlib.sha256(data).hexdigest()[:_DIGEST_DIGITS]
+
+
 def _outcome(attempt: serving.Attempt) -> str:
     """Return what came of an attempt of a request without an answer."""
     return (attempt.failure or serving.AttemptFailure.UNFINISHED).value
--- a/clementinepass/observability/causes.py
+++ b/clementinepass/observability/causes.py
@@ -214,7 +214,9 @@
     ALL_LIMITED = 'all endpoints are limited'
     MISDIRECTED = 'another endpoint or version answered'
     ATTEMPT_FAILED = 'attempt failed'
+    SENT_AFTER_CRASHES = 'sent after crashes'
     ENDPOINT_CRASHED = 'endpoint crashed under a request'
+    CRASH_NOT_COUNTED = 'broken attempt not counted as a crash'
     FAILED_BY_ENDPOINT = 'failed by the endpoint'
     ENDPOINT_SILENT = 'endpoint silent'
     ENDPOINT_GOES_ON = 'endpoint goes on'
@@ -262,6 +264,14 @@
         'endpoint, or did not hold version {version}'
     ),
     Finding.ATTEMPT_FAILED: 'endpoint {endpoint} gave no whole answer: {error}',
+    Finding.SENT_AFTER_CRASHES: (
+        'it was sent although {crashes} crashes in a row under the same '
+        'request were known: {decision}'
+    ),
+    Finding.CRASH_NOT_COUNTED: (
+        'the end of endpoint {endpoint} under it was not counted as a crash: '
+        '{reason}'
+    ),
     Finding.ENDPOINT_CRASHED: (
         'endpoint {endpoint} crashed while it ran there; crashes in a row: '
         '{crashes}'
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -57,6 +57,7 @@
     'ago': Field(
         'float', 'seconds since the event, by the clock of this process'
     ),
+    'ages': Field('list', 'seconds since each of the crashes'),
     'answer': Field(
         'str', 'of the engine: accepted, done, rejected or unknown'
     ),
@@ -70,12 +71,21 @@
     'attempt': Field('int', 'number of the attempt, from 1'),
     'attempts': Field('int', 'number of attempts so far'),
     'before': Field('int or list', 'the previous value'),
+    'body': Field('str', "first digits of a digest of the request's body"),
     'busy': Field(
         'bool', 'whether the engine is carrying out an order to load'
     ),
+    'by': Field(
+        'str',
+        'answer (sent after the crashes), earlier_answer (at most three '
+        'seconds before) or beginning (the first event of an answer)',
+    ),
     'bytes': Field('int', 'size of the message, or bytes that were not read'),
     'callers': Field('str', 'address for callers'),
     'changed': Field('bool', 'whether a limit changed'),
+    'cleared': Field(
+        'list', 'fingerprints and digests of parts that answers have cleared'
+    ),
     'configuration': Field(
         'int', 'version of the configuration in force; 0 for none'
     ),
@@ -93,7 +103,9 @@
         'str',
         'allowed, or why a retry is not: may_have_run, enough_runs, '
         'enough_attempts, no_time, budget_spent, no_endpoint, or '
-        'crashed_endpoints (one after the other, under the same request)',
+        'crashed_endpoints (one after the other, under the same request); why '
+        'a request is sent after crashes: too_few, shared (others have met the '
+        'same ones) or trial (its quarantine is over)',
     ),
     'domain': Field('str', 'a failure domain'),
     'draining': Field('bool', 'whether the endpoint is draining'),
@@ -117,6 +129,9 @@
     'execution': Field(
         'str', 'whether the endpoint ran the request: not_run or may_have_run'
     ),
+    'expired': Field(
+        'bool', 'whether they were too old; otherwise there were too many'
+    ),
     'failures': Field('int', 'number of consecutive failures'),
     'fault': Field(
         'str',
@@ -129,6 +144,7 @@
         'digest of what is the same when the caller sends the request again: '
         'team, host, method, path with query, and body',
     ),
+    'fingerprints': Field('list', 'fingerprints of requests'),
     'first': Field('float or null', 'seconds to the first part of the answer'),
     'from_agents': Field('int', 'bytes fetched from agents'),
     'from_origin': Field('int', 'bytes fetched from the origin'),
@@ -212,7 +228,10 @@
         'overload, memory_full, no_service, no_endpoint, no_weights, '
         'all_paused, all_limited, turned_away, broken, endpoint_failed, '
         'deadline (of its '
-        'caller), route_time, slow_reader, leaving',
+        'caller), route_time, slow_reader, leaving; why a crash is not '
+        'counted: draining, removed_before (the record of the endpoint), '
+        'not_removed (in five seconds, nor did its address refuse '
+        'connections), too_many',
     ),
     'refused': Field(
         'int',
@@ -239,6 +258,11 @@
     'runs': Field('int', 'attempts that ran or may have run'),
     'seconds': Field('float', 'elapsed time in seconds'),
     'service': Field('str', 'name of the service'),
+    'shared_with': Field(
+        'list',
+        'fingerprints of requests that were sent again from crash to crash '
+        'like this one, so that these crashes convict neither',
+    ),
     'silent': Field(
         'float or null', 'seconds since the endpoint last sent a byte'
     ),
@@ -259,6 +283,9 @@
     ),
     'congested': Field('bool', 'whether the link is congested'),
     'taken': Field('int', 'requests accepted since SIGTERM'),
+    'target': Field(
+        'str', 'first digits of a digest of the path with its query'
+    ),
     'there': Field('int', 'version of the configuration in force at the peer'),
     'topic': Field('str', 'topic of the store: operator or endpoints'),
     'trouble': Field(
@@ -482,11 +509,44 @@
         'before it was sent, or before the endpoint began to answer',
     ),
     'endpoint crashed under a request': Kind(
-        'request attempt endpoint fingerprint crashes answering parts',
+        'request attempt endpoint fingerprint crashes answering parts crashed '
+        'ages shared_with host target body',
         'its process is gone; other requests may have run there, too',
     ),
+    'broken attempt not counted as a crash': Kind(
+        'request fingerprint endpoint reason',
+        'the connection ended while the request ran, and nothing shows that '
+        'the endpoint crashed',
+    ),
+    'crash evidence received': Kind(
+        'peer crashed ages fingerprints cleared',
+        'another process reported crashes, or requests and parts of prompts '
+        'that answers have cleared; at most eight of each',
+    ),
+    'cleared of crashes': Kind(
+        'fingerprints parts crashed by',
+        'answers show that these requests, or parts of prompts, did not cause '
+        'these crashes; at most eight of each',
+    ),
+    'crash evidence dropped': Kind(
+        'crashed fingerprints expired',
+        'these crashes do not count any longer; at most eight of each',
+    ),
+    'sent after crashes': Kind(
+        'request fingerprint crashes crashed ages shared_with decision',
+        'the request is sent, although endpoints have crashed under it before',
+    ),
+    'quarantine of a request ended': Kind(
+        'fingerprint crashed ages shared_with',
+        'an answer cleared it, its time is over, or the evidence was dropped',
+    ),
+    'quarantine of prompt parts ended': Kind(
+        'parts',
+        'an answer cleared them, or the crashes were found to have another '
+        'cause',
+    ),
     'request quarantined': Kind(
-        'fingerprint seconds',
+        'fingerprint crashed ages shared_with seconds',
         'repeats of a request have crashed endpoints one after the other; it '
         'is refused at every entry for that time',
     ),
@@ -536,12 +596,12 @@
         'endpoints go on',
     ),
     'answered': Kind(
-        'request status attempts attempt first seconds',
+        'request status attempts attempt first seconds fingerprint',
         'the complete answer was sent to the caller',
     ),
     'ended without an answer': Kind(
         f'request reason status service attempts runs outcomes '
-        f'decision {_PROGRESS_FIELDS}',
+        f'decision fingerprint {_PROGRESS_FIELDS}',
         'the request failed; status 0 if its connection was broken off',
     ),
     'refused': Kind(
--- a/clementinepass/observability/request_history.py
+++ b/clementinepass/observability/request_history.py
@@ -12,7 +12,12 @@
 
 import msgspec
 
-from clementinepass.observability import causes, lines, verdicts
+from clementinepass.observability import (
+    causes,
+    crash_history,
+    lines,
+    verdicts,
+)
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterable
@@ -71,6 +76,7 @@
         'taken while leaving',
         'endpoint goes on',
         'attempt superseded',
+        'sent after crashes',
     ),
 )
 #: Seconds before and after a request in which dropped lines may include lines
@@ -99,6 +105,7 @@
     :param deciding_observations: the observations that decided the outcome, at
         the end of the request.
     :param gaps: one sentence for each way in which lines may be missing.
+    :param crashes: what became of the evidence on its fingerprint.
     """
 
     lines: tuple[lines.Line, ...]
@@ -107,6 +114,7 @@
     observations: tuple[Observation, ...]
     deciding_observations: tuple[Observation, ...]
     gaps: tuple[str, ...]
+    crashes: crash_history.CrashHistory = crash_history.EMPTY
 
 
 class LogCollection:
@@ -180,6 +188,7 @@
                 if observation.line.message in deciding_messages
             ),
             tuple(self._gaps(request_lines, processes)),
+            crash_history.build(request_lines, self._lines),
         )
 
     def find_killed_entries(self) -> list[lines.Line]:
--- a/clementinepass/requests/quarantine.py
+++ b/clementinepass/requests/quarantine.py
@@ -23,6 +23,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import enum
 import itertools
@@ -53,6 +54,8 @@
 #: Latest crashes of a fingerprint that are compared with one another, which
 #: bounds the number of their combinations.
 _MAX_COMPARED = 8
+#: Reports of dropped evidence that wait to be taken.
+_MAX_DROPPED = 64
 _NO_PARTS: frozenset[str] = frozenset()
 
 
@@ -166,6 +169,42 @@
     was_quarantined: bool
 
 
+class KnownCrash(typing.NamedTuple):
+    """A crash that a fingerprint is suspected of.
+
+    :param age: seconds since the crash.
+    """
+
+    id: str
+    age: float
+
+
+class Evidence(typing.NamedTuple):
+    """What is held against a fingerprint.
+
+    :param crashes: the crashes that it is suspected of, the latest last.
+    :param repeated: the number of them one after the other.
+    :param companions: other fingerprints that were sent again from crash to
+        crash like this one, so that neither is convicted by those.
+    """
+
+    crashes: tuple[KnownCrash, ...]
+    repeated: int
+    companions: tuple[str, ...]
+
+
+class Dropped(typing.NamedTuple):
+    """Evidence that is not kept any longer.
+
+    :param fingerprints: those that were suspected of the crashes.
+    :param is_expired: whether it was too old; otherwise there was too much.
+    """
+
+    crash_ids: tuple[str, ...]
+    fingerprints: tuple[str, ...]
+    is_expired: bool
+
+
 @dataclasses.dataclass(slots=True)
 class _Case:
     """One crash with those still under suspicion of it."""
@@ -282,6 +321,7 @@
     __slots__ = (
         '_cases_by_crash',
         '_cases_by_fingerprint',
+        '_dropped',
         '_explained',
         '_lifetime',
         '_max_crashes',
@@ -312,6 +352,9 @@
         self._until_by_fingerprint: dict[str, float] = {}
         #: Crashes that parts of prompts explain.
         self._explained: frozenset[str] = frozenset()
+        self._dropped: collections.deque[Dropped] = collections.deque(
+            maxlen=_MAX_DROPPED
+        )
         self._pending_crashes: list[Crash] = []
         self._pending_clearances: list[Clearance] = []
 
@@ -331,20 +374,24 @@
             self._pending_crashes.append(crash)
             self.merge(Digest(crashes=(crash,)), now)
 
-    def answered(self, fingerprint: str, started: float, now: float) -> None:
+    def answered(
+        self, fingerprint: str, started: float, now: float
+    ) -> tuple[str, ...]:
         """Note a whole answer: clear its fingerprint of earlier crashes.
 
         :param started: when the answered attempt was dispatched; crashes
             after it are not disproved by it.
+        :returns: the crashes of which it was cleared.
         """
         if fingerprint not in self._cases_by_fingerprint:
-            return
+            return ()
         crashes = tuple(
             crash_id
             for crash_id, case in self._cases_by_crash.items()
             if fingerprint in case.lead_by_suspect and case.at <= started
         )
         self.clear(fingerprint, crashes, now)
+        return crashes
 
     def clear(
         self, fingerprint: str, crashes: tuple[str, ...], now: float
@@ -365,6 +412,12 @@
         self._pending_clearances.clear()
         return digest
 
+    def take_dropped(self) -> tuple[Dropped, ...]:
+        """Return what was dropped since the last call."""
+        dropped = tuple(self._dropped)
+        self._dropped.clear()
+        return dropped
+
     def put_back(self, digest: Digest) -> None:
         """Keep a digest that could not be published for the next try."""
         self._pending_crashes.extend(digest.crashes)
@@ -425,11 +478,32 @@
             fingerprint in self._until_by_fingerprint,
         )
 
+    def evidence(self, fingerprint: str, now: float) -> Evidence:
+        """Return what is held against a fingerprint."""
+        crashes = sorted(
+            (
+                KnownCrash(crash_id, now - case.at)
+                for crash_id, case in self._cases_by_crash.items()
+                if fingerprint in case.suspects
+            ),
+            key=lambda crash: -crash.age,
+        )
+        return Evidence(
+            tuple(crashes),
+            self.history(fingerprint, now).repeated,
+            self._companions(fingerprint),
+        )
+
     @property
     def is_empty(self) -> bool:
         """Tell whether there is no evidence at all."""
         return not self._cases_by_crash
 
+    @property
+    def crash_count(self) -> int:
+        """Return the number of crashes that are kept."""
+        return len(self._cases_by_crash)
+
     def repeated(
         self,
         min_crashes: int,
@@ -548,6 +622,32 @@
             for crash_id, case in by_age[: self._max_crashes]
             if case.at >= oldest
         }
+        if len(by_age) > len(self._cases_by_crash):
+            dropped = [
+                item for item in by_age if item[0] not in self._cases_by_crash
+            ]
+            self._note_dropped(dropped, oldest)
+
+    def _note_dropped(
+        self, dropped: list[tuple[str, _Case]], oldest: float
+    ) -> None:
+        for is_expired in (True, False):
+            cases_by_crash = {
+                crash_id: case
+                for crash_id, case in dropped
+                if (case.at < oldest) is is_expired and case.lead_by_suspect
+            }
+            if cases_by_crash:
+                fingerprints = dict.fromkeys(
+                    fingerprint
+                    for case in cases_by_crash.values()
+                    for fingerprint in case.lead_by_suspect
+                )
+                self._dropped.append(
+                    Dropped(
+                        tuple(cases_by_crash), tuple(fingerprints), is_expired
+                    )
+                )
 
     def _retention_order(
         self, item: tuple[str, _Case]
@@ -594,11 +694,31 @@
         """
         if not self._is_repeated(fingerprint, chain):
             return False
-        return not any(
-            other != fingerprint and self._is_repeated(other, chain)
+        return not any(self._others_repeated(fingerprint, chain))
+
+    def _others_repeated(
+        self, fingerprint: str, chain: tuple[_Case, ...]
+    ) -> typing.Iterator[str]:
+        """Return the others that were sent again from crash to crash."""
+        return (
+            other
             for other in chain[0].suspects
+            if other != fingerprint and self._is_repeated(other, chain)
         )
 
+    def _companions(self, fingerprint: str) -> tuple[str, ...]:
+        """Return the others that keep a fingerprint from being convicted."""
+        cases = self._cases_by_fingerprint.get(fingerprint, [])
+        companions = {
+            other
+            for chain in itertools.combinations(
+                cases[-_MAX_COMPARED:], self._min_crashes
+            )
+            if self._is_repeated(fingerprint, chain)
+            for other in self._others_repeated(fingerprint, chain)
+        }
+        return tuple(sorted(companions))
+
     def _is_repeated(self, fingerprint: str, chain: tuple[_Case, ...]) -> bool:
         return all(
             case.is_repeated_in(fingerprint, later, self._tolerance)
