Let one entry try a request after crashes at one moment

Callers that send eight copies of a request at once, each few seconds, lost all endpoints of a service with every lot: crashes at the same moment count as one, as half of the endpoints may be lost at once for another reason, so three lots were needed to quarantine the request. After three crashes that do not convict, one entry tries the request, one attempt at a time, until it is answered. FloodTest.test_next_copies failed before.

--- a/clementinepass/direct/crash_evidence.py
+++ b/clementinepass/direct/crash_evidence.py
@@ -244,8 +244,9 @@
     ) -> float:
         """Return the seconds for which a request must not run; 0 if it may.
 
-        After a quarantine a request is tried by a single entry, one attempt at
-        a time, until it is answered or crashes an endpoint once more.
+        After a quarantine, and after several crashes that were not one after
+        the other, a request is tried by a single entry, one attempt at a time,
+        until it is answered or crashes an endpoint once more.
 
         :param has_spare_endpoint: whether its service has several endpoints
             that can be used.
@@ -292,7 +293,7 @@
         """
         self._refresh(now)
         history = self._quarantine.history(fingerprint, now)
-        if history.was_quarantined:
+        if _needs_trial(history):
             self._trial_at[fingerprint] = now
         if history.repeated:
             evidence = self._quarantine.evidence(fingerprint, now)
@@ -311,8 +312,7 @@
         judgement = self._quarantine.judge(fingerprint, now)
         if judgement.standing is quarantine.Standing.QUARANTINED:
             return judgement.retry_after
-        history = self._quarantine.history(fingerprint, now)
-        if history.was_quarantined:
+        if _needs_trial(self._quarantine.history(fingerprint, now)):
             return self._seconds_until_trial(fingerprint, now)
         return 0
 
@@ -529,13 +529,23 @@
             self.on_quarantine()
 
 
+def _needs_trial(history: quarantine.CrashHistory) -> bool:
+    """Tell whether a single entry tries a request, one attempt at a time.
+
+    Copies that are sent at once crash endpoints at the same moment. These
+    crashes convict nobody, as half of the endpoints may be lost at once for
+    another reason; but the next copies would crash as many endpoints again.
+    """
+    return history.was_quarantined or history.met >= _MIN_CRASHES
+
+
 def _reason_to_admit(
     history: quarantine.CrashHistory, evidence: quarantine.Evidence
 ) -> evidence_log.Admission:
-    if history.was_quarantined:
-        return evidence_log.Admission.TRIAL
     if evidence.companions:
         return evidence_log.Admission.SHARED
+    if _needs_trial(history):
+        return evidence_log.Admission.TRIAL
     return evidence_log.Admission.TOO_FEW
 
 
--- a/clementinepass/direct/evidence_log.py
+++ b/clementinepass/direct/evidence_log.py
@@ -73,7 +73,7 @@
     TOO_FEW = 'too_few'
     #: Another request has met the same crashes.
     SHARED = 'shared'
-    #: Its quarantine is over; it is tried again.
+    #: It is tried by a single entry, one attempt at a time.
     TRIAL = 'trial'
 
 
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -105,7 +105,7 @@
         'enough_attempts, no_time, budget_spent, no_endpoint, or '
         'crashed_endpoints (one after the other, under the same request); why '
         'a request is sent after crashes: too_few, shared (others have met the '
-        'same ones) or trial (its quarantine is over)',
+        'same ones) or trial (by one entry, one attempt at a time)',
     ),
     'domain': Field('str', 'a failure domain'),
     'draining': Field('bool', 'whether the endpoint is draining'),
--- a/clementinepass/requests/quarantine.py
+++ b/clementinepass/requests/quarantine.py
@@ -165,12 +165,14 @@
     """
 
     repeated: int
+    :param met: the number of all crashes.
     last_at: float
     was_quarantined: bool
 
 
 class KnownCrash(typing.NamedTuple):
     """A crash that a fingerprint is suspected of.
+    met: int
 
     :param age: seconds since the crash.
     """
@@ -514,6 +516,7 @@
 
         Entries that start later need no other: what an answer may still clear
         is left out, and so are most of those that were there by chance.
+            len(cases),
 
         :param min_crashes: crashes in a row that a fingerprint has met.
         :param parts: parts of prompts on which to return the evidence, too.
--- a/tests/direct/test_crash_evidence.py
+++ b/tests/direct/test_crash_evidence.py
@@ -95,6 +95,42 @@
         self.assertGreater(seconds_barred(evidence, after + 1), 500)
 
 
+class FloodTest(testtools.TestCase):
+    """Copies of a request that are sent at once crash endpoints together."""
+
+    def seconds(self, evidence: crash_evidence.CrashEvidence) -> float:
+        """Return the seconds for which the request is refused."""
+        return seconds_barred(evidence, 1.5)
+
+    def flood(self, count: int) -> list[crash_evidence.CrashEvidence]:
+        """Return the evidence of all entries after crashes at one moment."""
+        entries = [make(ip) for ip in ENTRIES]
+        for evidence in entries:
+            for number in range(count):
+                evidence.record_crash(f'i-{number}', REQUEST, 1, 1.1)
+        return entries
+
+    def test_next_copies(self) -> None:
+        """Copies sent at once do not crash as many endpoints again."""
+        entries = self.flood(3)
+        admitting = [one for one in entries if not self.seconds(one)]
+        self.assertEqual(1, len(admitting))
+        admitting[0].record_attempt(REQUEST, 1.5)
+        self.assertGreater(self.seconds(admitting[0]), 0)
+
+    def test_answered(self) -> None:
+        """One answer ends the restriction."""
+        entries = self.flood(3)
+        for evidence in entries:
+            evidence.record_answer(REQUEST, 1.2, 1.4)
+            self.assertEqual(0, self.seconds(evidence))
+
+    def test_two_crashes(self) -> None:
+        """Two endpoints that are lost at once restrict nothing."""
+        for evidence in self.flood(2):
+            self.assertEqual(0, self.seconds(evidence))
+
+
 class ReportTest(testtools.TestCase):
     """What heartbeats carry."""
 
