Excuse requests of crashes that a quarantined one explains

Of convicted requests the one with more crashes in a row explains them; another one whose own crashes do not convict it is tried by one entry, one attempt at a time, and stays convicted if it crashes an endpoint once more. The search passes over requests with fewer crashes in a row than convict, with the same result.

--- a/clementinepass/requests/quarantine.py
+++ b/clementinepass/requests/quarantine.py
@@ -316,6 +316,27 @@
     :param lifetime: seconds for which a convicted fingerprint is refused.
     :param memory: seconds for which a crash is kept.
     :param max_crashes: crashes kept at most.
+class _Strength(typing.NamedTuple):
+    """How certain it is that a convicted fingerprint causes its crashes.
+
+    The lowest is the most certain.
+
+    :param has_not_failed: whether it has met no crash since its conviction.
+    :param negative_repeated: minus the number of crashes in a row.
+    :param fingerprint: makes the order the same in all processes.
+    """
+
+    has_not_failed: bool
+    negative_repeated: int
+    convicted_at: float
+    fingerprint: str
+
+    @property
+    def has_failed(self) -> bool:
+        """Tell whether it was sent after its conviction, and met a crash."""
+        return not self.has_not_failed
+
+
     :param min_crashes: crashes in a row that convict a fingerprint.
     :param tolerance: seconds by which the times of two crashes may be wrong.
     """
@@ -335,9 +356,11 @@
         '_until_by_fingerprint',
     )
 
+        '_on_trial',
     def __init__(
         self,
         lifetime: float = DEFAULT_LIFETIME,
+        '_repeats_by_fingerprint',
         memory: float = DEFAULT_MEMORY,
         max_crashes: int = DEFAULT_MAX_CRASHES,
         min_crashes: int = DEFAULT_MIN_CRASHES,
@@ -358,6 +381,11 @@
             maxlen=_MAX_DROPPED
         )
         self._pending_crashes: list[Crash] = []
+        #: The number of crashes in a row, if there are several.
+        self._repeats_by_fingerprint: dict[str, int] = {}
+        #: Convicted fingerprints that are tried again, as others explain
+        #: crashes that convict them.
+        self._on_trial: frozenset[str] = frozenset()
         self._pending_clearances: list[Clearance] = []
 
     def died(
@@ -458,7 +486,7 @@
     def judge(self, fingerprint: str, now: float) -> Judgement:
         """Tell how a fingerprint stands."""
         until = self._until_by_fingerprint.get(fingerprint, now)
-        if until > now:
+        if until > now and fingerprint not in self._on_trial:
             return Judgement(Standing.QUARANTINED, until - now)
         oldest = now - self._memory
         for case in self._cases_by_fingerprint.get(fingerprint, ()):
@@ -577,7 +605,7 @@
         return {
             fingerprint: until - now
             for fingerprint, until in self._until_by_fingerprint.items()
-            if until > now
+            if until > now and fingerprint not in self._on_trial
         }
 
     def _unknown_suspects(self, crash: Crash) -> typing.Iterator[Suspect]:
@@ -676,14 +704,66 @@
     def _convict(self) -> None:
         """Work out anew who is convicted, and until when."""
         self._until_by_fingerprint = {}
-        for fingerprint, cases in self._cases_by_fingerprint.items():
-            for chain in itertools.combinations(
-                cases[-_MAX_COMPARED:], self._min_crashes
+        convicted_at_by_fingerprint: dict[str, float] = {}
+        for fingerprint, repeats in self._repeats_by_fingerprint.items():
+            if repeats < self._min_crashes:
+                continue
+            cases = self._cases_by_fingerprint[fingerprint]
+            times = [
+                chain[-1].at
+                for chain in itertools.combinations(
+                    cases[-_MAX_COMPARED:], self._min_crashes
+                )
+                if self._is_only_repeated(fingerprint, chain)
+            ]
+            if times:
+                convicted_at_by_fingerprint[fingerprint] = min(times)
+                self._until_by_fingerprint[fingerprint] = (
+                    max(times) + self._lifetime
+                )
+        self._on_trial = frozenset(
+            self._find_excused(convicted_at_by_fingerprint)
+        )
+
+    def _find_excused(
+        self, convicted_at_by_fingerprint: dict[str, float]
+    ) -> typing.Iterator[str]:
+        """Return convicted fingerprints that others may excuse.
+
+        A request that comes along with one that crashes endpoints meets the
+        same crashes, and one of another cause convicts both.  The one with more
+        crashes explains them; the other is tried again, and stays convicted if
+        it crashes an endpoint once more.
+        """
+        explained: set[int] = set()
+        strength_by_fingerprint = {
+            fingerprint: self._strength(fingerprint, convicted_at)
+            for fingerprint, convicted_at in convicted_at_by_fingerprint.items()
+        }
+        for fingerprint in sorted(
+            strength_by_fingerprint, key=strength_by_fingerprint.__getitem__
+        ):
+            cases = self._cases_by_fingerprint[fingerprint]
+            own = [case for case in cases if id(case) not in explained]
+            has_failed = strength_by_fingerprint[fingerprint].has_failed
+            if has_failed or (
+                self._count_repeated(fingerprint, own) >= self._min_crashes
             ):
-                if self._is_only_repeated(fingerprint, chain):
-                    until = chain[-1].at + self._lifetime
-                    known = self._until_by_fingerprint.get(fingerprint, until)
-                    self._until_by_fingerprint[fingerprint] = max(until, known)
+                explained.update(map(id, cases))
+            else:
+                yield fingerprint
+
+    def _strength(self, fingerprint: str, convicted_at: float) -> _Strength:
+        cases = self._cases_by_fingerprint[fingerprint]
+        has_failed = any(
+            (case.started(fingerprint) or 0) > convicted_at for case in cases
+        )
+        return _Strength(
+            not has_failed,
+            -self._count_repeated(fingerprint, cases),
+            convicted_at,
+            fingerprint,
+        )
 
     def _is_only_repeated(
         self, fingerprint: str, chain: tuple[_Case, ...]
@@ -706,7 +786,9 @@
         return (
             other
             for other in chain[0].suspects
-            if other != fingerprint and self._is_repeated(other, chain)
+            if other != fingerprint
+            and self._repeats_by_fingerprint.get(other, 1) >= self._min_crashes
+            and self._is_repeated(other, chain)
         )
 
     def _companions(self, fingerprint: str) -> tuple[str, ...]:
@@ -739,6 +821,11 @@
         for case in cases:
             if last is None or last.is_repeated_in(
                 fingerprint, case, self._tolerance
+        self._repeats_by_fingerprint = {}
+        for repeated, cases in self._cases_by_fingerprint.items():
+            count = self._count_repeated(repeated, cases)
+            if count > 1:
+                self._repeats_by_fingerprint[repeated] = count
             ):
                 last = case
                 count += 1
--- a/tests/direct/test_crash_evidence.py
+++ b/tests/direct/test_crash_evidence.py
@@ -10,6 +10,7 @@
 #: Longer than a quarantine, and than the protection after a crash.
 QUARANTINE_SECONDS = 600
 REQUEST = 'aa' * 16
+CRASHING = 'cc' * 16
 
 
 def make(ip: str = ENTRIES[0]) -> crash_evidence.CrashEvidence:
@@ -95,6 +96,57 @@
         self.assertGreater(seconds_barred(evidence, after + 1), 500)
 
 
+class CompanionTest(testtools.TestCase):
+    """A sound request that was beside one that crashes endpoints."""
+
+    def setUp(self) -> None:
+        """Let both meet two crashes, each one of its own, and one more."""
+        super().setUp()
+        self.evidence = make()
+        self.evidence.other_entries = tuple
+        for fingerprint in (REQUEST, CRASHING):
+            crash(self.evidence, 2, fingerprint)
+        crash(self.evidence, 1, CRASHING, first=2)
+        crash(self.evidence, 1, REQUEST, first=3)
+
+    def seconds(self, now: float, fingerprint: str = REQUEST) -> float:
+        """Return the seconds for which a request is refused."""
+        return self.evidence.seconds_barred(
+            fingerprint, now, has_spare_endpoint=True
+        )
+
+    def test_explained_crashes(self) -> None:
+        """Crashes that a quarantined request explains quarantine no other."""
+        self.assertEqual(0, self.seconds(3.3))
+        self.assertGreater(self.seconds(3.3, CRASHING), 500)
+
+    def test_one_at_a_time(self) -> None:
+        """Until it is answered, a single one runs."""
+        self.evidence.record_attempt(REQUEST, 3.3)
+        self.assertGreater(self.seconds(3.4), 0)
+        self.assertLess(self.seconds(3.4), 60)
+        self.evidence.record_answer(REQUEST, 3.3, 3.5)
+        self.assertEqual(0, self.seconds(3.5))
+
+    def test_another_crash(self) -> None:
+        """One more crash quarantines it."""
+        self.evidence.record_attempt(REQUEST, 4)
+        crash(self.evidence, 1, REQUEST, first=4)
+        self.assertGreater(self.seconds(4.3), 500)
+
+    def test_cause_found_later(self) -> None:
+        """The one with more crashes explains them, whichever came first."""
+        evidence = make()
+        evidence.other_entries = tuple
+        for fingerprint in (REQUEST, CRASHING):
+            crash(evidence, 2, fingerprint)
+        crash(evidence, 1, REQUEST, first=2)
+        crash(evidence, 2, CRASHING, first=3)
+        self.evidence = evidence
+        self.assertEqual(0, self.seconds(5))
+        self.assertGreater(self.seconds(5, CRASHING), 500)
+
+
 class FloodTest(testtools.TestCase):
     """Copies of a request that are sent at once crash endpoints together."""
 
