Keep the crashes of suspicious requests when many endpoints crash

A hundred crashes of other causes pushed out the two crashes of a request that was about to be quarantined, and a process that started in their midst could not learn what was quarantined: evidence was dropped before it was looked at. Processes also sent dropped crashes to each other again with each heartbeat. Crashes of requests with several in a row rank before others, and what would be dropped at once is not taken in. RetentionTest failed before.

--- a/clementinepass/requests/quarantine.py
+++ b/clementinepass/requests/quarantine.py
@@ -54,6 +54,12 @@
 #: Latest crashes of a fingerprint that are compared with one another, which
 #: bounds the number of their combinations.
 _MAX_COMPARED = 8
+#: Seconds by which a crash that another process reports must be newer than the
+#: oldest one to take its place. The time of a crash comes later by the latency
+#: of each heartbeat.
+_MIN_NEWER_SECONDS = 0.5
+#: Rank of crashes that convict a fingerprint, by which they are kept.
+_CONVICTING = 2
 #: Reports of dropped evidence that wait to be taken.
 _MAX_DROPPED = 64
 _NO_PARTS: frozenset[str] = frozenset()
@@ -159,20 +165,20 @@
 
     :param repeated: the number of crashes one after the other, with the
         request sent again after each.
+    :param met: the number of all crashes.
     :param last_at: when the last one happened; minus infinity for none.
     :param was_quarantined: whether the fingerprint is or was quarantined for
         them.
     """
 
     repeated: int
-    :param met: the number of all crashes.
+    met: int
     last_at: float
     was_quarantined: bool
 
 
 class KnownCrash(typing.NamedTuple):
     """A crash that a fingerprint is suspected of.
-    met: int
 
     :param age: seconds since the crash.
     """
@@ -310,12 +316,6 @@
         )
 
 
-class Quarantine:
-    """Merge evidence and judge fingerprints by it.
-
-    :param lifetime: seconds for which a convicted fingerprint is refused.
-    :param memory: seconds for which a crash is kept.
-    :param max_crashes: crashes kept at most.
 class _Strength(typing.NamedTuple):
     """How certain it is that a convicted fingerprint causes its crashes.
 
@@ -337,6 +337,12 @@
         return not self.has_not_failed
 
 
+class Quarantine:
+    """Merge evidence and judge fingerprints by it.
+
+    :param lifetime: seconds for which a convicted fingerprint is refused.
+    :param memory: seconds for which a crash is kept.
+    :param max_crashes: crashes kept at most.
     :param min_crashes: crashes in a row that convict a fingerprint.
     :param tolerance: seconds by which the times of two crashes may be wrong.
     """
@@ -350,17 +356,17 @@
         '_max_crashes',
         '_memory',
         '_min_crashes',
+        '_on_trial',
         '_tolerance',
         '_pending_clearances',
         '_pending_crashes',
+        '_repeats_by_fingerprint',
         '_until_by_fingerprint',
     )
 
-        '_on_trial',
     def __init__(
         self,
         lifetime: float = DEFAULT_LIFETIME,
-        '_repeats_by_fingerprint',
         memory: float = DEFAULT_MEMORY,
         max_crashes: int = DEFAULT_MAX_CRASHES,
         min_crashes: int = DEFAULT_MIN_CRASHES,
@@ -375,17 +381,17 @@
         #: The crashes that each fingerprint is suspected of, by time.
         self._cases_by_fingerprint: dict[str, list[_Case]] = {}
         self._until_by_fingerprint: dict[str, float] = {}
+        #: The number of crashes in a row, if there are several.
+        self._repeats_by_fingerprint: dict[str, int] = {}
+        #: Convicted fingerprints that are tried again, as others explain
+        #: crashes that convict them.
+        self._on_trial: frozenset[str] = frozenset()
         #: Crashes that parts of prompts explain.
         self._explained: frozenset[str] = frozenset()
         self._dropped: collections.deque[Dropped] = collections.deque(
             maxlen=_MAX_DROPPED
         )
         self._pending_crashes: list[Crash] = []
-        #: The number of crashes in a row, if there are several.
-        self._repeats_by_fingerprint: dict[str, int] = {}
-        #: Convicted fingerprints that are tried again, as others explain
-        #: crashes that convict them.
-        self._on_trial: frozenset[str] = frozenset()
         self._pending_clearances: list[Clearance] = []
 
     def died(
@@ -464,12 +470,19 @@
         self._convict()
 
     def unknown_part(self, digest: Digest) -> Digest:
-        """Return the part of some evidence that is not known here."""
+        """Return the part of some evidence that is not known here.
+
+        Crashes that would be dropped at once are left out. Otherwise processes
+        would send them to each other again and again.
+        """
+        least = self._least_kept()
+        repeated = self._count_met(digest)
         return Digest(
             tuple(
                 Crash(crash.id, crash.at, suspects)
                 for crash in digest.crashes
-                if (suspects := tuple(self._unknown_suspects(crash)))
+                if self._would_keep(crash, least, repeated)
+                and (suspects := tuple(self._unknown_suspects(crash)))
             ),
             tuple(
                 clearance
@@ -504,6 +517,7 @@
         ]
         return CrashHistory(
             self._count_repeated(fingerprint, cases),
+            len(cases),
             cases[-1].at if cases else float('-inf'),
             fingerprint in self._until_by_fingerprint,
         )
@@ -544,7 +558,6 @@
 
         Entries that start later need no other: what an answer may still clear
         is left out, and so are most of those that were there by chance.
-            len(cases),
 
         :param min_crashes: crashes in a row that a fingerprint has met.
         :param parts: parts of prompts on which to return the evidence, too.
@@ -589,6 +602,8 @@
             for cause in causes
             for crash_id in cause.crash_ids
         }
+        if not parts_by_crash and not self._explained:
+            return
         self._explained = frozenset(parts_by_crash)
         for crash_id, case in self._cases_by_crash.items():
             parts = parts_by_crash.get(crash_id)
@@ -639,9 +654,13 @@
     def _forget(self, now: float) -> None:
         """Drop what is too old, and what is too much.
 
-        Crashes that convict are kept longest: many endpoints that end for
-        other reasons must not set free what is quarantined.
+        Crashes that convict are kept longest, and then those of fingerprints
+        with several in a row: many endpoints that end for other reasons must
+        neither set free what is quarantined nor hide what is about to be.
         """
+        if len(self._cases_by_crash) > self._max_crashes:
+            # What is new may show that a request crashes endpoints.
+            self._index()
         oldest = now - self._memory
         by_age = sorted(
             self._cases_by_crash.items(),
@@ -680,17 +699,65 @@
                     )
                 )
 
+    def _least_kept(self) -> tuple[int, float, str] | None:
+        """Return the rank of the next crash to be dropped.
+
+        :returns: ``None`` if there is room for more.
+        """
+        if len(self._cases_by_crash) < self._max_crashes:
+            return None
+        return min(map(self._retention_order, self._cases_by_crash.items()))
+
+    def _count_met(self, digest: Digest) -> collections.Counter[str]:
+        """Count the crashes that fingerprints have met with those reported."""
+        met = collections.Counter(
+            suspect.fingerprint
+            for crash in digest.crashes
+            if crash.id not in self._cases_by_crash
+            for suspect in crash.suspects
+        )
+        for fingerprint in met:
+            met[fingerprint] += len(
+                self._cases_by_fingerprint.get(fingerprint, ())
+            )
+        return met
+
+    def _would_keep(
+        self,
+        crash: Crash,
+        least: tuple[int, float, str] | None,
+        met: collections.Counter[str],
+    ) -> bool:
+        """Tell whether a crash would be kept.
+
+        :param least: the rank of the next crash to be dropped, if there is no
+            room.
+        :param met: the crashes that fingerprints have met.
+        """
+        if least is None or crash.id in self._cases_by_crash:
+            return True
+        if any(met[suspect.fingerprint] > 1 for suspect in crash.suspects):
+            return True
+        return least[0] == 0 and crash.at > least[1] + _MIN_NEWER_SECONDS
+
     def _retention_order(
         self, item: tuple[str, _Case]
-    ) -> tuple[bool, float, str]:
+    ) -> tuple[int, float, str]:
+        """Return the rank of a crash; those with the highest are kept."""
         crash_id, case = item
-        convicts = (
-            crash_id in self._explained
-            or not self._until_by_fingerprint.keys().isdisjoint(
-                case.lead_by_suspect
-            )
+        if crash_id in self._explained:
+            return _CONVICTING, case.at, crash_id
+        return (
+            max(map(self._importance, case.lead_by_suspect), default=0),
+            case.at,
+            crash_id,
         )
-        return convicts, case.at, crash_id
+
+    def _importance(self, fingerprint: str) -> int:
+        """Return how important the crashes of a fingerprint are."""
+        if fingerprint in self._until_by_fingerprint:
+            return _CONVICTING
+        return int(fingerprint in self._repeats_by_fingerprint)
 
     def _index(self) -> None:
         """Sort the crashes by the fingerprints that are suspected of them."""
@@ -700,6 +767,11 @@
                 self._cases_by_fingerprint.setdefault(fingerprint, []).append(
                     case
                 )
+        self._repeats_by_fingerprint = {}
+        for repeated, cases in self._cases_by_fingerprint.items():
+            count = self._count_repeated(repeated, cases)
+            if count > 1:
+                self._repeats_by_fingerprint[repeated] = count
 
     def _convict(self) -> None:
         """Work out anew who is convicted, and until when."""
@@ -821,11 +893,6 @@
         for case in cases:
             if last is None or last.is_repeated_in(
                 fingerprint, case, self._tolerance
-        self._repeats_by_fingerprint = {}
-        for repeated, cases in self._cases_by_fingerprint.items():
-            count = self._count_repeated(repeated, cases)
-            if count > 1:
-                self._repeats_by_fingerprint[repeated] = count
             ):
                 last = case
                 count += 1
--- a/tests/direct/test_crash_evidence.py
+++ b/tests/direct/test_crash_evidence.py
@@ -183,6 +183,47 @@
             self.assertEqual(0, self.seconds(evidence))
 
 
+class RetentionTest(testtools.TestCase):
+    """Endpoints crash by the hundred for another reason."""
+
+    def setUp(self) -> None:
+        """Let a request crash two endpoints, and a hundred others crash."""
+        super().setUp()
+        self.evidence = make()
+        crash(self.evidence, 2)
+        self.others = [f'o-{number}' for number in range(100)]
+        self.lose(self.evidence)
+
+    def lose(self, evidence: crash_evidence.CrashEvidence) -> None:
+        """Let the others crash, each with a request of its own."""
+        for number, name in enumerate(self.others):
+            evidence.record_crash(name, f'{number:032x}', 1.4, 1.5)
+
+    def test_third_crash(self) -> None:
+        """They do not hide the crashes before the third one."""
+        crash(self.evidence, 1, first=2)
+        self.assertGreater(seconds_barred(self.evidence, 2.3), 500)
+
+    def test_later_start(self) -> None:
+        """A process that starts meanwhile learns what is quarantined."""
+        crash(self.evidence, 1, first=2)
+        starting = make(ENTRIES[1])
+        self.lose(starting)
+        report = self.evidence.report(60, full=True)
+        starting.apply(report, 60, is_relayed=False)
+        self.assertGreater(seconds_barred(starting, 60), 500)
+
+    def test_dropped_crashes(self) -> None:
+        """What is dropped does not come back with each heartbeat."""
+        other = make(ENTRIES[1])
+        self.lose(other)
+        report = other.report(1.6, full=False)
+        self.evidence.apply(report, 1.6, is_relayed=False)
+        counts = dict(self.evidence.log.counts_by_decision)
+        self.evidence.apply(report, 1.7, is_relayed=False)
+        self.assertEqual(counts, dict(self.evidence.log.counts_by_decision))
+
+
 class ReportTest(testtools.TestCase):
     """What heartbeats carry."""
 
