--- a/tests/direct/test_crash_evidence_simulation.py
+++ b/tests/direct/test_crash_evidence_simulation.py
@@ -36,6 +36,9 @@
         self.name = name
         self.running: dict[int, Attempt] = {}
         self.is_up = True
+        self.is_draining = False
+        #: Whether something listens at its address as soon as it has crashed.
+        self.is_replaced_at_once = False
 
 
 class Attempt(typing.NamedTuple):
@@ -46,6 +49,8 @@
     started_at: float
     runs: int
     endpoint: Endpoint
+    #: Of the process that sent it, which may have ended since.
+    evidence: crash_evidence.CrashEvidence | None
 
 
 class Simulation:
@@ -140,7 +145,11 @@
         self._start(fingerprint, self.rng.randrange(ENTRIES), 0)
 
     def _start(self, fingerprint: str, entry: int, runs: int) -> None:
-        up = [endpoint for endpoint in self.endpoints if endpoint.is_up]
+        up = [
+            endpoint
+            for endpoint in self.endpoints
+            if endpoint.is_up and not endpoint.is_draining
+        ]
         if not up:
             return
         evidence = self.entries[entry]
@@ -149,19 +158,25 @@
         ):
             self.refused[fingerprint] += 1
             return
+        evidence.record_attempt(fingerprint, self.now)
         endpoint = self.rng.choice(up)
         number = next(self._numbers)
-        attempt = Attempt(fingerprint, entry, self.now, runs + 1, endpoint)
+        attempt = Attempt(
+            fingerprint, entry, self.now, runs + 1, endpoint, evidence
+        )
         endpoint.running[number] = attempt
         self.arrivals[fingerprint].append(self.now)
         if fingerprint in CRASHING:
             self.after(0.05, lambda: self._crash_by(attempt))
         else:
             self.after(
-                self.rng.uniform(0.03, 0.6),
+                self._answer_seconds(fingerprint),
                 lambda: self._answer(number, attempt),
             )
 
+    def _answer_seconds(self, fingerprint: str) -> float:
+        return self.rng.uniform(0.03, 0.6)
+
     def _answer(self, number: int, attempt: Attempt) -> None:
         if attempt.endpoint.running.pop(number, None) is not None:
             self.entries[attempt.entry].record_answer(
@@ -199,8 +214,9 @@
         self.after(RESTART_SECONDS, lambda: self._replace(endpoint))
 
     def _replace(self, endpoint: Endpoint) -> None:
-        self.endpoints.remove(endpoint)
-        self.endpoints.append(self._new_endpoint())
+        if endpoint in self.endpoints:
+            self.endpoints.remove(endpoint)
+            self.endpoints.append(self._new_endpoint())
 
     def _break(self, attempt: Attempt) -> None:
         evidence = self.entries[attempt.entry]
