--- a/tests/direct/test_crash_evidence_faults.py
+++ b/tests/direct/test_crash_evidence_faults.py
@@ -255,7 +255,6 @@
                         self.now - self.rng.uniform(0, 1),
                         1,
                         simulation.Endpoint(name),
-                        None,
                     )
                 )
 
--- a/tests/direct/test_crash_evidence_simulation.py
+++ b/tests/direct/test_crash_evidence_simulation.py
@@ -50,7 +50,7 @@
     runs: int
     endpoint: Endpoint
     #: Of the process that sent it, which may have ended since.
-    evidence: crash_evidence.CrashEvidence | None
+    evidence: crash_evidence.CrashEvidence | None = None
 
 
 class Simulation:
