--- a/clementinepass/direct/crash_detection.py
+++ b/clementinepass/direct/crash_detection.py
@@ -23,6 +23,8 @@
 #: Seconds after a broken attempt within which the record of an endpoint that
 #: has crashed is removed, if the store is available.
 _REMOVAL_SECONDS = 5.0
+#: Maximum number of attempts that wait for the removal of records.
+_MAX_UNDECIDED = 1024
 _BROKEN_CONNECTION = frozenset(
     (
         serving.AttemptFailure.CONNECTION_LOST,
@@ -87,8 +89,10 @@
             return
         if await self._is_refused(endpoint):
             self._record(broken)
-        else:
-            self._undecided.append(broken)
+            return
+        self._undecided.append(broken)
+        if len(self._undecided) > _MAX_UNDECIDED:
+            self._dismiss(self._undecided.pop(0), evidence_log.Doubt.TOO_MANY)
 
     def check_removals(self, now: float) -> None:
         """Decide on attempts by what the list says of their endpoints since."""
--- a/clementinepass/direct/crash_evidence.py
+++ b/clementinepass/direct/crash_evidence.py
@@ -293,6 +293,7 @@
         """
         self._refresh(now)
         history = self._quarantine.history(fingerprint, now)
+        self._forget_trials(now)
         if _needs_trial(history):
             self._trial_at[fingerprint] = now
         if history.repeated:
@@ -454,6 +455,13 @@
                 return
             del answered[oldest]
 
+    def _forget_trials(self, now: float) -> None:
+        self._trial_at = {
+            key: tried_at
+            for key, tried_at in self._trial_at.items()
+            if now - tried_at < _TRIAL_SECONDS
+        }
+
     def _seconds_until_trial(self, key: str, now: float) -> float:
         entries = {self._local_ip, *self.other_entries()}
         if rendezvous.top_ranked(key, entries, 1) != [self._local_ip]:
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -538,7 +538,8 @@
     ),
     'quarantine of a request ended': Kind(
         'fingerprint crashed ages shared_with',
-        'an answer cleared it, its time is over, or the evidence was dropped',
+        'an answer cleared it, its time is over, the evidence was dropped, or '
+        'another request explains the crashes',
     ),
     'quarantine of prompt parts ended': Kind(
         'parts',
--- a/clementinepass/requests/quarantine.py
+++ b/clementinepass/requests/quarantine.py
@@ -316,25 +316,26 @@
         )
 
 
-class _Strength(typing.NamedTuple):
-    """How certain it is that a convicted fingerprint causes its crashes.
+class _Conviction(typing.NamedTuple):
+    """The crashes that convict a fingerprint.
 
-    The lowest is the most certain.
-
-    :param has_not_failed: whether it has met no crash since its conviction.
-    :param negative_repeated: minus the number of crashes in a row.
-    :param fingerprint: makes the order the same in all processes.
+    :param at: when the last of them happened, at the earliest conviction.
+    :param repeated: the number of crashes one after the other.
+    :param has_recurred: whether it was sent after that, and met a crash.
     """
 
-    has_not_failed: bool
-    negative_repeated: int
-    convicted_at: float
     fingerprint: str
+    at: float
+    repeated: int
+    has_recurred: bool
 
     @property
-    def has_failed(self) -> bool:
-        """Tell whether it was sent after its conviction, and met a crash."""
-        return not self.has_not_failed
+    def rank(self) -> tuple[bool, int, float, str]:
+        """Return a sort key; the most certain conviction has the lowest.
+
+        The fingerprint makes the order the same in all processes.
+        """
+        return not self.has_recurred, -self.repeated, self.at, self.fingerprint
 
 
 class Quarantine:
@@ -793,12 +794,25 @@
                 self._until_by_fingerprint[fingerprint] = (
                     max(times) + self._lifetime
                 )
-        self._on_trial = frozenset(
-            self._find_excused(convicted_at_by_fingerprint)
+        convictions = itertools.starmap(
+            self._conviction, convicted_at_by_fingerprint.items()
+        )
+        self._on_trial = frozenset(self._find_excused(convictions))
+
+    def _conviction(self, fingerprint: str, convicted_at: float) -> _Conviction:
+        cases = self._cases_by_fingerprint[fingerprint]
+        return _Conviction(
+            fingerprint,
+            convicted_at,
+            self._repeats_by_fingerprint[fingerprint],
+            any(
+                (case.started(fingerprint) or 0) > convicted_at
+                for case in cases
+            ),
         )
 
     def _find_excused(
-        self, convicted_at_by_fingerprint: dict[str, float]
+        self, convictions: typing.Iterable[_Conviction]
     ) -> typing.Iterator[str]:
         """Return convicted fingerprints that others may excuse.
 
@@ -808,34 +822,14 @@
         it crashes an endpoint once more.
         """
         explained: set[int] = set()
-        strength_by_fingerprint = {
-            fingerprint: self._strength(fingerprint, convicted_at)
-            for fingerprint, convicted_at in convicted_at_by_fingerprint.items()
-        }
-        for fingerprint in sorted(
-            strength_by_fingerprint, key=strength_by_fingerprint.__getitem__
-        ):
-            cases = self._cases_by_fingerprint[fingerprint]
+        for conviction in sorted(convictions, key=_rank):
+            cases = self._cases_by_fingerprint[conviction.fingerprint]
             own = [case for case in cases if id(case) not in explained]
-            has_failed = strength_by_fingerprint[fingerprint].has_failed
-            if has_failed or (
-                self._count_repeated(fingerprint, own) >= self._min_crashes
-            ):
+            repeated = self._count_repeated(conviction.fingerprint, own)
+            if conviction.has_recurred or repeated >= self._min_crashes:
                 explained.update(map(id, cases))
             else:
-                yield fingerprint
-
-    def _strength(self, fingerprint: str, convicted_at: float) -> _Strength:
-        cases = self._cases_by_fingerprint[fingerprint]
-        has_failed = any(
-            (case.started(fingerprint) or 0) > convicted_at for case in cases
-        )
-        return _Strength(
-            not has_failed,
-            -self._count_repeated(fingerprint, cases),
-            convicted_at,
-            fingerprint,
-        )
+                yield conviction.fingerprint
 
     def _is_only_repeated(
         self, fingerprint: str, chain: tuple[_Case, ...]
@@ -955,3 +949,7 @@
 
 def _time_order(case: _Case) -> float:
     return case.at
+
+
+def _rank(conviction: _Conviction) -> tuple[bool, int, float, str]:
+    return conviction.rank
--- a/tests/direct/test_crash_evidence_faults.py
+++ b/tests/direct/test_crash_evidence_faults.py
@@ -1,8 +1,8 @@
 """Simulated crashes under requests while everything else fails, too.
 
 Entries start, end, freeze and are cut off; endpoints drain, are replaced at
-once and go dark; the store is silent; endpoints of other causes crash by the
-hundred; and sound requests are popular, slow or never answered.
+once and go dark; the store is silent; endpoints crash by the hundred for other
+reasons; and sound requests are popular, slow or never answered.
 """
 
 from __future__ import annotations
@@ -35,7 +35,7 @@
 STUCK = 'd0' * 16
 SLOW = 'd1' * 16
 STUCK_SECONDS = 1.5
-#: Times from the start; by then sound requests have been answered.
+#: Seconds from the start; by then sound requests have been answered.
 FIRST_FAULT = 5.0
 
 
--- a/tests/direct/test_evidence_log.py
+++ b/tests/direct/test_evidence_log.py
@@ -171,6 +171,17 @@
 
         path_harness.run(scenario, 1)
 
+    def test_too_many(self) -> None:
+        """Attempts that wait for the removal of records are bounded."""
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            for _ in range(1025):
+                harness.set_shared_faults(direct_endpoint.Fault.LOST)
+                await harness.send('/once/a')
+            self.assertEqual(['too_many'], self.reasons)
+
+        path_harness.run(scenario, 1)
+
     def check_known_before(
         self,
         prepare: typing.Callable[[endpoints.Endpoint], None],
