Keep crashes of one moment when many endpoints crash for other reasons

Such crashes do not count as one after the other, and only those ranked before others. test_crashes_at_once failed before.

--- a/clementinepass/requests/quarantine.py
+++ b/clementinepass/requests/quarantine.py
@@ -656,7 +656,7 @@
         """Drop what is too old, and what is too much.
 
         Crashes that convict are kept longest, and then those of fingerprints
-        with several in a row: many endpoints that end for other reasons must
+        with several: many endpoints that end for other reasons must
         neither set free what is quarantined nor hide what is about to be.
         """
         if len(self._cases_by_crash) > self._max_crashes:
@@ -758,7 +758,7 @@
         """Return how important the crashes of a fingerprint are."""
         if fingerprint in self._until_by_fingerprint:
             return _CONVICTING
-        return int(fingerprint in self._repeats_by_fingerprint)
+        return int(len(self._cases_by_fingerprint.get(fingerprint, ())) > 1)
 
     def _index(self) -> None:
         """Sort the crashes by the fingerprints that are suspected of them."""
--- a/tests/direct/test_crash_evidence.py
+++ b/tests/direct/test_crash_evidence.py
@@ -204,6 +204,14 @@
         crash(self.evidence, 1, first=2)
         self.assertGreater(seconds_barred(self.evidence, 2.3), 500)
 
+    def test_crashes_at_once(self) -> None:
+        """They do not hide crashes by copies that were sent at once."""
+        evidence = make()
+        for number in range(3):
+            evidence.record_crash(f'i-{number}', REQUEST, 0.1, 0.2)
+        self.lose(evidence)
+        self.assertEqual(3, len(evidence.evidence(REQUEST, 2).crashes))
+
     def test_later_start(self) -> None:
         """A process that starts meanwhile learns what is quarantined."""
         crash(self.evidence, 1, first=2)
