Keep the latest crashes beside those of requests that have met several

A popular request at 64 lost endpoints filled the evidence: since the first crash of any other request was dropped at once, so that five crashes in a row did not quarantine it. The latest 16 crashes rank with those of such requests.

--- a/clementinepass/requests/quarantine.py
+++ b/clementinepass/requests/quarantine.py
@@ -58,6 +58,8 @@
 #: oldest one to take its place. The time of a crash comes later by the latency
 #: of each heartbeat.
 _MIN_NEWER_SECONDS = 0.5
+#: Latest crashes that rank with those of requests that have met several.
+_NEWEST_KEPT = 16
 #: Rank of crashes that convict a fingerprint, by which they are kept.
 _CONVICTING = 2
 #: Reports of dropped evidence that wait to be taken.
@@ -663,11 +665,17 @@
             # What is new may show that a request crashes endpoints.
             self._index()
         oldest = now - self._memory
-        by_age = sorted(
-            self._cases_by_crash.items(),
-            key=self._retention_order,
-            reverse=True,
-        )
+        # Each request is new at its first crash.
+        newest = sorted(
+            self._cases_by_crash.items(), key=_item_time, reverse=True
+        )[:_NEWEST_KEPT]
+        newest_ids = {crash_id for crash_id, _ in newest}
+
+        def order(item: tuple[str, _Case]) -> tuple[int, float, str]:
+            importance, at, crash_id = self._retention_order(item)
+            return max(importance, crash_id in newest_ids), at, crash_id
+
+        by_age = sorted(self._cases_by_crash.items(), key=order, reverse=True)
         self._cases_by_crash = {
             crash_id: case
             for crash_id, case in by_age[: self._max_crashes]
@@ -739,7 +747,8 @@
             return True
         if any(met[suspect.fingerprint] > 1 for suspect in crash.suspects):
             return True
-        return least[0] == 0 and crash.at > least[1] + _MIN_NEWER_SECONDS
+        is_newer = crash.at > least[1] + _MIN_NEWER_SECONDS
+        return is_newer and least[0] < _CONVICTING
 
     def _retention_order(
         self, item: tuple[str, _Case]
@@ -947,6 +956,10 @@
         )
 
 
+def _item_time(item: tuple[str, _Case]) -> float:
+    return item[1].at
+
+
 def _time_order(case: _Case) -> float:
     return case.at
 
--- a/tests/direct/test_crash_evidence.py
+++ b/tests/direct/test_crash_evidence.py
@@ -212,6 +212,14 @@
         self.lose(evidence)
         self.assertEqual(3, len(evidence.evidence(REQUEST, 2).crashes))
 
+    def test_first_crash(self) -> None:
+        """A popular request at lost endpoints does not hide another one."""
+        evidence = make()
+        for name in self.others:
+            evidence.record_crash(name, CRASHING, 0.1, 0.2)
+        crash(evidence, 3, first=10)
+        self.assertGreater(seconds_barred(evidence, 12.3), 500)
+
     def test_later_start(self) -> None:
         """A process that starts meanwhile learns what is quarantined."""
         crash(self.evidence, 1, first=2)
