--- a/review/rig/origin.py
+++ b/review/rig/origin.py
@@ -1,5 +1,6 @@
 """Stand-in for the origin of weights, which runs in the test itself."""
 
+import asyncio
 import hashlib
 import json
 import time
@@ -7,6 +8,9 @@
 
 from rig import http11, worker
 
+#: Bandwidth of the origin's link.
+LINK_MBPS = 7.3
+
 
 class Origin:
     """Hands out manifests and pieces.
@@ -20,6 +24,7 @@
         self._chunks = chunks
         self._chunk_bytes = chunk_bytes
         self.address = ''
+        self._free_at = 0.0
         #: Time until which each manifest has one spoilt digit.
         self.spoils_until = 0.0
 
@@ -33,11 +38,18 @@
         version = int(query['version'])
         if request.path.startswith('/api/piece/'):
             body = worker.piece(version, int(query['num']), self._chunk_bytes)
+            await self._take_turn(len(body))
         else:
             body = self._manifest(version)
         writer.write(http11.encode_answer(200, [], body))
         return True
 
+    async def _take_turn(self, size):
+        """Wait until the origin's link has carried the bytes of a piece."""
+        now = time.monotonic()
+        self._free_at = max(self._free_at, now) + size * 8 / (LINK_MBPS * 1e6)
+        await asyncio.sleep(self._free_at - now)
+
     def _manifest(self, version):
         digests = [
             hashlib.sha256(
--- a/review/rig/worker.py
+++ b/review/rig/worker.py
@@ -46,8 +46,15 @@
         self.spoilt_since = {}
         #: How the layers that are held were taken, in words; empty if whole.
         self.flaw = ''
-        #: Seconds for which the next report is silent.
-        self.silent_reports = []
+        #: Calls of the agent to be silent at once, and for how long.
+        self.silent_calls = []
+        self.silent_seconds = 0.0
+        #: Whether a piece is to turn bad after it was read back.
+        self.is_rot_due = False
+        #: Whether the agent reads all pieces back before an order.
+        self.is_read_back = False
+        #: Pieces staged since the last order.
+        self.put = set()
         if self.version:
             self.staged = {
                 number: piece(self.version, number, options['chunkBytes'])
@@ -180,34 +187,53 @@
         pairs = [('Server-Leaving', '1')] if self.is_draining else []
         status, body = 200, b''
         if request.path == '/api/report':
-            if self.silent_reports and self.loading_is_near():
-                seconds = self.silent_reports.pop(0)
-                self.note('silent', seconds=seconds)
-                await asyncio.sleep(seconds)
+            if 'read' not in self.silent_calls:
+                await self.fall_silent('report')
             body = json.dumps(self.report()).encode()
         elif request.path == '/api/order':
+            await self.fall_silent('order')
             status = self.take_order(json.loads(request.body))
         elif request.method == 'PUT':
             number = int(query['num'])
             self.staged[number] = request.body
             self.spoilt_since.pop(number, None)
+            self.put.add(number)
         elif 'num' in query:
-            self.last_read_at = time.monotonic()
-            self.last_read = int(query['num'])
-            body = self.staged.get(int(query['num']))
+            number = int(query['num'])
+            await self.before_read(number)
+            body = self.staged.get(number)
             status, body = (404, b'') if body is None else (200, body)
         else:
             body = json.dumps({'held': sorted(self.staged)}).encode()
         writer.write(http11.encode_answer(status, pairs, body))
         return True
 
-    last_read_at = 0.0
-    last_read = -1
+    async def before_read(self, number):
+        """Fall silent in the middle of the agent's reading before an order.
+
+        That reading begins when nearly all pieces are staged. Where the test
+        asks for it, the first piece turns bad as soon as it was read.
+        """
+        if number == 0 and len(self.put) > self.options['chunks'] // 2:
+            self.is_read_back = True
+            if self.is_rot_due:
+                self.is_rot_due = False
+                asyncio.get_running_loop().call_later(0.005, self.spoil, 0)
+        if number == self.options['chunks'] // 2:
+            await self.fall_silent('read')
 
-    def loading_is_near(self):
-        """Tell whether the agent has just read back the last piece."""
-        is_last = self.last_read == self.options['chunks'] - 1
-        return is_last and time.monotonic() - self.last_read_at < 0.2
+    async def fall_silent(self, call):
+        """Be silent for a while once, from the last reading back on."""
+        if self.is_read_back and call in self.silent_calls:
+            self.silent_calls.remove(call)
+            self.note('silent', call=call, seconds=self.silent_seconds)
+            await asyncio.sleep(self.silent_seconds)
+
+    def spoil(self, number):
+        """Let a staged piece turn bad."""
+        self.staged[number] = bytes(len(self.staged[number]))
+        self.spoilt_since[number] = time.monotonic()
+        self.note('spoilt', piece=number)
 
     def report(self):
         """Return the state of the worker."""
@@ -230,6 +256,7 @@
             self.note('order', order=order, status=409)
             return 409
         self.orders += 1
+        self.put.clear()
         self.loading = order['version']
         self.flaw = self.find_flaw(order['version'])
         self.note('order', order=order, status=202, flaw=self.flaw)
@@ -262,13 +289,10 @@
         if request.path == '/test/drain':
             self.is_draining = True
             await self.beat()
-        elif request.path == '/test/spoil':
-            number = int(query['num'])
-            self.staged[number] = bytes(len(self.staged[number]))
-            self.spoilt_since[number] = time.monotonic()
-            self.note('spoilt', piece=number)
-        elif request.path == '/test/silence':
-            self.silent_reports.append(float(query['seconds']))
+        elif request.path == '/test/arm':
+            self.silent_calls = ['read', 'report', 'order']
+            self.silent_seconds = float(query['silent'])
+            self.is_rot_due = query['rot'] == '1'
         writer.write(http11.encode_answer(200, [], b''))
         return True
 
