--- a/review/rig/deployment.py
+++ b/review/rig/deployment.py
@@ -351,6 +351,8 @@
         trouble = os.environ.get('TROUBLE', '1') != '0'
         record.note('trouble' if trouble else 'no trouble')
         platform = Platform(record)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await platform.store.listen(platform.ip(9))
             async with asyncio.timeout(110):
@@ -366,7 +368,7 @@
 
     try:
         status = asyncio.run(play())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print('could not run:', repr(error))
         status = 2
     raise SystemExit(status)
