--- a/review/rig/consumer.py
+++ b/review/consumer.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from rig import http11
+import http11
 
 HOST = 'desk.example'
 
--- a/review/rig/deployment.py
+++ b/review/deployment.py
@@ -18,9 +18,9 @@
 import time
 import urllib.parse
 
-from rig import http11
+import http11
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 #: Seconds without a word of a worker after which its entry is removed.
 _LAPSE_SECONDS = 3.6
 #: Ports of entries, of workers, and of the metrics of the programs.
@@ -249,8 +249,7 @@
         """Start a stand-in as a process of its own."""
         await self.start(
             name,
-            ['python3', str(ROOT / 'review' / 'rig' / script)]
-            + [json.dumps(options)],
+            ['python3', str(ROOT / 'review' / script)] + [json.dumps(options)],
             {'PYTHONPATH': str(ROOT / 'review')},
         )
 
@@ -339,16 +338,16 @@
     return True
 
 
-def run(folder, scenario):
+def run(folder, scenario, trouble):
     """Run a scenario and exit: 1 broken, 0 held, 2 could not run.
 
+    :param trouble: whether to play the disruption.
     :param scenario: ``scenario(platform, trouble)`` returns the words that say
         how the rule was broken; none if it held.
     """
 
     async def play():
         record = Record(folder)
-        trouble = os.environ.get('TROUBLE', '1') != '0'
         record.note('trouble' if trouble else 'no trouble')
         platform = Platform(record)
         loop = asyncio.get_running_loop()
--- a/review/rig/origin.py
+++ b/review/origin.py
@@ -6,7 +6,8 @@
 import time
 import urllib.parse
 
-from rig import http11, worker
+import http11
+import worker
 
 #: Bandwidth of the origin's link.
 LINK_MBPS = 7.3
@@ -25,6 +26,9 @@
         self._chunk_bytes = chunk_bytes
         self.address = ''
         self._free_at = 0.0
+        #: Answers while manifests may be wrong, and wrong ones among them.
+        self.answers = 0
+        self.wrong_answers = 0
         #: Time until which each manifest has one spoilt digit.
         self.spoils_until = 0.0
 
@@ -36,6 +40,8 @@
     async def _handle(self, request, writer):
         query = dict(urllib.parse.parse_qsl(request.query))
         version = int(query['version'])
+        if time.monotonic() < self.spoils_until:
+            self.answers += 1
         if request.path.startswith('/api/piece/'):
             body = worker.piece(version, int(query['num']), self._chunk_bytes)
             await self._take_turn(len(body))
@@ -59,6 +65,7 @@
         ]
         is_spoilt = time.monotonic() < self.spoils_until
         if is_spoilt:
+            self.wrong_answers += 1
             first = digests[0]
             digests[0] = ('1' if first[0] == '0' else '0') + first[1:]
         self._record.note(
--- a/review/rig/worker.py
+++ b/review/worker.py
@@ -13,7 +13,7 @@
 import time
 import urllib.parse
 
-from rig import http11
+import http11
 
 BEAT_SECONDS = 1.2
 
