--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,6 @@
 root=$(cd "$(dirname "$0")/.." && pwd)
 cd "$root" || exit 2
 PYTHONPATH="$root:$root/target/deps" exec python3 -c '
-from review.harness2 import consumers, deadly, leaving, naming, origin, ports, system
-from review.harness2 import worker_process, workers
+from review.harness2 import consumers, deadly, ports, system, workers
 from standins import keyed_store
 '
--- a/review/harness2/workers.py
+++ b/review/harness2/workers.py
@@ -14,6 +14,8 @@
 from review.harness2 import system
 
 _READ_SECONDS = 0.02
+#: Seconds from the first event of an answer to the worker's end.
+_FIRST_SECONDS = 0.03
 
 
 class Request(typing.NamedTuple):
@@ -29,6 +31,7 @@
     """A worker in this process.
 
     :param deadly: part of a prompt that ends the worker; empty for none.
+    :param writes_first: whether it writes its first event before it ends.
     """
 
     def __init__(
@@ -39,6 +42,7 @@
         world: system.System,
         *,
         deadly: str = '',
+        writes_first: bool = False,
         events: int = 6,
         gap: float = 0.06,
         down_seconds: float = 3.0,
@@ -48,6 +52,7 @@
         self.ip = ip
         self.port = 0
         self.deadly = deadly
+        self.writes_first = writes_first
         self.events = events
         self.gap = gap
         self.down_seconds = down_seconds
@@ -173,6 +178,11 @@
         self._world.record.line(f'worker {self.id} gets {attempt_id}')
         await asyncio.sleep(_READ_SECONDS)
         if self.deadly and self.deadly in parts[:-1]:
+            if self.writes_first:
+                _write_head(writer, marked)
+                _write_event(writer, 1)
+                await writer.drain()
+                await asyncio.sleep(_FIRST_SECONDS)
             task = asyncio.create_task(self._die(f'began {attempt_id}'))
             self._tasks.add(task)
             await asyncio.Event().wait()
@@ -181,23 +191,31 @@
     async def _stream(
         self, request: Request, marked: list[str], writer: asyncio.StreamWriter
     ) -> None:
-        lines = [
-            'HTTP/1.1 200 OK',
-            *marked,
-            'Content-Type: text/event-stream',
-            'Transfer-Encoding: chunked',
-        ]
-        writer.write('\r\n'.join([*lines, '', '']).encode())
+        _write_head(writer, marked)
         first = int(request.headers.get('last-event-id', '0')) + 1
         for number in range(first, self.events + 1):
-            event = b'id: %d\ndata: %d\n\n' % (number, number)
-            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+            _write_event(writer, number)
             await writer.drain()
             await asyncio.sleep(self.gap)
         writer.write(b'0\r\n\r\n')
         await writer.drain()
 
 
+def _write_head(writer: asyncio.StreamWriter, marked: list[str]) -> None:
+    lines = [
+        'HTTP/1.1 200 OK',
+        *marked,
+        'Content-Type: text/event-stream',
+        'Transfer-Encoding: chunked',
+    ]
+    writer.write('\r\n'.join([*lines, '', '']).encode())
+
+
+def _write_event(writer: asyncio.StreamWriter, number: int) -> None:
+    event = b'id: %d\ndata: %d\n\n' % (number, number)
+    writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+
+
 def _write(
     writer: asyncio.StreamWriter, status: int, marked: list[str], body: bytes
 ) -> None:
