--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 root=$(cd "$(dirname "$0")/.." && pwd)
 cd "$root" || exit 2
 PYTHONPATH="$root:$root/target/deps" exec python3 -c '
-from review.harness2 import consumers, deadly, ports, system, workers
+from review.harness2 import cold, consumers, deadly, link, ports, system, workers
 from standins import keyed_store
 '
--- a/review/harness2/ports.py
+++ b/review/harness2/ports.py
@@ -7,6 +7,8 @@
 
 _FIRST = 20000
 _COUNT = 10000
+_FIRST_NET = 10
+_NETS = 200
 
 
 def free(ips: list[str], count: int) -> list[int]:
@@ -24,6 +26,23 @@
     raise OSError('no free ports')
 
 
+def claim_net() -> tuple[int, socket.socket]:
+    """Return a number N, and a socket that holds the addresses 127.N.x.x.
+
+    :raises OSError: other scripts hold all of them.
+    """
+    for step in range(_NETS):
+        net = _FIRST_NET + (os.getpid() + step) % _NETS
+        guard = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            guard.bind((f'127.{net}.255.1', _FIRST))
+        except OSError:
+            guard.close()
+        else:
+            return net, guard
+    raise OSError('no free addresses')
+
+
 def _is_free(ip: str, port: int) -> bool:
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, kind) as one:
--- a/review/harness2/system.py
+++ b/review/harness2/system.py
@@ -88,7 +88,7 @@
         self.record = record
         # The programs' port of metrics is fixed, so that two scripts at once
         # need different addresses.
-        net = 10 + os.getpid() % 200
+        net, self._guard = ports.claim_net()
         #: The first half of the addresses of workers.
         self.worker_net = f'127.{net}.1'
         self.store = keyed_store.KeyedStore()
@@ -122,6 +122,7 @@
             process.wait()
         await self.store.__aexit__()
         self._folder.cleanup()
+        self._guard.close()
 
     def settings(self, ip: str, **changes: typing.Any) -> dict[str, typing.Any]:
         """Return the settings of an entry."""
