--- a/clementinepass/decisions/crash_causes.py
+++ b/clementinepass/decisions/crash_causes.py
@@ -12,6 +12,8 @@
 
 from __future__ import annotations
 
+import collections
+import itertools
 import typing
 
 if typing.TYPE_CHECKING:
@@ -26,12 +28,16 @@
     """What had been sent to an endpoint that crashed, and not begun.
 
     :param at: monotonic time of the crash in seconds.
-    :param requests_by_part: fingerprints of the requests with each part.
+    :param parts_by_request: the parts of each request, by its fingerprint.
     """
 
     id: str
     at: float
-    requests_by_part: Mapping[str, frozenset[str]]
+    parts_by_request: Mapping[str, frozenset[str]]
+
+    def parts(self) -> frozenset[str]:
+        """Return the parts of all requests."""
+        return frozenset().union(*self.parts_by_request.values())
 
 
 class Threshold(typing.NamedTuple):
@@ -63,8 +69,9 @@
 ) -> tuple[Cause, ...]:
     """Return the causes of some crashes, those of most crashes first."""
     remaining = {crash.id: crash for crash in crashes}
+    groups = _group_parts(remaining.values(), threshold.crashes)
     causes = []
-    while cause := _find_main_cause(remaining, threshold):
+    while cause := _find_main_cause(remaining, groups, threshold):
         causes.append(cause)
         for crash_id in cause.crash_ids:
             del remaining[crash_id]
@@ -82,53 +89,91 @@
     explained: frozenset[str] = frozenset().union(
         *(cause.crash_ids for cause in causes)
     )
-    unexplained = [crash for crash in crashes if crash.id not in explained]
+    unexplained = {
+        crash.id: crash for crash in crashes if crash.id not in explained
+    }
     last_at_by_part = {}
-    for part, found in _crashes_by_part(unexplained).items():
-        times = [met.at for met in found]
+    groups = _group_parts(unexplained.values(), min_crashes)
+    for crash_ids, parts in groups.items():
+        times = [unexplained[crash_id].at for crash_id in crash_ids]
         if count_in_succession(times) >= min_crashes:
-            last_at_by_part[part] = max(times)
+            last_at_by_part.update(dict.fromkeys(parts, max(times)))
     return last_at_by_part
 
 
-def _find_main_cause(
-    crash_by_id: Mapping[str, Crash], threshold: Threshold
-) -> Cause | None:
-    """Return the cause of the most crashes; ``None`` if there is none."""
-    ids_by_part = {
-        part: frozenset(crash.id for crash in found)
-        for part, found in _crashes_by_part(crash_by_id.values()).items()
-        if _reaches(threshold, part, found)
-    }
-    if not ids_by_part:
-        return None
-    # The ids make the choice the same in all processes.
-    crash_ids = max(
-        ids_by_part.values(), key=lambda ids: (len(ids), sorted(ids))
-    )
-    return Cause(
-        frozenset(
-            part for part, ids in ids_by_part.items() if ids == crash_ids
-        ),
-        crash_ids,
-        max(crash_by_id[crash_id].at for crash_id in crash_ids),
-    )
+def _group_parts(
+    crashes: Iterable[Crash], min_crashes: int
+) -> dict[frozenset[str], frozenset[str]]:
+    """Return the parts in exactly the same crashes, by the crashes' ids.
 
+    A prompt may have more than a thousand parts, most of which come together.
 
-def _reaches(threshold: Threshold, part: str, crashes: list[Crash]) -> bool:
-    requests = frozenset[str]().union(
-        *(crash.requests_by_part[part] for crash in crashes)
+    :param min_crashes: crashes that a part has to be in.
+    """
+    parts_by_crash = {crash.id: crash.parts() for crash in crashes}
+    counts = collections.Counter(
+        itertools.chain.from_iterable(parts_by_crash.values())
     )
-    count = count_in_succession([crash.at for crash in crashes])
-    return len(requests) >= threshold.requests and count >= threshold.crashes
+    frequent = {part for part, count in counts.items() if count >= min_crashes}
+    ids_by_part: dict[str, list[str]] = {part: [] for part in frequent}
+    for crash_id, parts in parts_by_crash.items():
+        for part in frequent.intersection(parts):
+            ids_by_part[part].append(crash_id)
+    parts_by_ids: dict[tuple[str, ...], list[str]] = {}
+    for part, ids in ids_by_part.items():
+        parts_by_ids.setdefault(tuple(ids), []).append(part)
+    return {
+        frozenset(group_ids): frozenset(group)
+        for group_ids, group in parts_by_ids.items()
+    }
 
 
-def _crashes_by_part(crashes: Iterable[Crash]) -> dict[str, list[Crash]]:
-    crashes_by_part: dict[str, list[Crash]] = {}
+def _find_main_cause(
+    crash_by_id: Mapping[str, Crash],
+    groups: Mapping[frozenset[str], frozenset[str]],
+    threshold: Threshold,
+) -> Cause | None:
+    """Return the cause of the most crashes; ``None`` if there is none.
+
+    :param crash_by_id: the crashes that no other cause explains.
+    :param groups: the parts in exactly the same crashes, by the crashes' ids.
+    """
+    parts_by_ids: dict[frozenset[str], frozenset[str]] = {}
+    for all_ids, parts in groups.items():
+        ids = all_ids.intersection(crash_by_id)
+        parts_by_ids[ids] = parts_by_ids.get(ids, frozenset()) | parts
+    # The ids make the choice the same in all processes.
+    by_size = sorted(
+        parts_by_ids, key=lambda ids: (len(ids), sorted(ids)), reverse=True
+    )
+    for crash_ids in by_size:
+        crashes = [crash_by_id[crash_id] for crash_id in crash_ids]
+        times = [crash.at for crash in crashes]
+        if count_in_succession(times) < threshold.crashes:
+            continue
+        found = _parts_of_several_requests(
+            parts_by_ids[crash_ids], crashes, threshold.requests
+        )
+        if found:
+            return Cause(found, crash_ids, max(times))
+    return None
+
+
+def _parts_of_several_requests(
+    parts: frozenset[str], crashes: Iterable[Crash], min_requests: int
+) -> frozenset[str]:
+    """Return the parts that different requests had."""
+    parts_by_request: dict[str, frozenset[str]] = {}
     for crash in crashes:
-        for part in crash.requests_by_part:
-            crashes_by_part.setdefault(part, []).append(crash)
-    return crashes_by_part
+        for request, own_parts in crash.parts_by_request.items():
+            known = parts_by_request.get(request, frozenset())
+            parts_by_request[request] = known | (parts & own_parts)
+    counts = collections.Counter(
+        itertools.chain.from_iterable(parts_by_request.values())
+    )
+    return frozenset(
+        part for part, count in counts.items() if count >= min_requests
+    )
 
 
 def count_in_succession(times: Iterable[float]) -> int:
--- a/clementinepass/direct/crash_evidence.py
+++ b/clementinepass/direct/crash_evidence.py
@@ -12,7 +12,13 @@
 import typing
 
 from clementinepass.decisions import rendezvous
-from clementinepass.direct import evidence_log, part_evidence
+from clementinepass.direct import (
+    evidence_log,
+    evidence_reports,
+    part_evidence,
+    part_sets,
+    report_selection,
+)
 from clementinepass.requests import quarantine
 
 if typing.TYPE_CHECKING:
@@ -32,11 +38,8 @@
 _JOIN_SECONDS = 0.02
 #: Maximum number of such findings that are kept.
 _MAX_FRESH = 200
-#: Maximum number of requests at crashed endpoints, of parts of their prompts,
-#: and of clearances in a heartbeat, which is a datagram.
-_MAX_REPORTED_SUSPECTS = 400
-_MAX_REPORTED_PARTS = 1600
-_MAX_REPORTED_CLEARANCES = 128
+#: Maximum number of processes whose reports wait for sets of prompt parts.
+_MAX_UNRESOLVED = 64
 #: Seconds after which a request whose quarantine has ended may be tried again
 #: if it is neither answered nor crashes an endpoint.
 _TRIAL_SECONDS = 10.0
@@ -60,6 +63,16 @@
 _PROTECTION_SECONDS = 10.0
 
 
+class _Unresolved(typing.NamedTuple):
+    """A report that refers to sets of prompt parts that are not known.
+
+    :param report: with times of the local clock.
+    """
+
+    report: evidence_reports.Report
+    is_relayed: bool
+
+
 class CrashEvidence:
     """Crashes of endpoints and the requests that ran there.
 
@@ -75,8 +88,9 @@
         '_parts',
         '_quarantine',
         '_quarantined',
-        '_suspected_parts',
+        '_part_sets',
         '_trial_at',
+        '_unresolved_by_peer',
         'log',
         'on_quarantine',
         'on_finding',
@@ -91,12 +105,12 @@
         self._parts = part_evidence.PartEvidence()
         #: Whether something was found since the causes were last looked for.
         self._is_outdated = False
-        #: All parts that are suspected of some crash.
-        self._suspected_parts: frozenset[str] = frozenset()
+        self._part_sets = part_sets.PartSets()
+        self._unresolved_by_peer: dict[str, _Unresolved] = {}
         #: When each request was last answered, in this order.
         self._answered_at_by_fingerprint: dict[str, float] = {}
         #: The time of each new finding.
-        self._fresh: list[tuple[float, quarantine.Digest]] = []
+        self._fresh: list[tuple[float, evidence_reports.Report]] = []
         #: The fingerprints whose quarantine was announced.
         self._quarantined: frozenset[str] = frozenset()
         #: The prompt parts whose quarantine was announced.
@@ -117,6 +131,11 @@
         """Tell whether no crash is known."""
         return self._quarantine.is_empty
 
+    @property
+    def forgotten_answers(self) -> int:
+        """Return the number of answered parts that were forgotten too early."""
+        return self._parts.forgotten_answers
+
     @property
     def crash_count(self) -> int:
         """Return the number of crashes that are kept."""
@@ -156,15 +175,14 @@
             had arrived: they have not crashed the endpoint then.
         :returns: the crashes that the request has met so far.
         """
-        suspect = quarantine.Suspect(
-            fingerprint, started_at, self._parts.suspected_parts(parts, now)
-        )
+        suspect = quarantine.Suspect(fingerprint, started_at)
         self._quarantine.died(crash_id, (suspect,), now)
         self.log.count(evidence_log.Decision.RECORDED)
         self._is_outdated = True
         self._clear_answered(
             (quarantine.Crash(crash_id, now, (suspect,)),), now
         )
+        self._parts.record_crash(crash_id, fingerprint, parts, now)
         self._publish(now)
         return self._quarantine.history(fingerprint, now)
 
@@ -175,31 +193,19 @@
 
         The parts of its prompt have not crashed an endpoint.
         """
-        self._parts.record_answer(parts, now)
-        if self.is_empty:
+        found = self._parts.record_answer(parts, now)
+        if not found:
             return
-        self._refresh(now)
-        cleared = parts.digests & self._suspected_parts
-        if not cleared:
-            return
-        crashes = self._quarantine.crashes()
-        cleared_ids: list[str] = []
-        for part in sorted(cleared):
-            crash_ids = tuple(
-                crash.id
-                for crash in crashes
-                if part in crash.requests_by_part
-                and self._parts.is_cleared(part, crash.at)
-            )
-            self._quarantine.clear(part, crash_ids, now)
-            cleared_ids += crash_ids
-        if cleared_ids:
+        self._is_outdated = True
+        cleared = {
+            part for answer in found.part_answers for part in answer.parts
+        }
+        if cleared:
             self.log.log_cleared(
-                cleared_ids,
+                (answer.crash_id for answer in found.part_answers),
                 evidence_log.Clearing.BEGINNING,
                 parts=sorted(cleared),
             )
-        self._is_outdated = True
         self._publish(now)
 
     def record_answer(
@@ -228,10 +234,9 @@
         """Tell whether a request, or a part of it, has met several crashes."""
         self._refresh(now)
         history = self._quarantine.history(fingerprint, now)
-        suspicious_parts = self._parts.suspicious_parts()
         return (
             history.repeated >= _MIN_SUSPICIOUS_CRASHES
-            or not suspicious_parts.isdisjoint(parts.digests)
+            or self._parts.is_suspicious(parts.digests)
         )
 
     def seconds_barred(
@@ -330,7 +335,7 @@
             crashed_at = max(crashed_at, history.last_at)
         return max(crashed_at + _PROTECTION_SECONDS - now, 0)
 
-    def report(self, now: float, *, full: bool) -> quarantine.Digest:
+    def report(self, now: float, *, full: bool) -> evidence_reports.Report:
         """Return evidence for a heartbeat, with ages in place of times.
 
         :param full: whether to add what entries need to know that have just
@@ -344,49 +349,82 @@
         ]
         findings = [finding for _, finding in self._fresh]
         if full:
-            findings.append(
-                self._quarantine.repeated(
-                    _MIN_SUSPICIOUS_CRASHES,
-                    now,
-                    self._parts.suspicious_parts(),
-                )
-            )
-        clearances = dict.fromkeys(
-            clearance
-            for finding in findings
-            for clearance in finding.clearances
-        )
-        merged = quarantine.Digest(
-            tuple(_select_reported(_joined(findings))),
-            tuple(clearances)[-_MAX_REPORTED_CLEARANCES:],
+            repeated = self._quarantine.repeated(_MIN_SUSPICIOUS_CRASHES, now)
+            findings.append(evidence_reports.Report(repeated))
+            findings.append(self._parts.select_suspicious())
+        selected, is_complete = report_selection.select(
+            evidence_reports.join(findings), self._part_sets
         )
-        return merged.relative_to(now)
+        if not is_complete:
+            self.log.count(evidence_log.Decision.NOT_REPORTED)
+        return selected.relative_to(now)
 
     def apply(
         self,
-        report: quarantine.Digest,
+        report: evidence_reports.Report,
         now: float,
         *,
         is_relayed: bool,
         peer: str = '',
-    ) -> None:
+    ) -> tuple[str, ...]:
         """Apply the evidence of a heartbeat.
 
         :param is_relayed: whether to pass new evidence on, as heartbeats reach
             only some of the entries.
         :param peer: IP address of its sender.
+        :returns: the ids of sets of prompt parts to ask the sender for.
         """
         if not report:
+            return ()
+        known = report.relative_to(now)
+        missing = self._part_sets.find_missing(known.set_ids)
+        self._unresolved_by_peer.pop(peer, None)
+        if missing and len(self._unresolved_by_peer) < _MAX_UNRESOLVED:
+            self._unresolved_by_peer[peer] = _Unresolved(known, is_relayed)
+        self._merge(known, now, is_relayed=is_relayed, peer=peer)
+        return missing
+
+    def find_part_sets(
+        self, ids: Iterable[str]
+    ) -> tuple[part_sets.PartSet, ...]:
+        """Return those sets of prompt parts that are known here."""
+        return tuple(self._part_sets.get(ids))
+
+    def add_part_sets(
+        self, found: Iterable[part_sets.PartSet], now: float, peer: str
+    ) -> None:
+        """Add sets of prompt parts that a report of a peer refers to."""
+        self._part_sets.add(found)
+        unresolved = self._unresolved_by_peer.get(peer)
+        if unresolved is None:
             return
-        new = self._quarantine.unknown_part(report.relative_to(now))
-        if not new:
-            return
-        self.log.log_received(new.relative_to(now), peer)
-        self._quarantine.merge(new, now)
-        self._is_outdated = True
-        if is_relayed:
-            self._add_fresh(new, now)
-        self._clear_answered(new.crashes, now)
+        report, is_relayed = unresolved
+        if not self._part_sets.find_missing(report.set_ids):
+            del self._unresolved_by_peer[peer]
+        self._merge(report, now, is_relayed=is_relayed, peer=peer)
+
+    def _merge(
+        self,
+        report: evidence_reports.Report,
+        now: float,
+        *,
+        is_relayed: bool,
+        peer: str,
+    ) -> None:
+        """Merge a report; its times are of the local clock."""
+        resolved = report_selection.resolve(report, self._part_sets)
+        requests = self._quarantine.unknown_part(report.requests)
+        self._quarantine.merge(requests, now)
+        on_parts = self._parts.merge(resolved, now)
+        new = evidence_reports.join(
+            (evidence_reports.Report(requests), on_parts)
+        )
+        if new:
+            self.log.log_received(new.relative_to(now), peer)
+            self._is_outdated = True
+            if is_relayed:
+                self._add_fresh(new, now)
+        self._clear_answered(requests.crashes, now)
         self._publish(now)
         self._refresh(now)
 
@@ -395,46 +433,29 @@
         if not self._is_outdated:
             return
         self._is_outdated = False
-        crashes = self._quarantine.crashes()
-        self._suspected_parts = frozenset().union(
-            *(crash.requests_by_part for crash in crashes)
-        )
-        self._parts.update(crashes)
-        self._quarantine.explain(self._parts.causes)
+        self._parts.update()
+        self._quarantine.explain(self._parts.requests_by_crash())
         self._announce_quarantined(now)
 
     def _clear_answered(
         self, crashes: Iterable[quarantine.Crash], now: float
     ) -> None:
-        """Clear what was answered shortly before crashes."""
+        """Clear requests that were answered shortly before crashes."""
         crash_ids: list[str] = []
-        parts: set[str] = set()
         fingerprints: set[str] = set()
         for crash in crashes:
-            answered_parts = self._answered_parts(crash)
             answered = self._answered_fingerprints(crash)
-            for cleared in sorted(answered_parts | answered):
+            for cleared in sorted(answered):
                 self._quarantine.clear(cleared, (crash.id,), now)
                 crash_ids.append(crash.id)
-            parts |= answered_parts
             fingerprints |= answered
         if crash_ids:
             self.log.log_cleared(
                 crash_ids,
                 evidence_log.Clearing.EARLIER_ANSWER,
                 fingerprints=sorted(fingerprints),
-                parts=sorted(parts),
             )
 
-    def _answered_parts(self, crash: quarantine.Crash) -> set[str]:
-        """Return the parts of prompts that were answered before a crash."""
-        return {
-            part
-            for suspect in crash.suspects
-            for part in suspect.parts
-            if self._parts.is_cleared(part, crash.at)
-        }
-
     def _answered_fingerprints(self, crash: quarantine.Crash) -> set[str]:
         """Return the requests that were answered shortly before a crash."""
         return {
@@ -481,25 +502,31 @@
         sent_at = self._trial_at.get(key, float('-inf'))
         return max(sent_at + _COMPARISON_SECONDS - now, 0)
 
-    def _add_fresh(self, finding: quarantine.Digest, now: float) -> None:
+    def _add_fresh(self, finding: evidence_reports.Report, now: float) -> None:
         """Add a new finding for the next heartbeats.
 
         All requests at a crashed endpoint end at about the same time.
         """
         if self._fresh and now - self._fresh[-1][0] < _JOIN_SECONDS:
             found_at, last = self._fresh.pop()
-            joined = quarantine.Digest(
-                last.crashes + finding.crashes,
-                last.clearances + finding.clearances,
-            )
+            joined = evidence_reports.join((last, finding))
             self._fresh.append((found_at, joined))
         else:
             self._fresh.append((now, finding))
 
     def _publish(self, now: float) -> None:
         for dropped in self._quarantine.take_dropped():
-            self.log.log_dropped(dropped)
-        finding = self._quarantine.take_digest()
+            self.log.log_dropped(
+                dropped.crash_ids, dropped.is_expired, dropped.fingerprints
+            )
+        for lost in self._parts.take_dropped():
+            self.log.log_dropped(lost.crash_ids, lost.is_expired)
+        finding = evidence_reports.join(
+            (
+                evidence_reports.Report(self._quarantine.take_digest()),
+                self._parts.take_findings(),
+            )
+        )
         if not finding:
             return
         self._add_fresh(finding, now)
@@ -559,54 +586,4 @@
 
 def _trial_key(cause: crash_causes.Cause) -> str:
     """Return what is the same at all entries for the trial of a cause."""
-    return ','.join(sorted(cause.parts))
-
-
-def _select_reported(
-    crashes: Iterable[quarantine.Crash],
-) -> Iterable[quarantine.Crash]:
-    """Leave out requests and parts that do not fit into a datagram.
-
-    The latest crashes are the first that are reported.
-    """
-    suspects_left = _MAX_REPORTED_SUSPECTS
-    parts_left = _MAX_REPORTED_PARTS
-    for crash in sorted(crashes, key=_crash_time, reverse=True):
-        suspects = []
-        for suspect in crash.suspects[:suspects_left]:
-            parts = suspect.parts[:parts_left]
-            parts_left -= len(parts)
-            suspects.append(
-                quarantine.Suspect(suspect.fingerprint, suspect.started, parts)
-            )
-        suspects_left -= len(suspects)
-        if suspects:
-            yield quarantine.Crash(crash.id, crash.at, tuple(suspects))
-
-
-def _crash_time(crash: quarantine.Crash) -> float:
-    return crash.at
-
-
-def _joined(
-    findings: Iterable[quarantine.Digest],
-) -> Iterable[quarantine.Crash]:
-    """Return one crash for each id, with the suspects of all findings."""
-    suspects_by_crash: dict[str, dict[str, quarantine.Suspect]] = {}
-    time_by_crash: dict[str, float] = {}
-    for finding in findings:
-        for crash in finding.crashes:
-            suspects = suspects_by_crash.setdefault(crash.id, {})
-            for suspect in crash.suspects:
-                known = suspects.get(suspect.fingerprint, suspect)
-                suspects[suspect.fingerprint] = quarantine.Suspect(
-                    suspect.fingerprint,
-                    max(known.started, suspect.started),
-                    tuple(sorted({*known.parts, *suspect.parts})),
-                )
-            known_at = time_by_crash.get(crash.id, crash.at)
-            time_by_crash[crash.id] = min(known_at, crash.at)
-    for crash_id, suspects in suspects_by_crash.items():
-        yield quarantine.Crash(
-            crash_id, time_by_crash[crash_id], tuple(suspects.values())
-        )
+    return min(cause.parts)
--- a/clementinepass/direct/evidence_log.py
+++ b/clementinepass/direct/evidence_log.py
@@ -16,6 +16,7 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from clementinepass.direct import evidence_reports
     from clementinepass.requests import quarantine
 
 #: Maximum number of ids that a line lists.
@@ -35,6 +36,8 @@
     CLEARED = 'cleared'
     #: It expired, or there was too much of it.
     DROPPED = 'dropped'
+    #: There was more of it than a heartbeat carries.
+    NOT_REPORTED = 'not_reported'
     #: A request was sent, although crashes under it are known.
     LET_THROUGH = 'let_through'
     QUARANTINED = 'quarantined'
@@ -91,24 +94,38 @@
         """Count a decision."""
         self.counts_by_decision[decision] += 1
 
-    def log_received(self, report: quarantine.Digest, peer: str) -> None:
+    def log_received(self, report: evidence_reports.Report, peer: str) -> None:
         """Log evidence that was new to this process.
 
         :param report: with ages in place of times.
         :param peer: IP address of the process that reported it.
         """
         self.count(Decision.RECEIVED)
-        latest = sorted(report.crashes, key=_age)[:_MAX_LISTED]
+        age_by_crash = {crash.id: crash.at for crash in report.part_crashes}
+        age_by_crash.update({crash.id: crash.at for crash in report.crashes})
+        latest = sorted(age_by_crash, key=age_by_crash.__getitem__)
         logger.bind(
             peer=peer,
-            crashed=[crash.id for crash in latest],
-            ages=[round(crash.at, 3) for crash in latest],
+            crashed=_listed(latest),
+            ages=[round(age_by_crash[each], 3) for each in latest][
+                :_MAX_LISTED
+            ],
             fingerprints=_listed(
                 suspect.fingerprint
-                for crash in latest
+                for crash in sorted(report.crashes, key=_age)
                 for suspect in crash.suspects
             ),
-            cleared=_listed(one.fingerprint for one in report.clearances),
+            cleared=_listed(
+                (
+                    *(one.fingerprint for one in report.clearances),
+                    *(
+                        part
+                        for answer in report.part_answers
+                        for part in answer.parts
+                        if answer.is_recent
+                    ),
+                )
+            ),
         ).info('crash evidence received')
 
     def log_cleared(
@@ -128,13 +145,23 @@
             by=by.value,
         ).info('cleared of crashes')
 
-    def log_dropped(self, dropped: quarantine.Dropped) -> None:
-        """Log evidence that is not kept any longer."""
+    def log_dropped(
+        self,
+        crash_ids: Iterable[str],
+        is_expired: bool,
+        fingerprints: Iterable[str] = (),
+    ) -> None:
+        """Log evidence that is not kept any longer.
+
+        :param is_expired: whether it was too old; otherwise there was too much.
+        :param fingerprints: the requests that were suspected of the crashes;
+            none if the evidence was on parts of prompts.
+        """
         self.count(Decision.DROPPED)
         logger.bind(
-            crashed=_listed(dropped.crash_ids),
-            fingerprints=_listed(dropped.fingerprints),
-            expired=dropped.is_expired,
+            crashed=_listed(crash_ids),
+            fingerprints=_listed(fingerprints),
+            expired=is_expired,
         ).info('crash evidence dropped')
 
     def log_not_counted(
@@ -183,8 +210,8 @@
         """Log that requests with some parts of prompts are refused."""
         self.count(Decision.QUARANTINED)
         logger.bind(
-            parts=sorted(parts),
-            crashed=sorted(crash_ids),
+            parts=list_ids(parts),
+            crashed=list_ids(crash_ids),
             seconds=round(seconds, 1),
         ).warning('prompt parts quarantined')
 
@@ -200,7 +227,7 @@
     def log_released_parts(self, parts: Iterable[str]) -> None:
         """Log that parts of prompts are not quarantined any more."""
         self.count(Decision.RELEASED)
-        logger.bind(parts=sorted(parts)).info(
+        logger.bind(parts=list_ids(parts)).info(
             'quarantine of prompt parts ended'
         )
 
@@ -215,6 +242,11 @@
     }
 
 
+def list_ids(ids: Iterable[str]) -> list[str]:
+    """Return the ids that a line lists, if their order says nothing."""
+    return sorted(ids)[:_MAX_LISTED]
+
+
 def _age(crash: quarantine.Crash) -> float:
     return crash.at
 
--- a/clementinepass/direct/gauges.py
+++ b/clementinepass/direct/gauges.py
@@ -31,6 +31,7 @@
         '_endpoints',
         '_evacuated_domains',
         '_followers',
+        '_forgotten_answers',
         '_held_bytes',
         '_memory',
         '_record_bytes',
@@ -108,6 +109,12 @@
             'Decisions on crashes under requests, by what became of them.',
             registry=registry,
         )
+        self._forgotten_answers = aioprometheus.Counter(
+            'clementinepass_forgotten_answers_total',
+            'Prompt parts of answers that were forgotten early, as there were '
+            'too many; crashes may be put down to them.',
+            registry=registry,
+        )
         self._crashes = aioprometheus.Gauge(
             'clementinepass_known_crashes',
             'Crashes that are kept as evidence, other entries included.',
@@ -169,6 +176,7 @@
     def _update_crash_evidence(self, now: float) -> None:
         evidence = self._cluster.crash_evidence
         self._crashes.set({}, evidence.crash_count)
+        self._forgotten_answers.set({}, evidence.forgotten_answers)
         self._quarantined.set(
             {'kind': 'request'}, evidence.count_quarantined(now)
         )
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -50,6 +50,10 @@
 _MIN_CONTACT_AGE_SECONDS = 0.001
 #: Seconds for which findings on endpoints are collected for an extra heartbeat.
 _ANNOUNCEMENT_DELAY_SECONDS = 0.02
+#: Sets of prompt parts in one message, and most of them that one message asks
+#: for; the rest is asked for after the next heartbeat.
+_PART_SETS_PER_MESSAGE = 4
+_MAX_WANTED_PART_SETS = 64
 #: Delay of a heartbeat from which on it is logged: requests waited as long.
 _LOGGED_DELAY_SECONDS = 0.2
 _NOT_FOUND = 404
@@ -264,6 +268,9 @@
             if self.on_slot_message is not None:
                 self.on_slot_message(ip, heartbeat.slot)
             return
+        if heartbeat.wanted_part_sets or heartbeat.part_sets:
+            self._exchange_part_sets(heartbeat, ip, now)
+            return
         senders = () if heartbeat.sender is None else (heartbeat.sender,)
         changed = self.members.update((*senders, *heartbeat.members), now)
         by_digest, unknown = self.members.update_from_digests(
@@ -276,6 +283,20 @@
         self._exchange_introductions(heartbeat, ip, unknown)
         self._apply_heartbeat(heartbeat, ip, now)
 
+    def _exchange_part_sets(
+        self, heartbeat: heartbeats.Heartbeat, ip: str, now: float
+    ) -> None:
+        """Answer a request for sets of prompt parts, or take in some."""
+        evidence = self._cluster.crash_evidence
+        if heartbeat.part_sets:
+            evidence.add_part_sets(heartbeat.part_sets, now, ip)
+        found = evidence.find_part_sets(heartbeat.wanted_part_sets)
+        for start in range(0, len(found), _PART_SETS_PER_MESSAGE):
+            message = heartbeats.Heartbeat(
+                part_sets=found[start : start + _PART_SETS_PER_MESSAGE]
+            )
+            self._send(wire_heartbeats.write_heartbeat(message), ip)
+
     def _exchange_introductions(
         self,
         heartbeat: heartbeats.Heartbeat,
@@ -326,12 +347,17 @@
             self._cluster.update_engine_status(status, now)
         self._cluster.limits.apply(heartbeat.endpoint_limits, now)
         member_count = len(self.members.alive(now))
-        self._cluster.crash_evidence.apply(
+        missing = self._cluster.crash_evidence.apply(
             heartbeat.crash_evidence,
             now,
             is_relayed=member_count > dissemination.MAX_BROADCAST_MEMBERS,
             peer=ip,
         )
+        if missing:
+            request = heartbeats.Heartbeat(
+                wanted_part_sets=missing[:_MAX_WANTED_PART_SETS]
+            )
+            self._send(wire_heartbeats.write_heartbeat(request), ip)
         self._catching_up.handle_heartbeat(heartbeat, ip, now)
         self._bootstrap.handle_heartbeat(
             heartbeat, ip, now, offsets=self._offsets
--- a/clementinepass/direct/heartbeats.py
+++ b/clementinepass/direct/heartbeats.py
@@ -7,9 +7,10 @@
 import msgspec
 
 from clementinepass.decisions import incarnations
+from clementinepass.direct import evidence_reports
 from clementinepass.direct import members as membership
+from clementinepass.direct import part_sets as sets_of_parts
 from clementinepass.direct.placement import messages as slots
-from clementinepass.requests import quarantine
 
 
 class DesiredVersion(typing.NamedTuple):
@@ -105,6 +106,10 @@
         nothing else.
     :param slot: a message on a slot of an engine; such a message carries
         nothing else.
+    :param wanted_part_sets: ids of sets of prompt parts that the sender asks
+        for; such a message carries nothing else.
+    :param part_sets: sets that the sender was asked for; such a message carries
+        nothing else.
     :param wants_load: whether the sender, an entry, uses the engine of the
         receiving agent and subscribes to its load for a while.
     """
@@ -123,8 +128,10 @@
     store_distances: dict[str, float] = msgspec.field(default_factory=dict)
     desired_versions: tuple[DesiredVersion, ...] = ()
     engine_statuses: tuple[EngineStatus, ...] = ()
-    crash_evidence: quarantine.Digest = quarantine.Digest()
+    crash_evidence: evidence_reports.Report = evidence_reports.Report()
     endpoint_limits: tuple[EndpointLimit, ...] = ()
     load: EngineLoad | None = None
     slot: slots.SlotMessage | None = None
+    wanted_part_sets: tuple[str, ...] = ()
+    part_sets: tuple[sets_of_parts.PartSet, ...] = ()
     wants_load: bool = False
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -301,7 +301,7 @@
             fingerprint=admitted.fingerprint,
             crashes=repeated,
             answering=attempt.has_begun_answer,
-            parts=sorted(admitted.prompt_parts.digests),
+            parts=evidence_log.list_ids(admitted.prompt_parts.digests),
             **evidence_log.describe(evidence),
             host=admitted.call.host.decode('latin-1'),
             target=_digest(request.target),
@@ -389,8 +389,8 @@
             return
         logger.bind(
             request=admitted.call.id,
-            parts=sorted(cause.parts),
-            crashed=sorted(cause.crash_ids),
+            parts=evidence_log.list_ids(cause.parts),
+            crashed=evidence_log.list_ids(cause.crash_ids),
             retry_after=round(admitted.retry_after, 3),
         ).info('refused for its prompt parts')
 
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -26,9 +26,6 @@
 #: Hexadecimal digits of a fingerprint that are used, as it is sent to others.
 #: Nobody can craft a request with the 128 bits of another one's fingerprint.
 _FINGERPRINT_DIGITS = 32
-#: Hexadecimal digits of the digest of a prompt part that are used. Heartbeats
-#: carry several parts for each request.
-_PROMPT_PART_DIGITS = 16
 
 
 class Ending(enum.Enum):
@@ -357,13 +354,12 @@
         if self._prompt_parts is None:
             engine = self.service.engine
             target = self.service.name if engine is None else engine.model
-            digests = (
-                identity.prompt_part_digest(target, part_id)
-                for part_id in self.call.prompt_part_ids
-            )
             self._prompt_parts = part_evidence.PromptParts(
                 target,
-                frozenset(digest[:_PROMPT_PART_DIGITS] for digest in digests),
+                frozenset(
+                    identity.prompt_part_digest(target, part_id)
+                    for part_id in self.call.prompt_part_ids
+                ),
             )
         return self._prompt_parts
 
--- a/clementinepass/requests/identity.py
+++ b/clementinepass/requests/identity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import functools
 import hashlib
 import secrets
 import typing
@@ -11,6 +12,11 @@
 
 _ID_BYTES = 16
 _LENGTH_BYTES = 8
+#: Hexadecimal digits of the digest of a prompt part that are used. Processes
+#: report many of them.
+_PART_DIGITS = 16
+#: Digests of prompt parts that are cached: long prompts share most parts.
+_MAX_CACHED_DIGESTS = 8192
 
 
 class TargetKind(enum.Enum):
@@ -96,6 +102,7 @@
     return digest.hexdigest()
 
 
+@functools.lru_cache(maxsize=_MAX_CACHED_DIGESTS)
 def prompt_part_digest(target: str, part_id: bytes) -> str:
     """Return a digest by which a part of prompts is recognised.
 
@@ -105,7 +112,7 @@
     digest = hashlib.sha256()
     for part in (target.encode(), part_id):
         _add(digest, part)
-    return digest.hexdigest()
+    return digest.hexdigest()[:_PART_DIGITS]
 
 
 def _add(digest: hashlib._Hash, part: bytes) -> None:
--- a/clementinepass/requests/quarantine.py
+++ b/clementinepass/requests/quarantine.py
@@ -31,8 +31,6 @@
 
 import msgspec
 
-from clementinepass.decisions import crash_causes
-
 #: Seconds for which a convicted fingerprint is refused.  Long enough for
 #: people to look, short enough for an innocent request to be bearable.
 DEFAULT_LIFETIME = 600.0
@@ -64,7 +62,6 @@
 _CONVICTING = 2
 #: Reports of dropped evidence that wait to be taken.
 _MAX_DROPPED = 64
-_NO_PARTS: frozenset[str] = frozenset()
 
 
 class Suspect(msgspec.Struct, frozen=True):
@@ -73,8 +70,6 @@
     fingerprint: str
     #: When its latest dispatch there began, in Unix seconds.
     started: float
-    #: Digests of parts of its prompt that may have crashed the endpoint.
-    parts: tuple[str, ...] = ()
 
 
 class Crash(msgspec.Struct, frozen=True):
@@ -88,9 +83,8 @@
 
 
 class Clearance(msgspec.Struct, frozen=True):
-    """A fingerprint, or a part of prompts, that did not cause some crashes."""
+    """A fingerprint that did not cause some crashes."""
 
-    #: The fingerprint, or the digest of the part, which is shorter.
     fingerprint: str
     crashes: tuple[str, ...]
 
@@ -118,11 +112,7 @@
                     crash.id,
                     now - crash.at,
                     tuple(
-                        Suspect(
-                            suspect.fingerprint,
-                            now - suspect.started,
-                            suspect.parts,
-                        )
+                        Suspect(suspect.fingerprint, now - suspect.started)
                         for suspect in crash.suspects
                     ),
                 )
@@ -225,13 +215,7 @@
     lead_by_suspect: dict[str, float] = dataclasses.field(
         default_factory=dict,
     )
-    #: Parts of prompts that are under suspicion, by the fingerprints of the
-    #: requests with them. Either may be cleared without the other: the next
-    #: request with a part is another one.
-    parts_by_suspect: dict[str, set[str]] = dataclasses.field(
-        default_factory=dict,
-    )
-    #: Fingerprints and parts.
+    #: Fingerprints that did not cause this crash.
     cleared: set[str] = dataclasses.field(default_factory=set)
     #: Suspects that another cause of this crash excuses.
     excused: frozenset[str] = frozenset()
@@ -242,19 +226,12 @@
         if fingerprint not in self.cleared:
             known = self.lead_by_suspect.get(fingerprint, lead)
             self.lead_by_suspect[fingerprint] = min(known, lead)
-        parts = set(suspect.parts).difference(self.cleared)
-        if parts:
-            self.parts_by_suspect.setdefault(fingerprint, set()).update(parts)
 
     def lacks(self, suspect: Suspect, lead: float) -> bool:
         """Tell whether adding a suspect would change anything."""
         fingerprint = suspect.fingerprint
         known = self.lead_by_suspect.get(fingerprint, float('inf'))
-        is_new = fingerprint not in self.cleared and lead < known - _LEAD_ERROR
-        new_parts = set(suspect.parts).difference(
-            self.cleared, self.parts_of(fingerprint)
-        )
-        return is_new or bool(new_parts)
+        return fingerprint not in self.cleared and lead < known - _LEAD_ERROR
 
     def started(self, fingerprint: str) -> float | None:
         """Return when a suspect was dispatched; ``None`` if it is none."""
@@ -262,15 +239,9 @@
         return None if lead is None else self.at - lead
 
     def clear(self, cleared: str) -> None:
-        """Note that a fingerprint or a part did not cause this crash."""
+        """Note that a fingerprint did not cause this crash."""
         self.cleared.add(cleared)
         self.lead_by_suspect.pop(cleared, None)
-        for others in self.parts_by_suspect.values():
-            others.discard(cleared)
-
-    def parts_of(self, fingerprint: str) -> set[str]:
-        """Return the parts of a suspect that are under suspicion."""
-        return self.parts_by_suspect.get(fingerprint, set())
 
     @property
     def suspects(self) -> typing.Iterator[str]:
@@ -281,30 +252,11 @@
             if fingerprint not in self.excused
         )
 
-    def select(
-        self, fingerprints: set[str], parts: frozenset[str]
-    ) -> typing.Iterator[Suspect]:
-        """Return the suspects that are chosen or have chosen parts."""
-        met = self.lead_by_suspect.keys() | self.parts_by_suspect
-        for fingerprint in sorted(met):
-            own_parts = parts & self.parts_of(fingerprint)
-            if fingerprint in fingerprints or own_parts:
-                lead = self.lead_by_suspect.get(fingerprint, 0)
-                yield Suspect(
-                    fingerprint, self.at - lead, tuple(sorted(own_parts))
-                )
-
-    def requests_by_part(self) -> dict[str, frozenset[str]]:
-        """Return the fingerprints with each part under suspicion."""
-        parts = frozenset[str]().union(*self.parts_by_suspect.values())
-        return {
-            part: frozenset(
-                fingerprint
-                for fingerprint, own_parts in self.parts_by_suspect.items()
-                if part in own_parts
-            )
-            for part in parts
-        }
+    def select(self, fingerprints: set[str]) -> typing.Iterator[Suspect]:
+        """Return the suspects that are chosen."""
+        for fingerprint, lead in sorted(self.lead_by_suspect.items()):
+            if fingerprint in fingerprints:
+                yield Suspect(fingerprint, self.at - lead)
 
     def is_repeated_in(
         self, fingerprint: str, later: _Case, tolerance: float
@@ -551,19 +503,13 @@
         """Return the number of crashes that are kept."""
         return len(self._cases_by_crash)
 
-    def repeated(
-        self,
-        min_crashes: int,
-        now: float,
-        parts: frozenset[str] = _NO_PARTS,
-    ) -> Digest:
+    def repeated(self, min_crashes: int, now: float) -> Digest:
         """Return the evidence on fingerprints with some crashes in a row.
 
         Entries that start later need no other: what an answer may still clear
         is left out, and so are most of those that were there by chance.
 
         :param min_crashes: crashes in a row that a fingerprint has met.
-        :param parts: parts of prompts on which to return the evidence, too.
         """
         chosen = {
             fingerprint
@@ -571,49 +517,29 @@
             if self.history(fingerprint, now).repeated >= min_crashes
         }
         crashes = (
-            Crash(crash_id, case.at, tuple(case.select(chosen, parts)))
-            for crash_id, case in self._cases_by_crash.items()
-        )
-        clearances = (
-            Clearance(fingerprint, (crash_id,))
+            Crash(crash_id, case.at, tuple(case.select(chosen)))
             for crash_id, case in self._cases_by_crash.items()
-            for fingerprint in case.cleared.intersection(case.parts_by_suspect)
-            if not parts.isdisjoint(case.parts_of(fingerprint))
-        )
-        return Digest(
-            tuple(crash for crash in crashes if crash.suspects),
-            tuple(clearances),
         )
+        return Digest(tuple(crash for crash in crashes if crash.suspects))
 
-    def crashes(self) -> list[crash_causes.Crash]:
-        """Return the crashes with the parts of prompts under suspicion."""
-        return [
-            crash_causes.Crash(crash_id, case.at, case.requests_by_part())
-            for crash_id, case in self._cases_by_crash.items()
-            if case.parts_by_suspect
-        ]
-
-    def explain(self, causes: typing.Iterable[crash_causes.Cause]) -> None:
-        """Excuse the requests that lack the prompt parts of a known cause.
+    def explain(
+        self,
+        requests_by_crash: typing.Mapping[str, typing.Collection[str]],
+    ) -> None:
+        """Excuse the requests that did not cause crashes with known causes.
 
-        The crashes that it explains are kept longest.
+        These crashes are kept longest.
 
-        :param causes: all causes that are known.
+        :param requests_by_crash: the fingerprints of the requests that may have
+            caused each crash of which the cause is known.
         """
-        parts_by_crash = {
-            crash_id: cause.parts
-            for cause in causes
-            for crash_id in cause.crash_ids
-        }
-        if not parts_by_crash and not self._explained:
+        if not requests_by_crash and not self._explained:
             return
-        self._explained = frozenset(parts_by_crash)
+        self._explained = frozenset(requests_by_crash)
         for crash_id, case in self._cases_by_crash.items():
-            parts = parts_by_crash.get(crash_id)
             case.excused = frozenset(
-                fingerprint
-                for fingerprint in case.lead_by_suspect
-                if parts and not parts <= case.parts_of(fingerprint)
+                case.lead_by_suspect.keys()
+                - requests_by_crash.get(crash_id, case.lead_by_suspect)
             )
         self._index()
         self._convict()
--- a/clementinepass/wire/direct.capnp
+++ b/clementinepass/wire/direct.capnp
@@ -108,8 +108,6 @@
   # the same however often the message is passed on.
   fingerprint @0 :Data;
   leadMs @1 :UInt32;
-  # Digests of parts of its prompt that may have crashed the endpoint.
-  parts @2 :List(UInt64);
 }
 
 struct Crash {
@@ -120,12 +118,45 @@
 }
 
 struct Clearance {
-  # A request, or a part of prompts, that was answered after these crashes or
-  # shortly before them; the digest of a part is shorter.
+  # A request that was answered after these crashes or shortly before them.
   fingerprint @0 :Data;
   crashes @1 :List(Text);
 }
 
+struct Prompt {
+  # A request that had been sent to an endpoint and had not begun as it crashed:
+  # the digest by which it is recognised, and digests of parts of its prompt.
+  fingerprint @0 :Data;
+  parts @1 :List(UInt64);
+  # The ids of sets of more parts.
+  sets @2 :List(UInt64);
+}
+
+struct PartCrash {
+  # The start of the endpoint, and the milliseconds since the crash.
+  id @0 :Text;
+  ageMs @1 :UInt32;
+  # The model or service that reads the prompts.
+  target @2 :Text;
+  prompts @3 :List(Prompt);
+}
+
+struct PartAnswer {
+  # Requests of the target of a crash that the sender has answered.
+  crash @0 :Text;
+  # Whether they were answered shortly before the crash or later.
+  recent @1 :Bool;
+  # Their parts that are reported of the crash, and the ids of sets of more.
+  parts @2 :List(UInt64);
+  sets @3 :List(UInt64);
+}
+
+struct PartSet {
+  # Digests of parts of prompts in ascending order, and a digest of them all.
+  id @0 :UInt64;
+  parts @1 :List(UInt64);
+}
+
 struct EndpointLimit {
   # The limit of requests that an endpoint names in its answers.
   endpoint @0 :Text;
@@ -159,6 +190,12 @@
   distances @13 :List(StoreDistance);
   # If this field is set, the message carries no other field.
   slot @14 :SlotMessage;
+  partCrashes @15 :List(PartCrash);
+  partAnswers @16 :List(PartAnswer);
+  # If one of these fields is set, the message carries no other field: sets of
+  # parts that the sender asks for, and those that it was asked for.
+  wantedSets @17 :List(UInt64);
+  partSets @18 :List(PartSet);
 }
 
 struct Record {
--- a/clementinepass/wire/heartbeats.py
+++ b/clementinepass/wire/heartbeats.py
@@ -10,7 +10,13 @@
 import capnp
 
 from clementinepass import errors
-from clementinepass.direct import heartbeats, members, records
+from clementinepass.direct import (
+    evidence_reports,
+    heartbeats,
+    members,
+    part_sets,
+    records,
+)
 from clementinepass.direct.placement import messages as slot_messages
 from clementinepass.requests import quarantine
 
@@ -35,6 +41,9 @@
     if heartbeat.slot is not None:
         _write_slot(message.init('slot'), heartbeat.slot)
         return bytes(message.to_bytes_packed())
+    if heartbeat.wanted_part_sets or heartbeat.part_sets:
+        _write_part_sets(message, heartbeat)
+        return bytes(message.to_bytes_packed())
     if heartbeat.sender is not None:
         _write_member(message.sender, heartbeat.sender)
     for slot, member in zip(
@@ -80,6 +89,8 @@
             return heartbeats.Heartbeat(load=_read_load(message.load))
         if message._has('slot'):
             return heartbeats.Heartbeat(slot=_read_slot(message.slot))
+        if message._has('wantedSets') or message._has('partSets'):
+            return _read_part_sets(message)
         return _read_heartbeat_fields(message)
     except (capnp.KjException, IndexError, UnicodeDecodeError) as error:
         raise errors.MalformedMessageError(
@@ -184,21 +195,63 @@
 
 
 def _write_crash_evidence(
-    message: typing.Any, digest: quarantine.Digest
+    message: typing.Any, report: evidence_reports.Report
 ) -> None:
-    crashes = message.init('crashes', len(digest.crashes))
-    for slot, crash in zip(crashes, digest.crashes, strict=True):
+    crashes = message.init('crashes', len(report.crashes))
+    for slot, crash in zip(crashes, report.crashes, strict=True):
         slot.id = crash.id
         slot.ageMs = _age_ms(crash.at)
         suspects = slot.init('suspects', len(crash.suspects))
         for suspect_slot, suspect in zip(suspects, crash.suspects, strict=True):
             suspect_slot.fingerprint = bytes.fromhex(suspect.fingerprint)
             suspect_slot.leadMs = _age_ms(suspect.started - crash.at)
-            suspect_slot.parts = [int(part, 16) for part in suspect.parts]
-    clearances = message.init('clearances', len(digest.clearances))
-    for slot, clearance in zip(clearances, digest.clearances, strict=True):
+    clearances = message.init('clearances', len(report.clearances))
+    for slot, clearance in zip(clearances, report.clearances, strict=True):
         slot.fingerprint = bytes.fromhex(clearance.fingerprint)
         slot.crashes = list(clearance.crashes)
+    _write_part_evidence(message, report)
+
+
+def _write_part_evidence(
+    message: typing.Any, report: evidence_reports.Report
+) -> None:
+    crashes = message.init('partCrashes', len(report.part_crashes))
+    for slot, crash in zip(crashes, report.part_crashes, strict=True):
+        slot.id = crash.id
+        slot.ageMs = _age_ms(crash.at)
+        slot.target = crash.target
+        prompts = slot.init('prompts', len(crash.prompts))
+        for prompt_slot, prompt in zip(prompts, crash.prompts, strict=True):
+            prompt_slot.fingerprint = bytes.fromhex(prompt.fingerprint)
+            prompt_slot.parts = _numbers(prompt.parts)
+            prompt_slot.sets = _numbers(prompt.set_ids)
+    answers = message.init('partAnswers', len(report.part_answers))
+    for slot, answer in zip(answers, report.part_answers, strict=True):
+        slot.crash = answer.crash_id
+        slot.recent = answer.is_recent
+        slot.parts = _numbers(answer.parts)
+        slot.sets = _numbers(answer.set_ids)
+
+
+def _write_part_sets(
+    message: typing.Any, heartbeat: heartbeats.Heartbeat
+) -> None:
+    if heartbeat.wanted_part_sets:
+        message.wantedSets = _numbers(heartbeat.wanted_part_sets)
+    if not heartbeat.part_sets:
+        return
+    slots = message.init('partSets', len(heartbeat.part_sets))
+    for slot, part_set in zip(slots, heartbeat.part_sets, strict=True):
+        slot.id = int(part_set.id, 16)
+        slot.parts = _numbers(part_set.parts)
+
+
+def _numbers(digests: typing.Iterable[str]) -> list[int]:
+    return [int(digest, 16) for digest in digests]
+
+
+def _digests(numbers: typing.Iterable[int]) -> tuple[str, ...]:
+    return tuple(f'{number:016x}' for number in numbers)
 
 
 def _write_distances(
@@ -244,13 +297,60 @@
             quarantine.Suspect(
                 suspect.fingerprint.hex(),
                 (slot.ageMs + suspect.leadMs) / _MS_PER_SECOND,
-                tuple(f'{part:016x}' for part in suspect.parts),
             )
             for suspect in slot.suspects
         ),
     )
 
 
+def _read_part_crash(slot: typing.Any) -> evidence_reports.PartCrash:
+    return evidence_reports.PartCrash(
+        slot.id,
+        slot.ageMs / _MS_PER_SECOND,
+        slot.target,
+        tuple(
+            evidence_reports.Prompt(
+                prompt.fingerprint.hex(),
+                _digests(prompt.parts),
+                _digests(prompt.sets),
+            )
+            for prompt in slot.prompts
+        ),
+    )
+
+
+def _read_part_answer(slot: typing.Any) -> evidence_reports.PartAnswer:
+    return evidence_reports.PartAnswer(
+        slot.crash, slot.recent, _digests(slot.parts), _digests(slot.sets)
+    )
+
+
+def _read_part_sets(message: typing.Any) -> heartbeats.Heartbeat:
+    return heartbeats.Heartbeat(
+        wanted_part_sets=_digests(message.wantedSets),
+        part_sets=tuple(
+            part_sets.PartSet(f'{slot.id:016x}', _digests(slot.parts))
+            for slot in message.partSets
+        ),
+    )
+
+
+def _read_crash_evidence(message: typing.Any) -> evidence_reports.Report:
+    return evidence_reports.Report(
+        quarantine.Digest(
+            tuple(map(_read_crash, message.crashes)),
+            tuple(
+                quarantine.Clearance(
+                    clearance.fingerprint.hex(), tuple(clearance.crashes)
+                )
+                for clearance in message.clearances
+            ),
+        ),
+        tuple(map(_read_part_crash, message.partCrashes)),
+        tuple(map(_read_part_answer, message.partAnswers)),
+    )
+
+
 def _age_ms(seconds: float) -> int:
     return min(max(round(seconds * _MS_PER_SECOND), 0), _MAX_AGE_MS)
 
@@ -286,15 +386,7 @@
         ),
         engine_statuses=tuple(map(_read_engine_status, message.held)),
         wants_load=message.wantsLoad,
-        crash_evidence=quarantine.Digest(
-            tuple(map(_read_crash, message.crashes)),
-            tuple(
-                quarantine.Clearance(
-                    clearance.fingerprint.hex(), tuple(clearance.crashes)
-                )
-                for clearance in message.clearances
-            ),
-        ),
+        crash_evidence=_read_crash_evidence(message),
         endpoint_limits=tuple(map(_read_limit, message.limits)),
     )
 
--- a/tests/decisions/test_crash_causes.py
+++ b/tests/decisions/test_crash_causes.py
@@ -13,10 +13,18 @@
 
 def crash(at: float, **requests_by_part: str) -> crash_causes.Crash:
     """Return a crash; each letter of a part's text is a request with it."""
+    requests = frozenset().union(*map(frozenset, requests_by_part.values()))
     return crash_causes.Crash(
         f'i-{at}',
         at,
-        {part: frozenset(text) for part, text in requests_by_part.items()},
+        {
+            request: frozenset(
+                part
+                for part, text in requests_by_part.items()
+                if request in text
+            )
+            for request in requests
+        },
     )
 
 
--- a/tests/direct/test_crashing_parts.py
+++ b/tests/direct/test_crashing_parts.py
@@ -385,16 +385,7 @@
         """
 
         async def scenario(system: machines.Machines) -> None:
-            endpoints = await system.replace_desk(ENDPOINTS)
-            for endpoint in (system.desk, *endpoints):
-                endpoint.faults_by_prompt_part[CRASHING] = Fault.CRASH
-            await system.all_known()
-            await machines.until(
-                lambda: all(
-                    len(list(entry.cluster.endpoints)) >= len(endpoints)
-                    for entry in system.entries
-                )
-            )
+            endpoints = await start_endpoints(system)
             system.store.down = True
             for number in range(REPEATS):
                 for parts in ((ROOT,), (ROOT, CRASHING)):
@@ -410,6 +401,33 @@
 
         asyncio.run(run_entries(scenario))
 
+    def test_apart_from_sound_requests(self) -> None:
+        """Two entries get requests with the part alone, the third others."""
+        self.check_apart([ROOT])
+
+    def check_apart(self, common: list[bytes]) -> None:
+        """Check that all entries refuse the part, and none of the others."""
+
+        async def scenario(system: machines.Machines) -> None:
+            endpoints = await start_endpoints(system)
+            for number in range(REPEATS):
+                await ask_entry(system, 0, *common, SESSION)
+                await asyncio.sleep(PAUSE_SECONDS)
+                await ask_entry(system, 1 + number % 2, *common, CRASHING)
+                await asyncio.sleep(PAUSE_SECONDS)
+            self.check_crashes(endpoints)
+            for number in range(ENTRIES):
+                for parts, status in (
+                    ((*common, CRASHING), 503),
+                    ((*common, SESSION), 200),
+                    ((*common, PARENT), 200),
+                ):
+                    self.assertEqual(
+                        status, await ask_entry(system, number, *parts)
+                    )
+
+        asyncio.run(run_entries(scenario))
+
     def check_crashes(
         self, endpoints: typing.Sequence[direct_endpoint.DirectEndpoint]
     ) -> None:
@@ -426,6 +444,23 @@
     return sum(endpoint.crashed.is_set() for endpoint in endpoints)
 
 
+async def start_endpoints(
+    system: machines.Machines,
+) -> list[direct_endpoint.DirectEndpoint]:
+    """Start endpoints that crash under a part, and let all entries know."""
+    endpoints = await system.replace_desk(ENDPOINTS)
+    for endpoint in (system.desk, *endpoints):
+        endpoint.faults_by_prompt_part[CRASHING] = Fault.CRASH
+    await system.all_known()
+    await machines.until(
+        lambda: all(
+            len(list(entry.cluster.endpoints)) >= len(endpoints)
+            for entry in system.entries
+        )
+    )
+    return endpoints
+
+
 async def run_entries(
     scenario: typing.Callable[[machines.Machines], typing.Awaitable[None]],
 ) -> None:
--- a/tests/direct/test_part_evidence.py
+++ b/tests/direct/test_part_evidence.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
+import typing
+
 import testtools
 
 from clementinepass.direct import crash_evidence, heartbeats, part_evidence
@@ -13,6 +16,7 @@
 BAD = 'b' * 16
 ROOT = '5' * 16
 PARENT = 'a' * 16
+SESSION = 'e' * 16
 #: Largest payload of a datagram in bytes.
 MAX_DATAGRAM_BYTES = 65507
 
@@ -69,6 +73,35 @@
     )
 
 
+def exchange(
+    entries: typing.Sequence[crash_evidence.CrashEvidence], now: float
+) -> None:
+    """Let each entry report to all others, and answer what they ask for."""
+    for _ in range(3):
+        for sender, receiver in itertools.permutations(entries, 2):
+            send(sender, receiver, now)
+
+
+def send(
+    sender: crash_evidence.CrashEvidence,
+    receiver: crash_evidence.CrashEvidence,
+    now: float,
+    *,
+    full: bool = False,
+) -> None:
+    """Let an entry report to another one."""
+    missing = receiver.apply(
+        sender.report(now, full=full), now, is_relayed=False, peer='peer'
+    )
+    found = sender.find_part_sets(missing)
+    receiver.add_part_sets(found, now, 'peer')
+
+
+def many(prefix: str, count: int = 1300) -> list[str]:
+    """Return the parts of a long prompt."""
+    return [f'{prefix}{number:015x}' for number in range(count)]
+
+
 class BarTest(testtools.TestCase):
     """When requests with a part are refused."""
 
@@ -157,6 +190,100 @@
         self.assertEqual(0, seconds_barred(evidence, 14, BAD))
 
 
+class ApartTest(testtools.TestCase):
+    """Requests with a part that crashes endpoints come to other entries.
+
+    An entry that got such requests alone had nothing to compare them with, and
+    reported its crashes without any part.
+    """
+
+    def setUp(self) -> None:
+        """Make entries that have answered nothing."""
+        super().setUp()
+        self.entries = [crash_evidence.CrashEvidence(ip) for ip in ENTRIES[:3]]
+
+    def crash(self, number: int, *digests: str) -> None:
+        """Let a new request crash an endpoint at the third entry."""
+        at = 10.0 + number
+        self.entries[2].record_crash(
+            f'i-{number}', fingerprint(number), at, at + 0.1, parts(*digests)
+        )
+
+    def check(self, common: list[str]) -> None:
+        """Let sound requests come to the first entry, bad ones to the third."""
+        for number in range(4):
+            at = 10.0 + number
+            self.entries[0].record_beginning(parts(*common, PARENT), at - 0.5)
+            self.crash(number, *common, BAD)
+            exchange(self.entries, at + 0.2)
+        for evidence in self.entries:
+            for digests, is_refused in (
+                ((*common, BAD), True),
+                ((BAD,), True),
+                ((*common, PARENT), False),
+                ((*common, SESSION), False),
+            ):
+                seconds = evidence.seconds_barred(
+                    fingerprint(99),
+                    13.3,
+                    has_spare_endpoint=True,
+                    parts=parts(*digests),
+                )
+                self.assertEqual(is_refused, seconds > 500, seconds)
+                self.assertEqual(is_refused, seconds > 0, seconds)
+
+    def test_known_at_all_entries(self) -> None:
+        """All entries refuse the part, and none of those beside it."""
+        self.check([ROOT])
+
+    def test_answered_later(self) -> None:
+        """An answer after the crashes is compared with, too."""
+        for number in range(4):
+            self.crash(number, ROOT, BAD)
+            exchange(self.entries, 10.2 + number)
+        self.assertEqual(0, seconds_barred(self.entries[2], 13.3, BAD))
+        self.entries[0].record_beginning(parts(ROOT, PARENT), 14)
+        exchange(self.entries, 14.1)
+        for evidence in self.entries:
+            self.assertGreater(seconds_barred(evidence, 14.1, BAD), 500)
+            self.assertEqual(0, seconds_barred(evidence, 14.1, PARENT))
+
+    def test_answered_some_time_before(self) -> None:
+        """No request is answered any more, as all endpoints crash."""
+        self.entries[0].record_beginning(parts(ROOT, PARENT), 4)
+        for number in range(4):
+            self.crash(number, ROOT, BAD)
+            exchange(self.entries, 10.2 + number)
+        for evidence in self.entries:
+            self.assertGreater(seconds_barred(evidence, 13.3, BAD), 500)
+            self.assertEqual(0, seconds_barred(evidence, 13.3, PARENT))
+
+    def test_faulty_release(self) -> None:
+        """A part that all requests have is not refused if all of them crash."""
+        self.entries[0].record_beginning(parts(ROOT, PARENT), 4)
+        for number in range(6):
+            self.crash(number, ROOT)
+            exchange(self.entries, 10.2 + number)
+        for evidence in self.entries:
+            self.assertEqual(0, seconds_barred(evidence, 15.3))
+
+    def test_nothing_answered(self) -> None:
+        """Without any answer there is nothing to compare with."""
+        for number in range(6):
+            self.crash(number, ROOT, BAD)
+            exchange(self.entries, 10.2 + number)
+        for evidence in self.entries:
+            self.assertEqual(0, seconds_barred(evidence, 15.3, BAD))
+
+    def test_later_starts(self) -> None:
+        """An entry that starts later is told, and needs no answer for it."""
+        self.check([ROOT])
+        starting = crash_evidence.CrashEvidence(ENTRIES[5])
+        send(self.entries[1], starting, 60, full=True)
+        self.assertGreater(seconds_barred(starting, 60, BAD), 500)
+        self.assertEqual(0, seconds_barred(starting, 60, PARENT))
+
+
 class InnocentTest(testtools.TestCase):
     """Parts that are not suspected."""
 
