Bound what an answer has beside its body

An endpoint that sent header lines, one long line or trailers without end made an entry grow by 245 to 790 MB, of 300 that it may have; a stream of nothing but comments kept it so busy that 13 of 100 callers got whole answers.

Cause: a connection to an endpoint had no bound on a head, on interim answers, chunk extensions and trailers, nor on the body of a whole answer that is read for the process itself (the engine, the store, the origin, other processes). Events of a stream were cut off one by one from a copy of the rest, and comments were events like any other, so they had no bound and none of the other connections got a turn.

Now a connection fails as malformed when more than 64 KiB, and sixteen bytes for each byte of the body, are not the body; whole answers have at most 32 MiB; comments between two events 64 KiB. Comments before the first event wait for it, as they do not show that the endpoint answers. Others get a turn after each 64 events. The failed attempt is handled as after any malformed answer, and the line on it says what was received.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -39,6 +39,8 @@
 #: Bytes counted for a stream whose caller does not read: what its connection
 #: to the endpoint buffers before it stops reading, with the last read.
 _BLOCKED_STREAM_BYTES = 524288
+#: Events of one stream that are forwarded before others get their turn.
+_EVENTS_PER_TURN = 64
 #: Seconds between two checks whether an answer may be read on.
 _MEMORY_CHECK_SECONDS = 0.05
 #: Results that are no failures of the endpoint.
@@ -507,11 +509,13 @@
             endpoint.last_received_at = connection.last_received_at
             if not part:
                 break
-            for event in attempt.splitter.feed(part):
+            for number, event in enumerate(attempt.splitter.feed(part), 1):
                 self._take_over(admitted, attempt)
                 self._start_reply(admitted, decoded_head, status)
                 reply.write(event.payload)
                 admitted.resume_after = attempt.splitter.last_id
+                if not number % _EVENTS_PER_TURN:
+                    await asyncio.sleep(0)
             await self._wait_for_reader(admitted, attempt, connection)
         await self._check_end(attempt, connection)
         if attempt.splitter.has_partial_event:
@@ -521,6 +525,8 @@
         self._take_over(admitted, attempt)
         self._start_reply(admitted, decoded_head, status)
         attempt.ended()
+        if attempt.splitter.leading_comments:
+            reply.write(attempt.splitter.leading_comments)
         reply.end()
         return serving.AttemptResult.ANSWERED
 
--- a/clementinepass/direct/events.py
+++ b/clementinepass/direct/events.py
@@ -12,6 +12,9 @@
 
 #: Largest event that is buffered.
 _MAX_EVENT_BYTES = 1 << 20
+#: Most bytes of comments between two events. Comments keep a connection open;
+#: a stream of nothing else is no answer.
+_MAX_COMMENT_BYTES = 65536
 #: An empty line ends an event.
 _BLANK_LINE = re.compile(b'\n\n|\r\n\r\n')
 
@@ -22,6 +25,8 @@
     payload: bytes
     #: ``None`` for an event without an id.
     id: int | None
+    #: Whether it has comments only.
+    is_comment: bool = False
 
 
 class StreamBrokenError(errors.ClementinepassError):
@@ -41,10 +46,22 @@
         ``None`` at the start.
     """
 
-    __slots__ = ('_pending', 'last_id')
+    __slots__ = (
+        '_comment_bytes',
+        '_has_begun',
+        '_pending',
+        'last_id',
+        'leading_comments',
+    )
 
     def __init__(self, after_id: int | None) -> None:
         self._pending = b''
+        #: Bytes of comments since the last event.
+        self._comment_bytes = 0
+        #: Whether there was an event, and the comments before it. They do not
+        #: show that an endpoint answers the request.
+        self._has_begun = False
+        self.leading_comments = b''
         #: The id of the last event that was yielded.
         self.last_id = after_id
 
@@ -64,19 +81,42 @@
         Events are yielded one by one, so that those before a faulty event are
         forwarded before the error is raised.
 
-        :raises StreamBrokenError: an event is missing, repeated or too long.
+        :raises StreamBrokenError: an event is missing, repeated or too long, or
+            there are too many comments.
         """
         self._pending += payload
-        end = _event_end(self._pending)
-        while end:
-            event = Event(self._pending[:end], _event_id(self._pending[:end]))
-            self._pending = self._pending[end:]
+        start = 0
+        while match := _BLANK_LINE.search(self._pending, start):
+            event = _parse(self._pending[start : match.end()])
+            start = match.end()
             self._check_sequence(event)
-            yield event
-            end = _event_end(self._pending)
+            self._check_comments(event)
+            if event.is_comment and not self._has_begun:
+                self.leading_comments += event.payload
+                continue
+            yield self._add_leading_comments(event)
+        self._pending = self._pending[start:]
         if len(self._pending) > _MAX_EVENT_BYTES:
             raise StreamBrokenError('an event is too long')
 
+    def _add_leading_comments(self, event: Event) -> Event:
+        if self._has_begun:
+            return event
+        self._has_begun = True
+        payload = self.leading_comments + event.payload
+        self.leading_comments = b''
+        return event._replace(payload=payload)
+
+    def _check_comments(self, event: Event) -> None:
+        if not event.is_comment:
+            self._comment_bytes = 0
+            return
+        self._comment_bytes += len(event.payload)
+        if self._comment_bytes > _MAX_COMMENT_BYTES:
+            raise StreamBrokenError(
+                f'{self._comment_bytes} bytes of comments without an event'
+            )
+
     def _check_sequence(self, event: Event) -> None:
         if event.id is None:
             return
@@ -87,10 +127,12 @@
         self.last_id = event.id
 
 
-def _event_end(pending: bytes) -> int:
-    """Return the end of the first event; 0 if no event is complete."""
-    match = _BLANK_LINE.search(pending)
-    return match.end() if match else 0
+def _parse(payload: bytes) -> Event:
+    is_comment = payload.startswith(b':') and all(
+        line.startswith(b':') or not line for line in payload.splitlines()
+    )
+    event_id = None if is_comment else _event_id(payload)
+    return Event(payload, event_id, is_comment)
 
 
 def _event_id(event: bytes) -> int | None:
--- a/clementinepass/http/channel.py
+++ b/clementinepass/http/channel.py
@@ -29,6 +29,11 @@
 _MAX_BUFFERED_REQUEST_BYTES = 32768
 #: Bytes of an answer that are buffered before reading pauses.
 _MAX_BUFFERED_BYTES = 262144
+#: Bytes of an answer that are not its body: heads, interim answers, chunk sizes
+#: and trailers. An endless head would fill the memory of the process.
+_MAX_FRAMING_BYTES = 65536
+#: The same for each byte of the body, which may come in chunks of one byte.
+_MAX_FRAMING_PER_BODY_BYTE = 16
 _FIRST_FINAL_STATUS = 200
 _BODILESS_STATUSES = frozenset((204, 304))
 
@@ -103,6 +108,9 @@
         self._pairs: list[messages.Pair] = []
         self._body_parts: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
+        #: Bytes received of the current answer, and those of its body.
+        self._answer_bytes = 0
+        self._body_bytes = 0
         self._is_complete = False
         self._has_surplus = False
         #: Whether the current answer has neither a length nor chunks, and is
@@ -163,6 +171,9 @@
             self._handle_parse_error(error)
         except httptools.HttpParserUpgrade:
             self._fail_malformed('unrequested protocol upgrade')
+        self._answer_bytes += len(payload)
+        if not self._is_complete:
+            self._check_framing()
         self._notify()
 
     def eof_received(self) -> bool:
@@ -235,6 +246,7 @@
         if self._has_surplus or self.head is None:
             return
         self._body_parts.append(payload)
+        self._body_bytes += len(payload)
         self._buffered_bytes += len(payload)
         if self._buffered_bytes > _MAX_BUFFERED_BYTES:
             self._transport.pause_reading()
@@ -381,10 +393,21 @@
         self._pairs = []
         self._body_parts.clear()
         self._buffered_bytes = 0
+        self._answer_bytes = 0
+        self._body_bytes = 0
         self._is_complete = False
         self._has_surplus = False
         self.ends_with_connection = False
 
+    def _check_framing(self) -> None:
+        """Fail if most of what was received is not the body of the answer."""
+        framing = self._answer_bytes - self._body_bytes
+        allowed = _MAX_FRAMING_PER_BODY_BYTE * self._body_bytes
+        if framing > _MAX_FRAMING_BYTES + allowed:
+            self._fail_malformed(
+                f'{framing} bytes of an answer are not its body'
+            )
+
     def _handle_parse_error(self, error: Exception) -> None:
         if self._is_complete:
             self._has_surplus = True
--- a/clementinepass/http/pool.py
+++ b/clementinepass/http/pool.py
@@ -18,6 +18,8 @@
 #: Timeout of opening a connection. Peers are a few milliseconds away, and the
 #: kernel retransmits a lost packet after a second.
 _CONNECT_TIMEOUT_SECONDS = 1.5
+#: Longest body of a complete answer.
+_MAX_BODY_BYTES = 32 << 20
 
 
 _Part = typing.TypeVar('_Part')
@@ -172,6 +174,8 @@
 ) -> Answer:
     """Send one request and return its complete answer within ``seconds``.
 
+    The body may have 32 MiB.
+
     :param max_silence_seconds: longest time without a byte of the answer;
         ``None`` for no limit but ``seconds``.
     :raises ChannelBrokenError: no complete answer arrived. The request may
@@ -194,8 +198,14 @@
         head = await _within(max_silence_seconds, connection.read_head())
         started_at = loop.time()
         parts = []
+        length = 0
         while part := await _within(max_silence_seconds, connection.read()):
             parts.append(part)
+            length += len(part)
+            if length > _MAX_BODY_BYTES:
+                raise channel.ChannelBrokenError(
+                    'the answer is longer than the limit', peer=connection.peer
+                )
     except BaseException:
         connection.abort()
         raise
--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -22,6 +22,8 @@
 _EVENT_STREAM = (b'Content-Type', b'text/event-stream')
 #: Seconds between two bytes of an answer that arrives little by little.
 _TRICKLE_SECONDS = 0.1
+#: How often a block of an answer without end is written at once.
+_ENDLESS_BLOCKS = 1000
 
 
 class Fault(enum.Enum):
@@ -71,6 +73,12 @@
     SILENT_AFTER_HEAD = 'silent_after_head'
     #: Runs, and is silent after its first event until it is let go.
     SILENT_MIDWAY = 'silent_midway'
+    #: Runs, and the head of the answer has no end.
+    ENDLESS_HEAD = 'endless_head'
+    #: Runs, and the trailers after the last chunk have no end.
+    ENDLESS_TRAILERS = 'endless_trailers'
+    #: Runs, and sends a stream of comments that has no end.
+    ENDLESS_COMMENTS = 'endless_comments'
     #: Runs, and a plain answer arrives little by little.
     TRICKLE = 'trickle'
 
@@ -82,6 +90,21 @@
 }
 
 
+#: Start of an answer that has no end, after its status line and the headers of
+#: an endpoint, and what follows again and again.
+_ENDLESS_ANSWERS: dict[Fault | None, tuple[bytes, bytes]] = {
+    Fault.ENDLESS_HEAD: (b'', b'X-Filler: %b\r\n' % (b'a' * 52)),
+    Fault.ENDLESS_TRAILERS: (
+        b'Transfer-Encoding: chunked\r\n\r\n0\r\n',
+        b'X-Filler: %b\r\n' % (b'a' * 52),
+    ),
+    Fault.ENDLESS_COMMENTS: (
+        b'Content-Type: text/event-stream\r\n\r\n',
+        b': a\n\n',
+    ),
+}
+
+
 #: Faults of answers whose end is not marked.
 _PARTIAL_ANSWERS = frozenset(
     (
@@ -124,6 +147,8 @@
         self.ran: list[messages.Request] = []
         #: Requests that came, those turned away included.
         self.came: list[messages.Request] = []
+        #: Bytes sent of answers that have no end.
+        self.endless_bytes = 0
         #: Requests whose caller left while they ran.
         self.left = 0
         #: Streams wait here before each event while it isn't set.
@@ -247,6 +272,8 @@
         reply: replies.Reply,
         fault: Fault | None,
     ) -> None:
+        if fault in _ENDLESS_ANSWERS:
+            await self._answer_without_end(request, reply, fault)
         if fault is Fault.LOST:
             reply.abort()
         elif fault is Fault.CRASH:
@@ -258,6 +285,23 @@
         else:
             await self._succeed(request, reply, fault)
 
+    async def _answer_without_end(
+        self,
+        request: messages.Request,
+        reply: replies.Reply,
+        fault: Fault | None,
+    ) -> None:
+        """Send bytes until the connection is closed, which ends this task."""
+        connection = reply._connection
+        head = messages.encode_head(_OK, self._marked(request))
+        start, block = _ENDLESS_ANSWERS[fault]
+        connection.write(head.removesuffix(b'\r\n') + start)
+        while True:
+            connection.write(block * _ENDLESS_BLOCKS)
+            self.endless_bytes += len(block) * _ENDLESS_BLOCKS
+            await connection.wait_writable()
+            await asyncio.sleep(0)
+
     async def _crash_by_request(self) -> None:
         # The request's own task is cancelled with its connection.
         self._crashing = asyncio.create_task(self.crash())
--- a/tests/direct/test_events.py
+++ b/tests/direct/test_events.py
@@ -57,6 +57,29 @@
             with testtools.ExpectedException(events.StreamBrokenError):
                 list(splitter.feed(stream(following, 1)))
 
+    def test_comments(self) -> None:
+        """Comments before the first event do not show that there is one."""
+        splitter = events.EventSplitter(None)
+        self.assertEqual([], list(splitter.feed(b': a\n\n')))
+        (event, comment) = splitter.feed(stream(0, 1) + b': b\n\n')
+        self.assertEqual(b': a\n\n' + stream(0, 1), event.payload)
+        self.assertEqual((b': b\n\n', None), comment[:2])
+        self.assertEqual([1], [one.id for one in splitter.feed(stream(1, 1))])
+
+    def test_endless_comments(self) -> None:
+        """Comments without an event kept the process busy without end."""
+        splitter = events.EventSplitter(None)
+        with testtools.ExpectedException(events.StreamBrokenError):
+            for _ in range(100):
+                list(splitter.feed(b': a\n\n' * 1000))
+
+    def test_comments_between_events(self) -> None:
+        """A long stream may have many comments."""
+        splitter = events.EventSplitter(None)
+        for number in range(100):
+            list(splitter.feed(b': a\n\n' * 1000 + stream(number, 1)))
+        self.assertEqual(99, splitter.last_id)
+
     def test_event_before_gap(self) -> None:
         """An event before a gap in the same read is yielded.
 
--- a/tests/http/test_channel.py
+++ b/tests/http/test_channel.py
@@ -10,6 +10,7 @@
 import testtools
 
 from clementinepass.http import channel, messages, pool
+from tests import tables
 
 HOST = '127.0.0.1'
 REQUEST = messages.encode_request(b'GET', b'/', [(b'Host', b'h')], b'')
@@ -17,6 +18,9 @@
 LONG_REQUEST = messages.encode_request(
     b'POST', b'/', [(b'Host', b'h')], bytes(2 * 1024 * 1024)
 )
+CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+#: Bytes that are sent in place of those without end.
+ENDLESS_BYTES = 32 << 20
 #: Seconds for which a peer that is silent does not read.
 SILENT_SECONDS = 5
 
@@ -101,6 +105,7 @@
     asyncio.run(run_with_peer())
 
 
+@tables.expand
 class ChannelTest(testtools.TestCase):
     """Detection of the end of answers."""
 
@@ -167,6 +172,57 @@
 
         run(peer, exchange)
 
+    @tables.cases(
+        headers=(b'', b'X-Filler: aaaaaaaa\r\n'),
+        header_value=(b'X-Filler: ', b'a' * 20),
+        interim=(None, b'HTTP/1.1 100 Continue\r\n\r\n'),
+        status_line=(None, b'HTTP/1.1 200 ' + b'a' * 20),
+        trailers=(CHUNKED + b'1\r\na\r\n0\r\n', b'X-Filler: aaaaaaaa\r\n'),
+        chunk_extension=(CHUNKED + b'5;', b'a' * 20),
+    )
+    def test_no_end(self, case: tuple[bytes | None, bytes]) -> None:
+        """Bytes without end that are no body filled the memory."""
+        start, filler = case
+        head = b'' if start is None else b'HTTP/1.1 200 OK\r\n' + start
+        peer = Peer(head + filler * (ENDLESS_BYTES // len(filler)))
+
+        async def exchange(peer_pool: pool.Pool) -> None:
+            connection = await peer_pool.acquire()
+            connection.send(REQUEST)
+            with testtools.ExpectedException(channel.ChannelBrokenError):
+                await connection.read_head()
+                await read_body(connection)
+            self.assertLess(connection.received_bytes, ENDLESS_BYTES / 4)
+
+        run(peer, exchange)
+
+    def test_small_chunks(self) -> None:
+        """A body in chunks of one byte, most of which is framing, is read."""
+        peer = Peer(
+            b'HTTP/1.1 200 OK\r\n'
+            + CHUNKED
+            + b'0001\r\na\r\n' * 100_000
+            + b'0\r\n\r\n'
+        )
+
+        async def exchange(peer_pool: pool.Pool) -> None:
+            answer = await pool.fetch(peer_pool, REQUEST, 5)
+            self.assertEqual(100_000, len(answer.body))
+
+        run(peer, exchange)
+
+    def test_endless_body(self) -> None:
+        """The body of a whole answer filled the memory until its timeout."""
+        peer = Peer(b'HTTP/1.1 200 OK\r\n\r\n' + b'a' * 2 * ENDLESS_BYTES)
+
+        async def exchange(peer_pool: pool.Pool) -> None:
+            with testtools.ExpectedException(
+                channel.ChannelBrokenError, '.*longer than the limit.*'
+            ):
+                await pool.fetch(peer_pool, REQUEST, 10)
+
+        run(peer, exchange)
+
     def test_surplus(self) -> None:
         """A connection with bytes after the answer is not reused.
 
