Bound what a request has beside its body

Cause: the bound on a head counts headers before the body only; trailers were kept like headers, and chunk extensions were not counted.

Now trailers are dropped, as nothing reads them, and more bytes since the last of the body than a head may have are refused with 431, as a head is.

Evidence: test_connection test_endless_framing failed before (no answer within 5 s).

--- a/clementinepass/http/connection.py
+++ b/clementinepass/http/connection.py
@@ -115,6 +115,8 @@
         if self._is_refused:
             return
         completed_count = self._request_count
+        body_length = self._body_length
+        was_in_body = self._is_reading and not self._is_in_head
         try:
             self._parser.feed_data(payload)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
@@ -126,6 +128,13 @@
                 len(payload) if is_all_head else self._parsed_head_bytes
             )
             self._check_head_size(self._head_bytes)
+        elif (
+            was_in_body
+            and self._request_count == completed_count
+            and self._body_length == body_length
+        ):
+            self._framing_bytes += len(payload)
+            self._check_head_size(self._framing_bytes)
         self._throttle_reading()
 
     def eof_received(self) -> bool:
@@ -176,8 +185,9 @@
         self._target += target
 
     def on_header(self, name: bytes, field: bytes) -> None:
-        """Handle one header."""
-        self._pairs.append((name, field))
+        """Handle one header; trailers are ignored."""
+        if self._is_in_head:
+            self._pairs.append((name, field))
 
     def on_headers_complete(self) -> None:
         """Check a complete head."""
@@ -207,6 +217,7 @@
         if self._body_length > self._max_body_bytes:
             self._refuse(_BODY_TOO_LONG)
             return
+        self._framing_bytes = 0
         self._keep(payload)
         self._start_idle_timer()
 
@@ -341,6 +352,8 @@
         self._is_in_head = False
         self._is_reading = False
         self._head_bytes = 0
+        #: Bytes of chunk sizes and trailers since the last of the body.
+        self._framing_bytes = 0
 
     @property
     def _max_body_bytes(self) -> int:
--- a/tests/http/test_connection.py
+++ b/tests/http/test_connection.py
@@ -344,6 +344,31 @@
 
         run(scenario)
 
+    def test_endless_framing(self) -> None:
+        """Trailers without end filled the memory of the process."""
+        head = (
+            b'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+        )
+        for start, filler in (
+            (b'1\r\na\r\n0\r\n', b'X-Filler: aaaaaaaa\r\n'),
+            (b'0\r\nX-Filler: ', b'a'),
+            (b'5;', b'a'),
+        ):
+
+            async def scenario(
+                start: bytes = start, filler: bytes = filler
+            ) -> None:
+                async with ScriptedFront() as scripted, asyncio.timeout(5):
+                    reader, writer = await scripted.connect()
+                    writer.write(head)
+                    await writer.drain()
+                    writer.write(start + filler * (1 << 19))
+                    status_line = await reader.readline()
+                    self.assertEqual(b'431', status_line.split()[1])
+                    writer.close()
+
+            asyncio.run(scenario())
+
     def test_head_in_two_parts(self) -> None:
         """A head within the limit is accepted however its bytes are split.
 
