Take an answer for a proof only if its endpoint goes on

Cause: the first event of an answer cleared the parts of its request, at once and for all entries, and the crash a moment later was put down to none of them.

Now parts are cleared by a whole answer, or 0.5 s after the first event if the attempt goes on; until then its parts are suspected of a crash.

Evidence: test_crashing_parts CrashTest, the new cases stream_after_event and resumed_after_event failed before (16 endpoints crashed, of 5 allowed).

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -15,6 +15,7 @@
     calls,
     crash_detection,
     events,
+    part_evidence,
     serving,
     uptime,
 )
@@ -170,6 +171,7 @@
         self._record_result(admitted, attempt, result)
         if result is serving.AttemptResult.ANSWERED:
             self._log.log_answered(admitted, attempt)
+            self._record_survival(admitted)
             self._cluster.crash_evidence.record_answer(
                 admitted.fingerprint,
                 attempt.started_at,
@@ -185,6 +187,8 @@
         task: asyncio.Task[serving.AttemptResult],
     ) -> None:
         """Release the endpoint, also if the attempt was aborted."""
+        if attempt.survival_timer is not None:
+            attempt.survival_timer.cancel()
         self._hold(attempt, _kept_bytes(admitted, attempt))
         attempt.endpoint.end_request(attempt.started_at)
         attempt.waiting_since = None
@@ -598,8 +602,8 @@
         another attempt reaches the caller.
         """
         if not attempt.has_begun_answer:
-            self._cluster.crash_evidence.record_beginning(
-                admitted.prompt_parts, asyncio.get_running_loop().time()
+            attempt.survival_timer = asyncio.get_running_loop().call_later(
+                part_evidence.SURVIVAL_SECONDS, self._record_survival, admitted
             )
         attempt.mark_answering()
         if attempt.is_silent:
@@ -609,6 +613,12 @@
         if len(admitted.attempts) > 1:
             admitted.supersede_others(attempt)
 
+    def _record_survival(self, admitted: serving.AdmittedRequest) -> None:
+        """Record that an endpoint has not crashed under a request."""
+        self._cluster.crash_evidence.record_beginning(
+            admitted.prompt_parts, asyncio.get_running_loop().time()
+        )
+
     def _start_reply(
         self,
         admitted: serving.AdmittedRequest,
--- a/clementinepass/direct/crash_detection.py
+++ b/clementinepass/direct/crash_detection.py
@@ -140,9 +140,7 @@
             broken.admitted.fingerprint,
             broken.attempt.started_at,
             broken.broken_at,
-            part_evidence.NO_PARTS
-            if broken.attempt.has_begun_answer
-            else broken.admitted.prompt_parts,
+            _suspected_parts(broken),
         )
         evidence = self._cluster.crash_evidence.evidence(
             broken.admitted.fingerprint, broken.broken_at
@@ -152,6 +150,14 @@
         )
 
 
+def _suspected_parts(broken: _BrokenAttempt) -> part_evidence.PromptParts:
+    """Return the prompt parts that may have crashed the endpoint."""
+    answering_seconds = broken.broken_at - broken.attempt.began_at
+    if answering_seconds > part_evidence.SURVIVAL_SECONDS:
+        return part_evidence.NO_PARTS
+    return broken.admitted.prompt_parts
+
+
 def _ends_as_planned(endpoint: endpoints.Endpoint) -> bool:
     return endpoint.listing.draining or endpoint.removed_at is not None
 
--- a/clementinepass/direct/crash_evidence.py
+++ b/clementinepass/direct/crash_evidence.py
@@ -173,8 +173,8 @@
 
         :param crash_id: names the start of the endpoint.
         :param started_at: when the attempt there began.
-        :param parts: the parts of its prompt, none if an event of its answer
-            had arrived: they have not crashed the endpoint then.
+        :param parts: the parts of its prompt, none if its answer had been
+            going on: they have not crashed the endpoint then.
         :returns: the crashes that the request has met so far.
         """
         suspect = quarantine.Suspect(fingerprint, started_at)
@@ -191,9 +191,9 @@
     def record_beginning(
         self, parts: part_evidence.PromptParts, now: float
     ) -> None:
-        """Record the first event, or the whole answer, of a request.
+        """Record a whole answer, or an answer that goes on.
 
-        The parts of its prompt have not crashed an endpoint.
+        The parts of the prompt have not crashed the endpoint.
         """
         found = self._parts.record_answer(parts, now)
         if not found:
--- a/clementinepass/direct/part_evidence.py
+++ b/clementinepass/direct/part_evidence.py
@@ -23,6 +23,9 @@
 _THRESHOLD = crash_causes.Threshold(crashes=4, requests=2)
 #: Crashes one after the other from which a part is suspicious.
 _MIN_SUSPICIOUS_CRASHES = 2
+#: Seconds for which an endpoint has to go on after the first event of an answer.
+#: It may write one before it crashes under the request.
+SURVIVAL_SECONDS = 0.5
 #: Seconds for which crashes after an answer are not put down to its parts.
 _ANSWER_SECONDS = 3.0
 #: Seconds before a crash within which an answer shows that there are requests
@@ -108,7 +111,7 @@
     def record_answer(
         self, parts: PromptParts, now: float
     ) -> evidence_reports.Report:
-        """Record the first event, or the whole answer, of a request.
+        """Record a request that did not crash its endpoint.
 
         :returns: what it says of earlier crashes.
         """
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -182,6 +182,10 @@
     waiting_since: float | None = None
     #: Whether a whole event or answer of the endpoint has arrived.
     has_begun_answer: bool = False
+    #: Monotonic time at which the first of it arrived.
+    began_at: float = math.inf
+    #: Records that the endpoint went on after that, unless the attempt ends.
+    survival_timer: asyncio.TimerHandle | None = None
     #: Monotonic time by which the first event of the attempt must have
     #: arrived, as the weights of the endpoint become too old; infinite if they
     #: do not, and once that event has arrived.
@@ -208,6 +212,8 @@
 
     def mark_answering(self) -> None:
         """Record that a whole event or answer of the endpoint has arrived."""
+        if not self.has_begun_answer:
+            self.began_at = asyncio.get_running_loop().time()
         self.has_begun_answer = True
         self.mark_started()
 
--- a/tests/direct/test_crashing_parts.py
+++ b/tests/direct/test_crashing_parts.py
@@ -95,6 +95,8 @@
         stream_unframed=('/stream/once/a', Fault.CRASH_UNFRAMED),
         stream_inside_event=('/stream/once/a', Fault.CRASH_INSIDE_EVENT),
         plain_unframed=('/once/a', Fault.CRASH_UNFRAMED),
+        stream_after_event=('/stream/once/a', Fault.CRASH_MIDWAY),
+        resumed_after_event=('/stream/a', Fault.CRASH_MIDWAY),
     )
     def test_new_requests(self, case: tuple[str, Fault]) -> None:
         """New requests with one part crash five endpoints at most."""
