Try requests with a part one at a time after crashes at one moment

Cause: endpoints that end at one moment may do so for another reason, so their crashes count as one, and a part is quarantined after four. For whole requests a bound limits what is tried meanwhile; for parts there was none.

Now parts in four crashes of any kind, under two requests, are restricted: one entry, the same for all, tries one request with all of them at a time. An answer clears them; crashes go on counting. A line and a counter tell it.

--- a/clementinepass/decisions/crash_causes.py
+++ b/clementinepass/decisions/crash_causes.py
@@ -46,10 +46,21 @@
     :param crashes: crashes one after the other.
     :param requests: different requests in these crashes.  The crashes of a
         single one say nothing of its parts.
+    :param counts_simultaneous: whether crashes at one moment count each.
     """
 
     crashes: int
     requests: int
+    counts_simultaneous: bool = False
+
+    def is_reached(self, times: list[float]) -> bool:
+        """Tell whether there are enough crashes.
+
+        :param times: monotonic times of the crashes in seconds.
+        """
+        if self.counts_simultaneous:
+            return len(times) >= self.crashes
+        return count_in_succession(times) >= self.crashes
 
 
 class Cause(typing.NamedTuple):
@@ -149,7 +160,7 @@
     for crash_ids in by_size:
         crashes = [crash_by_id[crash_id] for crash_id in crash_ids]
         times = [crash.at for crash in crashes]
-        if count_in_succession(times) < threshold.crashes:
+        if not threshold.is_reached(times):
             continue
         found = _parts_of_several_requests(
             parts_by_ids[crash_ids], crashes, threshold.requests
--- a/clementinepass/direct/crash_evidence.py
+++ b/clementinepass/direct/crash_evidence.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import itertools
 import typing
 
 from clementinepass.decisions import rendezvous
@@ -90,6 +91,7 @@
         '_quarantine',
         '_quarantined',
         '_part_sets',
+        '_restricted',
         '_trial_at',
         '_unresolved_by_peer',
         'log',
@@ -117,6 +119,8 @@
         self._quarantined: frozenset[str] = frozenset()
         #: The prompt parts whose quarantine was announced.
         self._known_causes: frozenset[frozenset[str]] = frozenset()
+        #: The prompt parts whose restriction was announced.
+        self._restricted: frozenset[frozenset[str]] = frozenset()
         #: When each request, or parts of a prompt, were last tried.
         self._trial_at: dict[str, float] = {}
         #: Logs and counts decisions on the evidence.
@@ -265,6 +269,8 @@
                 part_evidence.seconds_refused(cause, now)
                 or self._seconds_until_trial(_trial_key(cause), now)
             )
+        for cause in self._parts.restricted_in(parts.digests):
+            seconds.append(self._seconds_until_trial(_trial_key(cause), now))
         for cause in self._parts.partial_causes_in(parts.digests):
             seconds.append(self._seconds_until_comparison(cause, now))
         if not has_spare_endpoint:
@@ -278,14 +284,18 @@
         standing = self._quarantine.judge(fingerprint, now).standing
         return (
             standing is quarantine.Standing.QUARANTINED
-            or self.find_cause(parts) is not None
+            or next(self._parts.causes_in(parts.digests), None) is not None
         )
 
     def find_cause(
         self, parts: part_evidence.PromptParts
     ) -> crash_causes.Cause | None:
-        """Return the quarantined parts that a prompt has, if there are any."""
-        return next(self._parts.causes_in(parts.digests), None)
+        """Return the parts of a prompt for which it is refused, if any."""
+        causes = itertools.chain(
+            self._parts.causes_in(parts.digests),
+            self._parts.restricted_in(parts.digests),
+        )
+        return next(causes, None)
 
     def record_attempt(
         self,
@@ -311,9 +321,11 @@
                 evidence,
                 _reason_to_admit(history, evidence),
             )
-        for cause in self._parts.causes_in(parts.digests):
-            self._trial_at[_trial_key(cause)] = now
-        for cause in self._parts.partial_causes_in(parts.digests):
+        for cause in (
+            *self._parts.causes_in(parts.digests),
+            *self._parts.restricted_in(parts.digests),
+            *self._parts.partial_causes_in(parts.digests),
+        ):
             self._trial_at[_trial_key(cause)] = now
 
     def _seconds_quarantined(self, fingerprint: str, now: float) -> float:
@@ -551,6 +563,12 @@
             self.log.log_released(
                 released, self._quarantine.evidence(released, now)
             )
+        restricted = {
+            cause.parts: cause.crash_ids for cause in self._parts.restricted
+        }
+        for parts in restricted.keys() - self._restricted:
+            self.log.log_restricted_parts(parts, restricted[parts])
+        self._restricted = frozenset(restricted)
         for released_parts in self._known_causes - cause_by_parts.keys():
             self.log.log_released_parts(released_parts)
         self._quarantined = frozenset(seconds_by_fingerprint)
--- a/clementinepass/direct/evidence_log.py
+++ b/clementinepass/direct/evidence_log.py
@@ -41,6 +41,8 @@
     #: A request was sent, although crashes under it are known.
     LET_THROUGH = 'let_through'
     QUARANTINED = 'quarantined'
+    #: Requests with some parts are tried one at a time.
+    RESTRICTED = 'restricted'
     #: A request, or parts of prompts, are not quarantined any more.
     RELEASED = 'released'
 
@@ -215,6 +217,15 @@
             seconds=round(seconds, 1),
         ).warning('prompt parts quarantined')
 
+    def log_restricted_parts(
+        self, parts: Iterable[str], crash_ids: Iterable[str]
+    ) -> None:
+        """Log that requests with some parts are tried one at a time."""
+        self.count(Decision.RESTRICTED)
+        logger.bind(parts=list_ids(parts), crashed=list_ids(crash_ids)).warning(
+            'prompt parts restricted'
+        )
+
     def log_released(
         self, fingerprint: str, evidence: quarantine.Evidence
     ) -> None:
--- a/clementinepass/direct/part_evidence.py
+++ b/clementinepass/direct/part_evidence.py
@@ -23,8 +23,14 @@
 _THRESHOLD = crash_causes.Threshold(crashes=4, requests=2)
 #: Crashes one after the other from which a part is suspicious.
 _MIN_SUSPICIOUS_CRASHES = 2
-#: Seconds for which an endpoint has to go on after the first event of an answer.
-#: It may write one before it crashes under the request.
+#: What makes parts restricted: requests with them are tried one at a time.
+#: Endpoints that end at one moment may do so for another reason, but if it was
+#: the parts, the next requests that come together end as many.
+_RESTRICTING_THRESHOLD = crash_causes.Threshold(
+    crashes=4, requests=2, counts_simultaneous=True
+)
+#: Seconds for which an endpoint has to go on after the first event of an
+#: answer. It may write one before it crashes under the request.
 SURVIVAL_SECONDS = 0.5
 #: Seconds for which crashes after an answer are not put down to its parts.
 _ANSWER_SECONDS = 3.0
@@ -68,6 +74,7 @@
         '_suspicious_parts',
         'causes',
         'forgotten_answers',
+        'restricted',
     )
 
     def __init__(self) -> None:
@@ -84,6 +91,8 @@
         self._suspicious_parts = _NO_PARTS
         #: Parts that crash endpoints.
         self.causes: tuple[crash_causes.Cause, ...] = ()
+        #: Parts that may crash endpoints, as several ended under them at once.
+        self.restricted: tuple[crash_causes.Cause, ...] = ()
         #: Number of answered parts that were forgotten too early, as there were
         #: too many.
         self.forgotten_answers = 0
@@ -166,12 +175,17 @@
         known = _NO_PARTS.union(*(cause.parts for cause in self.causes))
         crashes = self._crashes.crashes(known)
         self.causes = crash_causes.find_causes(crashes, _THRESHOLD)
+        explained = _NO_PARTS.union(*(cause.crash_ids for cause in self.causes))
+        self.restricted = crash_causes.find_causes(
+            (crash for crash in crashes if crash.id not in explained),
+            _RESTRICTING_THRESHOLD,
+        )
         self._last_at_by_suspicious_part = crash_causes.find_suspicious_parts(
             crashes, self.causes, _MIN_SUSPICIOUS_CRASHES
         )
         self._suspicious_parts = frozenset(
             self._last_at_by_suspicious_part
-        ).union(*(cause.parts for cause in self.causes))
+        ).union(*(cause.parts for cause in (*self.causes, *self.restricted)))
 
     def requests_by_crash(self) -> dict[str, set[str]]:
         """Return the requests that caused the crashes that causes explain."""
@@ -201,6 +215,12 @@
         """Return the causes all parts of which a request has."""
         return (cause for cause in self.causes if cause.parts <= parts)
 
+    def restricted_in(
+        self, parts: frozenset[str]
+    ) -> Iterator[crash_causes.Cause]:
+        """Return the restricted combinations of parts that a request has."""
+        return (cause for cause in self.restricted if cause.parts <= parts)
+
     def partial_causes_in(
         self, parts: frozenset[str]
     ) -> Iterator[crash_causes.Cause]:
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -557,6 +557,12 @@
         'endpoints, no two of them alike; such requests are refused at every '
         'entry for that time',
     ),
+    'prompt parts restricted': Kind(
+        'parts crashed',
+        'requests with all these parts in their prompts were at endpoints that '
+        'crashed, several at one moment; one entry sends one such request at a '
+        'time, until an answer clears the parts',
+    ),
     'refused for its prompt parts': Kind(
         'request parts crashed retry_after',
         'requests with these parts crashed those endpoints',
--- a/tests/direct/test_part_evidence.py
+++ b/tests/direct/test_part_evidence.py
@@ -321,6 +321,55 @@
         self.assertEqual(0, seconds_barred(starting, 60, PARENT))
 
 
+class AtOnceTest(testtools.TestCase):
+    """Requests with a part that crashes endpoints come several at a time.
+
+    Crashes at one moment count as one, and the next requests crashed as many
+    endpoints again, four times.
+    """
+
+    def crash(self, count: int) -> list[crash_evidence.CrashEvidence]:
+        """Return the entries after crashes at one moment."""
+        entries = [make(ip) for ip in ENTRIES]
+        for number in range(count):
+            for evidence in entries:
+                evidence.record_crash(
+                    f'i-{number}', fingerprint(number), 10, 10.1, parts(BAD)
+                )
+        return entries
+
+    def admitting(
+        self, entries: list[crash_evidence.CrashEvidence], now: float
+    ) -> list[crash_evidence.CrashEvidence]:
+        """Return the entries that would send a request with the part."""
+        return [one for one in entries if not seconds_barred(one, now, BAD)]
+
+    def test_next_requests(self) -> None:
+        """One entry tries one request at a time."""
+        entries = self.crash(4)
+        for evidence in entries:
+            evidence.record_beginning(parts(ROOT, PARENT), 10.2)
+        (trying,) = self.admitting(entries, 10.3)
+        trying.record_attempt(fingerprint(9), 10.3, parts(ROOT, BAD))
+        self.assertEqual([], self.admitting(entries, 10.4))
+        for evidence in entries:
+            self.assertEqual(0, seconds_barred(evidence, 10.4, PARENT))
+            self.assertLess(seconds_barred(evidence, 10.4, BAD), 60)
+
+    def test_answered(self) -> None:
+        """One answer ends the restriction."""
+        for evidence in self.crash(4):
+            evidence.record_beginning(parts(BAD), 10.4)
+            self.assertEqual(0, seconds_barred(evidence, 10.4, BAD))
+
+    def test_few_crashes(self) -> None:
+        """Three endpoints that are lost at once restrict nothing."""
+        entries = self.crash(3)
+        for evidence in entries:
+            evidence.record_beginning(parts(ROOT, PARENT), 10.2)
+        self.assertEqual(entries, self.admitting(entries, 10.3))
+
+
 class InnocentTest(testtools.TestCase):
     """Parts that are not suspected."""
 
--- a/tests/direct/test_part_evidence_simulation.py
+++ b/tests/direct/test_part_evidence_simulation.py
@@ -136,10 +136,14 @@
         else:
             self.part_arrivals[bad].append(self.now)
             self.after(
-                self.rng.uniform(0.05, 0.3),
+                self._crash_seconds(),
                 lambda: self._crash_under(number, attempt, bad),
             )
 
+    def _crash_seconds(self) -> float:
+        """Return the seconds from a bad request to the crash."""
+        return self.rng.uniform(0.05, 0.3)
+
     def _answer_later(self, number: int, attempt: simulation.Attempt) -> None:
         begin = self.rng.uniform(0.03, 0.4)
         self.after(begin, lambda: self._begin(number, attempt))
@@ -203,6 +207,10 @@
         self.settled_count = 0
         self.settled_begun = 0
         super().__init__(seed, 0.05, entry_count)
+        ips = [f'10.0.0.{number}' for number in range(entry_count)]
+        for evidence, ip in zip(self.entries, ips, strict=True):
+            others = [other for other in ips if other != ip]
+            evidence.other_entries = lambda others=others: others
 
     def _choose_entry(self, fingerprint: str) -> int:
         if not self.is_apart:
@@ -248,6 +256,46 @@
         )
 
 
+class GroupSimulation(LongSimulation):
+    """Six bad requests come at the same moment, and again some time later."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(
+            seed, entry_count=simulation.ENTRIES, length=3, is_apart=False
+        )
+
+    def _send_bad(self, part: str) -> None:
+        for _ in range(6):
+            self._send(
+                self._new_request(
+                    ROOT, *self.rng.choice(self.conversations), part
+                )
+            )
+        self.after(self.rng.uniform(2, 6), lambda: self._send_bad(part))
+
+    def _crash_seconds(self) -> float:
+        return self.rng.uniform(0.05, 0.055)
+
+
+class GroupTest(testtools.TestCase):
+    """Groups of requests with a part crash endpoints hardly once more."""
+
+    def test_groups(self) -> None:
+        """Crashes at one moment count as one, but few are tried after them."""
+        for seed in LONG_SEEDS:
+            played = GroupSimulation(seed)
+            played.run()
+            for part in CRASHING:
+                self.assertLessEqual(
+                    played.later_arrivals(part),
+                    simulation.MAX_LATER_ARRIVALS,
+                    seed,
+                )
+            self.assertGreaterEqual(
+                2 * played.settled_begun, played.settled_count, seed
+            )
+
+
 class LongPromptTest(testtools.TestCase):
     """A part is found that is not within the sight of one entry."""
 
