Limit cold endpoints that were known before the configuration

Cause: whether an endpoint is cold was decided as its record arrived, by the configuration in force. An entry reads the list and the configuration side by side; the list is shorter and mostly first, and there was no second look. The same held where a configuration is the first to limit a service.

Now an endpoint remembers until when its record says that it is cold, and when it was last fresh, and each new configuration is applied to both.

--- a/clementinepass/direct/cluster_state.py
+++ b/clementinepass/direct/cluster_state.py
@@ -120,6 +120,9 @@
             version=newer.version,
             before=0 if current is None else current.version,
         ).info('configuration in force')
+        # The endpoints are often known before the limits of their services.
+        for endpoint in self.endpoints:
+            self._update_cold(endpoint)
         return True
 
     @property
@@ -270,13 +273,24 @@
         :param seconds: for which it says that it stays cold.
         :param is_fresh: whether it may be as cold as after a start.
         """
+        now = self._clock()
+        if seconds > 0:
+            endpoint.said_cold_until = now + seconds
+        if is_fresh:
+            endpoint.fresh_at = now
+        self._update_cold(endpoint)
+
+    def _update_cold(self, endpoint: endpoints.Endpoint) -> None:
+        """Limit the requests to an endpoint by the configuration in force."""
         services = {} if self.routing is None else self.routing.services_by_name
         service = services.get(endpoint.listing.service)
         if service is None:
             return
-        if is_fresh:
-            seconds = max(seconds, service.cold_seconds)
-        self.cold.mark(endpoint, service.cold_rate, seconds, self._clock())
+        cold_until = max(
+            endpoint.said_cold_until, endpoint.fresh_at + service.cold_seconds
+        )
+        now = self._clock()
+        self.cold.mark(endpoint, service.cold_rate, cold_until - now, now)
 
     def record_failure(self, endpoint: endpoints.Endpoint, now: float) -> None:
         """Count a failure of an endpoint if its incarnation is current."""
--- a/clementinepass/direct/endpoints.py
+++ b/clementinepass/direct/endpoints.py
@@ -208,6 +208,8 @@
         'backoff',
         'cold_limit',
         'cold_until',
+        'fresh_at',
+        'said_cold_until',
         'weights',
         'weights_started_ms',
     )
@@ -242,6 +244,10 @@
         self.cold_limit = rate_limit.RateLimit(burst_seconds=0)
         #: Monotonic time until which the endpoint is cold.
         self.cold_until = float('-inf')
+        #: Monotonic time until which it is cold by its own record, and at which
+        #: it was last as cold as after a start.
+        self.said_cold_until = float('-inf')
+        self.fresh_at = float('-inf')
         #: The last load report of the agent.
         self.reported_load = ReportedLoad()
         #: Monotonic time until which the link of the instance is considered
--- a/tests/direct/test_cold_endpoints.py
+++ b/tests/direct/test_cold_endpoints.py
@@ -165,6 +165,30 @@
         self.configure(0)
         self.assertEqual(0, self.cold_for(cold_left=5))
 
+    def test_configuration_after_the_record(self) -> None:
+        """An entry that starts had no limit if the list came first."""
+        self.cluster = cluster_state.ClusterState(
+            test_cluster_state.LOCAL_NODE, clock=lambda: self.now
+        )
+        self.assertEqual(0, self.cold_for(is_initial=True, cold_left=2))
+        self.now += 0.5
+        self.configure(RATE)
+        endpoint = self.cluster.endpoints.get('i-1')
+        assert endpoint is not None
+        self.assertEqual(1.5, endpoint.cold_until - self.now)
+        self.assertFalse(endpoint.admits(self.now))
+
+    def test_first_rate_of_a_service(self) -> None:
+        """A configuration is the first to limit a service's endpoints."""
+        self.configure(0)
+        self.cold_for(is_initial=True)
+        self.assertEqual(0, self.cold_for(started_ms=2000))
+        self.now += 1
+        self.configure(RATE)
+        endpoint = self.cluster.endpoints.get('i-1')
+        assert endpoint is not None
+        self.assertEqual(2, endpoint.cold_until - self.now)
+
     def test_after_evacuation(self) -> None:
         """Endpoints may have become cold before or during an evacuation."""
         self.assertEqual(0, self.cold_for(is_initial=True))
