Get a manifest anew if it contradicts what sources send

Cause: the agent kept the first manifest and blamed the pieces alone. It fetched the piece of the wrong digest some 30 times a second, without end.

Now a piece that comes with the same bytes twice and does not match makes the agent ask the origin, and then the other agents, for the manifest. One is taken only if it has the digest of these bytes; pieces that it does not match are dropped. A manifest that names another model or version is refused as malformed.

--- a/clementinepass/direct/fetching.py
+++ b/clementinepass/direct/fetching.py
@@ -58,6 +58,9 @@
 #: request.
 _POLL_SECONDS = 0.1
 _FAILURE_PAUSE_SECONDS = 0.2
+#: Seconds between checks of the manifest, and for which a source may take.
+_MANIFEST_PAUSE_SECONDS = 1.0
+_MANIFEST_TIMEOUT_SECONDS = 1.5
 
 
 class FetchContext(typing.Protocol):
@@ -93,6 +96,8 @@
         self._chain_order = chain_order.ChainOrder(
             asyncio.get_running_loop().time(),
         )
+        #: When the manifest was last got anew.
+        self._manifest_checked_at = float('-inf')
         #: Bytes received from the origin and from agents.
         self.bytes_from_origin = 0
         self.bytes_from_agents = 0
@@ -491,11 +496,48 @@
             logger.bind(piece=number, source=supplier.ip or 'origin').warning(
                 'piece is spoilt',
             )
+            if self._version_pieces.reject(number, piece.payload):
+                await self._check_manifest(number)
             return None
         self._chain_order.record_piece(number, expected, now)
         self._record_piece(supplier, piece)
         return piece
 
+    async def _check_manifest(self, number: int) -> None:
+        """Get the manifest anew, as the digest of a piece may be corrupt.
+
+        The origin and all sources of pieces are asked, one after the other.
+        """
+        now = asyncio.get_running_loop().time()
+        if now < self._manifest_checked_at + _MANIFEST_PAUSE_SECONDS:
+            return
+        self._manifest_checked_at = now
+        current = self._version_pieces.manifest
+        plan_input = self._context.plan_input(current.model, current.version)
+        peer_ips = (peer.ip for peer in plan_input.peers)
+        for ip in (piece_chains.ORIGIN, *peer_ips):
+            manifest = await self._request_manifest(ip, current)
+            if manifest is not None and self._version_pieces.replace_manifest(
+                manifest, number
+            ):
+                logger.bind(piece=number, source=ip or 'origin').warning(
+                    'manifest replaced'
+                )
+                return
+
+    async def _request_manifest(
+        self, ip: str, current: weights.Manifest
+    ) -> weights.Manifest | None:
+        source = self._context.source(ip)
+        if source is None:
+            return None
+        try:
+            async with asyncio.timeout(_MANIFEST_TIMEOUT_SECONDS):
+                return await source.manifest(current.model, current.version)
+        except (errors.ClementinepassError, TimeoutError) as error:
+            logger.info('manifest not checked: {}', error)
+            return None
+
     def _record_piece(
         self,
         supplier: suppliers.Supplier,
--- a/clementinepass/direct/pieces.py
+++ b/clementinepass/direct/pieces.py
@@ -11,6 +11,10 @@
     from clementinepass.direct import weights
 
 
+#: Maximum number of digests of rejected pieces that are kept for each number.
+_MAX_REJECTED = 16
+
+
 class Pieces:
     """Pieces in memory, for the local engine and for other agents.
 
@@ -20,6 +24,7 @@
     __slots__ = (
         '_by_number',
         '_piece_added',
+        '_rejected_by_number',
         'is_congested',
         'is_reading_staged',
         'is_slow',
@@ -29,6 +34,8 @@
     def __init__(self, manifest: weights.Manifest) -> None:
         self.manifest = manifest
         self._by_number: dict[int, bytes] = {}
+        #: Digests of received pieces that differ from the manifest's.
+        self._rejected_by_number: dict[int, set[str]] = {}
         #: Whether pieces arrive here more slowly than their source receives
         #: them.
         self.is_slow = False
@@ -64,6 +71,42 @@
             return False
         return hashlib.sha256(piece).hexdigest() == digests[number]
 
+    def reject(self, number: int, piece: bytes) -> bool:
+        """Record a corrupt piece; return whether it was received before.
+
+        A transfer corrupts a piece in another way each time. If the same bytes
+        come again, the digest in the manifest may be the corrupt one.
+        """
+        digest = hashlib.sha256(piece).hexdigest()
+        rejected = self._rejected_by_number.setdefault(number, set())
+        is_known = digest in rejected
+        if len(rejected) < _MAX_REJECTED:
+            rejected.add(digest)
+        return is_known
+
+    def replace_manifest(self, manifest: weights.Manifest, number: int) -> bool:
+        """Take another manifest if it explains why a piece was rejected.
+
+        Pieces that it does not match are dropped.
+
+        :returns: whether the manifest was taken.
+        """
+        digests = manifest.digests
+        rejected = self._rejected_by_number.get(number, set())
+        if (
+            len(digests) != len(self.manifest.digests)
+            or digests[number] not in rejected
+        ):
+            return False
+        self._by_number = {
+            held: piece
+            for held, piece in self._by_number.items()
+            if digests[held] == self.manifest.digests[held]
+        }
+        self.manifest = manifest
+        self._rejected_by_number.clear()
+        return True
+
     def add(self, number: int, piece: bytes) -> bool:
         """Add a piece unless it is corrupt; return whether it was added."""
         if not self.matches_digest(number, piece):
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -671,6 +671,14 @@
     'piece is spoilt': Kind(
         'piece source', 'the piece does not match its digest'
     ),
+    'manifest replaced': Kind(
+        'piece source',
+        'the digest of a piece in the manifest was corrupt; another source '
+        'sent the one that the piece has',
+    ),
+    'manifest not checked': Kind(
+        '', 'a source did not provide the manifest anew; another one is asked'
+    ),
     'not handed out': Kind(
         'piece', 'a staged piece could not be read for another agent'
     ),
--- a/clementinepass/platform/engine.py
+++ b/clementinepass/platform/engine.py
@@ -275,6 +275,13 @@
             return None
         self._client.check(answer, 'manifest')
         manifest = self._client.decode(answer, _Manifest, 'manifest')
+        if (manifest.model, manifest.version) != (model, version):
+            raise errors.MalformedMessageError(
+                f'the manifest is that of {manifest.model!r}, version '
+                f'{manifest.version}',
+                step='manifest',
+                peer=model,
+            )
         return weights.Manifest(
             manifest.model,
             manifest.version,
--- a/tests/direct/test_fetching.py
+++ b/tests/direct/test_fetching.py
@@ -31,6 +31,7 @@
 
     def __init__(self) -> None:
         self.remaining = CHUNKS * 10
+        self.manifest: weights.Manifest | None = MANIFEST
         self.sent_numbers: list[int] = []
         #: IP addresses of the agents that received a piece, in order.
         self.requesters: list[str] = []
@@ -97,6 +98,12 @@
 class _OriginLink:
     """Link from an agent to the origin."""
 
+    async def manifest(
+        self, model: str, version: int
+    ) -> weights.Manifest | None:
+        """Return the manifest, or an outdated one if the origin has that."""
+        return self._origin.manifest
+
     def __init__(self, client: _Agent, origin: _Origin) -> None:
         self._client = client
         self._origin = origin
@@ -259,6 +266,53 @@
     asyncio.run(main())
 
 
+class CorruptManifestTest(testtools.TestCase):
+    """A digest in a manifest is corrupt.
+
+    The piece was fetched again and again, and the version never complete for as
+    long as the agent ran.
+    """
+
+    def run_with(self, network: _Network) -> None:
+        """Give all agents another corrupt manifest, and let them fetch."""
+        for number, agent in enumerate(network.agents):
+            digests = list(MANIFEST.digests)
+            digests[number] = digests[number][:-1] + 'x'
+            agent.version_pieces = pieces.Pieces(
+                MANIFEST._replace(digests=tuple(digests))
+            )
+
+        async def scenario() -> None:
+            await network.wait_until_all_have(CHUNKS)
+
+        run_scenario(network, scenario)
+        for agent in network.agents:
+            self.assertEqual(MANIFEST, agent.version_pieces.manifest)
+
+    def test_origin_has_it(self) -> None:
+        """The origin sends the manifest anew."""
+        self.run_with(_Network(1, 1))
+
+    def test_origin_is_corrupt_again(self) -> None:
+        """A manifest that does not explain the piece is not taken."""
+        network = _Network(1, 0)
+        digests = ('0' * 64, *MANIFEST.digests[1:])
+        network.origin.manifest = MANIFEST._replace(digests=digests)
+
+        async def recover() -> None:
+            await asyncio.sleep(0.5)
+            self.assertEqual(
+                CHUNKS - 1, len(network.agents[0].version_pieces.numbers)
+            )
+            network.origin.manifest = MANIFEST
+            await network.wait_until_all_have(CHUNKS)
+
+        network.agents[0].version_pieces = pieces.Pieces(
+            network.origin.manifest
+        )
+        run_scenario(network, recover)
+
+
 class OriginGoneTest(testtools.TestCase):
     """The origin fails when each chain has some of the pieces.
 
