Look at an endpoint for a moment before its unframed answer counts as whole

Cause: the end of such an answer is examined by one connection, at once. The kernel closes the sockets of a killed process one after the other, and one that still listened counted as alive.

Now the entry looks for 50 ms: a connection that stays open to the end shows that the process goes on, and so does an address that never refuses one, as endpoints with as many connections as they take reset more of them. The end of such an answer comes 50 ms later.

--- a/clementinepass/direct/crash_detection.py
+++ b/clementinepass/direct/crash_detection.py
@@ -20,6 +20,10 @@
 #: Seconds within which an address refuses a connection. A retry of the request
 #: waits for it, usually for one round trip.
 _PROBE_SECONDS = 0.1
+#: Seconds in which all sockets of a killed process are closed.
+_ENDING_SECONDS = 0.05
+#: Seconds between two connections in that time.
+_ENDING_PAUSE_SECONDS = 0.005
 #: Seconds after a broken attempt within which the record of an endpoint that
 #: has crashed is removed, if the store is available.
 _REMOVAL_SECONDS = 5.0
@@ -63,10 +67,10 @@
         """Tell whether the process of an endpoint has ended unexpectedly.
 
         Endpoints that drain, or whose records were removed before, end as
-        planned.
+        planned. The check takes a moment if the process has not ended.
         """
-        return not _ends_as_planned(endpoint) and await self._is_refused(
-            endpoint
+        return not _ends_as_planned(endpoint) and await _is_ending(
+            endpoint.listing.address
         )
 
     async def examine(
@@ -162,8 +166,29 @@
     return endpoint.listing.draining or endpoint.removed_at is not None
 
 
-async def _refuses(address: str) -> bool:
-    """Tell whether nobody listens at an address."""
+async def _is_ending(address: str) -> bool:
+    """Tell whether the process that listens at an address ends just now.
+
+    The kernel closes the sockets of a killed process one after the other. One
+    that still listens accepts connections, and resets them as it is closed. An
+    endpoint that has as many connections as it takes resets more of them, too,
+    but goes on listening.
+    """
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + _ENDING_SECONDS
+    while loop.time() < deadline:
+        if await _refuses(address, until=deadline):
+            return True
+        await asyncio.sleep(_ENDING_PAUSE_SECONDS)
+    return False
+
+
+async def _refuses(address: str, *, until: float = 0) -> bool:
+    """Tell whether nobody listens at an address.
+
+    :param until: monotonic time until which a connection is kept that the
+        endpoint keeps.
+    """
     host, _, port = address.rpartition(':')
     try:
         connection = await channel.Channel.connect(
@@ -171,5 +196,11 @@
         )
     except channel.ChannelBrokenError as error:
         return error.is_refused
-    connection.abort()
+    try:
+        async with asyncio.timeout_at(until):
+            await connection.read_head()
+    except (channel.ChannelBrokenError, TimeoutError):
+        return False
+    finally:
+        connection.abort()
     return False
--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -147,6 +147,8 @@
         self.ran: list[messages.Request] = []
         #: Requests that came, those turned away included.
         self.came: list[messages.Request] = []
+        #: Seconds after a crash for which connections are still accepted.
+        self.seconds_listening_on: float = 0
         #: Bytes sent of answers that have no end.
         self.endless_bytes = 0
         #: Requests whose caller left while they ran.
@@ -193,8 +195,15 @@
         }
 
     async def crash(self) -> None:
-        """End without a word; nobody listens at the address any more."""
+        """End without a word; nobody listens at the address any more.
+
+        The listening socket may be closed some time after the others.
+        """
         self.crashed.set()
+        if self.seconds_listening_on:
+            for open_connection in list(self._front.connections):
+                open_connection.abort_for_shutdown()
+            await asyncio.sleep(self.seconds_listening_on)
         await self._front.close()
 
     async def restart(self) -> None:
--- a/tests/direct/test_unframed_answers.py
+++ b/tests/direct/test_unframed_answers.py
@@ -62,6 +62,24 @@
         """The caller of another request does not get a part as the whole."""
         self.assertEqual(502, self.check(*case).status)
 
+    @tables.cases(plain='/once/a', stream='/stream/once/a')
+    def test_listens_on_for_a_moment(self, target: str) -> None:
+        """The kernel closes the sockets of a killed process in some order.
+
+        The caller got a part as the whole answer if the listening one came
+        after that of its answer.
+        """
+        answers = []
+
+        async def scenario(harness: World) -> None:
+            harness.set_shared_faults(Fault.CRASH_UNFRAMED)
+            for endpoint in harness.endpoints:
+                endpoint.seconds_listening_on = 0.01
+            answers.append(await harness.send(target))
+
+        path_harness.run(scenario)
+        self.assertEqual(502, answers[0].status)
+
     def test_draining(self) -> None:
         """An endpoint that drains may end right after its answer."""
         answer = self.check(
