--- a/clementinepass/direct/crash_evidence.py
+++ b/clementinepass/direct/crash_evidence.py
@@ -135,7 +135,7 @@
     @property
     def is_empty(self) -> bool:
         """Tell whether no crash is known."""
-        return self._quarantine.is_empty
+        return self._quarantine.is_empty and self._parts.is_empty
 
     @property
     def forgotten_answers(self) -> int:
@@ -203,16 +203,7 @@
         if not found:
             return
         self._is_outdated = True
-        cleared = {
-            part for answer in found.part_answers for part in answer.parts
-        }
-        if cleared:
-            self.log.log_cleared(
-                (answer.crash_id for answer in found.part_answers),
-                evidence_log.Clearing.BEGINNING,
-                parts=sorted(cleared),
-            )
-        self._publish(now)
+        self._publish(now, evidence_log.Clearing.BEGINNING)
 
     def record_answer(
         self, fingerprint: str, started_at: float, now: float
@@ -534,18 +525,25 @@
         else:
             self._fresh.append((now, finding))
 
-    def _publish(self, now: float) -> None:
+    def _publish(
+        self,
+        now: float,
+        clearing: evidence_log.Clearing = evidence_log.Clearing.EARLIER_ANSWER,
+    ) -> None:
+        """Announce what was found, and log what was dropped or cleared.
+
+        :param clearing: by which answers parts of prompts were cleared.
+        """
         for dropped in self._quarantine.take_dropped():
             self.log.log_dropped(
                 dropped.crash_ids, dropped.is_expired, dropped.fingerprints
             )
         for lost in self._parts.take_dropped():
             self.log.log_dropped(lost.crash_ids, lost.is_expired)
+        on_parts = self._parts.take_findings()
+        self.log.log_answers(on_parts.part_answers, clearing)
         finding = evidence_reports.join(
-            (
-                evidence_reports.Report(self._quarantine.take_digest()),
-                self._parts.take_findings(),
-            )
+            (evidence_reports.Report(self._quarantine.take_digest()), on_parts)
         )
         if not finding:
             return
--- a/clementinepass/direct/evidence_log.py
+++ b/clementinepass/direct/evidence_log.py
@@ -67,7 +67,7 @@
     ANSWER = 'answer'
     #: An answer shortly before the crashes.
     EARLIER_ANSWER = 'earlier_answer'
-    #: The first event of an answer to a request with the part.
+    #: A whole answer to a request with the part, or one that goes on.
     BEGINNING = 'beginning'
 
 
@@ -147,6 +147,20 @@
             by=by.value,
         ).info('cleared of crashes')
 
+    def log_answers(
+        self, answers: Iterable[evidence_reports.PartAnswer], by: Clearing
+    ) -> None:
+        """Log which parts of prompts answers have cleared, if any."""
+        clearing = [
+            answer for answer in answers if answer.is_recent and answer.parts
+        ]
+        if clearing:
+            self.log_cleared(
+                (answer.crash_id for answer in clearing),
+                by,
+                parts=(part for answer in clearing for part in answer.parts),
+            )
+
     def log_dropped(
         self,
         crash_ids: Iterable[str],
--- a/clementinepass/direct/part_evidence.py
+++ b/clementinepass/direct/part_evidence.py
@@ -97,6 +97,11 @@
         #: too many.
         self.forgotten_answers = 0
 
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no crash is known."""
+        return self._crashes.is_empty
+
     def record_crash(
         self, crash_id: str, fingerprint: str, parts: PromptParts, now: float
     ) -> None:
