Confirm restricted prompt parts by two trials

Restricted parts were quarantined after four crashes in a row, as others are. Crashes at one moment count as one, so that three trials came after them: all that the rule allows, with nothing left for an entry that hears of it late.

Now five crashes in all, three of them one after the other, make restricted parts a cause: requests with them were tried alone after the first ones.

--- a/clementinepass/direct/part_evidence.py
+++ b/clementinepass/direct/part_evidence.py
@@ -16,7 +16,7 @@
 from clementinepass.direct import evidence_reports, part_crashes
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterable, Iterator, Mapping
 
 #: What makes parts the cause of crashes. Sound parts, which many requests
 #: have, are now and then in three crashes one after the other.
@@ -29,6 +29,10 @@
 _RESTRICTING_THRESHOLD = crash_causes.Threshold(
     crashes=4, requests=2, counts_simultaneous=True
 )
+#: Crashes of restricted parts, in all and one after the other, that make them a
+#: cause: requests with them were tried alone after the first ones.
+_MIN_RESTRICTED_CRASHES = 5
+_MIN_RESTRICTED_IN_SUCCESSION = 3
 #: Seconds for which an endpoint has to go on after the first event of an
 #: answer. It may write one before it crashes under the request.
 SURVIVAL_SECONDS = 0.5
@@ -181,10 +185,18 @@
         crashes = self._crashes.crashes(known)
         self.causes = crash_causes.find_causes(crashes, _THRESHOLD)
         explained = _NO_PARTS.union(*(cause.crash_ids for cause in self.causes))
-        self.restricted = crash_causes.find_causes(
+        restricted = crash_causes.find_causes(
             (crash for crash in crashes if crash.id not in explained),
             _RESTRICTING_THRESHOLD,
         )
+        at_by_crash = {crash.id: crash.at for crash in crashes}
+        confirmed = tuple(
+            cause for cause in restricted if _is_confirmed(cause, at_by_crash)
+        )
+        self.causes += confirmed
+        self.restricted = tuple(
+            cause for cause in restricted if cause not in confirmed
+        )
         self._last_at_by_suspicious_part = crash_causes.find_suspicious_parts(
             crashes, self.causes, _MIN_SUSPICIOUS_CRASHES
         )
@@ -277,6 +289,18 @@
             del answered[oldest]
 
 
+def _is_confirmed(
+    cause: crash_causes.Cause, at_by_crash: Mapping[str, float]
+) -> bool:
+    """Tell whether trials have shown that restricted parts are a cause."""
+    times = [at_by_crash[crash_id] for crash_id in cause.crash_ids]
+    return (
+        len(times) >= _MIN_RESTRICTED_CRASHES
+        and crash_causes.count_in_succession(times)
+        >= _MIN_RESTRICTED_IN_SUCCESSION
+    )
+
+
 def seconds_refused(cause: crash_causes.Cause, now: float) -> float:
     """Return the seconds for which requests with a cause are refused.
 
--- a/tests/direct/test_part_evidence.py
+++ b/tests/direct/test_part_evidence.py
@@ -356,6 +356,24 @@
             self.assertEqual(0, seconds_barred(evidence, 10.4, PARENT))
             self.assertLess(seconds_barred(evidence, 10.4, BAD), 60)
 
+    def test_trials(self) -> None:
+        """Two trials that crash endpoints show that it was the part."""
+        evidence = self.crash(4)[0]
+        evidence.record_beginning(parts(ROOT, PARENT), 10.2)
+        for number, is_cause in ((1, False), (2, True)):
+            at = 10 + 10.0 * number
+            evidence.record_beginning(parts(ROOT, PARENT), at)
+            evidence.record_crash(
+                f't-{number}',
+                fingerprint(50 + number),
+                at,
+                at + 0.1,
+                parts(BAD),
+            )
+            self.assertEqual(
+                is_cause, seconds_barred(evidence, at + 0.2, BAD) > 500
+            )
+
     def test_answered(self) -> None:
         """One answer ends the restriction."""
         for evidence in self.crash(4):
