Leave out the oldest answers of a heartbeat, not the longest

Answers with many parts came first in a joined report, so that they would have been the first to be left out of a heartbeat. They keep their order now.

--- a/clementinepass/direct/evidence_reports.py
+++ b/clementinepass/direct/evidence_reports.py
@@ -150,18 +150,16 @@
 
     Lists of many parts stay as they are, as receivers may know them.
     """
-    parts_by_key: dict[tuple[str, bool], tuple[str, ...]] = {}
-    long_answers: dict[PartAnswer, None] = {}
+    joined: dict[typing.Hashable, PartAnswer] = {}
     for answer in answers:
         if answer.set_ids or len(answer.parts) > MAX_LISTED_PARTS:
-            long_answers[answer] = None
+            joined[answer] = answer
             continue
         key = answer.crash_id, answer.is_recent
-        known = parts_by_key.get(key, ())
-        parts_by_key[key] = tuple(dict.fromkeys((*known, *answer.parts)))
-    yield from long_answers
-    for (crash_id, is_recent), parts in parts_by_key.items():
-        yield PartAnswer(crash_id, is_recent, parts)
+        known = joined.get(key, answer)
+        parts = tuple(dict.fromkeys((*known.parts, *answer.parts)))
+        joined[key] = msgspec.structs.replace(answer, parts=parts)
+    return iter(joined.values())
 
 
 def _join_crashes(
