Let limits of endpoints take turns in heartbeats

A heartbeat carries 32 limits that endpoints name, the latest changes first. With more of them, entries that start later never heard of the rest, and sent to those endpoints as to any other until an answer of theirs named the limit.

Now those that have not changed lately take turns in full heartbeats.

Evidence: test_endpoint_limits ManyLimitsTest.test_take_turns failed before. Found by going through the bounds of the direct path; no play shows it.

--- a/clementinepass/direct/endpoint_limits.py
+++ b/clementinepass/direct/endpoint_limits.py
@@ -38,6 +38,7 @@
         '_endpoints',
         '_limited_by_id',
         '_local_ip',
+        '_reported_count',
         '_updated_at',
         'on_change',
         'sharing_entries',
@@ -51,6 +52,8 @@
         #: The endpoints that name a limit, or did so lately.
         self._limited_by_id: dict[str, endpoints.Endpoint] = {}
         self._updated_at = float('-inf')
+        #: How many limits full heartbeats had room for so far.
+        self._reported_count = 0
         #: Called after an answer that changes a limit, to announce it at once.
         self.on_change: Callable[[], None] | None = None
         #: Returns the IP addresses of the entries that share limits.
@@ -96,19 +99,25 @@
     def report(
         self, now: float, *, full: bool
     ) -> tuple[heartbeats.EndpointLimit, ...]:
-        """Return the limits for a heartbeat.
+        """Return the limits for a heartbeat, the latest changes first.
 
         :param full: whether to report those that have not changed lately, too.
+            If there are too many, they take turns.
         """
+        oldest = now - _FRESH_SECONDS
+        limited = self._limited_by_id.values()
         reported = sorted(
-            (
-                endpoint
-                for endpoint in self._limited_by_id.values()
-                if full or now - endpoint.rate_limit.changed_at < _FRESH_SECONDS
-            ),
+            (one for one in limited if one.rate_limit.changed_at > oldest),
             key=lambda endpoint: endpoint.rate_limit.changed_at,
             reverse=True,
         )
+        if full:
+            others = [
+                one for one in limited if one.rate_limit.changed_at <= oldest
+            ]
+            start = self._reported_count % max(len(others), 1)
+            reported += others[start:] + others[:start]
+            self._reported_count += _MAX_REPORTED
         return tuple(
             heartbeats.EndpointLimit(
                 endpoint.listing.id,
--- a/tests/direct/test_endpoint_limits.py
+++ b/tests/direct/test_endpoint_limits.py
@@ -23,12 +23,12 @@
         self.limits.sharing_entries = lambda: self.sharing
         self.list(1)
 
-    def list(self, started_ms: int) -> None:
+    def list(self, started_ms: int, endpoint_id: str = ID) -> None:
         """Apply the record of a start of the endpoint."""
         weights = endpoints.Weights(0, 0, 0)
         self.known.apply_listing(
             endpoints.Listing(
-                ID,
+                endpoint_id,
                 'desk',
                 '10.1.0.1:80',
                 'a',
@@ -138,6 +138,26 @@
         self.assertEqual(1, entries[-1].endpoint.rate_limit.rate)
 
 
+class ManyLimitsTest(testtools.TestCase):
+    """More endpoints name limits than a heartbeat carries."""
+
+    def test_take_turns(self) -> None:
+        """Entries that start later never heard of most of them."""
+        entry = Entry(IPS[0])
+        ids = {f'i-{number}' for number in range(100)}
+        for endpoint_id in ids:
+            entry.list(1, endpoint_id)
+            found = entry.known.get(endpoint_id)
+            assert found is not None
+            entry.limits.record_answer(found, 2, 0.5, 1)
+        reported = set()
+        for now in (10, 12, 14, 16):
+            report = entry.limits.report(now, full=True)
+            self.assertLessEqual(len(report), 32)
+            reported.update(limit.endpoint_id for limit in report)
+        self.assertEqual(ids, reported)
+
+
 class ChangeTest(testtools.TestCase):
     """Changes of a limit, and its end, reach all entries."""
 
