--- a/tests/direct/test_fetching.py
+++ b/tests/direct/test_fetching.py
@@ -267,11 +267,7 @@
 
 
 class CorruptManifestTest(testtools.TestCase):
-    """A digest in a manifest is corrupt.
-
-    The piece was fetched again and again, and the version never complete for as
-    long as the agent ran.
-    """
+    """One corrupt digest in a manifest keeps a version incomplete for good."""
 
     def run_with(self, network: _Network) -> None:
         """Give all agents another corrupt manifest, and let them fetch."""
--- a/tests/direct/test_part_evidence.py
+++ b/tests/direct/test_part_evidence.py
@@ -191,11 +191,7 @@
 
 
 class ApartTest(testtools.TestCase):
-    """Requests with a part that crashes endpoints come to other entries.
-
-    An entry that got such requests alone had nothing to compare them with, and
-    reported its crashes without any part.
-    """
+    """The entry that sees the crashes has no sound request to compare with."""
 
     def setUp(self) -> None:
         """Make entries that have answered nothing."""
@@ -322,11 +318,7 @@
 
 
 class AtOnceTest(testtools.TestCase):
-    """Requests with a part that crashes endpoints come several at a time.
-
-    Crashes at one moment count as one, and the next requests crashed as many
-    endpoints again, four times.
-    """
+    """Groups of requests with a part crash as many endpoints again each time."""
 
     def crash(self, count: int) -> list[crash_evidence.CrashEvidence]:
         """Return the entries after crashes at one moment."""
--- a/tests/direct/test_unframed_answers.py
+++ b/tests/direct/test_unframed_answers.py
@@ -64,11 +64,7 @@
 
     @tables.cases(plain='/once/a', stream='/stream/once/a')
     def test_listens_on_for_a_moment(self, target: str) -> None:
-        """The kernel closes the sockets of a killed process in some order.
-
-        The caller got a part as the whole answer if the listening one came
-        after that of its answer.
-        """
+        """A part counted as whole while a killed process still listened."""
         answers = []
 
         async def scenario(harness: World) -> None:
