Ask a few agents at a time for the manifest anew; name maps by their keys

A check of the manifest asked all agents one after the other, 1.5 s each if they are silent, and kept a request for a piece waiting meanwhile. It asks the origin and three agents, which take turns. Found by reading the change.

--- a/clementinepass/decisions/crash_causes.py
+++ b/clementinepass/decisions/crash_causes.py
@@ -80,9 +80,9 @@
 ) -> tuple[Cause, ...]:
     """Return the causes of some crashes, those of most crashes first."""
     remaining = {crash.id: crash for crash in crashes}
-    groups = _group_parts(remaining.values(), threshold.crashes)
+    parts_by_crashes = _group_parts(remaining.values(), threshold.crashes)
     causes = []
-    while cause := _find_main_cause(remaining, groups, threshold):
+    while cause := _find_main_cause(remaining, parts_by_crashes, threshold):
         causes.append(cause)
         for crash_id in cause.crash_ids:
             del remaining[crash_id]
@@ -104,8 +104,8 @@
         crash.id: crash for crash in crashes if crash.id not in explained
     }
     last_at_by_part = {}
-    groups = _group_parts(unexplained.values(), min_crashes)
-    for crash_ids, parts in groups.items():
+    parts_by_crashes = _group_parts(unexplained.values(), min_crashes)
+    for crash_ids, parts in parts_by_crashes.items():
         times = [unexplained[crash_id].at for crash_id in crash_ids]
         if count_in_succession(times) >= min_crashes:
             last_at_by_part.update(dict.fromkeys(parts, max(times)))
@@ -141,16 +141,17 @@
 
 def _find_main_cause(
     crash_by_id: Mapping[str, Crash],
-    groups: Mapping[frozenset[str], frozenset[str]],
+    parts_by_crashes: Mapping[frozenset[str], frozenset[str]],
     threshold: Threshold,
 ) -> Cause | None:
     """Return the cause of the most crashes; ``None`` if there is none.
 
     :param crash_by_id: the crashes that no other cause explains.
-    :param groups: the parts in exactly the same crashes, by the crashes' ids.
+    :param parts_by_crashes: the parts in exactly the same crashes, by the ids
+        of these.
     """
     parts_by_ids: dict[frozenset[str], frozenset[str]] = {}
-    for all_ids, parts in groups.items():
+    for all_ids, parts in parts_by_crashes.items():
         ids = all_ids.intersection(crash_by_id)
         parts_by_ids[ids] = parts_by_ids.get(ids, frozenset()) | parts
     # The ids make the choice the same in all processes.
--- a/clementinepass/direct/crash_evidence.py
+++ b/clementinepass/direct/crash_evidence.py
@@ -561,12 +561,12 @@
             self.log.log_released(
                 released, self._quarantine.evidence(released, now)
             )
-        restricted = {
+        crash_ids_by_parts = {
             cause.parts: cause.crash_ids for cause in self._parts.restricted
         }
-        for parts in restricted.keys() - self._restricted:
-            self.log.log_restricted_parts(parts, restricted[parts])
-        self._restricted = frozenset(restricted)
+        for parts in crash_ids_by_parts.keys() - self._restricted:
+            self.log.log_restricted_parts(parts, crash_ids_by_parts[parts])
+        self._restricted = frozenset(crash_ids_by_parts)
         for released_parts in self._known_causes - cause_by_parts.keys():
             self.log.log_released_parts(released_parts)
         self._quarantined = frozenset(seconds_by_fingerprint)
--- a/clementinepass/direct/fetching.py
+++ b/clementinepass/direct/fetching.py
@@ -61,6 +61,8 @@
 #: Seconds between checks of the manifest, and for which a source may take.
 _MANIFEST_PAUSE_SECONDS = 1.0
 _MANIFEST_TIMEOUT_SECONDS = 1.5
+#: Number of other agents that are asked in one check.
+_MANIFEST_AGENTS = 3
 
 
 class FetchContext(typing.Protocol):
@@ -98,6 +100,8 @@
         )
         #: When the manifest was last got anew.
         self._manifest_checked_at = float('-inf')
+        #: Number of checks of the manifest.
+        self._manifest_checks = 0
         #: Bytes received from the origin and from agents.
         self.bytes_from_origin = 0
         self.bytes_from_agents = 0
@@ -506,7 +510,7 @@
     async def _check_manifest(self, number: int) -> None:
         """Get the manifest anew, as the digest of a piece may be corrupt.
 
-        The origin and all sources of pieces are asked, one after the other.
+        The origin is asked, and then a few other agents, which take turns.
         """
         now = asyncio.get_running_loop().time()
         if now < self._manifest_checked_at + _MANIFEST_PAUSE_SECONDS:
@@ -514,8 +518,11 @@
         self._manifest_checked_at = now
         current = self._version_pieces.manifest
         plan_input = self._context.plan_input(current.model, current.version)
-        peer_ips = (peer.ip for peer in plan_input.peers)
-        for ip in (piece_chains.ORIGIN, *peer_ips):
+        ips = [peer.ip for peer in plan_input.peers]
+        start = self._manifest_checks * _MANIFEST_AGENTS % max(len(ips), 1)
+        chosen = (ips[start:] + ips[:start])[:_MANIFEST_AGENTS]
+        self._manifest_checks += 1
+        for ip in (piece_chains.ORIGIN, *chosen):
             manifest = await self._request_manifest(ip, current)
             if manifest is not None and self._version_pieces.replace_manifest(
                 manifest, number
