Log who moves the time of a version, and answers on outdated weights

Callers got answers that began on older weights long after the bound. No line told whether the time of the version had moved at entries, a start had taken long, or a request had waited: a changed time was silent, and an answer on outdated weights left no trace.

'version time changed' has the model, the version, both ages, the shift, whether each is a guess, and the source. 'version named' has the source and the uptime. 'answer on outdated weights' compares the version that an answer names with the bound, and is counted. No decision changes.

--- a/clementinepass/decisions/desired_versions.py
+++ b/clementinepass/decisions/desired_versions.py
@@ -9,11 +9,23 @@
 from __future__ import annotations
 
 import math
+import typing
 
 #: Versions that are remembered. The deadlines of older ones are long past.
 _MAX_VERSIONS = 8
 
 
+class Naming(typing.NamedTuple):
+    """What is known of when a version became the desired one.
+
+    :param since: monotonic seconds.
+    :param is_guess: whether that is a guess.
+    """
+
+    since: float
+    is_guess: bool
+
+
 class DesiredVersions:
     """The versions of one model that recently became the desired one.
 
@@ -66,6 +78,13 @@
             self.since_by_version[version] = min(known_since, since)
         return False
 
+    def naming(self, version: int) -> Naming | None:
+        """Return when a version became the desired one, if it is known."""
+        since = self.since_by_version.get(version)
+        if since is None:
+            return None
+        return Naming(since, version in self.guessed_versions)
+
     def usable_until(self, version: int) -> float:
         """Return the time until which requests may start on a version."""
         newer = [
--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -55,6 +55,9 @@
 #: Seconds between polls of the engine while requests wait for its slots. A slot
 #: is used for a second, so that little of it is lost.
 _SLOT_POLL_SECONDS = 0.03
+#: The source of a version's time, for log lines, if another agent asked for
+#: pieces of the version.
+_REQUEST_SOURCE = 'request for pieces'
 
 
 class PlatformAdapters(typing.NamedTuple):
@@ -164,7 +167,9 @@
     def pieces_of(self, model: str, version: int) -> pieces.Pieces | None:
         """Return the pieces of a version that are here or being fetched."""
         now = asyncio.get_running_loop().time()
-        self.cluster.add_desired_version(model, version, now)
+        self.cluster.add_desired_version(
+            model, version, now, source=_REQUEST_SOURCE
+        )
         return self._loader.pieces_of(model, version)
 
     def has_loaded(self, version: int) -> bool:
--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -357,6 +357,7 @@
             )
             return serving.AttemptResult.NOT_RUN
         attempt.head_seen()
+        attempt.weights_version = decoded_head.weights_version
         if decoded_head.verdict in _STALE_OR_INVALID:
             raise channel.ChannelBrokenError(
                 f'status {head.status} is not a valid answer to this request',
@@ -605,6 +606,7 @@
             attempt.survival_timer = asyncio.get_running_loop().call_later(
                 part_evidence.SURVIVAL_SECONDS, self._record_survival, admitted
             )
+            self._check_version(admitted, attempt)
         attempt.mark_answering()
         if attempt.is_silent:
             self._log.log_going_on(admitted, attempt)
@@ -613,6 +615,18 @@
         if len(admitted.attempts) > 1:
             admitted.supersede_others(attempt)
 
+    def _check_version(
+        self, admitted: serving.AdmittedRequest, attempt: serving.Attempt
+    ) -> None:
+        """Log an answer that begins on weights whose bound has passed."""
+        engine = admitted.service.engine
+        if engine is None or not attempt.weights_version:
+            return
+        bound = self._cluster.version_bound(engine, attempt.weights_version)
+        late = asyncio.get_running_loop().time() - bound
+        if late > 0:
+            self._log.log_outdated(admitted, attempt, late)
+
     def _record_survival(self, admitted: serving.AdmittedRequest) -> None:
         """Record that an endpoint has not crashed under a request."""
         self._cluster.crash_evidence.record_beginning(
--- a/clementinepass/direct/calls.py
+++ b/clementinepass/direct/calls.py
@@ -146,6 +146,8 @@
     instance: str = ''
     #: What the instance says of itself.
     notice: EndpointNotice = EndpointNotice()
+    #: The version of the weights that answer; 0 if the answer names none.
+    weights_version: int = 0
 
 
 class Dialect(typing.Protocol):
--- a/clementinepass/direct/cluster_state.py
+++ b/clementinepass/direct/cluster_state.py
@@ -22,6 +22,7 @@
     endpoints,
     evacuation,
     heartbeats,
+    uptime,
 )
 
 if typing.TYPE_CHECKING:
@@ -43,6 +44,14 @@
 #: takes some of that time, and a request may wait at an engine.
 _STARTUP_MARGIN_SECONDS = 1.0
 
+#: Shift of a version's time from which on it is logged. Ages in heartbeats
+#: differ by the milliseconds that these take.
+_LOGGED_SHIFT_SECONDS = 0.05
+#: Where a version's time comes from, unless a peer's IP address: the store's
+#: records, and the start of this process if they were written before it.
+_STORE_SOURCE = 'store'
+_START_SOURCE = 'start'
+
 #: Pace from which on an engine counts as slow.
 _SLOW_PACE = 1.2
 #: Seconds after the last report of a slow engine in which the engines of its
@@ -146,12 +155,14 @@
         since: float,
         *,
         guessed: bool = False,
+        source: str = _STORE_SOURCE,
     ) -> bool:
         """Record that the operator wants a version of a model.
 
         :param since: monotonic seconds at which it was written.
         :param guessed: whether that time is an estimate, because its source
             started after the version was written.
+        :param source: the origin of the time, for log lines.
         :returns: whether it was unknown and is the newest desired version.
         """
         versions = self._desired_by_model.get(model)
@@ -159,13 +170,20 @@
             bound = self._local_node.duties.version - _VERSION_MARGIN_SECONDS
             versions = desired_versions.DesiredVersions(bound)
             self._desired_by_model[model] = versions
-        if not versions.record(version, since, is_guess=guessed):
+        before = versions.naming(version)
+        is_newest = versions.record(version, since, is_guess=guessed)
+        after = versions.naming(version)
+        if before is not None and after is not None:
+            self._log_time_change(model, version, before, after, source)
+        if not is_newest:
             return False
         logger.bind(
             model=model,
             version=version,
             ago=round(self._clock() - since, 3),
             guessed=guessed,
+            source=source,
+            seconds=uptime.seconds(),
         ).info('version named')
         if self.on_desired_version is not None:
             self.on_desired_version()
@@ -183,7 +201,39 @@
         duties = self._local_node.duties
         grace = max(duties.settling - _STARTUP_MARGIN_SECONDS, 0)
         since = now + grace + _VERSION_MARGIN_SECONDS - duties.version
-        self.add_desired_version(model, version, since, guessed=True)
+        self.add_desired_version(
+            model, version, since, guessed=True, source=_START_SOURCE
+        )
+
+    def _log_time_change(
+        self,
+        model: str,
+        version: int,
+        before: desired_versions.Naming,
+        after: desired_versions.Naming,
+        source: str,
+    ) -> None:
+        """Log that the time at which a version was named has changed."""
+        moved = after.since - before.since
+        if (
+            before.is_guess == after.is_guess
+            and abs(moved) < _LOGGED_SHIFT_SECONDS
+        ):
+            return
+        now = self._clock()
+        ages = {
+            'from': round(now - before.since, 3),
+            'to': round(now - after.since, 3),
+        }
+        logger.bind(
+            model=model,
+            version=version,
+            **ages,
+            moved=round(moved, 3),
+            was_guessed=before.is_guess,
+            guessed=after.is_guess,
+            source=source,
+        ).info('version time changed')
 
     def desired_versions(
         self, now: float
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -342,6 +342,7 @@
                 desired.version,
                 now - desired.age,
                 guessed=desired.guessed,
+                source=ip,
             )
         for status in heartbeat.engine_statuses:
             self._cluster.update_engine_status(status, now)
--- a/clementinepass/direct/request_log.py
+++ b/clementinepass/direct/request_log.py
@@ -86,6 +86,7 @@
         '_drains',
         '_endings',
         '_first_piece_seconds',
+        '_outdated',
         '_rate_logged_at',
         '_retries',
         '_request_seconds',
@@ -116,6 +117,11 @@
             'Endpoints whose answers said first that they drain.',
             registry=registry,
         )
+        self._outdated = aioprometheus.Counter(
+            'clementinepass_outdated_answers_total',
+            'Answers that began on weights whose bound had passed.',
+            registry=registry,
+        )
         self._retries = aioprometheus.Counter(
             'clementinepass_repeats_total',
             'Decisions on sending once more.',
@@ -504,6 +510,26 @@
             version=attempt.endpoint.weights.version,
         ).info('another endpoint or version answered')
 
+    def log_outdated(
+        self,
+        admitted: serving.AdmittedRequest,
+        attempt: serving.Attempt,
+        late: float,
+    ) -> None:
+        """Log an answer that begins on weights that are too old.
+
+        :param late: seconds since the bound of the weights.
+        """
+        self._outdated.inc({'service': attempt.endpoint.listing.service})
+        logger.bind(
+            request=admitted.call.id,
+            attempt=attempt.number,
+            endpoint=attempt.peer,
+            version=attempt.weights_version,
+            late=round(late, 3),
+            seconds=round(_now() - attempt.started_at, 3),
+        ).warning('answer on outdated weights')
+
     def log_silent(
         self,
         admitted: serving.AdmittedRequest,
--- a/clementinepass/direct/serving.py
+++ b/clementinepass/direct/serving.py
@@ -190,6 +190,8 @@
     #: arrived, as the weights of the endpoint become too old; infinite if they
     #: do not, and once that event has arrived.
     start_deadline: float = math.inf
+    #: The version of the weights that answer; 0 if it is not known.
+    weights_version: int = 0
     #: Aborts the attempt at that time; ``None`` if it is infinite.
     start_timeout: asyncio.Timeout | None = None
     #: Monotonic time at which the endpoint last sent something before it was
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -146,6 +146,7 @@
     ),
     'fingerprints': Field('list', 'fingerprints of requests'),
     'first': Field('float or null', 'seconds to the first part of the answer'),
+    'from': Field('float', 'seconds since the time before the change'),
     'from_agents': Field('int', 'bytes fetched from agents'),
     'from_origin': Field('int', 'bytes fetched from the origin'),
     'guessed': Field(
@@ -170,6 +171,7 @@
     'last_answer_ago': Field(
         'float', 'seconds since the last answer of the store'
     ),
+    'late': Field('float', 'seconds after the bound'),
     'layers': Field('int', 'number of layers that the engine holds'),
     'left': Field('float', 'seconds until the final answer is due'),
     'lists_end': Field(
@@ -180,6 +182,9 @@
     'lost_for': Field('float', 'seconds for which the store was unavailable'),
     'missing': Field('int', 'number of missing pieces'),
     'model': Field('str', 'name of the model'),
+    'moved': Field(
+        'float', 'seconds by which the time changed; positive if it is later'
+    ),
     'news': Field('int', 'number of new records'),
     'node': Field('str', 'name of the machine'),
     'number': Field('int', 'number of the request on its connection, from 1'),
@@ -268,7 +273,11 @@
     ),
     'since': Field('float', 'seconds since SIGTERM'),
     'slots': Field('int', 'requests that the endpoint runs at once'),
-    'source': Field('str', 'IP address, origin or store'),
+    'source': Field(
+        'str',
+        'IP address, origin or store; of the time of a version also start (it '
+        'was named before this process started) or request for pieces',
+    ),
     'sources': Field('list', 'IP addresses; an empty string for the origin'),
     'started': Field(
         'int', 'start of the endpoint in Unix milliseconds; 0 if not reported'
@@ -287,6 +296,7 @@
         'str', 'first digits of a digest of the path with its query'
     ),
     'there': Field('int', 'version of the configuration in force at the peer'),
+    'to': Field('float', 'seconds since the time after the change'),
     'topic': Field('str', 'topic of the store: operator or endpoints'),
     'trouble': Field(
         'str', 'why the source is skipped: slow, failing, behind or silent'
@@ -294,6 +304,9 @@
     'urgency': Field('int', 'priority, by team and route; 0 is served first'),
     'used_for': Field('float', 'seconds for which the endpoint remains in use'),
     'version': Field('int', 'version of a configuration or of weights'),
+    'was_guessed': Field(
+        'bool', 'whether the time before the change was an estimate'
+    ),
     'wait': Field('float', 'waiting time in seconds'),
     'waited': Field(
         'float', 'seconds since the last event, or since the request arrived'
@@ -363,9 +376,13 @@
         'the records are fetched again from that peer',
     ),
     'version named': Kind(
-        'model version ago guessed',
+        'model version ago guessed source seconds',
         'the operator named a version of weights that engines are to load',
     ),
+    'version time changed': Kind(
+        'model version from to moved was_guessed guessed source',
+        'the bound on older weights moves by as much',
+    ),
     'endpoint listed': Kind(
         'endpoint service draining version layers offset started',
         'the state that an endpoint reports in the list changed',
@@ -494,6 +511,11 @@
         'request attempt endpoint answered_by version',
         'the request was not run',
     ),
+    'answer on outdated weights': Kind(
+        'request attempt endpoint version late seconds',
+        'the answer began after the bound of its weights; `seconds` since the '
+        'attempt began',
+    ),
     'passed over the answer to another request': Kind(
         'request',
         'it arrived where the answer to this request was expected',
--- a/clementinepass/platform/dialect.py
+++ b/clementinepass/platform/dialect.py
@@ -35,6 +35,9 @@
 #: Present if the endpoint did not run the request, whatever the status.
 _NOT_RUN_NAME = b'x-not-executed'
 _INSTANCE_NAME = b'x-instance-id'
+_WEIGHTS_VERSION_NAME = b'x-weight-versions'
+#: Longest version of weights in digits.
+_MAX_VERSION_DIGITS = 10
 _MISDIRECTED = 421
 _SUCCESS = range(200, 300)
 _EVENT_STREAM = b'text/event-stream'
@@ -144,6 +147,7 @@
             pairs=headers.end_to_end(_PRIVATE_HEADERS),
             instance=(headers.get(_INSTANCE_NAME) or b'').decode('latin-1'),
             notice=notices.read_notice(verdict, head),
+            weights_version=_parse_version(headers.get(_WEIGHTS_VERSION_NAME)),
         )
 
     def refusal_headers(self, call: calls.Call | None) -> list[messages.Pair]:
@@ -200,6 +204,16 @@
     return int(field)
 
 
+def _parse_version(field: bytes | None) -> int:
+    """Return the version of the weights; 0 if it is absent or malformed.
+
+    It is used for log lines only, so that a malformed one spoils no answer.
+    """
+    if field is None or not field.isdigit():
+        return 0
+    return int(field) if len(field) <= _MAX_VERSION_DIGITS else 0
+
+
 def _parse_usage(field: bytes | None) -> tuple[int, int]:
     """Return the number of tokens of the prompt and of the longest answer.
 
--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -166,6 +166,8 @@
         self.is_draining = False
         #: The limit of requests a second that all answers name, if any.
         self.named_limit: bytes | None = None
+        #: The version of the weights that all answers name, if any.
+        self.weights_version: bytes | None = None
         #: What it takes while it is cold.
         self.cold = cold_start.ColdLimit()
         #: Milliseconds of Unix time of its start.
@@ -414,6 +416,8 @@
             pairs.append((b'Server-Leaving', b'1'))
         if self.named_limit is not None:
             pairs.append((b'Server-Limit', self.named_limit))
+        if self.weights_version is not None:
+            pairs.append((b'X-Weight-Versions', self.weights_version))
         return pairs
 
 
--- a/tests/direct/test_cluster_state.py
+++ b/tests/direct/test_cluster_state.py
@@ -6,6 +6,7 @@
 import typing
 
 import testtools
+from loguru import logger
 
 from clementinepass.direct import (
     cluster_state,
@@ -179,6 +180,31 @@
         self.assertAlmostEqual(104 + bound, cluster.version_bound(engine, 2))
         self.assertEqual(math.inf, cluster.version_bound(engine, 3))
 
+    def test_changed_time_is_logged(self) -> None:
+        """A changed time of a version is logged with its source."""
+        lines: list[dict[str, typing.Any]] = []
+        sink = logger.add(
+            lambda line: lines.append(line.record['extra']),
+            filter=lambda record: record['message'] == 'version time changed',
+        )
+        self.addCleanup(logger.remove, sink)
+        cluster = cluster_state.ClusterState(LOCAL_NODE, clock=lambda: 100)
+        for since, is_guess in ((96, True), (93, False), (92.99, False)):
+            cluster.add_desired_version(
+                'm', 2, since, guessed=is_guess, source='10.0.0.8'
+            )
+        expected = {
+            'model': 'm',
+            'version': 2,
+            'from': 4,
+            'to': 7,
+            'moved': -3,
+            'was_guessed': True,
+            'guessed': False,
+            'source': '10.0.0.8',
+        }
+        self.assertEqual([expected], lines)
+
 
 class _Engine:
     """The part of an engine's configuration that the bound depends on."""
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import typing
 
 import testtools
+from loguru import logger
 
 from clementinepass.direct import endpoints, routing
 from clementinepass.http import channel, pool
@@ -538,6 +540,40 @@
 
         path_harness.run(scenario)
 
+    def test_answer_on_outdated_weights_is_logged(self) -> None:
+        """An answer that begins on weights past their bound leaves a line."""
+        lines: list[dict[str, typing.Any]] = []
+        sink = logger.add(
+            lambda line: lines.append(line.record['extra']),
+            filter=lambda record: (
+                record['message'] == 'answer on outdated weights'
+            ),
+        )
+        self.addCleanup(logger.remove, sink)
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            now = asyncio.get_running_loop().time()
+            versions = (b'1', b'2')
+            for endpoint, version in zip(
+                harness.endpoints, versions, strict=True
+            ):
+                endpoint.weights_version = version
+                harness.list_endpoint(
+                    endpoint, heartbeat=99, weights=endpoints.Weights(2, 0, 2)
+                )
+            harness.cluster.add_desired_version('m', 2, now - 60)
+            for _ in range(8):
+                await harness.send('/plain/a')
+            ran = len(harness.endpoints[0].ran)
+            self.assertGreater(ran, 0)
+            self.assertEqual(
+                ['i-0'] * ran, [line['endpoint'] for line in lines]
+            )
+            bound = path_harness.DUTIES.version
+            self.assertAlmostEqual(60 - bound, lines[0]['late'], delta=1)
+
+        path_harness.run(scenario)
+
     def test_abandoned_before_bound(self) -> None:
         """A request that has not started is abandoned before the bound.
 
