Close all sockets of an entry or agent that ends

An entry closed its callers' front only, and an agent nothing, so that no other could listen at the address within one program: a simulation could not kill a process and start one in its place. Both close their peers' sockets now, also if they are cancelled. An agent's cluster state reads the event loop's clock, as an entry's does.

Machines.kill and Machines.start use it.

--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -89,7 +89,7 @@
         self._local_node = local_node
         self._adapters = adapters
         self._rng = rng
-        self.cluster = cluster_state.ClusterState(local_node)
+        self.cluster = cluster_state.ClusterState(local_node, _loop_time)
         record_intake = intake.Intake(self.cluster, adapters.decoders)
         self._followers = record_intake.create_followers(adapters.store, rng)
         self._neighbours = neighbours.Neighbours(
@@ -142,24 +142,27 @@
         ).info(
             'agent started',
         )
-        async with asyncio.TaskGroup() as tasks:
-            workers = (
-                self._maintain_membership,
-                self._fetch_versions,
-                self._prepare_versions,
-                self._load_versions,
-                self._poll_for_slots,
-                self._announce_congestion,
-            )
-            running_tasks = [
-                tasks.create_task(background.keep_running(worker))
-                for worker in workers
-            ]
-            await stop.wait()
-            for task in running_tasks:
-                task.cancel()
-        if self._report is not None:
-            await self._announcer.withdraw_loading(self._report.weights)
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                workers = (
+                    self._maintain_membership,
+                    self._fetch_versions,
+                    self._prepare_versions,
+                    self._load_versions,
+                    self._poll_for_slots,
+                    self._announce_congestion,
+                )
+                running_tasks = [
+                    tasks.create_task(background.keep_running(worker))
+                    for worker in workers
+                ]
+                await stop.wait()
+                for task in running_tasks:
+                    task.cancel()
+            if self._report is not None:
+                await self._announcer.withdraw_loading(self._report.weights)
+        finally:
+            await self.peers.close()
         logger.bind(node=self._local_node.name).info('stopped')
 
     # Interface for the piece server.
@@ -457,6 +460,10 @@
         ).info('engine holds weights')
 
 
+def _loop_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _has_same_weights(
     previous: weights.EngineReport,
     report: weights.EngineReport,
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -202,22 +202,25 @@
             self.peers,
             self._drain_state,
         )
-        async with asyncio.TaskGroup() as tasks:
-            jobs = (
-                *(follower.run for follower in self._followers.values()),
-                self.peers.run,
-                self._clean_up,
-                self._become_ready,
-                self._subscribing.run,
-                self._store_watch.run,
-            )
-            running = [
-                tasks.create_task(background.keep_running(job)) for job in jobs
-            ]
-            await drainer.wait_until_drained()
-            for task in running:
-                task.cancel()
-        await self.front.close()
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                jobs = (
+                    *(follower.run for follower in self._followers.values()),
+                    self.peers.run,
+                    self._clean_up,
+                    self._become_ready,
+                    self._subscribing.run,
+                    self._store_watch.run,
+                )
+                running = [
+                    tasks.create_task(background.keep_running(job))
+                    for job in jobs
+                ]
+                await drainer.wait_until_drained()
+                for task in running:
+                    task.cancel()
+        finally:
+            await self._close()
 
     async def _listen(self) -> None:
         for listener, address in (
@@ -237,6 +240,10 @@
             'entry started',
         )
 
+    async def _close(self) -> None:
+        for listener in (self.front, self._directory_front, self.peers):
+            await listener.close()
+
     def _restart_reads(self, era: int) -> None:
         """Start reads of earlier eras of the store anew, once this one ends."""
         loop = asyncio.get_running_loop()
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -136,6 +136,12 @@
             self._local_node.ip, self._local_node.first_port
         )
 
+    async def close(self) -> None:
+        """Stop listening, and close the connections of peers."""
+        if self._transport is not None:
+            self._transport.close()
+        await self._front.close()
+
     @property
     def is_bootstrapping(self) -> bool:
         """Return whether some topic of the store has not been read yet."""
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -159,6 +159,10 @@
         self.entries: list[entry.Entry] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._entry_task_by_ip: dict[str, asyncio.Task[None]] = {}
+        self._agent_task_by_ip: dict[str, asyncio.Task[None]] = {}
+        #: The live entries and agents.
+        self.entry_by_ip: dict[str, entry.Entry] = {}
+        self.agent_by_ip: dict[str, agent.Agent] = {}
         self._regions = regions
         #: Entries at 127.1.0.x, engines at 127.2.0.x.
         self.entry_ips = [f'127.1.0.{one + 1}' for one in range(entries)]
@@ -228,6 +232,26 @@
         """End an entry without a word to anybody."""
         self._entry_task_by_ip[ip].cancel()
 
+    async def kill(self, ips: typing.Collection[str]) -> None:
+        """End entries and agents, so that others can start in their place."""
+        killed = []
+        for ip in ips:
+            self.entry_by_ip.pop(ip, None)
+            self.agent_by_ip.pop(ip, None)
+            tasks = (self._entry_task_by_ip, self._agent_task_by_ip)
+            killed += [task for one in tasks if (task := one.pop(ip, None))]
+        for task in killed:
+            task.cancel()
+        await asyncio.gather(*killed, return_exceptions=True)
+
+    def start(self, ips: typing.Collection[str]) -> None:
+        """Start entries and agents at addresses where some were killed."""
+        for ip in ips:
+            if ip in self.engine_ips:
+                self._start_agent(ip, self.engines[self.engine_ips.index(ip)])
+            else:
+                self._start_entry(ip)
+
     def list_desk(self, **changes: typing.Any) -> None:
         """Have the plain endpoint write of itself."""
         entry_of_desk = self.desk.entry('desk', 'a')
@@ -289,6 +313,7 @@
             random.Random(ip),
         )
         self.entries.append(one)
+        self.entry_by_ip[ip] = one
         task = asyncio.create_task(one.run())
         self._entry_task_by_ip[ip] = task
         self._tasks.append(task)
@@ -311,7 +336,10 @@
             aioprometheus.Registry(),
             random.Random(ip),
         )
-        self._tasks.append(asyncio.create_task(process.run()))
+        self.agent_by_ip[ip] = process
+        task = asyncio.create_task(process.run())
+        self._agent_task_by_ip[ip] = task
+        self._tasks.append(task)
 
     async def replace_desk(
         self, count: int
