--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -67,6 +67,8 @@
         #: Calls that are answered in a second; more are rejected.
         self.max_calls_per_second = math.inf
         self.rejected_calls = 0
+        #: Seconds that the newest records of a topic take.
+        self.newest_delay_by_topic: dict[str, float] = {}
         #: Bytes of records in a second that a read is answered with.
         self.bytes_per_second = math.inf
         self._calls_by_second: collections.Counter[int] = collections.Counter()
@@ -176,6 +178,9 @@
             self._append(topic, request.body, reply)
         elif path.endswith('log-newest'):
             self.newest_by_topic[query['topic']] += 1
+            await asyncio.sleep(
+                self.newest_delay_by_topic.get(query['topic'], 0)
+            )
             self._newest(topic, query.get('after', ''), reply)
         else:
             await self._read(topic, query, reply)
