Take a request for pieces of a version as a guess of its time

Cause: an agent that another one asks for pieces recorded the version as named at that moment, and as known. A known time takes the place of a guess, and all processes that had started since only guessed, so that the bound began anew at all of them. The request shows that the version has been named, and nothing of when: its time is a guess now, of which the earliest counts.

--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -170,8 +170,9 @@
     def pieces_of(self, model: str, version: int) -> pieces.Pieces | None:
         """Return the pieces of a version that are here or being fetched."""
         now = asyncio.get_running_loop().time()
+        # The request shows that the version was named, and not when.
         self.cluster.add_desired_version(
-            model, version, now, source=_REQUEST_SOURCE
+            model, version, now, guessed=True, source=_REQUEST_SOURCE
         )
         return self._loader.pieces_of(model, version)
 
