Bound the time of a version by when a process first heard of it

The class of the fault: what a process is told of a version can only make its time later by mistake. A version was named before anybody heard of it, but a known time that came late (from a heartbeat that waited on a full link, or from a process that took a question for the naming) moved a guess to a later time, without a limit.

The time is capped at the moment at which the process first heard of the version. Both new tests failed before. BoundTest.test_superseded_version recorded a naming four seconds ahead of its own clock, which the cap does not allow; its clock stands at the later naming now, and its assertions are the same.

--- a/clementinepass/decisions/desired_versions.py
+++ b/clementinepass/decisions/desired_versions.py
@@ -33,10 +33,17 @@
         which requests may not start on an older version.
     """
 
-    __slots__ = ('_deadline_seconds', 'guessed_versions', 'since_by_version')
+    __slots__ = (
+        '_deadline_seconds',
+        '_heard_at_by_version',
+        'guessed_versions',
+        'since_by_version',
+    )
 
     def __init__(self, deadline_seconds: float) -> None:
         self._deadline_seconds = deadline_seconds
+        #: Monotonic seconds at which each version was first heard of.
+        self._heard_at_by_version: dict[int, float] = {}
         #: Monotonic seconds at which each version became the desired one.
         self.since_by_version: dict[int, float] = {}
         #: Versions for which that time is a guess.
@@ -53,6 +60,7 @@
         since: float,
         *,
         is_guess: bool = False,
+        heard_at: float = math.inf,
     ) -> bool:
         """Record when a version became the desired one.
 
@@ -60,13 +68,16 @@
         learned of the version late cannot know the time. A process that started
         after the version became desired has to guess the time. The guess is
         replaced by a known time, and is ignored if one has been recorded
-        already.
+        already. No time is later than when the version was first heard of.
 
         :param since: monotonic seconds at which the version became the desired
             one.
         :param is_guess: whether ``since`` is a guess.
+        :param heard_at: monotonic seconds at which this process hears of it.
         :returns: whether the version is new and the newest one.
         """
+        first_heard_at = self._heard_at_by_version.setdefault(version, heard_at)
+        since = min(since, first_heard_at)
         known_since = self.since_by_version.get(version)
         if known_since is None:
             self._add(version, since, is_guess=is_guess)
@@ -112,4 +123,5 @@
         if len(self.since_by_version) > _MAX_VERSIONS:
             oldest = min(self.since_by_version)
             del self.since_by_version[oldest]
+            self._heard_at_by_version.pop(oldest, None)
             self.guessed_versions.discard(oldest)
--- a/clementinepass/direct/cluster_state.py
+++ b/clementinepass/direct/cluster_state.py
@@ -171,7 +171,9 @@
             versions = desired_versions.DesiredVersions(bound)
             self._desired_by_model[model] = versions
         before = versions.naming(version)
-        is_newest = versions.record(version, since, is_guess=guessed)
+        is_newest = versions.record(
+            version, since, is_guess=guessed, heard_at=self._clock()
+        )
         after = versions.naming(version)
         if before is not None and after is not None:
             self._log_time_change(model, version, before, after, source)
@@ -180,7 +182,7 @@
         logger.bind(
             model=model,
             version=version,
-            ago=round(self._clock() - since, 3),
+            ago=round(self._clock() - versions.since_by_version[version], 3),
             guessed=guessed,
             source=source,
             seconds=uptime.seconds(),
--- a/tests/decisions/test_direct_decisions.py
+++ b/tests/decisions/test_direct_decisions.py
@@ -320,6 +320,22 @@
         self.assertEqual(106, versions.usable_until(1))
         self.assertEqual(set(), versions.guessed_versions)
 
+    def test_time_is_no_later_than_first_heard(self) -> None:
+        """A known time that comes late does not move the deadline.
+
+        A heartbeat that waits on a congested link makes its ages too small.
+        """
+        versions = desired_versions.DesiredVersions(8)
+        versions.record(2, 95, is_guess=True, heard_at=98)
+        versions.record(2, 101, heard_at=101)
+        self.assertEqual(106, versions.usable_until(1))
+
+    def test_guess_is_no_later_than_first_heard(self) -> None:
+        """A guess is not later than when the process heard of the version."""
+        versions = desired_versions.DesiredVersions(8)
+        versions.record(2, 103, is_guess=True, heard_at=100)
+        self.assertEqual(108, versions.usable_until(1))
+
 
 class SupersedingTest(testtools.TestCase):
     """The option with the shorter gap without a usable version is chosen."""
--- a/tests/direct/test_cluster_state.py
+++ b/tests/direct/test_cluster_state.py
@@ -170,7 +170,7 @@
 
         Otherwise engines take turns to load beyond that bound.
         """
-        cluster = cluster_state.ClusterState(LOCAL_NODE, clock=lambda: 100)
+        cluster = cluster_state.ClusterState(LOCAL_NODE, clock=lambda: 104)
         for version, since in ((2, 100), (3, 104)):
             cluster.add_desired_version('m', version, since)
         engine = typing.cast('routing.Engine', _Engine())
