Take the time of a version for known only if its record is read as it is written

Looked for where else a word about a version counted as its naming. A record did so whenever the operator's records had been read before: taken from a peer, seconds late on a full link; read by an agent, which gets records up to 4 s late; and read once more, after a peer had a newer configuration. The last one moved a guess by 5.4 s, at an entry that had started after the naming. None is known to be the customers' cause.

The follower tells whether it applies what it has read from the store since its last read; any other time is a guess, until a peer tells the known one. Three of the four new tests failed before.

--- a/clementinepass/direct/follower.py
+++ b/clementinepass/direct/follower.py
@@ -102,6 +102,7 @@
         'peer_wait_seconds',
         'received_bytes_by_source',
         'is_initialized',
+        'is_reading_changes',
         'on_missed_changes',
         'on_changes',
         'topic',
@@ -140,6 +141,9 @@
         self.received_bytes_by_source = collections.Counter()
         #: Whether the topic has been read, from the store or from a peer.
         self.is_initialized = False
+        #: Whether the records that are being applied were written since this
+        #: process last read the store, and read from it as they changed.
+        self.is_reading_changes = False
         #: Seconds after the start in which a peer may supply the first records
         #: before the store is read.
         self.peer_wait_seconds: float = 0
@@ -324,7 +328,7 @@
         page = await self._store.newest(self.topic)
         self._record_contact()
         self._record_read(page)
-        self.apply(page._replace(is_snapshot=True))
+        self._apply_read(page._replace(is_snapshot=True))
         return self._read_changes
 
     async def _read_changes(self) -> typing.Any:
@@ -338,7 +342,7 @@
         self._record_contact()
         self._record_read(page)
         self._has_changes = bool(page.records)
-        new_count = self.apply(page)
+        new_count = self._apply_read(page)
         if was_unreachable and new_count and self.on_missed_changes is not None:
             self.on_missed_changes()
         if self._has_changes:
@@ -348,6 +352,14 @@
             await asyncio.sleep(due_at - asyncio.get_running_loop().time())
         return self._read_changes
 
+    def _apply_read(self, page: records.Page) -> int:
+        """Apply a page that this process has read from the store."""
+        self.is_reading_changes = self.is_initialized
+        try:
+            return self.apply(page)
+        finally:
+            self.is_reading_changes = False
+
     async def _wait_for_changes(self, seconds: float) -> records.Page | None:
         """Return the changes; ``None`` if the read has to start anew."""
         self._read_era = self.state.era
--- a/clementinepass/direct/intake.py
+++ b/clementinepass/direct/intake.py
@@ -125,23 +125,34 @@
             self._log_malformed(record, error)
             return
         if isinstance(decoded, DesiredVersion):
-            now = asyncio.get_running_loop().time()
-            if (
-                self._operator_follower is not None
-                and not self._operator_follower.is_initialized
-            ):
-                self._cluster.add_earlier_desired_version(
-                    decoded.model, decoded.version, now
-                )
-            else:
-                self._cluster.add_desired_version(
-                    decoded.model, decoded.version, now
-                )
+            self._apply_desired_version(decoded)
         elif isinstance(decoded, evacuation.Evacuation):
             self._cluster.evacuated.apply(decoded)
         elif decoded is not None:
             self._cluster.apply_configuration(decoded)
 
+    def _apply_desired_version(self, desired: DesiredVersion) -> None:
+        """Record a desired version; its time is known if it was just written.
+
+        Records of a peer, and those that are read again, were written earlier.
+        """
+        now = asyncio.get_running_loop().time()
+        operator_follower = self._operator_follower
+        if operator_follower is not None and (
+            not operator_follower.is_initialized
+        ):
+            self._cluster.add_earlier_desired_version(
+                desired.model, desired.version, now
+            )
+            return
+        self._cluster.add_desired_version(
+            desired.model,
+            desired.version,
+            now,
+            guessed=operator_follower is None
+            or not operator_follower.is_reading_changes,
+        )
+
     def _is_newer_operator_record(
         self, record: records.Record, known: records.Record
     ) -> bool:
--- a/tests/direct/test_intake.py
+++ b/tests/direct/test_intake.py
@@ -10,15 +10,28 @@
 import testtools
 from loguru import logger
 
-from clementinepass.direct import cluster_state, follower, intake, records
+from clementinepass.direct import (
+    cluster_state,
+    follower,
+    heartbeats,
+    intake,
+    records,
+)
 from clementinepass.platform import operator, registry
 from standins import skipped_time
 from tests.direct import test_cluster_state
 from tests.platform import test_registry
 
+if typing.TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
 DECODERS = intake.Decoders(
     operator=operator.decode_record, endpoint=registry.decode_record
 )
+CONFIG_RECORD = records.Record(
+    'config', 0, b'{"version":3,"routes":[],"services":[]}'
+)
+VERSION_RECORD = records.Record('version/m', 1, b'{"model":"m","version":2}')
 
 
 class _NoStore:
@@ -126,6 +139,103 @@
         self.assertEqual(2, len(self.lines))
 
 
+class _Store:
+    """A store with one configuration, to which records are added."""
+
+    def __init__(self) -> None:
+        self._page = asyncio.get_running_loop().create_future()
+
+    async def newest(self, topic: records.Topic) -> records.Page:
+        """Return the configuration."""
+        return records.Page((CONFIG_RECORD,), 1)
+
+    async def changes(
+        self, topic: records.Topic, offset: int, seconds: float
+    ) -> records.Page:
+        """Wait for records that are added."""
+        page: records.Page = await self._page
+        self._page = asyncio.get_running_loop().create_future()
+        return page
+
+    def add(self, page: records.Page) -> None:
+        """Add records."""
+        self._page.set_result(page)
+
+
+class VersionTimeTest(testtools.TestCase):
+    """Only a version that is read as it is written has a known time."""
+
+    def known_version(
+        self, play: Callable[[follower.Follower, _Store], Awaitable[None]]
+    ) -> heartbeats.DesiredVersion:
+        """Return what an entry tells of the version after a play."""
+
+        async def scenario() -> heartbeats.DesiredVersion:
+            loop = asyncio.get_running_loop()
+            cluster = cluster_state.ClusterState(
+                test_cluster_state.LOCAL_NODE, loop.time
+            )
+            store = _Store()
+            operator_follower = intake.Intake(
+                cluster, DECODERS
+            ).create_followers(
+                typing.cast('records.Store', store), random.Random(1)
+            )[records.Topic.OPERATOR]
+            await play(operator_follower, store)
+            (known,) = cluster.desired_versions(loop.time())
+            return known
+
+        return skipped_time.run(scenario())
+
+    def test_read_as_it_is_written(self) -> None:
+        """An entry that reads the store knows the time."""
+
+        async def play(topic: follower.Follower, store: _Store) -> None:
+            async with asyncio.TaskGroup() as tasks:
+                task = tasks.create_task(topic.run())
+                await asyncio.sleep(20)
+                store.add(records.Page((VERSION_RECORD,), 2))
+                await asyncio.sleep(1)
+                task.cancel()
+
+        known = self.known_version(play)
+        self.assertFalse(known.guessed)
+        self.assertAlmostEqual(1, known.age, delta=0.1)
+
+    def test_from_a_peer(self) -> None:
+        """Records of a peer come late: the time is an estimate."""
+
+        async def play(topic: follower.Follower, store: _Store) -> None:
+            topic.apply(records.Page((CONFIG_RECORD,), 1))
+            topic.apply(records.Page((VERSION_RECORD,), 2), '10.0.0.8')
+
+        self.assertTrue(self.known_version(play).guessed)
+
+    def test_read_by_an_agent(self) -> None:
+        """An agent reads the newest records late: the time is an estimate."""
+
+        async def play(topic: follower.Follower, store: _Store) -> None:
+            topic.apply(records.Page((CONFIG_RECORD,), 1))
+            page = records.Page((CONFIG_RECORD, VERSION_RECORD), 2)
+            topic.apply(page)
+
+        self.assertTrue(self.known_version(play).guessed)
+
+    def test_read_again(self) -> None:
+        """A record that is read again does not name the version again."""
+
+        async def play(topic: follower.Follower, store: _Store) -> None:
+            page = records.Page((CONFIG_RECORD, VERSION_RECORD), 2)
+            topic.apply(page)
+            await asyncio.sleep(1)
+            topic.reapply(page)
+
+        known = self.known_version(play)
+        self.assertTrue(known.guessed)
+        limits = test_cluster_state.LOCAL_NODE.duties
+        self.assertGreater(known.age, limits.version - limits.settling)
+
+
 class LapseTest(testtools.TestCase):
     """Endpoints that are removed from the list after an outage of the store.
 
