Count the grace for older weights from a process's start

A process that starts after a version was named allows older weights for two seconds, while the bound does not apply to it. The time counted from its reading of the operator's records. Where these came late (a slow store, many processes that start at once on one machine) an entry allowed older weights while it was bound: in the simulation with reads of 1.8 s up to 5.5 s after its start, 3 s allowed, at all five entries.

The grace counts from the import of the daemon's first module. Both tests (test_version_bound.test_slow_start, test_machines_daemon.test_slow_start, with a real process) failed before.

--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -77,6 +77,8 @@
 
     :param local_node: the local node.
     :param adapters: adapters to the engine, the origin and the store.
+    :param started_at: monotonic seconds at which the process started; now if
+        absent.
     """
 
     def __init__(
@@ -85,11 +87,14 @@
         adapters: PlatformAdapters,
         registry: aioprometheus.Registry,
         rng: random.Random,
+        started_at: float | None = None,
     ) -> None:
         self._local_node = local_node
         self._adapters = adapters
         self._rng = rng
-        self.cluster = cluster_state.ClusterState(local_node, _loop_time)
+        self.cluster = cluster_state.ClusterState(
+            local_node, _loop_time, started_at
+        )
         record_intake = intake.Intake(self.cluster, adapters.decoders)
         self._followers = record_intake.create_followers(adapters.store, rng)
         self._neighbours = neighbours.Neighbours(
--- a/clementinepass/direct/cluster_state.py
+++ b/clementinepass/direct/cluster_state.py
@@ -40,8 +40,9 @@
 #: agent repeats it each second while pieces arrive slowly.
 _CONGESTION_LIFETIME_SECONDS = 2.5
 #: Seconds subtracted from the settling time, in which the bound on older
-#: versions does not apply to a process that has just started: its own start
-#: takes some of that time, and a request may wait at an engine.
+#: versions does not apply to a process that has just started: the interpreter
+#: starts before the process knows its clock, and a request may wait at an
+#: engine.
 _STARTUP_MARGIN_SECONDS = 1.0
 
 #: Shift of a version's time from which on it is logged. Ages in heartbeats
@@ -64,6 +65,8 @@
 
     :param local_node: the local node.
     :param clock: returns monotonic seconds, the same as the event loop's.
+    :param started_at: monotonic seconds at which the process started; now if
+        absent.
     """
 
     __slots__ = (
@@ -71,6 +74,7 @@
         '_desired_by_model',
         '_local_node',
         '_slow_seen_at_by_service',
+        '_started_at',
         'cold',
         'crash_evidence',
         'ejector',
@@ -87,9 +91,11 @@
         self,
         local_node: node.Node,
         clock: Callable[[], float] = time.monotonic,
+        started_at: float | None = None,
     ) -> None:
         self._local_node = local_node
         self._clock = clock
+        self._started_at = clock() if started_at is None else started_at
         #: Called when a newer desired version is known, to announce it at once.
         self.on_desired_version: Callable[[], None] | None = None
         #: Returns the monotonic seconds of the last contact for the operator's
@@ -191,18 +197,17 @@
             self.on_desired_version()
         return True
 
-    def add_earlier_desired_version(
-        self, model: str, version: int, now: float
-    ) -> None:
+    def add_earlier_desired_version(self, model: str, version: int) -> None:
         """Record a desired version that was written before this process began.
 
         Its time is unknown unless peers report it. The estimate allows older
         versions for as long as the bound does not apply to a process that has
-        just started, and no longer.
+        just started, and no longer, however late it reads the record.
         """
         duties = self._local_node.duties
         grace = max(duties.settling - _STARTUP_MARGIN_SECONDS, 0)
-        since = now + grace + _VERSION_MARGIN_SECONDS - duties.version
+        usable_until = self._started_at + grace
+        since = usable_until + _VERSION_MARGIN_SECONDS - duties.version
         self.add_desired_version(
             model, version, since, guessed=True, source=_START_SOURCE
         )
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -56,6 +56,8 @@
     :param local_node: identity, addresses and limits of the entry.
     :param adapters: adapters to callers, endpoints and the store.
     :param registry: where metrics are registered.
+    :param started_at: monotonic seconds at which the process started; now if
+        absent.
     """
 
     def __init__(
@@ -64,10 +66,13 @@
         adapters: PlatformAdapters,
         registry: aioprometheus.Registry,
         rng: random.Random,
+        started_at: float | None = None,
     ) -> None:
         self._local_node = local_node
         self._adapters = adapters
-        self.cluster = cluster_state.ClusterState(local_node, _loop_time)
+        self.cluster = cluster_state.ClusterState(
+            local_node, _loop_time, started_at
+        )
         record_intake = intake.Intake(self.cluster, adapters.decoders)
         self._followers = record_intake.create_followers(adapters.store, rng)
         start_delay = start_reading.read_delay(
--- a/clementinepass/direct/intake.py
+++ b/clementinepass/direct/intake.py
@@ -136,19 +136,18 @@
 
         Records of a peer, and those that are read again, were written earlier.
         """
-        now = asyncio.get_running_loop().time()
         operator_follower = self._operator_follower
         if operator_follower is not None and (
             not operator_follower.is_initialized
         ):
             self._cluster.add_earlier_desired_version(
-                desired.model, desired.version, now
+                desired.model, desired.version
             )
             return
         self._cluster.add_desired_version(
             desired.model,
             desired.version,
-            now,
+            asyncio.get_running_loop().time(),
             guessed=operator_follower is None
             or not operator_follower.is_reading_changes,
         )
--- a/clementinepass/machines.py
+++ b/clementinepass/machines.py
@@ -7,6 +7,9 @@
 
 from __future__ import annotations
 
+# Imported first, as it keeps the time at which this process started.
+from clementinepass.direct import uptime
+
 import asyncio
 import contextlib
 import gc
@@ -117,6 +120,7 @@
         adapters,
         metrics_registry,
         random.Random(),
+        uptime.STARTED_AT,
     )
     metrics = exposition.MetricsServer(metrics_registry, process.gauges.update)
     await metrics.listen(local_node.ip)
@@ -136,7 +140,11 @@
     )
     metrics_registry = aioprometheus.Registry()
     process = agent.Agent(
-        local_node, adapters, metrics_registry, random.Random()
+        local_node,
+        adapters,
+        metrics_registry,
+        random.Random(),
+        uptime.STARTED_AT,
     )
     metrics = exposition.MetricsServer(metrics_registry, process.gauges.update)
     await metrics.listen(local_node.ip)
--- a/tests/direct/test_version_bound.py
+++ b/tests/direct/test_version_bound.py
@@ -26,6 +26,8 @@
 LOOK_SECONDS = 0.05
 #: Seconds by which the time that a process knows may be late.
 MAX_DELAY_SECONDS = 1
+#: Seconds that a slow read of the operator's records takes.
+SLOW_READ_SECONDS = 1.8
 #: Seconds that a killed process is away.
 AWAY_SECONDS = 0.5
 #: Seconds for which a simulation goes on after the version was named.
@@ -102,6 +104,12 @@
             await asyncio.sleep(1)
             await self.kill(self._draw(self._world.entry_ips, 0.5))
 
+    async def kill_before_slow_reads(self) -> None:
+        """Kill all shortly before the bound, and let reads take seconds."""
+        await asyncio.sleep(DUTIES.version - 1)
+        self._world.store.newest_delay_by_topic['keyed.op'] = SLOW_READ_SECONDS
+        await self.kill(self._ips)
+
     async def kill_at_random(self) -> None:
         """Kill all, some or the entries alone, at random moments."""
         for _ in range(self._rng.randint(2, 6)):
@@ -168,6 +176,12 @@
         self.assertEqual([], simulation.late_times)
         self.assertEqual([], simulation.late_entries)
 
+    def test_slow_start(self) -> None:
+        """A process that reads the records late is not bound later."""
+        simulation = _Simulation(1)
+        skipped_time.run(simulation.run(simulation.kill_before_slow_reads))
+        self.assertEqual([], simulation.late_entries)
+
     def test_killed_at_random(self) -> None:
         """Kills in any order do not move the bound."""
         late_times = []
--- a/tests/test_machines_daemon.py
+++ b/tests/test_machines_daemon.py
@@ -13,7 +13,7 @@
 
 import testtools
 
-from clementinepass.direct import exposition
+from clementinepass.direct import exposition, node
 from clementinepass.http import messages, pool
 from standins import direct_endpoint, keyed_store, machines
 
@@ -161,6 +161,30 @@
 
         asyncio.run(run_daemon())
 
+    def test_slow_start(self) -> None:
+        """Older weights are allowed from the start on, not from a late read."""
+        read_seconds = 0.7
+
+        async def run_daemon() -> dict[str, typing.Any]:
+            async with asyncio.timeout(60), keyed_store.KeyedStore() as store:
+                store.put('keyed.op', 'config', machines.CONFIG)
+                version = {'model': 'm', 'version': 2}
+                store.put('keyed.op', 'version/m', version)
+                store.newest_delay_by_topic['keyed.op'] = read_seconds
+                daemon = Daemon(store.address)
+                try:
+                    await daemon.start()
+                    return await daemon.wait_for_line('version named')
+                finally:
+                    await daemon.ensure_killed()
+
+        line = asyncio.run(run_daemon())
+        self.assertGreater(line['seconds'], read_seconds)
+        allowed_seconds = node.SystemLimits().version - line['ago']
+        self.assertLess(
+            line['seconds'] + allowed_seconds, node.SystemLimits().settling
+        )
+
     async def _stop_while_unread(
         self, daemon: Daemon, desk: direct_endpoint.DirectEndpoint
     ) -> None:
