Keep the bound of a version however many are named after it

Twenty versions in two seconds moved the bound by 1.2 s (the first new test, failing before).

A version is forgotten once a newer one is past its bound; of too many the two oldest become one, with the earlier bound.

--- a/clementinepass/decisions/desired_versions.py
+++ b/clementinepass/decisions/desired_versions.py
@@ -11,8 +11,8 @@
 import math
 import typing
 
-#: Versions that are remembered. The deadlines of older ones are long past.
-_MAX_VERSIONS = 8
+#: Most versions that are remembered: heartbeats carry all of them.
+_MAX_VERSIONS = 16
 
 
 class Naming(typing.NamedTuple):
@@ -36,12 +36,15 @@
     __slots__ = (
         '_deadline_seconds',
         '_heard_at_by_version',
+        '_oldest_needed',
         'guessed_versions',
         'since_by_version',
     )
 
     def __init__(self, deadline_seconds: float) -> None:
         self._deadline_seconds = deadline_seconds
+        #: The oldest version whose deadline still matters.
+        self._oldest_needed = 0
         #: Monotonic seconds at which each version was first heard of.
         self._heard_at_by_version: dict[int, float] = {}
         #: Monotonic seconds at which each version became the desired one.
@@ -76,11 +79,17 @@
         :param heard_at: monotonic seconds at which this process hears of it.
         :returns: whether the version is new and the newest one.
         """
+        if self._is_superseded(version):
+            return False
         first_heard_at = self._heard_at_by_version.setdefault(version, heard_at)
         since = min(since, first_heard_at)
         known_since = self.since_by_version.get(version)
         if known_since is None:
-            self._add(version, since, is_guess=is_guess)
+            self.since_by_version[version] = since
+            if is_guess:
+                self.guessed_versions.add(version)
+            self._remove_superseded(heard_at)
+            self._limit_count()
             return version == self.newest
         if version in self.guessed_versions and not is_guess:
             self.guessed_versions.discard(version)
@@ -116,12 +125,46 @@
             default=0,
         )
 
-    def _add(self, version: int, since: float, *, is_guess: bool) -> None:
-        self.since_by_version[version] = since
-        if is_guess:
-            self.guessed_versions.add(version)
-        if len(self.since_by_version) > _MAX_VERSIONS:
-            oldest = min(self.since_by_version)
-            del self.since_by_version[oldest]
-            self._heard_at_by_version.pop(oldest, None)
-            self.guessed_versions.discard(oldest)
+    def _is_superseded(self, version: int) -> bool:
+        """Return whether the deadline of a newer version made one redundant."""
+        return version < self._oldest_needed
+
+    def _remove_superseded(self, now: float) -> None:
+        """Forget the versions before the newest whose deadline has passed.
+
+        A guess does not count, since a known time that is later may follow.
+        """
+        if now == math.inf:
+            return
+        self._oldest_needed = max(
+            (
+                version
+                for version, since in self.since_by_version.items()
+                if version not in self.guessed_versions
+                and now >= since + self._deadline_seconds
+            ),
+            default=self._oldest_needed,
+        )
+        for version in list(self.since_by_version):
+            if self._is_superseded(version):
+                self._forget(version)
+
+    def _limit_count(self) -> None:
+        """Merge the two oldest versions if there are too many.
+
+        The earlier deadline is kept, so that no bound moves to a later time.
+        """
+        if len(self.since_by_version) <= _MAX_VERSIONS:
+            return
+        oldest, following = sorted(self.since_by_version)[:2]
+        self.since_by_version[following] = min(
+            self.since_by_version[oldest], self.since_by_version[following]
+        )
+        if oldest in self.guessed_versions:
+            self.guessed_versions.add(following)
+        self._forget(oldest)
+
+    def _forget(self, version: int) -> None:
+        del self.since_by_version[version]
+        self._heard_at_by_version.pop(version, None)
+        self.guessed_versions.discard(version)
--- a/tests/decisions/test_direct_decisions.py
+++ b/tests/decisions/test_direct_decisions.py
@@ -330,6 +330,24 @@
         versions.record(2, 101, heard_at=101)
         self.assertEqual(106, versions.usable_until(1))
 
+    def test_many_versions_within_the_bound(self) -> None:
+        """A bound is kept until it has passed, however many versions follow."""
+        versions = desired_versions.DesiredVersions(8)
+        for version in range(2, 22):
+            since = 100 + 0.1 * version
+            versions.record(version, since, heard_at=since)
+        self.assertAlmostEqual(108.2, versions.usable_until(1))
+        self.assertGreaterEqual(versions.oldest_allowed(108.25), 2)
+
+    def test_versions_past_their_bound_are_forgotten(self) -> None:
+        """Only versions that still bound others are kept."""
+        versions = desired_versions.DesiredVersions(8)
+        for version in range(2, 200):
+            since = 100.0 * version
+            versions.record(version, since, heard_at=since)
+        self.assertEqual({198, 199}, set(versions.since_by_version))
+        self.assertEqual(198, versions.oldest_allowed(19900))
+
     def test_guess_is_no_later_than_first_heard(self) -> None:
         """A guess is not later than when the process heard of the version."""
         versions = desired_versions.DesiredVersions(8)
