Read the list beside records whose keys are not valid text

From the report of other operators: one odd entry, and processes that read the list ended or stopped following it.

Such records are left out: their keys are no valid ids. How the users' store writes such keys is not known.

--- a/clementinepass/platform/store.py
+++ b/clementinepass/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import itertools
+import json
 import typing
 import urllib.parse
 
@@ -43,6 +44,8 @@
 _LONG_READ_GRACE_SECONDS = 0.6
 #: Timeout of a read of the end of a topic.
 _END_TIMEOUT_SECONDS = 0.8
+#: Errors raised for a body that is no page of records.
+_PAGE_ERRORS = (LookupError, RecursionError, TypeError, ValueError)
 #: A key behind all others.
 _LAST_KEY = '\U0010ffff'
 #: Timeout of a write or of a read of the newest records; a slow store needs
@@ -227,12 +230,7 @@
             seconds=seconds,
         )
         self._check(answer, 'newest')
-        page = decoding.decode(
-            answer.body,
-            _NewestPage,
-            'newest',
-            self._address,
-        )
+        page = _decode_newest_page(answer.body, self._address)
         page.size_bytes = len(answer.body)
         page.era = _era(answer, self._era)
         return page
@@ -314,12 +312,52 @@
     return len(record).to_bytes(_LENGTH_BYTES, 'big') + record
 
 
+def _decode_newest_page(body: bytes, peer: str) -> _NewestPage:
+    """Decode a page of newest records.
+
+    Records of other writers whose keys are not valid text are left out: they
+    would fail the page, and no process that starts could read the topic.
+
+    :raises MalformedMessageError: the body is not such a page.
+    """
+    try:
+        return decoding.decode(body, _NewestPage, 'newest', peer)
+    except errors.MalformedMessageError:
+        return decoding.decode(
+            _drop_odd_keys(body, peer), _NewestPage, 'newest', peer
+        )
+
+
+def _drop_odd_keys(body: bytes, peer: str) -> bytes:
+    """Return a page without the records whose keys are not valid text.
+
+    :raises MalformedMessageError: the body is not a page.
+    """
+    text = body.decode(errors='surrogateescape')
+    try:
+        # Unlike msgspec, this decoder accepts lone surrogates.
+        page = json.loads(text)
+        page['entries'] = list(filter(_has_text_key, page['entries']))
+        return json.dumps(page).encode()
+    except _PAGE_ERRORS as error:
+        raise decoding.malformed_error(str(error), 'newest', peer) from error
+
+
+def _has_text_key(entry: dict[str, typing.Any]) -> bool:
+    """Return whether a record's key can be encoded."""
+    try:
+        entry['key'].encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _decode_newest(newest: _NewestRecord, first_offset: int) -> records.Record:
     try:
         payload = base64.b64decode(newest.value)
     except ValueError:
         # The decoder of records reports it and skips this record alone.
-        payload = newest.value.encode()
+        payload = newest.value.encode(errors='replace')
     # An empty value marks a removed key.
     offset = first_offset + newest.offset
     return records.Record(newest.key, offset, payload or None)
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -11,6 +11,7 @@
 import base64
 import collections
 import contextlib
+import json
 import math
 import typing
 import urllib.parse
@@ -31,6 +32,8 @@
 _LENGTH_BYTES = 4
 _OFFSET_BYTES = 8
 _ERA_HEADER = b'Store-Era'
+#: Most records in a page of the newest ones.
+_MAX_NEWEST = 500
 
 
 #: Key and value of each record; ``None`` for a removal.
@@ -210,15 +213,21 @@
         }
         entries = [
             {
-                'key': key.decode(errors='replace'),
+                'key': key.decode(errors='surrogateescape'),
                 'offset': offset,
                 'value': base64.b64encode(payload).decode(),
             }
             for key, (offset, payload) in sorted(newest.items())
             if payload is not None and key > after.encode()
         ]
-        answer = {'entries': entries, 'endOffset': len(topic.records)}
-        self._send(reply, _OK, msgspec.json.encode(answer))
+        page = entries[:_MAX_NEWEST]
+        answer = {
+            'entries': page,
+            'endOffset': len(topic.records),
+            'hasMore': len(entries) > len(page),
+        }
+        # Unlike msgspec, it encodes the lone surrogates of odd keys.
+        self._send(reply, _OK, json.dumps(answer).encode())
 
     async def _read(
         self,
