--- a/clementinepass/platform/decoding.py
+++ b/clementinepass/platform/decoding.py
@@ -27,6 +27,8 @@
 Counter = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_INT64)]
 #: Unix time in milliseconds.
 UnixMilliseconds = typing.Annotated[int, msgspec.Meta(ge=1, le=_MAX_INT64)]
+#: Milliseconds of up to a day.
+Milliseconds = typing.Annotated[float, msgspec.Meta(ge=0, le=86_400_000)]
 #: Number of a model's layer; heartbeats encode it in 16 bits.
 LayerNumber = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
--- a/clementinepass/platform/registry.py
+++ b/clementinepass/platform/registry.py
@@ -56,7 +56,7 @@
     models: list[Model] = []
     layers: Layers | list[Layers] | None = None
     #: Milliseconds for which the endpoint stays cold.
-    cold_left_ms: float = 0
+    cold_left_ms: decoding.Milliseconds = 0
     #: ``version`` is not used. It is declared since a value of another type
     #: shows that the record is not an endpoint's.
     version: str = ''
--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -108,6 +108,9 @@
     ),
     ('a software version that is a number', endpoint_record(version=1)),
     ('a cold time as text', endpoint_record(coldLeftMs='0')),
+    ('a negative cold time', endpoint_record(coldLeftMs=-1)),
+    ('a cold time of a year', endpoint_record(coldLeftMs=3e10)),
+    ('a cold time without end', endpoint_record(coldLeftMs=1e308)),
 )
 #: Keys that are not valid ids. Ids are copied to request heads, heartbeats and
 #: the log.
