Take no answer whose connection ends inside its head

From the report of other operators: clients got a 200 with an empty body, framed as whole, of a worker that stopped inside its answer's head. On the path by way of agents this happened: the standard library takes the end of the connection for the end of the head.

Calls to endpoints go over a connection that requires the whole head; its error says that the request may have run. test_half_head failed before, and test_whole_head guards what must still be taken.

On the direct path it does not happen: tests with the connection closed and reset at each byte of four answers, trailers included, and for requests that may run once, passed at once. Answers of the platform's services stay as they are: they hold JSON or pieces with digests, so that an empty body is malformed.

--- a/clementinepass/endpoints/transport.py
+++ b/clementinepass/endpoints/transport.py
@@ -193,7 +193,7 @@
     ) -> urllib3.connection.HTTPConnection:
         """Open a connection; on failure, nothing has been sent."""
         host, _, port = self.peer.rpartition(':')
-        connection = urllib3.connection.HTTPConnection(
+        connection = http_bodies.Connection(
             host.strip('[]'),
             int(port),
             timeout=self.limits.connect_timeout,
--- a/standins/direct_endpoint.py
+++ b/standins/direct_endpoint.py
@@ -57,6 +57,8 @@
     UNFRAMED = 'unframed'
     #: The same, and the process ends.
     ENDS_AFTER_ANSWER = 'ends_after_answer'
+    #: Runs, and the connection ends inside the head of an empty answer.
+    HALF_HEAD = 'half_head'
     #: Runs, and the stream is cut in the middle of an event.
     CUT = 'cut'
     #: Runs, and nothing comes.
@@ -285,8 +287,8 @@
     ) -> None:
         if fault in _ENDLESS_ANSWERS:
             await self._answer_without_end(request, reply, fault)
-        if fault is Fault.LOST:
-            reply.abort()
+        if fault in {Fault.LOST, Fault.HALF_HEAD}:
+            self._break_off(request, reply, fault)
         elif fault is Fault.CRASH:
             await self._crash_by_request()
         elif fault is Fault.MUTE:
@@ -296,6 +298,18 @@
         else:
             await self._succeed(request, reply, fault)
 
+    def _break_off(
+        self,
+        request: messages.Request,
+        reply: replies.Reply,
+        fault: Fault | None,
+    ) -> None:
+        if fault is Fault.HALF_HEAD:
+            pairs = [*self._marked(request), (b'Content-Length', b'0')]
+            head = messages.encode_head(_OK, pairs)
+            reply._connection.write(head.removesuffix(b'\r\n'))
+        reply.abort()
+
     async def _answer_without_end(
         self,
         request: messages.Request,
--- a/tests/endpoints/test_answers.py
+++ b/tests/endpoints/test_answers.py
@@ -15,6 +15,16 @@
 _LIMIT = 10_000
 _HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
 _CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+#: Heads, each of which makes an answer without a body look complete early.
+_HEADS = (
+    b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Late: 1\r\n\r\n',
+    b'HTTP/1.1 200 OK\r\nContent-Length: 012\r\n\r\n',
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+    b'HTTP/1.1 204 No Content\r\nX-Late: 1\r\n\r\n',
+    b'HTTP/1.1 304 Not Modified\r\nX-Late: 1\r\n\r\n',
+    b'HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n',
+    b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n',
+)
 _PIECES = strategies.lists(
     strategies.sampled_from(
         (b'data: [DONE]', b'data:[DONE]', b'\n\n', b'\r\n\r\n', b'\n', b'data')
@@ -109,6 +119,33 @@
             errors.EndpointError, self.attempt, _HEAD + b'\r\ndata: [DONE]\n\n'
         )
 
+    def test_half_head(self):
+        """An answer that ends inside its head is not complete."""
+        peer = transport.Transport(
+            self.server.address, transport.Limits(read_timeout=1)
+        )
+        call = protocols.Call('r1', 'POST', '/', b'', stream=False)
+        taken = []
+        for head in _HEADS:
+            for size in range(len(head)):
+                self.server.answer = head[:size]
+                with contextlib.suppress(errors.EndpointError):
+                    answer = peer.call(call, peer.plain_body_reader)
+                    taken.append((head[:size], b''.join(answer.parts())))
+        self.assertEqual([], taken)
+
+    def test_whole_head(self):
+        """An answer whose head is whole needs no body to be complete."""
+        peer = transport.Transport(
+            self.server.address, transport.Limits(read_timeout=1)
+        )
+        call = protocols.Call('r1', 'POST', '/', b'', stream=False)
+        for head, status in ((_HEADS[0], 200), (_HEADS[3], 204)):
+            self.server.answer = head
+            answer = peer.call(call, peer.plain_body_reader)
+            self.assertEqual(b'', b''.join(answer.parts()))
+            self.assertEqual(status, answer.head.status)
+
     @_SETTINGS
     @hypothesis.given(
         strategies.sampled_from((b'', _HEAD, _HEAD + _CHUNKED)),
--- a/tests/http/test_channel.py
+++ b/tests/http/test_channel.py
@@ -160,6 +160,27 @@
 
         run(peer, exchange)
 
+    @tables.cases(ends=True, resets=False)
+    def test_half_head(self, ends: bool) -> None:
+        """An answer whose connection ends inside its head is no answer."""
+        heads = (
+            b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Late: 1\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\nX-Late: 1\r\n\r\n',
+            b'HTTP/1.1 204 No Content\r\nX-Late: 1\r\n\r\n',
+            CHUNKED + b'1\r\na\r\n0\r\nX-Late: 1\r\n\r\n',
+        )
+        for head in heads:
+            for size in range(1, len(head)):
+                peer = Peer(head[:size], ends=ends, resets=not ends)
+
+                async def exchange(peer_pool: pool.Pool) -> None:
+                    with testtools.ExpectedException(
+                        channel.ChannelBrokenError
+                    ):
+                        await pool.fetch(peer_pool, REQUEST, 5)
+
+                run(peer, exchange)
+
     def test_invalid_answer(self) -> None:
         """Bytes that are not an HTTP answer raise an error."""
         peer = Peer(b'\x00\x01garbage\r\n\r\n')
