Send no request whose connection opens after the time of its weights

A request is sent to older weights up to 0.6 s before their bound. Opening a connection may take as long, and an event loop may be delayed meanwhile; the request was then sent, after the bound, too, and its connection closed at once, while an engine with a free slot may have begun it. The caller got 502, as it may have run.

The time is checked between the connection and the sending, beside pauses, limits and evacuations; the request may go elsewhere, or ends with 503. The test failed before: the request reached an engine with older weights 0.1 s after the bound.

--- a/clementinepass/direct/attempt.py
+++ b/clementinepass/direct/attempt.py
@@ -283,6 +283,7 @@
         if (
             attempt.endpoint.has_closed_since(attempt.started_at)
             or not is_eligible
+            or now >= attempt.start_deadline
         ):
             attempt.refused()
             self._withdraw(admitted, attempt)
@@ -314,7 +315,8 @@
         """Give up an attempt before the request is sent.
 
         A pause or a limit of the endpoint has begun since it was selected, or
-        the evacuation of its failure domain. It may be selected again later.
+        the evacuation of its failure domain, or its weights have become too
+        old. It may be selected again later.
         """
         admitted.tried_endpoint_ids.discard(attempt.peer)
         self._log.log_withdrawn(admitted, attempt)
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -599,6 +599,32 @@
 
         path_harness.run(scenario)
 
+    def test_not_sent_after_late_connection(self) -> None:
+        """A request is not sent if its connection is open after its time."""
+
+        async def scenario(harness: path_harness.PathHarness) -> None:
+            now = asyncio.get_running_loop().time()
+            harness.cluster.add_desired_version(
+                'm', 2, now - path_harness.DUTIES.version + 0.9
+            )
+            acquire = pool.Pool.acquire
+
+            async def acquire_slowly(
+                peers: pool.Pool, **limits: float
+            ) -> object:
+                connection = await acquire(peers, **limits)
+                if limits:  # The caller's own connections have none.
+                    await asyncio.sleep(1)
+                return connection
+
+            self.patch(pool.Pool, 'acquire', acquire_slowly)
+            answer = await harness.send('/stream/a')
+            await asyncio.sleep(0.1)
+            self.assertEqual([], harness.received_requests)
+            self.assertEqual(503, answer.status)
+
+        path_harness.run(scenario)
+
     def test_resumed_stream_abandoned_before_bound(self) -> None:
         """A resumed stream that has not started is abandoned, too.
 
