Let a suspension of the machine count for the ages of versions

One of the hypotheses, not seen at callers: the monotonic clock does not count the time in which a machine is suspended, so that a process knew a version for younger than it was, and told those that had just started, where a known time replaces a guess.

Entries and agents compare the monotonic clock with the one that counts suspensions, move the times of versions by the difference, and log 'machine was suspended'.

--- a/clementinepass/decisions/desired_versions.py
+++ b/clementinepass/decisions/desired_versions.py
@@ -105,6 +105,15 @@
             return None
         return Naming(since, version in self.guessed_versions)
 
+    def shift(self, seconds: float) -> None:
+        """Move all times to earlier ones.
+
+        :param seconds: time that the clock has not counted.
+        """
+        for times in (self.since_by_version, self._heard_at_by_version):
+            for version in times:
+                times[version] -= seconds
+
     def usable_until(self, version: int) -> float:
         """Return the time until which requests may start on a version."""
         newer = [
--- a/clementinepass/direct/cluster_state.py
+++ b/clementinepass/direct/cluster_state.py
@@ -22,6 +22,7 @@
     endpoints,
     evacuation,
     heartbeats,
+    suspension,
     uptime,
 )
 
@@ -48,6 +49,9 @@
 #: Shift of a version's time from which on it is logged. Ages in heartbeats
 #: differ by the milliseconds that these take.
 _LOGGED_SHIFT_SECONDS = 0.05
+#: Shortest suspension that is accounted for: two clocks are read one after the
+#: other.
+_MIN_SUSPENSION_SECONDS = 0.1
 #: Where a version's time comes from, unless a peer's IP address: the store's
 #: records, and the start of this process if they were written before it.
 _STORE_SOURCE = 'store'
@@ -84,6 +88,7 @@
         'limits',
         'loads',
         'routing',
+        'suspension',
         'last_store_contact',
     )
 
@@ -102,6 +107,8 @@
         #: records: an answer of the store, or a heartbeat of an entry that
         #: reads the store for this one. 0 before the first.
         self.last_store_contact: Callable[[], float] = float
+        #: Measures the time for which this machine is suspended.
+        self.suspension = suspension.SuspensionMeter()
         #: The configuration in force; ``None`` until the first one arrives.
         self.routing: routing.Routing | None = None
         self.endpoints = endpoints.Endpoints()
@@ -551,8 +558,19 @@
             return []
         return self.endpoints.usable_for_service(service.name, now)
 
+    def _account_for_suspension(self) -> None:
+        """Let the ages of versions include the time of a suspension."""
+        seconds = self.suspension.take()
+        if seconds < _MIN_SUSPENSION_SECONDS:
+            return
+        self._started_at -= seconds
+        for versions in self._desired_by_model.values():
+            versions.shift(seconds)
+        logger.bind(seconds=round(seconds, 3)).warning('machine was suspended')
+
     def remove_expired(self, now: float) -> list[endpoints.Endpoint]:
         """Remove expired state; return the endpoints removed."""
+        self._account_for_suspension()
         self.loads.remove_expired(now)
         removed = self.endpoints.remove_expired(now)
         if removed:
--- a/clementinepass/observability/line_table.py
+++ b/clementinepass/observability/line_table.py
@@ -379,6 +379,10 @@
         'model version ago guessed source seconds',
         'the operator named a version of weights that engines are to load',
     ),
+    'machine was suspended': Kind(
+        'seconds',
+        'the monotonic clock stood still; the ages of versions are corrected',
+    ),
     'version time changed': Kind(
         'model version from to moved was_guessed guessed source',
         'the bound on older weights moves by as much',
--- a/tests/direct/test_cluster_state.py
+++ b/tests/direct/test_cluster_state.py
@@ -14,6 +14,7 @@
     heartbeats,
     node,
     routing,
+    suspension,
 )
 from clementinepass.http import limits
 
@@ -180,6 +181,26 @@
         self.assertAlmostEqual(104 + bound, cluster.version_bound(engine, 2))
         self.assertEqual(math.inf, cluster.version_bound(engine, 3))
 
+    def test_suspended_machine(self) -> None:
+        """A suspension counts for the bound and for the ages that peers get.
+
+        The monotonic clock stands still meanwhile: a process told peers that
+        had just started an age that was seconds too small.
+        """
+        cluster = cluster_state.ClusterState(LOCAL_NODE, clock=lambda: 101)
+        leads = [0.0, 0.0, 5.0, 5.0]
+        cluster.suspension = suspension.SuspensionMeter(lambda: leads.pop(0))
+        cluster.add_desired_version('m', 2, 100)
+        engine = typing.cast('routing.Engine', _Engine())
+        bound = LOCAL_NODE.duties.version
+        for lost in (0, 5, 5):
+            cluster.remove_expired(101)
+            self.assertAlmostEqual(
+                100 - lost + bound, cluster.version_bound(engine, 1)
+            )
+            (known,) = cluster.desired_versions(101)
+            self.assertAlmostEqual(1 + lost, known.age)
+
     def test_changed_time_is_logged(self) -> None:
         """A changed time of a version is logged with its source."""
         lines: list[dict[str, typing.Any]] = []
