Let agents tell entries that start what they know

After a loss of all entries only agents know when a version was named, and which requests crash endpoints. They answered entries that had not read the store yet, which is a matter of milliseconds; the others guessed the time, and tried the requests again.

--- a/clementinepass/direct/bootstrap.py
+++ b/clementinepass/direct/bootstrap.py
@@ -66,6 +66,14 @@
         elif len(self._waiting) < _MAX_WAITING:
             self._waiting[ip] = None
 
+    def welcome(self, ip: str, now: float) -> None:
+        """Send the local state to an entry that is heard for the first time.
+
+        After a loss of all entries only agents know what entries told each
+        other: times of versions, and crashes of endpoints.
+        """
+        self._send(self._current_message(now), ip)
+
     def reply_to_waiting(self, now: float) -> None:
         """Answer the processes that sent a heartbeat too early."""
         waiting = self._waiting
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -286,6 +286,9 @@
             logger.bind(peer=member.ip, phase=member.phase.value).info(
                 'member changed',
             )
+        is_agent = not self._local_node.callers
+        if is_agent and heartbeat.sender in changed:
+            self._bootstrap.welcome(ip, now)
         self._exchange_introductions(heartbeat, ip, unknown)
         self._apply_heartbeat(heartbeat, ip, now)
 
--- a/tests/direct/test_version_bound.py
+++ b/tests/direct/test_version_bound.py
@@ -13,7 +13,7 @@
 
 import testtools
 
-from clementinepass.direct import cluster_state, node
+from clementinepass.direct import cluster_state, heartbeats, node
 from standins import machines, skipped_time, weights_origin
 
 #: The first seed of the simulations, and how many there are.
@@ -63,6 +63,8 @@
         self._world.store.newest_delay_by_topic['keyed.op'] = 0.3
         self._started_at_by_ip: dict[str, float] = {}
         self._named_at = 0.0
+        #: What entries know of the version after a loss of all entries.
+        self.known_times: list[heartbeats.DesiredVersion] = []
         #: Entries that allow older weights after the bound.
         self.late_entries: list[_Violation] = []
         #: Processes that take a later time than that of the naming for known.
@@ -110,6 +112,20 @@
         self._world.store.newest_delay_by_topic['keyed.op'] = SLOW_READ_SECONDS
         await self.kill(self._ips)
 
+    async def kill_entries(self) -> None:
+        """Kill all entries, and see what those that follow know."""
+        self._world.store.newest_delay_by_topic.clear()
+        await asyncio.sleep(3)
+        await self.kill(self._world.entry_ips)
+        await asyncio.sleep(DUTIES.settling)
+        age = self._now - self._named_at
+        self.known_times = [
+            known
+            for one in self._world.entry_by_ip.values()
+            for known in one.cluster.desired_versions(self._now)
+            if not known.guessed and abs(known.age - age) < MAX_DELAY_SECONDS
+        ]
+
     async def kill_at_random(self) -> None:
         """Kill all, some or the entries alone, at random moments."""
         for _ in range(self._rng.randint(2, 6)):
@@ -176,6 +192,13 @@
         self.assertEqual([], simulation.late_times)
         self.assertEqual([], simulation.late_entries)
 
+    def test_all_entries_killed(self) -> None:
+        """Agents tell entries that start when the version was named."""
+        simulation = _Simulation(1)
+        skipped_time.run(simulation.run(simulation.kill_entries))
+        self.assertEqual(ENTRY_COUNT, len(simulation.known_times))
+        self.assertEqual([], simulation.late_entries)
+
     def test_slow_start(self) -> None:
         """A process that reads the records late is not bound later."""
         simulation = _Simulation(1)
