Account for suspensions beside the removal of expired state, by name

Read as a newcomer: remove_expired also moved the times of versions, and the check of a record's time had two conditions for one case. No change of what is decided.

--- a/clementinepass/direct/agent.py
+++ b/clementinepass/direct/agent.py
@@ -241,6 +241,7 @@
             elif loop.time() - no_entry_since >= _NO_ENTRY_SECONDS:
                 await self._read_store()
                 no_entry_since = loop.time()
+            self.cluster.account_for_suspension()
             self.cluster.remove_expired(loop.time())
             pause = _MEMBERSHIP_POLL_SECONDS
             if self.peers.is_bootstrapping:
--- a/clementinepass/direct/bootstrap.py
+++ b/clementinepass/direct/bootstrap.py
@@ -66,8 +66,8 @@
         elif len(self._waiting) < _MAX_WAITING:
             self._waiting[ip] = None
 
-    def welcome(self, ip: str, now: float) -> None:
-        """Send the local state to an entry that is heard for the first time.
+    def send_state(self, ip: str, now: float) -> None:
+        """Send the local state to an entry that has started or changed.
 
         After a loss of all entries only agents know what entries told each
         other: times of versions, and crashes of endpoints.
--- a/clementinepass/direct/cluster_state.py
+++ b/clementinepass/direct/cluster_state.py
@@ -41,9 +41,8 @@
 #: agent repeats it each second while pieces arrive slowly.
 _CONGESTION_LIFETIME_SECONDS = 2.5
 #: Seconds subtracted from the settling time, in which the bound on older
-#: versions does not apply to a process that has just started: the interpreter
-#: starts before the process knows its clock, and a request may wait at an
-#: engine.
+#: versions does not apply to a process that has just started: the time counts
+#: once its interpreter runs, and a request may wait at an engine.
 _STARTUP_MARGIN_SECONDS = 1.0
 
 #: Shift of a version's time from which on it is logged. Ages in heartbeats
@@ -558,7 +557,7 @@
             return []
         return self.endpoints.usable_for_service(service.name, now)
 
-    def _account_for_suspension(self) -> None:
+    def account_for_suspension(self) -> None:
         """Let the ages of versions include the time of a suspension."""
         seconds = self.suspension.take()
         if seconds < _MIN_SUSPENSION_SECONDS:
@@ -570,7 +569,6 @@
 
     def remove_expired(self, now: float) -> list[endpoints.Endpoint]:
         """Remove expired state; return the endpoints removed."""
-        self._account_for_suspension()
         self.loads.remove_expired(now)
         removed = self.endpoints.remove_expired(now)
         if removed:
--- a/clementinepass/direct/entry.py
+++ b/clementinepass/direct/entry.py
@@ -321,6 +321,7 @@
         while True:
             await asyncio.sleep(_CLEANUP_SECONDS)
             now = loop.time()
+            self.cluster.account_for_suspension()
             for endpoint in self.cluster.remove_expired(now):
                 self._sender.close_connections(endpoint.listing.id)
             self._sender.crash_detector.check_removals(now)
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -288,7 +288,7 @@
             )
         is_agent = not self._local_node.callers
         if is_agent and heartbeat.sender in changed:
-            self._bootstrap.welcome(ip, now)
+            self._bootstrap.send_state(ip, now)
         self._exchange_introductions(heartbeat, ip, unknown)
         self._apply_heartbeat(heartbeat, ip, now)
 
--- a/clementinepass/direct/intake.py
+++ b/clementinepass/direct/intake.py
@@ -137,9 +137,7 @@
         Records of a peer, and those that are read again, were written earlier.
         """
         operator_follower = self._operator_follower
-        if operator_follower is not None and (
-            not operator_follower.is_initialized
-        ):
+        if operator_follower is None or not operator_follower.is_initialized:
             self._cluster.add_earlier_desired_version(
                 desired.model, desired.version
             )
@@ -148,8 +146,7 @@
             desired.model,
             desired.version,
             asyncio.get_running_loop().time(),
-            guessed=operator_follower is None
-            or not operator_follower.is_reading_changes,
+            guessed=not operator_follower.is_reading_changes,
         )
 
     def _is_newer_operator_record(
--- a/tests/direct/test_cluster_state.py
+++ b/tests/direct/test_cluster_state.py
@@ -194,7 +194,7 @@
         engine = typing.cast('routing.Engine', _Engine())
         bound = LOCAL_NODE.duties.version
         for lost in (0, 5, 5):
-            cluster.remove_expired(101)
+            cluster.account_for_suspension()
             self.assertAlmostEqual(
                 100 - lost + bound, cluster.version_bound(engine, 1)
             )
