Send no announcement from a process that has closed its sockets

By: an agent repeats an announcement for 0.3 s, and after its sockets were closed each repetition raised an error in a callback (seen in the simulation's output, by hand). The new test failed before.

--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -140,6 +140,8 @@
         """Stop listening, and close the connections of peers."""
         if self._transport is not None:
             self._transport.close()
+            # Announcements may still be scheduled.
+            self._transport = None
         await self._front.close()
 
     @property
--- a/tests/direct/test_gossip.py
+++ b/tests/direct/test_gossip.py
@@ -8,6 +8,7 @@
 import testtools
 
 from clementinepass.direct import cluster_state, gossip, members, node
+from standins import machines
 
 #: Entries, and heartbeats that each of them sends.
 ENTRIES = 120
@@ -95,3 +96,30 @@
         for entry in peers_by_ip.values():
             alive_count = len(entry.members.alive(loop.now))
             self.assertGreater(alive_count, MIN_ALIVE_SHARE * (ENTRIES - 1))
+
+
+class CloseTest(testtools.TestCase):
+    """The end of a process."""
+
+    def test_announcement_after_close(self) -> None:
+        """An announcement that is still scheduled raised an error."""
+
+        async def scenario() -> None:
+            ip = '127.4.0.1'
+            local_node = node.Node(
+                name=ip,
+                ip=ip,
+                domain='a',
+                region='a',
+                regions_by_domain={},
+                first_port=machines.free_port([ip]),
+                store='',
+                duties=node.SystemLimits(),
+            )
+            cluster = cluster_state.ClusterState(local_node)
+            peers = gossip.Peers(local_node, {}, cluster, random.Random(1))
+            await peers.listen()
+            await peers.close()
+            peers.send_to(['127.4.0.2'])
+
+        asyncio.run(scenario())
