--- a/clementinepass/direct/bootstrap.py
+++ b/clementinepass/direct/bootstrap.py
@@ -26,7 +26,14 @@
     :param send: sends a message to an IP address.
     """
 
-    __slots__ = ('_compose', '_composed_at', '_message', '_send', '_waiting')
+    __slots__ = (
+        '_compose',
+        '_composed_at',
+        '_message',
+        '_send',
+        '_sent_ips',
+        '_waiting',
+    )
 
     def __init__(
         self,
@@ -37,6 +44,8 @@
         self._send = send
         self._message = b''
         self._composed_at = float('-inf')
+        #: The IP addresses that the message was sent to.
+        self._sent_ips: set[str] = set()
         #: The IP addresses of processes to answer later, in order.
         self._waiting: dict[str, None] = {}
 
@@ -60,19 +69,22 @@
         peer_offsets = heartbeat.operator_offset, heartbeat.endpoints_offset
         pairs = list(zip(peer_offsets, offsets, strict=True))
         if any(offset and not peer_offset for peer_offset, offset in pairs):
-            self._send(self._current_message(now), ip)
+            self.send_state(ip, now)
         if all(offsets) or all(peer_offsets):
             self._waiting.pop(ip, None)
         elif len(self._waiting) < _MAX_WAITING:
             self._waiting[ip] = None
 
     def send_state(self, ip: str, now: float) -> None:
-        """Send the local state to an entry that has started or changed.
+        """Send the local state to a process, each message once.
 
-        After a loss of all entries only agents know what entries told each
-        other: times of versions, and crashes of endpoints.
+        Two processes that each lack a topic of the other would answer each
+        other's answers without a pause.
         """
-        self._send(self._current_message(now), ip)
+        message = self._current_message(now)
+        if ip not in self._sent_ips:
+            self._sent_ips.add(ip)
+            self._send(message, ip)
 
     def reply_to_waiting(self, now: float) -> None:
         """Answer the processes that sent a heartbeat too early."""
@@ -84,5 +96,6 @@
     def _current_message(self, now: float) -> bytes:
         if now - self._composed_at >= _MESSAGE_LIFETIME_SECONDS:
             self._message = self._compose()
+            self._sent_ips.clear()
             self._composed_at = now
         return self._message
--- a/clementinepass/direct/gossip.py
+++ b/clementinepass/direct/gossip.py
@@ -288,6 +288,8 @@
             logger.bind(peer=member.ip, phase=member.phase.value).info(
                 'member changed',
             )
+        # After a loss of all entries only agents know what entries told each
+        # other: times of versions, and crashes of endpoints.
         is_agent = not self._local_node.callers
         if is_agent and heartbeat.sender in changed:
             self._bootstrap.send_state(ip, now)
--- a/tests/direct/test_bootstrap.py
+++ b/tests/direct/test_bootstrap.py
@@ -70,3 +70,15 @@
         self.assertEqual(1, len(self.answered))
         self.bootstrap.reply_to_waiting(1)
         self.assertEqual(2, len(self.answered))
+
+    def test_answers_to_answers(self) -> None:
+        """Two processes that lack a topic each answered each other for ever."""
+        for offsets in ((4, 0), (0, 4)):
+            for _ in range(100):
+                heartbeat = heartbeats.Heartbeat(
+                    operator_offset=offsets[1], endpoints_offset=offsets[0]
+                )
+                self.bootstrap.handle_heartbeat(
+                    heartbeat, NEW_PEERS[0], 1, offsets=offsets
+                )
+        self.assertEqual(1, len(self.answered))
