--- a/clementinepass/platform/store.py
+++ b/clementinepass/platform/store.py
@@ -324,11 +324,11 @@
         return decoding.decode(body, _NewestPage, 'newest', peer)
     except errors.MalformedMessageError:
         return decoding.decode(
-            _drop_odd_keys(body, peer), _NewestPage, 'newest', peer
+            _drop_malformed_keys(body, peer), _NewestPage, 'newest', peer
         )
 
 
-def _drop_odd_keys(body: bytes, peer: str) -> bytes:
+def _drop_malformed_keys(body: bytes, peer: str) -> bytes:
     """Return a page without the records whose keys are not valid text.
 
     :raises MalformedMessageError: the body is not a page.
--- a/tests/decisions/test_direct_decisions.py
+++ b/tests/decisions/test_direct_decisions.py
@@ -321,10 +321,7 @@
         self.assertEqual(set(), versions.guessed_versions)
 
     def test_time_is_no_later_than_first_heard(self) -> None:
-        """A known time that comes late does not move the deadline.
-
-        A heartbeat that waits on a congested link makes its ages too small.
-        """
+        """A known time that a heartbeat brings late moves no deadline."""
         versions = desired_versions.DesiredVersions(8)
         versions.record(2, 95, is_guess=True, heard_at=98)
         versions.record(2, 101, heard_at=101)
--- a/tests/direct/test_bootstrap.py
+++ b/tests/direct/test_bootstrap.py
@@ -72,7 +72,7 @@
         self.assertEqual(2, len(self.answered))
 
     def test_answers_to_answers(self) -> None:
-        """Two processes that lack a topic each answered each other for ever."""
+        """Processes that lack a topic each do not answer each other's answers."""
         for offsets in ((4, 0), (0, 4)):
             for _ in range(100):
                 heartbeat = heartbeats.Heartbeat(
--- a/tests/direct/test_cluster_state.py
+++ b/tests/direct/test_cluster_state.py
@@ -182,11 +182,7 @@
         self.assertEqual(math.inf, cluster.version_bound(engine, 3))
 
     def test_suspended_machine(self) -> None:
-        """A suspension counts for the bound and for the ages that peers get.
-
-        The monotonic clock stands still meanwhile: a process told peers that
-        had just started an age that was seconds too small.
-        """
+        """A suspension counts for the bound and for the ages that peers get."""
         cluster = cluster_state.ClusterState(LOCAL_NODE, clock=lambda: 101)
         leads = [0.0, 0.0, 5.0, 5.0]
         cluster.suspension = suspension.SuspensionMeter(lambda: leads.pop(0))
--- a/tests/direct/test_gossip.py
+++ b/tests/direct/test_gossip.py
@@ -102,7 +102,7 @@
     """The end of a process."""
 
     def test_announcement_after_close(self) -> None:
-        """An announcement that is still scheduled raised an error."""
+        """An announcement that is still scheduled is not sent."""
 
         async def scenario() -> None:
             ip = '127.4.0.1'
--- a/tests/direct/test_odd_records.py
+++ b/tests/direct/test_odd_records.py
@@ -1,8 +1,4 @@
-"""Tests of a whole system whose store holds records of other writers.
-
-Another writer left odd records among those of the endpoints and the operator.
-Processes that read them must go on, follow the topic, and start beside them.
-"""
+"""Tests of a whole system whose store holds malformed records."""
 
 from __future__ import annotations
 
